Lay out the workspace, the shared types and the protocols

The crates depend downwards: errors and config at the bottom, the pure decision crates (routing, placement, limits, consensus, state) above them, the processes (entry, control) on top. docs/PROTOCOLS.md fixes what upstreams, the cloud API and the weight store are expected to speak, so that the parts can be built side by side.

--- /dev/null
+++ b/components/config/src/duration.rs
@@ -0,0 +1,55 @@
+//! Durations written as text such as `1.2s`, `40ms` or `5m`.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Deserializer, Serializer, de::Error};
+
+/// Reads `40ms`, `1.2s`, `5m` or `2h`.
+///
+/// # Errors
+/// Says what is wrong with the text when it is not a duration.
+pub fn parse(text: &str) -> Result<Duration, String> {
+    let text = text.trim();
+    let split = text
+        .find(|c: char| !c.is_ascii_digit() && c != '.')
+        .unwrap_or(text.len());
+    let (number, unit) = text.split_at(split);
+    let seconds_per_unit = match unit {
+        "ms" => 0.001,
+        "s" => 1.0,
+        "m" => 60.0,
+        "h" => 3_600.0,
+        "d" => 86_400.0,
+        _ => return Err(format!("\"{text}\" needs a unit of ms, s, m, h or d")),
+    };
+    match number.parse::<f64>() {
+        Ok(value) => Duration::try_from_secs_f64(value * seconds_per_unit)
+            .map_err(|_| format!("\"{text}\" is out of range")),
+        Err(_) => Err(format!("\"{text}\" is not a duration such as \"1.2s\"")),
+    }
+}
+
+/// Writes the shortest text that [`parse`] reads back.
+pub fn format(duration: Duration) -> String {
+    match duration.as_millis() {
+        ms if ms % 1_000 == 0 => format!("{}s", ms / 1_000),
+        ms => format!("{ms}ms"),
+    }
+}
+
+/// Reads a duration for serde.
+///
+/// # Errors
+/// Fails when the value is not a text that [`parse`] reads.
+pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    parse(&text).map_err(D::Error::custom)
+}
+
+/// Writes a duration for serde.
+///
+/// # Errors
+/// Fails when the serializer does.
+pub fn serialize<S: Serializer>(duration: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_str(&format(*duration))
+}
--- /dev/null
+++ b/components/config/src/keys.rs
@@ -0,0 +1,55 @@
+//! Keys and secrets, read from a file of their own that never reaches a log.
+
+mod secret;
+
+pub use secret::Secret;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+
+use crate::ids::AccountId;
+
+/// Everything secret that a process needs.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Keys {
+    /// Bearer keys of each client account.
+    pub accounts: IndexMap<AccountId, Vec<Secret>>,
+    /// Bearer tokens of operators, by operator name.
+    pub operators: IndexMap<AccountId, Secret>,
+    /// Secret shared by the system's own processes.
+    pub fleet: Secret,
+    /// Secret with which upstreams sign their announcements.
+    pub upstreams: Secret,
+}
+
+impl Keys {
+    /// Parses a file of keys. The error names the line but quotes no value.
+    ///
+    /// # Errors
+    /// Says where the file is not as expected.
+    pub fn parse(source: &str) -> Result<Self, String> {
+        toml::from_str(source).map_err(|error: toml::de::Error| {
+            let at = error.span().map_or(0, |span| span.start);
+            let line = source[..at.min(source.len())].matches('\n').count() + 1;
+            format!("line {line}: {}", error.message())
+        })
+    }
+
+    /// Returns the account whose key `bearer` is.
+    pub fn account_of(&self, bearer: &str) -> Option<&AccountId> {
+        let holds = |keys: &Vec<Secret>| keys.iter().any(|key| key.is(bearer));
+        self.accounts
+            .iter()
+            .find(|(_, keys)| holds(keys))
+            .map(|(account, _)| account)
+    }
+
+    /// Returns the operator whose token `bearer` is.
+    pub fn operator_of(&self, bearer: &str) -> Option<&AccountId> {
+        self.operators
+            .iter()
+            .find(|(_, token)| token.is(bearer))
+            .map(|(name, _)| name)
+    }
+}
--- /dev/null
+++ b/components/config/src/lib.rs
@@ -0,0 +1,11 @@
+//! The operators' text, the processes' settings and the keys, read from TOML and checked.
+
+pub mod duration;
+pub mod ids;
+pub mod keys;
+pub mod settings;
+pub mod text;
+
+pub use keys::Keys;
+pub use settings::Settings;
+pub use text::Text;
--- /dev/null
+++ b/components/config/src/settings/entry.rs
@@ -0,0 +1,65 @@
+//! Settings of `chervilloft entry`.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+/// Settings of an entry process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Entry {
+    /// Port of the HTTP listener for callers and upstreams.
+    pub port: u16,
+    /// Port of the WebSocket listener for other entries; 0 turns hand-over off.
+    pub peer_port: u16,
+    /// Operators' text to serve without control processes, for trials on one machine.
+    pub standalone_text: Option<PathBuf>,
+    /// Largest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time for a request head.
+    #[serde(with = "crate::duration")]
+    pub head_timeout: Duration,
+    /// Longest time for a request body.
+    #[serde(with = "crate::duration")]
+    pub body_timeout: Duration,
+    /// Open connections from callers.
+    pub max_connections: usize,
+    /// Time between keep-alive comments on a streamed answer.
+    #[serde(with = "crate::duration")]
+    pub keep_alive: Duration,
+    /// Longest silence of an upstream before its connection counts as lost.
+    #[serde(with = "crate::duration")]
+    pub upstream_silence: Duration,
+    /// Longest time to connect to an upstream.
+    #[serde(with = "crate::duration")]
+    pub connect_timeout: Duration,
+    /// Time for which the balancer may still send requests after readiness is gone.
+    #[serde(with = "crate::duration")]
+    pub balancer_lag: Duration,
+    /// Longest time for a planned stop before work is handed over.
+    #[serde(with = "crate::duration")]
+    pub drain_timeout: Duration,
+    /// Worker threads for callers; 0 for one per core.
+    pub threads: usize,
+}
+
+impl Default for Entry {
+    fn default() -> Self {
+        Entry {
+            port: 8_080,
+            peer_port: 0,
+            standalone_text: None,
+            max_body_bytes: 4 * 1_024 * 1_024,
+            head_timeout: Duration::from_secs(5),
+            body_timeout: Duration::from_secs(15),
+            max_connections: 10_000,
+            keep_alive: Duration::from_secs(2),
+            upstream_silence: Duration::from_secs(5),
+            connect_timeout: Duration::from_secs(1),
+            balancer_lag: Duration::from_secs(2),
+            drain_timeout: Duration::from_secs(20),
+            threads: 0,
+        }
+    }
+}
--- /dev/null
+++ b/components/control/src/lib.rs
@@ -0,0 +1,3 @@
+//! The control process: keeps the replicated state and answers entries and operators.
+
+pub mod replica;
--- /dev/null
+++ b/components/upstream/src/lib.rs
@@ -0,0 +1,17 @@
+//! What upstreams publish about themselves: announcements, load and cache events.
+
+mod announcement;
+pub mod blocks;
+pub mod cache;
+mod capacity;
+mod load;
+pub mod prompt;
+mod routes;
+
+pub use announcement::{Announcement, Availability, Role, Served};
+pub use capacity::Capacity;
+pub use load::Load;
+pub use routes::{Route, Routes};
+
+/// Header that carries the signature of an announcement's body.
+pub const SIGNATURE_HEADER: &str = "chervilloft-signature";
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The chervilloft command.
+
+fn main() {}
--- /dev/null
+++ b/trials/src/lib.rs
@@ -0,0 +1,1 @@
+//! Starts real processes on loopback for tests, and cuts the connections between them.
