Route by expected time to the first token

The skeleton took the upstream with the fewest own requests under a lock that all requests shared. The tables are now replaced as a whole and the counters are atomics. A score adds queue, uncached prompt, network and price, prefers the home of a prefix within a load bound, and refuses what would miss the latency target.

Extended: Router::new(Settings), Request::phase, Choice::ticket (counts the request until it is finished, failed ones included) and Refusal::DependencyDown. A choice made by hand has no ticket and counts nothing.

--- /dev/null
+++ b/components/routing/src/candidate.rs
@@ -0,0 +1,59 @@
+//! An upstream as the tables hold it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use config::ids::{DataCentreId, UpstreamId};
+use config::text::Class;
+use std::net::SocketAddr;
+use upstream::{Announcement, Capacity, Load, Role, Route};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::tracker::Tracker;
+
+/// What a request needs to know of an upstream, ready for scoring.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) upstream: UpstreamId,
+    pub(crate) hash: u64,
+    pub(crate) address: SocketAddr,
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) class: Class,
+    pub(crate) role: Role,
+    pub(crate) capacity: Capacity,
+    pub(crate) load: Load,
+    pub(crate) measured: Instant,
+    pub(crate) expires: Instant,
+    /// Round trip from the entry, in seconds.
+    pub(crate) network: f64,
+    /// Price relative to the dearest of the text, from 0 to 1.
+    pub(crate) price: f64,
+    pub(crate) tracker: Arc<Tracker>,
+}
+
+impl Candidate {
+    pub(crate) fn new(route: &Route, network: f64, price: f64, tracker: Arc<Tracker>) -> Self {
+        let announcement: &Announcement = &route.announcement;
+        let age = Duration::from_millis(announcement.load.age_ms);
+        Candidate {
+            upstream: announcement.upstream.clone(),
+            hash: xxh3_64(announcement.upstream.as_bytes()),
+            address: announcement.address,
+            data_centre: announcement.data_centre.clone(),
+            class: announcement.class,
+            role: announcement.role,
+            capacity: announcement.capacity,
+            load: announcement.load,
+            measured: route.received.checked_sub(age).unwrap_or(route.received),
+            expires: route.expires,
+            network,
+            price,
+            tracker,
+        }
+    }
+
+    /// Reports whether the upstream takes the phases that a request needs.
+    pub(crate) fn takes(&self, phase: Role) -> bool {
+        self.role == Role::Both || self.role == phase
+    }
+}
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -6,6 +6,8 @@
 use compact_str::CompactString;
 use config::ids::UpstreamId;
 
+use crate::Ticket;
+
 /// The upstream chosen, and why.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -21,4 +23,6 @@
     pub considered: usize,
     /// Why this one was chosen, for the log line.
     pub reason: CompactString,
+    /// Counts the request against its upstream until it is finished.
+    pub ticket: Ticket,
 }
--- /dev/null
+++ b/components/routing/src/recent.rs
@@ -0,0 +1,112 @@
+//! Own work in flight by the time at which it was sent.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// Width of one slot.
+const SLOT: Duration = Duration::from_millis(50);
+/// Slots kept; older work is taken to be in every load report.
+const SLOTS: usize = 128;
+const TOKEN_BITS: u32 = 28;
+const REQUEST_BITS: u32 = 12;
+const TOKEN_MASK: u64 = (1 << TOKEN_BITS) - 1;
+const REQUEST_MASK: u64 = (1 << REQUEST_BITS) - 1;
+const EPOCH_MASK: u64 = (1 << 24) - 1;
+
+/// Requests, and prompt tokens not yet computed, that were sent in each of the last slots.
+///
+/// Each slot is one word (epoch, requests, tokens), so that reuse and count change together.
+#[derive(Debug)]
+pub(crate) struct Recent {
+    base: Instant,
+    slots: Vec<AtomicU64>,
+}
+
+/// Work that an upstream has not reported yet.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Work {
+    pub(crate) requests: u64,
+    pub(crate) tokens: u64,
+}
+
+impl Recent {
+    pub(crate) fn new(base: Instant) -> Self {
+        Recent {
+            base,
+            slots: (0..SLOTS).map(|_| AtomicU64::new(0)).collect(),
+        }
+    }
+
+    pub(crate) fn add(&self, at: Instant, work: Work) {
+        let epoch = self.epoch(at);
+        self.change(epoch, |known| match unpack(known) {
+            (e, w) if e == epoch & EPOCH_MASK => Some(pack(epoch, w.plus(work))),
+            _ => Some(pack(epoch, work)),
+        });
+    }
+
+    pub(crate) fn remove(&self, at: Instant, work: Work) {
+        let epoch = self.epoch(at);
+        self.change(epoch, |known| match unpack(known) {
+            (e, w) if e == epoch & EPOCH_MASK => Some(pack(epoch, w.minus(work))),
+            _ => None,
+        });
+    }
+
+    /// Returns the work in flight that was sent after `report` and up to `now`.
+    pub(crate) fn since(&self, report: Instant, now: Instant) -> Work {
+        let last = self.epoch(now);
+        let oldest = last.saturating_sub(SLOTS as u64 - 1);
+        let first = (self.epoch(report) + 1).clamp(oldest, last);
+        (first..=last).fold(Work::default(), |sum, epoch| {
+            match unpack(self.slot(epoch).load(Ordering::Relaxed)) {
+                (e, work) if e == epoch & EPOCH_MASK => sum.plus(work),
+                _ => sum,
+            }
+        })
+    }
+
+    fn epoch(&self, at: Instant) -> u64 {
+        (at.saturating_duration_since(self.base).as_millis() / SLOT.as_millis()) as u64 + 1
+    }
+
+    fn slot(&self, epoch: u64) -> &AtomicU64 {
+        &self.slots[epoch as usize % SLOTS]
+    }
+
+    fn change(&self, epoch: u64, next: impl Fn(u64) -> Option<u64>) {
+        let _ = self
+            .slot(epoch)
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, next);
+    }
+}
+
+impl Work {
+    fn plus(self, other: Work) -> Work {
+        Work {
+            requests: self.requests + other.requests,
+            tokens: self.tokens + other.tokens,
+        }
+    }
+
+    fn minus(self, other: Work) -> Work {
+        Work {
+            requests: self.requests.saturating_sub(other.requests),
+            tokens: self.tokens.saturating_sub(other.tokens),
+        }
+    }
+}
+
+fn pack(epoch: u64, work: Work) -> u64 {
+    let requests = work.requests.min(REQUEST_MASK) << TOKEN_BITS;
+    let tokens = work.tokens.min(TOKEN_MASK);
+    (epoch & EPOCH_MASK) << (TOKEN_BITS + REQUEST_BITS) | requests | tokens
+}
+
+fn unpack(word: u64) -> (u64, Work) {
+    let work = Work {
+        requests: word >> TOKEN_BITS & REQUEST_MASK,
+        tokens: word & TOKEN_MASK,
+    };
+    (word >> (TOKEN_BITS + REQUEST_BITS), work)
+}
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -2,6 +2,7 @@
 
 use config::ids::UpstreamId;
 use config::text::Priority;
+use upstream::Role;
 use upstream::blocks::BlockHash;
 
 /// A request to be routed.
@@ -23,4 +24,6 @@
     pub exclude: &'a [UpstreamId],
     /// Whether the request continues an accepted stream, which is never refused for lateness.
     pub resumed: bool,
+    /// Phases that the upstream must take; an upstream that takes both suits each phase.
+    pub phase: Role,
 }
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -1,28 +1,58 @@
 //! The router: tables that are replaced as a whole, and counters of work in flight.
 
+mod selection;
+
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use compact_str::format_compact;
+use arc_swap::ArcSwap;
 use config::Text;
-use config::ids::UpstreamId;
-use indexmap::IndexMap;
+use config::text::Kind;
+use upstream::Routes;
 use upstream::cache::{Contents, Page};
-use upstream::{Route, Routes};
 
-use crate::{Choice, Refusal, Request};
+use crate::table::{Group, Table};
+use crate::{Choice, Prefixes, Refusal, Request, Settings};
+use selection::Selection;
+
+/// Blocks remembered of an entry's own requests, by which shared prefixes are known.
+const SEEN_BLOCKS: usize = 65_536;
 
 /// Routes requests of one entry.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Router {
-    routes: Mutex<Routes>,
-    in_flight: Mutex<IndexMap<UpstreamId, u32>>,
+    settings: Settings,
+    table: ArcSwap<Table>,
+    /// Held by those that replace the table, never on the path of a request.
+    update: Mutex<()>,
+    seen: Prefixes,
+    turn: AtomicU64,
+}
+
+impl Default for Router {
+    fn default() -> Self {
+        Router::new(Settings::default())
+    }
 }
 
 impl Router {
+    /// Creates a router that knows no upstream yet.
+    pub fn new(settings: Settings) -> Self {
+        Router {
+            settings,
+            table: ArcSwap::default(),
+            update: Mutex::new(()),
+            seen: Prefixes::new(SEEN_BLOCKS),
+            turn: AtomicU64::new(0),
+        }
+    }
+
     /// Takes in the text in force and the upstreams known.
-    pub fn update(&self, _text: &Text, routes: &Routes) {
-        *self.routes.lock().unwrap_or_else(PoisonError::into_inner) = routes.clone();
+    pub fn update(&self, text: &Text, routes: &Routes) {
+        let _guard = self.update.lock().unwrap_or_else(PoisonError::into_inner);
+        let table = Table::new(text, routes, &self.settings, &self.table.load());
+        self.table.store(table.into());
     }
 
     /// Chooses an upstream for `request`.
@@ -30,65 +60,81 @@
     /// # Errors
     /// Returns why there is none.
     pub fn choose(&self, request: &Request<'_>, now: Instant) -> Result<Choice, Refusal> {
-        let routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
-        let in_flight = self
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let usable = |route: &&Route| {
-            let announcement = &route.announcement;
-            let excluded = request.exclude.contains(&announcement.upstream);
-            route.takes_work(now) && !excluded
-        };
-        let candidates: Vec<&Route> = routes.of(request.service).filter(usable).collect();
-        let load = |route: &&&Route| in_flight.get(&route.announcement.upstream).copied();
-        let chosen = candidates
-            .iter()
-            .min_by_key(load)
+        let table = self.table.load();
+        let group = table
+            .services
+            .get(request.service)
             .ok_or(Refusal::NoUpstream)?;
-        Ok(Choice {
-            upstream: chosen.announcement.upstream.clone(),
-            address: chosen.announcement.address,
-            expected_first_token: Duration::ZERO,
-            cached_tokens: 0,
-            considered: candidates.len(),
-            reason: format_compact!("least load"),
-        })
+        check_dependencies(&table, group, now)?;
+        let model = match group.kind {
+            Kind::Model => request.model,
+            Kind::Plain => "",
+        };
+        let candidates = group.models.get(model).map_or(&[][..], Vec::as_slice);
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        let selection = Selection {
+            settings: &self.settings,
+            group,
+            request,
+            seen: &self.seen,
+            turn,
+            now,
+        };
+        selection.choose(candidates)
     }
 
     /// Counts a request as sent to the chosen upstream.
-    pub fn dispatched(&self, choice: &Choice, _request: &Request<'_>, _now: Instant) {
-        let mut in_flight = self
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *in_flight.entry(choice.upstream.clone()).or_default() += 1;
+    pub fn dispatched(&self, choice: &Choice, request: &Request<'_>, now: Instant) {
+        self.seen.store(request.blocks);
+        if let Some(tracker) = choice.ticket.dispatched(now) {
+            tracker.prefixes.store(request.blocks);
+        }
     }
 
-    /// Counts the first token of a request as received after `elapsed`.
-    pub fn first_token(&self, _choice: &Choice, _request: &Request<'_>, _elapsed: Duration) {}
+    /// Counts the first token of a request as received `elapsed` after its dispatch.
+    pub fn first_token(&self, choice: &Choice, _request: &Request<'_>, elapsed: Duration) {
+        let expected = choice.expected_first_token;
+        choice.ticket.first_token(elapsed, expected);
+    }
 
     /// Counts a request as no longer with the upstream, whether it was answered or not.
     pub fn finished(&self, choice: &Choice) {
-        let mut in_flight = self
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if let Some(count) = in_flight.get_mut(&choice.upstream) {
-            *count = count.saturating_sub(1);
-        }
+        choice.ticket.finished();
     }
 
     /// Takes in cache events of `upstream`, and reports whether its whole contents are needed.
-    pub fn cache_events(&self, _upstream: &str, _page: &Page) -> bool {
-        false
+    pub fn cache_events(&self, upstream: &str, page: &Page) -> bool {
+        let table = self.table.load();
+        let tracker = table.trackers.get(upstream);
+        tracker.is_some_and(|tracker| tracker.take_events(page))
     }
 
     /// Takes in the whole cache contents of `upstream`.
-    pub fn cache_contents(&self, _upstream: &str, _contents: &Contents) {}
+    pub fn cache_contents(&self, upstream: &str, contents: &Contents) {
+        if let Some(tracker) = self.table.load().trackers.get(upstream) {
+            tracker.take_contents(contents);
+        }
+    }
 
     /// Returns the number of the last cache event taken in from `upstream`.
-    pub fn last_cache_event(&self, _upstream: &str) -> u64 {
-        0
+    pub fn last_cache_event(&self, upstream: &str) -> u64 {
+        let table = self.table.load();
+        let tracker = table.trackers.get(upstream);
+        tracker.map_or(0, |tracker| tracker.last_event())
     }
 }
+
+fn check_dependencies(table: &Table, group: &Group, now: Instant) -> Result<(), Refusal> {
+    let is_up = |group: &Group| {
+        let mut candidates = group.models.values().flatten();
+        candidates.any(|candidate| now < candidate.expires)
+    };
+    let down = group
+        .depends_on
+        .iter()
+        .find(|name| !table.services.get(*name).is_some_and(is_up));
+    down.map_or(Ok(()), |service| {
+        let service = service.clone();
+        Err(Refusal::DependencyDown { service })
+    })
+}
--- /dev/null
+++ b/components/routing/src/settings.rs
@@ -0,0 +1,32 @@
+//! Settings of a router.
+
+use std::time::Duration;
+
+use config::ids::DataCentreId;
+
+/// What one entry's router needs to know of itself.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Data centre of the entry.
+    pub data_centre: DataCentreId,
+    /// Number that differs between entries, so that they break ties differently.
+    pub seed: u64,
+    /// Round trip to an upstream in the entry's own data centre.
+    pub near: Duration,
+    /// Round trip to an upstream in another data centre.
+    pub far: Duration,
+    /// Upstreams scored for one request; beyond it a sample is scored.
+    pub sample: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            data_centre: DataCentreId::default(),
+            seed: 0,
+            near: Duration::from_micros(500),
+            far: Duration::from_micros(2_500),
+            sample: 40,
+        }
+    }
+}
--- /dev/null
+++ b/components/routing/src/table.rs
@@ -0,0 +1,139 @@
+//! The tables of a router, replaced as a whole on each change.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use config::Text;
+use config::ids::{ServiceId, UpstreamId};
+use config::text::{Class, Kind, Service};
+use indexmap::IndexMap;
+use upstream::{Announcement, Availability, Route, Routes, Served};
+
+use crate::Settings;
+use crate::candidate::Candidate;
+use crate::tracker::Tracker;
+use crate::weights::Weights;
+
+/// Everything that a choice reads.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    pub(crate) services: IndexMap<ServiceId, Group>,
+    pub(crate) trackers: IndexMap<UpstreamId, Arc<Tracker>>,
+}
+
+/// The upstreams of one service.
+#[derive(Debug)]
+pub(crate) struct Group {
+    pub(crate) kind: Kind,
+    pub(crate) weights: Weights,
+    /// Latency target for the first token, in seconds.
+    pub(crate) target: f64,
+    pub(crate) depends_on: Vec<ServiceId>,
+    /// Candidates by model or adapter; under the empty name for plain services.
+    pub(crate) models: IndexMap<CompactString, Vec<Arc<Candidate>>>,
+}
+
+impl Table {
+    pub(crate) fn new(text: &Text, routes: &Routes, settings: &Settings, old: &Table) -> Self {
+        let mut table = Table::default();
+        let dearest = dearest(text);
+        for (name, service) in &text.services {
+            let candidates: Vec<(&Route, Arc<Candidate>)> = routes
+                .of(name)
+                .map(|route| {
+                    let tracker = old.tracker(route);
+                    let announcement = &route.announcement;
+                    table
+                        .trackers
+                        .insert(announcement.upstream.clone(), Arc::clone(&tracker));
+                    let network = network(announcement, settings);
+                    let price = price(text, announcement) / dearest;
+                    let candidate = Candidate::new(route, network, price, tracker);
+                    (route, Arc::new(candidate))
+                })
+                .filter(|(route, _)| route.announcement.availability == Availability::Serving)
+                .collect();
+            let group = Group {
+                kind: service.kind,
+                weights: Weights::of(text.objective),
+                target: text.latency.first_token.as_secs_f64(),
+                depends_on: service.depends_on.clone(),
+                models: by_model(service, &candidates),
+            };
+            table.services.insert(name.clone(), group);
+        }
+        table
+    }
+
+    fn tracker(&self, route: &Route) -> Arc<Tracker> {
+        let announcement = &route.announcement;
+        let known = self
+            .trackers
+            .get(&announcement.upstream)
+            .filter(|tracker| tracker.incarnation == announcement.incarnation);
+        known.cloned().unwrap_or_else(|| {
+            let blocks = announcement.capacity.cache_blocks as usize;
+            let incarnation = announcement.incarnation;
+            Arc::new(Tracker::new(incarnation, blocks, route.received))
+        })
+    }
+}
+
+fn by_model(
+    service: &Service,
+    candidates: &[(&Route, Arc<Candidate>)],
+) -> IndexMap<CompactString, Vec<Arc<Candidate>>> {
+    if service.kind == Kind::Plain {
+        let all = candidates.iter().map(|(_, c)| Arc::clone(c)).collect();
+        return IndexMap::from([(CompactString::default(), all)]);
+    }
+    let mut models = IndexMap::new();
+    for model in &service.models {
+        let names = std::iter::once(&model.name).chain(&model.adapters);
+        for name in names {
+            let offers = |served: &&Served| {
+                let adapter = served.adapters.contains(name);
+                served.model == model.name && (*name == model.name || adapter)
+            };
+            let with = |wanted: &dyn Fn(&Served) -> bool| -> Vec<Arc<Candidate>> {
+                let suits = |route: &Route| {
+                    let mut served = route.announcement.models.iter().filter(offers);
+                    served.any(wanted)
+                };
+                let suited = candidates.iter().filter(|(route, _)| suits(route));
+                suited.map(|(_, c)| Arc::clone(c)).collect()
+            };
+            let current = with(&|served| served.version == model.version);
+            let usable = match current.is_empty() {
+                // Until the first engine has the new version, the old one goes on answering.
+                true => with(&|_| true),
+                false => current,
+            };
+            models.insert(name.clone(), usable);
+        }
+    }
+    models
+}
+
+fn network(announcement: &Announcement, settings: &Settings) -> f64 {
+    match announcement.data_centre == settings.data_centre {
+        true => settings.near.as_secs_f64(),
+        false => settings.far.as_secs_f64(),
+    }
+}
+
+fn price(text: &Text, announcement: &Announcement) -> f64 {
+    let data_centre = text.data_centres.get(&announcement.data_centre);
+    data_centre.map_or(0.0, |data_centre| match announcement.class {
+        Class::Reclaimable => data_centre.reclaimable.price,
+        Class::OnDemand => data_centre.on_demand.price,
+    })
+}
+
+fn dearest(text: &Text) -> f64 {
+    let prices = text
+        .data_centres
+        .values()
+        .flat_map(|d| [d.reclaimable.price, d.on_demand.price]);
+    prices.fold(f64::MIN_POSITIVE, f64::max)
+}
