--- a/components/routing/src/estimate.rs
+++ b/components/routing/src/estimate.rs
@@ -32,9 +32,10 @@
         candidate: &Candidate,
         group: &Group,
         request: &Request<'_>,
+        hint: usize,
         now: Instant,
     ) -> Self {
-        let depth = candidate.tracker.prefixes.depth(request.blocks);
+        let depth = candidate.tracker.prefixes.depth(request.blocks, hint);
         let held = match candidate.tracker.is_uncertain() {
             true => (depth as f64 * UNCERTAIN_SHARE) as usize,
             false => depth,
--- a/components/routing/src/prefixes.rs
+++ b/components/routing/src/prefixes.rs
@@ -32,12 +32,19 @@
 
     /// Returns how many leading blocks of `blocks` are held.
     ///
-    /// Engines hold a block only with all blocks before it, so a binary search suffices.
-    pub fn depth(&self, blocks: &[BlockHash]) -> usize {
-        match (blocks.first(), blocks.last()) {
-            (Some(first), _) if !self.contains(*first) => 0,
-            (_, Some(last)) if self.contains(*last) => blocks.len(),
-            _ => blocks.partition_point(|block| self.contains(*block)),
+    /// Engines hold a block only with all blocks before it, so a binary search suffices. It
+    /// starts at `hint`, which costs two look-ups when the hint is right.
+    pub fn depth(&self, blocks: &[BlockHash], hint: usize) -> usize {
+        let holds = |depth: usize| depth == 0 || self.contains(blocks[depth - 1]);
+        let search = |from: usize, to: usize| {
+            from + blocks[from..to].partition_point(|block| self.contains(*block))
+        };
+        let hint = hint.min(blocks.len());
+        match holds(hint) {
+            true if hint == blocks.len() || !holds(hint + 1) => hint,
+            true => search(hint + 1, blocks.len()),
+            false if !holds(1) => 0,
+            false => search(1, hint - 1),
         }
     }
 
@@ -46,7 +53,9 @@
         let set = self.set(block);
         self.hashes[set..set + WAYS]
             .iter()
-            .any(|hash| hash.load(Ordering::Relaxed) == block)
+            .fold(false, |held, hash| {
+                held | (hash.load(Ordering::Relaxed) == block)
+            })
     }
 
     /// Adds blocks, or marks those held as recently used.
--- a/components/routing/src/recent.rs
+++ b/components/routing/src/recent.rs
@@ -1,10 +1,10 @@
 //! Own work in flight by the time at which it was sent.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-/// Width of one slot.
-const SLOT: Duration = Duration::from_millis(50);
+/// Width of one slot, in milliseconds.
+const SLOT_MILLIS: u64 = 50;
 /// Slots kept; older work is taken to be in every load report.
 const SLOTS: usize = 128;
 const TOKEN_BITS: u32 = 28;
@@ -67,7 +67,9 @@
     }
 
     fn epoch(&self, at: Instant) -> u64 {
-        (at.saturating_duration_since(self.base).as_millis() / SLOT.as_millis()) as u64 + 1
+        let since = at.saturating_duration_since(self.base);
+        let millis = since.as_secs() * 1_000 + u64::from(since.subsec_millis());
+        millis / SLOT_MILLIS + 1
     }
 
     fn slot(&self, epoch: u64) -> &AtomicU64 {
--- a/components/routing/src/router/selection.rs
+++ b/components/routing/src/router/selection.rs
@@ -46,9 +46,15 @@
     pub(super) fn choose(&self, candidates: &[Arc<Candidate>]) -> Result<Choice, Refusal> {
         let key = affinity::key(self.request.blocks, self.seen);
         let sample = self.sample(candidates, key);
+        let hint = self.seen.depth(self.request.blocks, 0);
         let usable = || sample.iter().copied().filter(|c| self.is_usable(c));
         let estimates: Vec<(&Arc<Candidate>, Estimate)> = usable()
-            .map(|c| (c, Estimate::new(c, self.group, self.request, self.now)))
+            .map(|c| {
+                (
+                    c,
+                    Estimate::new(c, self.group, self.request, hint, self.now),
+                )
+            })
             .collect();
         let count = estimates.len().max(1) as f64;
         let mean_fill = estimates.iter().map(|(_, e)| e.fill).sum::<f64>() / count;
@@ -158,11 +164,12 @@
         Some(home) if home == candidate.hash => ", home of the prefix",
         _ => "",
     };
+    let millis = |seconds: f64| (seconds * 1e3).round() as u64;
     format_compact!(
-        "queue {:.0} ms, prefill {:.0} ms, network {:.1} ms, {} tokens cached, {} {}{affinity}",
-        estimate.queue * 1e3,
-        estimate.prefill * 1e3,
-        estimate.network * 1e3,
+        "queue {} ms, prefill {} ms, network {} us, {} tokens cached, {} {}{affinity}",
+        millis(estimate.queue),
+        millis(estimate.prefill),
+        (estimate.network * 1e6).round() as u64,
         estimate.cached_tokens,
         candidate.data_centre,
         candidate.class.name(),
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -26,7 +26,7 @@
             seed: 0,
             near: Duration::from_micros(500),
             far: Duration::from_micros(2_500),
-            sample: 40,
+            sample: 24,
         }
     }
 }
--- a/components/routing/src/tracker.rs
+++ b/components/routing/src/tracker.rs
@@ -105,6 +105,9 @@
     /// Returns by how many seconds first tokens have lately come later than expected.
     pub(crate) fn lateness(&self, now: Instant) -> f64 {
         let smoothed = f64::from_bits(self.lateness.load(Ordering::Relaxed));
+        if smoothed == 0.0 {
+            return 0.0;
+        }
         let at = self.base + Duration::from_millis(self.lateness_at.load(Ordering::Relaxed));
         let age = now.saturating_duration_since(at).as_secs_f64();
         smoothed / (1.0 + age / LATENESS_LIFE.as_secs_f64())
