--- /dev/null
+++ b/components/placement/src/settings.rs
@@ -0,0 +1,77 @@
+//! Settings of a planner.
+
+use std::time::Duration;
+
+use config::text::Objective;
+
+/// Margins, shares and times of a planner.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Capacity to have, relative to the demand.
+    pub headroom: f64,
+    /// Capacity, relative to the demand, above which instances are given back.
+    pub surplus: f64,
+    /// Time for which a surplus must last before instances are given back.
+    pub surplus_hold: Duration,
+    /// Share of the capacity that is bought on demand, whatever it costs.
+    pub on_demand_share: f64,
+    /// Share of the price by which a new slot must be cheaper than one that is held.
+    pub stickiness: f64,
+    /// Hours of an instance that one reclaim costs: start, loads and lost caches.
+    pub reclaim_hours: f64,
+    /// First wait after a refused start; it doubles with each refusal.
+    pub backoff: Duration,
+    /// Longest wait after refused starts.
+    pub max_backoff: Duration,
+    /// Time after which a start that shows nothing counts as refused.
+    pub start_timeout: Duration,
+    /// Bytes of one model's weights.
+    pub weight_bytes: u64,
+    /// Rate of the weight store, in bytes per second for all readers.
+    pub store_rate: u64,
+    /// Time in which a load is to be done, which bounds the loads at one time.
+    pub load_time: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            headroom: 1.1,
+            surplus: 1.4,
+            surplus_hold: Duration::from_secs(600),
+            on_demand_share: 0.2,
+            stickiness: 0.15,
+            reclaim_hours: 0.25,
+            backoff: Duration::from_secs(30),
+            max_backoff: Duration::from_secs(900),
+            start_timeout: Duration::from_secs(300),
+            weight_bytes: 16_000_000_000,
+            store_rate: 1_000_000_000,
+            load_time: Duration::from_secs(60),
+        }
+    }
+}
+
+impl Settings {
+    /// Returns the settings for what a text weighs more heavily.
+    ///
+    /// A lost cache counts for more where recomputed tokens do, so that more is bought on demand
+    /// and instances are moved for larger savings only.
+    pub fn of(objective: Objective) -> Self {
+        match objective {
+            Objective::Cost => Settings::default(),
+            Objective::RecomputedTokens => Settings {
+                on_demand_share: 0.35,
+                stickiness: 0.3,
+                reclaim_hours: 1.0,
+                ..Settings::default()
+            },
+        }
+    }
+
+    /// Returns how many loads may run at one time.
+    pub fn max_loads(&self) -> usize {
+        let bytes = self.store_rate as f64 * self.load_time.as_secs_f64();
+        ((bytes / self.weight_bytes.max(1) as f64) as usize).max(1)
+    }
+}
