Check texts and settings with line, column and a suggestion

A text that is wrong in several places had to be corrected one parser message at a time, without the places of faults that go across parts. The file is now parsed once with spans; unknown keys are reported one by one and passed over, and the checks across parts (dependencies that don't exist or go in a circle, models served twice, limits that can't be met) report at the key they concern.

Ruled out: collecting unknown keys with a second list of the schema, which would have to be kept in step with the types by hand.

--- /dev/null
+++ b/components/config/src/check/finder.rs
@@ -0,0 +1,42 @@
+//! Collects findings.
+
+use crate::Diagnostic;
+use crate::diagnostic::Severity;
+use crate::document::Document;
+
+/// Collects findings about one document.
+pub(super) struct Finder<'d, 's> {
+    document: &'d Document<'s>,
+    findings: Vec<Diagnostic>,
+}
+
+impl<'d, 's> Finder<'d, 's> {
+    pub(super) fn new(document: &'d Document<'s>) -> Self {
+        Finder {
+            document,
+            findings: Vec::new(),
+        }
+    }
+
+    /// Adds an error at `path` where `fails` holds.
+    pub(super) fn error_if(&mut self, fails: bool, path: &[&str], what: String, help: &str) {
+        self.add_if(fails, Severity::Error, path, what, help);
+    }
+
+    /// Adds a warning at `path` where `fails` holds.
+    pub(super) fn warn_if(&mut self, fails: bool, path: &[&str], what: String, help: &str) {
+        self.add_if(fails, Severity::Warning, path, what, help);
+    }
+
+    pub(super) fn into_findings(self) -> Vec<Diagnostic> {
+        self.findings
+    }
+
+    fn add_if(&mut self, fails: bool, severity: Severity, path: &[&str], what: String, help: &str) {
+        let help = (!help.is_empty()).then(|| help.to_owned());
+        if fails {
+            self.findings
+                .push(self.document.finding(severity, path, what, help));
+        }
+    }
+}
--- /dev/null
+++ b/components/config/tests/duration.rs
@@ -0,0 +1,32 @@
+//! Durations as text.
+
+use std::time::Duration;
+
+use config::duration;
+use googletest::prelude::*;
+
+#[gtest]
+fn can_read_what_it_writes() {
+    for ms in [0, 1, 40, 1_000, 1_200, 90_000, 86_400_000] {
+        let duration = Duration::from_millis(ms);
+        expect_that!(
+            duration::parse(&duration::format(duration)),
+            ok(eq(&duration))
+        );
+    }
+}
+
+#[gtest]
+fn errors_on_what_is_not_a_duration() {
+    for text in [
+        "",
+        "5",
+        "s",
+        "1.2.3s",
+        "5 parsecs",
+        "-1s",
+        "99999999999999999999999d",
+    ] {
+        expect_that!(duration::parse(text), err(anything()), "{text}");
+    }
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,213 @@
+//! All arguments of the command line.
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  failed; the message names the step and the peer
+  2  the arguments are wrong
+  3  a file has errors
+  4  another change came first; nothing was changed
+  5  the outcome is not known, or the text is not yet in force everywhere";
+
+/// Returns the whole command line.
+pub(crate) fn command() -> Command {
+    Command::new("chervilloft")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Serves models and plain services on reclaimable and on-demand instances")
+        .long_about(
+            "Serves models and plain services on reclaimable and on-demand instances.\n\n\
+             Operators describe services, what they depend on and who may call them in one text, \
+             check it and submit it. Control processes keep the text and everything else that must \
+             survive; entry processes stand between callers and upstreams.",
+        )
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands([
+            process(
+                "entry",
+                "Runs an entry process, which takes requests from callers",
+            ),
+            process(
+                "control",
+                "Runs a control process, which keeps the fleet's state on disk",
+            ),
+            check(),
+            submit(),
+            show(),
+            status(),
+            forecast(),
+            explain(),
+        ])
+}
+
+/// Returns the path given for `id`.
+pub(crate) fn path(matches: &ArgMatches, id: &str) -> PathBuf {
+    matches.get_one::<PathBuf>(id).cloned().unwrap_or_default()
+}
+
+/// Reports whether `--format json` was given.
+pub(crate) fn wants_json(matches: &ArgMatches) -> bool {
+    matches
+        .get_one::<String>("format")
+        .is_some_and(|format| format == "json")
+}
+
+fn process(name: &'static str, about: &'static str) -> Command {
+    Command::new(name).about(about).arg(settings())
+}
+
+fn check() -> Command {
+    Command::new("check")
+        .about("Checks an operators' text, or the settings of a process, and changes nothing")
+        .arg(file("The file to check"))
+        .arg(
+            Arg::new("settings-file")
+                .long("as-settings")
+                .help("The file holds the settings of a process")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(format())
+}
+
+fn submit() -> Command {
+    Command::new("submit")
+        .about("Submits an operators' text, and waits until it is in force at every entry")
+        .long_about(
+            "Submits an operators' text, and waits until it is in force at every entry.\n\n\
+             The text is taken only if the version in force is still the one it was made from \
+             (--base). A submission that is sent again with the same --id gets the first answer, \
+             so that a lost answer does no harm.",
+        )
+        .arg(file("The operators' text"))
+        .arg(
+            Arg::new("base")
+                .long("base")
+                .value_name("VERSION")
+                .help("Version that the text was made from; 0 for the first one")
+                .required(true)
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            Arg::new("id")
+                .long("id")
+                .value_name("ID")
+                .help("Name of this submission, to be used again when the answer is lost"),
+        )
+        .args(operator())
+        .arg(format())
+}
+
+fn show() -> Command {
+    Command::new("show")
+        .about("Shows the operators' text in force, with its version")
+        .args(operator())
+        .arg(format())
+}
+
+fn status() -> Command {
+    Command::new("status")
+        .about("Shows the control group, the entries, the upstreams and what needs a person")
+        .args(operator())
+        .arg(format())
+}
+
+fn forecast() -> Command {
+    Command::new("forecast")
+        .about("Forecasts next month's bill by data centre, class and service")
+        .long_about(
+            "Forecasts next month's bill by data centre, class and service, with a low, middle and \
+             high figure and what each is made of. From a text alone, or with --live from the \
+             instance hours of a running fleet; with --against, what a change of text costs.",
+        )
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .help("The operators' text")
+                .required_unless_present("live")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("against")
+                .long("against")
+                .value_name("FILE")
+                .help("An earlier text to compare with")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("live")
+                .long("live")
+                .help("Uses the text in force and the instance hours of the running fleet")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(
+            Arg::new("plot")
+                .long("plot")
+                .value_name("FILE")
+                .help("Writes a plot as SVG")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .args(operator())
+        .arg(format())
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tells the story of a request or of a placement decision from log files")
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .help("Value of a Chervilloft-Request-Id header, or the number of a decision")
+                .required(true),
+        )
+        .arg(
+            Arg::new("log")
+                .long("log")
+                .value_name("FILE")
+                .help("Log of an entry or control process; may be given several times")
+                .required(true)
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(format())
+}
+
+fn settings() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .help("Settings of this process")
+        .default_value("chervilloft.toml")
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn operator() -> [Arg; 2] {
+    [
+        settings().help("Settings file that lists the control processes and names the keys file"),
+        Arg::new("operator")
+            .long("operator")
+            .value_name("NAME")
+            .help("Operator whose token in the keys file is used; the first one by default"),
+    ]
+}
+
+fn file(help: &'static str) -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .help(help)
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn format() -> Arg {
+    Arg::new("format")
+        .long("format")
+        .value_name("FORMAT")
+        .help("Output for people or for programs")
+        .default_value("text")
+        .value_parser(["text", "json"])
+}
--- /dev/null
+++ b/src/cmd/explain.rs
@@ -0,0 +1,44 @@
+//! `chervilloft explain`: tells the story of a request or a decision from log files.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use errors::{Error, Peer, Result, Step};
+use logging::story::{Line, Story};
+
+use super::files;
+use crate::{cli, messages};
+
+/// Collects the lines and prints them, oldest first.
+pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let id = matches.get_one::<String>("id").cloned().unwrap_or_default();
+    let paths: Vec<&PathBuf> = matches.get_many("log").into_iter().flatten().collect();
+    let mut logs = Vec::new();
+    for path in paths {
+        logs.push((path.display().to_string(), files::read(path)?));
+    }
+    let named = logs.iter().map(|(name, log)| (name.as_str(), log.as_str()));
+    let story = Story::collect(&id, named);
+    match (story.lines.is_empty(), cli::wants_json(matches)) {
+        (true, _) => return Err(unknown(&id, &logs)),
+        (false, true) => messages::print_json(&story),
+        (false, false) => story.lines.iter().for_each(print),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print(line: &Line) {
+    let fields = line
+        .fields
+        .iter()
+        .map(|(name, value)| format!("    {name}: {value}"));
+    messages::print_line(&format!("{} {}", line.time, line.message));
+    fields.for_each(|field| messages::print_line(&field));
+}
+
+fn unknown(id: &str, logs: &[(String, String)]) -> Error {
+    let names: Vec<&str> = logs.iter().map(|(name, _)| name.as_str()).collect();
+    let what = format!("no line about it in {}", names.join(", "));
+    Error::Invalid(Step::Load, Peer::Named(id.into()), what)
+}
