--- /dev/null
+++ b/components/entry/src/announce.rs
@@ -0,0 +1,83 @@
+//! `POST /v1/upstreams`: an upstream joins, renews or leaves.
+
+use bytes::Bytes;
+use compact_str::format_compact;
+use fleet::Control;
+use http::{HeaderMap, StatusCode};
+use upstream::{Announcement, SIGNATURE_HEADER};
+
+use crate::core::Core;
+use crate::failure::{Failure, Kind};
+use crate::reply::Reply;
+
+/// Longest lease that an upstream may ask for, in milliseconds.
+const MAX_LEASE_MS: u64 = 60_000;
+/// Announcements within one lease.
+const RENEWALS_PER_LEASE: u64 = 3;
+
+/// Takes an announcement in.
+///
+/// # Errors
+/// If it is forged, malformed, old or of an unknown service.
+pub(crate) fn take<C: Control>(
+    core: &Core<C>,
+    headers: &HeaderMap,
+    body: &Bytes,
+) -> Result<Reply, Failure> {
+    let signature = headers
+        .get(SIGNATURE_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("");
+    if !core.keys.upstreams.verifies(body, signature) {
+        let message = "the signature does not fit the body and the upstreams' secret";
+        return Err(Failure::new(Kind::Unauthorized, message));
+    }
+    let announcement: Announcement = serde_json::from_slice(body).map_err(|error| {
+        let message = format_compact!("the body is not an announcement: {error}");
+        Failure::new(Kind::Invalid, message)
+    })?;
+    check(core, &announcement)?;
+    let renew_ms = (announcement.lease_ms / RENEWALS_PER_LEASE).max(1);
+    tracing::debug!(
+        upstream = %announcement.upstream,
+        service = %announcement.service,
+        sequence = announcement.sequence,
+        "upstream: announced"
+    );
+    core.control.announce(announcement);
+    crate::sync::update(core);
+    Ok(Reply::json(
+        StatusCode::OK,
+        format!("{{\"renew_ms\":{renew_ms}}}"),
+    ))
+}
+
+fn check<C: Control>(core: &Core<C>, announcement: &Announcement) -> Result<(), Failure> {
+    let config = core.config()?;
+    let service = announcement.service.as_str();
+    if !config.text.services.contains_key(service) {
+        let message = format_compact!("service \"{service}\" does not exist in the text in force");
+        return Err(Failure::new(Kind::NotFound, message));
+    }
+    if !(1..=MAX_LEASE_MS).contains(&announcement.lease_ms) {
+        let message = format_compact!("field \"lease_ms\" must be 1 to {MAX_LEASE_MS}");
+        return Err(Failure::new(Kind::Invalid, message));
+    }
+    let order = |a: &Announcement| (a.incarnation, a.sequence);
+    let routes = core.control.view().load().routes.clone();
+    let known = routes
+        .of(service)
+        .find(|route| route.announcement.upstream == announcement.upstream)
+        .map(|route| order(&route.announcement));
+    match known {
+        Some(known) if known >= order(announcement) => {
+            let message = format_compact!(
+                "upstream \"{}\" has announced number {} before",
+                announcement.upstream,
+                known.1
+            );
+            Err(Failure::new(Kind::Conflict, message))
+        }
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/components/entry/src/cache.rs
@@ -0,0 +1,86 @@
+//! Polls the cache events of engines for the router.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use config::ids::UpstreamId;
+use config::text::Kind;
+use errors::{Error, Peer, Result, Step};
+use fleet::Control;
+use futures_util::future::join_all;
+use http::Method;
+use serde::de::DeserializeOwned;
+use upstream::cache::{Contents, Page};
+
+use crate::core::Core;
+
+/// Pause between two rounds.
+const PERIOD: Duration = Duration::from_millis(250);
+/// Longest time for one engine in a round.
+const LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Polls for as long as the process runs.
+pub(crate) async fn run<C: Control>(core: Arc<Core<C>>) {
+    let mut interval = tokio::time::interval(PERIOD);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let engines = engines(&core);
+        join_all(engines.iter().map(|engine| poll(&core, engine))).await;
+    }
+}
+
+type Engine = (UpstreamId, SocketAddr);
+
+fn engines<C: Control>(core: &Core<C>) -> Vec<Engine> {
+    let view = core.control.view().load();
+    let Some(config) = &view.config else {
+        return Vec::new();
+    };
+    let now = Instant::now();
+    let models = |name: &str| {
+        let service = config.text.services.get(name);
+        service.is_some_and(|service| service.kind == Kind::Model)
+    };
+    view.routes
+        .all()
+        .filter(|route| route.takes_work(now) && models(&route.announcement.service))
+        .map(|route| {
+            (
+                route.announcement.upstream.clone(),
+                route.announcement.address,
+            )
+        })
+        .collect()
+}
+
+async fn poll<C: Control>(core: &Core<C>, (upstream, address): &Engine) {
+    let after = core.router.last_cache_event(upstream);
+    let path = format!("/v1/cache/events?after={after}");
+    let polled = async {
+        let page: Page = get(core, *address, &path).await?;
+        if core.router.cache_events(upstream, &page) {
+            let contents: Contents = get(core, *address, "/v1/cache/blocks").await?;
+            core.router.cache_contents(upstream, &contents);
+        }
+        Ok::<(), Error>(())
+    };
+    if let Err(error) = polled.await {
+        tracing::debug!(%upstream, "cache: {error}");
+    }
+}
+
+async fn get<C: Control, T: DeserializeOwned>(
+    core: &Core<C>,
+    address: SocketAddr,
+    path: &str,
+) -> Result<T> {
+    let whole = core
+        .client
+        .fetch(address, Method::GET, path, Bytes::new(), LIMIT)
+        .await?;
+    serde_json::from_slice(&whole.body)
+        .map_err(|error| Error::Other(Step::Decode, Peer::Address(address), error.into()))
+}
--- /dev/null
+++ b/components/entry/src/connections.rs
@@ -0,0 +1,62 @@
+//! The limit on open connections.
+
+use std::sync::Arc;
+
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use xitca_web::service::Service;
+use xitca_web::service::ready::ReadyService;
+
+/// A middleware that accepts no more connections than its semaphore has permits.
+#[derive(Clone, Debug)]
+pub(crate) struct Connections {
+    permits: Arc<Semaphore>,
+}
+
+/// A service behind the limit.
+pub(crate) struct Limited<S> {
+    inner: S,
+    permits: Arc<Semaphore>,
+}
+
+impl Connections {
+    /// Allows `limit` open connections. Each of the `workers` holds a permit while it waits for
+    /// its next connection.
+    pub(crate) fn new(limit: usize, workers: usize) -> Self {
+        let permits = limit.saturating_add(workers).min(Semaphore::MAX_PERMITS);
+        Connections {
+            permits: Arc::new(Semaphore::new(permits)),
+        }
+    }
+}
+
+impl<S, E> Service<Result<S, E>> for Connections {
+    type Response = Limited<S>;
+    type Error = E;
+
+    async fn call(&self, inner: Result<S, E>) -> Result<Self::Response, Self::Error> {
+        inner.map(|inner| Limited {
+            inner,
+            permits: self.permits.clone(),
+        })
+    }
+}
+
+impl<S, Req> Service<Req> for Limited<S>
+where
+    S: Service<Req>,
+{
+    type Response = S::Response;
+    type Error = S::Error;
+
+    async fn call(&self, request: Req) -> Result<Self::Response, Self::Error> {
+        self.inner.call(request).await
+    }
+}
+
+impl<S> ReadyService for Limited<S> {
+    type Ready = Option<OwnedSemaphorePermit>;
+
+    async fn ready(&self) -> Self::Ready {
+        self.permits.clone().acquire_owned().await.ok()
+    }
+}
--- /dev/null
+++ b/components/entry/src/dispatch/client.rs
@@ -0,0 +1,120 @@
+//! The pooled client for idempotent calls.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use errors::{Error, Peer, Result, Step};
+use http::{Method, Request, Response, Uri, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+use super::{USER_TIMEOUT, Whole, collect};
+
+/// Time for which an idle connection may be used again.
+const IDLE: Duration = Duration::from_secs(1);
+/// Bytes of the read buffer of one connection.
+const READ_BUFFER_BYTES: usize = 4 * 1_024;
+/// Largest answer to a request of the system's own, in bytes.
+const MAX_OWN_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
+
+/// A client whose calls may be sent again.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Builds a client that waits at most `connect_timeout` for a connection.
+    pub fn new(connect_timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(connect_timeout));
+        connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
+        let inner = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE)
+            .http1_read_buf_exact_size(READ_BUFFER_BYTES)
+            .retry_canceled_requests(true)
+            .build(connector);
+        Client { inner }
+    }
+
+    /// Sends a request and returns the head of the answer.
+    ///
+    /// # Errors
+    /// `Step::Connect` means that no byte was sent.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>> {
+        self.inner.request(request).await.map_err(|error| {
+            let step = match error.is_connect() {
+                true => Step::Connect,
+                false => Step::Receive,
+            };
+            Error::Other(step, Peer::Address(address), error.into())
+        })
+    }
+
+    /// Sends a request of the system's own and returns the whole answer.
+    ///
+    /// # Errors
+    /// Also if the answer's status is not a success.
+    pub async fn fetch(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: impl Into<Bytes>,
+        limit: Duration,
+    ) -> Result<Whole> {
+        let request = json_request(address, method, path, body.into())?;
+        let peer = Peer::Address(address);
+        let exchange = async {
+            let response = self.send(address, request).await?;
+            collect(response, MAX_OWN_ANSWER_BYTES, limit)
+                .await
+                .map_err(|error| Error::Protocol(Step::Receive, peer.clone(), error.to_string()))
+        };
+        let whole = tokio::time::timeout(limit, exchange)
+            .await
+            .map_err(|_| Error::Timeout(Step::Receive, peer.clone(), limit))??;
+        match whole.status.is_success() {
+            true => Ok(whole),
+            false => {
+                let what = format!("status {}", whole.status);
+                Err(Error::Protocol(Step::Receive, peer, what))
+            }
+        }
+    }
+}
+
+/// Builds a request with a JSON body.
+///
+/// # Errors
+/// If the path is not one.
+pub fn json_request(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>> {
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(address.to_string())
+        .path_and_query(path)
+        .build();
+    uri.and_then(|uri| {
+        Request::builder()
+            .method(method)
+            .uri(uri)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+    })
+    .map_err(|error| Error::Other(Step::Encode, Peer::Address(address), error.into()))
+}
--- /dev/null
+++ b/components/entry/src/drain.rs
@@ -0,0 +1,72 @@
+//! The planned stop of the process.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+
+/// Steps of a planned stop, in order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, PartialOrd)]
+#[repr(u8)]
+pub(crate) enum Phase {
+    /// Takes requests.
+    Serving,
+    /// Not ready, but takes what the balancer still sends.
+    Leaving,
+    /// Refuses new requests as not run and finishes those in progress.
+    Finishing,
+    /// Hands over what is still in progress.
+    HandingOver,
+}
+
+/// Phase and count of requests in progress.
+#[derive(Debug, Default)]
+pub(crate) struct Drain {
+    phase: AtomicU8,
+    busy: Arc<AtomicUsize>,
+}
+
+/// Keeps the process from stopping until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Busy {
+    count: Arc<AtomicUsize>,
+}
+
+impl Drain {
+    /// Returns the phase.
+    pub(crate) fn phase(&self) -> Phase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => Phase::Serving,
+            1 => Phase::Leaving,
+            2 => Phase::Finishing,
+            _ => Phase::HandingOver,
+        }
+    }
+
+    /// Goes on to `phase`, never back.
+    pub(crate) fn advance(&self, phase: Phase) {
+        self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+    }
+
+    /// Reports whether no stop has begun.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.phase() == Phase::Serving
+    }
+
+    /// Counts a request as in progress.
+    pub(crate) fn enter(&self) -> Busy {
+        self.busy.fetch_add(1, Ordering::AcqRel);
+        Busy {
+            count: self.busy.clone(),
+        }
+    }
+
+    /// Returns how many requests are in progress.
+    pub(crate) fn in_progress(&self) -> usize {
+        self.busy.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/components/entry/src/exchange.rs
@@ -0,0 +1,85 @@
+//! One request with its caller, from arrival to its end.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::failure::Failure;
+use crate::lifecycle::{self, Event};
+use crate::metrics::Metrics;
+use crate::outcome::Outcome;
+use crate::reply::Reply;
+use crate::story::Subject;
+
+/// The request's state, and the one place from which header, status, measures and log follow.
+pub(crate) struct Exchange {
+    /// Names for the log.
+    pub subject: Subject,
+    /// When the request arrived.
+    pub started: Instant,
+    state: lifecycle::Request,
+    metrics: Arc<Metrics>,
+}
+
+impl Exchange {
+    /// Begins with a request that has just arrived.
+    pub(crate) fn new(subject: Subject, metrics: Arc<Metrics>) -> Self {
+        Exchange {
+            subject,
+            started: Instant::now(),
+            state: lifecycle::Request::default(),
+            metrics,
+        }
+    }
+
+    /// Returns the state.
+    pub(crate) fn state(&self) -> &lifecycle::Request {
+        &self.state
+    }
+
+    /// Applies a step.
+    pub(crate) fn step(&mut self, event: Event) {
+        let before = self.state.state();
+        if !self.state.apply(event) {
+            debug_assert!(false, "{event:?} is not allowed in {before:?}");
+            tracing::error!(request = %self.subject.request, "request: {event:?} in {before:?}");
+        }
+    }
+
+    /// Ends without an answer.
+    pub(crate) fn fail(&mut self, failure: &Failure) -> Reply {
+        let outcome = self.give_up(failure);
+        Reply::failure(failure)
+            .with_request(&self.subject.request)
+            .with_outcome(outcome)
+    }
+
+    /// Ends without an answer that could still carry a status, and returns the outcome.
+    pub(crate) fn give_up(&mut self, failure: &Failure) -> Outcome {
+        if self.state.outcome().is_none() {
+            self.step(Event::GivenUp);
+        }
+        let status = failure.kind.status().as_u16();
+        self.end(status, &failure.message)
+    }
+
+    /// Ends with an answer.
+    pub(crate) fn answer(&mut self, reply: Reply, why: &str) -> Reply {
+        let outcome = self.end(reply.status.as_u16(), why);
+        reply
+            .with_request(&self.subject.request)
+            .with_outcome(outcome)
+    }
+
+    /// Ends a stream whose head was sent before.
+    pub(crate) fn end_stream(&mut self, why: &str) {
+        self.end(http::StatusCode::OK.as_u16(), why);
+    }
+
+    fn end(&mut self, status: u16, why: &str) -> Outcome {
+        let outcome = self.state.outcome().unwrap_or(Outcome::Unknown);
+        self.metrics.ended(outcome);
+        self.subject
+            .ended(outcome, status, why, self.started.elapsed());
+        outcome
+    }
+}
--- /dev/null
+++ b/components/entry/src/handler.rs
@@ -0,0 +1,237 @@
+//! Every request of a caller or an upstream, from its head to the head of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::format_compact;
+use fleet::Control;
+use http::{HeaderValue, Method, StatusCode, header, request};
+use rand::RngExt;
+use tokio::sync::oneshot;
+use xitca_web::WebContext;
+use xitca_web::body::{RequestBody, ResponseBody};
+use xitca_web::http::WebResponse;
+
+use crate::body::{self, Length, Limits};
+use crate::core::Core;
+use crate::drain::{Busy, Phase};
+use crate::exchange::Exchange;
+use crate::failure::{Failure, Kind};
+use crate::incoming::Incoming;
+use crate::relay_body::RelayBody;
+use crate::reply::{Body, Reply};
+use crate::story::Subject;
+use crate::stream::Shape;
+use crate::{access, announce, model, plain};
+
+/// Pause after which another entry takes requests.
+const DRAIN_RETRY: Duration = Duration::from_secs(1);
+
+/// What a path stands for.
+enum Target {
+    Health,
+    Ready,
+    Metrics,
+    Announce,
+    Models,
+    Model(Shape),
+    Plain,
+    Nothing,
+}
+
+impl Target {
+    fn of(path: &str) -> Self {
+        match path {
+            "/healthz" => Target::Health,
+            "/readyz" => Target::Ready,
+            "/metrics" => Target::Metrics,
+            "/v1/upstreams" => Target::Announce,
+            "/v1/models" => Target::Models,
+            "/v1/chat/completions" => Target::Model(Shape::Chat),
+            "/v1/completions" => Target::Model(Shape::Completion),
+            _ if path.starts_with("/services/") => Target::Plain,
+            _ => Target::Nothing,
+        }
+    }
+
+    fn allows(&self, method: &Method) -> bool {
+        match self {
+            Target::Announce | Target::Model(_) => method == Method::POST,
+            Target::Plain | Target::Nothing => true,
+            _ => matches!(*method, Method::GET | Method::HEAD),
+        }
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn handle<C: Control>(
+    mut ctx: WebContext<'_, Arc<Core<C>>>,
+) -> Result<WebResponse, xitca_web::error::Error> {
+    let core = ctx.state().clone();
+    let busy = core.drain.enter();
+    let (head, ext) = ctx.take_request().into_parts();
+    let (_, body) = ext.replace_body(());
+    let reply = answer(&core, head, body).await;
+    Ok(respond(&core, reply, busy))
+}
+
+async fn answer<C: Control>(core: &Arc<Core<C>>, head: request::Parts, body: RequestBody) -> Reply {
+    let target = Target::of(head.uri.path());
+    if !target.allows(&head.method) {
+        let message = format_compact!("method {} does not fit this path", head.method);
+        return Reply::failure(&Failure::new(Kind::Method, message));
+    }
+    match target {
+        Target::Health => Reply::whole(StatusCode::OK, "text/plain", "ok\n"),
+        Target::Ready => ready(core),
+        Target::Metrics => Reply::whole(
+            StatusCode::OK,
+            "text/plain; version=0.0.4",
+            core.metrics.render(),
+        ),
+        Target::Announce => announced(core, &head, body)
+            .await
+            .unwrap_or_else(|failure| Reply::failure(&failure)),
+        _ => called(core, target, head, body).await,
+    }
+}
+
+fn ready<C: Control>(core: &Core<C>) -> Reply {
+    match core.is_ready() {
+        true => Reply::whole(StatusCode::OK, "text/plain", "ready\n"),
+        false => Reply::whole(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not ready\n"),
+    }
+}
+
+async fn announced<C: Control>(
+    core: &Core<C>,
+    head: &request::Parts,
+    body: RequestBody,
+) -> Result<Reply, Failure> {
+    let length = Length::of(&head.headers);
+    let body = body::read(body, length, limits(core)).await?;
+    announce::take(core, &head.headers, &body)
+}
+
+async fn called<C: Control>(
+    core: &Arc<Core<C>>,
+    target: Target,
+    head: request::Parts,
+    body: RequestBody,
+) -> Reply {
+    let subject = Subject {
+        request: new_id(),
+        ..Subject::default()
+    };
+    let mut exchange = Exchange::new(subject, core.metrics.clone());
+    match receive(core, &target, head, body, &mut exchange).await {
+        Ok(incoming) => dispatch(core, target, incoming, exchange).await,
+        Err(failure) => exchange.fail(&failure),
+    }
+}
+
+/// Checks the head and reads the body.
+async fn receive<C: Control>(
+    core: &Core<C>,
+    target: &Target,
+    head: request::Parts,
+    body: RequestBody,
+    exchange: &mut Exchange,
+) -> Result<Incoming, Failure> {
+    let account = access::account(&head.headers, &core.keys)?;
+    exchange.subject.account = account.clone();
+    if core.drain.phase() >= Phase::Finishing {
+        let message = "this entry is stopping";
+        return Err(Failure::retry(Kind::Draining, message, DRAIN_RETRY));
+    }
+    let length = Length::of(&head.headers);
+    match (target, length) {
+        (Target::Nothing, _) => return Err(no_such_path(head.uri.path())),
+        (Target::Plain, Length::Chunked) => {
+            let message = "a call of a plain service needs \"content-length\"";
+            return Err(Failure::new(Kind::LengthRequired, message));
+        }
+        _ => {}
+    }
+    let body = body::read(body, length, limits(core)).await?;
+    Ok(Incoming {
+        account,
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        body,
+    })
+}
+
+/// Has the request served on the runtime of the upstream side, which outlives the connection.
+async fn dispatch<C: Control>(
+    core: &Arc<Core<C>>,
+    target: Target,
+    incoming: Incoming,
+    mut exchange: Exchange,
+) -> Reply {
+    let config = match core.config() {
+        Ok(config) => config,
+        Err(failure) => return exchange.fail(&failure),
+    };
+    let (sender, receiver) = oneshot::channel();
+    let (core, busy) = (core.clone(), core.drain.enter());
+    let runtime = core.runtime.clone();
+    let request = exchange.subject.request.clone();
+    let gauge = core.metrics.in_progress.clone();
+    let served = async move {
+        let _busy = busy;
+        gauge.inc();
+        match target {
+            Target::Model(shape) => {
+                model::serve(core, config, incoming, shape, exchange, sender).await;
+            }
+            Target::Plain => plain::serve(core, config, incoming, exchange, sender).await,
+            _ => {
+                let reply = model::list(&config.text).with_request(&request);
+                let _ = sender.send(reply);
+            }
+        }
+        gauge.dec();
+    };
+    runtime.spawn(served);
+    receiver.await.unwrap_or_else(|_| {
+        let message = "the request failed inside this entry";
+        Reply::failure(&Failure::new(Kind::Upstream, message)).with_outcome(crate::Outcome::Unknown)
+    })
+}
+
+fn respond<C>(core: &Core<C>, reply: Reply, busy: Busy) -> WebResponse {
+    let body = match reply.body {
+        Body::Whole(body) => ResponseBody::bytes(body),
+        Body::Stream(events) => ResponseBody::boxed(RelayBody::new(events, busy)),
+    };
+    let mut response = WebResponse::new(body);
+    *response.status_mut() = reply.status;
+    *response.headers_mut() = reply.headers;
+    if !core.drain.is_serving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+fn limits<C>(core: &Core<C>) -> Limits {
+    let entry = &core.settings.entry;
+    Limits {
+        bytes: entry.max_body_bytes,
+        time: entry.body_timeout,
+    }
+}
+
+fn no_such_path(path: &str) -> Failure {
+    let message = format_compact!("path \"{path}\" does not exist");
+    Failure::new(Kind::NotFound, message)
+}
+
+/// Returns an identifier of 80 random bits.
+fn new_id() -> compact_str::CompactString {
+    let mut random = rand::rng();
+    let (high, low): (u64, u16) = (random.random(), random.random());
+    format_compact!("{high:016x}{low:04x}")
+}
--- /dev/null
+++ b/components/entry/src/metrics.rs
@@ -0,0 +1,118 @@
+//! Counters and gauges in the text format of Prometheus.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntGauge, Opts, Registry, TextEncoder,
+};
+
+use crate::cause::Cause;
+use crate::outcome::Outcome;
+
+/// Upper bounds of the buckets of time to the first token or byte, in seconds.
+const FIRST_TOKEN_SECONDS: [f64; 12] = [
+    0.001, 0.002, 0.005, 0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
+];
+
+/// Measures of one entry process.
+pub(crate) struct Metrics {
+    registry: Registry,
+    outcomes: [IntCounter; Outcome::ALL.len()],
+    moves: [IntCounter; Cause::ALL.len()],
+    recomputed: [IntCounter; Cause::ALL.len()],
+    /// Requests between their first byte and the last byte of their answer.
+    pub in_progress: IntGauge,
+    /// Tokens written to callers.
+    pub relayed_tokens: IntCounter,
+    /// Second dispatches of idempotent calls.
+    pub retries: IntCounter,
+    /// Requests refused by a limit of their account.
+    pub limited: IntCounter,
+    first_token: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| counter(&registry, Opts::new(name, help));
+        let by_cause = |name: &str, help: &str| {
+            Cause::ALL.map(|cause| {
+                let opts = Opts::new(name, help).const_label("cause", cause.name());
+                self::counter(&registry, opts)
+            })
+        };
+        let outcomes = Outcome::ALL.map(|outcome| {
+            let opts = Opts::new("chervilloft_requests_total", "Requests by outcome")
+                .const_label("outcome", outcome.name());
+            self::counter(&registry, opts)
+        });
+        let moves = by_cause("chervilloft_moves_total", "Streams moved by cause");
+        let recomputed = by_cause(
+            "chervilloft_recomputed_tokens_total",
+            "Tokens computed a second time, by cause of the move",
+        );
+        let in_progress = IntGauge::new("chervilloft_in_progress", "Requests in progress")
+            .expect("the name is valid");
+        let first_token =
+            HistogramOpts::new("chervilloft_first_token_seconds", "Time to the first token")
+                .buckets(FIRST_TOKEN_SECONDS.to_vec());
+        let first_token = Histogram::with_opts(first_token).expect("the buckets are sorted");
+        for collector in [
+            Box::new(in_progress.clone()) as Box<dyn prometheus::core::Collector>,
+            Box::new(first_token.clone()),
+        ] {
+            registry
+                .register(collector)
+                .expect("each name is used once");
+        }
+        Metrics {
+            outcomes,
+            moves,
+            recomputed,
+            in_progress,
+            relayed_tokens: counter("chervilloft_relayed_tokens_total", "Tokens sent to callers"),
+            retries: counter("chervilloft_retries_total", "Second dispatches"),
+            limited: counter("chervilloft_limited_total", "Requests over a limit"),
+            first_token,
+            registry,
+        }
+    }
+}
+
+fn counter(registry: &Registry, opts: Opts) -> IntCounter {
+    let counter = IntCounter::with_opts(opts).expect("the name is valid");
+    registry
+        .register(Box::new(counter.clone()))
+        .expect("each name is used once");
+    counter
+}
+
+impl Metrics {
+    /// Counts the end of a request.
+    pub(crate) fn ended(&self, outcome: Outcome) {
+        self.outcomes[outcome as usize].inc();
+    }
+
+    /// Counts a stream that goes on at another upstream.
+    pub(crate) fn moved(&self, cause: Cause) {
+        self.moves[cause as usize].inc();
+    }
+
+    /// Counts tokens that were computed a second time.
+    pub(crate) fn recomputed(&self, cause: Cause, tokens: u64) {
+        self.recomputed[cause as usize].inc_by(tokens);
+    }
+
+    /// Records the time to the first token.
+    pub(crate) fn first_token(&self, elapsed: Duration) {
+        self.first_token.observe(elapsed.as_secs_f64());
+    }
+
+    /// Returns all measures as text.
+    pub(crate) fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        encoded.expect("the measures are written to memory");
+        text
+    }
+}
--- /dev/null
+++ b/components/entry/src/model.rs
@@ -0,0 +1,14 @@
+//! Calls of the published chat-completions and completions API.
+
+mod attempt;
+mod call;
+mod list;
+mod plan;
+mod relay;
+mod serve;
+mod sink;
+mod transfer;
+
+pub(crate) use call::Call;
+pub(crate) use list::list;
+pub(crate) use serve::serve;
--- /dev/null
+++ b/components/entry/src/outcome.rs
@@ -0,0 +1,29 @@
+//! What the header `Chervilloft-Outcome` says of a request.
+
+/// Header that carries the outcome.
+pub(crate) const HEADER: &str = "chervilloft-outcome";
+
+/// Outcome of a request, as its caller is told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// An upstream answered.
+    Answered,
+    /// No upstream ran the request.
+    NotRun,
+    /// An upstream may have run the request, and its answer is lost.
+    Unknown,
+}
+
+impl Outcome {
+    /// All outcomes.
+    pub const ALL: [Outcome; 3] = [Outcome::Answered, Outcome::NotRun, Outcome::Unknown];
+
+    /// Returns the value of the header.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Answered => "answered",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/plain/call.rs
@@ -0,0 +1,146 @@
+//! A call as it goes to an upstream, and the answer as it comes back.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use fleet::claim::Answer;
+use http::header::{self, HeaderName};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, Uri};
+use http_body_util::Full;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::dispatch::Whole;
+use crate::failure::{Failure, Kind};
+use crate::incoming::Incoming;
+use crate::reply::{self, Reply};
+
+/// Header by which a plain service says that a 503 was not run.
+const NOT_RUN_HEADER: &str = "chervilloft-not-run";
+/// Headers that concern one connection or hold the caller's secret.
+const DROPPED: [HeaderName; 10] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::PROXY_AUTHORIZATION,
+    header::PROXY_AUTHENTICATE,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::HOST,
+];
+
+/// A call of a plain service.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    /// The caller's request.
+    pub(super) incoming: Incoming,
+    /// Path and query on the upstream.
+    pub(super) path: CompactString,
+    /// The request's identifier.
+    pub(super) request: CompactString,
+}
+
+impl Call {
+    /// Builds the request for the upstream at `address`.
+    pub(super) fn request(&self, address: SocketAddr) -> Result<Request<Full<Bytes>>, Failure> {
+        let invalid = |error: http::Error| {
+            Failure::new(
+                Kind::Invalid,
+                format_compact!("the path is not valid: {error}"),
+            )
+        };
+        let uri = Uri::builder()
+            .scheme("http")
+            .authority(address.to_string())
+            .path_and_query(self.path.as_str())
+            .build()
+            .map_err(invalid)?;
+        let mut request = Request::builder()
+            .method(self.incoming.method.clone())
+            .uri(uri)
+            .body(Full::new(self.incoming.body.clone()))
+            .map_err(invalid)?;
+        *request.headers_mut() = forwarded(&self.incoming.headers);
+        request.headers_mut().remove(header::AUTHORIZATION);
+        let host = HeaderValue::from_str(&address.to_string());
+        let id = HeaderValue::from_str(&self.request);
+        for (name, value) in [(header::HOST, host), (reply::REQUEST_ID, id)] {
+            if let Ok(value) = value {
+                request.headers_mut().insert(name, value);
+            }
+        }
+        Ok(request)
+    }
+
+    /// Returns the hash of everything that makes the call another call.
+    pub(super) fn fingerprint(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        for part in [
+            self.incoming.method.as_str().as_bytes(),
+            self.incoming.uri.to_string().as_bytes(),
+            &self.incoming.body,
+        ] {
+            hash.update(&(part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        hash.digest()
+    }
+}
+
+/// Reports whether an upstream's answer is defined as not run.
+pub(super) fn is_rejection(whole: &Whole) -> bool {
+    let flag = whole.headers.get(NOT_RUN_HEADER);
+    whole.status == StatusCode::SERVICE_UNAVAILABLE
+        && flag.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"true"))
+}
+
+/// Returns the answer for the caller.
+pub(super) fn reply(whole: Whole) -> Reply {
+    let mut headers = forwarded(&whole.headers);
+    headers.remove(reply::OUTCOME);
+    headers.remove(NOT_RUN_HEADER);
+    Reply {
+        status: whole.status,
+        headers,
+        body: reply::Body::Whole(whole.body),
+    }
+}
+
+/// Returns the answer as it is recorded.
+pub(super) fn recorded(whole: &Whole) -> Answer {
+    let content_type = whole.headers.get(header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    Answer {
+        status: whole.status.as_u16(),
+        content_type: content_type.unwrap_or("application/octet-stream").into(),
+        body: whole.body.clone(),
+    }
+}
+
+/// Returns the answer that was recorded.
+pub(super) fn replay(answer: Answer) -> Reply {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    Reply::whole(status, &answer.content_type, answer.body)
+}
+
+/// Returns the headers that go beyond one connection.
+fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut kept = headers.clone();
+    for name in DROPPED {
+        kept.remove(name);
+    }
+    kept.remove("keep-alive");
+    for name in named {
+        kept.remove(name.as_str());
+    }
+    kept
+}
--- /dev/null
+++ b/components/entry/src/plain/keyed.rs
@@ -0,0 +1,169 @@
+//! Non-idempotent calls with an idempotency key: run at most once, over all entries.
+
+use std::time::{Duration, Instant};
+
+use compact_str::{CompactString, format_compact};
+use config::ids::RequestId;
+use fleet::Control;
+use fleet::claim::{Claim, Settlement, Verdict};
+use tokio::time::{sleep, timeout};
+
+use super::call::{recorded, replay, reply};
+use super::serve::{RETRY, Session};
+use crate::failure::{Failure, Kind};
+use crate::lifecycle::Event;
+use crate::reply::Reply;
+
+/// Longest time to wait for an answer of the control group.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time to wait for the holder of a claim.
+const HELD_LIMIT: Duration = Duration::from_secs(10);
+/// First pause between two looks at a held claim, doubled each time.
+const HELD_PAUSE: Duration = Duration::from_millis(20);
+/// Longest pause between two looks at a held claim.
+const HELD_PAUSE_MAX: Duration = Duration::from_millis(500);
+/// Longest time for which the caller's answer waits for its record.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Tries to commit the end of a claim.
+const SETTLE_TRIES: u32 = 20;
+/// Pause between two such tries.
+const SETTLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Makes the call, or returns what came of it before.
+pub(super) async fn call<C: Control>(
+    session: &mut Session<C>,
+    key: CompactString,
+) -> Result<Reply, Failure> {
+    let claim = Claim {
+        account: session.call.incoming.account.clone(),
+        key,
+        fingerprint: session.call.fingerprint(),
+        request: session.exchange.subject.request.clone(),
+        version: session.config.version,
+    };
+    let patience = Instant::now() + HELD_LIMIT;
+    let patience = patience.min(session.deadline);
+    let mut pause = HELD_PAUSE;
+    loop {
+        // The time to dispatch counts from here, before the claim is asked for.
+        let asked = Instant::now();
+        match ask(session, &claim).await? {
+            Verdict::Granted { dispatch_within_ms } => {
+                let before = asked + Duration::from_millis(dispatch_within_ms);
+                session.exchange.step(Event::Claimed);
+                return run(session, claim, before).await;
+            }
+            Verdict::Held { holder } if Instant::now() + pause >= patience => {
+                session.exchange.step(Event::HeldElsewhere);
+                return Err(held(&holder));
+            }
+            Verdict::Held { .. } => {
+                sleep(pause).await;
+                pause = (pause * 2).min(HELD_PAUSE_MAX);
+            }
+            verdict => return settled(session, verdict),
+        }
+    }
+}
+
+async fn ask<C: Control>(session: &Session<C>, claim: &Claim) -> Result<Verdict, Failure> {
+    let asked = timeout(CLAIM_TIMEOUT, session.core.control.claim(claim.clone())).await;
+    let why = match asked {
+        Ok(Ok(verdict)) => return Ok(verdict),
+        Ok(Err(error)) => format_compact!("{error}"),
+        Err(_) => CompactString::from("no answer in time"),
+    };
+    // The claim may be committed all the same; nothing will be dispatched under it.
+    settle_later(session, claim.clone(), Settlement::NotRun);
+    let message = format_compact!("the key can't be claimed: {why}");
+    Err(Failure::retry(Kind::Unavailable, message, RETRY))
+}
+
+fn settled<C>(session: &mut Session<C>, verdict: Verdict) -> Result<Reply, Failure> {
+    match verdict {
+        Verdict::Recorded(answer) => {
+            session.exchange.step(Event::Replayed);
+            Ok(replay(answer))
+        }
+        Verdict::NotRecorded { holder } => {
+            session.exchange.step(Event::Replayed);
+            let message = format_compact!(
+                "the call ran as request \"{holder}\", and its answer was too large to record"
+            );
+            let body = Failure::new(Kind::Conflict, message).body();
+            Ok(Reply::json(Kind::Conflict.status(), body))
+        }
+        Verdict::Unknown { holder } => {
+            session.exchange.step(Event::HeldElsewhere);
+            let message = format_compact!(
+                "request \"{holder}\" with this key may have run, and its answer is lost"
+            );
+            Err(Failure::new(Kind::Upstream, message))
+        }
+        Verdict::Mismatch => {
+            let message = "the idempotency key was used with another method, path or body";
+            Err(Failure::new(Kind::KeyMismatch, message))
+        }
+        Verdict::Full { retry_after_ms } => {
+            let message = "the table of idempotency keys is full";
+            let after = Duration::from_millis(retry_after_ms);
+            Err(Failure::retry(Kind::Unavailable, message, after))
+        }
+        Verdict::Granted { .. } | Verdict::Held { .. } => Err(Failure::retry(
+            Kind::Unavailable,
+            "the claim is not settled",
+            RETRY,
+        )),
+    }
+}
+
+async fn run<C: Control>(
+    session: &mut Session<C>,
+    claim: Claim,
+    before: Instant,
+) -> Result<Reply, Failure> {
+    match session.call_once(Some(before)).await {
+        Ok(whole) => {
+            let settlement = Settlement::Answered(recorded(&whole));
+            let settling = settle_later(session, claim, settlement);
+            // The record should exist before the caller can lose the answer.
+            let _ = timeout(SETTLE_TIMEOUT, settling).await;
+            Ok(reply(whole))
+        }
+        Err(failure) => {
+            let settlement = match session.exchange.state().is_exposed() {
+                true => Settlement::Unknown,
+                false => Settlement::NotRun,
+            };
+            settle_later(session, claim, settlement);
+            Err(failure)
+        }
+    }
+}
+
+/// Commits the end of a claim, with retries that outlive the request.
+fn settle_later<C: Control>(
+    session: &Session<C>,
+    claim: Claim,
+    settlement: Settlement,
+) -> tokio::task::JoinHandle<()> {
+    let core = session.core.clone();
+    let busy = core.drain.enter();
+    session.core.runtime.spawn(async move {
+        let _busy = busy;
+        for _ in 0..SETTLE_TRIES {
+            let settled = core.control.settle(claim.clone(), settlement.clone());
+            match timeout(CLAIM_TIMEOUT, settled).await {
+                Ok(Ok(())) => return,
+                Ok(Err(error)) => tracing::warn!(request = %claim.request, "request: {error}"),
+                Err(_) => tracing::warn!(request = %claim.request, "request: settling is slow"),
+            }
+            sleep(SETTLE_PAUSE).await;
+        }
+    })
+}
+
+fn held(holder: &RequestId) -> Failure {
+    let message = format_compact!("request \"{holder}\" with this key is still in progress");
+    Failure::retry(Kind::Conflict, message, RETRY)
+}
--- /dev/null
+++ b/components/entry/src/plain/serve.rs
@@ -0,0 +1,261 @@
+//! From a caller's request to the answer of a plain service.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use config::text::{Kind as ServiceKind, Service};
+use errors::Step;
+use fleet::{Config, Control};
+use http::Method;
+use routing::{Choice, Request};
+use tokio::sync::oneshot;
+
+use super::call::{Call, is_rejection, reply};
+use super::{hedge, keyed};
+use crate::admit::{self, Admitted};
+use crate::core::Core;
+use crate::dispatch::{Lost, Once, Whole};
+use crate::exchange::Exchange;
+use crate::failure::{Failure, Kind};
+use crate::incoming::Incoming;
+use crate::lifecycle::Event;
+use crate::reply::Reply;
+
+/// Largest answer of a plain service, in bytes.
+pub(super) const MAX_ANSWER_BYTES: usize = 16 * 1_024 * 1_024;
+/// Upstreams that are tried when none can be reached.
+const MAX_CONNECTS: u32 = 3;
+/// Pause after which a failed call may be tried again.
+pub(super) const RETRY: Duration = Duration::from_secs(1);
+/// Header of the idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 255;
+
+/// A call that was admitted.
+pub(super) struct Session<C> {
+    pub(super) core: Arc<Core<C>>,
+    pub(super) config: Arc<Config>,
+    pub(super) call: Call,
+    pub(super) admitted: Admitted,
+    pub(super) exchange: Exchange,
+    pub(super) deadline: Instant,
+}
+
+/// Serves one call.
+pub(crate) async fn serve<C: Control>(
+    core: Arc<Core<C>>,
+    config: Arc<Config>,
+    incoming: Incoming,
+    mut exchange: Exchange,
+    mut reply: oneshot::Sender<Reply>,
+) {
+    let prepared = prepare(&core, &config, &incoming, &mut exchange).await;
+    let (service, path, key, admitted) = match prepared {
+        Ok(prepared) => prepared,
+        Err(failure) => return drop(reply.send(exchange.fail(&failure))),
+    };
+    let idempotent = service.is_idempotent(incoming.method.as_str(), &path);
+    let mut session = Session {
+        deadline: exchange.started + service.timeout,
+        call: Call {
+            incoming,
+            path,
+            request: exchange.subject.request.clone(),
+        },
+        config: config.clone(),
+        core,
+        admitted,
+        exchange,
+    };
+    let answer = match key {
+        _ if idempotent => tokio::select! {
+            answer = hedge::call(&mut session) => Some(answer),
+            () = reply.closed() => None,
+        },
+        Some(key) => Some(keyed::call(&mut session, key).await),
+        None => Some(session.call_once(None).await.map(self::reply)),
+    };
+    let gone = || Err(Failure::new(Kind::Gone, "the caller left"));
+    let answer = match answer.unwrap_or_else(gone) {
+        Ok(answer) => session.exchange.answer(answer, "answered"),
+        Err(failure) => session.exchange.fail(&failure),
+    };
+    let _ = reply.send(answer);
+}
+
+type Prepared = (Service, CompactString, Option<CompactString>, Admitted);
+
+async fn prepare<C: Control>(
+    core: &Core<C>,
+    config: &Arc<Config>,
+    incoming: &Incoming,
+    exchange: &mut Exchange,
+) -> Result<Prepared, Failure> {
+    let (name, path) = split(incoming)?;
+    let service = config.text.services.get(name.as_str());
+    let service = service
+        .filter(|service| service.kind == ServiceKind::Plain)
+        .ok_or_else(|| unknown_service(config, &name))?;
+    exchange.subject.service = name;
+    let key = key(incoming)?;
+    let admitted = admit::admit(core, config, incoming, 0, exchange).await?;
+    Ok((service.clone(), path, key, admitted))
+}
+
+/// Splits `/services/{service}/{path}`.
+fn split(incoming: &Incoming) -> Result<(CompactString, CompactString), Failure> {
+    let uri = &incoming.uri;
+    let rest = uri.path().strip_prefix("/services/").unwrap_or("");
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    if path.split('/').any(|part| matches!(part, "." | "..")) {
+        let message = "the path must not hold \".\" or \"..\"";
+        return Err(Failure::new(Kind::Invalid, message));
+    }
+    let query = uri.query().map(|query| format_compact!("?{query}"));
+    let path = format_compact!("/{path}{}", query.unwrap_or_default());
+    Ok((service.into(), path))
+}
+
+fn unknown_service(config: &Config, name: &str) -> Failure {
+    let known: Vec<&str> = config
+        .text
+        .services
+        .iter()
+        .filter(|(_, service)| service.kind == ServiceKind::Plain)
+        .map(|(name, _)| name.as_str())
+        .collect();
+    let message = format_compact!(
+        "plain service \"{name}\" does not exist; the services are: {}",
+        known.join(", ")
+    );
+    Failure::new(Kind::NotFound, message)
+}
+
+fn key(incoming: &Incoming) -> Result<Option<CompactString>, Failure> {
+    let Some(value) = incoming.headers.get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    let bytes = value.as_bytes();
+    let printable = bytes.iter().all(|byte| (b' '..=b'~').contains(byte));
+    match std::str::from_utf8(bytes) {
+        Ok(key) if printable && (1..=MAX_KEY_BYTES).contains(&key.len()) => Ok(Some(key.into())),
+        _ => {
+            let message = format_compact!(
+                "header \"{KEY_HEADER}\" must be 1 to {MAX_KEY_BYTES} printable ASCII characters"
+            );
+            Err(Failure::new(Kind::Invalid, message))
+        }
+    }
+}
+
+impl<C: Control> Session<C> {
+    /// Returns the call as the router sees it.
+    pub(super) fn route_request<'a>(&'a self, exclude: &'a [CompactString]) -> Request<'a> {
+        Request {
+            service: &self.exchange.subject.service,
+            priority: self.admitted.priority,
+            exclude,
+            ..Request::default()
+        }
+    }
+
+    /// Chooses an upstream that is not in `exclude`.
+    pub(super) fn choose(
+        &self,
+        exclude: &[CompactString],
+        try_number: u32,
+    ) -> Result<Choice, Failure> {
+        let request = self.route_request(exclude);
+        let service = request.service;
+        match self.core.router.choose(&request, Instant::now()) {
+            Ok(choice) => {
+                self.exchange.subject.routed(&choice, try_number);
+                Ok(choice)
+            }
+            Err(refusal) => {
+                let failure = admit::refused(&refusal, service);
+                self.exchange.subject.not_routed(&failure.message);
+                Err(failure)
+            }
+        }
+    }
+
+    /// Dispatches a call that must not run twice. Another upstream is tried only if no byte was
+    /// written.
+    pub(super) async fn call_once(&mut self, before: Option<Instant>) -> Result<Whole, Failure> {
+        let mut unreachable = Vec::new();
+        for try_number in 1..=MAX_CONNECTS {
+            let choice = self.choose(&unreachable, try_number)?;
+            let request = self.call.request(choice.address)?;
+            self.exchange.step(Event::Dispatched);
+            match self.dispatch(&choice, request, before).await {
+                Ok(whole) if is_rejection(&whole) => {
+                    self.exchange.step(Event::Rejected);
+                    let message = "the upstream refused the call and did not run it";
+                    return Err(Failure::retry(Kind::Unavailable, message, RETRY));
+                }
+                Ok(whole) => {
+                    self.exchange.step(Event::Accepted);
+                    self.exchange.step(Event::Completed);
+                    return Ok(whole);
+                }
+                Err(lost) if lost.sent => return Err(unknown(&lost)),
+                Err(lost) => {
+                    self.exchange.step(Event::NotSent);
+                    self.exchange
+                        .subject
+                        .not_routed(&format_compact!("{}", lost.error));
+                    unreachable.push(choice.upstream);
+                }
+            }
+        }
+        let message = "no upstream could be reached in time to dispatch the call";
+        Err(Failure::retry(Kind::Unavailable, message, RETRY))
+    }
+
+    async fn dispatch(
+        &self,
+        choice: &Choice,
+        request: http::Request<http_body_util::Full<Bytes>>,
+        before: Option<Instant>,
+    ) -> Result<Whole, Lost> {
+        let router = &self.core.router;
+        router.dispatched(choice, &self.route_request(&[]), Instant::now());
+        let answered = Once {
+            address: choice.address,
+            connect_timeout: self.core.settings.entry.connect_timeout,
+            answer_timeout: self.deadline.saturating_duration_since(Instant::now()),
+            max_answer_bytes: MAX_ANSWER_BYTES,
+            dispatch_before: before,
+        }
+        .call(request)
+        .await;
+        router.finished(choice);
+        answered
+    }
+}
+
+/// The call may have run, and its answer is lost.
+fn unknown(lost: &Lost) -> Failure {
+    let kind = match lost.error {
+        errors::Error::Timeout(..) => Kind::Timeout,
+        _ => Kind::Upstream,
+    };
+    let what = match lost.error.step() {
+        Step::Receive => "its answer is lost",
+        _ => "it may not have arrived",
+    };
+    let message = format_compact!(
+        "the call was sent and {what}; it may have run: {}",
+        lost.error
+    );
+    Failure::new(kind, message)
+}
+
+/// Methods whose calls never carry a body that changes anything.
+pub(super) fn is_safe(method: &Method) -> bool {
+    matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
+}
--- /dev/null
+++ b/components/entry/src/reply.rs
@@ -0,0 +1,82 @@
+//! The answer to a caller, on its way from the upstream side to the caller's connection.
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use tokio::sync::mpsc;
+
+use crate::failure::Failure;
+use crate::outcome::{self, Outcome};
+
+/// Header that carries the request's identifier.
+pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("chervilloft-request-id");
+/// Header that carries the outcome.
+pub(crate) const OUTCOME: HeaderName = HeaderName::from_static(outcome::HEADER);
+
+/// An answer.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// HTTP headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Body,
+}
+
+/// Body of an answer.
+#[derive(Debug)]
+pub(crate) enum Body {
+    /// The whole body.
+    Whole(Bytes),
+    /// A stream; an empty item marks its end, and without the mark it was cut.
+    Stream(mpsc::Receiver<Bytes>),
+}
+
+impl Reply {
+    /// Builds an answer with a whole body.
+    pub(crate) fn whole(status: StatusCode, content_type: &str, body: impl Into<Bytes>) -> Self {
+        let mut headers = HeaderMap::new();
+        if let Ok(value) = HeaderValue::from_str(content_type) {
+            headers.insert(header::CONTENT_TYPE, value);
+        }
+        Reply {
+            status,
+            headers,
+            body: Body::Whole(body.into()),
+        }
+    }
+
+    /// Builds an answer with a JSON body.
+    pub(crate) fn json(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        Reply::whole(status, "application/json", body)
+    }
+
+    /// Builds the answer that tells of a failure.
+    pub(crate) fn failure(failure: &Failure) -> Self {
+        let mut reply = Reply::json(failure.kind.status(), failure.body());
+        if let Some(Ok(value)) = failure
+            .retry_after_seconds()
+            .map(|seconds| HeaderValue::from_str(&seconds))
+        {
+            reply.headers.insert(header::RETRY_AFTER, value);
+        }
+        reply
+    }
+
+    /// Adds the request's identifier.
+    #[must_use]
+    pub(crate) fn with_request(mut self, request: &str) -> Self {
+        if let Ok(value) = HeaderValue::from_str(request) {
+            self.headers.insert(REQUEST_ID, value);
+        }
+        self
+    }
+
+    /// Adds the outcome.
+    #[must_use]
+    pub(crate) fn with_outcome(mut self, outcome: Outcome) -> Self {
+        let value = HeaderValue::from_static(outcome.name());
+        self.headers.insert(OUTCOME, value);
+        self
+    }
+}
--- /dev/null
+++ b/components/entry/src/server.rs
@@ -0,0 +1,233 @@
+//! The process: its listener, its runtimes and its planned stop.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use config::Keys;
+use config::settings::Settings;
+use errors::{Error, Peer, Result, Step};
+use fleet::Control;
+use indexmap::IndexMap;
+use routing::Router;
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+use xitca_web::App;
+use xitca_web::service::fn_service;
+
+use crate::admission::Budget;
+use crate::connections::Connections;
+use crate::core::Core;
+use crate::dispatch::Client;
+use crate::drain::{Drain, Phase};
+use crate::handover::{Keeper, Nobody};
+use crate::metrics::Metrics;
+use crate::{cache, handler, sync};
+
+/// Connections that the kernel holds before they are accepted.
+const BACKLOG: i32 = 1_024;
+/// Time after which an idle connection of a caller is closed.
+const IDLE: Duration = Duration::from_secs(5);
+/// Time after which the kernel gives up on bytes that a caller does not confirm.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest request head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1_024;
+/// Most request headers.
+const MAX_HEADERS: usize = 64;
+/// Bytes that wait for one caller's connection before more are taken.
+const WRITE_BUFFER_BYTES: usize = 16 * 1_024;
+/// Pause between two looks at the requests in progress during a stop.
+const STOP_LOOK: Duration = Duration::from_millis(10);
+/// Time for streams to end after they were handed over.
+const HAND_OVER_TIME: Duration = Duration::from_secs(5);
+
+/// A running entry.
+pub struct Handle<C> {
+    /// Address on which it listens.
+    pub address: SocketAddr,
+    core: Arc<Core<C>>,
+    server: Stopper,
+    runtime: Runtime,
+}
+
+type Stopper = Box<dyn FnOnce() + Send>;
+
+/// Starts an entry.
+///
+/// # Errors
+/// If the address can't be listened on or a runtime can't be started.
+pub fn start<C: Control>(settings: Settings, keys: Keys, control: C) -> Result<Handle<C>> {
+    start_with(settings, keys, control, Arc::new(Nobody))
+}
+
+/// Starts an entry that hands over to `keeper`.
+///
+/// # Errors
+/// If the address can't be listened on or a runtime can't be started.
+pub fn start_with<C: Control>(
+    settings: Settings,
+    keys: Keys,
+    control: C,
+    keeper: Arc<dyn Keeper>,
+) -> Result<Handle<C>> {
+    let listen_at = SocketAddr::new(settings.address, settings.entry.port);
+    let io = |error| Error::Io(Step::Listen, Peer::Address(listen_at), error);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads(&settings))
+        .thread_name("upstreams")
+        .enable_all()
+        .build()
+        .map_err(io)?;
+    let listener = listen(listen_at).map_err(io)?;
+    let address = listener.local_addr().map_err(io)?;
+    let core = Arc::new(Core {
+        client: Client::new(settings.entry.connect_timeout),
+        settings,
+        keys,
+        control,
+        router: Router::default(),
+        metrics: Arc::new(Metrics::default()),
+        accounts: ArcSwap::from_pointee(IndexMap::new()),
+        gates: ArcSwap::from_pointee(IndexMap::new()),
+        budget: Budget::default(),
+        drain: Drain::default(),
+        keeper,
+        changes: watch::Sender::new(0),
+        runtime: runtime.handle().clone(),
+    });
+    sync::update(&core);
+    runtime.spawn(sync::run(core.clone()));
+    runtime.spawn(cache::run(core.clone()));
+    let server = serve(&core, listener).map_err(io)?;
+    tracing::info!(%address, "entry: listens");
+    Ok(Handle {
+        address,
+        core,
+        server,
+        runtime,
+    })
+}
+
+fn threads(settings: &Settings) -> usize {
+    match settings.entry.threads {
+        0 => std::thread::available_parallelism().map_or(1, usize::from),
+        threads => threads,
+    }
+}
+
+/// Opens the listener; accepted connections inherit its options.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    let listener = TcpListener::from(socket);
+    let options = SockRef::from(&listener);
+    options.set_tcp_nodelay(true)?;
+    options.set_tcp_user_timeout(Some(CALLER_TIMEOUT))?;
+    Ok(listener)
+}
+
+fn serve<C: Control>(core: &Arc<Core<C>>, listener: TcpListener) -> std::io::Result<Stopper> {
+    let entry = &core.settings.entry;
+    let workers = threads(&core.settings);
+    let state = core.clone();
+    let mut server = App::new()
+        .with_state(state)
+        .at("/{*}", fn_service(handler::handle::<C>))
+        .enclosed(Connections::new(entry.max_connections, workers))
+        .serve()
+        .disable_signal()
+        .worker_threads(workers)
+        .keep_alive_timeout(IDLE)
+        .request_head_timeout(entry.head_timeout)
+        .max_request_headers::<MAX_HEADERS>()
+        .max_read_buf_size::<MAX_HEAD_BYTES>()
+        .max_write_buf_size::<WRITE_BUFFER_BYTES>()
+        .listen(listener)?
+        .run();
+    let handle = server.handle()?;
+    let thread = std::thread::Builder::new()
+        .name("callers".into())
+        .spawn(move || server.wait())?;
+    Ok(Box::new(move || {
+        handle.stop(true);
+        match thread.join() {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => tracing::error!("entry: the listener failed: {error}"),
+            Err(_) => tracing::error!("entry: the listener's thread panicked"),
+        }
+    }))
+}
+
+impl<C: Control> Handle<C> {
+    /// Returns the runtime of the work with upstreams.
+    pub fn runtime(&self) -> &tokio::runtime::Handle {
+        self.runtime.handle()
+    }
+
+    /// Returns the control group that the entry was started with.
+    pub fn control(&self) -> &C {
+        &self.core.control
+    }
+
+    /// Stops in the planned way, and returns once everything in progress is finished or handed
+    /// over. Must not be called from an asynchronous task.
+    pub fn stop(self) {
+        let core = &self.core;
+        let entry = &core.settings.entry;
+        core.drain.advance(Phase::Leaving);
+        tracing::info!("entry: leaves the balancer");
+        std::thread::sleep(entry.balancer_lag);
+        core.drain.advance(Phase::Finishing);
+        tracing::info!(in_progress = core.drain.in_progress(), "entry: finishes");
+        if !finished(core, entry.drain_timeout) {
+            core.drain.advance(Phase::HandingOver);
+            core.announce_change();
+            tracing::warn!(in_progress = core.drain.in_progress(), "entry: hands over");
+            finished(core, HAND_OVER_TIME);
+        }
+        (self.server)();
+        self.runtime.shutdown_background();
+        tracing::info!("entry: stopped");
+    }
+}
+
+fn finished<C>(core: &Core<C>, limit: Duration) -> bool {
+    let until = Instant::now() + limit;
+    while core.drain.in_progress() > 0 && Instant::now() < until {
+        std::thread::sleep(STOP_LOOK);
+    }
+    core.drain.in_progress() == 0
+}
+
+/// Runs an entry until the process is told to stop, by SIGTERM or SIGINT.
+///
+/// # Errors
+/// If it can't be started or signals can't be received.
+pub fn run<C: Control>(settings: Settings, keys: Keys, control: C) -> Result<()> {
+    let handle = start(settings, keys, control)?;
+    handle
+        .runtime()
+        .block_on(signalled())
+        .map_err(|error| Error::Io(Step::Stop, Peer::Local, error))?;
+    handle.stop();
+    Ok(())
+}
+
+async fn signalled() -> std::io::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/components/entry/src/story.rs
@@ -0,0 +1,114 @@
+//! The log lines of a request, and how to find them again in a log.
+//!
+//! Each line starts with [`ROUTING`] or [`REQUEST`] and names the request in the field
+//! `request`; `chervilloft explain REQUEST` prints the lines in order.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use routing::Choice;
+
+use crate::cause::Cause;
+use crate::outcome::Outcome;
+
+/// Prefix of lines on a routing decision.
+pub const ROUTING: &str = "routing: ";
+/// Prefix of lines on the life of a request.
+pub const REQUEST: &str = "request: ";
+
+/// Names of a request, as its log lines give them.
+#[derive(Clone, Debug, Default)]
+pub struct Subject {
+    /// The request.
+    pub request: CompactString,
+    /// The client account.
+    pub account: CompactString,
+    /// The service; empty before it is known.
+    pub service: CompactString,
+}
+
+impl Subject {
+    /// Logs which upstream was chosen.
+    pub fn routed(&self, choice: &Choice, attempt: u32) {
+        tracing::info!(
+            request = %self.request,
+            account = %self.account,
+            service = %self.service,
+            upstream = %choice.upstream,
+            considered = choice.considered,
+            why = %choice.reason,
+            expected_first_token_ms = choice.expected_first_token.as_millis() as u64,
+            cached_tokens = choice.cached_tokens,
+            attempt,
+            "routing: chose an upstream"
+        );
+    }
+
+    /// Logs that no upstream was chosen.
+    pub fn not_routed(&self, why: &str) {
+        tracing::info!(
+            request = %self.request,
+            account = %self.account,
+            service = %self.service,
+            why,
+            "routing: chose no upstream"
+        );
+    }
+
+    /// Logs that the answer goes on at another upstream.
+    pub fn moved(&self, from: &str, cause: Cause, detail: &str, tokens: usize) {
+        tracing::info!(
+            request = %self.request,
+            service = %self.service,
+            from,
+            cause = cause.name(),
+            detail,
+            tokens,
+            "request: leaves an upstream"
+        );
+    }
+
+    /// Logs how many tokens were computed again after a move.
+    pub fn recomputed(&self, upstream: &str, cause: Cause, tokens: u64) {
+        tracing::info!(
+            request = %self.request,
+            upstream,
+            cause = cause.name(),
+            tokens,
+            "request: computed tokens again"
+        );
+    }
+
+    /// Logs the end.
+    pub fn ended(&self, outcome: Outcome, status: u16, why: &str, elapsed: Duration) {
+        tracing::info!(
+            request = %self.request,
+            account = %self.account,
+            service = %self.service,
+            outcome = outcome.name(),
+            status,
+            why,
+            elapsed_ms = elapsed.as_millis() as u64,
+            "request: ended"
+        );
+    }
+}
+
+/// Returns the lines of `log` that tell of `request`, in order.
+pub fn lines<'a>(log: &'a str, request: &'a str) -> impl Iterator<Item = &'a str> {
+    log.lines().filter(move |line| {
+        let prefixed = line.contains(ROUTING) || line.contains(REQUEST);
+        prefixed && names(line, request)
+    })
+}
+
+/// Reports whether a text or JSON line has the field `request` with exactly this value.
+fn names(line: &str, request: &str) -> bool {
+    let ends = |rest: &str| !rest.starts_with(|c: char| c.is_ascii_alphanumeric() || c == '-');
+    let holds = |mark: &str| {
+        line.match_indices(mark)
+            .filter_map(|(at, _)| line[at + mark.len()..].strip_prefix(request))
+            .any(ends)
+    };
+    !request.is_empty() && (holds("request=") || holds("\"request\":\""))
+}
--- /dev/null
+++ b/components/entry/src/stream.rs
@@ -0,0 +1,11 @@
+//! Streams of tokens: events of engines, their order, and events for callers.
+
+mod assembler;
+mod encoder;
+mod event;
+mod sse;
+
+pub use assembler::{Assembler, Fault, Step};
+pub use encoder::{DONE, Encoder, KEEP_ALIVE, Shape};
+pub use event::{Event, Usage};
+pub use sse::{Item, Parser};
