Add stand-ins for a model engine and a plain service

Tests of the request path need upstreams whose every answer can be checked. The engine's text is a function of model, prompt and position, so a gap, a repeat or a foreign token shows; the plain service counts each execution by key and body. Both announce themselves, and run in a test or as a process.

Recorded canned answers were ruled out: they can't tell two requests apart.

--- /dev/null
+++ b/stand_ins/src/announcer.rs
@@ -0,0 +1,130 @@
+//! Announces an upstream to the entries and renews its lease.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use config::keys::Secret;
+use http::Method;
+use serde::Deserialize;
+use tokio::sync::Notify;
+use upstream::{Announcement, SIGNATURE_HEADER};
+
+use crate::{Life, web};
+
+const FIRST_RENEWAL: Duration = Duration::from_millis(200);
+const ANSWER_LIMIT: Duration = Duration::from_secs(1);
+
+/// To whom and how an upstream announces itself.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Entries or their balancer; each announcement goes to the next one.
+    pub entries: Vec<SocketAddr>,
+    /// Secret that signs announcements.
+    pub secret: Secret,
+    /// Time for which an announcement holds.
+    pub lease: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            entries: Vec::new(),
+            secret: Secret::default(),
+            lease: Duration::from_secs(3),
+        }
+    }
+}
+
+/// Wakes the announcer and counts what the entries said.
+#[derive(Clone, Debug, Default)]
+pub struct Bell {
+    ring: Arc<Notify>,
+    accepted: Arc<AtomicU64>,
+    refused: Arc<AtomicU64>,
+}
+
+impl Bell {
+    /// Announces at once.
+    pub fn ring(&self) {
+        self.ring.notify_one();
+    }
+
+    /// Returns how many announcements were accepted.
+    pub fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many announcements were refused.
+    pub fn refused(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
+    }
+}
+
+/// Announces what `describe` returns for each sequence number until the stand-in dies.
+pub fn start<D>(settings: Settings, life: &Life, bell: Bell, describe: D)
+where
+    D: Fn(u64) -> Announcement + Send + Sync + 'static,
+{
+    if settings.entries.is_empty() {
+        return;
+    }
+    let own = life.clone();
+    life.spawn(async move {
+        let mut sequence = 0;
+        loop {
+            own.thawed().await;
+            sequence += 1;
+            let renewal = announce(&settings, sequence, &bell, &describe).await;
+            let _ = tokio::time::timeout(renewal, bell.ring.notified()).await;
+        }
+    });
+}
+
+/// Returns a start number that is larger than that of an earlier process.
+pub fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(1, |since| since.as_millis() as u64)
+}
+
+#[derive(Deserialize)]
+struct Accepted {
+    renew_ms: u64,
+}
+
+async fn announce<D>(settings: &Settings, sequence: u64, bell: &Bell, describe: &D) -> Duration
+where
+    D: Fn(u64) -> Announcement,
+{
+    let entry = settings.entries[sequence as usize % settings.entries.len()];
+    let announcement = describe(sequence);
+    let body = serde_json::to_vec(&announcement).expect("an announcement is JSON");
+    let signature = settings.secret.sign(&body);
+    let headers = [
+        (SIGNATURE_HEADER, signature.as_str()),
+        ("content-type", "application/json"),
+    ];
+    let path = "/v1/upstreams";
+    let body = Bytes::from(body);
+    let answer =
+        web::call_with_headers(entry, Method::POST, path, &headers, body, ANSWER_LIMIT).await;
+    match answer {
+        Ok(answer) if answer.status.is_success() => {
+            bell.accepted.fetch_add(1, Ordering::Relaxed);
+            let accepted: Option<Accepted> = serde_json::from_slice(&answer.body).ok();
+            accepted.map_or(FIRST_RENEWAL, |a| Duration::from_millis(a.renew_ms))
+        }
+        Ok(answer) => {
+            bell.refused.fetch_add(1, Ordering::Relaxed);
+            let name = &announcement.upstream;
+            tracing::warn!("announcer: {entry} refused \"{name}\": {}", answer.status);
+            FIRST_RENEWAL
+        }
+        Err(cause) => {
+            tracing::debug!("announcer: {entry} did not answer: {cause}");
+            FIRST_RENEWAL
+        }
+    }
+}
--- /dev/null
+++ b/stand_ins/src/cmd/plain.rs
@@ -0,0 +1,23 @@
+//! `stand-ins plain`
+
+use std::io;
+
+use clap::ArgMatches;
+use stand_ins::plain::{Plain, Settings};
+
+use super::upstream::{announce, class, listen, text, until_stopped};
+
+pub(super) async fn run(matches: &ArgMatches) -> io::Result<()> {
+    let plain = Plain::start(Settings {
+        upstream: text(matches, "name").into(),
+        service: text(matches, "service").into(),
+        listen: listen(matches),
+        data_centre: text(matches, "data-centre").into(),
+        class: class(matches)?,
+        announce: announce(matches)?,
+        ..Settings::default()
+    })
+    .await?;
+    println!("plain: listens on {}", plain.address());
+    until_stopped(plain.life()).await
+}
--- /dev/null
+++ b/stand_ins/src/engine.rs
@@ -0,0 +1,178 @@
+//! A model engine: continuous batching, a prefix cache, moves of KV state and orders.
+//!
+//! Time is simulated: one second of the engine's own time takes `1 / time_scale` seconds.
+
+mod announce;
+mod api;
+mod batch;
+mod cache;
+mod condition;
+mod generate;
+mod history;
+mod job;
+mod kv;
+mod orders;
+mod prompt;
+mod scheduler;
+mod settings;
+mod stream;
+mod switches;
+mod whole;
+
+pub use history::{End, Record};
+pub use settings::{Fencing, Settings, Transfer};
+pub use switches::Switches;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+use upstream::Served;
+
+use crate::announcer::{self, Bell};
+use crate::{Life, web};
+
+use batch::Batch;
+use cache::Cache;
+use condition::Condition;
+use history::History;
+use kv::Exports;
+
+/// A running engine; it is killed when dropped.
+#[derive(Debug)]
+pub struct Engine {
+    address: SocketAddr,
+    core: Arc<Core>,
+}
+
+/// What all tasks of one engine share.
+#[derive(Debug)]
+struct Core {
+    settings: Settings,
+    life: Life,
+    bell: Bell,
+    started: Instant,
+    work: Notify,
+    batch: Mutex<Batch>,
+    cache: Mutex<Cache>,
+    exports: Mutex<Exports>,
+    condition: Mutex<Condition>,
+    history: Mutex<History>,
+    switches: Mutex<Switches>,
+}
+
+impl Engine {
+    /// Starts an engine and announces it.
+    ///
+    /// # Errors
+    /// Fails when the socket can't be opened.
+    pub async fn start(settings: Settings) -> io::Result<Engine> {
+        let core = Arc::new(Core::new(settings));
+        let (listen, life) = (core.settings.listen, core.life.clone());
+        let served = core.clone();
+        let handler = move |request| api::handle(served.clone(), request);
+        let address = web::serve(listen, life.clone(), handler).await?;
+        life.spawn(scheduler::run(core.clone()));
+        let described = core.clone();
+        let incarnation = announcer::incarnation();
+        let describe = move |sequence| described.describe(address, incarnation, sequence);
+        let settings = core.settings.announce.clone();
+        announcer::start(settings, &life, core.bell.clone(), describe);
+        Ok(Engine { address, core })
+    }
+
+    /// Returns where the engine listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the settings with which the engine was started.
+    pub fn settings(&self) -> &Settings {
+        &self.core.settings
+    }
+
+    /// Returns the life of the engine, by which it is killed or frozen.
+    pub fn life(&self) -> &Life {
+        &self.core.life
+    }
+
+    /// Returns how its announcements fare.
+    pub fn bell(&self) -> &Bell {
+        &self.core.bell
+    }
+
+    /// Returns every request that the engine took, oldest first.
+    pub fn history(&self) -> Vec<Record> {
+        lock(&self.core.history).records()
+    }
+
+    /// Returns the requests that run and wait.
+    pub fn in_progress(&self) -> usize {
+        lock(&self.core.batch).in_progress()
+    }
+
+    /// Returns the models that are loaded.
+    pub fn models(&self) -> Vec<Served> {
+        lock(&self.core.condition).models.clone()
+    }
+
+    /// Changes the fault switches.
+    pub fn switch(&self, change: impl FnOnce(&mut Switches)) {
+        change(&mut lock(&self.core.switches));
+    }
+
+    /// Announces a reclaim, unless notices are ignored, and dies after `notice`.
+    pub fn reclaim(&self, notice: Duration) {
+        self.core.reclaim(notice);
+    }
+
+    /// Announces that the engine takes nothing new, and refuses new requests.
+    pub fn drain(&self) {
+        lock(&self.core.condition).draining = true;
+        self.core.bell.ring();
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.core.life.kill();
+    }
+}
+
+impl Core {
+    fn new(settings: Settings) -> Core {
+        Core {
+            life: Life::default(),
+            bell: Bell::default(),
+            started: Instant::now(),
+            work: Notify::new(),
+            batch: Mutex::new(Batch::new(settings.capacity.batch, settings.waiting_limit)),
+            cache: Mutex::new(Cache::new(&settings)),
+            exports: Mutex::default(),
+            condition: Mutex::new(Condition::new(&settings)),
+            history: Mutex::default(),
+            switches: Mutex::default(),
+            settings,
+        }
+    }
+
+    /// Begins the reclaim of the engine's instance.
+    fn reclaim(&self, notice: Duration) {
+        let ignored = lock(&self.switches).ignore_notice;
+        if !ignored {
+            lock(&self.condition).stops_at = Some(Instant::now() + notice);
+            self.bell.ring();
+        }
+        let life = self.life.clone();
+        self.life.spawn(async move {
+            tokio::time::sleep(notice).await;
+            life.kill();
+        });
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/stand_ins/src/engine/batch.rs
@@ -0,0 +1,182 @@
+//! Continuous batching: requests join and leave the running batch at each step.
+
+use std::cmp::Reverse;
+use std::time::Instant;
+
+use tokio::sync::mpsc::error::TrySendError;
+use upstream::Load;
+
+use super::cache::Cache;
+use super::history::{End, History};
+use super::job::{Job, Output, Usage};
+
+/// The requests of one engine.
+#[derive(Debug)]
+pub(super) struct Batch {
+    limit: usize,
+    waiting_limit: usize,
+    arrivals: u64,
+    waiting: Vec<Job>,
+    running: Vec<Job>,
+}
+
+/// What a running job did in one step.
+enum Progress {
+    Goes,
+    Ended(End),
+}
+
+impl Batch {
+    pub(super) fn new(limit: u32, waiting_limit: usize) -> Batch {
+        Batch {
+            limit: limit as usize,
+            waiting_limit,
+            arrivals: 0,
+            waiting: Vec::new(),
+            running: Vec::new(),
+        }
+    }
+
+    /// Reports whether another request may wait.
+    pub(super) fn has_room(&self) -> bool {
+        self.waiting.len() < self.waiting_limit
+    }
+
+    pub(super) fn push(&mut self, mut job: Job) {
+        self.arrivals += 1;
+        job.arrival = self.arrivals;
+        self.waiting.push(job);
+    }
+
+    pub(super) fn in_progress(&self) -> usize {
+        self.waiting.len() + self.running.len()
+    }
+
+    pub(super) fn load(&self) -> Load {
+        let computing = self.running.iter().map(|job| job.to_compute as u64);
+        let waiting = self.waiting.iter().map(|job| job.context_tokens as u64);
+        Load {
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            queued_prefill_tokens: computing.chain(waiting).sum(),
+            age_ms: 0,
+        }
+    }
+
+    /// Takes a request out, whether it runs or waits.
+    pub(super) fn remove(&mut self, request: &str) -> Option<Job> {
+        let named = |job: &Job| job.request == request;
+        match (
+            self.running.iter().position(named),
+            self.waiting.iter().position(named),
+        ) {
+            (Some(index), _) => Some(self.running.remove(index)),
+            (None, Some(index)) => Some(self.waiting.remove(index)),
+            (None, None) => None,
+        }
+    }
+
+    /// Computes up to `prefill` prompt tokens and one token of each request that is ready.
+    pub(super) fn step(&mut self, prefill: f64, cache: &mut Cache, history: &mut History) {
+        self.drop_abandoned(history);
+        self.admit(cache, history);
+        let ready = self.running.iter().map(|job| job.to_compute <= 0.0);
+        let ready: Vec<bool> = ready.collect();
+        self.compute(prefill, cache);
+        let mut index = 0;
+        self.running.retain_mut(|job| {
+            let was_ready = ready[index];
+            index += 1;
+            match decode(job, was_ready) {
+                Progress::Goes => true,
+                Progress::Ended(end) => {
+                    end_record(history, job, end);
+                    false
+                }
+            }
+        });
+        for job in &self.running {
+            history.update(job.record, |record| record.position = job.position);
+        }
+    }
+
+    fn drop_abandoned(&mut self, history: &mut History) {
+        let mut keep = |job: &Job| {
+            let abandoned = job.output.is_closed();
+            if abandoned {
+                end_record(history, job, End::Cancelled);
+            }
+            !abandoned
+        };
+        self.waiting.retain(&mut keep);
+        self.running.retain(&mut keep);
+    }
+
+    fn admit(&mut self, cache: &mut Cache, history: &mut History) {
+        self.waiting
+            .sort_by_key(|job| (Reverse(job.priority), job.arrival));
+        let room = self.limit.saturating_sub(self.running.len());
+        let admitted = self.waiting.len().min(room);
+        for mut job in self.waiting.drain(..admitted) {
+            let held = cache.lookup(&job.blocks).max(job.imported_tokens);
+            let cached = held.min(job.context_tokens);
+            let computed = job.context_tokens - cached;
+            job.to_compute = computed as f64;
+            job.usage = Usage {
+                cached,
+                computed,
+                ..job.usage
+            };
+            history.update(job.record, |record| {
+                record.cached_tokens = cached;
+                record.computed_tokens = computed;
+            });
+            self.running.push(job);
+        }
+    }
+
+    fn compute(&mut self, prefill: f64, cache: &mut Cache) {
+        let mut budget = prefill;
+        for job in self.running.iter_mut().filter(|job| job.to_compute > 0.0) {
+            let computed = job.to_compute.min(budget);
+            job.to_compute -= computed;
+            budget -= computed;
+            if job.to_compute <= 0.0 {
+                cache.store(&job.blocks, Instant::now());
+            }
+            if budget <= 0.0 {
+                break;
+            }
+        }
+    }
+}
+
+/// Ends a record with the position that the job reached.
+pub(super) fn end_record(history: &mut History, job: &Job, end: End) {
+    history.update(job.record, |record| {
+        record.position = job.position;
+        record.end = Some(end);
+    });
+}
+
+fn decode(job: &mut Job, was_ready: bool) -> Progress {
+    if !was_ready {
+        return Progress::Goes;
+    }
+    let output = match job.position < job.length {
+        true => Output::Token(job.position),
+        false => Output::Finished(Usage {
+            completion: job.length,
+            ..job.usage
+        }),
+    };
+    match (job.output.try_send(output), output) {
+        (Ok(()), Output::Token(_)) => {
+            job.position += 1;
+            Progress::Goes
+        }
+        (Ok(()), Output::Finished(_)) => Progress::Ended(End::Finished),
+        (Err(TrySendError::Full(_)), _) => Progress::Goes,
+        (Err(TrySendError::Closed(_)), _) => Progress::Ended(End::Cancelled),
+    }
+}
--- /dev/null
+++ b/stand_ins/src/engine/condition.rs
@@ -0,0 +1,57 @@
+//! What orders and reclaims change: models, role, draining and the fencing number.
+
+use std::time::Instant;
+
+use config::ids::ModelId;
+use indexmap::IndexMap;
+use upstream::{Availability, Load, Role, Served};
+
+use super::Settings;
+
+/// The condition of an engine.
+#[derive(Clone, Debug)]
+pub(super) struct Condition {
+    pub(super) models: Vec<Served>,
+    pub(super) role: Role,
+    pub(super) draining: bool,
+    pub(super) fence: u64,
+    pub(super) stops_at: Option<Instant>,
+    /// Models that orders ask for, while their weights are fetched and after.
+    pub(super) wanted: IndexMap<ModelId, Served>,
+    /// Orders that were carried out, oldest first.
+    pub(super) orders: Vec<String>,
+    pub(super) reported: Option<(Instant, Load)>,
+}
+
+impl Condition {
+    pub(super) fn new(settings: &Settings) -> Condition {
+        Condition {
+            models: settings.models.clone(),
+            role: settings.role,
+            draining: false,
+            fence: 0,
+            stops_at: None,
+            wanted: IndexMap::new(),
+            orders: Vec::new(),
+            reported: None,
+        }
+    }
+
+    /// Returns the availability that is announced at `now`.
+    pub(super) fn availability(&self, now: Instant) -> Availability {
+        match self.stops_at {
+            Some(stop) => Availability::Reclaimed {
+                in_ms: stop.saturating_duration_since(now).as_millis() as u64,
+            },
+            None if self.draining => Availability::Leaving,
+            None => Availability::Serving,
+        }
+    }
+
+    /// Reports whether `model` is loaded, as a model or as an adapter.
+    pub(super) fn serves(&self, model: &str) -> bool {
+        self.models
+            .iter()
+            .any(|served| served.model == model || served.adapters.iter().any(|a| a == model))
+    }
+}
--- /dev/null
+++ b/stand_ins/src/engine/scheduler.rs
@@ -0,0 +1,37 @@
+//! The loop that steps the batch while there is work.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+
+use super::{Core, lock};
+
+/// Steps the batch until the engine dies.
+pub(super) async fn run(core: Arc<Core>) {
+    loop {
+        if lock(&core.batch).in_progress() == 0 {
+            core.work.notified().await;
+        }
+        let started = Instant::now();
+        let stretch = lock(&core.switches).stretch;
+        let step = core.settings.step().mul_f64(stretch.max(0.0));
+        tokio::time::sleep_until(started + step).await;
+        core.life.thawed().await;
+        // A timer is late by up to a millisecond; the steps that it missed are made up for.
+        let steps = (started.elapsed().as_secs_f64() / step.as_secs_f64().max(1e-6)) as u32;
+        for _ in 0..steps.clamp(1, MAX_STEPS_AT_ONCE) {
+            step_once(&core);
+        }
+    }
+}
+
+/// Steps that one wake-up makes at most.
+const MAX_STEPS_AT_ONCE: u32 = 4;
+
+fn step_once(core: &Core) {
+    let prefill = core.settings.step_prefill();
+    let mut batch = lock(&core.batch);
+    let mut cache = lock(&core.cache);
+    let mut history = lock(&core.history);
+    batch.step(prefill, &mut cache, &mut history);
+}
--- /dev/null
+++ b/stand_ins/src/engine/whole.rs
@@ -0,0 +1,91 @@
+//! Answers in one body.
+
+use std::io;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::StatusCode;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+
+use super::generate::Kind;
+use super::job::{Output, Usage};
+use super::stream::Shape;
+use super::{Core, lock};
+use crate::text;
+use crate::web::{self, Dropped, Response};
+
+pub(super) async fn answer(
+    core: Arc<Core>,
+    shape: Shape,
+    mut output: mpsc::Receiver<Output>,
+) -> Result<Response, Dropped> {
+    let mut content = String::new();
+    let mut given = 0;
+    loop {
+        let next = output.recv().await;
+        let switches = lock(&core.switches).clone();
+        let reached = |limit: Option<usize>| limit.is_some_and(|limit| given >= limit);
+        match next {
+            Some(Output::Token(_)) if reached(switches.die_after) => core.life.kill(),
+            Some(Output::Token(_)) if reached(switches.silent_after) => {
+                return std::future::pending().await;
+            }
+            Some(Output::Token(index)) => {
+                content.push_str(&text::token(shape.text, index));
+                given += 1;
+            }
+            Some(Output::Finished(usage)) if reached(switches.close_after) => {
+                return Ok(cut(&body(&shape, &content, usage)));
+            }
+            Some(Output::Finished(usage)) => {
+                return Ok(web::json(StatusCode::OK, &body(&shape, &content, usage)));
+            }
+            None => return Err(Dropped),
+        }
+    }
+}
+
+fn body(shape: &Shape, content: &str, usage: Usage) -> Value {
+    let (object, choice) = match shape.kind {
+        Kind::Chat => (
+            "chat.completion",
+            json!({
+                "index": 0,
+                "message": {"role": "assistant", "content": content},
+                "finish_reason": shape.finish_reason,
+            }),
+        ),
+        Kind::Text => (
+            "text_completion",
+            json!({"index": 0, "text": content, "finish_reason": shape.finish_reason}),
+        ),
+    };
+    json!({
+        "id": shape.id,
+        "object": object,
+        "created": 0,
+        "model": shape.model,
+        "choices": [choice],
+        "usage": usage.json(),
+    })
+}
+
+/// Returns an answer that names its whole length and closes after half of it.
+fn cut(body: &Value) -> Response {
+    let mut bytes = Bytes::from(body.to_string());
+    let length = bytes.len();
+    bytes.truncate(length / 2);
+    let closed = io::Error::from(io::ErrorKind::ConnectionAborted);
+    let items = stream::iter([Ok(Frame::data(bytes)), Err(closed)]);
+    hyper::Response::builder()
+        .status(StatusCode::OK)
+        .header(CONTENT_TYPE, "application/json")
+        .header(CONTENT_LENGTH, length)
+        .body(StreamBody::new(items).boxed_unsync())
+        .expect("the headers are valid")
+}
--- a/stand_ins/src/lib.rs
+++ b/stand_ins/src/lib.rs
@@ -1,1 +1,14 @@
-//! Placeholder.
+//! Stand-ins for everything that chervilloft meets, for tests, trials and measurements.
+//!
+//! Each stand-in starts inside a test on a port of the system's choice, or as a process of the
+//! `stand-ins` command. What it answers is a function of the request, so that a test can tell
+//! every gap, repeat and mix-up.
+
+pub mod announcer;
+pub mod engine;
+mod life;
+pub mod plain;
+pub mod text;
+pub mod web;
+
+pub use life::Life;
--- /dev/null
+++ b/stand_ins/src/main.rs
@@ -0,0 +1,10 @@
+//! The `stand-ins` command.
+
+use std::process::ExitCode;
+
+mod cli;
+mod cmd;
+
+fn main() -> ExitCode {
+    cmd::run(&cli::command().get_matches())
+}
--- /dev/null
+++ b/stand_ins/src/plain.rs
@@ -0,0 +1,137 @@
+//! A plain service that counts every execution, by idempotency key and by body.
+
+mod api;
+mod ledger;
+mod settings;
+mod switches;
+
+pub use api::read_answer;
+pub use ledger::{Execution, Ledger};
+pub use settings::Settings;
+pub use switches::Switches;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use upstream::{Announcement, Availability, Load};
+
+use crate::announcer::{self, Bell};
+use crate::{Life, web};
+
+/// A running plain service; it is killed when dropped.
+#[derive(Debug)]
+pub struct Plain {
+    address: SocketAddr,
+    core: Arc<Core>,
+}
+
+#[derive(Debug)]
+struct Core {
+    settings: Settings,
+    life: Life,
+    bell: Bell,
+    ledger: Mutex<Ledger>,
+    switches: Mutex<Switches>,
+    availability: Mutex<Availability>,
+}
+
+impl Plain {
+    /// Starts the service and announces it.
+    ///
+    /// # Errors
+    /// Fails when the socket can't be opened.
+    pub async fn start(settings: Settings) -> io::Result<Plain> {
+        let life = Life::default();
+        let core = Arc::new(Core {
+            settings: settings.clone(),
+            life: life.clone(),
+            bell: Bell::default(),
+            ledger: Mutex::default(),
+            switches: Mutex::default(),
+            availability: Mutex::default(),
+        });
+        let served = core.clone();
+        let handler = move |request| api::handle(served.clone(), request);
+        let address = web::serve(settings.listen, life.clone(), handler).await?;
+        let incarnation = announcer::incarnation();
+        let described = core.clone();
+        let describe = move |sequence| described.describe(address, incarnation, sequence);
+        announcer::start(settings.announce, &life, core.bell.clone(), describe);
+        Ok(Plain { address, core })
+    }
+
+    /// Returns where the service listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the life of the service, by which it is killed or frozen.
+    pub fn life(&self) -> &Life {
+        &self.core.life
+    }
+
+    /// Returns a copy of all executions.
+    pub fn ledger(&self) -> Ledger {
+        lock(&self.core.ledger).clone()
+    }
+
+    /// Changes the fault switches.
+    pub fn switch(&self, change: impl FnOnce(&mut Switches)) {
+        change(&mut lock(&self.core.switches));
+    }
+
+    /// Announces that the service takes nothing new.
+    pub fn leave(&self) {
+        *lock(&self.core.availability) = Availability::Leaving;
+        self.core.bell.ring();
+    }
+
+    /// Announces a reclaim and dies after `notice`.
+    pub fn reclaim(&self, notice: Duration) {
+        let in_ms = notice.as_millis() as u64;
+        *lock(&self.core.availability) = Availability::Reclaimed { in_ms };
+        self.core.bell.ring();
+        let life = self.core.life.clone();
+        self.core.life.spawn(async move {
+            tokio::time::sleep(notice).await;
+            life.kill();
+        });
+    }
+}
+
+impl Drop for Plain {
+    fn drop(&mut self) {
+        self.core.life.kill();
+    }
+}
+
+impl Core {
+    fn describe(&self, address: SocketAddr, incarnation: u64, sequence: u64) -> Announcement {
+        let settings = &self.settings;
+        Announcement {
+            upstream: settings.upstream.clone(),
+            incarnation,
+            sequence,
+            service: settings.service.clone(),
+            address,
+            data_centre: settings.data_centre.clone(),
+            class: settings.class,
+            role: upstream::Role::Both,
+            models: Vec::new(),
+            capacity: settings.capacity,
+            load: Load {
+                running: lock(&self.ledger).running(),
+                ..Load::default()
+            },
+            lease_ms: settings.announce.lease.as_millis() as u64,
+            availability: *lock(&self.availability),
+            fence: 0,
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/stand_ins/src/plain/api.rs
@@ -0,0 +1,141 @@
+//! The calls that a plain service answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use serde_json::json;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::switches::Fate;
+use super::{Core, Execution, Switches, lock};
+use crate::web::{self, Dropped, Request, Response};
+
+/// Header by which an upstream says that it did not run a call.
+const NOT_RUN_HEADER: &str = "chervilloft-not-run";
+const KEY_HEADER: &str = "idempotency-key";
+const REQUEST_HEADER: &str = "chervilloft-request-id";
+
+/// Returns the body that a read of `path` must give.
+pub fn read_answer(service: &str, path: &str) -> String {
+    let reading = xxh3_64(path.as_bytes());
+    json!({"service": service, "path": path, "reading": format!("{reading:016x}")}).to_string()
+}
+
+pub(super) async fn handle(core: Arc<Core>, request: Request) -> Result<Response, Dropped> {
+    match request.uri().path() {
+        "/admin/ledger" => Ok(web::json(StatusCode::OK, &*lock(&core.ledger))),
+        "/admin/switches" => set_switches(&core, request).await,
+        _ => run(&core, request).await,
+    }
+}
+
+async fn set_switches(core: &Core, request: Request) -> Result<Response, Dropped> {
+    let body = web::read(request).await?;
+    match serde_json::from_slice::<Switches>(&body) {
+        Ok(switches) => {
+            *lock(&core.switches) = switches;
+            Ok(web::text(StatusCode::OK, ""))
+        }
+        Err(cause) => Ok(web::error(
+            StatusCode::BAD_REQUEST,
+            "bad_switches",
+            &cause.to_string(),
+        )),
+    }
+}
+
+async fn run(core: &Core, request: Request) -> Result<Response, Dropped> {
+    let fate = lock(&core.switches).next();
+    if fate == Fate::DropBefore {
+        return Err(Dropped);
+    }
+    let _running = Running::new(core);
+    let execution = match describe(request).await {
+        Ok(execution) => execution,
+        Err(Dropped) => {
+            lock(&core.ledger).cut += 1;
+            return Err(Dropped);
+        }
+    };
+    if fate == Fate::Refuse {
+        lock(&core.ledger).refused.push(execution);
+        return Ok(refusal());
+    }
+    let count = lock(&core.ledger).execute(execution.clone());
+    tokio::time::sleep(delay(core)).await;
+    match fate {
+        Fate::ExecuteThenDrop => Err(Dropped),
+        _ => Ok(answer(core, &execution, count)),
+    }
+}
+
+async fn describe(request: Request) -> Result<Execution, Dropped> {
+    let header = |headers: &HeaderMap, name: &str| {
+        let value = headers.get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let mut execution = Execution {
+        method: request.method().to_string(),
+        path: request.uri().to_string(),
+        key: header(request.headers(), KEY_HEADER),
+        request: header(request.headers(), REQUEST_HEADER),
+        body: String::new(),
+    };
+    let body = web::read(request).await?;
+    execution.body = String::from_utf8_lossy(&body).into_owned();
+    Ok(execution)
+}
+
+fn delay(core: &Core) -> Duration {
+    let executions = lock(&core.ledger).executions.len() as u64;
+    let switches = lock(&core.switches);
+    let jitter = match switches.jitter_ms {
+        0 => 0,
+        range => xxh3_64(&executions.to_le_bytes()) % range,
+    };
+    Duration::from_millis(switches.late_ms + jitter)
+}
+
+fn answer(core: &Core, execution: &Execution, count: usize) -> Response {
+    let service = &core.settings.service;
+    if execution.method == Method::GET.as_str() {
+        let body: serde_json::Value = serde_json::from_str(&read_answer(service, &execution.path))
+            .expect("the answer of a read is JSON");
+        return web::json(StatusCode::OK, &body);
+    }
+    let booking = format!("B-{:08x}", xxh3_64(execution.body.as_bytes()) as u32);
+    let body = json!({
+        "service": service,
+        "path": execution.path,
+        "booking": booking,
+        "key": execution.key,
+        "execution": count,
+        "upstream": core.settings.upstream,
+    });
+    web::json(StatusCode::CREATED, &body)
+}
+
+fn refusal() -> Response {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut response = web::error(status, "busy", "the service did not run the call");
+    let value = HeaderValue::from_static("true");
+    response.headers_mut().insert(NOT_RUN_HEADER, value);
+    response
+}
+
+/// Counts a call as running until it is dropped.
+struct Running<'a>(&'a Core);
+
+impl<'a> Running<'a> {
+    fn new(core: &'a Core) -> Self {
+        lock(&core.ledger).begin();
+        Running(core)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        lock(&self.0.ledger).end();
+    }
+}
--- /dev/null
+++ b/stand_ins/src/plain/ledger.rs
@@ -0,0 +1,72 @@
+//! Every execution of a plain service.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// All executions and refusals, oldest first.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Ledger {
+    /// Calls that were executed.
+    pub executions: Vec<Execution>,
+    /// Calls that were refused as not run.
+    pub refused: Vec<Execution>,
+    /// Calls whose body was cut; they were not executed.
+    pub cut: u64,
+    running: u32,
+}
+
+/// One execution of a call.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Execution {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Value of `Idempotency-Key`, or empty.
+    pub key: String,
+    /// Value of `Chervilloft-Request-Id`, or empty.
+    pub request: String,
+    /// Body, as text.
+    pub body: String,
+}
+
+impl Ledger {
+    /// Returns how many times each key was executed.
+    pub fn by_key(&self) -> IndexMap<String, u32> {
+        self.count(|execution| &execution.key)
+    }
+
+    /// Returns how many times each body was executed.
+    pub fn by_body(&self) -> IndexMap<String, u32> {
+        self.count(|execution| &execution.body)
+    }
+
+    /// Returns how many calls run now.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    pub(crate) fn begin(&mut self) {
+        self.running += 1;
+    }
+
+    pub(crate) fn end(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Adds an execution, and returns how many its key has had.
+    pub(crate) fn execute(&mut self, execution: Execution) -> usize {
+        let same = |other: &&Execution| other.key == execution.key && other.path == execution.path;
+        let earlier = self.executions.iter().filter(same).count();
+        self.executions.push(execution);
+        earlier + 1
+    }
+
+    fn count(&self, by: impl Fn(&Execution) -> &String) -> IndexMap<String, u32> {
+        let mut counts = IndexMap::new();
+        for text in self.executions.iter().map(by).filter(|t| !t.is_empty()) {
+            *counts.entry(text.clone()).or_default() += 1;
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/stand_ins/src/web.rs
@@ -0,0 +1,45 @@
+//! The HTTP that all stand-ins share: a small server and a client of single requests.
+
+mod client;
+mod refusal;
+mod response;
+mod server;
+
+pub use client::{Answer, call, call_with_headers, open};
+pub use refusal::Refusal;
+pub use response::{error, json, text};
+pub use server::{Dropped, serve};
+
+use std::io;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Limited};
+
+/// Body of an answer.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+/// A request as a stand-in receives it.
+pub type Request = hyper::Request<hyper::body::Incoming>;
+/// An answer of a stand-in.
+pub type Response = hyper::Response<Body>;
+
+const MAX_BODY_BYTES: usize = 64 * 1_024 * 1_024;
+
+/// Reads the whole body of a request.
+///
+/// # Errors
+/// Fails with [`Dropped`] when the body is cut or too large.
+pub async fn read(request: Request) -> Result<Bytes, Dropped> {
+    let body = Limited::new(request.into_body(), MAX_BODY_BYTES);
+    let whole = body.collect().await.map_err(|_| Dropped)?;
+    Ok(whole.to_bytes())
+}
+
+/// Returns the value of `name` in the query of `uri`.
+pub fn query<'a>(uri: &'a hyper::Uri, name: &str) -> Option<&'a str> {
+    let pairs = uri.query()?.split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
--- /dev/null
+++ b/stand_ins/src/web/response.rs
@@ -0,0 +1,37 @@
+//! Answers with whole bodies.
+
+use std::io;
+
+use bytes::Bytes;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::{BodyExt, Full};
+use serde::Serialize;
+
+use super::Response;
+
+/// Returns an answer with a JSON body.
+pub fn json(status: StatusCode, body: &impl Serialize) -> Response {
+    let bytes = serde_json::to_vec(body).expect("an answer's types have texts as keys");
+    whole(status, "application/json", bytes.into())
+}
+
+/// Returns an error in the shape of the published API.
+pub fn error(status: StatusCode, code: &str, message: &str) -> Response {
+    let body = serde_json::json!({"error": {"message": message, "type": code, "code": code}});
+    json(status, &body)
+}
+
+/// Returns an answer with a text body.
+pub fn text(status: StatusCode, body: impl Into<String>) -> Response {
+    whole(status, "text/plain; charset=utf-8", body.into().into())
+}
+
+fn whole(status: StatusCode, content_type: &'static str, bytes: Bytes) -> Response {
+    let body = Full::new(bytes).map_err(io::Error::other).boxed_unsync();
+    hyper::Response::builder()
+        .status(status)
+        .header(CONTENT_TYPE, content_type)
+        .body(body)
+        .expect("status and content type are valid")
+}
