Add a cloud API, a weight store and a cutting relay

Placement needs instances that start, are refused and are taken back in waves; the request path needs connections that go silent while new ones work. The relay reads and loses bytes, so the sender sees no error, as when something between two ends has lost track of a connection.

Firewall rules were ruled out: they need rights that a test does not have.

--- a/stand_ins/src/cli.rs
+++ b/stand_ins/src/cli.rs
@@ -1,6 +1,6 @@
 //! The arguments of the `stand-ins` command.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
 use clap::{Arg, ArgAction, Command, value_parser};
@@ -12,6 +12,66 @@
         .subcommand_required(true)
         .subcommand(upstream("engine", "Runs a model engine").args(engine_args()))
         .subcommand(upstream("plain", "Runs a plain service"))
+        .subcommand(cloud())
+        .subcommand(weights())
+        .subcommand(relay())
+        .subcommand(ports())
+}
+
+fn cloud() -> Command {
+    Command::new("cloud")
+        .about("Runs a cloud API, whose instances run stand-ins in the same process")
+        .arg(text("text", "Operators' text with services and prices").required(true))
+        .arg(count(
+            "start-delay-ms",
+            "Milliseconds until an instance runs",
+            "200",
+        ))
+        .arg(number(
+            "time-scale",
+            "Seconds of the engines' time in one second",
+            "1",
+        ))
+        .arg(listen())
+        .args(announcing())
+}
+
+fn weights() -> Command {
+    Command::new("weights")
+        .about("Runs a weight store")
+        .arg(number(
+            "bytes-per-second",
+            "Rate for all readers together",
+            "16000000",
+        ))
+        .arg(count(
+            "bytes",
+            "Size of the weights of any model",
+            "1000000",
+        ))
+        .arg(listen())
+}
+
+fn relay() -> Command {
+    Command::new("relay")
+        .about("Runs a TCP relay that cuts, delays or resets connections on command")
+        .arg(address("target", "Where connections go").required(true))
+        .arg(address("admin", "Address of the admin listener").default_value("127.0.0.1:0"))
+        .arg(listen())
+}
+
+fn ports() -> Command {
+    Command::new("ports")
+        .about("Prints free ports, one a line")
+        .arg(count("count", "How many", "1"))
+        .arg(
+            Arg::new("address")
+                .long("address")
+                .value_name("IP")
+                .help("Where they must be free")
+                .default_value("127.0.0.1")
+                .value_parser(value_parser!(IpAddr)),
+        )
 }
 
 fn upstream(name: &'static str, about: &'static str) -> Command {
@@ -22,21 +82,22 @@
         .arg(text("data-centre", "Data centre that it announces").required(true))
         .arg(text("class", "\"reclaimable\" or \"on-demand\"").default_value("on-demand"))
         .arg(listen())
-        .arg(
-            Arg::new("entry")
-                .long("entry")
-                .value_name("IP:PORT")
-                .help("Entry to which it announces itself; may be given several times")
-                .action(ArgAction::Append)
-                .value_parser(value_parser!(SocketAddr)),
-        )
-        .arg(
-            Arg::new("keys")
-                .long("keys")
-                .value_name("FILE")
-                .help("File of keys with the secret of the upstreams")
-                .value_parser(value_parser!(PathBuf)),
+        .args(announcing())
+}
+
+fn announcing() -> [Arg; 2] {
+    [
+        address(
+            "entry",
+            "Entry for announcements; may be given several times",
         )
+        .action(ArgAction::Append),
+        Arg::new("keys")
+            .long("keys")
+            .value_name("FILE")
+            .help("File of keys with the secret of the upstreams")
+            .value_parser(value_parser!(PathBuf)),
+    ]
 }
 
 fn engine_args() -> [Arg; 4] {
@@ -58,14 +119,30 @@
 }
 
 fn listen() -> Arg {
-    Arg::new("listen")
-        .long("listen")
+    address(
+        "listen",
+        "Address of the listener; port 0 lets the system choose",
+    )
+    .default_value("127.0.0.1:0")
+}
+
+fn address(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
         .value_name("IP:PORT")
-        .help("Address of the listener; port 0 lets the system choose")
-        .default_value("127.0.0.1:0")
+        .help(help)
         .value_parser(value_parser!(SocketAddr))
 }
 
+fn count(name: &'static str, help: &'static str, default: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("COUNT")
+        .help(help)
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+}
+
 fn text(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).value_name("TEXT").help(help)
 }
--- /dev/null
+++ b/stand_ins/src/cloud/admin.rs
@@ -0,0 +1,49 @@
+//! Waves, shortages and prices on command.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http::StatusCode;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+use super::{Core, Price, Shortage, Wave};
+use crate::web::{self, Dropped, Refusal, Request, Response};
+
+pub(super) async fn handle(
+    core: Arc<Core>,
+    action: &str,
+    request: Request,
+) -> Result<Response, Dropped> {
+    let body = web::read(request).await?;
+    let outcome = match action {
+        "wave" => parse(&body).map(|wave: Wave| json!({"taken": core.wave(&wave)})),
+        "refuse" => parse(&body).map(|shortage: Shortage| {
+            core.table().refuse(shortage, Instant::now());
+            json!({})
+        }),
+        "price" => parse(&body).map(|price: Price| {
+            let kind = (price.data_centre.clone(), price.class);
+            core.table().prices.insert(kind, price);
+            json!({})
+        }),
+        _ => {
+            let message = format!("action \"{action}\" is unknown");
+            Err(Refusal::new(StatusCode::NOT_FOUND, "not_found", &message))
+        }
+    };
+    Ok(match outcome {
+        Ok(body) => web::json(StatusCode::OK, &body),
+        Err(refusal) => refusal.into(),
+    })
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body).map_err(|cause| {
+        Refusal::new(
+            StatusCode::BAD_REQUEST,
+            "invalid_request",
+            &cause.to_string(),
+        )
+    })
+}
--- /dev/null
+++ b/stand_ins/src/cloud/api.rs
@@ -0,0 +1,126 @@
+//! The requests that the cloud API answers.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+
+use super::table::{Order, Outcome};
+use super::{Core, Instance, Price, State, admin};
+use crate::web::{self, Dropped, Request, Response};
+
+pub(super) async fn handle(core: Arc<Core>, request: Request) -> Result<Response, Dropped> {
+    let path = request.uri().path().to_owned();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (request.method(), parts.as_slice()) {
+        (&Method::POST, ["v1", "instances"]) => order(core, request).await,
+        (&Method::DELETE, ["v1", "instances", instance]) => Ok(stop(&core, instance)),
+        (&Method::GET, ["v1", "instances"]) => Ok(instances(&core)),
+        (&Method::GET, ["v1", "prices"]) => Ok(prices(&core)),
+        (&Method::GET, ["v1", "notices"]) => {
+            let after = web::query(request.uri(), "after").and_then(|n| n.parse().ok());
+            Ok(notices(&core, after.unwrap_or(0)))
+        }
+        (&Method::POST, ["admin", action]) => admin::handle(core, action, request).await,
+        _ => {
+            let message = format!("nothing is served at \"{path}\"");
+            Ok(web::error(StatusCode::NOT_FOUND, "not_found", &message))
+        }
+    }
+}
+
+async fn order(core: Arc<Core>, request: Request) -> Result<Response, Dropped> {
+    let body = web::read(request).await?;
+    let order: Order = match serde_json::from_slice(&body) {
+        Ok(order) => order,
+        Err(cause) => {
+            let status = StatusCode::BAD_REQUEST;
+            return Ok(web::error(status, "invalid_request", &cause.to_string()));
+        }
+    };
+    let outcome = core.table().order(order, Instant::now());
+    Ok(match outcome {
+        Outcome::Fresh(instance) => {
+            let answer = ordered(&instance);
+            core.life.spawn(start(core.clone(), instance));
+            answer
+        }
+        Outcome::Known(instance) => ordered(&instance),
+        Outcome::Refused => {
+            let message = "no instance of this kind is to be had";
+            web::error(StatusCode::SERVICE_UNAVAILABLE, "no_capacity", message)
+        }
+    })
+}
+
+fn ordered(instance: &Instance) -> Response {
+    let body = json!({"instance": instance.instance, "state": instance.state});
+    web::json(StatusCode::CREATED, &body)
+}
+
+async fn start(core: Arc<Core>, instance: Instance) {
+    tokio::time::sleep(core.settings.start_delay).await;
+    let started = core.table().started(&instance.instance);
+    let template = core.settings.templates.get(&instance.service).cloned();
+    match template {
+        Some(template) if started => match template.launch(&instance).await {
+            Ok(launched) => core.table().keep(&instance.instance, launched),
+            Err(cause) => tracing::warn!("cloud: nothing was launched: {cause}"),
+        },
+        _ => {}
+    }
+}
+
+fn stop(core: &Core, instance: &str) -> Response {
+    match core.table().end(instance, State::Stopped) {
+        true => web::json(StatusCode::OK, &json!({})),
+        false => {
+            let message = format!("instance \"{instance}\" is unknown");
+            web::error(StatusCode::NOT_FOUND, "unknown_instance", &message)
+        }
+    }
+}
+
+fn instances(core: &Core) -> Response {
+    let describe = |it: &Instance| {
+        json!({
+            "instance": it.instance,
+            "token": it.token,
+            "service": it.service,
+            "data_centre": it.data_centre,
+            "class": it.class,
+            "state": it.state,
+            "started_ms_ago": it.ordered.elapsed().as_millis() as u64,
+        })
+    };
+    let list: Vec<Value> = core.table().instances().map(describe).collect();
+    web::json(StatusCode::OK, &json!({"instances": list}))
+}
+
+fn prices(core: &Core) -> Response {
+    let table = core.table();
+    let current = |price: &Price| {
+        let kind = (price.data_centre.clone(), price.class);
+        table.prices.get(&kind).unwrap_or(price).clone()
+    };
+    let prices: Vec<Price> = core.settings.prices.iter().map(current).collect();
+    web::json(StatusCode::OK, &json!({"prices": prices}))
+}
+
+fn notices(core: &Core, after: u64) -> Response {
+    let now = Instant::now();
+    let table = core.table();
+    let list: Vec<Value> = table
+        .notices
+        .iter()
+        .filter(|notice| notice.sequence > after)
+        .map(|notice| {
+            let left = notice.stops.saturating_duration_since(now);
+            let in_ms = left.as_millis() as u64;
+            json!({"sequence": notice.sequence, "instance": notice.instance, "in_ms": in_ms})
+        })
+        .collect();
+    let last = table.notices.len();
+    web::json(StatusCode::OK, &json!({"notices": list, "last": last}))
+}
--- /dev/null
+++ b/stand_ins/src/cloud/launch.rs
@@ -0,0 +1,82 @@
+//! What runs on an instance.
+
+use std::io;
+use std::time::Duration;
+
+use crate::Life;
+use crate::engine::{self, Engine};
+use crate::plain::{self, Plain};
+
+use super::Instance;
+
+/// Settings of what is launched, without name, data centre and class.
+#[derive(Clone, Debug)]
+pub enum Template {
+    /// A model engine.
+    Engine(engine::Settings),
+    /// A plain service.
+    Plain(plain::Settings),
+}
+
+/// What was launched.
+#[derive(Debug)]
+pub enum Launched {
+    /// A model engine.
+    Engine(Engine),
+    /// A plain service.
+    Plain(Plain),
+}
+
+impl Template {
+    /// Launches what the template says on `instance`.
+    pub(super) async fn launch(self, instance: &Instance) -> io::Result<Launched> {
+        match self {
+            Template::Engine(settings) => {
+                let settings = engine::Settings {
+                    upstream: instance.instance.clone(),
+                    service: instance.service.clone(),
+                    data_centre: instance.data_centre.clone(),
+                    class: instance.class,
+                    ..settings
+                };
+                Engine::start(settings).await.map(Launched::Engine)
+            }
+            Template::Plain(settings) => {
+                let settings = plain::Settings {
+                    upstream: instance.instance.clone(),
+                    service: instance.service.clone(),
+                    data_centre: instance.data_centre.clone(),
+                    class: instance.class,
+                    ..settings
+                };
+                Plain::start(settings).await.map(Launched::Plain)
+            }
+        }
+    }
+}
+
+impl Launched {
+    /// Announces a reclaim and dies after `notice`.
+    pub fn reclaim(&self, notice: Duration) {
+        match self {
+            Launched::Engine(engine) => engine.reclaim(notice),
+            Launched::Plain(plain) => plain.reclaim(notice),
+        }
+    }
+
+    /// Returns the life of what was launched.
+    pub fn life(&self) -> &Life {
+        match self {
+            Launched::Engine(engine) => engine.life(),
+            Launched::Plain(plain) => plain.life(),
+        }
+    }
+
+    /// Returns the engine, where it is one.
+    pub fn engine(&self) -> Option<&Engine> {
+        match self {
+            Launched::Engine(engine) => Some(engine),
+            Launched::Plain(_) => None,
+        }
+    }
+}
--- /dev/null
+++ b/stand_ins/src/cloud/table.rs
@@ -0,0 +1,208 @@
+//! Instances, notices and shortages.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use compact_str::{CompactString, format_compact};
+use config::ids::{DataCentreId, InstanceId, ServiceId};
+use config::text::Class;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::{Instance, Launched, Price, State};
+
+/// Everything that the cloud knows.
+#[derive(Debug, Default)]
+pub(super) struct Table {
+    instances: IndexMap<InstanceId, Instance>,
+    launched: IndexMap<InstanceId, Arc<Launched>>,
+    shortages: Vec<(Shortage, Instant)>,
+    pub(super) notices: Vec<Notice>,
+    pub(super) prices: IndexMap<(DataCentreId, Class), Price>,
+    pub(super) refused: u64,
+}
+
+/// A notice that an instance is taken back.
+#[derive(Clone, Debug)]
+pub struct Notice {
+    /// Number of the notice, counted from 1.
+    pub sequence: u64,
+    /// The instance.
+    pub instance: InstanceId,
+    /// When it stops.
+    pub stops: Instant,
+}
+
+/// Starts that are refused.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Shortage {
+    /// Data centre; all of them where it is missing.
+    #[serde(default)]
+    pub data_centre: Option<DataCentreId>,
+    /// Class; both where it is missing.
+    #[serde(default)]
+    pub class: Option<Class>,
+    /// Milliseconds for which starts are refused.
+    pub for_ms: u64,
+}
+
+/// Instances that are taken back together.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Wave {
+    /// Data centre; all of them where it is missing.
+    #[serde(default)]
+    pub data_centre: Option<DataCentreId>,
+    /// Class; both where it is missing.
+    #[serde(default)]
+    pub class: Option<Class>,
+    /// Milliseconds of notice.
+    pub in_ms: u64,
+    /// Milliseconds for which starts of the same kind are refused.
+    #[serde(default)]
+    pub refuse_ms: u64,
+}
+
+/// An order for an instance.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Order {
+    pub(super) token: CompactString,
+    pub(super) service: ServiceId,
+    pub(super) data_centre: DataCentreId,
+    pub(super) class: Class,
+}
+
+/// What came of an order.
+#[derive(Clone, Debug)]
+pub(super) enum Outcome {
+    Fresh(Instance),
+    Known(Instance),
+    Refused,
+}
+
+impl Wave {
+    pub(super) fn shortage(&self) -> Option<Shortage> {
+        (self.refuse_ms > 0).then(|| Shortage {
+            data_centre: self.data_centre.clone(),
+            class: self.class,
+            for_ms: self.refuse_ms,
+        })
+    }
+}
+
+impl Table {
+    pub(super) fn instances(&self) -> impl Iterator<Item = &Instance> {
+        self.instances.values()
+    }
+
+    pub(super) fn launched(&self, instance: &str) -> Option<Arc<Launched>> {
+        self.launched.get(instance).cloned()
+    }
+
+    pub(super) fn all_launched(&self) -> Vec<(InstanceId, Arc<Launched>)> {
+        let pairs = self.launched.iter();
+        pairs.map(|(id, it)| (id.clone(), it.clone())).collect()
+    }
+
+    pub(super) fn refuse(&mut self, shortage: Shortage, now: Instant) {
+        let until = now + Duration::from_millis(shortage.for_ms);
+        self.shortages.push((shortage, until));
+    }
+
+    pub(super) fn order(&mut self, order: Order, now: Instant) -> Outcome {
+        let same = |instance: &&Instance| instance.token == order.token;
+        if let Some(known) = self.instances.values().find(same) {
+            return Outcome::Known(known.clone());
+        }
+        let short = |(shortage, until): &(Shortage, Instant)| {
+            now < *until && covers(&shortage.data_centre, shortage.class, &order)
+        };
+        if self.shortages.iter().any(short) {
+            self.refused += 1;
+            return Outcome::Refused;
+        }
+        let instance = Instance {
+            instance: format_compact!("i-{}", self.instances.len() + 1),
+            token: order.token,
+            service: order.service,
+            data_centre: order.data_centre,
+            class: order.class,
+            state: State::Starting,
+            ordered: now,
+            ended: None,
+        };
+        self.instances
+            .insert(instance.instance.clone(), instance.clone());
+        Outcome::Fresh(instance)
+    }
+
+    /// Marks an instance as running, and reports whether it was still starting.
+    pub(super) fn started(&mut self, instance: &str) -> bool {
+        match self.instances.get_mut(instance) {
+            Some(it) if it.state == State::Starting => {
+                it.state = State::Running;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Keeps what was launched, or kills it where the instance has ended meanwhile.
+    pub(super) fn keep(&mut self, instance: &str, launched: Launched) {
+        match self.instances.get(instance) {
+            Some(it) if it.state.is_live() => {
+                self.launched.insert(instance.into(), Arc::new(launched));
+            }
+            _ => launched.life().kill(),
+        }
+    }
+
+    /// Ends an instance, and reports whether it is known.
+    pub(super) fn end(&mut self, instance: &str, state: State) -> bool {
+        let Some(it) = self.instances.get_mut(instance) else {
+            return false;
+        };
+        if it.state.is_live() {
+            it.state = state;
+            it.ended = Some(Instant::now());
+        }
+        if let Some(launched) = self.launched.get(instance) {
+            launched.life().kill();
+        }
+        true
+    }
+
+    /// Writes notices for the instances that a wave takes, and returns their names.
+    pub(super) fn notice(&mut self, wave: &Wave, now: Instant) -> Vec<InstanceId> {
+        let taken: Vec<InstanceId> = self
+            .instances
+            .values()
+            .filter(|it| it.state.is_live() && wave.takes(it))
+            .map(|it| it.instance.clone())
+            .collect();
+        for instance in &taken {
+            self.notices.push(Notice {
+                sequence: self.notices.len() as u64 + 1,
+                instance: instance.clone(),
+                stops: now + Duration::from_millis(wave.in_ms),
+            });
+        }
+        taken
+    }
+}
+
+impl Wave {
+    fn takes(&self, instance: &Instance) -> bool {
+        let centre = self.data_centre.as_ref();
+        let class = self.class;
+        centre.is_none_or(|it| *it == instance.data_centre)
+            && class.is_none_or(|it| it == instance.class)
+    }
+}
+
+fn covers(centre: &Option<DataCentreId>, class: Option<Class>, order: &Order) -> bool {
+    centre.as_ref().is_none_or(|it| *it == order.data_centre)
+        && class.is_none_or(|it| it == order.class)
+}
--- a/stand_ins/src/cmd.rs
+++ b/stand_ins/src/cmd.rs
@@ -1,8 +1,12 @@
 //! What each subcommand does.
 
+mod cloud;
 mod engine;
 mod plain;
+mod ports;
+mod relay;
 mod upstream;
+mod weights;
 
 use std::io;
 use std::process::ExitCode;
@@ -22,6 +26,10 @@
     let outcome = match matches.subcommand() {
         Some(("engine", matches)) => runtime.block_on(engine::run(matches)),
         Some(("plain", matches)) => runtime.block_on(plain::run(matches)),
+        Some(("cloud", matches)) => runtime.block_on(cloud::run(matches)),
+        Some(("weights", matches)) => runtime.block_on(weights::run(matches)),
+        Some(("relay", matches)) => runtime.block_on(relay::run(matches)),
+        Some(("ports", matches)) => ports::run(matches),
         _ => Ok(()),
     };
     match outcome {
--- a/stand_ins/src/lib.rs
+++ b/stand_ins/src/lib.rs
@@ -5,10 +5,13 @@
 //! every gap, repeat and mix-up.
 
 pub mod announcer;
+pub mod cloud;
 pub mod engine;
 mod life;
 pub mod plain;
+pub mod relay;
 pub mod text;
 pub mod web;
+pub mod weights;
 
 pub use life::Life;
--- /dev/null
+++ b/stand_ins/src/relay.rs
@@ -0,0 +1,179 @@
+//! A TCP relay that cuts, delays or resets the connections which it carries.
+
+mod admin;
+mod line;
+mod mode;
+
+pub use mode::{Mode, Scope};
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use indexmap::IndexMap;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::{Life, web};
+
+/// Number of a connection, in the order in which they were opened.
+pub type ConnectionId = u64;
+
+/// A running relay; it is killed when dropped.
+#[derive(Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    core: Arc<Core>,
+}
+
+#[derive(Debug)]
+struct Core {
+    target: SocketAddr,
+    life: Life,
+    table: Mutex<Table>,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    opened: ConnectionId,
+    mode_of_new: Mode,
+    open: IndexMap<ConnectionId, watch::Sender<Mode>>,
+}
+
+impl Relay {
+    /// Starts a relay to `target` on a port of the system's choice.
+    ///
+    /// # Errors
+    /// Fails when the socket can't be opened.
+    pub async fn start(target: SocketAddr) -> io::Result<Relay> {
+        Relay::start_on(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), target).await
+    }
+
+    /// Starts a relay from `listen` to `target`.
+    ///
+    /// # Errors
+    /// Fails when the socket can't be opened.
+    pub async fn start_on(listen: SocketAddr, target: SocketAddr) -> io::Result<Relay> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let core = Arc::new(Core {
+            target,
+            life: Life::default(),
+            table: Mutex::default(),
+        });
+        core.life.spawn(accept(listener, core.clone()));
+        Ok(Relay { address, core })
+    }
+
+    /// Returns where the relay listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the life of the relay.
+    pub fn life(&self) -> &Life {
+        &self.core.life
+    }
+
+    /// Changes what becomes of the bytes of the connections in `scope`.
+    pub fn set(&self, scope: Scope, mode: Mode) {
+        self.core.set(scope, mode);
+    }
+
+    /// Returns the connections that are open.
+    pub fn open(&self) -> Vec<ConnectionId> {
+        self.core.table().open.keys().copied().collect()
+    }
+
+    /// Returns how many connections were opened in all.
+    pub fn opened(&self) -> u64 {
+        self.core.table().opened
+    }
+
+    /// Serves the admin requests on `listen` and returns the address.
+    ///
+    /// # Errors
+    /// Fails when the socket can't be opened.
+    pub async fn serve_admin(&self, listen: SocketAddr) -> io::Result<SocketAddr> {
+        let core = self.core.clone();
+        let handler = move |request| admin::handle(core.clone(), request);
+        web::serve(listen, self.core.life.clone(), handler).await
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.core.life.kill();
+    }
+}
+
+impl Core {
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set(&self, scope: Scope, mode: Mode) {
+        let mut table = self.table();
+        if matches!(scope, Scope::All | Scope::New) {
+            table.mode_of_new = mode;
+        }
+        for (id, connection) in &table.open {
+            if scope.covers(*id) {
+                connection.send_replace(mode);
+            }
+        }
+    }
+
+    fn register(&self) -> (ConnectionId, watch::Receiver<Mode>) {
+        let mut table = self.table();
+        table.opened += 1;
+        let (id, sender) = (table.opened, watch::Sender::new(table.mode_of_new));
+        let receiver = sender.subscribe();
+        table.open.insert(id, sender);
+        (id, receiver)
+    }
+}
+
+async fn accept(listener: TcpListener, core: Arc<Core>) {
+    loop {
+        // A failed accept concerns one connection; the next one may work.
+        let Ok((caller, _)) = listener.accept().await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let (id, mode) = core.register();
+        let own = core.clone();
+        core.life.spawn(async move {
+            carry(caller, own.target, mode).await;
+            own.table().open.shift_remove(&id);
+        });
+    }
+}
+
+async fn carry(mut caller: TcpStream, target: SocketAddr, mode: watch::Receiver<Mode>) {
+    let mut resets = mode.clone();
+    let connected = tokio::select! {
+        connected = TcpStream::connect(target) => connected,
+        _ = resets.wait_for(|mode| *mode == Mode::Reset) => Err(io::ErrorKind::ConnectionReset.into()),
+    };
+    let Ok(mut target) = connected else {
+        let _ = caller.set_zero_linger();
+        return;
+    };
+    let _ = caller.set_nodelay(true);
+    let _ = target.set_nodelay(true);
+    let was_reset = {
+        let (from_caller, to_caller) = caller.split();
+        let (from_target, to_target) = target.split();
+        let up = line::run(from_caller, to_target, mode.clone(), Mode::up);
+        let down = line::run(from_target, to_caller, mode, Mode::down);
+        tokio::select! {
+            _ = async { tokio::join!(up, down) } => false,
+            reset = resets.wait_for(|mode| *mode == Mode::Reset) => reset.is_ok(),
+        }
+    };
+    if was_reset {
+        let _ = caller.set_zero_linger();
+        let _ = target.set_zero_linger();
+    }
+}
--- /dev/null
+++ b/stand_ins/src/relay/line.rs
@@ -0,0 +1,61 @@
+//! One direction of a connection.
+
+use bytes::Bytes;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+use super::mode::{Fate, Mode};
+
+const BUFFER_BYTES: usize = 16 * 1_024;
+/// Reads that wait for their delay before the sender is held back.
+const DELAYED_READS: usize = 256;
+
+/// Carries bytes until one side closes.
+pub(super) async fn run(
+    from: ReadHalf<'_>,
+    to: WriteHalf<'_>,
+    mode: watch::Receiver<Mode>,
+    fate: fn(Mode) -> Fate,
+) {
+    let (sender, receiver) = mpsc::channel(DELAYED_READS);
+    let _ = tokio::join!(read(from, sender, mode, fate), write(to, receiver));
+}
+
+async fn read(
+    mut from: ReadHalf<'_>,
+    delayed: mpsc::Sender<(Instant, Bytes)>,
+    mode: watch::Receiver<Mode>,
+    fate: fn(Mode) -> Fate,
+) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let length = from.read(&mut buffer).await.unwrap_or(0);
+        let now = fate(*mode.borrow());
+        match (length, now) {
+            // A lost connection loses its end as well.
+            (0, Fate::Lose) => return std::future::pending().await,
+            (0, Fate::Carry(_)) => return,
+            (_, Fate::Lose) => {}
+            (_, Fate::Carry(delay)) => {
+                let bytes = Bytes::copy_from_slice(&buffer[..length]);
+                if delayed.send((Instant::now() + delay, bytes)).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn write(mut to: WriteHalf<'_>, mut delayed: mpsc::Receiver<(Instant, Bytes)>) {
+    while let Some((due, bytes)) = delayed.recv().await {
+        if due > Instant::now() {
+            tokio::time::sleep_until(due).await;
+        }
+        if to.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+    let _ = to.shutdown().await;
+}
--- /dev/null
+++ b/stand_ins/src/weights.rs
@@ -0,0 +1,149 @@
+//! A weight store whose rate is shared by all readers.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use indexmap::IndexMap;
+use tokio::time::Instant;
+
+use crate::Life;
+use crate::web::{self, Dropped, Request, Response};
+
+const CHUNK_BYTES: usize = 16 * 1_024;
+
+/// What a weight store holds and how fast it gives it.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address of its listener; port 0 lets the system choose.
+    pub listen: SocketAddr,
+    /// Bytes sent per second to all readers together.
+    pub bytes_per_second: f64,
+    /// Size in bytes of weights by `model/version`.
+    pub sizes: IndexMap<String, usize>,
+    /// Size in bytes of all other weights; `None` where others are unknown.
+    pub other_size: Option<usize>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            bytes_per_second: 16_000_000.0,
+            sizes: IndexMap::new(),
+            other_size: Some(1_000_000),
+        }
+    }
+}
+
+/// A running weight store; it is killed when dropped.
+#[derive(Debug)]
+pub struct Weights {
+    address: SocketAddr,
+    life: Life,
+    shelf: Arc<Shelf>,
+}
+
+#[derive(Debug)]
+struct Shelf {
+    settings: Settings,
+    free_at: Mutex<Instant>,
+    reads: Mutex<Vec<String>>,
+}
+
+impl Weights {
+    /// Starts a weight store.
+    ///
+    /// # Errors
+    /// Fails when the socket can't be opened.
+    pub async fn start(settings: Settings) -> io::Result<Weights> {
+        let life = Life::default();
+        let listen = settings.listen;
+        let shelf = Arc::new(Shelf {
+            settings,
+            free_at: Mutex::new(Instant::now()),
+            reads: Mutex::default(),
+        });
+        let served = shelf.clone();
+        let handler = move |request| handle(served.clone(), request);
+        let address = web::serve(listen, life.clone(), handler).await?;
+        Ok(Weights {
+            address,
+            life,
+            shelf,
+        })
+    }
+
+    /// Returns where the store listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the life of the store.
+    pub fn life(&self) -> &Life {
+        &self.life
+    }
+
+    /// Returns what was read, as `model/version`, oldest first.
+    pub fn reads(&self) -> Vec<String> {
+        let reads = self.shelf.reads.lock();
+        reads.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+impl Drop for Weights {
+    fn drop(&mut self) {
+        self.life.kill();
+    }
+}
+
+async fn handle(shelf: Arc<Shelf>, request: Request) -> Result<Response, Dropped> {
+    let name = request.uri().path().strip_prefix("/v1/weights/");
+    let name = name.unwrap_or_default().to_owned();
+    let settings = &shelf.settings;
+    let size = settings.sizes.get(&name).copied().or(settings.other_size);
+    match size {
+        Some(size) if name.contains('/') => {
+            let reads = shelf.reads.lock();
+            reads.unwrap_or_else(PoisonError::into_inner).push(name);
+            Ok(send(shelf.clone(), size))
+        }
+        _ => {
+            let message = format!("weights \"{name}\" are unknown");
+            Ok(web::error(StatusCode::NOT_FOUND, "not_found", &message))
+        }
+    }
+}
+
+fn send(shelf: Arc<Shelf>, size: usize) -> Response {
+    let chunks = stream::unfold((shelf, size), |(shelf, left)| async move {
+        let chunk = left.min(CHUNK_BYTES);
+        if chunk == 0 {
+            return None;
+        }
+        tokio::time::sleep_until(shelf.reserve(chunk)).await;
+        let bytes = Bytes::from_static(&[0; CHUNK_BYTES]).slice(..chunk);
+        Some((Ok(Frame::data(bytes)), (shelf, left - chunk)))
+    });
+    hyper::Response::builder()
+        .header(CONTENT_LENGTH, size)
+        .body(StreamBody::new(chunks).boxed_unsync())
+        .expect("the headers are valid")
+}
+
+impl Shelf {
+    /// Takes the next `bytes` of the shared rate, and returns when they may be sent.
+    fn reserve(&self, bytes: usize) -> Instant {
+        let pace = Duration::from_secs_f64(bytes as f64 / self.settings.bytes_per_second);
+        let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
+        *free_at = Instant::now().max(*free_at) + pace;
+        *free_at
+    }
+}
