Offer every process and operators' command on the command line

Seen on the way, still to be mended: the control process panics while it stops (a runtime is dropped in an asynchronous context).

--- a/components/config/src/keys/secret.rs
+++ b/components/config/src/keys/secret.rs
@@ -23,6 +23,11 @@
         !self.0.is_empty() && bool::from(self.0.as_bytes().ct_eq(other.as_bytes()))
     }
 
+    /// Returns the text, for the header of a request. It must not be logged.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+
     /// Reports whether no secret is set.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/components/entry/src/admit.rs
+++ b/components/entry/src/admit.rs
@@ -120,6 +120,11 @@
             let message = format_compact!("service \"{service}\" has no upstream for this request");
             Failure::retry(Kind::Unavailable, message, UPSTREAM_RETRY)
         }
+        routing::Refusal::DependencyDown { service: down } => {
+            let message =
+                format_compact!("service \"{service}\" needs service \"{down}\", which is down");
+            Failure::retry(Kind::Unavailable, message, UPSTREAM_RETRY)
+        }
         routing::Refusal::Overloaded { retry_after } => {
             let message = "every upstream is so loaded that the latency target would be missed";
             Failure::retry(Kind::Overloaded, message, *retry_after)
--- a/components/entry/src/model/relay.rs
+++ b/components/entry/src/model/relay.rs
@@ -135,6 +135,7 @@
             priority: self.admitted.priority,
             exclude: &self.failed,
             resumed: self.exchange.state().is_exposed(),
+            ..Request::default()
         }
     }
 
--- a/components/entry/src/plain/keyed.rs
+++ b/components/entry/src/plain/keyed.rs
@@ -104,6 +104,11 @@
             let message = "the idempotency key was used with another method, path or body";
             Err(Failure::new(Kind::KeyMismatch, message))
         }
+        Verdict::Outdated { in_force } => {
+            let message =
+                format_compact!("version {in_force} of the text is in force, not yet known here");
+            Err(Failure::retry(Kind::Unavailable, message, RETRY))
+        }
         Verdict::Full { retry_after_ms } => {
             let message = "the table of idempotency keys is full";
             let after = Duration::from_millis(retry_after_ms);
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -1,15 +1,13 @@
 //! A module for each command.
 
 mod check;
-#[expect(dead_code, reason = "the command line does not offer it yet")]
 mod control;
+mod entry;
 mod explain;
 mod files;
-#[expect(dead_code, reason = "the command line does not offer it yet")]
+mod operator;
 mod runtime;
-#[expect(dead_code, reason = "the command line does not offer it yet")]
 mod status;
-#[expect(dead_code, reason = "the command line does not offer it yet")]
 mod submit;
 
 use std::process::ExitCode;
@@ -22,8 +20,14 @@
 /// # Errors
 /// Returns what failed, with the step and the peer.
 pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let done = |()| ExitCode::SUCCESS;
     match matches.subcommand() {
+        Some(("entry", matches)) => entry::run(matches).map(done),
+        Some(("control", matches)) => control::run(matches).map(done),
         Some(("check", matches)) => check::run(matches),
+        Some(("submit", matches)) => submit::run(matches),
+        Some(("show", matches)) => status::show(matches),
+        Some(("status", matches)) => status::run(matches),
         Some(("explain", matches)) => explain::run(matches),
         _ => Ok(ExitCode::FAILURE),
     }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -1,34 +1,41 @@
-//! `chervilloft status` and `show`: reads what the control group knows.
+//! `chervilloft status` and `chervilloft show`: read what the control group knows.
 
-use std::net::SocketAddr;
+use std::process::ExitCode;
 
-use control::client::{Client, Document};
+use clap::ArgMatches;
+use control::client::Document;
 use errors::Result;
-use serde_json::Value;
+use serde_json::{Value, json};
 
-use super::runtime;
+use super::{operator, runtime};
+use crate::{cli, messages};
 
-/// What to read, and where.
-#[derive(Clone, Debug)]
-pub(crate) struct Status {
-    /// HTTP listeners of the control processes.
-    pub(crate) controls: Vec<SocketAddr>,
-    /// The operator's bearer token.
-    pub(crate) token: String,
-    /// The document.
-    pub(crate) document: Document,
+/// Prints the control group, the entries, the upstreams and what needs a person.
+pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let client = operator::client(matches)?;
+    let read = async {
+        let status = client.read(Document::Status).await?;
+        let unknowns = client.read(Document::Unknowns).await?;
+        Ok((status, unknowns))
+    };
+    let (status, unknowns): (Value, Value) = runtime::single()?.block_on(read)?;
+    match cli::wants_json(matches) {
+        true => messages::print_json(&json!({ "status": status, "unknowns": unknowns })),
+        false => {
+            messages::print_status(&status);
+            messages::print_unknowns(&unknowns);
+        }
+    }
+    Ok(ExitCode::SUCCESS)
 }
 
-impl Status {
-    /// Reads the document.
-    ///
-    /// # Errors
-    /// Fails when no control process answers in time, or the token is refused.
-    pub(crate) fn run(self) -> Result<Value> {
-        let client = Client {
-            controls: self.controls,
-            token: self.token,
-        };
-        runtime::single()?.block_on(client.read(self.document))
+/// Prints the operators' text in force.
+pub(crate) fn show(matches: &ArgMatches) -> Result<ExitCode> {
+    let client = operator::client(matches)?;
+    let document = runtime::single()?.block_on(client.read(Document::Text))?;
+    match cli::wants_json(matches) {
+        true => messages::print_json(&document),
+        false => messages::print_text(&document),
     }
+    Ok(ExitCode::SUCCESS)
 }
--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -1,46 +1,43 @@
 //! `chervilloft submit`: puts a text in force.
 
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::process::ExitCode;
 
-use control::client::{Client, Outcome, Submission};
+use clap::ArgMatches;
+use control::client::{Outcome, Submission};
 use errors::Result;
 
-use super::runtime;
+use super::{files, operator, runtime};
+use crate::cli;
+use crate::messages::{self, exit};
 
-/// What to submit, and where.
-#[derive(Clone, Debug)]
-pub(crate) struct Submit {
-    /// HTTP listeners of the control processes.
-    pub(crate) controls: Vec<SocketAddr>,
-    /// The operator's bearer token.
-    pub(crate) token: String,
-    /// The text.
-    pub(crate) text: String,
-    /// Version that the text was edited from.
-    pub(crate) base: u64,
-    /// Identifier, to be kept when the submission is sent again.
-    pub(crate) id: String,
-    /// Longest wait for the text to be in force everywhere.
-    pub(crate) wait: Duration,
+/// Submits the text and waits until it is in force everywhere, or says what is missing.
+pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let path = cli::path(matches, "file");
+    let (_, text) = files::text(&path)?;
+    let client = operator::client(matches)?;
+    let given = matches.get_one::<String>("id").cloned();
+    let id = given.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
+    let base = matches.get_one::<u64>("base").copied().unwrap_or_default();
+    let submission = Submission {
+        base,
+        id,
+        text,
+        ..Submission::default()
+    };
+    let submitted = runtime::single()?.block_on(client.submit(&submission));
+    let outcome = submitted.inspect_err(|_| messages::print_resend(&submission.id))?;
+    match cli::wants_json(matches) {
+        true => messages::print_json(&outcome),
+        false => messages::print_submission(&path.display().to_string(), &outcome),
+    }
+    Ok(ExitCode::from(code(&outcome)))
 }
 
-impl Submit {
-    /// Submits the text and waits until it is in force everywhere, or says what is missing.
-    ///
-    /// # Errors
-    /// Fails when no control process answers in time; the same submission can be sent again.
-    pub(crate) fn run(self) -> Result<Outcome> {
-        let client = Client {
-            controls: self.controls,
-            token: self.token,
-        };
-        let submission = Submission {
-            base: self.base,
-            id: self.id,
-            text: self.text,
-            wait: self.wait,
-        };
-        runtime::single()?.block_on(client.submit(&submission))
+fn code(outcome: &Outcome) -> u8 {
+    match outcome {
+        Outcome::InForce { .. } => exit::DONE,
+        Outcome::Committed { .. } => exit::PENDING,
+        Outcome::Conflict { .. } => exit::CONFLICT,
+        Outcome::Refused { .. } => exit::INVALID,
     }
 }
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -5,13 +5,21 @@
 
 use config::Diagnostic;
 use config::diagnostic;
+use control::client::Outcome;
+use serde_json::Value;
 
 /// Exit codes, as `--help` lists them.
 pub(crate) mod exit {
+    /// Done.
+    pub(crate) const DONE: u8 = 0;
     /// Something failed.
     pub(crate) const FAILED: u8 = 1;
     /// A file has errors.
     pub(crate) const INVALID: u8 = 3;
+    /// Another change came first.
+    pub(crate) const CONFLICT: u8 = 4;
+    /// Not known, or not yet in force everywhere.
+    pub(crate) const PENDING: u8 = 5;
 }
 
 /// Prints an error and its causes, outermost first.
@@ -54,3 +62,92 @@
         Err(error) => print_error(&error),
     }
 }
+
+/// Prints what came of a submission.
+pub(crate) fn print_submission(file: &str, outcome: &Outcome) {
+    match outcome {
+        Outcome::InForce { version } => {
+            print_line(&format!(
+                "{file} is in force everywhere as version {version}."
+            ));
+        }
+        Outcome::Committed { version, missing } => {
+            let missing = missing.join(", ");
+            print_line(&format!("{file} is accepted as version {version}."));
+            print_line(&format!("Not yet in force at: {missing}"));
+        }
+        Outcome::Conflict { newest, difference } => {
+            eprintln!("error: version {newest} came first; {file} was not taken");
+            eprintln!(
+                "  help: edit the newest text (chervilloft show) and submit with --base {newest}"
+            );
+            eprintln!("{difference}");
+        }
+        Outcome::Refused { message } => eprintln!("error: {file} was refused: {message}"),
+    }
+}
+
+/// Prints how to send a submission again whose answer was lost.
+pub(crate) fn print_resend(id: &str) {
+    eprintln!(
+        "The text may have been accepted or not. To find out, submit it again with --id {id}"
+    );
+}
+
+/// Prints the status of the fleet.
+pub(crate) fn print_status(status: &Value) {
+    let text = |key: &str| plain(&status[key]);
+    let quorum = status["quorum"].as_bool().unwrap_or_default();
+    let leader = status["leader"].as_str().unwrap_or("none");
+    print_line(&format!("quorum:   {}", if quorum { "yes" } else { "NO" }));
+    print_line(&format!("leader:   {leader}, term {}", text("term")));
+    print_line(&format!("voters:   {}", list(&status["voters"])));
+    print_line(&format!("learners: {}", list(&status["learners"])));
+    print_line(&format!("version:  {}", text("version")));
+    if let Some(meaning) = status["meaning"].as_str() {
+        print_line(meaning);
+    }
+    print_line("entries:");
+    for entry in status["entries"].as_array().into_iter().flatten() {
+        let [name, version, lease] = ["entry", "version", "lease_ms"].map(|key| plain(&entry[key]));
+        print_line(&format!(
+            "  {name}: version {version}, lease for {lease} ms more"
+        ));
+    }
+}
+
+/// Prints calls whose outcome is unknown, which a person has to look into.
+pub(crate) fn print_unknowns(document: &Value) {
+    let unknowns = document["unknowns"]
+        .as_array()
+        .map_or(&[][..], Vec::as_slice);
+    print_line(&format!("calls with unknown outcome: {}", unknowns.len()));
+    for unknown in unknowns {
+        print_line(&format!("  {unknown}"));
+    }
+}
+
+/// Prints the operators' text in force.
+pub(crate) fn print_text(document: &Value) {
+    match document["version"].as_u64() {
+        Some(version) if version > 0 => {
+            print_line(&format!("# version {version}"));
+            print_line(document["source"].as_str().unwrap_or_default());
+        }
+        _ => print_line("# no text has been submitted; submit the first one with --base 0"),
+    }
+}
+
+fn list(value: &Value) -> String {
+    let names: Vec<String> = value.as_array().into_iter().flatten().map(plain).collect();
+    match names.is_empty() {
+        true => "none".into(),
+        false => names.join(", "),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_owned)
+}
