Stop the operators' HTTP server outside the asynchronous runtime

Cause: the server future holds a runtime; dropped on a worker of the process's own runtime it panics (seen at every stop of a control process, exit code 0 all the same). It now runs to its end on a thread of its own, as the entry's does. Before: panic in blocking/shutdown.rs at each SIGTERM; after: none, exit 0. Worker lines of the HTTP library are left out of the default log.

--- a/components/config/src/settings/log.rs
+++ b/components/config/src/settings/log.rs
@@ -17,7 +17,7 @@
     fn default() -> Self {
         Log {
             format: Format::Text,
-            filter: CompactString::const_new("info"),
+            filter: CompactString::const_new("info,xitca_server=warn"),
         }
     }
 }
--- a/components/control/src/operators/server.rs
+++ b/components/control/src/operators/server.rs
@@ -51,7 +51,8 @@
             .map_err(listen)?
             .run();
         let handle = server.handle().map_err(listen)?;
-        tokio::spawn(server);
+        // The server holds a runtime, which must not be dropped inside another one.
+        std::thread::spawn(move || server.wait());
         Ok(Server {
             address,
             stop: Box::new(move || handle.stop(true)),
