--- /dev/null
+++ b/experiments/src/main.rs
@@ -0,0 +1,82 @@
+//! Measures the routing and placement decisions.
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use experiments::{Case, Policy, User, table};
+
+fn main() {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some(("decisions", matches)) => print!("{}", table::play(&settings(matches))),
+        _ => unreachable!("a subcommand is required"),
+    }
+}
+
+fn command() -> Command {
+    let number = |name: &'static str, help: &'static str, default: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .help(help)
+            .value_parser(value_parser!(u64))
+            .default_value(default)
+    };
+    let choice = |name: &'static str, help: &'static str, names: Vec<&'static str>| {
+        Arg::new(name).long(name).help(help).value_parser(names)
+    };
+    let decisions = Command::new("decisions")
+        .about("Prints one table of routing policies by user and case")
+        .arg(number("seeds", "Seeds, from 1", "5"))
+        .arg(number(
+            "capacity",
+            "Engines left without any one data centre",
+            "8",
+        ))
+        .arg(number("seconds", "Seconds of arrivals in each run", "100"))
+        .arg(number("threads", "Threads that play runs", "4"))
+        .arg(choice(
+            "user",
+            "Only this user",
+            User::ALL.map(User::name).to_vec(),
+        ))
+        .arg(choice(
+            "case",
+            "Only this case",
+            Case::ALL.map(Case::name).to_vec(),
+        ))
+        .arg(choice(
+            "policy",
+            "Only this policy",
+            Policy::ALL.map(Policy::name).to_vec(),
+        ))
+        .arg(
+            Arg::new("no-cost")
+                .long("no-cost")
+                .help("Leave out the cost at the target, which takes the most time")
+                .action(ArgAction::SetTrue),
+        );
+    Command::new("experiments")
+        .about("Measures the routing and placement decisions on seeded arrivals")
+        .subcommand_required(true)
+        .subcommand(decisions)
+}
+
+fn settings(matches: &ArgMatches) -> table::Settings {
+    let number = |name| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let is = |id: &str, name: &str| match matches.get_one::<String>(id) {
+        Some(wanted) => wanted == name,
+        None => true,
+    };
+    let mut settings = table::Settings {
+        seeds: number("seeds"),
+        capacity: number("capacity") as u32,
+        seconds: number("seconds"),
+        threads: number("threads") as usize,
+        cost: !matches.get_flag("no-cost"),
+        ..table::Settings::default()
+    };
+    settings.users.retain(|user| is("user", user.name()));
+    settings.cases.retain(|case| is("case", case.name()));
+    settings
+        .policies
+        .retain(|policy| is("policy", policy.name()));
+    settings
+}
--- /dev/null
+++ b/experiments/src/month.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/experiments/src/policy.rs
@@ -0,0 +1,140 @@
+//! Ways to choose an engine.
+
+use std::time::Instant;
+
+use config::ids::UpstreamId;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use routing::{Choice, Refusal, Request, Router};
+use upstream::{Route, Routes};
+
+use crate::workload::mix;
+
+/// Blocks of the prefix by which pure affinity hashes.
+const AFFINITY_BLOCKS: usize = 32;
+
+/// A way to choose an engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Policy {
+    /// The product's router.
+    Chervilloft,
+    /// Any engine.
+    Random,
+    /// Each engine in turn.
+    RoundRobin,
+    /// Least reported load plus own requests since the report.
+    LeastLoad,
+    /// Rendezvous hashing on the prefix.
+    Affinity,
+}
+
+impl Policy {
+    /// All policies, the product's first.
+    pub const ALL: [Policy; 5] = [
+        Policy::Chervilloft,
+        Policy::Random,
+        Policy::RoundRobin,
+        Policy::LeastLoad,
+        Policy::Affinity,
+    ];
+
+    /// Returns the name in the table.
+    pub fn name(self) -> &'static str {
+        match self {
+            Policy::Chervilloft => "chervilloft",
+            Policy::Random => "random",
+            Policy::RoundRobin => "round robin",
+            Policy::LeastLoad => "least load",
+            Policy::Affinity => "affinity",
+        }
+    }
+}
+
+/// One entry: the router, and what the baselines remember.
+pub(crate) struct Entry {
+    pub(crate) router: Router,
+    pub(crate) routes: Routes,
+    turn: usize,
+    /// Own requests since the last report, by engine.
+    sent: indexmap::IndexMap<UpstreamId, u32>,
+}
+
+/// What was chosen.
+pub(crate) enum Chosen {
+    /// An engine, with the router's choice.
+    Engine(UpstreamId, Option<Choice>),
+    /// The request is refused.
+    Refused,
+}
+
+impl Entry {
+    pub(crate) fn new(router: Router, turn: usize) -> Self {
+        Entry {
+            router,
+            routes: Routes::default(),
+            turn,
+            sent: indexmap::IndexMap::new(),
+        }
+    }
+
+    /// Forgets own requests, which the reports that came now include.
+    pub(crate) fn reported(&mut self) {
+        self.sent.clear();
+    }
+
+    pub(crate) fn choose(
+        &mut self,
+        policy: Policy,
+        request: &Request<'_>,
+        now: Instant,
+        rng: &mut StdRng,
+    ) -> Chosen {
+        if policy == Policy::Chervilloft {
+            return match self.router.choose(request, now) {
+                Ok(choice) => {
+                    self.router.dispatched(&choice, request, now);
+                    Chosen::Engine(choice.upstream.clone(), Some(choice))
+                }
+                Err(Refusal::Overloaded { .. } | Refusal::NoUpstream) => Chosen::Refused,
+                Err(Refusal::DependencyDown { .. }) => Chosen::Refused,
+            };
+        }
+        let usable = |route: &&Route| {
+            let upstream = &route.announcement.upstream;
+            route.takes_work(now) && !request.exclude.contains(upstream)
+        };
+        let routes: Vec<&Route> = self.routes.of(request.service).filter(usable).collect();
+        if routes.is_empty() {
+            return Chosen::Refused;
+        }
+        let sent = |route: &Route| self.sent.get(&route.announcement.upstream).copied();
+        let at = match policy {
+            Policy::Random | Policy::Chervilloft => rng.random_range(0..routes.len()),
+            Policy::RoundRobin => {
+                self.turn += 1;
+                self.turn % routes.len()
+            }
+            Policy::LeastLoad => {
+                let start = rng.random_range(0..routes.len());
+                let load = |at: &usize| {
+                    let load = routes[*at].announcement.load;
+                    load.running + load.waiting + sent(routes[*at]).unwrap_or(0)
+                };
+                let order = (0..routes.len()).map(|n| (start + n) % routes.len());
+                order.min_by_key(load).unwrap_or(0)
+            }
+            Policy::Affinity => {
+                let last = request.blocks.len().min(AFFINITY_BLOCKS);
+                let key = last.checked_sub(1).map_or(0, |last| request.blocks[last]);
+                let weight = |at: &usize| {
+                    let port = u64::from(routes[*at].announcement.address.port());
+                    mix(key ^ mix(port))
+                };
+                (0..routes.len()).max_by_key(weight).unwrap_or(0)
+            }
+        };
+        let upstream = routes[at].announcement.upstream.clone();
+        *self.sent.entry(upstream.clone()).or_default() += 1;
+        Chosen::Engine(upstream, None)
+    }
+}
--- /dev/null
+++ b/experiments/src/table.rs
@@ -0,0 +1,223 @@
+//! The table of all cases, users and policies.
+
+use std::fmt;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+use crate::{Case, Outcome, Policy, Run, User};
+
+/// Share of requests that must be inside the target for its cost to count.
+const TARGET_SHARE: f64 = 0.95;
+/// Largest capacity that is tried for the cost at the target.
+const MAX_CAPACITY: u32 = 40;
+
+/// What the table is made from.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Users.
+    pub users: Vec<User>,
+    /// Cases.
+    pub cases: Vec<Case>,
+    /// Policies.
+    pub policies: Vec<Policy>,
+    /// Seeds, from 1.
+    pub seeds: u64,
+    /// Capacity for all columns but the cost.
+    pub capacity: u32,
+    /// Seconds of arrivals in each run.
+    pub seconds: u64,
+    /// Threads that play runs.
+    pub threads: usize,
+    /// Whether the cost at the target is searched for.
+    pub cost: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            users: User::ALL.to_vec(),
+            cases: Case::ALL.to_vec(),
+            policies: Policy::ALL.to_vec(),
+            seeds: 5,
+            capacity: 8,
+            seconds: 100,
+            threads: 4,
+            cost: true,
+        }
+    }
+}
+
+/// Mean and extremes over the seeds.
+#[derive(Clone, Copy, Debug)]
+pub struct Spread {
+    /// Mean.
+    pub mean: f64,
+    /// Least.
+    pub min: f64,
+    /// Greatest.
+    pub max: f64,
+}
+
+/// One line of the table.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// User.
+    pub user: User,
+    /// Case.
+    pub case: Case,
+    /// Policy.
+    pub policy: Policy,
+    /// Price per hour of the cheapest fleet that meets the target; none where no fleet did.
+    pub cost: Option<Spread>,
+    /// Share of requests inside the target.
+    pub inside: Spread,
+    /// Share of requests whose first token came late.
+    pub late: Spread,
+    /// Share of requests whose tokens came too slowly.
+    pub slow: Spread,
+    /// Tokens recomputed per request.
+    pub recomputed: Spread,
+    /// Share of requests refused.
+    pub refused: Spread,
+}
+
+/// The whole table.
+#[derive(Clone, Debug)]
+pub struct Table {
+    /// Lines by user, case and policy.
+    pub lines: Vec<Line>,
+}
+
+/// Plays all runs.
+pub fn play(settings: &Settings) -> Table {
+    let mut cells = Vec::new();
+    for user in &settings.users {
+        for case in &settings.cases {
+            for policy in &settings.policies {
+                cells.push((*user, *case, *policy));
+            }
+        }
+    }
+    let next = AtomicUsize::new(0);
+    let lines = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..settings.threads {
+            scope.spawn(|| {
+                while let Some(cell) = cells.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let line = line(settings, *cell);
+                    let mut lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
+                    lines.push(line);
+                }
+            });
+        }
+    });
+    let mut lines = lines.into_inner().unwrap_or_else(PoisonError::into_inner);
+    lines.sort_by_key(|line| {
+        let cell = (line.user, line.case, line.policy);
+        cells.iter().position(|known| *known == cell)
+    });
+    Table { lines }
+}
+
+fn line(settings: &Settings, (user, case, policy): (User, Case, Policy)) -> Line {
+    let run = |seed, capacity| {
+        let seconds = settings.seconds;
+        let run = Run {
+            user,
+            case,
+            policy,
+            seed,
+            capacity,
+            seconds,
+        };
+        run.play()
+    };
+    let outcomes: Vec<Outcome> = (1..=settings.seeds)
+        .map(|seed| run(seed, settings.capacity))
+        .collect();
+    let costs: Option<Vec<f64>> = (1..=settings.seeds)
+        .map(|seed| match settings.cost {
+            true => cost_at_target(|capacity| run(seed, capacity)),
+            false => None,
+        })
+        .collect();
+    let column = |of: fn(&Outcome) -> f64| spread(&outcomes.iter().map(of).collect::<Vec<_>>());
+    Line {
+        user,
+        case,
+        policy,
+        cost: costs.map(|costs| spread(&costs)),
+        inside: column(Outcome::share_inside),
+        late: column(Outcome::share_late),
+        slow: column(Outcome::share_slow),
+        recomputed: column(Outcome::recomputed_per_request),
+        refused: column(Outcome::share_refused),
+    }
+}
+
+/// Returns the price of the smallest fleet that meets the target.
+fn cost_at_target(run: impl Fn(u32) -> Outcome) -> Option<f64> {
+    let (mut low, mut high) = (0, MAX_CAPACITY + 1);
+    let mut price = None;
+    while high - low > 1 {
+        let capacity = (low + high) / 2;
+        let outcome = run(capacity);
+        if outcome.share_inside() >= TARGET_SHARE {
+            high = capacity;
+            price = Some(outcome.price);
+        } else {
+            low = capacity;
+        }
+    }
+    price
+}
+
+fn spread(values: &[f64]) -> Spread {
+    Spread {
+        mean: values.iter().sum::<f64>() / values.len().max(1) as f64,
+        min: values.iter().copied().fold(f64::INFINITY, f64::min),
+        max: values.iter().copied().fold(f64::NEG_INFINITY, f64::max),
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let head = [
+            "cost/h at target",
+            "% inside",
+            "recomputed/request",
+            "% refused",
+        ];
+        write!(f, "{:<6} {:<16} {:<12}", "user", "case", "policy")?;
+        for name in head {
+            write!(f, " {name:>20}")?;
+        }
+        writeln!(f)?;
+        for line in &self.lines {
+            let (user, case, policy) = (line.user.name(), line.case.name(), line.policy.name());
+            write!(f, "{user:<6} {case:<16} {policy:<12}")?;
+            match line.cost {
+                Some(cost) => write_spread(f, cost, 1.0)?,
+                None => write!(f, " {:>20}", "-")?,
+            }
+            write_spread(f, line.inside, 100.0)?;
+            write_spread(f, line.late, 100.0)?;
+            write_spread(f, line.slow, 100.0)?;
+            write_spread(f, line.recomputed, 1.0)?;
+            write_spread(f, line.refused, 100.0)?;
+            writeln!(f)?;
+        }
+        Ok(())
+    }
+}
+
+fn write_spread(f: &mut fmt::Formatter<'_>, spread: Spread, factor: f64) -> fmt::Result {
+    let Spread { mean, min, max } = spread;
+    let text = format!(
+        "{:.1} ({:.1}-{:.1})",
+        mean * factor,
+        min * factor,
+        max * factor
+    );
+    write!(f, " {text:>20}")
+}
