Keep prefixes at home under load, and admit with a margin

Cause: with a full fleet the router moved requests away from the cached prefix as soon as its queue grew.

--- a/components/routing/src/estimate.rs
+++ b/components/routing/src/estimate.rs
@@ -16,6 +16,14 @@
 /// Share of a prefix that is counted as cached while the index is uncertain.
 const UNCERTAIN_SHARE: f64 = 0.5;
 
+/// Queue, relative to the expected one, with which a request is admitted: what other entries have
+/// sent since the last report is not known.
+const QUEUE_MARGIN: f64 = 2.0;
+/// Work sent since the last report, relative to an entry's own, since others send alike.
+const OTHERS: f64 = 2.0;
+/// Share of the prefill rate at which a reported queue is taken to have shrunk since.
+const DRAIN_SHARE: f64 = 0.5;
+
 /// Parts of the expected time to the first token, in seconds.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Estimate {
@@ -52,6 +60,11 @@
         }
     }
 
+    /// Returns a time within which the first token comes in most cases, in seconds.
+    pub(crate) fn cautious_first_token(&self) -> f64 {
+        self.queue * QUEUE_MARGIN + self.prefill + self.network
+    }
+
     /// Returns the whole expected time, in seconds.
     pub(crate) fn first_token(&self) -> f64 {
         self.queue + self.prefill + self.network
@@ -67,7 +80,7 @@
         .saturating_duration_since(candidate.measured)
         .as_secs_f64();
     let batch = f64::from(capacity.batch.max(1));
-    let at_upstream = f64::from(load.running + load.waiting) + own.requests as f64;
+    let at_upstream = f64::from(load.running + load.waiting) + own.requests as f64 * OTHERS;
     let seconds_per_request = match group.kind {
         Kind::Model => TYPICAL_ANSWER_TOKENS / capacity.decode_tokens_per_second.max(1.0),
         Kind::Plain => PLAIN_SECONDS,
@@ -75,8 +88,8 @@
     let beyond = (at_upstream + 1.0 - batch).max(0.0);
     let for_place = beyond * seconds_per_request / batch;
     let rate = capacity.prefill_tokens_per_second.max(1.0);
-    let reported = (load.queued_prefill_tokens as f64 - age * rate).max(0.0);
-    let for_prefill = (reported + own.tokens as f64) / rate;
+    let reported = (load.queued_prefill_tokens as f64 - age * rate * DRAIN_SHARE).max(0.0);
+    let for_prefill = (reported + own.tokens as f64 * OTHERS) / rate;
     let late = candidate.tracker.lateness(now);
     let queue = (for_place + for_prefill + late).max(0.0);
     (queue, at_upstream / batch)
--- a/components/routing/src/router/selection.rs
+++ b/components/routing/src/router/selection.rs
@@ -15,14 +15,18 @@
 
 /// Largest difference, in seconds, by which entries break near ties differently.
 const JITTER: f64 = 0.004;
-/// Share of a prompt's computing time for which a key's home may be preferred.
-const HOME_SHARE: f64 = 0.3;
+/// Seconds of waiting for which a key's home is preferred, for each second that the whole prompt
+/// takes to compute.
+const HOME_SHARE: f64 = 2.0;
+/// Weight that a full batch adds to computing a prompt, since that delays all who decode.
+const LOAD_WEIGHT: f64 = 5.0;
+/// Mean fill up to which a request that would be late goes to another upstream. Beyond it the
+/// prompt computed anew would make more requests late than it saves.
+const SPILL_FILL: f64 = 0.5;
 /// Fill above the mean at which a key's home is no longer preferred.
 const HOME_BOUND: f64 = 1.25;
 /// Fill that is added to the bound, so that an idle fleet has homes.
 const HOME_SLACK: f64 = 0.25;
-/// Seconds that each second beyond the latency target counts as.
-const LATE_WEIGHT: f64 = 4.0;
 /// Shortest time after which a refused caller is asked to return.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -45,42 +49,78 @@
 impl Selection<'_> {
     pub(super) fn choose(&self, candidates: &[Arc<Candidate>]) -> Result<Choice, Refusal> {
         let key = affinity::key(self.request.blocks, self.seen);
-        let sample = self.sample(candidates, key);
+        let mut scored = self.estimated(candidates, key);
+        let fills = scored.iter().map(|s| s.estimate.fill).sum::<f64>();
+        let mean_fill = fills / scored.len().max(1) as f64;
+        let home = key.and_then(|key| home(&scored, key, mean_fill));
+        for s in &mut scored {
+            s.score = self.score(s, home, mean_fill);
+        }
+        let best = self.best(&scored, mean_fill)?;
+        Ok(self.choice(best, home, scored.len()))
+    }
+
+    /// Returns the usable candidates with their estimates, not yet scored.
+    fn estimated<'a>(
+        &self,
+        candidates: &'a [Arc<Candidate>],
+        key: Option<BlockHash>,
+    ) -> Vec<Scored<'a>> {
         let hint = self.seen.depth(self.request.blocks, 0);
-        let usable = || sample.iter().copied().filter(|c| self.is_usable(c));
-        let estimates: Vec<(&Arc<Candidate>, Estimate)> = usable()
-            .map(|c| {
-                (
-                    c,
-                    Estimate::new(c, self.group, self.request, hint, self.now),
-                )
-            })
-            .collect();
-        let count = estimates.len().max(1) as f64;
-        let mean_fill = estimates.iter().map(|(_, e)| e.fill).sum::<f64>() / count;
-        let home = key.and_then(|key| home(&estimates, key, mean_fill));
-        let scored = estimates.into_iter().map(|(candidate, estimate)| Scored {
+        let scored = |candidate: &'a Arc<Candidate>| Scored {
             candidate,
-            estimate,
-            score: self.score(candidate, &estimate, home),
-        });
-        let best = scored
-            .min_by(|a, b| a.score.total_cmp(&b.score))
-            .ok_or(Refusal::NoUpstream)?;
-        self.refuse_late(&best.estimate)?;
-        Ok(self.choice(&best, home, count as usize))
+            estimate: Estimate::new(candidate, self.group, self.request, hint, self.now),
+            score: 0.0,
+        };
+        let usable = |candidate: &&'a Arc<Candidate>| self.is_usable(candidate);
+        let mut all = Vec::with_capacity(self.settings.sample.min(candidates.len()));
+        if candidates.len() <= self.settings.sample {
+            all.extend(candidates.iter().filter(usable).map(scored));
+        } else {
+            let sample = self.sample(candidates, key).into_iter();
+            all.extend(sample.filter(usable).map(scored));
+        }
+        all
+    }
+
+    /// Returns the candidate with the least score, or one that is in time where that one is late
+    /// and the fleet has room.
+    fn best<'a>(&self, all: &'a [Scored<'a>], mean_fill: f64) -> Result<&'a Scored<'a>, Refusal> {
+        let by_score = |a: &&Scored<'_>, b: &&Scored<'_>| a.score.total_cmp(&b.score);
+        let in_time = |s: &&Scored<'_>| s.estimate.cautious_first_token() <= self.group.target;
+        let best = all.iter().min_by(by_score).ok_or(Refusal::NoUpstream)?;
+        let spill = || all.iter().filter(in_time).min_by(by_score);
+        match best {
+            best if in_time(&best) => Ok(best),
+            best if mean_fill < SPILL_FILL => spill().map_or_else(|| self.late(best, all), Ok),
+            best => self.late(best, all),
+        }
+    }
+
+    /// Returns `best`, which is late, for a request that is not refused for that.
+    fn late<'a>(
+        &self,
+        best: &'a Scored<'a>,
+        all: &[Scored<'_>],
+    ) -> Result<&'a Scored<'a>, Refusal> {
+        if self.group.kind == Kind::Plain || self.request.resumed {
+            return Ok(best);
+        }
+        let times = all.iter().map(|s| s.estimate.cautious_first_token());
+        let soonest = times.fold(f64::INFINITY, f64::min);
+        let backlog = Duration::from_secs_f64((soonest - self.group.target).max(0.0));
+        Err(Refusal::Overloaded {
+            retry_after: backlog.max(MIN_RETRY_AFTER),
+        })
     }
 
-    /// Returns the candidates to score: all of them, or the key's nearest and a few at random.
+    /// Returns the key's nearest candidates and as many at random.
     fn sample<'a>(
         &self,
         candidates: &'a [Arc<Candidate>],
         key: Option<BlockHash>,
     ) -> Vec<&'a Arc<Candidate>> {
-        let size = self.settings.sample.max(2);
-        if candidates.len() <= size {
-            return candidates.iter().collect();
-        }
+        let size = self.settings.sample;
         let draw = affinity::weight(self.turn, self.settings.seed);
         let by_weight = |key: u64, count: usize, from: &mut Vec<&'a Arc<Candidate>>| {
             let rank = |c: &&Arc<Candidate>| std::cmp::Reverse(affinity::weight(key, c.hash));
@@ -101,9 +141,13 @@
         self.now < candidate.expires && !excluded && candidate.takes(self.request.phase)
     }
 
-    fn score(&self, candidate: &Candidate, estimate: &Estimate, home: Option<u64>) -> f64 {
+    fn score(&self, scored: &Scored<'_>, home: Option<u64>, mean_fill: f64) -> f64 {
+        let Scored {
+            candidate,
+            estimate,
+            ..
+        } = scored;
         let weights = self.group.weights;
-        let beyond = (estimate.first_token() - self.group.target).max(0.0);
         let full = self.request.prompt_tokens as f64
             / candidate.capacity.prefill_tokens_per_second.max(1.0);
         let at_home = match home {
@@ -113,26 +157,12 @@
         let tie = affinity::weight(self.turn ^ self.settings.seed, candidate.hash);
         estimate.queue
             + estimate.network
-            + estimate.prefill * weights.prefill
+            + estimate.prefill * weights.prefill * (1.0 + mean_fill * LOAD_WEIGHT)
             + candidate.price * weights.price
-            + beyond * LATE_WEIGHT
             + affinity::fraction(tie) * JITTER
             - at_home
     }
 
-    fn refuse_late(&self, best: &Estimate) -> Result<(), Refusal> {
-        let late = best.first_token() - self.group.target;
-        match self.group.kind {
-            Kind::Model if late > 0.0 && !self.request.resumed => {
-                let backlog = Duration::from_secs_f64(late);
-                Err(Refusal::Overloaded {
-                    retry_after: backlog.max(MIN_RETRY_AFTER),
-                })
-            }
-            _ => Ok(()),
-        }
-    }
-
     fn choice(&self, best: &Scored<'_>, home: Option<u64>, considered: usize) -> Choice {
         let candidate = best.candidate;
         let estimate = &best.estimate;
@@ -150,10 +180,10 @@
 }
 
 /// Returns the upstream nearest to `key` whose fill is within the bound.
-fn home(estimates: &[(&Arc<Candidate>, Estimate)], key: BlockHash, mean_fill: f64) -> Option<u64> {
+fn home(scored: &[Scored<'_>], key: BlockHash, mean_fill: f64) -> Option<u64> {
     let bound = mean_fill * HOME_BOUND + HOME_SLACK;
-    let open = estimates.iter().filter(|(_, e)| e.fill <= bound);
-    open.map(|(c, _)| c.hash)
+    let open = scored.iter().filter(|s| s.estimate.fill <= bound);
+    open.map(|s| s.candidate.hash)
         .max_by_key(|hash| affinity::weight(key, *hash))
 }
 
