--- a/components/routing/src/router/selection.rs
+++ b/components/routing/src/router/selection.rs
@@ -13,6 +13,11 @@
 use crate::table::Group;
 use crate::{Choice, Prefixes, Refusal, Request, Settings, Ticket};
 
+/// Upstreams nearest to a key that are scored, and as many at random, when there are too many to
+/// score all.
+const NEAREST: usize = 8;
+/// Upstreams up to which all are scored.
+const MAX_SCORED: usize = 2 * NEAREST;
 /// Largest difference, in seconds, by which entries break near ties differently.
 const JITTER: f64 = 0.004;
 /// Seconds of waiting for which a key's home is preferred, for each second that the whole prompt
@@ -73,13 +78,14 @@
             score: 0.0,
         };
         let usable = |candidate: &&'a Arc<Candidate>| self.is_usable(candidate);
-        let mut all = Vec::with_capacity(self.settings.sample.min(candidates.len()));
-        if candidates.len() <= self.settings.sample {
-            all.extend(candidates.iter().filter(usable).map(scored));
-        } else {
+        let mut all = Vec::with_capacity(MAX_SCORED.min(candidates.len()));
+        if candidates.len() > MAX_SCORED {
             let sample = self.sample(candidates, key).into_iter();
             all.extend(sample.filter(usable).map(scored));
         }
+        if all.is_empty() {
+            all.extend(candidates.iter().filter(usable).map(scored));
+        }
         all
     }
 
@@ -120,19 +126,15 @@
         candidates: &'a [Arc<Candidate>],
         key: Option<BlockHash>,
     ) -> Vec<&'a Arc<Candidate>> {
-        let size = self.settings.sample;
         let draw = affinity::weight(self.turn, self.settings.seed);
-        let by_weight = |key: u64, count: usize, from: &mut Vec<&'a Arc<Candidate>>| {
-            let rank = |c: &&Arc<Candidate>| std::cmp::Reverse(affinity::weight(key, c.hash));
-            from.select_nth_unstable_by_key(count, rank);
-            from.drain(..count).collect::<Vec<_>>()
-        };
-        let mut rest: Vec<&Arc<Candidate>> = candidates.iter().collect();
-        let mut sample = by_weight(key.unwrap_or(draw), size / 2, &mut rest);
-        sample.extend((0..size - size / 2).map(|n| {
-            let at = affinity::weight(draw, n as u64) as usize % rest.len();
-            rest.swap_remove(at)
-        }));
+        let near = nearest(candidates, key.unwrap_or(draw));
+        let mut sample: Vec<&Arc<Candidate>> = near.iter().map(|at| &candidates[*at]).collect();
+        for n in 0..NEAREST as u64 {
+            let at = affinity::weight(draw, n) as usize % candidates.len();
+            if !near.contains(&at) {
+                sample.push(&candidates[at]);
+            }
+        }
         sample
     }
 
@@ -179,6 +181,22 @@
     }
 }
 
+/// Returns the positions of the candidates with the largest weights for `key`.
+fn nearest(candidates: &[Arc<Candidate>], key: BlockHash) -> [usize; NEAREST] {
+    let mut best = [(0, 0); NEAREST];
+    for (at, candidate) in candidates.iter().enumerate() {
+        let mut next = (affinity::weight(key, candidate.hash), at);
+        if next > best[NEAREST - 1] {
+            for known in &mut best {
+                if next > *known {
+                    std::mem::swap(known, &mut next);
+                }
+            }
+        }
+    }
+    best.map(|(_, at)| at)
+}
+
 /// Returns the upstream nearest to `key` whose fill is within the bound.
 fn home(scored: &[Scored<'_>], key: BlockHash, mean_fill: f64) -> Option<u64> {
     let bound = mean_fill * HOME_BOUND + HOME_SLACK;
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -15,8 +15,6 @@
     pub near: Duration,
     /// Round trip to an upstream in another data centre.
     pub far: Duration,
-    /// Upstreams scored for one request; beyond it a sample is scored.
-    pub sample: usize,
 }
 
 impl Default for Settings {
@@ -26,7 +24,6 @@
             seed: 0,
             near: Duration::from_micros(500),
             far: Duration::from_micros(2_500),
-            sample: 24,
         }
     }
 }
--- a/components/routing/tests/routing.rs
+++ b/components/routing/tests/routing.rs
@@ -202,6 +202,22 @@
     expect_that!(router.choose(&adapter, now), err(eq(&Refusal::NoUpstream)));
 }
 
+#[gtest]
+fn can_find_the_only_upstream_whose_lease_holds_among_many() {
+    let now = Instant::now();
+    let announcements = (0..60).map(|n| Announcement {
+        lease_ms: if n == 41 { 3_000 } else { 0 },
+        ..engine(n)
+    });
+    let router = router(announcements.collect(), now);
+    for n in 0..20 {
+        let prompt = blocks(n, 40, n, 4);
+        let choice = send(&router, &request(&prompt), now);
+        expect_that!(choice.upstream, eq("engine-41"));
+        router.finished(&choice);
+    }
+}
+
 #[gtest]
 fn can_ask_for_the_whole_contents_after_a_gap() {
     let now = Instant::now();
@@ -308,7 +324,7 @@
                 }
                 Err(refusal) => {
                     prop_assert_eq!(refusal, Refusal::NoUpstream);
-                    prop_assert!(announcements.len() > 24 || !states.iter().skip(1).any(|s| s.0 == 3));
+                    prop_assert!(!states.iter().skip(1).any(|s| s.0 == 3));
                 }
             }
         }
