Hold on to homes longer

Cause: at a third of the capacity a popular standard alone fills ten of sixteen places, which went beyond the bound of its home, so that its prefix was computed again elsewhere.

The bound's slack rises from 0.25 to 0.5, and the home's weight is the objective's: 3 where cost weighs more, since a recomputed token weighs less there by itself.

--- a/components/routing/src/router/selection.rs
+++ b/components/routing/src/router/selection.rs
@@ -20,9 +20,6 @@
 const MAX_SCORED: usize = 2 * NEAREST;
 /// Largest difference, in seconds, by which entries break near ties differently.
 const JITTER: f64 = 0.004;
-/// Seconds of waiting for which a key's home is preferred, for each second that the whole prompt
-/// takes to compute.
-const HOME_SHARE: f64 = 2.0;
 /// Weight that a full batch adds to computing a prompt, since that delays all who decode.
 const LOAD_WEIGHT: f64 = 5.0;
 /// Mean fill up to which a request that would be late goes to another upstream. Beyond it the
@@ -31,7 +28,7 @@
 /// Fill above the mean at which a key's home is no longer preferred.
 const HOME_BOUND: f64 = 1.25;
 /// Fill that is added to the bound, so that an idle fleet has homes.
-const HOME_SLACK: f64 = 0.25;
+const HOME_SLACK: f64 = 0.5;
 /// Shortest time after which a refused caller is asked to return.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -153,7 +150,7 @@
         let full = self.request.prompt_tokens as f64
             / candidate.capacity.prefill_tokens_per_second.max(1.0);
         let at_home = match home {
-            Some(home) if home == candidate.hash => HOME_SHARE * full,
+            Some(home) if home == candidate.hash => weights.home * full,
             _ => 0.0,
         };
         let tie = affinity::weight(self.turn ^ self.settings.seed, candidate.hash);
