--- /dev/null
+++ b/components/state/tests/texts.rs
@@ -0,0 +1,81 @@
+//! Submissions of the operators' text.
+
+use googletest::prelude::*;
+use state::text::{MAX_TEXT_BYTES, Outcome, SUBMISSIONS_KEPT, Submission, TEXTS_KEPT};
+use state::{Change, Command, Output, Position, State};
+
+fn submit(state: &mut State, id: &str, base: u64, source: &str) -> Outcome {
+    let index = state.applied().index + 1;
+    let submission = Submission {
+        id: id.into(),
+        base,
+        operator: "ana".into(),
+        source: source.to_owned(),
+    };
+    let command = Command {
+        at: index,
+        change: Change::Submit(submission),
+    };
+    match state.apply(Position { term: 1, index }, command) {
+        Output::Submitted(outcome) => outcome,
+        output => panic!("{output:?} is no outcome"),
+    }
+}
+
+#[test]
+fn can_resend_after_many_changes_and_a_restart() {
+    let mut state = State::default();
+    let first = submit(&mut state, "first", 0, "text");
+    for version in 1..500 {
+        submit(&mut state, &format!("s{version}"), version, "other");
+    }
+    let late = submit(&mut state, "late", 3, "text");
+    let bytes = state.snapshot().expect("a state can be encoded");
+    let mut state = State::restore(&bytes).expect("a snapshot can be decoded");
+
+    assert_that!(state.texts().newest(), eq(500));
+    assert_that!(submit(&mut state, "first", 0, "text"), eq(first));
+    assert_that!(submit(&mut state, "late", 3, "text"), eq(late));
+    assert_that!(first, eq(Outcome::Accepted { version: 1 }));
+    assert_that!(late, eq(Outcome::Conflict { newest: 500 }));
+}
+
+#[test]
+fn can_not_apply_a_forgotten_submission_twice() {
+    let mut state = State::default();
+    submit(&mut state, "first", 0, "text");
+    for n in 0..SUBMISSIONS_KEPT {
+        submit(&mut state, &format!("s{n}"), 99, "other");
+    }
+    let resent = submit(&mut state, "first", 0, "text");
+    assert_that!(resent, eq(Outcome::Conflict { newest: 1 }));
+}
+
+#[test]
+fn errors_on_a_reused_id_and_a_large_text() {
+    let mut state = State::default();
+    submit(&mut state, "id", 0, "text");
+    let reused = submit(&mut state, "id", 0, "another text");
+    let large = submit(&mut state, "large", 1, &"x".repeat(MAX_TEXT_BYTES + 1));
+    assert_that!(reused, eq(Outcome::Reused));
+    assert_that!(large, eq(Outcome::TooLarge));
+    assert_that!(state.texts().newest(), eq(1));
+}
+
+#[test]
+fn keeps_the_newest_texts_only() {
+    let mut state = State::default();
+    let count = TEXTS_KEPT as u64 + 2;
+    for base in 0..count {
+        submit(
+            &mut state,
+            &format!("s{base}"),
+            base,
+            &format!("text {base}"),
+        );
+    }
+    assert_that!(state.texts().revision(2), none());
+    assert_that!(state.texts().revision(3).is_some(), eq(true));
+    let newest = state.texts().revision(count).map(|r| r.source.as_str());
+    assert_that!(newest, some(eq("text 33")));
+}
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -5,7 +5,6 @@
 mod control;
 mod explain;
 mod files;
-#[expect(dead_code, reason = "the command line does not offer it yet")]
 mod runtime;
 #[expect(dead_code, reason = "the command line does not offer it yet")]
 mod status;
