--- /dev/null
+++ b/components/link/tests/connection/silence.rs
@@ -0,0 +1,47 @@
+//! Connections that go silent or deliver late.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use link::Settings;
+use tokio::time::{sleep, timeout};
+use wire::Push;
+
+use crate::relay::{self, Path};
+use crate::{PATIENCE, pair, query};
+
+#[tokio::test]
+async fn keeps_an_idle_connection_open() {
+    let (near, far) = pair("secret", "secret").await;
+    let (near, _near_messages) = near.expect("dialed");
+    let (far, _far_messages) = far.expect("accepted");
+    sleep(Settings::default().silence * 2).await;
+    assert_that!((near.is_open(), far.is_open()), eq((true, true)));
+}
+
+#[tokio::test]
+async fn ends_a_connection_that_falls_silent_and_fails_its_calls() {
+    let relayed = relay::open(Settings::default()).await;
+    relayed.path.send_replace(Path::Dropped);
+    let call = relayed.near.call(query(), PATIENCE);
+    let (answer, far_closed) = tokio::join!(call, timeout(PATIENCE, relayed.far.closed()));
+    assert_that!(answer, err(displays_as(contains_substring("closed"))));
+    assert_that!(far_closed, ok(anything()));
+    assert_that!(relayed.near.is_open(), eq(false));
+}
+
+#[tokio::test]
+async fn ends_a_connection_whose_bytes_arrive_late() {
+    // Both ends tolerate silence, so that only the age of a frame can end the connection.
+    let mut relayed = relay::open(Settings {
+        silence: PATIENCE,
+        ..Settings::default()
+    })
+    .await;
+    let late = Settings::default().max_age + Duration::from_millis(300);
+    relayed.path.send_replace(Path::HeldBack(late));
+    relayed.near.push(Push::Subscribe);
+    let received = timeout(PATIENCE, relayed.far_messages.recv()).await;
+    assert_that!(received.map(|message| message.is_none()), ok(eq(&true)));
+    assert_that!(relayed.far.is_open(), eq(false));
+}
