Hand out limits in leased batches; prove freshness and connections

Leases are kept by process rather than by entry, so that a restarted entry does not hide its predecessor. Ages of announcements are rounded up when passed on.

--- a/components/control/src/leases.rs
+++ b/components/control/src/leases.rs
@@ -13,14 +13,12 @@
 #[derive(Clone, Debug)]
 pub struct Leases {
     hold: Duration,
-    leases: IndexMap<NodeId, Lease>,
+    leases: IndexMap<(NodeId, Incarnation), Lease>,
 }
 
-/// What the leader knows of one entry.
+/// What the leader knows of one process of an entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Lease {
-    /// Start number of the entry's process.
-    pub incarnation: Incarnation,
     /// Newest version that the entry said it has in force; 0 where that is not known.
     pub version: Version,
     /// Until when the entry may serve under that version.
@@ -43,15 +41,8 @@
         now: Instant,
     ) {
         let until = now + self.hold;
-        let lease = |(entry, incarnation)| {
-            let lease = Lease {
-                incarnation,
-                version: 0,
-                until,
-            };
-            (entry, lease)
-        };
-        self.leases = entries.map(lease).collect();
+        let lease = Lease { version: 0, until };
+        self.leases = entries.map(|process| (process, lease)).collect();
     }
 
     /// Takes in that an entry asked for a lease while it has `version` in force. To be called
@@ -64,17 +55,13 @@
         now: Instant,
     ) {
         let until = now + self.hold;
-        let known = self.leases.get(entry).copied();
-        let version = match known {
-            Some(lease) if lease.incarnation == incarnation => lease.version.max(version),
-            _ => version,
-        };
-        let lease = Lease {
-            incarnation,
-            version,
-            until,
-        };
-        self.leases.insert(entry.clone(), lease);
+        let process = (entry.clone(), incarnation);
+        let lease = self
+            .leases
+            .entry(process)
+            .or_insert(Lease { version, until });
+        lease.version = lease.version.max(version);
+        lease.until = lease.until.max(until);
     }
 
     /// Returns the entries that may still serve under a version older than `version`.
@@ -82,7 +69,7 @@
         self.leases
             .iter()
             .filter(|(_, lease)| now < lease.until && lease.version < version)
-            .map(|(entry, _)| entry.clone())
+            .map(|((entry, _), _)| entry.clone())
             .collect()
     }
 
@@ -91,28 +78,27 @@
         self.leases
             .iter()
             .filter(|(_, lease)| lease.until <= now)
-            .map(|(entry, lease)| (entry.clone(), lease.incarnation))
+            .map(|(process, _)| process.clone())
             .collect()
     }
 
     /// Forgets an entry that left or was lost, unless it asked again meanwhile.
-    pub fn forget(&mut self, entry: &str, incarnation: Incarnation, now: Instant) {
-        let gone = |lease: &Lease| lease.incarnation == incarnation && lease.until <= now;
-        if self.leases.get(entry).is_some_and(gone) {
-            self.leases.swap_remove(entry);
+    pub fn forget(&mut self, entry: &NodeId, incarnation: Incarnation, now: Instant) {
+        let process = (entry.clone(), incarnation);
+        if self.leases.get(&process).is_some_and(|l| l.until <= now) {
+            self.leases.swap_remove(&process);
         }
     }
 
     /// Takes in that an entry gave its lease up.
-    pub fn left(&mut self, entry: &str, incarnation: Incarnation, now: Instant) {
-        match self.leases.get_mut(entry) {
-            Some(lease) if lease.incarnation == incarnation => lease.until = now,
-            _ => {}
+    pub fn left(&mut self, entry: &NodeId, incarnation: Incarnation, now: Instant) {
+        if let Some(lease) = self.leases.get_mut(&(entry.clone(), incarnation)) {
+            lease.until = now;
         }
     }
 
     /// Returns all leases.
     pub fn iter(&self) -> impl Iterator<Item = (&NodeId, &Lease)> {
-        self.leases.iter()
+        self.leases.iter().map(|((entry, _), lease)| (entry, lease))
     }
 }
--- a/components/control/tests/process/announcements.rs
+++ b/components/control/tests/process/announcements.rs
@@ -1,1 +1,115 @@
-//! Placeholder.
+//! Announcements from one entry to all others.
+
+use std::time::{Duration, Instant};
+
+use config::text::Class;
+use control::client::Outcome;
+use fleet::{Control, View};
+use googletest::prelude::*;
+use upstream::{Announcement, Availability, Capacity, Load, Role};
+
+use crate::fleet_of_one::{any_port, control, member, operator, submission, text, until};
+use crate::relay::Relay;
+
+fn announcement(upstream: &str, sequence: u64) -> Announcement {
+    Announcement {
+        upstream: upstream.into(),
+        incarnation: 1,
+        sequence,
+        service: "bookings".into(),
+        address: any_port(),
+        data_centre: "penang".into(),
+        class: Class::OnDemand,
+        role: Role::Both,
+        models: Vec::new(),
+        capacity: Capacity::default(),
+        load: Load::default(),
+        lease_ms: 30_000,
+        availability: Availability::Serving,
+        fence: 0,
+    }
+}
+
+fn sequence(view: &View, upstream: &str) -> Option<u64> {
+    view.routes
+        .all()
+        .map(|route| &route.announcement)
+        .find(|announcement| announcement.upstream == upstream)
+        .map(|announcement| announcement.sequence)
+}
+
+fn takes_work(view: &View, upstream: &str) -> bool {
+    let now = Instant::now();
+    view.routes
+        .all()
+        .any(|route| route.announcement.upstream == upstream && route.takes_work(now))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reach_every_entry_and_leave_every_entry() {
+    let process = control().await;
+    let members = [1, 2, 3].map(|n| member(&format!("entry-{n}"), process.peer_address));
+    let submitted = operator(&process)
+        .submit(&submission(0, "a", text("first")))
+        .await;
+    assert_that!(submitted, ok(eq(&Outcome::InForce { version: 1 })));
+
+    members[0].announce(announcement("engine-1", 1));
+    for member in &members {
+        until(member, |view| takes_work(view, "engine-1")).await;
+    }
+
+    // Renewals travel without what does not change, and through any entry.
+    for n in 2..40 {
+        members[n as usize % 2].announce(announcement("engine-1", n));
+    }
+    for member in &members {
+        until(member, |view| sequence(view, "engine-1") == Some(39)).await;
+    }
+
+    members[1].announce(Announcement {
+        availability: Availability::Leaving,
+        ..announcement("engine-1", 40)
+    });
+    for member in &members {
+        until(member, |view| !takes_work(view, "engine-1")).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reach_an_entry_that_connects_later() {
+    let process = control().await;
+    let first = member("entry-1", process.peer_address);
+    first.announce(announcement("engine-1", 1));
+    first.announce(announcement("engine-1", 2));
+    until(&first, |view| sequence(view, "engine-1") == Some(2)).await;
+    let second = member("entry-2", process.peer_address);
+    until(&second, |view| sequence(view, "engine-1") == Some(2)).await;
+    first.announce(announcement("engine-1", 3));
+    until(&second, |view| sequence(view, "engine-1") == Some(3)).await;
+    assert_that!(process.node.upstreams().len(), eq(1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn end_with_their_lease_at_an_entry_that_is_cut_off() {
+    let process = control().await;
+    let relay = Relay::start(process.peer_address).await;
+    let near = member("entry-1", process.peer_address);
+    let far = member("entry-2", relay.address);
+    let short = |sequence| Announcement {
+        lease_ms: 3_000,
+        ..announcement("engine-1", sequence)
+    };
+    near.announce(short(1));
+    let announced = Instant::now();
+    let view = until(&far, |view| takes_work(view, "engine-1")).await;
+    let expires = view.routes.all().map(|route| route.expires).max();
+    assert_that!(expires, some(le(announced + Duration::from_secs(3))));
+
+    relay.silence_all();
+    near.announce(Announcement {
+        availability: Availability::Leaving,
+        ..short(2)
+    });
+    until(&far, |view| !takes_work(view, "engine-1")).await;
+}
--- a/components/control/tests/process/claims.rs
+++ b/components/control/tests/process/claims.rs
@@ -1,1 +1,126 @@
-//! Placeholder.
+//! Claims from the entries to the control group.
+
+use std::time::Duration;
+
+use control::client::{Document, Outcome};
+use fleet::claim::{Answer, Claim, Settlement, Verdict};
+use fleet::{Control, Member};
+use googletest::prelude::*;
+use tokio::time::sleep;
+
+use crate::fleet_of_one::{control, fresh_version, member, operator, submission, text, until};
+use crate::relay::Relay;
+
+fn claim(request: &str) -> Claim {
+    Claim {
+        account: "shop".into(),
+        key: "booking-7".into(),
+        fingerprint: 7,
+        request: request.into(),
+        version: 1,
+    }
+}
+
+fn answer() -> Answer {
+    Answer {
+        status: 201,
+        content_type: "text/plain".into(),
+        body: "booked".into(),
+    }
+}
+
+fn granted(verdict: &errors::Result<Verdict>) -> bool {
+    matches!(verdict, Ok(Verdict::Granted { .. }))
+}
+
+async fn serving(member: &Member) {
+    until(member, |view| fresh_version(view) == Some(1)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn are_granted_once_however_many_entries_ask() {
+    let process = control().await;
+    let first = operator(&process)
+        .submit(&submission(0, "a", text("first")))
+        .await;
+    assert_that!(first, ok(eq(&Outcome::InForce { version: 1 })));
+    let members: Vec<_> = (0..5)
+        .map(|n| member(&format!("entry-{n}"), process.peer_address))
+        .collect();
+    for member in &members {
+        serving(member).await;
+    }
+    let asking: Vec<_> = members
+        .iter()
+        .cloned()
+        .enumerate()
+        .map(|(n, member)| tokio::spawn(async move { member.claim(claim(&format!("r{n}"))).await }))
+        .collect();
+    let mut holders = Vec::new();
+    for (n, asked) in asking.into_iter().enumerate() {
+        let verdict = asked.await.expect("the task ends");
+        assert_that!(verdict, ok(anything()));
+        if granted(&verdict) {
+            holders.push(n);
+        }
+    }
+    assert_that!(holders.len(), eq(1));
+
+    let holder = holders[0];
+    let settled = members[holder]
+        .settle(claim(&format!("r{holder}")), Settlement::Answered(answer()))
+        .await;
+    assert_that!(settled, ok(anything()));
+    let other = members[(holder + 1) % 5].claim(claim("again")).await;
+    assert_that!(other, ok(eq(&Verdict::Recorded(answer()))));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_an_entry_that_died_are_listed_as_unknown() {
+    let process = control().await;
+    let client = operator(&process);
+    let first = client.submit(&submission(0, "a", text("first"))).await;
+    assert_that!(first, ok(eq(&Outcome::InForce { version: 1 })));
+    let dying = member("entry-1", process.peer_address);
+    let living = member("entry-2", process.peer_address);
+    serving(&dying).await;
+    serving(&living).await;
+    assert_that!(granted(&dying.claim(claim("r1")).await), eq(true));
+    dying.stop();
+
+    let holder = "r1".into();
+    let unknown = Verdict::Unknown { holder };
+    for _ in 0..200 {
+        match living.claim(claim("r2")).await {
+            Ok(Verdict::Held { .. }) => sleep(Duration::from_millis(50)).await,
+            verdict => {
+                assert_that!(verdict, ok(eq(&unknown)));
+                break;
+            }
+        }
+    }
+    let listed = client.read(Document::Unknowns).await;
+    let request = listed.map(|document| document["unknowns"][0]["request"].clone());
+    assert_that!(request, ok(eq(&"r1")));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn that_are_not_answered_in_time_free_their_key_again() {
+    let process = control().await;
+    let relay = Relay::start(process.peer_address).await;
+    let first = operator(&process)
+        .submit(&submission(0, "a", text("first")))
+        .await;
+    assert_that!(first, ok(eq(&Outcome::InForce { version: 1 })));
+    let cut_off = member("entry-1", relay.address);
+    let other = member("entry-2", process.peer_address);
+    serving(&cut_off).await;
+    serving(&other).await;
+
+    relay.silence_all();
+    assert_that!(cut_off.claim(claim("r1")).await, err(anything()));
+    relay.mend();
+    until(&cut_off, |view| view.control_reachable).await;
+    let retried = other.claim(claim("r2")).await;
+    assert_that!(granted(&retried), eq(true));
+}
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -3,5 +3,6 @@
 mod announcements;
 mod claims;
 mod fleet_of_one;
+mod relay;
 mod silence;
 mod submissions;
--- a/components/control/tests/process/silence.rs
+++ b/components/control/tests/process/silence.rs
@@ -1,1 +1,47 @@
-//! Placeholder.
+//! Connections that go silent between an entry and the control group.
+
+use control::client::Outcome;
+use fleet::Control;
+use googletest::prelude::*;
+
+use crate::fleet_of_one::{control, fresh_version, member, operator, submission, text, until};
+use crate::relay::Relay;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn replaces_a_silent_connection_and_serves_the_next_text() {
+    let process = control().await;
+    let relay = Relay::start(process.peer_address).await;
+    let member = member("entry-1", relay.address);
+    let client = operator(&process);
+    let first = client.submit(&submission(0, "a", text("first"))).await;
+    assert_that!(first, ok(eq(&Outcome::InForce { version: 1 })));
+    until(&member, |view| fresh_version(view) == Some(1)).await;
+
+    let opened = relay.accepted();
+    relay.silence_open();
+    let second = client.submit(&submission(1, "b", text("second"))).await;
+    assert_that!(second, ok(eq(&Outcome::InForce { version: 2 })));
+    until(&member, |view| fresh_version(view) == Some(2)).await;
+    assert_that!(relay.accepted(), gt(opened));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keeps_a_cut_off_entry_from_serving_until_it_is_reached_again() {
+    let process = control().await;
+    let relay = Relay::start(process.peer_address).await;
+    let member = member("entry-1", relay.address);
+    let client = operator(&process);
+    let first = client.submit(&submission(0, "a", text("first"))).await;
+    assert_that!(first, ok(eq(&Outcome::InForce { version: 1 })));
+    until(&member, |view| fresh_version(view) == Some(1)).await;
+
+    relay.silence_all();
+    let second = client.submit(&submission(1, "b", text("second"))).await;
+    assert_that!(second, ok(eq(&Outcome::InForce { version: 2 })));
+    assert_that!(fresh_version(&member.view().load()), none());
+    until(&member, |view| !view.control_reachable).await;
+    assert_that!(fresh_version(&member.view().load()), none());
+
+    relay.mend();
+    until(&member, |view| fresh_version(view) == Some(2)).await;
+}
--- a/components/fleet/src/directory.rs
+++ b/components/fleet/src/directory.rs
@@ -45,9 +45,10 @@
         self.announced + Duration::from_millis(self.announcement.lease_ms)
     }
 
+    /// Returns the age in milliseconds, rounded up so that passing it on never lengthens a lease.
     fn age_ms(&self, now: Instant) -> u64 {
         let age = now.saturating_duration_since(self.announced);
-        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+        u64::try_from(age.as_millis() + 1).unwrap_or(u64::MAX)
     }
 
     fn whole(&self, now: Instant) -> Delta {
--- /dev/null
+++ b/components/limits/src/grant.rs
@@ -0,0 +1,18 @@
+//! A batch of allowance.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// What the leader answers to a [`crate::Report`].
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Grant {
+    /// Units that the entry may spend.
+    pub units: f64,
+    /// Time for which they may be spent; from the moment at which the entry asked.
+    pub lease: Duration,
+    /// Time after which the entry may ask again, where it was given less than a whole batch.
+    pub retry_after: Duration,
+    /// Rate that the entry may admit by itself while the leader does not answer.
+    pub fallback_rate: f64,
+}
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! Limits of client accounts that hold for all entries together. No sockets and no clock: time
+//! comes in with each call.
+//!
+//! The leader keeps one [`Meter`] with a bucket for each account. An entry keeps a [`Share`] for
+//! each account: a batch of allowance that was drawn from the bucket, which it spends without
+//! asking. It reports when the batch is spent or its time is over.
+
+mod bucket;
+mod decision;
+mod grant;
+mod meter;
+mod policy;
+mod report;
+mod share;
+
+pub use bucket::Bucket;
+pub use decision::Decision;
+pub use grant::Grant;
+pub use meter::Meter;
+pub use policy::Policy;
+pub use report::Report;
+pub use share::Share;
--- /dev/null
+++ b/components/limits/tests/limits.rs
@@ -0,0 +1,147 @@
+//! Allowance over several entries.
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use limits::{Bucket, Decision, Grant, Meter, Policy, Report, Share};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+const SEED: u64 = 0x5eed_0005;
+const ENTRIES: usize = 4;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn report(unspent: f64) -> Report {
+    Report {
+        account: "shop".into(),
+        unspent,
+        wanted: 1.0,
+    }
+}
+
+fn grant(units: f64, retry_after: Duration) -> Grant {
+    Grant {
+        units,
+        lease: ms(1_000),
+        retry_after,
+        fallback_rate: 2.0,
+    }
+}
+
+/// Decides as an entry does, with the leader at hand.
+fn admits(meter: &mut Meter, share: &mut Share, entry: usize, rate: f64, now: Instant) -> bool {
+    let decision = match share.decide(1.0, now) {
+        Decision::Ask => {
+            let report = report(share.take_unspent(now));
+            let entry = format!("entry-{entry}").into();
+            share.granted(meter.report(&entry, &report, rate, now), now);
+            share.decide(1.0, now)
+        }
+        decision => decision,
+    };
+    decision == Decision::Admitted
+}
+
+#[test]
+fn never_admits_more_than_rate_burst_and_one_batch_an_entry() {
+    let mut runner = TestRunner::new(Config {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    });
+    let arrivals = proptest::collection::vec((0..ENTRIES, 0..60_u64), 1..400);
+    let result = runner.run(&(1.0..200.0_f64, arrivals), |(rate, arrivals)| {
+        let policy = Policy::default();
+        let mut meter = Meter::new(policy);
+        let mut shares = [Share::default(); ENTRIES];
+        let start = Instant::now();
+        let (mut now, mut admitted) = (start, Vec::new());
+        for (entry, pause) in arrivals {
+            now += ms(pause);
+            if admits(&mut meter, &mut shares[entry], entry, rate, now) {
+                admitted.push(now);
+            }
+        }
+        for (first, from) in admitted.iter().enumerate() {
+            for (last, to) in admitted.iter().enumerate().skip(first) {
+                let count = (last + 1 - first) as f64;
+                let burst = (rate * policy.burst.as_secs_f64()).max(1.0);
+                let batches = policy.batch_at(rate) * ENTRIES as f64;
+                let most = rate * (*to - *from).as_secs_f64() + burst + batches;
+                prop_assert!(count <= most + 1e-6, "{count} admitted, {most} allowed");
+            }
+        }
+        Ok(())
+    });
+    assert_that!(result, ok(anything()));
+}
+
+#[test]
+fn can_spend_a_batch_until_its_lease_ends() {
+    let start = Instant::now();
+    let mut share = Share::default();
+    assert_that!(share.decide(1.0, start), eq(Decision::Ask));
+    share.granted(grant(3.0, Duration::ZERO), start);
+    assert_that!(share.decide(1.0, start + ms(999)), eq(Decision::Admitted));
+    assert_that!(share.decide(1.0, start + ms(1_000)), eq(Decision::Ask));
+    assert_that!(share.take_unspent(start + ms(1_000)), eq(0.0));
+}
+
+#[test]
+fn refuses_without_asking_again_before_its_turn() {
+    let start = Instant::now();
+    let mut share = Share::default();
+    share.granted(grant(0.0, ms(200)), start);
+    let retry_after = ms(50);
+    let refused = Decision::Refused { retry_after };
+    assert_that!(share.decide(1.0, start + ms(150)), eq(refused));
+    assert_that!(share.decide(1.0, start + ms(200)), eq(Decision::Ask));
+}
+
+#[test]
+fn takes_back_what_an_entry_did_not_spend() {
+    let now = Instant::now();
+    let mut meter = Meter::new(Policy::default());
+    let first = meter.report(&"entry-1".into(), &report(0.0), 100.0, now);
+    assert_that!(first.units, eq(5.0));
+    let all = (0..40).map(|_| {
+        meter
+            .report(&"entry-1".into(), &report(0.0), 100.0, now)
+            .units
+    });
+    assert_that!(all.sum::<f64>(), near(95.0, 1e-6));
+    let back = meter.report(&"entry-1".into(), &report(3.0), 100.0, now);
+    assert_that!(back.units, near(3.0, 1e-6));
+}
+
+#[test]
+fn admits_its_part_while_the_leader_does_not_answer() {
+    let start = Instant::now();
+    let mut share = Share::default();
+    share.granted(grant(0.0, Duration::ZERO), start);
+    share.unanswered(100.0, ms(200), start);
+    let admitted = |share: &mut Share, now| {
+        (0..10)
+            .filter(|_| share.decide(1.0, now) == Decision::Admitted)
+            .count()
+    };
+    assert_that!(admitted(&mut share, start), eq(2));
+    assert_that!(admitted(&mut share, start + ms(1_000)), eq(2));
+    share.unanswered(100.0, ms(200), start + ms(1_000));
+    let refused = matches_pattern!(Decision::Refused { .. });
+    assert_that!(share.decide(1.0, start + ms(1_100)), refused);
+}
+
+#[test]
+fn can_wait_for_units_of_a_bucket() {
+    let start = Instant::now();
+    let mut bucket = Bucket::new(10.0, ms(1_000), start);
+    assert_that!(bucket.take(10.0, start), eq(true));
+    assert_that!(bucket.wait(1.0, start), eq(ms(100)));
+    assert_that!(bucket.take(1.0, start + ms(99)), eq(false));
+    assert_that!(bucket.take(1.0, start + ms(101)), eq(true));
+}
