Test the request path against scripted upstreams, and mend what the tests found

Three faults were seen failing first. After an export that the engine refused, the stream was read to its end in place of being resumed elsewhere, since the engine went on sending: the last tokens are now read only after an export, and for 200 ms at most. Calls on a connection of their own carried an absolute URI, which servers that are no proxies need not take: path and query go out alone. One more connection than the limit was accepted for each worker, since a worker holds a permit while it waits: the limit is now the count of permits.

--- a/components/entry/src/connections.rs
+++ b/components/entry/src/connections.rs
@@ -19,10 +19,9 @@
 }
 
 impl Connections {
-    /// Allows `limit` open connections. Each of the `workers` holds a permit while it waits for
-    /// its next connection.
-    pub(crate) fn new(limit: usize, workers: usize) -> Self {
-        let permits = limit.saturating_add(workers).min(Semaphore::MAX_PERMITS);
+    /// Allows `limit` open connections, at least one.
+    pub(crate) fn new(limit: usize) -> Self {
+        let permits = limit.clamp(1, Semaphore::MAX_PERMITS);
         Connections {
             permits: Arc::new(Semaphore::new(permits)),
         }
--- a/components/entry/src/dispatch/once.rs
+++ b/components/entry/src/dispatch/once.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use errors::{Error, Peer, Step};
-use http::Request;
+use http::{Request, Uri};
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use socket2::SockRef;
@@ -55,7 +55,8 @@
     ///
     /// # Errors
     /// Says whether a byte may have reached the upstream.
-    pub async fn call(self, request: Request<Full<Bytes>>) -> Result<Whole, Lost> {
+    pub async fn call(self, mut request: Request<Full<Bytes>>) -> Result<Whole, Lost> {
+        *request.uri_mut() = origin_form(request.uri());
         let gate = Arc::new(Gate::until(self.dispatch_before));
         let answered = timeout(self.answer_timeout, self.exchange(request, gate.clone())).await;
         let peer = Peer::Address(self.address);
@@ -109,3 +110,9 @@
         Ok(stream)
     }
 }
+
+/// Returns path and query alone, as a server that is no proxy expects them.
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(Uri::default, Uri::from)
+}
--- a/components/entry/src/model/transfer.rs
+++ b/components/entry/src/model/transfer.rs
@@ -17,6 +17,8 @@
 
 /// Time without anything from an engine after an export, when its last tokens have arrived.
 const QUIET: Duration = Duration::from_millis(50);
+/// Longest time to read the last tokens after an export.
+const MAX_REST: Duration = Duration::from_millis(200);
 
 /// State that the source keeps for the target.
 #[derive(Deserialize)]
@@ -85,15 +87,16 @@
                 }
             }
         };
-        while ended.is_none() {
+        let exported = exported
+            .ok()
+            .and_then(|whole| serde_json::from_slice(&whole.body).ok());
+        let until = Instant::now() + MAX_REST;
+        while exported.is_some() && ended.is_none() && Instant::now() < until {
             match timeout(QUIET, body.frame()).await {
                 Ok(frame) => ended = self.received(attempt, frame),
                 Err(_) => break,
             }
         }
-        let exported = exported
-            .ok()
-            .and_then(|whole| serde_json::from_slice(&whole.body).ok());
         (exported, ended)
     }
 
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -52,7 +52,7 @@
     runtime: Runtime,
 }
 
-type Stopper = Box<dyn FnOnce() + Send>;
+type Stopper = Box<dyn FnOnce() + Send + Sync>;
 
 /// Starts an entry.
 ///
@@ -141,7 +141,7 @@
     let mut server = App::new()
         .with_state(state)
         .at("/{*}", fn_service(handler::handle::<C>))
-        .enclosed(Connections::new(entry.max_connections, workers))
+        .enclosed(Connections::new(entry.max_connections))
         .serve()
         .disable_signal()
         .worker_threads(workers)
--- /dev/null
+++ b/components/entry/tests/path/announcements.rs
@@ -0,0 +1,61 @@
+//! Announcements of upstreams.
+
+use googletest::prelude::*;
+use serde_json::json;
+
+use crate::bench::{Bench, announcement};
+use crate::fake::Fake;
+
+#[gtest]
+fn can_take_an_announcement_and_say_when_to_renew() {
+    let bench = Bench::start();
+    let fake = Fake::start("shop-1");
+    let serving = json!({"state": "serving"});
+    let answer = bench.announce_as("shop-1", fake.address, "shop", 1, serving.clone());
+    expect_eq!(answer.body, "{\"renew_ms\":10000}");
+    let again = bench.announce_as("shop-1", fake.address, "shop", 1, serving);
+    expect_eq!(again.status, 409);
+}
+
+#[gtest]
+fn errors_on_a_forged_announcement() {
+    let bench = Bench::start();
+    let fake = Fake::start("shop-1");
+    let body = announcement(
+        "shop-1",
+        fake.address,
+        "shop",
+        1,
+        json!({"state": "serving"}),
+    );
+    for signature in ["", "00", "zz"] {
+        let headers = [("chervilloft-signature", signature)];
+        let answer = bench.post("/v1/upstreams", &headers, &body.to_string());
+        expect_eq!(answer.status, 401);
+    }
+    expect_eq!(bench.get("/services/shop/x").status, 503);
+}
+
+#[gtest]
+fn errors_on_an_unknown_service_and_on_what_is_no_announcement() {
+    let bench = Bench::start();
+    let fake = Fake::start("shop-1");
+    let serving = json!({"state": "serving"});
+    let answer = bench.announce_as("shop-1", fake.address, "nothing", 1, serving);
+    expect_eq!(answer.status, 404);
+    let strange = json!({"state": "dancing"});
+    let answer = bench.announce_as("shop-1", fake.address, "shop", 1, strange);
+    expect_eq!(answer.status, 400);
+}
+
+#[gtest]
+fn can_give_no_new_work_to_an_upstream_that_is_leaving() {
+    let bench = Bench::start();
+    let shop = bench.upstream("shop-1", "shop");
+    expect_eq!(bench.get("/services/shop/x").status, 200);
+    bench.announce(&shop, "shop", 2, json!({"state": "leaving"}));
+    let answer = bench.get("/services/shop/x");
+    expect_eq!(answer.status, 503);
+    expect_eq!(answer.outcome(), "not-run");
+    expect_eq!(shop.executions(), 1);
+}
--- /dev/null
+++ b/components/entry/tests/path/fake.rs
@@ -0,0 +1,291 @@
+//! A scripted upstream: model engine and plain service in one, on a thread per connection.
+
+use std::collections::VecDeque;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::reader;
+use crate::script::Act;
+
+/// Tokens of an answer whose call names no bound.
+const DEFAULT_TOKENS: usize = 8;
+
+/// One request as it arrived.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    pub(crate) line: String,
+    pub(crate) headers: reader::Headers,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Seen {
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+}
+
+#[derive(Default)]
+struct State {
+    script: Mutex<VecDeque<Act>>,
+    seen: Mutex<Vec<Seen>>,
+    executions: AtomicUsize,
+    stopped: Mutex<Vec<String>>,
+    exports: AtomicBool,
+    open: AtomicUsize,
+    pace: Mutex<Duration>,
+}
+
+/// A running fake.
+#[derive(Clone)]
+pub(crate) struct Fake {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    state: Arc<State>,
+}
+
+impl Fake {
+    pub(crate) fn start(name: &str) -> Fake {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound port");
+        let state = Arc::new(State::default());
+        let served = state.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let state = served.clone();
+                thread::spawn(move || serve(&state, stream));
+            }
+        });
+        let name = name.to_owned();
+        Fake {
+            name,
+            address,
+            state,
+        }
+    }
+
+    /// Scripts the next calls; the others are answered whole.
+    pub(crate) fn script(&self, acts: impl IntoIterator<Item = Act>) {
+        self.state.script.lock().unwrap().extend(acts);
+    }
+
+    /// Sets the pause before each token of whole answers.
+    pub(crate) fn pace(&self, pause: Duration) {
+        *self.state.pace.lock().unwrap() = pause;
+    }
+
+    /// Lets the engine export and import state.
+    pub(crate) fn allow_exports(&self) {
+        self.state.exports.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns how often a plain call ran.
+    pub(crate) fn executions(&self) -> usize {
+        self.state.executions.load(Ordering::SeqCst)
+    }
+
+    /// Returns how many calls are being answered.
+    pub(crate) fn open(&self) -> usize {
+        self.state.open.load(Ordering::SeqCst)
+    }
+
+    /// Returns the requests to a path that starts with `path`.
+    pub(crate) fn seen(&self, path: &str) -> Vec<Seen> {
+        let seen = self.state.seen.lock().unwrap();
+        let fits = |seen: &&Seen| seen.line.split(' ').nth(1).unwrap_or("").starts_with(path);
+        seen.iter().filter(fits).cloned().collect()
+    }
+}
+
+/// Returns the text of the token at `index`, which depends on the prompt.
+pub(crate) fn token(seed: &str, index: usize) -> String {
+    format!(" {seed}{index}")
+}
+
+fn serve(state: &State, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+    let mut stream = stream;
+    while let Some((line, headers)) = reader::head(&mut reader) {
+        let (body, whole) = reader::body(&mut reader, &headers);
+        if !whole {
+            return;
+        }
+        let seen = Seen {
+            line: line.clone(),
+            headers,
+            body,
+        };
+        let path = line.split(' ').nth(1).unwrap_or("").to_owned();
+        state.seen.lock().unwrap().push(seen.clone());
+        state.open.fetch_add(1, Ordering::SeqCst);
+        let kept = answer(state, &path, &seen, &mut stream);
+        state.open.fetch_sub(1, Ordering::SeqCst);
+        if kept.is_none() {
+            return;
+        }
+    }
+}
+
+/// Answers one request, and returns `None` if the connection is to be closed.
+fn answer(state: &State, path: &str, seen: &Seen, stream: &mut TcpStream) -> Option<()> {
+    match path {
+        "/v1/chat/completions" | "/v1/completions" => complete(state, path, seen, stream),
+        "/v1/kv/export" if state.exports.load(Ordering::SeqCst) => {
+            let request = seen.json()["request_id"].as_str()?.to_owned();
+            state.stopped.lock().unwrap().push(request.clone());
+            thread::sleep(Duration::from_millis(20));
+            reply(
+                stream,
+                200,
+                &format!("{{\"handle\":\"kv-{request}\",\"tokens\":1,\"bytes\":1}}"),
+            )
+        }
+        "/v1/kv/import" if state.exports.load(Ordering::SeqCst) => {
+            reply(stream, 200, "{\"handle\":\"imported\"}")
+        }
+        _ if path.starts_with("/v1/cache/events") => {
+            reply(stream, 200, "{\"events\":[],\"last\":0}")
+        }
+        _ if path.starts_with("/v1/requests") => reply(stream, 200, "{}"),
+        _ if path.starts_with("/v1/") => reply(stream, 404, "{}"),
+        _ => plain(state, seen, stream),
+    }
+}
+
+fn reply(stream: &mut TcpStream, status: u16, body: &str) -> Option<()> {
+    let length = body.len();
+    let head = format!(
+        "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n"
+    );
+    stream.write_all((head + body).as_bytes()).ok()
+}
+
+fn next_act(state: &State) -> Act {
+    let pace = *state.pace.lock().unwrap();
+    let next = state.script.lock().unwrap().pop_front();
+    next.unwrap_or(Act::Whole(pace))
+}
+
+fn plain(state: &State, seen: &Seen, stream: &mut TcpStream) -> Option<()> {
+    let act = next_act(state);
+    if let Act::Reject = act {
+        let head = "HTTP/1.1 503 X\r\nchervilloft-not-run: true\r\ncontent-length: 0\r\n\r\n";
+        return stream.write_all(head.as_bytes()).ok();
+    }
+    let count = state.executions.fetch_add(1, Ordering::SeqCst) + 1;
+    let body = format!("{} #{count}", seen.line);
+    match act {
+        Act::Status(status) => reply(stream, status, &body),
+        Act::HalfBody => {
+            let head = "HTTP/1.1 200 X\r\ncontent-length: 1000\r\n\r\nhalf";
+            stream.write_all(head.as_bytes()).ok()?;
+            None
+        }
+        Act::Unbounded => {
+            stream.write_all(b"HTTP/1.1 200 X\r\n\r\nhalf").ok()?;
+            None
+        }
+        Act::NoAnswer => None,
+        Act::SilentAfter(_) => {
+            thread::sleep(Duration::from_secs(20));
+            None
+        }
+        Act::Whole(pause) => {
+            thread::sleep(pause);
+            reply(stream, 200, &body)
+        }
+        _ => reply(stream, 200, &body),
+    }
+}
+
+fn complete(state: &State, path: &str, seen: &Seen, stream: &mut TcpStream) -> Option<()> {
+    let act = next_act(state);
+    match act {
+        Act::Reject => return reply(stream, 503, "{\"error\":{\"code\":\"overloaded\"}}"),
+        Act::Status(status) => return reply(stream, status, "{\"error\":{\"code\":\"x\"}}"),
+        Act::NoAnswer => return None,
+        _ => {}
+    }
+    stream
+        .write_all(
+            b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+        )
+        .ok()?;
+    let call = seen.json();
+    let chat = path.contains("chat");
+    let seed = seed(&call);
+    let total = call["max_tokens"]
+        .as_u64()
+        .map_or(DEFAULT_TOKENS, |n| n as usize);
+    let resumed = call["resume_tokens"].as_array().map_or(0, Vec::len);
+    let request = call["request_id"].as_str().unwrap_or("").to_owned();
+    for index in resumed..total {
+        if state.stopped.lock().unwrap().contains(&request) {
+            return None;
+        }
+        let mut shown = index;
+        match &act {
+            Act::Whole(pause) => thread::sleep(*pause),
+            Act::CloseAfter(count) if index - resumed >= *count => return None,
+            Act::SilentAfter(count) if index - resumed >= *count => {
+                thread::sleep(Duration::from_secs(20));
+                return None;
+            }
+            Act::GapAfter(count) if index - resumed >= *count => shown = index + 1,
+            Act::RepeatAfter(count) if index - resumed >= *count => shown = index - 1,
+            _ => {}
+        }
+        let text = token(&seed, shown);
+        let choice = match chat {
+            true => json!({"index": 0, "delta": {"content": text}, "finish_reason": null}),
+            false => json!({"index": 0, "text": text, "finish_reason": null}),
+        };
+        event(
+            stream,
+            &json!({"id": request, "choices": [choice], "token_index": shown}),
+        )?;
+    }
+    let handle = call["kv_handle"].is_string();
+    let computed = if handle { 0 } else { 10 + resumed };
+    let choice = match chat {
+        true => json!({"index": 0, "delta": {}, "finish_reason": "stop"}),
+        false => json!({"index": 0, "text": "", "finish_reason": "stop"}),
+    };
+    let usage = json!({"prompt_tokens": 10, "completion_tokens": total - resumed,
+        "cached_tokens": 0, "computed_tokens": computed});
+    event(
+        stream,
+        &json!({"id": request, "choices": [choice], "usage": usage}),
+    )?;
+    if !matches!(act, Act::NoDone) {
+        chunk(stream, "data: [DONE]\n\n")?;
+    }
+    stream.write_all(b"0\r\n\r\n").ok()
+}
+
+/// Returns what tells the answer of one prompt from that of another.
+fn seed(call: &Value) -> String {
+    let prompt = match &call["prompt"] {
+        Value::String(prompt) => prompt.clone(),
+        _ => call["messages"][0]["content"]
+            .as_str()
+            .unwrap_or("")
+            .to_owned(),
+    };
+    prompt.chars().take(8).collect()
+}
+
+fn event(stream: &mut TcpStream, event: &Value) -> Option<()> {
+    chunk(stream, &format!("data: {event}\n\n"))
+}
+
+fn chunk(stream: &mut TcpStream, text: &str) -> Option<()> {
+    let framed = format!("{:x}\r\n{text}\r\n", text.len());
+    stream.write_all(framed.as_bytes()).ok()
+}
--- /dev/null
+++ b/components/entry/tests/path/keyed.rs
@@ -0,0 +1,215 @@
+//! Calls with an idempotency key run at most once.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use errors::{Error, Peer, Result as Outcome, Step};
+use fleet::claim::{Claim, Settlement, Verdict};
+use fleet::{Control, Standalone, View};
+use googletest::prelude::*;
+use upstream::Announcement;
+
+use crate::bench::{Bench, eventually, settings, text};
+use crate::caller::{Answer, call};
+use crate::script::Act;
+
+const PATH: &str = "/services/shop/exposures";
+
+fn book(bench: &Bench<impl Control>, key: &str, body: &str) -> Answer {
+    call(
+        bench.address,
+        "POST",
+        PATH,
+        &[("idempotency-key", key)],
+        body,
+    )
+}
+
+#[gtest]
+fn can_replay_a_recorded_answer() {
+    let bench = Bench::start();
+    let shop = bench.upstream("shop-1", "shop");
+    let first = book(&bench, "k1", "plate 7");
+    let second = book(&bench, "k1", "plate 7");
+    expect_eq!(first.body, second.body);
+    expect_eq!([first.outcome(), second.outcome()], ["answered"; 2]);
+    expect_eq!(shop.executions(), 1);
+    expect_eq!(first.body, "POST /exposures HTTP/1.1 #1");
+    expect_eq!(
+        shop.seen("/exposures")[0]
+            .headers
+            .get("idempotency-key")
+            .map(String::as_str),
+        Some("k1")
+    );
+}
+
+#[gtest]
+fn errors_on_the_same_key_with_another_body() {
+    let bench = Bench::start();
+    let shop = bench.upstream("shop-1", "shop");
+    book(&bench, "k1", "plate 7");
+    let other = book(&bench, "k1", "plate 8");
+    expect_eq!(other.status, 422);
+    expect_eq!(other.outcome(), "not-run");
+    expect_eq!(shop.executions(), 1);
+}
+
+#[gtest]
+fn can_keep_an_unknown_call_unknown() {
+    let bench = Bench::start();
+    let shop = bench.upstream("shop-1", "shop");
+    shop.script([Act::NoAnswer]);
+    for _ in 0..3 {
+        let answer = book(&bench, "k1", "plate 7");
+        expect_eq!(answer.status, 502);
+        expect_eq!(answer.outcome(), "unknown");
+    }
+    expect_eq!(shop.executions(), 1);
+}
+
+#[gtest]
+fn can_free_the_key_of_a_call_that_was_not_run() {
+    let bench = Bench::start();
+    let shop = bench.upstream("shop-1", "shop");
+    shop.script([Act::Reject]);
+    expect_eq!(book(&bench, "k1", "plate 7").outcome(), "not-run");
+    expect_eq!(book(&bench, "k1", "plate 7").outcome(), "answered");
+    expect_eq!(shop.executions(), 1);
+}
+
+#[gtest]
+fn can_run_once_for_callers_that_come_together() {
+    let bench = Bench::start();
+    let shop = bench.upstream("shop-1", "shop");
+    shop.script([Act::Whole(Duration::from_millis(300))]);
+    let bodies: Vec<String> = std::thread::scope(|scope| {
+        let calls = [0; 8].map(|_| scope.spawn(|| book(&bench, "k1", "plate 7").body));
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+    expect_that!(bodies, each(eq(&bodies[0])));
+    expect_eq!(shop.executions(), 1);
+}
+
+#[gtest]
+fn errors_on_a_key_that_is_not_printable_or_too_long() {
+    let bench = Bench::start();
+    bench.upstream("shop-1", "shop");
+    for key in ["", "caf\u{e9}", &"k".repeat(256)] {
+        expect_eq!(book(&bench, key, "plate 7").status, 400);
+    }
+}
+
+/// A control group that is slow, or answers with an error after it has committed.
+struct Faulty {
+    inner: Standalone,
+    delay_ms: AtomicU64,
+    window_ms: u64,
+    errors: AtomicUsize,
+    settled: std::sync::Mutex<Vec<Settlement>>,
+}
+
+impl Faulty {
+    fn new(delay_ms: u64, window_ms: u64, errors: usize) -> Self {
+        Faulty {
+            inner: Standalone::new(text()),
+            delay_ms: AtomicU64::new(delay_ms),
+            window_ms,
+            errors: AtomicUsize::new(errors),
+            settled: std::sync::Mutex::default(),
+        }
+    }
+}
+
+impl Control for Faulty {
+    fn view(&self) -> &Arc<ArcSwap<View>> {
+        self.inner.view()
+    }
+
+    fn announce(&self, announcement: Announcement) {
+        self.inner.announce(announcement);
+    }
+
+    async fn claim(&self, claim: Claim) -> Outcome<Verdict> {
+        let verdict = self.inner.claim(claim).await?;
+        let delay = Duration::from_millis(self.delay_ms.load(Ordering::SeqCst));
+        tokio::time::sleep(delay).await;
+        let take = |left: usize| left.checked_sub(1);
+        let failing = self
+            .errors
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, take);
+        match (failing, verdict) {
+            (Ok(_), _) => Err(Error::Protocol(
+                Step::Commit,
+                Peer::Local,
+                "no quorum".into(),
+            )),
+            (Err(_), Verdict::Granted { .. }) => Ok(Verdict::Granted {
+                dispatch_within_ms: self.window_ms,
+            }),
+            (Err(_), verdict) => Ok(verdict),
+        }
+    }
+
+    async fn settle(&self, claim: Claim, settlement: Settlement) -> Outcome<()> {
+        self.settled.lock().unwrap().push(settlement.clone());
+        self.inner.settle(claim, settlement).await
+    }
+}
+
+#[gtest]
+fn errors_as_not_run_when_the_claim_came_too_late_to_dispatch() {
+    let bench = Bench::start_with(settings(), Faulty::new(150, 100, 0));
+    let shop = bench.upstream("shop-1", "shop");
+    let answer = book(&bench, "k1", "plate 7");
+    expect_eq!(answer.status, 503);
+    expect_eq!(answer.outcome(), "not-run");
+    expect_eq!(shop.executions(), 0);
+    let settled = || bench.entry.control().settled.lock().unwrap().clone();
+    eventually("the settlement", || !settled().is_empty());
+    expect_that!(settled(), elements_are![eq(&Settlement::NotRun)]);
+    // The key is free again once the control group is fast.
+    bench.entry.control().delay_ms.store(0, Ordering::SeqCst);
+    expect_eq!(book(&bench, "k1", "plate 7").outcome(), "answered");
+}
+
+#[gtest]
+fn errors_as_not_run_when_the_claim_may_or_may_not_be_committed() {
+    let bench = Bench::start_with(settings(), Faulty::new(0, 2_000, 1));
+    let shop = bench.upstream("shop-1", "shop");
+    let answer = book(&bench, "k1", "plate 7");
+    expect_eq!(answer.status, 503);
+    expect_eq!(answer.outcome(), "not-run");
+    expect_eq!(shop.executions(), 0);
+    // The claim was committed all the same; the key must not stay taken.
+    expect_eq!(book(&bench, "k1", "plate 7").outcome(), "answered");
+    expect_eq!(shop.executions(), 1);
+}
+
+#[gtest]
+fn can_record_the_answer_before_the_caller_has_it() {
+    let bench = Bench::start_with(settings(), Faulty::new(0, 2_000, 0));
+    bench.upstream("shop-1", "shop");
+    book(&bench, "k1", "plate 7");
+    let settled = bench.entry.control().settled.lock().unwrap().clone();
+    expect_that!(
+        settled,
+        elements_are![matches_pattern!(Settlement::Answered(_))]
+    );
+}
+
+#[gtest]
+fn can_finish_a_call_whose_caller_left() {
+    let bench = Bench::start();
+    let shop = bench.upstream("shop-1", "shop");
+    shop.script([Act::Whole(Duration::from_millis(200))]);
+    let mut caller = crate::caller::Caller::connect(bench.address);
+    caller.send("POST", PATH, &[("idempotency-key", "k1")], "plate 7");
+    eventually("the call", || shop.executions() > 0);
+    drop(caller);
+    let answer = book(&bench, "k1", "plate 7");
+    expect_eq!(answer.outcome(), "answered");
+    expect_eq!(shop.executions(), 1);
+}
--- /dev/null
+++ b/components/entry/tests/path/main.rs
@@ -0,0 +1,16 @@
+//! The request path in one process, against scripted upstreams on loopback.
+
+mod bench;
+mod caller;
+mod fake;
+mod reader;
+mod script;
+
+mod admission;
+mod announcements;
+mod input;
+mod keyed;
+mod models;
+mod moves;
+mod plain;
+mod stop;
--- /dev/null
+++ b/components/entry/tests/path/moves.rs
@@ -0,0 +1,270 @@
+//! Streams that go on at another upstream.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use serde_json::json;
+
+use crate::bench::{Bench, completion, eventually, expected};
+use crate::caller::Caller;
+use crate::fake::Fake;
+use crate::script::Act;
+
+/// Starts an entry with two engines of which the first to be called behaves as `act`.
+fn two(act: &Act) -> (Bench, [Fake; 2]) {
+    let bench = Bench::start();
+    let engines = ["engine-1", "engine-2"].map(|name| bench.upstream(name, "assistant"));
+    for engine in &engines {
+        engine.script([act.clone()]);
+    }
+    (bench, engines)
+}
+
+fn survives(act: Act) -> Bench {
+    let (bench, engines) = two(&act);
+    let third = bench.upstream("engine-3", "assistant");
+    let answer = bench.stream("ticket", 12);
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(answer.events().0, (1..=13).collect::<Vec<_>>());
+    assert_eq!(answer.events().1, expected("ticket", 12));
+    assert!(answer.is_done() && answer.whole);
+    let calls: usize = engines
+        .iter()
+        .chain([&third])
+        .map(|engine| engine.seen("/v1/completions").len())
+        .sum();
+    assert!(calls >= 2, "the stream was not moved");
+    bench
+}
+
+#[gtest]
+fn can_go_on_after_an_engine_closes_early() {
+    let bench = survives(Act::CloseAfter(5));
+    expect_that!(
+        bench.measure("chervilloft_moves_total{cause=\"closed\"}"),
+        ge(1.0)
+    );
+    expect_that!(
+        bench.measure("chervilloft_recomputed_tokens_total{cause=\"closed\"}"),
+        ge(15.0)
+    );
+}
+
+#[gtest]
+fn can_go_on_after_an_engine_falls_silent() {
+    let bench = survives(Act::SilentAfter(5));
+    expect_that!(
+        bench.measure("chervilloft_moves_total{cause=\"silent\"}"),
+        ge(1.0)
+    );
+}
+
+#[gtest]
+fn can_go_on_after_a_token_is_left_out() {
+    let bench = survives(Act::GapAfter(5));
+    expect_that!(
+        bench.measure("chervilloft_moves_total{cause=\"fault\"}"),
+        ge(1.0)
+    );
+}
+
+#[gtest]
+fn can_go_on_after_a_token_is_repeated() {
+    survives(Act::RepeatAfter(5));
+}
+
+#[gtest]
+fn can_go_on_after_a_stream_without_its_end_mark() {
+    survives(Act::NoDone);
+}
+
+#[gtest]
+fn can_go_on_after_an_engine_dies_before_its_first_token() {
+    survives(Act::NoAnswer);
+}
+
+#[gtest]
+fn can_answer_whole_after_an_engine_closes_early() {
+    let (bench, _engines) = two(&Act::CloseAfter(5));
+    bench.upstream("engine-3", "assistant");
+    let body = completion("ticket", 12, false);
+    let answer = bench.post("/v1/completions", &[], &body);
+    expect_eq!(
+        answer.json()["choices"][0]["text"],
+        json!(expected("ticket", 12))
+    );
+    expect_eq!(answer.outcome(), "answered");
+}
+
+#[gtest]
+fn errors_with_an_event_when_no_engine_can_finish() {
+    let bench = Bench::start();
+    let engine = bench.upstream("engine-1", "assistant");
+    engine.script(vec![Act::CloseAfter(1); 40]);
+    let answer = bench.stream("ticket", 100);
+    expect_that!(answer.body, contains_substring("event: error\n"));
+    expect_that!(answer.body, contains_substring("\"outcome\":\"unknown\""));
+    expect_false!(answer.is_done());
+}
+
+/// Streams from an engine that is reclaimed after some tokens.
+fn reclaimed(export: bool, in_ms: u64) -> (Bench, [Fake; 2], String) {
+    let bench = Bench::start();
+    let engines = ["engine-1", "engine-2"].map(|name| bench.upstream(name, "assistant"));
+    for engine in &engines {
+        engine.pace(Duration::from_millis(15));
+        if export {
+            engine.allow_exports();
+        }
+    }
+    let mut caller = Caller::connect(bench.address);
+    caller.send(
+        "POST",
+        "/v1/completions",
+        &[],
+        &completion("ticket", 100, true),
+    );
+    eventually("the stream", || {
+        engines.iter().any(|engine| engine.open() > 0)
+    });
+    std::thread::sleep(Duration::from_millis(200));
+    let source = engines
+        .iter()
+        .find(|engine| !engine.seen("/v1/completions").is_empty());
+    let source = source.expect("one of the engines streams");
+    bench.announce(
+        source,
+        "assistant",
+        2,
+        json!({"state": "reclaimed", "in_ms": in_ms}),
+    );
+    let answer = caller.receive();
+    assert_eq!(answer.events().0, (1..=101).collect::<Vec<_>>());
+    assert_eq!(answer.events().1, expected("ticket", 100));
+    assert!(answer.is_done() && answer.whole);
+    let target = engines.iter().find(|engine| engine.name != source.name);
+    let resumed = target.unwrap().seen("/v1/completions")[0].json();
+    assert!(resumed["resume_tokens"].as_array().unwrap().len() > 2);
+    (
+        bench,
+        engines,
+        resumed["kv_handle"].as_str().unwrap_or("").to_owned(),
+    )
+}
+
+#[gtest]
+fn can_move_a_stream_with_its_state_when_its_engine_is_reclaimed() {
+    let (bench, _, handle) = reclaimed(true, 800);
+    expect_eq!(handle, "imported");
+    expect_eq!(
+        bench.measure("chervilloft_moves_total{cause=\"reclaimed\"}"),
+        1.0
+    );
+    expect_eq!(
+        bench.measure("chervilloft_recomputed_tokens_total{cause=\"reclaimed\"}"),
+        0.0
+    );
+}
+
+#[gtest]
+fn can_move_a_stream_without_its_state_when_engines_do_not_export() {
+    let (bench, _, handle) = reclaimed(false, 800);
+    expect_eq!(handle, "");
+    expect_that!(
+        bench.measure("chervilloft_recomputed_tokens_total{cause=\"reclaimed\"}"),
+        gt(10.0)
+    );
+}
+
+#[gtest]
+fn can_move_a_stream_without_its_state_when_the_time_left_is_short() {
+    let (_, engines, handle) = reclaimed(true, 150);
+    expect_eq!(handle, "");
+    expect_true!(
+        engines
+            .iter()
+            .all(|engine| engine.seen("/v1/kv/export").is_empty())
+    );
+}
+
+#[gtest]
+fn can_leave_a_stream_that_ends_in_time_where_it_is() {
+    let bench = Bench::start();
+    let engines = ["engine-1", "engine-2"].map(|name| bench.upstream(name, "assistant"));
+    for engine in &engines {
+        engine.pace(Duration::from_millis(10));
+    }
+    let mut caller = Caller::connect(bench.address);
+    caller.send(
+        "POST",
+        "/v1/completions",
+        &[],
+        &completion("ticket", 60, true),
+    );
+    eventually("the stream", || {
+        engines.iter().any(|engine| engine.open() > 0)
+    });
+    std::thread::sleep(Duration::from_millis(150));
+    for engine in &engines {
+        let state = json!({"state": "reclaimed", "in_ms": 20_000});
+        bench.announce(engine, "assistant", 2, state);
+    }
+    let answer = caller.receive();
+    expect_eq!(answer.events().1, expected("ticket", 60));
+    expect_eq!(
+        bench.measure("chervilloft_moves_total{cause=\"reclaimed\"}"),
+        0.0
+    );
+}
+
+#[gtest]
+fn can_survive_a_wave_that_takes_the_target_as_well() {
+    let bench = Bench::start();
+    let engines = ["engine-1", "engine-2"].map(|name| bench.upstream(name, "assistant"));
+    for engine in &engines {
+        engine.pace(Duration::from_millis(10));
+        engine.allow_exports();
+    }
+    let mut caller = Caller::connect(bench.address);
+    caller.send(
+        "POST",
+        "/v1/completions",
+        &[],
+        &completion("ticket", 150, true),
+    );
+    eventually("the stream", || {
+        engines.iter().any(|engine| engine.open() > 0)
+    });
+    std::thread::sleep(Duration::from_millis(100));
+    let state = json!({"state": "reclaimed", "in_ms": 600});
+    let streaming = |engine: &Fake| !engine.seen("/v1/completions").is_empty();
+    let source = engines.iter().position(streaming).unwrap();
+    bench.announce(&engines[source], "assistant", 2, state.clone());
+    std::thread::sleep(Duration::from_millis(10));
+    bench.announce(&engines[1 - source], "assistant", 2, state);
+    let replacement = bench.upstream("engine-3", "assistant");
+    let answer = caller.receive();
+    expect_eq!(answer.events().1, expected("ticket", 150));
+    expect_true!(answer.is_done() && answer.whole);
+    expect_false!(replacement.seen("/v1/completions").is_empty());
+}
+
+#[gtest]
+fn can_wait_for_a_replacement_when_the_only_engine_dies() {
+    let bench = Bench::start();
+    let only = bench.upstream("engine-1", "assistant");
+    only.script([Act::CloseAfter(5)]);
+    let mut caller = Caller::connect(bench.address);
+    caller.send(
+        "POST",
+        "/v1/completions",
+        &[],
+        &completion("ticket", 12, true),
+    );
+    eventually("the stream", || !only.seen("/v1/completions").is_empty());
+    bench.announce(&only, "assistant", 2, json!({"state": "leaving"}));
+    std::thread::sleep(Duration::from_millis(300));
+    bench.upstream("engine-2", "assistant");
+    let answer = caller.receive();
+    expect_eq!(answer.events().1, expected("ticket", 12));
+}
--- /dev/null
+++ b/components/entry/tests/path/plain.rs
@@ -0,0 +1,131 @@
+//! Calls of plain services without a key.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use crate::bench::Bench;
+use crate::script::Act;
+
+#[gtest]
+fn can_pass_a_call_on_with_its_method_path_and_query() {
+    let bench = Bench::start();
+    let shop = bench.upstream("shop-1", "shop");
+    let answer = bench.get("/services/shop/jobs/7?full=1");
+    expect_eq!(answer.status, 200);
+    expect_eq!(answer.outcome(), "answered");
+    expect_eq!(answer.body, "GET /jobs/7?full=1 HTTP/1.1 #1");
+    let seen = &shop.seen("/jobs")[0];
+    expect_false!(seen.headers.contains_key("authorization"));
+    expect_eq!(
+        seen.headers
+            .get("chervilloft-request-id")
+            .map(String::as_str),
+        Some(answer.header("chervilloft-request-id"))
+    );
+}
+
+#[gtest]
+fn can_retry_an_idempotent_call_elsewhere() {
+    let bench = Bench::start();
+    let shops = ["shop-1", "shop-2"].map(|name| bench.upstream(name, "shop"));
+    for act in [Act::NoAnswer, Act::HalfBody, Act::Unbounded] {
+        shops[0].script([act.clone()]);
+        shops[1].script([act]);
+        let answer = bench.get("/services/shop/jobs");
+        // Both fail in this round; only what they leave in their scripts differs.
+        expect_eq!(answer.status, 502);
+        expect_eq!(answer.outcome(), "unknown");
+    }
+    shops[0].script([Act::HalfBody]);
+    let answers = [0, 1].map(|_| bench.get("/services/shop/jobs").status);
+    expect_eq!(answers, [200, 200]);
+}
+
+#[gtest]
+fn errors_as_unknown_after_one_dispatch_of_a_call_that_may_not_be_repeated() {
+    for act in [
+        Act::NoAnswer,
+        Act::HalfBody,
+        Act::Unbounded,
+        Act::SilentAfter(0),
+    ] {
+        let bench = Bench::start();
+        let shops = ["shop-1", "shop-2"].map(|name| bench.upstream(name, "shop"));
+        for shop in &shops {
+            shop.script([act.clone()]);
+        }
+        let answer = bench.post("/services/shop/exposures", &[], "plate");
+        expect_eq!(answer.outcome(), "unknown", "{act:?}");
+        let executions: usize = shops.iter().map(super::fake::Fake::executions).sum();
+        expect_eq!(executions, 1, "{act:?}");
+    }
+}
+
+#[gtest]
+fn errors_as_not_run_when_the_upstream_says_so() {
+    let bench = Bench::start();
+    let shop = bench.upstream("shop-1", "shop");
+    shop.script([Act::Reject]);
+    let answer = bench.post("/services/shop/exposures", &[], "plate");
+    expect_eq!(answer.status, 503);
+    expect_eq!(answer.outcome(), "not-run");
+    expect_eq!(shop.executions(), 0);
+}
+
+#[gtest]
+fn can_reach_another_upstream_when_one_refuses_connections() {
+    let bench = Bench::start();
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = closed.local_addr().unwrap();
+    drop(closed);
+    let serving = serde_json::json!({"state": "serving"});
+    bench.announce_as("shop-1", address, "shop", 1, serving);
+    let shop = bench.upstream("shop-2", "shop");
+    for _ in 0..2 {
+        let answer = bench.post("/services/shop/exposures", &[], "plate");
+        expect_eq!(answer.outcome(), "answered");
+    }
+    expect_eq!(shop.executions(), 2);
+}
+
+#[gtest]
+fn can_hedge_a_slow_read() {
+    let bench = Bench::start();
+    let shops = ["shop-1", "shop-2"].map(|name| bench.upstream(name, "shop"));
+    shops[0].script([Act::SilentAfter(0)]);
+    let answers = [0, 1].map(|_| bench.get("/services/shop/jobs").status);
+    expect_eq!(answers, [200, 200]);
+}
+
+#[gtest]
+fn errors_as_not_run_when_a_dependency_has_no_upstream() {
+    let bench = Bench::start();
+    let dependent = bench.upstream("dependent-1", "dependent");
+    let answer = bench.get("/services/dependent/x");
+    expect_eq!(answer.status, 503);
+    expect_eq!(answer.outcome(), "not-run");
+    expect_that!(
+        answer.body,
+        contains_substring("\\\"absent\\\", which has no upstream")
+    );
+    expect_eq!(dependent.executions(), 0);
+}
+
+#[gtest]
+fn can_pass_on_an_error_of_the_service() {
+    let bench = Bench::start();
+    bench.upstream("shop-1", "shop").script([Act::Status(500)]);
+    let answer = bench.post("/services/shop/exposures", &[], "plate");
+    expect_eq!(answer.status, 500);
+    expect_eq!(answer.outcome(), "answered");
+}
+
+#[gtest]
+fn can_answer_a_slow_call_within_its_timeout() {
+    let bench = Bench::start();
+    let shop = bench.upstream("shop-1", "shop");
+    shop.script([Act::Whole(Duration::from_millis(800))]);
+    let answer = bench.post("/services/shop/exposures", &[], "plate");
+    expect_eq!(answer.outcome(), "answered");
+}
--- /dev/null
+++ b/components/entry/tests/path/script.rs
@@ -0,0 +1,30 @@
+//! What a fake upstream does with its next call.
+
+use std::time::Duration;
+
+/// Behaviour of one call.
+#[derive(Clone, Debug)]
+pub(crate) enum Act {
+    /// Answers whole, with this pause before each token or before the answer.
+    Whole(Duration),
+    /// Closes after this many tokens.
+    CloseAfter(usize),
+    /// Sends nothing more after this many tokens, and keeps the connection open.
+    SilentAfter(usize),
+    /// Skips one index after this many tokens.
+    GapAfter(usize),
+    /// Repeats an index after this many tokens.
+    RepeatAfter(usize),
+    /// Ends the stream without its end mark.
+    NoDone,
+    /// Refuses in a way that is defined as not run.
+    Reject,
+    /// Answers with this status.
+    Status(u16),
+    /// Runs the call and closes inside the body.
+    HalfBody,
+    /// Runs the call and closes without an answer.
+    NoAnswer,
+    /// Runs the call and answers without a length.
+    Unbounded,
+}
--- /dev/null
+++ b/components/entry/tests/path/stop.rs
@@ -0,0 +1,104 @@
+//! The planned stop.
+
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use entry::handover::{Keeper, Record};
+use fleet::Standalone;
+use googletest::prelude::*;
+
+use crate::bench::{Bench, completion, eventually, expected, keys, settings, text};
+use crate::caller::{Caller, call};
+use crate::script::Act;
+
+#[gtest]
+fn can_stop_without_cutting_what_is_in_progress() {
+    let bench = Bench::start();
+    let engine = bench.upstream("engine-1", "assistant");
+    let shop = bench.upstream("shop-1", "shop");
+    engine.pace(Duration::from_millis(10));
+    shop.script([Act::Whole(Duration::from_millis(900))]);
+    let mut stream = Caller::connect(bench.address);
+    stream.send(
+        "POST",
+        "/v1/completions",
+        &[],
+        &completion("ticket", 120, true),
+    );
+    let mut booking = Caller::connect(bench.address);
+    booking.send(
+        "POST",
+        "/services/shop/exposures",
+        &[("idempotency-key", "k1")],
+        "plate",
+    );
+    eventually("both calls", || engine.open() > 0 && shop.executions() > 0);
+    let address = bench.address;
+    let stopping = thread::spawn(move || bench.entry.stop());
+    eventually("readiness to go", || {
+        call(address, "GET", "/readyz", &[], "").status == 503
+    });
+    // The balancer has not noticed yet: what it sends is still served.
+    let late = call(address, "GET", "/services/shop/x", &[], "");
+    expect_eq!(late.status, 200);
+    expect_eq!(late.header("connection"), "close");
+    thread::sleep(Duration::from_millis(350));
+    let refused = call(address, "GET", "/services/shop/x", &[], "");
+    expect_eq!(refused.status, 503);
+    expect_eq!(refused.outcome(), "not-run");
+    expect_eq!(refused.header("connection"), "close");
+    let answer = stream.receive();
+    expect_eq!(answer.events().1, expected("ticket", 120));
+    expect_true!(answer.is_done() && answer.whole);
+    expect_eq!(booking.receive().outcome(), "answered");
+    stopping.join().unwrap();
+}
+
+/// Keeps everything.
+#[derive(Default)]
+struct Memory(Mutex<Vec<Record>>);
+
+impl Keeper for Memory {
+    fn keep(&self, record: Record) -> bool {
+        self.0.lock().unwrap().push(record);
+        true
+    }
+}
+
+#[gtest]
+fn can_hand_over_what_does_not_finish_in_time() {
+    let mut settings = settings();
+    settings.entry.drain_timeout = Duration::from_millis(300);
+    let keeper = Arc::new(Memory::default());
+    let control = Standalone::new(text());
+    let entry = entry::start_with(settings, keys(), control, keeper.clone()).unwrap();
+    let address = entry.address;
+    let bench = Bench { entry, address };
+    let engine = bench.upstream("engine-1", "assistant");
+    engine.pace(Duration::from_millis(20));
+    let mut stream = Caller::connect(address);
+    let headers = [("idempotency-key", "k1")];
+    stream.send(
+        "POST",
+        "/v1/completions",
+        &headers,
+        &completion("ticket", 2_000, true),
+    );
+    eventually("the stream", || !engine.seen("/v1/completions").is_empty());
+    let stopping = thread::spawn(move || bench.entry.stop());
+    let answer = stream.receive();
+    stopping.join().unwrap();
+    expect_that!(answer.body, contains_substring("event: error\n"));
+    expect_that!(answer.body, contains_substring("\"code\":\"draining\""));
+    expect_false!(answer.is_done());
+    let records = keeper.0.lock().unwrap();
+    expect_eq!(records.len(), 1);
+    expect_eq!(records[0].key.as_deref(), Some("k1"));
+    let emitted = answer.events().0.len();
+    expect_eq!(records[0].emitted, emitted);
+    expect_eq!(
+        records[0].tokens.concat(),
+        expected("ticket", records[0].tokens.len())
+    );
+}
