--- a/components/entry/tests/lifecycle.rs
+++ b/components/entry/tests/lifecycle.rs
@@ -91,7 +91,9 @@
         &[Admitted, Claimed, Dispatched, NotSent, GivenUp],
         &[Admitted, Dispatched, Rejected, GivenUp],
         &[Admitted, Dispatched, GivenUp],
-        &[Admitted, Dispatched, Accepted, Dispatched, Rejected, GivenUp],
+        &[
+            Admitted, Dispatched, Accepted, Dispatched, Rejected, GivenUp,
+        ],
         &[Admitted, HeldElsewhere],
         &[Admitted, Replayed],
     ];
--- a/components/entry/tests/sharing.rs
+++ b/components/entry/tests/sharing.rs
@@ -22,7 +22,11 @@
     let mut queue = Queue::default();
     for number in 0..300 {
         let large = number < 200;
-        let (account, weight) = if large { ("large", 3.0) } else { ("small", 1.0) };
+        let (account, weight) = if large {
+            ("large", 3.0)
+        } else {
+            ("small", 1.0)
+        };
         queue.push(&place(account, weight, Priority::Normal), account);
     }
     let first: Vec<&str> = (0..80).filter_map(|_| queue.pop()).collect();
@@ -68,7 +72,10 @@
                     for _ in 0..50 {
                         let _ = copy.take(1.0, RATE, now);
                     }
-                    prop_assert!(copy.take(1.0, RATE, now + Duration::from_millis(20)).is_ok());
+                    prop_assert!(
+                        copy.take(1.0, RATE, now + Duration::from_millis(20))
+                            .is_ok()
+                    );
                     prop_assert!(again > now);
                 }
             }
@@ -108,6 +115,9 @@
     expect_true!(gate.is_open(now));
     expect_false!(gate.is_open(deadline));
     gate.wrote();
-    expect_true!(gate.is_open(deadline), "a call that has begun is written to its end");
+    expect_true!(
+        gate.is_open(deadline),
+        "a call that has begun is written to its end"
+    );
     expect_true!(Gate::until(None).is_open(deadline));
 }
