--- /dev/null
+++ b/components/entry/src/model/serve.rs
@@ -0,0 +1,108 @@
+//! From a caller's request to the relay of its answer.
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use compact_str::format_compact;
+use fleet::{Config, Control};
+use tokio::sync::oneshot;
+
+use super::relay::{Origin, Relay, Start};
+use super::sink::Sink;
+use super::{Call, list};
+use crate::core::Core;
+use crate::exchange::Exchange;
+use crate::failure::{Failure, Kind};
+use crate::incoming::Incoming;
+use crate::lifecycle::Event;
+use crate::reply::Reply;
+use crate::stream::{Assembler, Shape};
+use crate::{admit, handover};
+
+/// Serves one call until its answer is with the caller's connection.
+pub(crate) async fn serve<C: Control>(
+    core: Arc<Core<C>>,
+    config: Arc<Config>,
+    incoming: Incoming,
+    shape: Shape,
+    mut exchange: Exchange,
+    reply: oneshot::Sender<Reply>,
+) {
+    let call = match parse(&config, &incoming, shape, &mut exchange) {
+        Ok(call) => call,
+        Err(failure) => return drop(reply.send(exchange.fail(&failure))),
+    };
+    match kept(&core, &incoming, &mut exchange).await {
+        Ok(None) => {}
+        Ok(Some(kept)) => return drop(reply.send(kept)),
+        Err(failure) => return drop(reply.send(exchange.fail(&failure))),
+    }
+    let tokens = call.prompt_tokens + call.max_tokens;
+    let admitted = admit::admit(&core, &config, &incoming, tokens, &mut exchange).await;
+    let admitted = match admitted {
+        Ok(admitted) => admitted,
+        Err(failure) => return drop(reply.send(exchange.fail(&failure))),
+    };
+    let origin = Origin {
+        account: incoming.account.clone(),
+        key: incoming.header("idempotency-key").map(Into::into),
+        fingerprint: handover::fingerprint(incoming.uri.path(), &incoming.body),
+        created: unix_seconds(),
+    };
+    let start = Start {
+        config,
+        origin,
+        sink: Sink::new(reply, call.stream),
+        call,
+        admitted,
+        exchange,
+        assembler: Assembler::default(),
+    };
+    Relay::new(&core, start).run().await;
+}
+
+fn parse(
+    config: &Config,
+    incoming: &Incoming,
+    shape: Shape,
+    exchange: &mut Exchange,
+) -> Result<Call, Failure> {
+    let call = Call::parse(shape, &incoming.body)?;
+    let (service, _) = config.text.service_of_model(&call.model).ok_or_else(|| {
+        let known: Vec<&str> = list::names(&config.text).collect();
+        let message = format_compact!(
+            "model \"{}\" does not exist; the models are: {}",
+            call.model,
+            known.join(", ")
+        );
+        Failure::new(Kind::NotFound, message)
+    })?;
+    exchange.subject.service = service.clone();
+    Ok(call)
+}
+
+/// Returns the answer that an entry keeps for the caller, if it came back for one.
+async fn kept<C: Control>(
+    core: &Arc<Core<C>>,
+    incoming: &Incoming,
+    exchange: &mut Exchange,
+) -> Result<Option<Reply>, Failure> {
+    match handover::find(core, incoming).await? {
+        Some(reply) => {
+            exchange.step(Event::Admitted);
+            exchange.step(Event::Replayed);
+            Ok(Some(exchange.answer(reply, "given from what was kept")))
+        }
+        None if incoming.header("last-event-id").is_some() => {
+            let message = "no stream is kept that goes on after \"last-event-id\"; \
+                           send the request without it to begin again";
+            Err(Failure::new(Kind::Conflict, message))
+        }
+        None => Ok(None),
+    }
+}
+
+fn unix_seconds() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_secs())
+}
