Notice a token left out directly before the end of a stream

A property test that loses tokens at random put an answer together without its last token: indices are compared from one token to the next, and none came after the lost one. The last event's count of tokens is now compared as well.

--- a/components/entry/src/stream/assembler.rs
+++ b/components/entry/src/stream/assembler.rs
@@ -114,6 +114,7 @@
             (_, _) if self.finish.is_some() => Err(Fault::OutOfPlace("an event after the last")),
             (Some(reason), "") => {
                 let reason = CompactString::from(reason);
+                self.check_count(&event)?;
                 let usage = event.usage.unwrap_or_default();
                 self.finish = Some(reason.clone());
                 self.usage = Some(usage);
@@ -123,6 +124,20 @@
         }
     }
 
+    /// Compares the count of tokens with what the last event says, so that a token left out
+    /// directly before the end is noticed.
+    fn check_count(&self, last: &Event<'_>) -> Result<(), Fault> {
+        let expected = self.tokens.len();
+        let counted = last.usage.map(|usage| usage.completion_tokens as usize);
+        match counted.or(last.token_index) {
+            Some(received) if received != expected => Err(Fault::WrongIndex {
+                expected,
+                received: Some(received),
+            }),
+            _ => Ok(()),
+        }
+    }
+
     fn add(&mut self, received: Option<usize>, token: &str) -> Result<Step, Fault> {
         let expected = self.tokens.len();
         if received != Some(expected) {
--- a/components/entry/tests/path/fake.rs
+++ b/components/entry/tests/path/fake.rs
@@ -257,7 +257,7 @@
         true => json!({"index": 0, "delta": {}, "finish_reason": "stop"}),
         false => json!({"index": 0, "text": "", "finish_reason": "stop"}),
     };
-    let usage = json!({"prompt_tokens": 10, "completion_tokens": total - resumed,
+    let usage = json!({"prompt_tokens": 10, "completion_tokens": total.max(resumed),
         "cached_tokens": 0, "computed_tokens": computed});
     event(
         stream,
--- /dev/null
+++ b/components/entry/tests/sharing.rs
@@ -0,0 +1,115 @@
+//! Limits and fair shares.
+
+use std::time::{Duration, Instant};
+
+use config::text::Priority;
+use entry::admission::{Bucket, Budget, Place, Queue};
+use entry::dispatch::Gate;
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+fn place(account: &str, weight: f64, priority: Priority) -> Place {
+    Place {
+        account: account.into(),
+        weight,
+        priority,
+    }
+}
+
+#[gtest]
+fn can_share_by_weight_whatever_the_order_of_arrival() {
+    let mut queue = Queue::default();
+    for number in 0..300 {
+        let large = number < 200;
+        let (account, weight) = if large {
+            ("large", 3.0)
+        } else {
+            ("small", 1.0)
+        };
+        queue.push(&place(account, weight, Priority::Normal), account);
+    }
+    let first: Vec<&str> = (0..80).filter_map(|_| queue.pop()).collect();
+    let large = first.iter().filter(|account| **account == "large").count();
+    expect_that!(large, all!(ge(59), le(61)));
+}
+
+#[gtest]
+fn can_serve_higher_priorities_first() {
+    let mut queue = Queue::default();
+    queue.push(&place("a", 1.0, Priority::Low), "low");
+    queue.push(&place("a", 1.0, Priority::High), "high");
+    queue.push(&place("b", 1.0, Priority::Normal), "normal");
+    expect_eq!(queue.ahead_of(Priority::Normal), 2);
+    let order: Vec<&str> = std::iter::from_fn(|| queue.pop()).collect();
+    expect_that!(order, elements_are![eq(&"high"), eq(&"normal"), eq(&"low")]);
+    expect_true!(queue.is_empty());
+}
+
+#[gtest]
+fn can_keep_a_rate_over_any_pattern_of_arrivals() {
+    const RATE: f64 = 50.0;
+    let config = Config {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(9),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let pauses = prop::collection::vec(0_u64..60, 1..200);
+    let checked = TestRunner::new(config).run(&pauses, |pauses| {
+        let bucket = Bucket::default();
+        let mut now = Duration::ZERO;
+        let mut admitted = 0.0;
+        for pause in pauses {
+            now += Duration::from_millis(pause);
+            match bucket.take(1.0, RATE, now) {
+                Ok(()) => admitted += 1.0,
+                Err(after) => {
+                    // The time that the caller is told is true.
+                    now += after;
+                    prop_assert!(bucket.take(1.0, RATE, now).is_ok());
+                    admitted += 1.0;
+                }
+            }
+            prop_assert!(admitted <= RATE * now.as_secs_f64() + RATE + 1.0);
+        }
+        Ok(())
+    });
+    expect_that!(checked, ok(anything()));
+}
+
+#[gtest]
+fn can_tell_when_an_amount_fits_again() {
+    let bucket = Bucket::default();
+    let start = Duration::from_secs(1);
+    expect_that!(bucket.take(100.0, 100.0, start), ok(anything()));
+    let after = bucket.take(10.0, 100.0, start).unwrap_err();
+    expect_eq!(after, Duration::from_millis(100));
+    expect_that!(bucket.take(10.0, 100.0, start + after), ok(anything()));
+}
+
+#[gtest]
+fn can_spend_retries_only_as_far_as_requests_earned_them() {
+    let budget = Budget::default();
+    let at_first = (0..100).filter(|_| budget.spend()).count();
+    expect_eq!(at_first, 20);
+    for _ in 0..50 {
+        budget.earn();
+    }
+    expect_eq!((0..100).filter(|_| budget.spend()).count(), 5);
+}
+
+#[gtest]
+fn can_let_a_first_byte_out_only_before_the_deadline() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_millis(100);
+    let gate = Gate::until(Some(deadline));
+    expect_true!(gate.is_open(now));
+    expect_false!(gate.is_open(deadline));
+    gate.wrote();
+    expect_true!(
+        gate.is_open(deadline),
+        "a call that has begun is written to its end"
+    );
+    expect_true!(Gate::until(None).is_open(deadline));
+}
