Hand requests of a stopping entry over to another one

A model request that did not end within the drain timeout was cut with an error and was lost to its caller. It now goes to another entry, preferably in another data centre, which finishes it and keeps the answer for 5 minutes; the caller comes back on any entry with its key (or the request id) and gets the rest after Last-Event-ID, or the whole answer.

Weighed: a record per request replicated while it runs (a copy of every token between entries, for a promise that covers announced stops only); the control group as the carrier (bodies of megabytes through the quorum); an offer at the end of the drain, taken. Entries find each other by announcements that spread as those of upstreams do, so no second membership is needed; keeper and asking entries agree on an order by rendezvous hashing of account and key.

Found on the way: a whole answer kept elsewhere took longer than the wait for its head, so the call ran a second time (3 dispatches in place of 2); entries are now probed first. An entry that left was known to the others only after a second; it now announces its stop at once. Both shown failing before.

--- a/components/entry/src/admit.rs
+++ b/components/entry/src/admit.rs
@@ -26,8 +26,19 @@
 pub(crate) struct Admitted {
     /// Priority of the request.
     pub priority: Priority,
-    _in_progress: InProgress,
-    _permit: Permit,
+    _in_progress: Option<InProgress>,
+    _permit: Option<Permit>,
+}
+
+impl Admitted {
+    /// Returns the places of a request that another entry admitted.
+    pub(crate) fn elsewhere(priority: Priority) -> Self {
+        Admitted {
+            priority,
+            _in_progress: None,
+            _permit: None,
+        }
+    }
 }
 
 /// Admits a request of `tokens` tokens to the service that `exchange` names.
@@ -66,8 +77,8 @@
     exchange.step(Event::Admitted);
     Ok(Admitted {
         priority,
-        _in_progress: in_progress,
-        _permit: permit,
+        _in_progress: Some(in_progress),
+        _permit: Some(permit),
     })
 }
 
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -17,7 +17,7 @@
 use crate::dispatch::Client;
 use crate::drain::Drain;
 use crate::failure::{Failure, Kind};
-use crate::handover::Keeper;
+use crate::handover::{Keeper, Store};
 use crate::metrics::Metrics;
 
 /// Pause after which a text may be fresh again.
@@ -47,6 +47,8 @@
     pub drain: Drain,
     /// Takes requests over that can't be finished here.
     pub keeper: Arc<dyn Keeper>,
+    /// Answers kept for callers of other entries that stopped.
+    pub kept: Store,
     /// Counts changes that streams in progress must look at.
     pub changes: watch::Sender<u64>,
     /// Runtime of the work with upstreams.
--- a/components/entry/src/handler.rs
+++ b/components/entry/src/handler.rs
@@ -22,7 +22,7 @@
 use crate::reply::{Body, Reply};
 use crate::story::Subject;
 use crate::stream::Shape;
-use crate::{access, announce, model, plain};
+use crate::{access, announce, handover, model, plain};
 
 /// Pause after which another entry takes requests.
 const DRAIN_RETRY: Duration = Duration::from_secs(1);
@@ -35,6 +35,7 @@
     Announce,
     Models,
     Model(Shape),
+    Kept,
     Plain,
     Nothing,
 }
@@ -47,6 +48,7 @@
             "/metrics" => Target::Metrics,
             "/v1/upstreams" => Target::Announce,
             "/v1/models" => Target::Models,
+            handover::PATH => Target::Kept,
             "/v1/chat/completions" => Target::Model(Shape::Chat),
             "/v1/completions" => Target::Model(Shape::Completion),
             _ if path.starts_with("/services/") => Target::Plain,
@@ -57,6 +59,7 @@
     fn allows(&self, method: &Method) -> bool {
         match self {
             Target::Announce | Target::Model(_) => method == Method::POST,
+            Target::Kept => matches!(*method, Method::GET | Method::HEAD | Method::POST),
             Target::Plain | Target::Nothing => true,
             _ => matches!(*method, Method::GET | Method::HEAD),
         }
@@ -92,6 +95,9 @@
         Target::Announce => announced(core, &head, body)
             .await
             .unwrap_or_else(|failure| Reply::failure(&failure)),
+        Target::Kept => kept(core, &head, body)
+            .await
+            .unwrap_or_else(|failure| Reply::failure(&failure)),
         _ => called(core, target, head, body).await,
     }
 }
@@ -113,6 +119,23 @@
     announce::take(core, &head.headers, &body)
 }
 
+async fn kept<C: Control>(
+    core: &Arc<Core<C>>,
+    head: &request::Parts,
+    body: RequestBody,
+) -> Result<Reply, Failure> {
+    if head.method != Method::POST {
+        let account = access::account(&head.headers, &core.keys)?;
+        return handover::kept_here(core, &account, &head.method, &head.headers).await;
+    }
+    let limits = Limits {
+        bytes: 2 * core.settings.entry.max_body_bytes,
+        ..limits(core)
+    };
+    let body = body::read(body, Length::of(&head.headers), limits).await?;
+    handover::take(core, &head.headers, &body)
+}
+
 async fn called<C: Control>(
     core: &Arc<Core<C>>,
     target: Target,
--- a/components/entry/src/handover.rs
+++ b/components/entry/src/handover.rs
@@ -1,48 +1,39 @@
-//! What a stopping entry hands over of a request that it can't finish in time.
+//! Requests that a stopping entry hands over to another one.
+//!
+//! A model request that can't be finished before a planned stop ends goes to another entry, which
+//! finishes it and keeps the answer. Its caller comes back on any entry with the same
+//! `Idempotency-Key`, or with the request's identifier in its place, and gets the whole answer or
+//! what follows `Last-Event-ID`. Entries find each other by announcements of the service
+//! [`ENTRIES`], which spread as those of upstreams do.
 
-use compact_str::CompactString;
-use config::ids::{AccountId, RequestId, ServiceId, Version};
+mod ask;
+mod keeper;
+mod kept;
+mod offer;
+mod presence;
+mod record;
+mod replay;
+mod store;
+mod take;
 
-/// Everything that another entry needs to go on with an accepted stream.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Record {
-    /// The request.
-    pub request: RequestId,
-    /// The caller's account, which scopes the key.
-    pub account: AccountId,
-    /// The caller's key, without which it can't come back for the answer.
-    pub key: Option<CompactString>,
-    /// Service that answers.
-    pub service: ServiceId,
-    /// Version of the text under which the request was admitted.
-    pub version: Version,
-    /// Path of the call.
-    pub path: CompactString,
-    /// Body of the call as engines get it, tokens included.
-    pub body: bytes::Bytes,
-    /// Tokens received so far.
-    pub tokens: Vec<CompactString>,
-    /// Tokens of them that were given to the caller's connection.
-    pub emitted: usize,
-}
+pub use keeper::{Keeper, Keeping, Nobody};
+pub use record::Record;
 
-/// The edge to the process that goes on with a request.
-pub trait Keeper: Send + Sync + 'static {
-    /// Takes a request over, and reports whether it did.
-    fn keep(&self, record: Record) -> bool;
-}
+pub(crate) use ask::{find, kept_here};
+pub(crate) use offer::Peers;
+pub(crate) use presence::{Presence, run};
+pub(crate) use store::Store;
+pub(crate) use take::take;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Service under which entries announce themselves to each other; operators can't name it.
+pub const ENTRIES: &str = "chervilloft:entries";
 
-/// Takes nothing over.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Nobody;
+/// Path of kept answers, for entries among each other and for callers that come back.
+pub(crate) const PATH: &str = "/v1/kept";
 
-impl Keeper for Nobody {
-    fn keep(&self, record: Record) -> bool {
-        tracing::warn!(
-            request = %record.request,
-            tokens = record.tokens.len(),
-            "request: nobody takes it over"
-        );
-        false
-    }
+/// Returns a number by which a key that is used for another call is found out.
+pub(crate) fn fingerprint(path: &str, body: &[u8]) -> u64 {
+    xxh3_64_with_seed(body, xxh3_64_with_seed(path.as_bytes(), 0))
 }
--- /dev/null
+++ b/components/entry/src/handover/presence.rs
@@ -0,0 +1,84 @@
+//! Announces this entry to the others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use compact_str::format_compact;
+use config::text::Class;
+use fleet::Control;
+use upstream::{Announcement, Availability, Capacity, Load, Role, Routes};
+
+use super::ENTRIES;
+use crate::core::Core;
+
+/// Time between two announcements.
+const RENEWAL: Duration = Duration::from_secs(1);
+/// Time for which an announcement holds, in milliseconds.
+const LEASE_MS: u64 = 3_000;
+
+/// Where this entry is found.
+#[derive(Clone, Debug)]
+pub(crate) struct Presence {
+    /// Address of its listener.
+    pub address: SocketAddr,
+}
+
+/// Announces for as long as the process runs.
+pub(crate) async fn run<C: Control>(core: Arc<Core<C>>, presence: Presence) {
+    let incarnation = unix_ms();
+    let mut interval = tokio::time::interval(RENEWAL);
+    let mut changes = core.changes.subscribe();
+    let mut serving = true;
+    for sequence in 1.. {
+        loop {
+            tokio::select! {
+                _ = interval.tick() => break,
+                // The others must know of a stop before callers come back to them.
+                _ = changes.changed() => {
+                    let before = std::mem::replace(&mut serving, core.drain.is_serving());
+                    if before != serving {
+                        break;
+                    }
+                }
+            }
+        }
+        let availability = match core.drain.is_serving() {
+            true => Availability::Serving,
+            false => Availability::Leaving,
+        };
+        core.control.announce(Announcement {
+            upstream: name(&core.settings.node),
+            incarnation,
+            sequence,
+            service: ENTRIES.into(),
+            address: presence.address,
+            data_centre: core.settings.data_centre.clone(),
+            class: Class::OnDemand,
+            role: Role::Both,
+            models: Vec::new(),
+            capacity: Capacity::default(),
+            load: Load::default(),
+            lease_ms: LEASE_MS,
+            availability,
+            fence: 0,
+        });
+    }
+}
+
+/// Reports whether an entry is leaving, or was lost not long ago.
+pub(crate) fn any_departed(routes: &Routes) -> bool {
+    let now = std::time::Instant::now();
+    routes.of(ENTRIES).any(|route| !route.takes_work(now))
+}
+
+/// Returns the name under which the entry `node` announces itself.
+pub(crate) fn name(node: &str) -> compact_str::CompactString {
+    format_compact!("entry:{node}")
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let since = since.unwrap_or_default().as_millis();
+    u64::try_from(since).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/components/entry/src/handover/take.rs
@@ -0,0 +1,89 @@
+//! Takes a request over from a stopping entry.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use fleet::Control;
+use http::{HeaderMap, StatusCode};
+use tokio::sync::oneshot;
+use upstream::SIGNATURE_HEADER;
+
+use super::kept::Kept;
+use super::{Record, Store};
+use crate::core::Core;
+use crate::failure::{Failure, Kind};
+use crate::model;
+use crate::reply::{Body, Reply};
+use crate::stream::KEEP_ALIVE;
+
+/// Takes the record in `body` over, if another entry signed it.
+///
+/// # Errors
+/// If it is forged or malformed, or can't be kept here.
+pub(crate) fn take<C: Control>(
+    core: &Arc<Core<C>>,
+    headers: &HeaderMap,
+    body: &Bytes,
+) -> Result<Reply, Failure> {
+    let signature = headers.get(SIGNATURE_HEADER);
+    let signature = signature.and_then(|value| value.to_str().ok());
+    if !core.keys.fleet.verifies(body, signature.unwrap_or("")) {
+        let message = "the signature does not fit the body and the fleet's secret";
+        return Err(Failure::new(Kind::Unauthorized, message));
+    }
+    let record: Record = ciborium::from_reader(body.as_ref()).map_err(|error| {
+        let message = compact_str::format_compact!("the body is not a record: {error}");
+        Failure::new(Kind::Invalid, message)
+    })?;
+    if !core.drain.is_serving() {
+        return Err(Failure::new(Kind::Draining, "this entry is stopping"));
+    }
+    let config = core.config()?;
+    let kept = keep(&core.kept, &record)?;
+    tracing::info!(
+        request = %record.request,
+        account = %record.account,
+        service = %record.service,
+        tokens = record.tokens.len(),
+        "request: taken over"
+    );
+    let (sender, receiver) = oneshot::channel();
+    let busy = core.drain.enter();
+    let core = core.clone();
+    let runtime = core.runtime.clone();
+    runtime.spawn(async move {
+        let _busy = busy;
+        tokio::join!(
+            model::resume(core, config, record, sender),
+            collect(kept, receiver)
+        );
+    });
+    Ok(Reply::json(StatusCode::OK, "{}"))
+}
+
+fn keep(store: &Store, record: &Record) -> Result<Arc<Kept>, Failure> {
+    store.insert(record).ok_or_else(|| {
+        let message = "the key is kept already, or there is no room for another answer";
+        Failure::new(Kind::Unavailable, message)
+    })
+}
+
+/// Fills the kept answer with what the relay gives.
+async fn collect(kept: Arc<Kept>, receiver: oneshot::Receiver<Reply>) {
+    let Ok(reply) = receiver.await else {
+        return kept.end(StatusCode::BAD_GATEWAY);
+    };
+    match reply.body {
+        Body::Whole(body) => kept.push(body),
+        Body::Stream(mut events) => {
+            while let Some(event) = events.recv().await {
+                match () {
+                    () if event.is_empty() => break,
+                    () if event.as_ref() == KEEP_ALIVE => {}
+                    () => kept.push(event),
+                }
+            }
+        }
+    }
+    kept.end(reply.status);
+}
--- a/components/entry/src/lifecycle.rs
+++ b/components/entry/src/lifecycle.rs
@@ -62,6 +62,7 @@
         match (self.state, event) {
             (State::Done | State::Refused | State::Unknown, _) => None,
             (State::Received, Event::Admitted) => to(State::Admitted),
+            (State::Received, Event::TakenOver) => self.dispatch(),
             (State::Admitted, Event::Claimed) => to(State::Claimed),
             (State::Admitted | State::Claimed, Event::Dispatched) => self.dispatch(),
             (State::Dispatched | State::Answering, Event::Dispatched) => self.dispatch(),
--- a/components/entry/src/lifecycle/event.rs
+++ b/components/entry/src/lifecycle/event.rs
@@ -5,6 +5,8 @@
 pub enum Event {
     /// All checks and limits were passed.
     Admitted,
+    /// Another entry handed the request over, which an upstream may have run in part.
+    TakenOver,
     /// The claim was granted.
     Claimed,
     /// The claim's recorded answer was returned.
--- a/components/entry/src/model.rs
+++ b/components/entry/src/model.rs
@@ -5,10 +5,12 @@
 mod list;
 mod plan;
 mod relay;
+mod resume;
 mod serve;
 mod sink;
 mod transfer;
 
 pub(crate) use call::Call;
 pub(crate) use list::list;
+pub(crate) use resume::resume;
 pub(crate) use serve::serve;
--- a/components/entry/src/model/attempt.rs
+++ b/components/entry/src/model/attempt.rs
@@ -124,7 +124,7 @@
                     Wake::Room => {}
                 },
                 _ = attempt.looks.tick() => {
-                    self.look_after_caller()?;
+                    self.look_after_caller().await?;
                     if let Some(loss) = self.silent(&attempt) {
                         return Ok(Ended::Lost(loss));
                     }
@@ -206,7 +206,7 @@
                     Wake::Room => {}
                 },
                 _ = attempt.looks.tick() => {
-                    self.look_after_caller()?;
+                    self.look_after_caller().await?;
                     match self.silent(attempt) {
                         Some(loss) if backlog < MAX_BACKLOG => return Ok(Ended::Lost(loss)),
                         _ => {}
@@ -214,7 +214,7 @@
                     self.changes.mark_changed();
                 }
                 _ = self.changes.changed() => {
-                    self.look_after_caller()?;
+                    self.look_after_caller().await?;
                     if let Some(ended) = self.leave_if_reclaimed(attempt, &mut body).await {
                         return Ok(ended);
                     }
--- a/components/entry/src/model/relay.rs
+++ b/components/entry/src/model/relay.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use compact_str::format_compact;
-use config::ids::{ServiceId, UpstreamId, Version};
+use compact_str::{CompactString, format_compact};
+use config::ids::{AccountId, ServiceId, UpstreamId, Version};
 use fleet::{Config, Control};
 use routing::{Choice, Request};
 use tokio::sync::watch;
@@ -20,7 +20,6 @@
 use crate::exchange::Exchange;
 use crate::failure::{Failure, Kind};
 use crate::handover::Record;
-use crate::incoming::Incoming;
 use crate::lifecycle::Event;
 use crate::reply::Reply;
 use crate::stream::{Assembler, DONE, Encoder, KEEP_ALIVE, Usage};
@@ -52,34 +51,45 @@
     emitted: usize,
     last_sent: Instant,
     version: Version,
-    incoming: Incoming,
+    origin: Origin,
 }
 
 /// Everything that a relay starts from.
 pub(super) struct Start {
     pub(super) config: Arc<Config>,
-    pub(super) incoming: Incoming,
+    pub(super) origin: Origin,
     pub(super) call: Call,
     pub(super) admitted: Admitted,
     pub(super) exchange: Exchange,
-    pub(super) encoder: Encoder,
+    pub(super) assembler: Assembler,
     pub(super) sink: Sink,
 }
 
+/// By whom and when the answer was asked for.
+pub(super) struct Origin {
+    pub(super) account: AccountId,
+    pub(super) key: Option<CompactString>,
+    /// Number of the caller's path and body.
+    pub(super) fingerprint: u64,
+    /// When the answer was begun, in seconds since the Unix epoch.
+    pub(super) created: u64,
+}
+
 impl<C: Control> Relay<C> {
     pub(super) fn new(core: &Arc<Core<C>>, start: Start) -> Self {
         let service = start.exchange.subject.service.clone();
         let limit = start.config.text.services.get(&service);
         let limit = limit.map_or(Duration::ZERO, |service| service.timeout);
         let now = Instant::now();
-        let mut incoming = start.incoming;
-        incoming.body = bytes::Bytes::new();
+        let id = &start.exchange.subject.request;
+        let (shape, created) = (start.call.shape, start.origin.created);
+        let encoder = Encoder::new(shape, id, &start.call.model, created);
         Relay {
             core: core.clone(),
             call: start.call,
             deadline: start.exchange.started + limit,
             exchange: start.exchange,
-            assembler: Assembler::default(),
+            assembler: start.assembler,
             sink: start.sink,
             changes: core.changes.subscribe(),
             failed: Vec::new(),
@@ -87,14 +97,19 @@
             attempts: 0,
             service,
             admitted: start.admitted,
-            encoder: start.encoder,
+            encoder,
             emitted: 0,
             last_sent: now,
             version: start.config.version,
-            incoming,
+            origin: start.origin,
         }
     }
 
+    /// Sets when the answer must be whole.
+    pub(super) fn until(self, deadline: Instant) -> Self {
+        Relay { deadline, ..self }
+    }
+
     /// Runs until the answer, or the word that there is none, is with the caller.
     pub(super) async fn run(mut self) {
         match self.go_through_attempts().await {
@@ -162,7 +177,7 @@
     }
 
     async fn pause(&mut self) -> Result<(), Failure> {
-        self.look_after_caller()?;
+        self.look_after_caller().await?;
         let pause = tokio::time::sleep(PAUSE);
         tokio::select! {
             () = pause => Ok(()),
@@ -232,7 +247,7 @@
     }
 
     /// Keeps the caller's connection alive, and ends what has run out of time.
-    pub(super) fn look_after_caller(&mut self) -> Result<(), Failure> {
+    pub(super) async fn look_after_caller(&mut self) -> Result<(), Failure> {
         let now = Instant::now();
         if now >= self.deadline {
             let message = format_compact!(
@@ -242,7 +257,7 @@
             return Err(Failure::retry(Kind::Timeout, message, RETRY));
         }
         if self.core.drain.phase() == Phase::HandingOver {
-            return Err(self.hand_over());
+            return Err(self.hand_over().await);
         }
         let keep_alive = self.core.settings.entry.keep_alive;
         if self.sink.streams() && now - self.last_sent >= keep_alive {
@@ -255,28 +270,35 @@
         Ok(())
     }
 
-    fn hand_over(&self) -> Failure {
+    async fn hand_over(&self) -> Failure {
+        let message = match self.core.keeper.keep(self.record()).await {
+            true => "the entry stops; come back with the same key and last-event-id",
+            false => "the entry stops, and nobody took the request over",
+        };
+        Failure::retry(Kind::Draining, message, RETRY)
+    }
+
+    fn record(&self) -> Record {
         let tokens = self.assembler.tokens();
         let request = self.exchange.subject.request.clone();
-        let body = self
-            .call
-            .body(&request, self.admitted.priority, tokens, None);
-        let kept = self.core.keeper.keep(Record {
-            request,
-            account: self.incoming.account.clone(),
-            key: self.incoming.header("idempotency-key").map(Into::into),
+        let priority = self.admitted.priority;
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        Record {
+            account: self.origin.account.clone(),
+            key: self.origin.key.clone(),
+            fingerprint: self.origin.fingerprint,
             service: self.service.clone(),
             version: self.version,
-            path: self.call.path().into(),
-            body,
+            shape: self.call.shape,
+            stream: self.call.stream,
+            priority,
+            created: self.origin.created,
+            remaining_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            body: self.call.body(&request, priority, &[], None),
             tokens: tokens.to_vec(),
             emitted: self.emitted,
-        });
-        let message = match kept {
-            true => "the entry stops; come back with the same key and last-event-id",
-            false => "the entry stops, and nobody took the request over",
-        };
-        Failure::retry(Kind::Draining, message, RETRY)
+            request,
+        }
     }
 
     async fn finish(mut self) {
--- a/components/entry/src/model/serve.rs
+++ b/components/entry/src/model/serve.rs
@@ -7,16 +7,17 @@
 use fleet::{Config, Control};
 use tokio::sync::oneshot;
 
-use super::relay::{Relay, Start};
+use super::relay::{Origin, Relay, Start};
 use super::sink::Sink;
 use super::{Call, list};
-use crate::admit;
 use crate::core::Core;
 use crate::exchange::Exchange;
 use crate::failure::{Failure, Kind};
 use crate::incoming::Incoming;
+use crate::lifecycle::Event;
 use crate::reply::Reply;
-use crate::stream::{Encoder, Shape};
+use crate::stream::{Assembler, Shape};
+use crate::{admit, handover};
 
 /// Serves one call until its answer is with the caller's connection.
 pub(crate) async fn serve<C: Control>(
@@ -31,23 +32,31 @@
         Ok(call) => call,
         Err(failure) => return drop(reply.send(exchange.fail(&failure))),
     };
+    match kept(&core, &incoming, &mut exchange).await {
+        Ok(None) => {}
+        Ok(Some(kept)) => return drop(reply.send(kept)),
+        Err(failure) => return drop(reply.send(exchange.fail(&failure))),
+    }
     let tokens = call.prompt_tokens + call.max_tokens;
     let admitted = admit::admit(&core, &config, &incoming, tokens, &mut exchange).await;
     let admitted = match admitted {
         Ok(admitted) => admitted,
         Err(failure) => return drop(reply.send(exchange.fail(&failure))),
     };
-    let id = exchange.subject.request.clone();
-    let encoder = Encoder::new(shape, &id, &call.model, unix_seconds());
-    let sink = Sink::new(reply, call.stream);
+    let origin = Origin {
+        account: incoming.account.clone(),
+        key: incoming.header("idempotency-key").map(Into::into),
+        fingerprint: handover::fingerprint(incoming.uri.path(), &incoming.body),
+        created: unix_seconds(),
+    };
     let start = Start {
         config,
-        incoming,
+        origin,
+        sink: Sink::new(reply, call.stream),
         call,
         admitted,
         exchange,
-        encoder,
-        sink,
+        assembler: Assembler::default(),
     };
     Relay::new(&core, start).run().await;
 }
@@ -69,13 +78,27 @@
         Failure::new(Kind::NotFound, message)
     })?;
     exchange.subject.service = service.clone();
-    match incoming.header("last-event-id") {
-        None => Ok(call),
-        Some(_) => {
-            let message = "no stream is kept here that goes on after \"last-event-id\"; \
+    Ok(call)
+}
+
+/// Returns the answer that an entry keeps for the caller, if it came back for one.
+async fn kept<C: Control>(
+    core: &Arc<Core<C>>,
+    incoming: &Incoming,
+    exchange: &mut Exchange,
+) -> Result<Option<Reply>, Failure> {
+    match handover::find(core, incoming).await? {
+        Some(reply) => {
+            exchange.step(Event::Admitted);
+            exchange.step(Event::Replayed);
+            Ok(Some(exchange.answer(reply, "given from what was kept")))
+        }
+        None if incoming.header("last-event-id").is_some() => {
+            let message = "no stream is kept that goes on after \"last-event-id\"; \
                            send the request without it to begin again";
             Err(Failure::new(Kind::Conflict, message))
         }
+        None => Ok(None),
     }
 }
 
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -22,7 +22,7 @@
 use crate::core::Core;
 use crate::dispatch::Client;
 use crate::drain::{Drain, Phase};
-use crate::handover::{Keeper, Nobody};
+use crate::handover::{self, Keeper, Peers, Presence, Store};
 use crate::metrics::Metrics;
 use crate::{cache, handler, sync};
 
@@ -59,7 +59,14 @@
 /// # Errors
 /// If the address can't be listened on or a runtime can't be started.
 pub fn start<C: Control>(settings: Settings, keys: Keys, control: C) -> Result<Handle<C>> {
-    start_with(settings, keys, control, Arc::new(Nobody))
+    let peers = Peers {
+        view: control.view().clone(),
+        node: settings.node.clone(),
+        data_centre: settings.data_centre.clone(),
+        secret: keys.fleet.clone(),
+        client: Client::new(settings.entry.connect_timeout),
+    };
+    start_with(settings, keys, control, Arc::new(peers))
 }
 
 /// Starts an entry that hands over to `keeper`.
@@ -94,12 +101,14 @@
         budget: Budget::default(),
         drain: Drain::default(),
         keeper,
+        kept: Store::default(),
         changes: watch::Sender::new(0),
         runtime: runtime.handle().clone(),
     });
     sync::update(&core);
     runtime.spawn(sync::run(core.clone()));
     runtime.spawn(cache::run(core.clone()));
+    runtime.spawn(handover::run(core.clone(), Presence { address }));
     let server = serve(&core, listener).map_err(io)?;
     tracing::info!(%address, "entry: listens");
     Ok(Handle {
@@ -183,6 +192,7 @@
         let core = &self.core;
         let entry = &core.settings.entry;
         core.drain.advance(Phase::Leaving);
+        core.announce_change();
         tracing::info!("entry: leaves the balancer");
         std::thread::sleep(entry.balancer_lag);
         core.drain.advance(Phase::Finishing);
--- a/components/entry/src/stream/assembler.rs
+++ b/components/entry/src/stream/assembler.rs
@@ -47,6 +47,14 @@
 }
 
 impl Assembler {
+    /// Begins with tokens that another entry received.
+    pub fn resumed(tokens: Vec<CompactString>) -> Self {
+        Assembler {
+            tokens,
+            ..Assembler::default()
+        }
+    }
+
     /// Returns the tokens so far.
     pub fn tokens(&self) -> &[CompactString] {
         &self.tokens
--- a/components/entry/src/stream/encoder.rs
+++ b/components/entry/src/stream/encoder.rs
@@ -2,12 +2,13 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 use super::Usage;
 
 /// Which of the two published APIs was called.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Shape {
     /// `/v1/chat/completions`.
     Chat,
--- a/components/entry/tests/path/bench.rs
+++ b/components/entry/tests/path/bench.rs
@@ -52,6 +52,8 @@
 
 /// Secret of the upstreams.
 pub(crate) const UPSTREAMS: &str = "upstream-secret";
+/// Secret of the fleet.
+pub(crate) const FLEET: &str = "fleet-secret";
 /// Bearer key of the account `small`.
 pub(crate) const SMALL_KEY: &str = "small-key";
 
@@ -86,6 +88,7 @@
         accounts: [("press", KEY), ("small", SMALL_KEY)]
             .map(|(account, key)| (account.into(), vec![Secret::new(key)]))
             .into(),
+        fleet: Secret::new(FLEET),
         upstreams: Secret::new(UPSTREAMS),
         ..Keys::default()
     }
--- /dev/null
+++ b/components/entry/tests/path/handover.rs
@@ -0,0 +1,180 @@
+//! A stopping entry hands over, and the caller comes back on any other one.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use entry::handover::ENTRIES;
+use fleet::claim::{Claim, Settlement, Verdict};
+use fleet::{Control, Standalone, View};
+use googletest::prelude::*;
+use upstream::Announcement;
+
+use crate::bench::{Bench, completion, eventually, expected, settings, text};
+use crate::caller::{Answer, Caller, call};
+use crate::fake::Fake;
+
+const TOKENS: usize = 150;
+const PATH: &str = "/v1/completions";
+
+/// One control group for several entries.
+#[derive(Clone)]
+struct Shared(Arc<Standalone>);
+
+impl Control for Shared {
+    fn view(&self) -> &Arc<ArcSwap<View>> {
+        self.0.view()
+    }
+
+    fn announce(&self, announcement: Announcement) {
+        self.0.announce(announcement);
+    }
+
+    async fn claim(&self, claim: Claim) -> errors::Result<Verdict> {
+        self.0.claim(claim).await
+    }
+
+    async fn settle(&self, claim: Claim, settlement: Settlement) -> errors::Result<()> {
+        self.0.settle(claim, settlement).await
+    }
+}
+
+/// Three entries and an engine that is too slow for their drain timeout.
+struct Trio {
+    entries: Vec<Bench<Shared>>,
+    engine: Fake,
+}
+
+impl Trio {
+    fn start() -> Trio {
+        let control = Shared(Arc::new(Standalone::new(text())));
+        let entries: Vec<_> = ["one", "two", "three"]
+            .map(|node| start(node, &control))
+            .into();
+        let view = control.view().clone();
+        eventually("all entries", || {
+            view.load().routes.of(ENTRIES).count() == 3
+        });
+        let engine = entries[0].upstream("engine-1", "assistant");
+        engine.pace(Duration::from_millis(8));
+        Trio { entries, engine }
+    }
+
+    /// Sends a call to the first entry, stops that entry in the middle of the answer, and
+    /// returns what the caller got.
+    fn interrupt(&mut self, headers: &[(&str, &str)], stream: bool) -> Answer {
+        let first = self.entries.remove(0);
+        let mut caller = Caller::connect(first.address);
+        let body = completion("ticket", TOKENS, stream);
+        caller.send("POST", PATH, headers, &body);
+        eventually("the call", || self.engine.open() > 0);
+        let stopping = thread::spawn(move || first.entry.stop());
+        let answer = caller.receive();
+        stopping.join().unwrap();
+        answer
+    }
+
+    fn come_back(&self, entry: usize, headers: &[(&str, &str)], stream: bool) -> Answer {
+        let body = completion("ticket", TOKENS, stream);
+        call(self.entries[entry].address, "POST", PATH, headers, &body)
+    }
+}
+
+fn start(node: &str, control: &Shared) -> Bench<Shared> {
+    let mut settings = settings();
+    settings.node = node.into();
+    settings.data_centre = node.into();
+    settings.entry.balancer_lag = Duration::from_millis(50);
+    settings.entry.drain_timeout = Duration::from_millis(300);
+    Bench::start_with(settings, control.clone())
+}
+
+#[gtest]
+fn can_finish_a_stream_on_any_other_entry() {
+    let mut trio = Trio::start();
+    let cut = trio.interrupt(&[("idempotency-key", "k1")], true);
+    expect_that!(cut.body, contains_substring("\"code\":\"draining\""));
+    let (ids, begin) = cut.events();
+    expect_that!(ids.len(), all![gt(0), lt(TOKENS)]);
+    let after = ids.len().to_string();
+    for entry in [0, 1] {
+        let headers = [("idempotency-key", "k1"), ("last-event-id", after.as_str())];
+        let rest = trio.come_back(entry, &headers, true);
+        expect_eq!(rest.status, 200, "{}", rest.body);
+        expect_true!(rest.is_done() && rest.whole);
+        let (rest_ids, end) = rest.events();
+        expect_eq!(rest_ids.first().copied(), Some(ids.len() + 1));
+        expect_eq!(rest_ids.last().copied(), Some(TOKENS + 1));
+        expect_eq!(begin.clone() + &end, expected("ticket", TOKENS));
+        expect_eq!(rest.outcome(), "answered");
+    }
+    // The engine was asked twice: by the entry that stopped and by the one that went on.
+    expect_eq!(trio.engine.seen(PATH).len(), 2);
+}
+
+#[gtest]
+fn can_give_the_whole_answer_to_a_caller_without_events() {
+    let mut trio = Trio::start();
+    let cut = trio.interrupt(&[("idempotency-key", "k2")], false);
+    expect_eq!(cut.status, 503);
+    expect_that!(cut.header("retry-after"), not(eq("")));
+    let whole = trio.come_back(1, &[("idempotency-key", "k2")], false);
+    expect_eq!(whole.status, 200, "{}", whole.body);
+    expect_eq!(
+        whole.json()["choices"][0]["text"].as_str(),
+        Some(expected("ticket", TOKENS).as_str())
+    );
+    expect_eq!(trio.engine.seen(PATH).len(), 2);
+}
+
+#[gtest]
+fn can_come_back_with_the_request_id_where_there_was_no_key() {
+    let mut trio = Trio::start();
+    let cut = trio.interrupt(&[], true);
+    let request = cut.header("chervilloft-request-id").to_owned();
+    let after = cut.events().0.len().to_string();
+    let headers = [
+        ("idempotency-key", request.as_str()),
+        ("last-event-id", after.as_str()),
+    ];
+    let rest = trio.come_back(0, &headers, true);
+    expect_eq!(
+        cut.events().1 + &rest.events().1,
+        expected("ticket", TOKENS)
+    );
+}
+
+#[gtest]
+fn errors_on_coming_back_with_another_body_or_for_nothing() {
+    let mut trio = Trio::start();
+    let cut = trio.interrupt(&[("idempotency-key", "k3")], true);
+    let after = cut.events().0.len().to_string();
+    let headers = [("idempotency-key", "k3"), ("last-event-id", after.as_str())];
+    for bench in &trio.entries {
+        let other = completion("another ticket", TOKENS, true);
+        let answer = call(bench.address, "POST", PATH, &headers, &other);
+        expect_eq!(answer.status, 422, "{}", answer.body);
+        let unknown = [("idempotency-key", "k4"), ("last-event-id", "3")];
+        let answer = call(bench.address, "POST", PATH, &unknown, &other);
+        expect_eq!(answer.status, 409, "{}", answer.body);
+        expect_eq!(answer.outcome(), "not-run");
+    }
+}
+
+#[gtest]
+fn errors_on_a_record_that_no_entry_signed() {
+    let bench = Bench::start();
+    let headers = [("chervilloft-signature", "00")];
+    let answer = bench.post("/v1/kept", &headers, "record");
+    expect_eq!(answer.status, 401);
+    let stranger = [
+        ("authorization", "Bearer stranger"),
+        ("idempotency-key", "k"),
+    ];
+    expect_eq!(
+        call(bench.address, "GET", "/v1/kept", &stranger, "").status,
+        401
+    );
+    expect_eq!(bench.get("/v1/kept").status, 404);
+}
--- a/components/entry/tests/path/main.rs
+++ b/components/entry/tests/path/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod caller;
 mod fake;
+mod handover;
 mod reader;
 mod script;
 
--- a/components/entry/tests/path/stop.rs
+++ b/components/entry/tests/path/stop.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
-use entry::handover::{Keeper, Record};
+use entry::handover::{Keeper, Keeping, Record};
 use fleet::Standalone;
 use googletest::prelude::*;
 
@@ -60,9 +60,9 @@
 struct Memory(Mutex<Vec<Record>>);
 
 impl Keeper for Memory {
-    fn keep(&self, record: Record) -> bool {
+    fn keep(&self, record: Record) -> Keeping {
         self.0.lock().unwrap().push(record);
-        true
+        Box::pin(std::future::ready(true))
     }
 }
 
