--- /dev/null
+++ b/components/consensus/src/action.rs
@@ -0,0 +1,41 @@
+//! What a node asks its driver to do.
+
+use crate::ids::{Index, ReadId};
+use crate::{Entry, Event, Fate, Mark, Member, Message, Meta, Write};
+
+/// One thing to do; a driver does them in order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Send a message; losing it is allowed.
+    Send(Message),
+    /// Store records, and call [`crate::Node::persisted`] once they are synced.
+    Write(Write),
+    /// Apply committed entries, which follow those applied before.
+    Apply(Vec<Entry>),
+    /// Load the stored snapshot in place of the applied state.
+    Restore(Meta),
+    /// Take a snapshot of the applied state, store it and call [`crate::Node::compacted`].
+    Snapshot(Meta),
+    /// Read a part of a stored snapshot and call [`crate::Node::fetched`].
+    Fetch {
+        /// Learner or voter that needs it.
+        to: Member,
+        /// Last entry that the snapshot holds.
+        index: Index,
+        /// Position of the first byte.
+        offset: u64,
+        /// Largest number of bytes.
+        length: usize,
+    },
+    /// An open proposal came to an end other than by [`Action::Apply`].
+    Settle(Mark, Fate),
+    /// A read barrier is passed, or can't be.
+    Read {
+        /// Number of the barrier.
+        id: ReadId,
+        /// Whether all that was committed before it is applied.
+        passed: bool,
+    },
+    /// Something that belongs in the log of the process.
+    Log(Event),
+}
--- /dev/null
+++ b/components/consensus/src/log.rs
@@ -0,0 +1,140 @@
+//! The log in memory.
+
+use std::collections::VecDeque;
+
+use crate::ids::{Index, Term};
+use crate::{Entry, Mark, Membership, Meta, Payload};
+
+/// Entries after a base, and the memberships that they state.
+#[derive(Debug, Default)]
+pub(crate) struct Log {
+    /// Place before the first entry held.
+    base: Mark,
+    entries: VecDeque<Entry>,
+    /// Memberships by index; the first one holds at the base.
+    memberships: Vec<(Index, Membership)>,
+    /// Newest snapshot on disk.
+    pub(crate) snapshot: Option<Meta>,
+}
+
+impl Log {
+    /// Builds the log from what a disk holds.
+    pub(crate) fn new(snapshot: Option<Meta>, entries: Vec<Entry>) -> Self {
+        let mut log = Log::default();
+        match snapshot {
+            Some(meta) => log.reset(meta),
+            None => log.memberships.push((0, Membership::default())),
+        }
+        entries.into_iter().for_each(|entry| log.push(entry));
+        log
+    }
+
+    /// Drops all entries; the log goes on after a snapshot.
+    pub(crate) fn reset(&mut self, meta: Meta) {
+        self.base = meta.mark;
+        self.entries.clear();
+        self.memberships = vec![(meta.mark.index, meta.membership.clone())];
+        self.snapshot = Some(meta);
+    }
+
+    /// Adds an entry at the end.
+    pub(crate) fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last().index + 1);
+        if let Payload::Members(membership) = &entry.payload {
+            self.memberships.push((entry.index, membership.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Drops all entries from an index on.
+    pub(crate) fn truncate(&mut self, from: Index) {
+        let keep = from.saturating_sub(self.base.index + 1) as usize;
+        self.entries.truncate(keep);
+        self.memberships
+            .retain(|(index, _)| *index < from || *index <= self.base.index);
+    }
+
+    /// Forgets entries up to an index, which a snapshot holds.
+    pub(crate) fn compact(&mut self, upto: Index) {
+        while self.base.index < upto
+            && let Some(entry) = self.entries.pop_front()
+        {
+            self.base = entry.mark();
+        }
+        while self.memberships.len() > 1 && self.memberships[1].0 <= self.base.index {
+            self.memberships.remove(0);
+        }
+    }
+
+    /// Returns the place before the first entry held.
+    pub(crate) fn base(&self) -> Mark {
+        self.base
+    }
+
+    /// Returns the place of the last entry.
+    pub(crate) fn last(&self) -> Mark {
+        self.entries.back().map_or(self.base, Entry::mark)
+    }
+
+    /// Returns the term of an entry; `None` where the log doesn't reach.
+    pub(crate) fn term(&self, index: Index) -> Option<Term> {
+        match index {
+            index if index == self.base.index => Some(self.base.term),
+            index => self.get(index).map(|entry| entry.term),
+        }
+    }
+
+    /// Returns an entry.
+    pub(crate) fn get(&self, index: Index) -> Option<&Entry> {
+        let offset = index.checked_sub(self.base.index + 1)?;
+        self.entries.get(offset as usize)
+    }
+
+    /// Returns whether the log holds a place.
+    pub(crate) fn holds(&self, mark: Mark) -> bool {
+        self.term(mark.index) == Some(mark.term)
+    }
+
+    /// Returns entries from an index on, bounded in bytes; at least one where there is one.
+    pub(crate) fn slice(&self, from: Index, max_bytes: usize) -> Vec<Entry> {
+        let mut bytes = 0;
+        let mut entries = Vec::new();
+        let mut index = from;
+        while let Some(entry) = self.get(index) {
+            bytes += entry.size();
+            if bytes > max_bytes && !entries.is_empty() {
+                break;
+            }
+            entries.push(entry.clone());
+            index += 1;
+        }
+        entries
+    }
+
+    /// Returns the latest membership, committed or not, and its index.
+    pub(crate) fn membership(&self) -> (Index, &Membership) {
+        self.memberships
+            .last()
+            .map(|(index, membership)| (*index, membership))
+            .expect("a log always has a membership")
+    }
+
+    /// Returns the membership as of an entry.
+    pub(crate) fn membership_at(&self, index: Index) -> &Membership {
+        self.memberships
+            .iter()
+            .rev()
+            .find(|(at, _)| *at <= index)
+            .map_or_else(|| self.membership().1, |(_, membership)| membership)
+    }
+
+    /// Returns an index before all entries that have the term of the entry at `index`.
+    pub(crate) fn before_term_of(&self, index: Index) -> Index {
+        let term = self.term(index);
+        let mut at = index;
+        while at > self.base.index && self.term(at) == term {
+            at -= 1;
+        }
+        at
+    }
+}
--- /dev/null
+++ b/components/consensus/src/node.rs
@@ -0,0 +1,281 @@
+//! One server of the group.
+
+mod apply;
+mod change;
+mod election;
+mod follower;
+mod founding;
+mod lease;
+mod outbox;
+mod read;
+mod receive;
+mod repair;
+mod replication;
+mod role;
+mod snapshot;
+mod transfer;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::ids::{GroupId, Index, Sequence, Term};
+use crate::log::Log;
+use crate::{
+    Action, Body, Entry, Event, Guards, Hard, Mark, Member, Membership, Message, Payload, Record,
+    Refusal, Settings, Stored,
+};
+
+use founding::Founding;
+use outbox::Outbox;
+use read::Reads;
+use role::Role;
+use snapshot::Receiving;
+
+/// A server of the replicated log: time and messages in, [`Action`]s out.
+///
+/// All times are monotonic and count from a moment of the caller's choice.
+#[derive(Debug)]
+pub struct Node {
+    settings: Settings,
+    guards: Guards,
+    me: Member,
+    now: Duration,
+    rng: StdRng,
+    hard: Hard,
+    log: Log,
+    commit: Index,
+    applied: Index,
+    /// Last entry of the log that is synced.
+    durable: Index,
+    role: Role,
+    leader: Option<Member>,
+    /// Until when no other than the leader gets a vote.
+    promised_until: Duration,
+    election_at: Duration,
+    greet_at: Duration,
+    outbox: Outbox,
+    /// Own proposals that are not settled, with the time at which they count as unknown.
+    open: BTreeMap<(Index, Term), Option<Duration>>,
+    reads: Reads,
+    receiving: Option<Receiving>,
+    /// Write with which a received snapshot is stored; nothing is applied before.
+    restoring: Option<Sequence>,
+    applied_bytes: usize,
+    snapshotting: bool,
+    stalled: bool,
+    founding: Founding,
+}
+
+impl Node {
+    /// Builds a node from what its disk holds; `seed` spreads election times.
+    pub fn new(settings: Settings, me: Member, stored: Stored, now: Duration, seed: u64) -> Self {
+        let guards = settings.guards();
+        let snapshot_index = stored.snapshot.as_ref().map_or(0, |meta| meta.mark.index);
+        let log = Log::new(stored.snapshot, stored.entries);
+        let promised_until = match guards.restart_wait {
+            true => now + settings.election_timeout,
+            false => now,
+        };
+        let mut node = Node {
+            guards,
+            me,
+            now,
+            rng: StdRng::seed_from_u64(seed),
+            hard: stored.hard,
+            commit: snapshot_index,
+            applied: snapshot_index,
+            durable: log.last().index,
+            log,
+            role: Role::Follower,
+            leader: None,
+            promised_until,
+            election_at: now,
+            greet_at: now,
+            outbox: Outbox::new(guards.sync_before_answer),
+            open: BTreeMap::new(),
+            reads: Reads::default(),
+            receiving: None,
+            restoring: None,
+            applied_bytes: 0,
+            snapshotting: false,
+            stalled: false,
+            founding: Founding::default(),
+            settings,
+        };
+        node.restart_election_timer();
+        node
+    }
+
+    /// Lets time pass: heartbeats, elections, repairs and step-downs happen here.
+    pub fn tick(&mut self, now: Duration) {
+        self.advance(now);
+        self.settle_overdue();
+        self.expire_reads();
+        match self.role {
+            _ if self.stalled => {}
+            Role::Leader(_) => self.lead(),
+            _ if self.now >= self.election_at => self.seek_leader(),
+            _ if self.hard.group.is_none() && self.now >= self.greet_at => self.greet(),
+            _ => {}
+        }
+    }
+
+    /// Proposes a command, and returns where it would stand in the log.
+    ///
+    /// # Errors
+    /// Refuses without any effect where this node doesn't lead or too much waits already.
+    pub fn propose(&mut self, now: Duration, command: Bytes) -> Result<Mark, Refusal> {
+        self.advance(now);
+        let max_bytes = self.settings.max_uncommitted_bytes;
+        match &self.role {
+            Role::Leader(leader) if leader.transfer.is_some() => Err(Refusal::Leaving),
+            Role::Leader(leader) if leader.uncommitted_bytes > max_bytes => {
+                Err(Refusal::Full(leader.uncommitted_bytes))
+            }
+            Role::Leader(_) => {
+                let mark = self.append(Payload::Command(command));
+                self.open.insert((mark.index, mark.term), None);
+                Ok(mark)
+            }
+            _ => Err(Refusal::Follower(self.leader.clone())),
+        }
+    }
+
+    /// Notes that all writes up to a sequence are synced.
+    pub fn persisted(&mut self, now: Duration, sequence: Sequence) {
+        self.advance(now);
+        self.stalled = false;
+        if let Some(durable) = self.outbox.persisted(sequence) {
+            self.durable = durable;
+        }
+        self.finish_restore();
+        self.advance_commit();
+    }
+
+    /// Notes that the disk takes no more; the node neither leads nor answers until a later
+    /// [`Node::persisted`].
+    pub fn stall(&mut self, now: Duration) {
+        self.advance(now);
+        self.stalled = true;
+        self.step_down("the disk is full");
+    }
+
+    /// Returns what is to be done since the last call, in order.
+    pub fn actions(&mut self) -> Vec<Action> {
+        if matches!(&self.role, Role::Leader(leader) if leader.round_due) {
+            self.begin_round();
+            self.pass_barriers();
+        }
+        self.replicate_all();
+        let last = self.log.last().index;
+        self.outbox.flush(last);
+        if !self.guards.sync_before_answer {
+            self.durable = last;
+            self.advance_commit();
+        }
+        self.outbox.take()
+    }
+
+    /// Returns the identity of this node.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Returns the term.
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// Returns the group; `None` while the data folder is empty.
+    pub fn group(&self) -> Option<GroupId> {
+        self.hard.group
+    }
+
+    /// Returns the leader of the term, as far as it is known.
+    pub fn leader(&self) -> Option<&Member> {
+        self.leader.as_ref()
+    }
+
+    /// Returns whether this node leads its term, with or without a lease.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Returns the place of the last entry.
+    pub fn last(&self) -> Mark {
+        self.log.last()
+    }
+
+    /// Returns the last committed entry that this node knows of.
+    pub fn commit_index(&self) -> Index {
+        self.commit
+    }
+
+    /// Returns the last entry handed out in [`Action::Apply`] or [`Action::Restore`].
+    pub fn applied_index(&self) -> Index {
+        self.applied
+    }
+
+    /// Returns the last entry of the own log that is synced.
+    pub fn durable_index(&self) -> Index {
+        self.durable
+    }
+
+    /// Returns the membership in force here, committed or not.
+    pub fn membership(&self) -> &Membership {
+        self.log.membership().1
+    }
+
+    fn advance(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+        self.check_quorum();
+    }
+
+    fn restart_election_timer(&mut self) {
+        let base = self.settings.election_timeout;
+        let spread = self.rng.next_u64() % (base.as_micros() as u64).max(1);
+        self.election_at = self.now + base + Duration::from_micros(spread);
+    }
+
+    fn append(&mut self, payload: Payload) -> Mark {
+        let entry = Entry {
+            index: self.log.last().index + 1,
+            term: self.hard.term,
+            payload,
+        };
+        if let Role::Leader(leader) = &mut self.role {
+            leader.uncommitted_bytes += entry.size();
+        }
+        self.outbox.record(Record::Entry(entry.clone()));
+        self.log.push(entry.clone());
+        entry.mark()
+    }
+
+    fn record_hard(&mut self) {
+        self.outbox.record_hard(self.hard.clone());
+    }
+
+    fn message(&self, to: &Member, body: Body) -> Message {
+        Message {
+            group: self.hard.group,
+            from: self.me.clone(),
+            to: to.node.clone(),
+            to_disk: Some(to.disk),
+            term: self.hard.term,
+            body,
+        }
+    }
+
+    fn send(&mut self, to: &Member, body: Body) {
+        let message = self.message(to, body);
+        self.outbox.send(message);
+    }
+
+    fn report(&mut self, event: Event) {
+        self.outbox.act(Action::Log(event));
+    }
+}
--- /dev/null
+++ b/components/consensus/src/node/founding.rs
@@ -0,0 +1,96 @@
+//! The founding of a group by processes whose data folders are all empty.
+//!
+//! Only the process with the first name founds, and only after every other process answered it
+//! that its folder is empty. A founder whose disk is emptied asks again under another identity,
+//! and finds the others founded.
+
+use indexmap::IndexMap;
+
+use crate::ids::{DiskId, NodeId};
+use crate::{Body, Entry, Event, Member, Membership, Message, Payload, Record};
+
+use super::Node;
+
+/// Answers of the other processes.
+#[derive(Debug, Default)]
+pub(super) struct Founding {
+    answers: IndexMap<NodeId, Answer>,
+}
+
+/// Answer of one process.
+#[derive(Debug)]
+struct Answer {
+    member: Member,
+    founded: bool,
+    spare: bool,
+}
+
+impl Node {
+    pub(super) fn on_ask(&mut self, message: &Message) {
+        let body = Body::Tell {
+            asked: message.from.disk,
+            founded: self.hard.group.is_some(),
+            spare: self.settings.spare,
+        };
+        self.send(&message.from, body);
+    }
+
+    pub(super) fn on_tell(&mut self, from: &Member, asked: DiskId, founded: bool, spare: bool) {
+        if asked != self.me.disk || self.hard.group.is_some() {
+            return;
+        }
+        let answer = Answer {
+            member: from.clone(),
+            founded,
+            spare,
+        };
+        self.founding.answers.insert(from.node.clone(), answer);
+        self.found();
+    }
+
+    /// Founds the group where this node is the one to do so.
+    pub(super) fn found(&mut self) {
+        if self.settings.spare || !self.all_are_empty() {
+            return;
+        }
+        let answers = self.founding.answers.values();
+        let mut voters: Vec<Member> = answers
+            .filter(|answer| !answer.spare)
+            .map(|answer| answer.member.clone())
+            .chain([self.me.clone()])
+            .collect();
+        voters.sort();
+        if voters.first() != Some(&self.me) {
+            return;
+        }
+        self.report(Event::Founded(voters.len()));
+        self.hard.group = Some(self.me.disk);
+        self.hard.term = 1;
+        self.hard.vote = Some(self.me.clone());
+        self.record_hard();
+        let entry = Entry {
+            index: 1,
+            term: 1,
+            payload: Payload::Members(Membership::of(voters)),
+        };
+        self.outbox.record(Record::Entry(entry.clone()));
+        self.log.push(entry);
+        self.election_at = self.now;
+        // No leader can exist before the founding, so that no promise binds.
+        self.promised_until = self.now;
+    }
+
+    fn all_are_empty(&self) -> bool {
+        let mut others = self
+            .settings
+            .peers
+            .iter()
+            .filter(|peer| **peer != self.me.node);
+        others.all(|peer| {
+            self.founding
+                .answers
+                .get(peer)
+                .is_some_and(|answer| !answer.founded)
+        })
+    }
+}
--- /dev/null
+++ b/components/consensus/src/node/read.rs
@@ -0,0 +1,160 @@
+//! Read barriers: everything committed before the call is applied after it.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::ids::{Index, ReadId, Round};
+use crate::{Action, Body, Member};
+
+use super::Node;
+use super::role::Role;
+
+/// A barrier that waits at the leader for a round.
+#[derive(Debug)]
+pub(super) struct Barrier {
+    id: ReadId,
+    /// Follower that asked; `None` for this node itself.
+    origin: Option<Member>,
+    index: Index,
+    round: Round,
+}
+
+/// Barriers of this node.
+#[derive(Debug, Default)]
+pub(super) struct Reads {
+    /// Asked of the leader, with the time at which they fail.
+    asked: IndexMap<ReadId, Duration>,
+    /// Entries that must be applied.
+    waiting: Vec<(Index, ReadId)>,
+}
+
+impl Node {
+    /// Asks for a read barrier; [`Action::Read`] tells its end.
+    pub fn read(&mut self, now: Duration, id: ReadId) {
+        self.advance(now);
+        let deadline = self.now + self.settings.election_timeout;
+        match (self.is_leader(), self.leader.clone()) {
+            (true, _) => self.add_barrier(id, None),
+            (false, Some(leader)) => {
+                self.reads.asked.insert(id, deadline);
+                self.send(&leader, Body::Read { id });
+            }
+            (false, None) => self.end_read(id, false),
+        }
+    }
+
+    pub(super) fn on_read(&mut self, from: &Member, id: ReadId) {
+        match self.is_leader() {
+            true => self.add_barrier(id, Some(from.clone())),
+            false => self.send(from, Body::ReadReply { id, index: None }),
+        }
+    }
+
+    pub(super) fn on_read_reply(&mut self, id: ReadId, index: Option<Index>) {
+        match (self.reads.asked.swap_remove(&id), index) {
+            (Some(_), Some(index)) => {
+                self.reads.waiting.push((index, id));
+                self.pass_reads();
+            }
+            (Some(_), None) => self.end_read(id, false),
+            (None, _) => {}
+        }
+    }
+
+    /// Lets the barrier wait for a round that begins after it.
+    fn add_barrier(&mut self, id: ReadId, origin: Option<Member>) {
+        let commit = self.commit;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let barrier = Barrier {
+            id,
+            origin,
+            index: commit.max(leader.first),
+            round: leader.round() + 1,
+        };
+        leader.barriers.push_back(barrier);
+        leader.round_due = true;
+    }
+
+    /// Passes the barriers whose round a quorum answered.
+    pub(super) fn pass_barriers(&mut self) {
+        let answered = self.answered_round();
+        while let Role::Leader(leader) = &mut self.role
+            && let Some(barrier) = leader
+                .barriers
+                .pop_front_if(|barrier| barrier.round <= answered)
+        {
+            let Barrier {
+                id, origin, index, ..
+            } = barrier;
+            match origin {
+                Some(from) => self.send(
+                    &from,
+                    Body::ReadReply {
+                        id,
+                        index: Some(index),
+                    },
+                ),
+                None => self.reads.waiting.push((index, id)),
+            }
+        }
+        self.pass_reads();
+    }
+
+    /// Fails the barriers that wait for a round, as this node stops leading.
+    pub(super) fn drop_barriers(&mut self) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        for barrier in std::mem::take(&mut leader.barriers) {
+            match barrier.origin {
+                Some(from) => self.send(
+                    &from,
+                    Body::ReadReply {
+                        id: barrier.id,
+                        index: None,
+                    },
+                ),
+                None => self.end_read(barrier.id, false),
+            }
+        }
+    }
+
+    /// Passes the barriers whose entries are applied.
+    pub(super) fn pass_reads(&mut self) {
+        if self.restoring.is_some() {
+            return;
+        }
+        let applied = self.applied;
+        let passed: Vec<ReadId> = self
+            .reads
+            .waiting
+            .extract_if(.., |(index, _)| *index <= applied)
+            .map(|(_, id)| id)
+            .collect();
+        for id in passed {
+            self.end_read(id, true);
+        }
+    }
+
+    pub(super) fn expire_reads(&mut self) {
+        let now = self.now;
+        let expired: Vec<ReadId> = self
+            .reads
+            .asked
+            .iter()
+            .filter(|(_, deadline)| now >= **deadline)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in expired {
+            self.reads.asked.swap_remove(&id);
+            self.end_read(id, false);
+        }
+    }
+
+    fn end_read(&mut self, id: ReadId, passed: bool) {
+        self.outbox.act(Action::Read { id, passed });
+    }
+}
--- /dev/null
+++ b/components/consensus/src/node/receive.rs
@@ -0,0 +1,120 @@
+//! Messages that come in.
+
+use std::time::Duration;
+
+use crate::{Body, Message};
+
+use super::Node;
+
+impl Node {
+    /// Takes a message in; those meant for another group or data folder are dropped.
+    pub fn receive(&mut self, now: Duration, message: Message) {
+        self.advance(now);
+        if self.stalled || !self.is_addressed(&message) {
+            return;
+        }
+        match &message.body {
+            Body::Ask => self.on_ask(&message),
+            Body::Tell {
+                asked,
+                founded,
+                spare,
+            } => self.on_tell(&message.from, *asked, *founded, *spare),
+            Body::Join => self.on_join(&message),
+            _ if !self.shares_group(&message) => {}
+            Body::PreVote { last } => self.on_pre_vote(&message, *last),
+            Body::PreVoteReply { granted } => self.on_pre_vote_reply(&message, *granted),
+            Body::Vote { last, transfer } => self.on_vote(&message, *last, *transfer),
+            Body::Read { id } => self.on_read(&message.from, *id),
+            Body::ReadReply { id, index } => self.on_read_reply(*id, *index),
+            _ => self.receive_in_term(message),
+        }
+    }
+
+    fn receive_in_term(&mut self, message: Message) {
+        if message.term < self.hard.term {
+            self.refuse_stale(&message);
+            return;
+        }
+        if message.term > self.hard.term {
+            self.enter_term(message.term);
+        }
+        let Message { from, body, .. } = message;
+        match body {
+            Body::VoteReply { granted } => self.on_vote_reply(from, granted),
+            Body::Append {
+                prev,
+                entries,
+                commit,
+                round,
+            } => {
+                self.hear_leader(&from);
+                self.on_append(&from, prev, entries, commit, round);
+            }
+            Body::Chunk { chunk, round } => {
+                self.hear_leader(&from);
+                self.on_chunk(&from, chunk, round);
+            }
+            Body::Accepted { matched, round } => self.on_accepted(&from, matched, round),
+            Body::Rejected { prev, hint, round } => self.on_rejected(&from, prev, hint, round),
+            Body::Received {
+                index,
+                offset,
+                round,
+            } => self.on_received(&from, index, offset, round),
+            Body::Succeed => self.on_succeed(&from),
+            _ => {}
+        }
+    }
+
+    /// Returns whether a message is meant for this process and its data folder.
+    fn is_addressed(&self, message: &Message) -> bool {
+        let disk_fits = match message.to_disk {
+            Some(disk) => disk == self.me.disk || !self.guards.disk_identity,
+            None => matches!(message.body, Body::Ask | Body::Join),
+        };
+        message.to == self.me.node && disk_fits && message.from != self.me
+    }
+
+    /// Returns whether sender and receiver are in one group; an empty folder joins by a vote or
+    /// an append that names its number.
+    fn shares_group(&mut self, message: &Message) -> bool {
+        match (self.hard.group, message.group) {
+            (Some(mine), Some(theirs)) => mine == theirs,
+            (None, Some(theirs)) => {
+                let joins = matches!(
+                    message.body,
+                    Body::PreVote { .. }
+                        | Body::Vote { .. }
+                        | Body::Append { .. }
+                        | Body::Chunk { .. }
+                );
+                if joins {
+                    self.hard.group = Some(theirs);
+                    self.record_hard();
+                }
+                joins
+            }
+            _ => false,
+        }
+    }
+
+    /// Tells an old leader that its term is over.
+    fn refuse_stale(&mut self, message: &Message) {
+        let body = match &message.body {
+            Body::Append { prev, round, .. } => Body::Rejected {
+                prev: prev.index,
+                hint: 0,
+                round: *round,
+            },
+            Body::Chunk { chunk, round } => Body::Received {
+                index: chunk.meta.mark.index,
+                offset: 0,
+                round: *round,
+            },
+            _ => return,
+        };
+        let reply = self.message(&message.from, body);
+        self.outbox.send_after(self.outbox.hard_at(), reply);
+    }
+}
--- /dev/null
+++ b/components/consensus/src/record.rs
@@ -0,0 +1,16 @@
+//! Records of the stored log.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Entry, Hard, Mark};
+
+/// One record; records take effect in the order in which they were written.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Record {
+    /// Replaces term, vote and group.
+    Hard(Hard),
+    /// Adds an entry; all entries from its index on are dropped before.
+    Entry(Entry),
+    /// Drops the whole log, which goes on after this place.
+    Reset(Mark),
+}
--- /dev/null
+++ b/components/consensus/tests/suite/chaos.rs
@@ -0,0 +1,183 @@
+//! Random faults against a simulated group.
+
+use std::time::Duration;
+
+use consensus::ids::NodeId;
+use consensus::{Guards, Settings};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+use crate::world::World;
+
+/// One fault, or an action of the users.
+#[derive(Clone, Debug)]
+pub(crate) enum Fault {
+    /// Kills a process.
+    Kill(usize),
+    /// Empties the disk of a process, where the group can bear it.
+    Wipe(usize),
+    /// Starts all processes that are down.
+    Start,
+    /// Cuts a process off, both ways.
+    Isolate(usize),
+    /// Cuts one direction.
+    Cut(usize, usize),
+    /// Mends all cuts.
+    Mend,
+    /// Freezes a process for milliseconds.
+    Freeze(usize, u64),
+    /// Loses and doubles messages, in percent, and delays them by up to milliseconds.
+    Network(u64, u64, u64),
+    /// Fills or frees the disk of a process.
+    Full(usize, bool),
+    /// Hands the leader's place over.
+    Transfer,
+    /// Proposes at every process that takes it.
+    Propose(usize),
+    /// Asks every process for a read barrier.
+    Read,
+    /// Lets milliseconds pass.
+    Wait(u64),
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    const SERVERS: usize = 8;
+    prop_oneof![
+        2 => (0..SERVERS).prop_map(Fault::Kill),
+        2 => (0..SERVERS).prop_map(Fault::Wipe),
+        3 => Just(Fault::Start),
+        2 => (0..SERVERS).prop_map(Fault::Isolate),
+        2 => (0..SERVERS, 0..SERVERS).prop_map(|(from, to)| Fault::Cut(from, to)),
+        3 => Just(Fault::Mend),
+        2 => (0..SERVERS, 100u64..4_000).prop_map(|(server, time)| Fault::Freeze(server, time)),
+        2 => (0u64..30, 0u64..20, 1u64..200)
+            .prop_map(|(loss, doubled, delay)| Fault::Network(loss, doubled, delay)),
+        1 => (0..SERVERS, any::<bool>()).prop_map(|(server, full)| Fault::Full(server, full)),
+        1 => Just(Fault::Transfer),
+        8 => (1usize..8).prop_map(Fault::Propose),
+        3 => Just(Fault::Read),
+        10 => (5u64..1_500).prop_map(Fault::Wait),
+    ]
+}
+
+/// A plan of faults for one simulated group.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    voters: usize,
+    spares: usize,
+    seed: u64,
+    faults: Vec<Fault>,
+}
+
+fn plan() -> impl Strategy<Value = Plan> {
+    let faults = prop::collection::vec(fault(), 10..60);
+    (
+        prop_oneof![Just(3usize), Just(5)],
+        0usize..3,
+        any::<u64>(),
+        faults,
+    )
+        .prop_map(|(voters, spares, seed, faults)| Plan {
+            voters,
+            spares,
+            seed,
+            faults,
+        })
+}
+
+/// Settings with small bounds, so that snapshots and parts of them occur often.
+pub(crate) fn small(guards: Guards) -> Settings {
+    Settings {
+        repair_after: Duration::from_secs(2),
+        settle_after: Duration::from_secs(2),
+        max_append_bytes: 200,
+        max_chunk_bytes: 64,
+        max_inflight: 4,
+        snapshot_entries: 20,
+        trailing_entries: 5,
+        guards,
+        ..Settings::default()
+    }
+}
+
+fn name(world: &World, place: usize) -> NodeId {
+    let names: Vec<&NodeId> = world.servers.keys().collect();
+    names[place % names.len()].clone()
+}
+
+pub(crate) fn inflict(world: &mut World, fault: &Fault) {
+    match *fault {
+        Fault::Kill(server) => world.kill(&name(world, server)),
+        Fault::Wipe(server) => {
+            let name = name(world, server);
+            if world.can_lose(&name) {
+                world.wipe(&name);
+            }
+        }
+        Fault::Start => world.start_all(),
+        Fault::Isolate(server) => world.isolate(&name(world, server)),
+        Fault::Cut(from, to) => world.cut(&name(world, from), &name(world, to)),
+        Fault::Mend => world.cuts.clear(),
+        Fault::Freeze(server, time) => {
+            world.freeze(&name(world, server), Duration::from_millis(time));
+        }
+        Fault::Network(loss, doubled, delay) => {
+            world.loss_percent = loss;
+            world.double_percent = doubled;
+            world.max_delay_ms = delay;
+        }
+        Fault::Full(server, full) => {
+            let name = name(world, server);
+            world.servers.get_mut(&name).unwrap().is_full = full;
+        }
+        Fault::Transfer => world.transfer(),
+        Fault::Propose(count) => {
+            let names: Vec<NodeId> = world.servers.keys().cloned().collect();
+            for name in names {
+                (0..count).for_each(|_| drop(world.propose(&name)));
+            }
+        }
+        Fault::Read => world.read_everywhere(),
+        Fault::Wait(time) => world.run(Duration::from_millis(time)),
+    }
+}
+
+/// Runs a plan, ends all faults, and returns what went wrong.
+fn execute(plan: &Plan, guards: Guards) -> std::result::Result<(), String> {
+    let mut world = World::new(small(guards), plan.voters, plan.spares, plan.seed);
+    world.run(Duration::from_secs(3));
+    for fault in &plan.faults {
+        inflict(&mut world, fault);
+        if let Some(fault) = world.faults.first() {
+            return Err(fault.clone());
+        }
+    }
+    world.end_faults();
+    let is_live = world.recovers(Duration::from_secs(60));
+    match world.faults.first() {
+        Some(fault) => Err(fault.clone()),
+        None if !is_live => Err(format!("no progress after the faults: {}", world.summary())),
+        None => Ok(()),
+    }
+}
+
+fn run(cases: u32, seed: u64, guards: Guards) -> std::result::Result<(), String> {
+    let config = Config {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..Config::default()
+    };
+    TestRunner::new(config)
+        .run(&plan(), |plan| {
+            execute(&plan, guards).map_err(TestCaseError::fail)
+        })
+        .map_err(|error| error.to_string())
+}
+
+#[gtest]
+fn can_stay_safe_and_recover_under_random_faults() {
+    expect_that!(run(60, 1, Guards::ON), ok(anything()));
+}
--- /dev/null
+++ b/components/consensus/tests/suite/server.rs
@@ -0,0 +1,76 @@
+//! One simulated server: a node, its disk, its clock and its state machine.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use consensus::{Fate, Mark, Member, Node};
+
+use crate::disk::Disk;
+
+/// A simulated server.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) me: Member,
+    /// `None` while the process is down.
+    pub(crate) node: Option<Node>,
+    pub(crate) disk: Disk,
+    pub(crate) clock: Clock,
+    /// Until when the process is frozen.
+    pub(crate) frozen_until: Duration,
+    /// Whether the disk takes no more.
+    pub(crate) is_full: bool,
+    pub(crate) state: State,
+    /// Lease that the process last saw, by its own clock.
+    pub(crate) leads_until: Option<Duration>,
+    /// Own proposals of this run and how they ended.
+    pub(crate) proposals: BTreeMap<(u64, u64), Option<Fate>>,
+    /// Read barriers of this run: entry that must be applied, and the end.
+    pub(crate) reads: BTreeMap<u64, (u64, Option<bool>)>,
+}
+
+/// State machine: a running checksum of all commands.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct State {
+    pub(crate) index: u64,
+    pub(crate) checksum: u64,
+}
+
+impl State {
+    const PADDING: usize = 200;
+
+    pub(crate) fn apply(&mut self, mark: Mark, bytes: &[u8]) {
+        self.index = mark.index;
+        for byte in bytes.iter().copied().chain(mark.term.to_le_bytes()) {
+            self.checksum = (self.checksum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3) + 1;
+        }
+    }
+
+    pub(crate) fn save(&self) -> Bytes {
+        let mut bytes = vec![7; Self::PADDING];
+        bytes.extend(self.index.to_le_bytes());
+        bytes.extend(self.checksum.to_le_bytes());
+        bytes.into()
+    }
+
+    pub(crate) fn load(bytes: &[u8]) -> Self {
+        let number = |at: usize| u64::from_le_bytes(bytes[at..at + 8].try_into().unwrap());
+        State {
+            index: number(Self::PADDING),
+            checksum: number(Self::PADDING + 8),
+        }
+    }
+}
+
+/// A monotonic clock that runs at its own rate.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    pub(crate) rate_permille: u32,
+    pub(crate) offset: Duration,
+}
+
+impl Clock {
+    pub(crate) fn read(&self, now: Duration) -> Duration {
+        now * self.rate_permille / 1_000 + self.offset
+    }
+}
--- /dev/null
+++ b/components/storage/src/identity.rs
@@ -0,0 +1,86 @@
+//! The identity of a data folder.
+
+use errors::{Error, Peer, Result, Step};
+use serde::{Deserialize, Serialize};
+
+use consensus::ids::DiskId;
+
+use crate::folder::{File, Folder, read_all};
+use crate::frame::{self, Found};
+use crate::names;
+
+/// Version of the layout of the folder.
+const LAYOUT: u32 = 1;
+
+/// Content of the identity file.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct Identity {
+    /// Version of the layout.
+    layout: u32,
+    /// Random number of the folder.
+    pub(crate) disk: DiskId,
+}
+
+impl Identity {
+    /// Draws a new identity and stores it.
+    pub(crate) fn create(folder: &impl Folder) -> Result<Self> {
+        let path = folder.path(names::IDENTITY);
+        let fail = |cause| Error::Io(Step::Store, Peer::File(path.clone()), cause);
+        let mut drawn = [0; 8];
+        getrandom::fill(&mut drawn)
+            .map_err(|cause| fail(std::io::Error::other(cause.to_string())))?;
+        let identity = Identity {
+            layout: LAYOUT,
+            disk: DiskId::from_le_bytes(drawn),
+        };
+        let mut body = Vec::new();
+        ciborium::into_writer(&identity, &mut body)
+            .map_err(|cause| Error::Other(Step::Encode, Peer::Local, Box::new(cause)))?;
+        let mut file = folder.create(names::IDENTITY_TEMPORARY).map_err(fail)?;
+        file.write_at(0, &frame::encode(0, &body)).map_err(fail)?;
+        file.sync().map_err(fail)?;
+        folder
+            .rename(names::IDENTITY_TEMPORARY, names::IDENTITY)
+            .map_err(fail)?;
+        folder.sync().map_err(fail)?;
+        Ok(identity)
+    }
+
+    /// Reads the identity.
+    pub(crate) fn read(folder: &impl Folder) -> Result<Self> {
+        let path = folder.path(names::IDENTITY);
+        let fail = |cause| Error::Io(Step::Store, Peer::File(path.clone()), cause);
+        let bytes = read_all(&folder.open(names::IDENTITY).map_err(fail)?).map_err(fail)?;
+        let body = match frame::find(&bytes, 0) {
+            Found::Whole(_, end) => &bytes[frame::HEADER_BYTES..end],
+            _ => {
+                return Err(damage(
+                    folder,
+                    names::IDENTITY,
+                    0,
+                    "the identity is not whole",
+                ));
+            }
+        };
+        let identity: Identity = ciborium::from_reader(body)
+            .map_err(|_| damage(folder, names::IDENTITY, 0, "the identity can't be read"))?;
+        match identity.layout {
+            LAYOUT => Ok(identity),
+            _ => Err(damage(
+                folder,
+                names::IDENTITY,
+                0,
+                "the folder has a layout of another version",
+            )),
+        }
+    }
+}
+
+/// Returns the error for damage in a file.
+pub(crate) fn damage(folder: &impl Folder, name: &str, offset: u64, what: &str) -> Error {
+    let what = format!(
+        "damaged at offset {offset}: {what}; move the data folder away, and this process joins \
+         again as a spare with an empty one"
+    );
+    Error::Invalid(Step::Store, Peer::File(folder.path(name)), what)
+}
--- /dev/null
+++ b/components/storage/src/scan.rs
@@ -0,0 +1,145 @@
+//! Reading the segments at the start of a process.
+
+use errors::Result;
+
+use consensus::ids::Index;
+use consensus::{Entry, Hard, Mark, Record};
+
+use crate::folder::{Folder, read_all};
+use crate::frame::{self, Found, HEADER_BYTES};
+use crate::identity::damage;
+use crate::names;
+use crate::segment::{Segment, io_error};
+
+/// What the segments hold.
+#[derive(Debug, Default)]
+pub(crate) struct Scan {
+    /// Latest term, vote and group.
+    pub(crate) hard: Hard,
+    /// Entries that were not overruled; the first ones may lie before a snapshot.
+    pub(crate) entries: Vec<Entry>,
+    /// End of the log; `None` while it is empty.
+    pub(crate) end: Option<Mark>,
+    /// Number of the last frame.
+    pub(crate) frame: u64,
+    /// Segments, oldest first.
+    pub(crate) segments: Vec<Segment>,
+    /// Name and length of a file whose end was torn.
+    pub(crate) torn: Option<(String, u64)>,
+}
+
+impl Scan {
+    /// Reads all segments.
+    pub(crate) fn read(folder: &impl Folder, numbers: &[u64]) -> Result<Self> {
+        let mut scan = Scan::default();
+        for (place, number) in numbers.iter().enumerate() {
+            let name = names::segment(*number);
+            let is_last = place + 1 == numbers.len();
+            if place > 0 && numbers[place - 1] + 1 != *number {
+                return Err(damage(folder, &name, 0, "the segment before it is missing"));
+            }
+            scan.read_segment(folder, *number, is_last)?;
+        }
+        Ok(scan)
+    }
+
+    fn read_segment(&mut self, folder: &impl Folder, number: u64, is_last: bool) -> Result<()> {
+        let name = names::segment(number);
+        let file = folder
+            .open(&name)
+            .map_err(|cause| io_error(folder, &name, cause))?;
+        let bytes = read_all(&file).map_err(|cause| io_error(folder, &name, cause))?;
+        let mut segment = Segment {
+            number,
+            length: 0,
+            last_index: 0,
+        };
+        let mut offset = 0;
+        loop {
+            match frame::find(&bytes, offset) {
+                Found::Whole(frame_number, end) => {
+                    self.check_number(folder, &name, offset, frame_number)?;
+                    let body = &bytes[offset + HEADER_BYTES..end];
+                    self.replay(folder, &name, offset, body, &mut segment.last_index)?;
+                    offset = end;
+                }
+                Found::End => break,
+                Found::Torn if is_last => {
+                    self.torn = Some((name.clone(), offset as u64));
+                    break;
+                }
+                Found::Torn => {
+                    let what = "a frame is cut short and another segment follows";
+                    return Err(damage(folder, &name, offset as u64, what));
+                }
+                Found::Damaged(what) => {
+                    return Err(damage(folder, &name, offset as u64, what));
+                }
+            }
+        }
+        segment.length = offset as u64;
+        self.segments.push(segment);
+        Ok(())
+    }
+
+    fn check_number(
+        &mut self,
+        folder: &impl Folder,
+        name: &str,
+        offset: usize,
+        number: u64,
+    ) -> Result<()> {
+        if self.frame != 0 && number != self.frame + 1 {
+            let what = format!("frame {number} follows frame {}", self.frame);
+            return Err(damage(folder, name, offset as u64, &what));
+        }
+        self.frame = number;
+        Ok(())
+    }
+
+    fn replay(
+        &mut self,
+        folder: &impl Folder,
+        name: &str,
+        offset: usize,
+        body: &[u8],
+        last_index: &mut Index,
+    ) -> Result<()> {
+        let records: Vec<Record> = ciborium::from_reader(body)
+            .map_err(|_| damage(folder, name, offset as u64, "a frame can't be read"))?;
+        for record in records {
+            match record {
+                Record::Hard(hard) => self.hard = hard,
+                Record::Reset(mark) => {
+                    self.entries.clear();
+                    self.end = Some(mark);
+                    *last_index = (*last_index).max(mark.index);
+                }
+                Record::Entry(entry) => {
+                    *last_index = (*last_index).max(entry.index);
+                    self.take(entry)
+                        .map_err(|what| damage(folder, name, offset as u64, &what))?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, entry: Entry) -> std::result::Result<(), String> {
+        match self.end {
+            Some(end) if entry.index > end.index + 1 => {
+                return Err(format!("entry {} follows entry {}", entry.index, end.index));
+            }
+            _ => {}
+        }
+        let first = self
+            .entries
+            .first()
+            .map_or(entry.index, |first| first.index);
+        let keep = entry.index.saturating_sub(first) as usize;
+        self.entries.truncate(keep);
+        self.end = Some(entry.mark());
+        self.entries.push(entry);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/components/storage/src/store.rs
@@ -0,0 +1,293 @@
+//! The store of one data folder.
+
+mod open;
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use errors::Result;
+
+use consensus::ids::{Index, Sequence};
+use consensus::{Chunk, Hard, Mark, Meta, Record, Write};
+
+use crate::failure::Failure;
+use crate::folder::{File, Folder};
+use crate::frame;
+use crate::names;
+use crate::segment::Segment;
+use crate::snapshot::{self, Writer};
+
+/// Bounds of a store.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Size at which a segment is followed by another, in bytes.
+    pub segment_bytes: u64,
+    /// Largest sum of entries in one batch, in bytes; one write always fits.
+    pub batch_bytes: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            segment_bytes: 8 * 1_024 * 1_024,
+            batch_bytes: 4 * 1_024 * 1_024,
+        }
+    }
+}
+
+/// The files of a data folder.
+#[derive(Debug)]
+pub struct Store<D: Folder> {
+    folder: D,
+    settings: Settings,
+    active: D::File,
+    segments: Vec<Segment>,
+    frame: u64,
+    hard: Hard,
+    /// Newest snapshot.
+    snapshot: Mark,
+    /// Last entry that the snapshot before it holds.
+    previous: Index,
+    incoming: Option<Writer<D::File>>,
+}
+
+impl<D: Folder> Store<D> {
+    /// Stores the first writes of a queue, removes them from it and returns the last one's
+    /// number. Many writes share one sync.
+    ///
+    /// # Errors
+    /// A full disk leaves queue and folder as they were; any other failure ends the process.
+    pub fn write(&mut self, queue: &mut VecDeque<Write>) -> std::result::Result<Sequence, Failure> {
+        let chunk = queue.front().and_then(|write| write.chunk.clone());
+        let count = match chunk {
+            Some(chunk) => {
+                self.take_chunk(&chunk)?;
+                1
+            }
+            None => {
+                let (records, count) = self.batch(queue);
+                self.append(&records)?;
+                count
+            }
+        };
+        let last = queue.drain(..count).last();
+        Ok(last.map_or(0, |write| write.sequence))
+    }
+
+    /// Stores a snapshot of the own state and removes what it makes needless.
+    ///
+    /// # Errors
+    /// A full disk leaves the folder as it was; any other failure ends the process.
+    pub fn save(&mut self, meta: &Meta, data: &[u8]) -> std::result::Result<(), Failure> {
+        if meta.mark.index <= self.snapshot.index {
+            return Ok(());
+        }
+        let name = names::SNAPSHOT_TEMPORARY;
+        let saved = self.save_temporary(meta, data);
+        if let Err(cause) = saved {
+            let _ = self.folder.remove(name);
+            return Err(Failure::of_write(self.folder.path(name), cause));
+        }
+        self.finish_snapshot(name, meta)?;
+        self.remove_old()
+    }
+
+    /// Reads a part of a snapshot, and whether the snapshot ends there.
+    ///
+    /// # Errors
+    /// Fails where the snapshot is gone or damaged.
+    pub fn read(&self, index: Index, offset: u64, max_bytes: usize) -> Result<(Bytes, bool)> {
+        snapshot::read_part(&self.folder, index, offset, max_bytes)
+    }
+
+    /// Reads a whole snapshot.
+    ///
+    /// # Errors
+    /// Fails where the snapshot is gone or damaged.
+    pub fn load(&self, index: Index) -> Result<Vec<u8>> {
+        snapshot::read_whole(&self.folder, index).map(|(_, data)| data)
+    }
+
+    fn batch(&self, queue: &VecDeque<Write>) -> (Vec<Record>, usize) {
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        let mut count = 0;
+        for write in queue {
+            if write.chunk.is_some() || (bytes >= self.settings.batch_bytes && count > 0) {
+                break;
+            }
+            bytes += write.records.iter().map(size).sum::<usize>();
+            records.extend(write.records.iter().cloned());
+            count += 1;
+        }
+        (records, count)
+    }
+
+    pub(super) fn append(&mut self, records: &[Record]) -> std::result::Result<(), Failure> {
+        for record in records {
+            if let Record::Hard(hard) = record {
+                self.hard = hard.clone();
+            }
+        }
+        let is_full = self
+            .segments
+            .last()
+            .is_some_and(|segment| segment.length >= self.settings.segment_bytes);
+        if is_full {
+            self.rotate()?;
+        }
+        self.append_frame(records)?;
+        match is_full {
+            true => self.remove_old(),
+            false => Ok(()),
+        }
+    }
+
+    fn append_frame(&mut self, records: &[Record]) -> std::result::Result<(), Failure> {
+        let Some(segment) = self.segments.last_mut() else {
+            return Ok(());
+        };
+        let path = self.folder.path(&names::segment(segment.number));
+        let mut body = Vec::new();
+        ciborium::into_writer(records, &mut body)
+            .map_err(|cause| Failure::of_write(path.clone(), std::io::Error::other(cause)))?;
+        let bytes = frame::encode(self.frame + 1, &body);
+        if let Err(cause) = self.active.write_at(segment.length, &bytes) {
+            return match self.active.cut(segment.length) {
+                Ok(()) => Err(Failure::of_write(path, cause)),
+                Err(cause) => Err(Failure::of_sync(path, cause)),
+            };
+        }
+        self.active
+            .sync()
+            .map_err(|cause| Failure::of_sync(path, cause))?;
+        self.frame += 1;
+        segment.length += bytes.len() as u64;
+        let indices = records.iter().map(index);
+        segment.last_index = indices.fold(segment.last_index, Index::max);
+        Ok(())
+    }
+
+    /// Begins another segment, which repeats term, vote and group.
+    fn rotate(&mut self) -> std::result::Result<(), Failure> {
+        let number = self.segments.last().map_or(1, |segment| segment.number + 1);
+        let name = names::segment(number);
+        let path = self.folder.path(&name);
+        let file = self
+            .folder
+            .create(&name)
+            .map_err(|cause| Failure::of_write(path.clone(), cause))?;
+        self.folder
+            .sync()
+            .map_err(|cause| Failure::of_sync(path, cause))?;
+        self.active = file;
+        self.segments.push(Segment {
+            number,
+            length: 0,
+            last_index: 0,
+        });
+        let hard = self.hard.clone();
+        self.append_frame(&[Record::Hard(hard)])
+    }
+
+    fn take_chunk(&mut self, chunk: &Chunk) -> std::result::Result<(), Failure> {
+        if chunk.last && chunk.meta.mark == self.snapshot {
+            return Ok(());
+        }
+        let path = self.folder.path(names::INCOMING_TEMPORARY);
+        let fail = |cause| Failure::of_write(path.clone(), cause);
+        let is_same = self
+            .incoming
+            .as_ref()
+            .is_some_and(|incoming| incoming.meta == chunk.meta);
+        if chunk.offset == 0 || !is_same {
+            let file = self
+                .folder
+                .create(names::INCOMING_TEMPORARY)
+                .map_err(fail)?;
+            self.incoming = Some(Writer::begin(file, chunk.meta.clone()).map_err(fail)?);
+        }
+        let Some(incoming) = &mut self.incoming else {
+            return Ok(());
+        };
+        if !incoming.push(chunk.offset, &chunk.data).map_err(fail)? {
+            let cause = std::io::Error::other("a part of the snapshot is missing");
+            return Err(fail(cause));
+        }
+        if !chunk.last {
+            return Ok(());
+        }
+        incoming.end().map_err(fail)?;
+        incoming
+            .sync()
+            .map_err(|cause| Failure::of_sync(path.clone(), cause))?;
+        self.incoming = None;
+        self.finish_snapshot(names::INCOMING_TEMPORARY, &chunk.meta)
+    }
+
+    fn save_temporary(&mut self, meta: &Meta, data: &[u8]) -> std::io::Result<()> {
+        let file = self.folder.create(names::SNAPSHOT_TEMPORARY)?;
+        let mut writer = Writer::begin(file, meta.clone())?;
+        writer.push(0, data)?;
+        writer.end()?;
+        writer.sync()
+    }
+
+    /// Gives a synced snapshot its name.
+    fn finish_snapshot(
+        &mut self,
+        temporary: &str,
+        meta: &Meta,
+    ) -> std::result::Result<(), Failure> {
+        let name = names::snapshot(meta.mark.index);
+        let path = self.folder.path(&name);
+        let fail = |cause| Failure::of_sync(path.clone(), cause);
+        self.folder.rename(temporary, &name).map_err(fail)?;
+        self.folder.sync().map_err(fail)?;
+        self.previous = self.snapshot.index;
+        self.snapshot = meta.mark;
+        Ok(())
+    }
+
+    /// Removes segments that the newest snapshot covers, and snapshots older than the previous
+    /// one, which a lagging member may still be reading.
+    ///
+    /// After a received snapshot this waits for the next segment, because only by then the log
+    /// is known to hold the record that makes it go on after the snapshot.
+    fn remove_old(&mut self) -> std::result::Result<(), Failure> {
+        while self.segments.len() > 1 && self.segments[0].last_index <= self.snapshot.index {
+            self.remove(&names::segment(self.segments[0].number))?;
+            self.segments.remove(0);
+        }
+        let names = self.folder.list();
+        let names = names.map_err(|cause| Failure::of_sync(self.folder.path(""), cause))?;
+        for name in names {
+            if names::snapshot_index(&name).is_some_and(|index| index < self.previous) {
+                self.remove(&name)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn remove(&self, name: &str) -> std::result::Result<(), Failure> {
+        self.folder
+            .remove(name)
+            .map_err(|cause| Failure::of_sync(self.folder.path(name), cause))
+    }
+}
+
+fn index(record: &Record) -> Index {
+    match record {
+        Record::Hard(_) => 0,
+        Record::Entry(entry) => entry.index,
+        Record::Reset(mark) => mark.index,
+    }
+}
+
+fn size(record: &Record) -> usize {
+    const SMALL_RECORD_BYTES: usize = 64;
+    match record {
+        Record::Entry(entry) => entry.size(),
+        Record::Hard(_) | Record::Reset(_) => SMALL_RECORD_BYTES,
+    }
+}
