--- /dev/null
+++ b/stand_ins/src/cmd.rs
@@ -0,0 +1,44 @@
+//! What each subcommand does.
+
+mod cloud;
+mod engine;
+mod plain;
+mod ports;
+mod relay;
+mod upstream;
+mod weights;
+
+use std::io;
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+
+/// Runs the subcommand, and returns 0, or 1 when it could not start.
+pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
+    tracing_subscriber::fmt()
+        .with_writer(io::stderr)
+        .without_time()
+        .init();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(cause) => return failed(&cause),
+    };
+    let outcome = match matches.subcommand() {
+        Some(("engine", matches)) => runtime.block_on(engine::run(matches)),
+        Some(("plain", matches)) => runtime.block_on(plain::run(matches)),
+        Some(("cloud", matches)) => runtime.block_on(cloud::run(matches)),
+        Some(("weights", matches)) => runtime.block_on(weights::run(matches)),
+        Some(("relay", matches)) => runtime.block_on(relay::run(matches)),
+        Some(("ports", matches)) => ports::run(matches),
+        _ => Ok(()),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(cause) => failed(&cause),
+    }
+}
+
+fn failed(cause: &io::Error) -> ExitCode {
+    eprintln!("stand-ins: {cause}");
+    ExitCode::FAILURE
+}
