Drive the replicated log with two threads and real files

A replica has a thread for the log and the state machine and one for all file handling, which stores whatever waits with one sync. Messages go out through a channel and come in by a call.

The trait Replica keeps its methods; the step Route now also covers a proposal that another leader's entry replaced, because it never takes effect either. The settings get repair-after, the silence after which a spare replaces a voter; 10 s unless set.

The lease counts only once the leader applied an entry of its own term, so that whoever sees the lease also sees all that was committed before. Four tests run replicas over real files, one of them with a lost data folder and another loss after the repair.

--- a/components/config/src/settings/control.rs
+++ b/components/config/src/settings/control.rs
@@ -21,6 +21,9 @@
     /// Shortest time without a heartbeat before an election.
     #[serde(with = "crate::duration")]
     pub election_timeout: Duration,
+    /// Silence of a voter after which a spare replaces it.
+    #[serde(with = "crate::duration")]
+    pub repair_after: Duration,
     /// Time for which an entry may serve under the last version it confirmed.
     #[serde(with = "crate::duration")]
     pub freshness_lease: Duration,
@@ -39,6 +42,7 @@
             spare: false,
             heartbeat: Duration::from_millis(150),
             election_timeout: Duration::from_millis(750),
+            repair_after: Duration::from_secs(10),
             freshness_lease: Duration::from_secs(3),
             claim_retention: Duration::from_secs(24 * 3_600),
             cloud: None,
--- a/components/consensus/src/node/lease.rs
+++ b/components/consensus/src/node/lease.rs
@@ -10,12 +10,12 @@
 
 impl Node {
     /// Returns until when this node may act as the leader; `None` where it does not lead, or has
-    /// not committed an entry of its term.
+    /// not applied an entry of its term.
     ///
     /// A caller compares it with the clock right before each effect.
     pub fn leads_until(&self) -> Option<Duration> {
         match &self.role {
-            Role::Leader(leader) if self.commit >= leader.first && leader.transfer.is_none() => {
+            Role::Leader(leader) if self.applied >= leader.first && leader.transfer.is_none() => {
                 let began = self.quorum_round()?;
                 Some(began + self.settings.lease())
             }
--- a/components/consensus/tests/suite/chaos.rs
+++ b/components/consensus/tests/suite/chaos.rs
@@ -135,7 +135,9 @@
         Fault::Propose(count) => {
             let names: Vec<NodeId> = world.servers.keys().cloned().collect();
             for name in names {
-                (0..count).for_each(|_| drop(world.propose(&name)));
+                (0..count).for_each(|_| {
+                    world.propose(&name);
+                });
             }
         }
         Fault::Read => world.read_everywhere(),
--- a/components/consensus/tests/suite/world.rs
+++ b/components/consensus/tests/suite/world.rs
@@ -283,11 +283,11 @@
         node.tick(local);
         if server.is_full && !server.disk.unsynced.is_empty() {
             node.stall(local);
-        } else if draw % 2 == 0
+        } else if draw.is_multiple_of(2)
             && let Some(sequence) = server.disk.sync()
         {
             let mut last = sequence;
-            while draw % 3 == 0
+            while draw.is_multiple_of(3)
                 && let Some(next) = server.disk.sync()
             {
                 last = next;
@@ -484,11 +484,6 @@
         }
     }
 
-    /// Returns the number of commands and other entries known to be committed.
-    pub(crate) fn committed(&self) -> u64 {
-        self.committed.keys().last().copied().unwrap_or(0)
-    }
-
     /// Returns whether the group keeps a quorum of live disks without a voter's.
     pub(crate) fn can_lose(&self, name: &str) -> bool {
         let all_bear = self.servers.values().all(|server| {
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -1,5 +1,17 @@
 //! The replica of the replicated state that one control process keeps.
 
+mod driver;
+mod group;
+mod input;
+mod job;
+mod keeper;
+mod machine;
+mod settings;
+
+pub use group::Group;
+pub use machine::Machine;
+pub use settings::Settings;
+
 use std::time::Instant;
 
 use config::ids::NodeId;
@@ -34,7 +46,7 @@
     /// Commits and applies a command, and returns what applying it gave.
     ///
     /// An error means that the command may or may not be committed, unless the step is `Route`:
-    /// then this process does not lead and nothing was proposed.
+    /// then nothing was proposed, or what was proposed never takes effect.
     fn propose(&self, command: Self::Command) -> impl Future<Output = Result<Self::Output>> + Send;
 
     /// Returns once everything that was committed before the call is applied here.
--- /dev/null
+++ b/components/control/src/replica/group.rs
@@ -0,0 +1,190 @@
+//! A replica that takes part in a control group.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc::{Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use consensus::{Member, Message, Node};
+use errors::{Error, Peer, Result, Step};
+use storage::{Disk, Folder, Store};
+use tokio::sync::{mpsc, oneshot, watch};
+use tracing::{info, warn};
+
+use super::driver::Driver;
+use super::input::Input;
+use super::keeper::Keeper;
+use super::machine::Machine;
+use super::{Replica, Settings, Status};
+
+/// Time between two looks at the status while the lead is handed over.
+const HAND_OVER_POLL: Duration = Duration::from_millis(10);
+/// Longest time to hand the lead over, in election timeouts.
+const HAND_OVER_TIMEOUTS: u32 = 3;
+
+/// The handle of a replica, which runs on two threads of its own.
+///
+/// Messages for other processes go out through the channel given at the start, and theirs come
+/// in by [`Group::receive`]; losing, doubling and reordering them is allowed.
+#[derive(Debug)]
+pub struct Group<M: Machine> {
+    inputs: Sender<Input<M::Output>>,
+    status: watch::Receiver<Status>,
+    /// Longest time until another voter leads.
+    hand_over_timeout: Duration,
+    machine: std::marker::PhantomData<fn() -> M>,
+}
+
+impl<M: Machine> Group<M> {
+    /// Opens the data folder, restores the state and starts the threads.
+    ///
+    /// The receiver gets the error that ends the replica when its data folder fails; the process
+    /// must end then, and must not write to the folder again.
+    ///
+    /// # Errors
+    /// Fails where the folder is damaged, in use or can't be read or written.
+    pub fn start(
+        settings: Settings,
+        machine: M,
+        outgoing: mpsc::Sender<Message>,
+    ) -> Result<(Self, oneshot::Receiver<Error>)> {
+        let disk = Disk::open(&settings.folder)?;
+        Self::start_in(disk, settings, machine, outgoing)
+    }
+
+    /// Starts in a folder that is open already.
+    ///
+    /// # Errors
+    /// Fails where the folder is damaged, or can't be read or written.
+    pub fn start_in<D: Folder>(
+        folder: D,
+        settings: Settings,
+        mut machine: M,
+        outgoing: mpsc::Sender<Message>,
+    ) -> Result<(Self, oneshot::Receiver<Error>)> {
+        let (store, opened) = Store::open(folder, settings.storage.clone())?;
+        let me = Member {
+            node: settings.node.clone(),
+            disk: opened.disk,
+        };
+        if opened.cut_bytes > 0 {
+            let bytes = opened.cut_bytes;
+            warn!("replica: cut {bytes} bytes that a crash left behind");
+        }
+        info!("replica: starts as {me}");
+        if let Some(meta) = &opened.stored.snapshot {
+            machine.restore(&store.load(meta.mark.index)?)?;
+        }
+        let (inputs, taken) = channel();
+        let (jobs, taken_jobs) = channel();
+        let (status, watched) = watch::channel(Status::default());
+        let (failed, failure) = oneshot::channel();
+        let keeper = Keeper::new(store, taken_jobs, inputs.clone(), settings.full_retry);
+        let origin = Instant::now();
+        let hand_over_timeout = settings.consensus.election_timeout * HAND_OVER_TIMEOUTS;
+        let seed = me.disk ^ u64::from(std::process::id());
+        let driver = Driver {
+            node: Node::new(settings.consensus, me, opened.stored, Duration::ZERO, seed),
+            machine,
+            origin,
+            tick: settings.tick,
+            inputs: taken,
+            jobs,
+            outgoing,
+            status,
+            proposals: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            next_read: 0,
+            is_full: false,
+        };
+        spawn("storage", move || keeper.run())?;
+        spawn("replica", move || {
+            if let Err(cause) = driver.run() {
+                let _ = failed.send(cause);
+            }
+        })?;
+        let group = Group {
+            inputs,
+            status: watched,
+            hand_over_timeout,
+            machine: std::marker::PhantomData,
+        };
+        Ok((group, failure))
+    }
+
+    /// Takes a message of another process in.
+    pub fn receive(&self, message: Message) {
+        let _ = self.inputs.send(Input::Message(message));
+    }
+
+    /// Returns a receiver that tells each change of the status.
+    pub fn watch(&self) -> watch::Receiver<Status> {
+        self.status.clone()
+    }
+
+    async fn ask<T>(
+        &self,
+        input: impl FnOnce(oneshot::Sender<Result<T>>) -> Input<M::Output>,
+    ) -> Result<T> {
+        let (reply, answer) = oneshot::channel();
+        let ended = || {
+            let what = String::from("the replica ended: it may or may not take effect");
+            Error::Protocol(Step::Commit, Peer::Local, what)
+        };
+        self.inputs.send(input(reply)).map_err(|_| ended())?;
+        answer.await.map_err(|_| ended())?
+    }
+}
+
+impl<M: Machine> Replica for Group<M> {
+    type Command = M::Command;
+    type Output = M::Output;
+
+    async fn propose(&self, command: M::Command) -> Result<M::Output> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&command, &mut bytes)
+            .map_err(|cause| Error::Other(Step::Route, Peer::Local, Box::new(cause)))?;
+        self.ask(|reply| Input::Propose(bytes.into(), reply)).await
+    }
+
+    async fn read_barrier(&self) -> Result<()> {
+        self.ask(Input::Read).await
+    }
+
+    async fn hand_over(&self) -> Result<()> {
+        if self.status().leads_until.is_none() || self.status().voters.len() < 2 {
+            return Ok(());
+        }
+        let term = self.status().term;
+        let deadline = Instant::now() + self.hand_over_timeout;
+        self.ask(Input::Transfer).await?;
+        loop {
+            let status = self.status();
+            match status.leader {
+                Some(_) if status.term > term => return Ok(()),
+                _ if Instant::now() < deadline => tokio::time::sleep(HAND_OVER_POLL).await,
+                _ => {
+                    let limit = self.hand_over_timeout;
+                    return Err(Error::Timeout(Step::Stop, Peer::Local, limit));
+                }
+            }
+        }
+    }
+
+    fn status(&self) -> Status {
+        self.status.borrow().clone()
+    }
+}
+
+impl<M: Machine> Drop for Group<M> {
+    fn drop(&mut self) {
+        let _ = self.inputs.send(Input::Stop);
+    }
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<()> {
+    let thread = thread::Builder::new().name(name.to_owned()).spawn(work);
+    thread
+        .map(drop)
+        .map_err(|cause| Error::Io(Step::Load, Peer::Local, cause))
+}
--- /dev/null
+++ b/components/control/src/replica/settings.rs
@@ -0,0 +1,56 @@
+//! Settings of the driver.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use config::ids::NodeId;
+
+/// Settings of one replica.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this process.
+    pub node: NodeId,
+    /// Folder for identity, log and snapshots.
+    pub folder: PathBuf,
+    /// Settings of the replicated log.
+    pub consensus: consensus::Settings,
+    /// Settings of the files.
+    pub storage: storage::Settings,
+    /// Longest time between two looks at the clock.
+    pub tick: Duration,
+    /// Time between two tries to write to a full disk.
+    pub full_retry: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            node: NodeId::default(),
+            folder: PathBuf::from("data/log"),
+            consensus: consensus::Settings::default(),
+            storage: storage::Settings::default(),
+            tick: Duration::from_millis(10),
+            full_retry: Duration::from_millis(250),
+        }
+    }
+}
+
+impl From<&config::Settings> for Settings {
+    fn from(settings: &config::Settings) -> Self {
+        const FOLDER: &str = "log";
+        let peers = settings.control_peers.iter();
+        Settings {
+            node: settings.node.clone(),
+            folder: settings.data_folder.join(FOLDER),
+            consensus: consensus::Settings {
+                peers: peers.map(|peer| peer.node.clone()).collect(),
+                spare: settings.control.spare,
+                heartbeat: settings.control.heartbeat,
+                election_timeout: settings.control.election_timeout,
+                repair_after: settings.control.repair_after,
+                ..consensus::Settings::default()
+            },
+            ..Settings::default()
+        }
+    }
+}
--- /dev/null
+++ b/components/control/tests/replica.rs
@@ -0,0 +1,232 @@
+//! Replicas with real files, in one process.
+
+use std::collections::HashMap;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use consensus::{Mark, Message};
+use control::replica::{Group, Machine, Replica, Settings};
+use errors::{Error, Peer, Result, Step};
+use googletest::prelude::*;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep, timeout};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(5);
+
+/// A state that lists the commands and where each stood.
+#[derive(Debug, Default)]
+struct Journal(Vec<u64>);
+
+impl Machine for Journal {
+    type Command = u64;
+    type Output = (u64, usize);
+
+    fn apply(&mut self, mark: Mark, command: u64) -> (u64, usize) {
+        self.0.push(command);
+        (mark.index, self.0.len())
+    }
+
+    fn snapshot(&self) -> Result<Vec<u8>> {
+        Ok(self
+            .0
+            .iter()
+            .flat_map(|number| number.to_le_bytes())
+            .collect())
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> Result<()> {
+        let numbers = bytes.chunks_exact(8).map(|chunk| chunk.try_into().unwrap());
+        self.0 = numbers.map(u64::from_le_bytes).collect();
+        Ok(())
+    }
+}
+
+/// Starts a replica; a replica that was just stopped may still hold its folder.
+fn open(
+    settings: &Settings,
+    outgoing: &mpsc::Sender<Message>,
+) -> (Group<Journal>, oneshot::Receiver<Error>) {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        match Group::start(settings.clone(), Journal::default(), outgoing.clone()) {
+            Ok(started) => return started,
+            Err(error) if Instant::now() > deadline => panic!("{error}"),
+            Err(_) => std::thread::sleep(POLL),
+        }
+    }
+}
+
+/// Replicas that reach each other through channels.
+#[derive(Default)]
+struct Fleet {
+    groups: HashMap<String, std::sync::Arc<Group<Journal>>>,
+    failures: HashMap<String, oneshot::Receiver<Error>>,
+    routes: std::sync::Arc<std::sync::Mutex<HashMap<String, std::sync::Weak<Group<Journal>>>>>,
+}
+
+impl Fleet {
+    fn start(&mut self, folder: &Path, names: &[&str], name: &str, spare: bool) {
+        let (outgoing, mut messages) = mpsc::channel::<Message>(1_024);
+        let settings = Settings {
+            node: name.into(),
+            folder: folder.join(name),
+            consensus: consensus::Settings {
+                peers: names.iter().map(|name| (*name).into()).collect(),
+                spare,
+                heartbeat: Duration::from_millis(40),
+                election_timeout: Duration::from_millis(200),
+                repair_after: Duration::from_millis(800),
+                snapshot_entries: 50,
+                trailing_entries: 10,
+                ..consensus::Settings::default()
+            },
+            ..Settings::default()
+        };
+        let (group, failure) = open(&settings, &outgoing);
+        let group = std::sync::Arc::new(group);
+        self.routes
+            .lock()
+            .unwrap()
+            .insert(name.into(), std::sync::Arc::downgrade(&group));
+        self.groups.insert(name.into(), group);
+        self.failures.insert(name.into(), failure);
+        let routes = self.routes.clone();
+        tokio::spawn(async move {
+            while let Some(message) = messages.recv().await {
+                let to = routes.lock().unwrap().get(message.to.as_str()).cloned();
+                if let Some(group) = to.and_then(|group| group.upgrade()) {
+                    group.receive(message);
+                }
+            }
+        });
+    }
+
+    /// Stops a replica and waits until its folder is free.
+    async fn stop(&mut self, name: &str) {
+        drop(self.groups.remove(name));
+        let _ = self.failures.remove(name).unwrap().await;
+    }
+
+    async fn leader(&self) -> String {
+        let found = async {
+            loop {
+                let leads = |group: &Group<Journal>| group.status().leads_until.is_some();
+                if let Some((name, _)) = self.groups.iter().find(|(_, group)| leads(group)) {
+                    return name.clone();
+                }
+                sleep(POLL).await;
+            }
+        };
+        timeout(PATIENCE, found).await.expect("no leader")
+    }
+
+    async fn propose(&self, command: u64) -> (u64, usize) {
+        let done = async {
+            loop {
+                let leader = self.leader().await;
+                if let Ok(output) = self.groups[&leader].propose(command).await {
+                    return output;
+                }
+            }
+        };
+        timeout(PATIENCE, done).await.expect("no commit")
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn can_found_a_group_commit_and_keep_the_state_over_restarts() {
+    let folder = tempfile::tempdir().unwrap();
+    let names = ["a", "b", "c"];
+    let mut fleet = Fleet::default();
+    names
+        .iter()
+        .for_each(|name| fleet.start(folder.path(), &names, name, false));
+    for command in 1..=120 {
+        let (_, count) = fleet.propose(command).await;
+        expect_that!(count, eq(command as usize));
+    }
+    for name in names {
+        fleet.stop(name).await;
+    }
+    names
+        .iter()
+        .for_each(|name| fleet.start(folder.path(), &names, name, false));
+    let (_, count) = fleet.propose(121).await;
+    expect_that!(count, eq(121));
+    for name in names {
+        let barrier = timeout(PATIENCE, fleet.groups[name].read_barrier()).await;
+        expect_that!(barrier, ok(anything()));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn errors_on_a_proposal_where_the_replica_does_not_lead() {
+    let folder = tempfile::tempdir().unwrap();
+    let names = ["a", "b", "c"];
+    let mut fleet = Fleet::default();
+    names
+        .iter()
+        .for_each(|name| fleet.start(folder.path(), &names, name, false));
+    let leader = fleet.leader().await;
+    let follower = names.iter().find(|name| **name != leader).unwrap();
+    let refused = fleet.groups[*follower].propose(1).await.unwrap_err();
+    expect_that!(refused.step(), eq(Step::Route));
+    expect_true!(matches!(refused.peer(), Peer::Named(_) | Peer::Local));
+}
+
+#[gtest]
+#[tokio::test]
+async fn can_hand_the_lead_over() {
+    let folder = tempfile::tempdir().unwrap();
+    let names = ["a", "b", "c"];
+    let mut fleet = Fleet::default();
+    names
+        .iter()
+        .for_each(|name| fleet.start(folder.path(), &names, name, false));
+    fleet.propose(1).await;
+    let leader = fleet.leader().await;
+    let handed_over = fleet.groups[&leader].hand_over().await;
+    expect_that!(handed_over, ok(anything()));
+    expect_that!(fleet.groups[&leader].status().leads_until, none());
+    fleet.propose(2).await;
+    expect_that!(fleet.leader().await, not(eq(&leader)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn can_rejoin_and_vote_again_after_its_folder_was_lost() {
+    let folder = tempfile::tempdir().unwrap();
+    let names = ["a", "b", "c"];
+    let mut fleet = Fleet::default();
+    names
+        .iter()
+        .for_each(|name| fleet.start(folder.path(), &names, name, false));
+    for command in 1..=200 {
+        fleet.propose(command).await;
+    }
+    let leader = fleet.leader().await;
+    let lost = *names.iter().find(|name| **name != leader).unwrap();
+    fleet.stop(lost).await;
+    std::fs::remove_dir_all(folder.path().join(lost)).unwrap();
+    fleet.start(folder.path(), &names, lost, false);
+    let is_whole = async {
+        loop {
+            let status = fleet.groups[lost].status();
+            if status.voters.len() == 3 && status.learners.is_empty() && status.commit_index > 200 {
+                return;
+            }
+            sleep(POLL).await;
+        }
+    };
+    expect_that!(timeout(PATIENCE, is_whole).await, ok(anything()));
+    let other = *names
+        .iter()
+        .find(|name| **name != lost && **name != leader)
+        .unwrap();
+    fleet.stop(other).await;
+    let (_, count) = fleet.propose(201).await;
+    expect_that!(count, eq(201));
+}
