Test the data folder with torn, flipped, full and failing files

A torn tail is cut at every byte; a flipped byte at any place is refused with file and offset; a failed sync is final; a full disk leaves everything as it was.

The first frame of each segment now holds them, whenever it gets written, and nothing is removed before.

--- a/components/storage/src/store.rs
+++ b/components/storage/src/store.rs
@@ -148,8 +148,11 @@
             return Ok(());
         };
         let path = self.folder.path(&names::segment(segment.number));
+        // Each segment repeats term, vote and group, so that older ones can be removed.
+        let head = (segment.length == 0).then(|| Record::Hard(self.hard.clone()));
+        let all: Vec<&Record> = head.iter().chain(records).collect();
         let mut body = Vec::new();
-        ciborium::into_writer(records, &mut body)
+        ciborium::into_writer(&all, &mut body)
             .map_err(|cause| Failure::of_write(path.clone(), std::io::Error::other(cause)))?;
         let bytes = frame::encode(self.frame + 1, &body);
         if let Err(cause) = self.active.write_at(segment.length, &bytes) {
@@ -168,7 +171,7 @@
         Ok(())
     }
 
-    /// Begins another segment, which repeats term, vote and group.
+    /// Begins another segment.
     fn rotate(&mut self) -> std::result::Result<(), Failure> {
         let number = self.segments.last().map_or(1, |segment| segment.number + 1);
         let name = names::segment(number);
@@ -186,8 +189,7 @@
             length: 0,
             last_index: 0,
         });
-        let hard = self.hard.clone();
-        self.append_frame(&[Record::Hard(hard)])
+        Ok(())
     }
 
     fn take_chunk(&mut self, chunk: &Chunk) -> std::result::Result<(), Failure> {
@@ -255,7 +257,11 @@
     /// After a received snapshot this waits for the next segment, because only by then the log
     /// is known to hold the record that makes it go on after the snapshot.
     fn remove_old(&mut self) -> std::result::Result<(), Failure> {
-        while self.segments.len() > 1 && self.segments[0].last_index <= self.snapshot.index {
+        let is_repeated = self.segments.last().is_some_and(|active| active.length > 0);
+        while is_repeated
+            && self.segments.len() > 1
+            && self.segments[0].last_index <= self.snapshot.index
+        {
             self.remove(&names::segment(self.segments[0].number))?;
             self.segments.remove(0);
         }
--- /dev/null
+++ b/components/storage/tests/suite/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the data folder, most of them in a folder in memory that fails on demand.
+
+mod damage;
+mod faults;
+mod memory;
+mod model;
+mod snapshots;
--- /dev/null
+++ b/components/storage/tests/suite/memory.rs
@@ -0,0 +1,192 @@
+//! A folder in memory that fails on demand, and records to write.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use consensus::{Entry, Hard, Mark, Member, Membership, Meta, Payload, Record, Write};
+use storage::{File, Folder, Opened, Settings, Store};
+
+/// Files and the faults to come.
+#[derive(Debug, Default)]
+pub(crate) struct Inner {
+    pub(crate) files: BTreeMap<String, Vec<u8>>,
+    /// Bytes that can still be written; `None` for any number.
+    pub(crate) room: Option<usize>,
+    pub(crate) fail_sync: bool,
+    pub(crate) syncs: usize,
+}
+
+/// A folder in memory; clones share their files.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Memory(pub(crate) Arc<Mutex<Inner>>);
+
+/// A file of a folder in memory.
+#[derive(Debug)]
+pub(crate) struct MemoryFile {
+    folder: Memory,
+    name: String,
+}
+
+impl Memory {
+    pub(crate) fn open_store(&self) -> errors::Result<(Store<Memory>, Opened)> {
+        let settings = Settings {
+            segment_bytes: 2_000,
+            ..Settings::default()
+        };
+        Store::open(self.clone(), settings)
+    }
+
+    pub(crate) fn bytes(&self, name: &str) -> Vec<u8> {
+        self.0.lock().unwrap().files[name].clone()
+    }
+
+    pub(crate) fn put(&self, name: &str, bytes: Vec<u8>) {
+        self.0.lock().unwrap().files.insert(name.into(), bytes);
+    }
+
+    pub(crate) fn names(&self) -> Vec<String> {
+        self.0.lock().unwrap().files.keys().cloned().collect()
+    }
+
+    /// Returns a copy that shares nothing.
+    pub(crate) fn copy(&self) -> Memory {
+        let files = self.0.lock().unwrap().files.clone();
+        Memory(Arc::new(Mutex::new(Inner {
+            files,
+            ..Inner::default()
+        })))
+    }
+
+    fn gone(name: &str) -> io::Error {
+        io::Error::new(io::ErrorKind::NotFound, name.to_owned())
+    }
+
+    fn sync_one(&self) -> io::Result<()> {
+        let mut inner = self.0.lock().unwrap();
+        inner.syncs += 1;
+        match inner.fail_sync {
+            true => Err(io::Error::other("the disk reports an error")),
+            false => Ok(()),
+        }
+    }
+}
+
+impl Folder for Memory {
+    type File = MemoryFile;
+
+    fn path(&self, name: &str) -> PathBuf {
+        PathBuf::from("data").join(name)
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.names())
+    }
+
+    fn create(&self, name: &str) -> io::Result<MemoryFile> {
+        self.put(name, Vec::new());
+        self.open(name)
+    }
+
+    fn open(&self, name: &str) -> io::Result<MemoryFile> {
+        match self.0.lock().unwrap().files.contains_key(name) {
+            true => Ok(MemoryFile {
+                folder: self.clone(),
+                name: name.into(),
+            }),
+            false => Err(Self::gone(name)),
+        }
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        let mut inner = self.0.lock().unwrap();
+        let bytes = inner.files.remove(from).ok_or_else(|| Self::gone(from))?;
+        inner.files.insert(to.into(), bytes);
+        Ok(())
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        let removed = self.0.lock().unwrap().files.remove(name);
+        removed.map(drop).ok_or_else(|| Self::gone(name))
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        self.sync_one()
+    }
+}
+
+impl File for MemoryFile {
+    fn length(&self) -> io::Result<u64> {
+        Ok(self.folder.bytes(&self.name).len() as u64)
+    }
+
+    fn read_at(&self, offset: u64, buffer: &mut [u8]) -> io::Result<usize> {
+        let bytes = self.folder.bytes(&self.name);
+        let rest = bytes.get(offset as usize..).unwrap_or_default();
+        let count = rest.len().min(buffer.len());
+        buffer[..count].copy_from_slice(&rest[..count]);
+        Ok(count)
+    }
+
+    fn write_at(&mut self, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        let mut inner = self.folder.0.lock().unwrap();
+        let taken = inner.room.map_or(bytes.len(), |room| room.min(bytes.len()));
+        if let Some(room) = &mut inner.room {
+            *room -= taken;
+        }
+        let file = inner.files.get_mut(&self.name).unwrap();
+        file.resize(file.len().max(offset as usize + taken), 0);
+        file[offset as usize..offset as usize + taken].copy_from_slice(&bytes[..taken]);
+        match taken == bytes.len() {
+            true => Ok(()),
+            false => Err(io::ErrorKind::StorageFull.into()),
+        }
+    }
+
+    fn cut(&mut self, length: u64) -> io::Result<()> {
+        let mut inner = self.folder.0.lock().unwrap();
+        let file = inner.files.get_mut(&self.name).unwrap();
+        file.truncate(length as usize);
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.folder.sync_one()
+    }
+}
+
+pub(crate) fn entry(index: u64, term: u64, length: usize) -> Record {
+    Record::Entry(Entry {
+        index,
+        term,
+        payload: Payload::Command(Bytes::from(vec![index as u8 | 1; length])),
+    })
+}
+
+pub(crate) fn hard(term: u64) -> Record {
+    Record::Hard(Hard {
+        group: Some(9),
+        term,
+        vote: None,
+    })
+}
+
+pub(crate) fn write(sequence: u64, records: Vec<Record>) -> VecDeque<Write> {
+    VecDeque::from([Write {
+        sequence,
+        records,
+        chunk: None,
+    }])
+}
+
+pub(crate) fn meta(index: u64, term: u64) -> Meta {
+    Meta {
+        mark: Mark { index, term },
+        membership: Membership::of(vec![Member {
+            node: "a".into(),
+            disk: 1,
+        }]),
+    }
+}
