--- a/components/entry/tests/assembler.rs
+++ b/components/entry/tests/assembler.rs
@@ -63,7 +63,8 @@
         text += &event(index, token);
     }
     let choice = json!({"index": 0, "text": "", "finish_reason": "stop"});
-    text += &format!("data: {}\n\n", json!({"choices": [choice], "usage": {}}));
+    let usage = json!({"completion_tokens": tokens.len()});
+    text += &format!("data: {}\n\n", json!({"choices": [choice], "usage": usage}));
     text += "data: [DONE]\n\n";
     let mut bytes = text.into_bytes();
     if let Some(Fault::Cut(length)) = fault {
--- a/components/entry/tests/sharing.rs
+++ b/components/entry/tests/sharing.rs
@@ -65,18 +65,10 @@
             match bucket.take(1.0, RATE, now) {
                 Ok(()) => admitted += 1.0,
                 Err(after) => {
-                    let again = now + after + Duration::from_nanos(1);
-                    prop_assert!(after > Duration::ZERO);
-                    // The time told to the caller is true.
-                    let copy = Bucket::default();
-                    for _ in 0..50 {
-                        let _ = copy.take(1.0, RATE, now);
-                    }
-                    prop_assert!(
-                        copy.take(1.0, RATE, now + Duration::from_millis(20))
-                            .is_ok()
-                    );
-                    prop_assert!(again > now);
+                    // The time that the caller is told is true.
+                    now += after;
+                    prop_assert!(bucket.take(1.0, RATE, now).is_ok());
+                    admitted += 1.0;
                 }
             }
             prop_assert!(admitted <= RATE * now.as_secs_f64() + RATE + 1.0);
