Run the control process on the replicated log

The process starts a Group in its data folder, carries its messages as pushes between control processes (taken only from the process that a message names as its sender), hands the lead over on a planned stop, and ends when its data folder fails. Three processes with real files pass: submit and resend through followers, loss and restart of the leader, no quorum, planned stop.

Found on the way: a stopped process kept its replica, since two tasks waited for channels that only the replica's end closes; a restart on the same folder was refused for 20 s ("another process has this data folder open").

--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -19,4 +19,4 @@
 pub use memory::Memory;
 pub use metrics::Metrics;
 pub use node::{Node, Settings};
-pub use process::{Process, run};
+pub use process::{Process, Sockets, run, start_group};
--- a/components/control/src/memory.rs
+++ b/components/control/src/memory.rs
@@ -87,6 +87,8 @@
         Ok(())
     }
 
+    fn deliver(&self, _message: consensus::Message) {}
+
     fn status(&self) -> Status {
         let inner = self.lock();
         Status {
--- a/components/control/src/operators/gate.rs
+++ b/components/control/src/operators/gate.rs
@@ -54,7 +54,15 @@
 where
     R: Replica<Command = Command, Output = Output>,
 {
-    while let Some((body, sender)) = questions.recv().await {
+    let mut stopped = node.stopped.subscribe();
+    loop {
+        let question = tokio::select! {
+            question = questions.recv() => question,
+            _ = stopped.wait_for(|stopped| *stopped) => None,
+        };
+        let Some((body, sender)) = question else {
+            return;
+        };
         let node = node.clone();
         tokio::spawn(async move {
             let request = Request {
--- a/components/control/src/operators/server.rs
+++ b/components/control/src/operators/server.rs
@@ -1,6 +1,6 @@
 //! The HTTP server.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::time::Duration;
 
 use errors::{Error, Peer, Result, Step};
@@ -17,19 +17,16 @@
 
 /// A running HTTP server.
 pub struct Server {
-    address: SocketAddr,
     stop: Box<dyn Fn() + Send + Sync>,
 }
 
 impl Server {
-    /// Listens on `address` and serves.
+    /// Serves on `listener`.
     ///
     /// # Errors
-    /// Fails when the address can't be listened on.
-    pub fn start(address: SocketAddr, gate: Gate) -> Result<Server> {
-        let listen = |error| Error::Io(Step::Listen, Peer::Address(address), error);
-        let listener = TcpListener::bind(address).map_err(listen)?;
-        let address = listener.local_addr().map_err(listen)?;
+    /// Fails when the socket can't be served.
+    pub fn start(listener: TcpListener, gate: Gate) -> Result<Server> {
+        let listen = |error| Error::Io(Step::Listen, Peer::Local, error);
         let mut server = App::new()
             .with_state(gate)
             .at("/healthz", get(handler_service(routes::health)))
@@ -54,16 +51,10 @@
         // The server holds a runtime, which must not be dropped inside another one.
         std::thread::spawn(move || server.wait());
         Ok(Server {
-            address,
             stop: Box::new(move || handle.stop(true)),
         })
     }
 
-    /// Returns the address that it listens on.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
     /// Stops serving.
     pub fn stop(&self) {
         (self.stop)();
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -6,6 +6,7 @@
 
 use config::ids::{NodeId, Version};
 use config::settings::Peer;
+use consensus::Message;
 use errors::Step;
 use indexmap::IndexMap;
 use link::{Connection, Incoming};
@@ -58,6 +59,20 @@
         }
     }
 
+    /// Sends a message of the replicated log; without a connection it is lost.
+    pub(crate) fn send_log(&self, from: &NodeId, message: &Message) {
+        let link = self.dialed().get(&message.to).cloned();
+        let mut bytes = Vec::new();
+        match (link, ciborium::into_writer(message, &mut bytes)) {
+            (Some(link), Ok(())) => link.push(Push::Log {
+                from: from.clone(),
+                message: bytes.into(),
+            }),
+            (Some(_), Err(error)) => warn!("control: a log message can't be encoded: {error}"),
+            (None, _) => {}
+        }
+    }
+
     /// Passes a request on to the leader.
     pub(crate) async fn forward(
         &self,
@@ -202,12 +217,45 @@
                     connection.answer(id, answer);
                 });
             }
+            Incoming::Push(Push::Log { message, .. }, _) => deliver(node, connection, &message),
             Incoming::Push(push, age) => node.pushed(connection, push, age),
         }
     }
     connection.close();
 }
 
+/// Hands a log message over if it is the sender's own.
+fn deliver<R>(node: &Node<R>, connection: &Connection, bytes: &[u8])
+where
+    R: Replica<Command = Command, Output = Output>,
+{
+    let hello = connection.hello();
+    match ciborium::from_reader::<Message, _>(bytes) {
+        Ok(message) if hello.role == Role::Control && message.from.node == hello.node => {
+            node.replica.deliver(message);
+        }
+        Ok(_) => warn!("control: refused a log message of \"{}\"", hello.node),
+        Err(error) => {
+            warn!("control: closed \"{}\": log message: {error}", hello.node);
+            connection.close();
+        }
+    }
+}
+
+/// Sends the replica's messages until the process stops.
+pub(crate) async fn send_logs<R>(node: Arc<Node<R>>, mut outgoing: mpsc::Receiver<Message>) {
+    let mut stopped = node.stopped.subscribe();
+    loop {
+        tokio::select! {
+            message = outgoing.recv() => match message {
+                Some(message) => node.peers.send_log(&node.settings.node, &message),
+                None => return,
+            },
+            _ = stopped.wait_for(|stopped| *stopped) => return,
+        }
+    }
+}
+
 /// Reports whether the other end may make the request: an entry speaks only for itself, a
 /// control process also passes requests on.
 fn allowed(connection: &Connection, request: &Request) -> bool {
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -1,6 +1,6 @@
 //! The control process from start to stop.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,18 +9,65 @@
 use state::{Command, Output};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
-use tracing::info;
+use tracing::{error, info};
 
 use crate::operators::{self, Gate};
-use crate::replica::Replica;
-use crate::{Machine, Memory, Node, Settings, clock, node, peers};
+use crate::replica::{Group, Replica};
+use crate::{Machine, Node, Settings, clock, node, peers};
 
 /// Longest wait for another process to take the lead on a planned stop.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Wait for answers that are on their way on a planned stop.
 const DRAIN: Duration = Duration::from_millis(200);
 
+/// Messages of the replica that wait to be sent.
+const LOG_QUEUE: usize = 1_024;
+
+/// Listening sockets of a control process.
+#[derive(Debug)]
+pub struct Sockets {
+    peers: StdListener,
+    operators: StdListener,
+}
+
+impl Sockets {
+    /// Listens on both addresses; port 0 lets the system choose.
+    ///
+    /// # Errors
+    /// Fails when an address can't be listened on.
+    pub fn bind(peers: SocketAddr, operators: SocketAddr) -> Result<Sockets> {
+        let bind = |address| {
+            StdListener::bind(address)
+                .map_err(|error| Error::Io(Step::Listen, Peer::Address(address), error))
+        };
+        Ok(Sockets {
+            peers: bind(peers)?,
+            operators: bind(operators)?,
+        })
+    }
+
+    /// Returns the addresses for peers and for operators.
+    ///
+    /// # Errors
+    /// Fails when the system does not know them.
+    pub fn addresses(&self) -> Result<(SocketAddr, SocketAddr)> {
+        let address = |listener: &StdListener| {
+            let address = listener.local_addr();
+            address.map_err(|error| Error::Io(Step::Listen, Peer::Local, error))
+        };
+        Ok((address(&self.peers)?, address(&self.operators)?))
+    }
+
+    fn into_listeners(self) -> Result<(TcpListener, StdListener)> {
+        let take = |error| Error::Io(Step::Listen, Peer::Local, error);
+        self.peers.set_nonblocking(true).map_err(take)?;
+        let peers = TcpListener::from_std(self.peers).map_err(take)?;
+        Ok((peers, self.operators))
+    }
+}
+
 /// A running control process.
 pub struct Process<R> {
     /// What its tasks share.
@@ -33,23 +80,15 @@
 }
 
 impl<R: Replica<Command = Command, Output = Output>> Process<R> {
-    /// Listens on both addresses and starts all tasks on the current runtime.
+    /// Serves on both sockets and starts all tasks on the current runtime.
     ///
     /// # Errors
-    /// Fails when an address can't be listened on.
-    pub async fn start(
-        node: Arc<Node<R>>,
-        keys: Keys,
-        peer_address: SocketAddr,
-        operators_address: SocketAddr,
-    ) -> Result<Process<R>> {
-        let listen = |address| move |error| Error::Io(Step::Listen, Peer::Address(address), error);
-        let listener = TcpListener::bind(peer_address)
-            .await
-            .map_err(listen(peer_address))?;
-        let peer_address = listener.local_addr().map_err(listen(peer_address))?;
+    /// Fails when a socket can't be served.
+    pub fn start(node: Arc<Node<R>>, keys: Keys, sockets: Sockets) -> Result<Process<R>> {
+        let (peer_address, operators_address) = sockets.addresses()?;
+        let (listener, operators) = sockets.into_listeners()?;
         let gate = Gate::start(node.clone(), keys);
-        let operators = operators::Server::start(operators_address, gate)?;
+        let operators = operators::Server::start(operators, gate)?;
         for peer in &node.settings.peers {
             if peer.node != node.settings.node {
                 tokio::spawn(peers::keep(node.clone(), peer.clone()));
@@ -59,11 +98,11 @@
         tokio::spawn(node::tell_versions(node.clone()));
         tokio::spawn(node::lead(node.clone()));
         info!(
-            "control: listens on {peer_address} for the fleet and on {} for operators",
-            operators.address()
+            "control: listens on {peer_address} for the fleet and on {operators_address} for \
+             operators"
         );
         Ok(Process {
-            operators_address: operators.address(),
+            operators_address,
             node,
             peer_address,
             operators,
@@ -76,6 +115,11 @@
             let _ = timeout(TRANSFER_TIMEOUT, self.node.replica.hand_over()).await;
         }
         sleep(DRAIN).await;
+        self.abort();
+    }
+
+    /// Stops all tasks without handing the lead over, as a crash does.
+    pub fn abort(self) {
         self.node.stopped.send_replace(true);
         self.operators.stop();
         self.node.peers.close();
@@ -91,28 +135,46 @@
     let take = |error| Error::Io(Step::Load, Peer::Local, error);
     let mut terminate = signal(SignalKind::terminate()).map_err(take)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(take)?;
-    let machine = Machine::default();
-    let replica = Memory::new(settings.node.clone(), machine.clone());
-    let node = Node::new(
-        Settings {
-            node: settings.node.clone(),
-            incarnation: clock::unix_ms(),
-            peers: settings.control_peers.clone(),
-            secret: keys.fleet.clone(),
-            freshness_lease: settings.control.freshness_lease,
-            claim_retention: settings.control.claim_retention,
-            ..Settings::default()
-        },
-        replica,
-        machine,
-    );
     let peers = SocketAddr::new(settings.address, settings.control.peer_port);
     let operators = SocketAddr::new(settings.address, settings.control.operators_port);
-    let process = Process::start(node, keys, peers, operators).await?;
+    let sockets = Sockets::bind(peers, operators)?;
+    let (process, failure) = start_group(&settings, keys, sockets)?;
     tokio::select! {
         _ = terminate.recv() => info!("control: SIGTERM, stops"),
         _ = interrupt.recv() => info!("control: SIGINT, stops"),
+        Ok(failed) = failure => {
+            error!("control: the data folder can't be used any more: {failed}");
+            return Err(failed);
+        }
     }
     process.stop().await;
     Ok(())
 }
+
+/// Starts a process that takes part in a control group. The receiver gets the error that ends
+/// its replica; the process must end then.
+///
+/// # Errors
+/// Fails when the data folder or a socket can't be used.
+pub fn start_group(
+    settings: &Configured,
+    keys: Keys,
+    sockets: Sockets,
+) -> Result<(Process<Group<Machine>>, oneshot::Receiver<Error>)> {
+    let machine = Machine::default();
+    let (outgoing, messages) = mpsc::channel(LOG_QUEUE);
+    let (group, failure) = Group::start(settings.into(), machine.clone(), outgoing)?;
+    let own = Settings {
+        node: settings.node.clone(),
+        incarnation: clock::unix_ms(),
+        peers: settings.control_peers.clone(),
+        secret: keys.fleet.clone(),
+        freshness_lease: settings.control.freshness_lease,
+        claim_retention: settings.control.claim_retention,
+        ..Settings::default()
+    };
+    let node = Node::new(own, group, machine);
+    tokio::spawn(peers::send_logs(node.clone(), messages));
+    let process = Process::start(node, keys, sockets)?;
+    Ok((process, failure))
+}
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -56,6 +56,9 @@
     /// where this process does not lead or is the only voter.
     fn hand_over(&self) -> impl Future<Output = Result<()>> + Send;
 
+    /// Takes in a message of another replica; it may be lost, doubled or overtaken.
+    fn deliver(&self, message: consensus::Message);
+
     /// Returns where the replica stands now.
     fn status(&self) -> Status;
 }
--- a/components/control/src/replica/group.rs
+++ b/components/control/src/replica/group.rs
@@ -171,6 +171,10 @@
         }
     }
 
+    fn deliver(&self, message: Message) {
+        self.receive(message);
+    }
+
     fn status(&self) -> Status {
         self.status.borrow().clone()
     }
--- a/components/control/tests/process/fleet_of_one.rs
+++ b/components/control/tests/process/fleet_of_one.rs
@@ -7,12 +7,12 @@
 use config::keys::{Keys, Secret};
 use config::settings::Peer;
 use control::client::{Client, Submission};
-use control::{Machine, Memory, Node, Process, Settings};
+use control::{Machine, Memory, Node, Process, Settings, Sockets};
 use fleet::{Control, Member, View};
 use tokio::time::sleep;
 
 pub(crate) const SECRET: &str = "fleet-secret";
-const TOKEN: &str = "operator-token";
+pub(crate) const TOKEN: &str = "operator-token";
 /// Longest wait for something that is bound to happen.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -44,9 +44,8 @@
     let node: Arc<Node<Memory>> = Node::new(settings, replica, machine);
     let mut keys = Keys::default();
     keys.operators.insert("ana".into(), Secret::new(TOKEN));
-    Process::start(node, keys, any_port(), any_port())
-        .await
-        .expect("loopback can be listened on")
+    let sockets = Sockets::bind(any_port(), any_port()).expect("loopback can be listened on");
+    Process::start(node, keys, sockets).expect("the sockets can be served")
 }
 
 pub(crate) fn member(name: &str, control: SocketAddr) -> Member {
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -3,6 +3,8 @@
 mod announcements;
 mod claims;
 mod fleet_of_one;
+mod group;
+mod group_of_three;
 mod relay;
 mod silence;
 mod submissions;
