Add a load tool that checks every answer token by token

A lost or doubled request shows only in whole histories: the tool compares each answer with what the engine must give, tries again on other entries with the same key, and reads the ledgers of plain services at the end. It refuses every address that is not loopback.

Measuring with a stock load generator was ruled out: none can tell a stream that ends early, or goes on with a foreign token, from a whole one.

--- a/stand_ins/src/cli.rs
+++ b/stand_ins/src/cli.rs
@@ -15,9 +15,43 @@
         .subcommand(cloud())
         .subcommand(weights())
         .subcommand(relay())
+        .subcommand(load())
         .subcommand(ports())
 }
 
+fn load() -> Command {
+    let addresses = |name, help| address(name, help).action(ArgAction::Append);
+    Command::new("load")
+        .about("Sends seeded requests to loopback addresses and checks every answer")
+        .arg(addresses(
+            "entry",
+            "Entry to ask; may be given several times",
+        ))
+        .arg(address(
+            "direct",
+            "Engine that every second generation asks directly",
+        ))
+        .arg(addresses(
+            "engine",
+            "Engine whose history is read at the end",
+        ))
+        .arg(addresses(
+            "plain",
+            "Plain service whose ledger is read at the end",
+        ))
+        .arg(text("bearer", "Key of a client account"))
+        .arg(text("mix", "\"cetak\" or \"armor\"").default_value("cetak"))
+        .arg(text("model", "Model in place of the mix's own"))
+        .arg(text(
+            "plain-service",
+            "Plain service in place of the mix's own; \"\" for none",
+        ))
+        .arg(number("rate", "Requests per second", "10"))
+        .arg(number("seconds", "Time for which requests are begun", "5"))
+        .arg(count("seed", "Seed of requests and pauses", "1"))
+        .arg(text("format", "\"table\" or \"json\"").default_value("table"))
+}
+
 fn cloud() -> Command {
     Command::new("cloud")
         .about("Runs a cloud API, whose instances run stand-ins in the same process")
--- a/stand_ins/src/cmd.rs
+++ b/stand_ins/src/cmd.rs
@@ -2,6 +2,7 @@
 
 mod cloud;
 mod engine;
+mod load;
 mod plain;
 mod ports;
 mod relay;
@@ -27,6 +28,7 @@
         Some(("engine", matches)) => runtime.block_on(engine::run(matches)),
         Some(("plain", matches)) => runtime.block_on(plain::run(matches)),
         Some(("cloud", matches)) => runtime.block_on(cloud::run(matches)),
+        Some(("load", matches)) => runtime.block_on(load::run(matches)),
         Some(("weights", matches)) => runtime.block_on(weights::run(matches)),
         Some(("relay", matches)) => runtime.block_on(relay::run(matches)),
         Some(("ports", matches)) => ports::run(matches),
--- /dev/null
+++ b/stand_ins/src/cmd/load.rs
@@ -0,0 +1,68 @@
+//! `stand-ins load`
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use stand_ins::load::{Mix, Plan, Settings, Target, run as run_plan};
+
+use super::upstream::text;
+
+/// Runs a load, prints its report, and fails when something was lost, doubled or wrong.
+pub(super) async fn run(matches: &ArgMatches) -> io::Result<()> {
+    let plan = plan(matches)?;
+    let report = run_plan(&plan).await?;
+    match text(matches, "format").as_str() {
+        "json" => println!("{}", report.json()),
+        _ => print!("{report}"),
+    }
+    match report.is_clean() {
+        true => Ok(()),
+        false => Err(io::Error::other(
+            "requests were lost, doubled, wrong or falsely refused",
+        )),
+    }
+}
+
+fn plan(matches: &ArgMatches) -> io::Result<Plan> {
+    let addresses = |name: &str| -> Vec<SocketAddr> {
+        let values = matches.get_many::<SocketAddr>(name).into_iter().flatten();
+        values.copied().collect()
+    };
+    let number = |name: &str| matches.get_one::<f64>(name).copied().unwrap_or_default();
+    let mix = match text(matches, "mix").as_str() {
+        "cetak" => Mix::Cetak,
+        "armor" => Mix::Armor,
+        other => return Err(io::Error::other(format!("mix \"{other}\" is unknown"))),
+    };
+    let named = |name: &str, default: String| match matches.get_one::<String>(name) {
+        Some(value) => value.clone(),
+        None => default,
+    };
+    let target = mix.target();
+    Ok(Plan {
+        caller: Settings {
+            entries: addresses("entry"),
+            bearer: text(matches, "bearer"),
+            pooled: true,
+            ..Settings::default()
+        },
+        direct: addresses("direct").first().copied(),
+        engines: addresses("engine"),
+        plain: addresses("plain"),
+        mix,
+        target: Target {
+            model: named("model", target.model),
+            plain: named("plain-service", target.plain),
+            submit_path: target.submit_path,
+        },
+        rate: number("rate"),
+        duration: Duration::from_secs_f64(number("seconds").clamp(0.0, LONGEST_SECONDS)),
+        seed: matches.get_one::<u64>("seed").copied().unwrap_or(1),
+        ..Plan::default()
+    })
+}
+
+/// Longest run.
+const LONGEST_SECONDS: f64 = 3_600.0;
--- a/stand_ins/src/lib.rs
+++ b/stand_ins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cloud;
 pub mod engine;
 mod life;
+pub mod load;
 pub mod plain;
 pub mod relay;
 pub mod text;
--- /dev/null
+++ b/stand_ins/src/load/attempt.rs
@@ -0,0 +1,306 @@
+//! One try of a request.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderMap, Method};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use serde_json::Value;
+use tokio::time::{Instant as Deadline, timeout, timeout_at};
+
+use super::outcome::{Ended, Outcome, Told};
+use super::sse::{Event, Parser};
+use super::{Attempt, Call, Caller};
+use crate::plain;
+
+/// What a request has received over all of its tries.
+#[derive(Debug)]
+pub(super) struct Progress {
+    started: Instant,
+    expected: Vec<String>,
+    /// Tokens received without a gap.
+    seen: usize,
+    last_event: u64,
+    first_token: Option<Duration>,
+    last_token: Option<Instant>,
+    gaps: Vec<Duration>,
+}
+
+impl Progress {
+    pub(super) fn new(call: &Call, started: Instant) -> Progress {
+        Progress {
+            started,
+            expected: match call {
+                Call::Generate(generate) => generate.expected(),
+                _ => Vec::new(),
+            },
+            seen: 0,
+            last_event: 0,
+            first_token: None,
+            last_token: None,
+            gaps: Vec::new(),
+        }
+    }
+
+    pub(super) fn told(self, outcome: Outcome, attempts: Vec<Attempt>) -> Told {
+        Told {
+            outcome,
+            attempts,
+            first_token: self.first_token,
+            gaps: self.gaps,
+            total: self.started.elapsed(),
+            tokens: self.seen,
+        }
+    }
+
+    fn restart(&mut self) {
+        self.seen = 0;
+        self.last_event = 0;
+    }
+
+    fn token(&mut self, token: &str) -> Result<(), String> {
+        match self.expected.get(self.seen) {
+            Some(expected) if expected == token => {}
+            expected => {
+                let at = self.seen;
+                return Err(format!("token {at} is {token:?} in place of {expected:?}"));
+            }
+        }
+        let now = Instant::now();
+        self.seen += 1;
+        match self.last_token.replace(now) {
+            Some(last) => self.gaps.push(now - last),
+            None => self.first_token = Some(now - self.started),
+        }
+        Ok(())
+    }
+
+    fn whole(&self) -> Ended {
+        match self.seen {
+            seen if seen == self.expected.len() => Ended::Whole,
+            seen => Ended::Wrong(format!(
+                "the end mark came after {seen} of {} tokens",
+                self.expected.len()
+            )),
+        }
+    }
+}
+
+/// A try that is under way.
+pub(super) struct Try<'a> {
+    caller: &'a Caller,
+    entry: SocketAddr,
+    call: &'a Call,
+}
+
+impl<'a> Try<'a> {
+    pub(super) fn new(caller: &'a Caller, entry: SocketAddr, call: &'a Call) -> Try<'a> {
+        Try {
+            caller,
+            entry,
+            call,
+        }
+    }
+
+    pub(super) async fn run(self, progress: &mut Progress) -> Attempt {
+        // Without the number of a last event the answer begins anew.
+        if progress.last_event == 0 {
+            progress.restart();
+        }
+        let deadline = Deadline::now() + self.caller.settings.deadline;
+        let mut attempt = Attempt {
+            entry: self.entry,
+            request: String::new(),
+            status: None,
+            ended: Ended::Broken("no answer within the deadline".to_owned()),
+        };
+        let exchange = self.exchange(progress, &mut attempt);
+        if let Ok(ended) = timeout_at(deadline, exchange).await {
+            attempt.ended = ended;
+        }
+        if attempt.ended == Ended::Restart {
+            progress.restart();
+        }
+        attempt
+    }
+
+    async fn exchange(&self, progress: &mut Progress, attempt: &mut Attempt) -> Ended {
+        let request = self.request(progress);
+        let silence = self.caller.settings.silence;
+        let response = match timeout(silence, self.caller.http.request(request)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(cause)) => return Ended::Broken(format!("no answer: {cause}")),
+            Err(_) => return Ended::Broken("no head of an answer in time".to_owned()),
+        };
+        let (head, body) = response.into_parts();
+        attempt.status = Some(head.status.as_u16());
+        attempt.request = header(&head.headers, "chervilloft-request-id");
+        let streamed = header(&head.headers, "content-type").starts_with("text/event-stream");
+        match head.status.is_success() && streamed {
+            true => self.stream(body, progress).await,
+            false => match whole(body, silence).await {
+                Ok(bytes) => self.answer(head.status.as_u16(), &head.headers, &bytes, progress),
+                Err(ended) => ended,
+            },
+        }
+    }
+
+    fn request(&self, progress: &Progress) -> hyper::Request<Full<Bytes>> {
+        let (method, path, body) = match self.call {
+            Call::Generate(generate) => (
+                Method::POST,
+                generate.path().to_owned(),
+                generate.body().to_string(),
+            ),
+            Call::Read { service, path } => (
+                Method::GET,
+                format!("/services/{service}{path}"),
+                String::new(),
+            ),
+            Call::Submit(submit) => (
+                Method::POST,
+                format!("/services/{}{}", submit.service, submit.path),
+                submit.body.clone(),
+            ),
+        };
+        let mut request = hyper::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.entry))
+            .header(CONTENT_TYPE, "application/json");
+        let settings = &self.caller.settings;
+        if !settings.bearer.is_empty() {
+            request = request.header(AUTHORIZATION, format!("Bearer {}", settings.bearer));
+        }
+        if !self.call.key().is_empty() {
+            request = request.header("idempotency-key", self.call.key());
+        }
+        if progress.last_event > 0 {
+            request = request.header("last-event-id", progress.last_event);
+        }
+        match self.call {
+            Call::Generate(generate) if !generate.priority.is_empty() => {
+                request = request.header("chervilloft-priority", generate.priority);
+            }
+            _ => {}
+        }
+        request
+            .body(Full::new(body.into()))
+            .expect("the parts of a request are valid")
+    }
+
+    async fn stream(&self, mut body: Incoming, progress: &mut Progress) -> Ended {
+        let mut parser = Parser::default();
+        loop {
+            let frame = match timeout(self.caller.settings.silence, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(cause))) => return Ended::Broken(format!("stream cut: {cause}")),
+                Ok(None) => return Ended::Broken("stream closed without its end mark".to_owned()),
+                Err(_) => return Ended::Broken("stream silent".to_owned()),
+            };
+            let bytes = frame.into_data().unwrap_or_default();
+            for event in parser.push(&bytes) {
+                if let Some(ended) = take(&event, progress) {
+                    return ended;
+                }
+            }
+        }
+    }
+
+    fn answer(
+        &self,
+        status: u16,
+        headers: &HeaderMap,
+        bytes: &Bytes,
+        progress: &mut Progress,
+    ) -> Ended {
+        let json: Value = serde_json::from_slice(bytes).unwrap_or_default();
+        let outcome = header(headers, "chervilloft-outcome");
+        let seconds = header(headers, RETRY_AFTER.as_str());
+        match (status, outcome.as_str(), self.call) {
+            (409, _, Call::Generate(_)) if progress.last_event > 0 => Ended::Restart,
+            (_, "not-run", _) => Ended::Refused(seconds.parse().unwrap_or(0)),
+            (_, "unknown", _) => Ended::Unknown,
+            (200, _, Call::Generate(generate)) => {
+                let text = match generate.chat {
+                    true => &json["choices"][0]["message"]["content"],
+                    false => &json["choices"][0]["text"],
+                };
+                compare(text.as_str(), progress)
+            }
+            (200, _, Call::Read { service, path }) => {
+                let expected = plain::read_answer(service, path);
+                match serde_json::from_str::<Value>(&expected) {
+                    Ok(expected) if expected == json => Ended::Whole,
+                    _ => Ended::Wrong(format!("a read of \"{path}\" gave {json}")),
+                }
+            }
+            (201, _, Call::Submit(submit)) if submit.matches(&json) => Ended::Whole,
+            _ => Ended::Wrong(format!("status {status}, outcome \"{outcome}\": {json}")),
+        }
+    }
+}
+
+fn compare(text: Option<&str>, progress: &mut Progress) -> Ended {
+    let expected = progress.expected.concat();
+    match text {
+        Some(text) if text == expected => {
+            progress.seen = progress.expected.len();
+            Ended::Whole
+        }
+        other => Ended::Wrong(format!("the text is {other:?} in place of {expected:?}")),
+    }
+}
+
+/// Takes in one event, and returns how the try ended if it did.
+fn take(event: &Event, progress: &mut Progress) -> Option<Ended> {
+    if event.name == "error" {
+        return Some(Ended::Broken(format!("error event: {}", event.data)));
+    }
+    if event.data == "[DONE]" {
+        return Some(progress.whole());
+    }
+    let json: Value = match serde_json::from_str(&event.data) {
+        Ok(json) => json,
+        Err(cause) => return Some(Ended::Wrong(format!("an event is not JSON: {cause}"))),
+    };
+    let choice = &json["choices"][0];
+    let token = choice["delta"]["content"].as_str();
+    let token = token
+        .or_else(|| choice["text"].as_str())
+        .unwrap_or_default();
+    if token.is_empty() {
+        return None;
+    }
+    match (event.id, progress.token(token)) {
+        (_, Err(what)) => Some(Ended::Wrong(what)),
+        (Some(id), Ok(())) if id != progress.last_event + 1 => Some(Ended::Wrong(format!(
+            "event {id} came after event {}",
+            progress.last_event
+        ))),
+        (Some(id), Ok(())) => {
+            progress.last_event = id;
+            None
+        }
+        (None, Ok(())) => None,
+    }
+}
+
+async fn whole(mut body: Incoming, silence: Duration) -> Result<Bytes, Ended> {
+    let mut whole = Vec::new();
+    loop {
+        match timeout(silence, body.frame()).await {
+            Ok(Some(Ok(frame))) => whole.extend(frame.into_data().unwrap_or_default()),
+            Ok(Some(Err(cause))) => return Err(Ended::Broken(format!("answer cut: {cause}"))),
+            Ok(None) => return Ok(whole.into()),
+            Err(_) => return Err(Ended::Broken("answer silent".to_owned())),
+        }
+    }
+}
+
+fn header(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/stand_ins/src/load/call.rs
@@ -0,0 +1,114 @@
+//! What a caller asks for, and what must come back.
+
+use serde_json::{Value, json};
+
+use crate::{plain, text};
+
+/// One request of a caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Call {
+    /// Generation by a model.
+    Generate(Generate),
+    /// An idempotent read of a plain service.
+    Read {
+        /// Service.
+        service: String,
+        /// Path after the service's name, with a leading slash.
+        path: String,
+    },
+    /// A call of a plain service that must run at most once.
+    Submit(Submit),
+}
+
+/// A request to generate text.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Generate {
+    /// Model or adapter.
+    pub model: String,
+    /// Prompt, or the one message of a chat.
+    pub prompt: String,
+    /// Whether it is sent as a chat.
+    pub chat: bool,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Tokens of the answer; the engine decides where it is missing.
+    pub max_tokens: Option<usize>,
+    /// Idempotency key; none where empty.
+    pub key: String,
+    /// Value of `Chervilloft-Priority`; none where empty.
+    pub priority: &'static str,
+}
+
+/// A call that must run at most once.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Submit {
+    /// Service.
+    pub service: String,
+    /// Path after the service's name, with a leading slash.
+    pub path: String,
+    /// Body.
+    pub body: String,
+    /// Idempotency key; none where empty.
+    pub key: String,
+}
+
+impl Call {
+    /// Returns the idempotency key, or an empty text.
+    pub fn key(&self) -> &str {
+        match self {
+            Call::Generate(generate) => &generate.key,
+            Call::Submit(submit) => &submit.key,
+            Call::Read { .. } => "",
+        }
+    }
+
+    /// Reports whether the call may be sent again after its first try was cut.
+    pub fn may_repeat(&self) -> bool {
+        match self {
+            Call::Generate(_) | Call::Read { .. } => true,
+            Call::Submit(submit) => !submit.key.is_empty(),
+        }
+    }
+}
+
+impl Generate {
+    /// Returns the whole answer, token by token.
+    pub fn expected(&self) -> Vec<String> {
+        let prompt = match self.chat {
+            true => text::prompt_of("user", &self.prompt),
+            false => self.prompt.clone(),
+        };
+        text::answer(&self.model, &prompt, self.max_tokens)
+    }
+
+    /// Returns the path of the published API.
+    pub fn path(&self) -> &'static str {
+        match self.chat {
+            true => "/v1/chat/completions",
+            false => "/v1/completions",
+        }
+    }
+
+    /// Returns the body of the published API.
+    pub fn body(&self) -> Value {
+        let mut body = match self.chat {
+            true => json!({"messages": [{"role": "user", "content": self.prompt}]}),
+            false => json!({"prompt": self.prompt}),
+        };
+        body["model"] = json!(self.model);
+        body["stream"] = json!(self.stream);
+        if let Some(limit) = self.max_tokens {
+            body["max_tokens"] = json!(limit);
+        }
+        body
+    }
+}
+
+impl Submit {
+    /// Reports whether `answer` is that of this call.
+    pub fn matches(&self, answer: &Value) -> bool {
+        answer["booking"] == json!(plain::booking(&self.body))
+            && answer["key"] == json!(self.key)
+            && answer["path"] == json!(self.path)
+    }
+}
--- /dev/null
+++ b/stand_ins/src/load/caller.rs
@@ -0,0 +1,137 @@
+//! A caller that tries its requests again on other entries, as callers do.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+use super::attempt::{Progress, Try};
+use super::outcome::{Ended, Outcome, Told};
+use super::{Attempt, Call};
+
+pub(super) type Http = Client<HttpConnector, Full<Bytes>>;
+
+const IDLE_CONNECTIONS: usize = 256;
+
+/// Whom a caller asks, and how patiently.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Entries; each try goes to the next one.
+    pub entries: Vec<SocketAddr>,
+    /// Key of the client account; none where empty.
+    pub bearer: String,
+    /// Tries of one request at most.
+    pub attempts: usize,
+    /// Pause before another try.
+    pub pause: Duration,
+    /// Longest time without a byte before a try is given up.
+    pub silence: Duration,
+    /// Longest time for one try.
+    pub deadline: Duration,
+    /// Whether a request that was refused as not run is tried again.
+    pub retry_refused: bool,
+    /// Whether connections are kept for later requests.
+    pub pooled: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            entries: Vec::new(),
+            bearer: String::new(),
+            attempts: 8,
+            pause: Duration::from_millis(200),
+            silence: Duration::from_secs(8),
+            deadline: Duration::from_secs(60),
+            retry_refused: false,
+            pooled: false,
+        }
+    }
+}
+
+/// A caller of a client account.
+#[derive(Debug)]
+pub struct Caller {
+    pub(super) settings: Settings,
+    pub(super) http: Http,
+    next: AtomicUsize,
+}
+
+impl Caller {
+    /// Returns a caller, whose first request goes to the first entry.
+    pub fn new(settings: Settings) -> Caller {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_secs(2)));
+        let idle = if settings.pooled { IDLE_CONNECTIONS } else { 0 };
+        let http = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(idle)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Caller {
+            settings,
+            http,
+            next: AtomicUsize::new(0),
+        }
+    }
+
+    /// Makes a call and tries it again until it has an end or no tries are left.
+    pub async fn call(&self, call: &Call) -> Told {
+        let first = self.next.fetch_add(1, Ordering::Relaxed);
+        self.call_from(first, call).await
+    }
+
+    /// Makes a call whose first try goes to entry `first`, counted around.
+    pub async fn call_from(&self, first: usize, call: &Call) -> Told {
+        let started = Instant::now();
+        let mut progress = Progress::new(call, started);
+        let mut attempts: Vec<Attempt> = Vec::new();
+        let mut outcome = Outcome::Lost("no try was made".to_owned());
+        for number in 0..self.settings.attempts {
+            if number > 0 {
+                tokio::time::sleep(self.settings.pause).await;
+            }
+            let entry = self.settings.entries[(first + number) % self.settings.entries.len()];
+            let attempt = Try::new(self, entry, call).run(&mut progress).await;
+            let was_cut = attempts
+                .iter()
+                .any(|it| matches!(it.ended, Ended::Broken(_)));
+            let end = self.judge(call, &attempt, was_cut);
+            attempts.push(attempt);
+            match end {
+                Judgement::Ends(ended) => {
+                    outcome = ended;
+                    break;
+                }
+                Judgement::GoesOn(seen) => outcome = Outcome::Lost(seen),
+            }
+        }
+        progress.told(outcome, attempts)
+    }
+
+    fn judge(&self, call: &Call, attempt: &Attempt, was_cut: bool) -> Judgement {
+        match &attempt.ended {
+            Ended::Whole => Judgement::Ends(Outcome::Whole),
+            Ended::Unknown => Judgement::Ends(Outcome::Unknown),
+            Ended::Wrong(what) => Judgement::Ends(Outcome::Wrong(what.clone())),
+            Ended::Refused(_) if was_cut || self.settings.retry_refused => {
+                Judgement::GoesOn("refused after a try that was cut".to_owned())
+            }
+            Ended::Refused(_) => Judgement::Ends(Outcome::Refused),
+            Ended::Restart => Judgement::GoesOn("the stream begins again".to_owned()),
+            Ended::Broken(what) if call.may_repeat() => Judgement::GoesOn(what.clone()),
+            Ended::Broken(what) => Judgement::Ends(Outcome::Lost(what.clone())),
+        }
+    }
+}
+
+enum Judgement {
+    Ends(Outcome),
+    GoesOn(String),
+}
--- /dev/null
+++ b/stand_ins/src/load/mix.rs
@@ -0,0 +1,138 @@
+//! The two users' mixes of requests.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::{Call, Generate, Submit};
+
+/// Bytes of one shared standard or report outline.
+const STANDARD_BYTES: usize = 6_000;
+/// Shared standards or outlines in circulation.
+const STANDARDS: u32 = 6;
+
+/// Whose requests are made.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mix {
+    /// Ticket reviews over long shared standards, replies, exposures and job status.
+    #[default]
+    Cetak,
+    /// Seasonal reports, alerts, calibrations and readings.
+    Armor,
+}
+
+/// Names in the operators' text.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Model.
+    pub model: String,
+    /// Plain service; no plain calls are made where it is empty.
+    pub plain: String,
+    /// Path of the non-idempotent call.
+    pub submit_path: String,
+}
+
+impl Mix {
+    /// Returns the names of the example text for this mix.
+    pub fn target(self) -> Target {
+        let (model, plain, submit_path) = match self {
+            Mix::Cetak => ("plate-assistant", "jobs", "/exposures"),
+            Mix::Armor => ("field-reports", "probes", "/calibrations"),
+        };
+        Target {
+            model: model.to_owned(),
+            plain: plain.to_owned(),
+            submit_path: submit_path.to_owned(),
+        }
+    }
+}
+
+/// Draws calls.
+#[derive(Debug)]
+pub(super) struct Source {
+    mix: Mix,
+    target: Target,
+    seed: u64,
+    drawn: u64,
+    rng: StdRng,
+}
+
+impl Source {
+    pub(super) fn new(mix: Mix, target: Target, seed: u64) -> Source {
+        Source {
+            mix,
+            target,
+            seed,
+            drawn: 0,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns the seconds until the next call at `rate` calls per second.
+    pub(super) fn pause(&mut self, rate: f64) -> f64 {
+        let uniform: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
+        -uniform.ln() / rate
+    }
+
+    pub(super) fn next(&mut self) -> Call {
+        self.drawn += 1;
+        let drawn: u32 = self.rng.random_range(0..100);
+        match (self.mix, drawn) {
+            (_, 80..) if self.target.plain.is_empty() => self.short(),
+            (_, 90..) => self.submit(),
+            (_, 80..) => self.read(),
+            (Mix::Cetak, ..60) | (Mix::Armor, ..20) => self.long(),
+            _ => self.short(),
+        }
+    }
+
+    fn long(&mut self) -> Call {
+        let standard = self.rng.random_range(0..STANDARDS);
+        let number = self.drawn;
+        let shared = format!("standard {standard}, clause. ");
+        let shared = shared.repeat(STANDARD_BYTES / shared.len());
+        let (prompt, tokens) = match self.mix {
+            Mix::Cetak => (format!("{shared}Check ticket {number}."), 24..64),
+            Mix::Armor => (format!("{shared}Report on parcel {number}."), 64..160),
+        };
+        let max_tokens = self.rng.random_range(tokens);
+        self.generate(prompt, max_tokens)
+    }
+
+    fn short(&mut self) -> Call {
+        let number = self.drawn;
+        let max_tokens = self.rng.random_range(8..24);
+        self.generate(
+            format!("Draft a short text about item {number}."),
+            max_tokens,
+        )
+    }
+
+    fn generate(&mut self, prompt: String, max_tokens: usize) -> Call {
+        Call::Generate(Generate {
+            model: self.target.model.clone(),
+            prompt,
+            chat: self.rng.random_bool(0.7),
+            stream: self.rng.random_bool(0.8),
+            max_tokens: Some(max_tokens),
+            key: format!("g-{}-{}", self.seed, self.drawn),
+            priority: "",
+        })
+    }
+
+    fn read(&self) -> Call {
+        Call::Read {
+            service: self.target.plain.clone(),
+            path: format!("/status/{}", self.drawn),
+        }
+    }
+
+    fn submit(&self) -> Call {
+        let number = self.drawn;
+        Call::Submit(Submit {
+            service: self.target.plain.clone(),
+            path: self.target.submit_path.clone(),
+            body: format!("{{\"item\":{number},\"seed\":{}}}", self.seed),
+            key: format!("s-{}-{number}", self.seed),
+        })
+    }
+}
--- /dev/null
+++ b/stand_ins/src/load/report.rs
@@ -0,0 +1,193 @@
+//! The counts of a run.
+
+use std::collections::HashSet;
+use std::fmt;
+
+use serde_json::{Value, json};
+
+use super::outcome::Ended;
+use super::{Call, Latency, Outcome, Told};
+use crate::engine::{End, Record};
+use crate::plain::Ledger;
+
+const KEPT_EXAMPLES: usize = 8;
+
+/// What became of all requests of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Requests begun.
+    pub sent: u64,
+    /// Requests with their whole and right answer.
+    pub whole: u64,
+    /// Requests refused as not run.
+    pub refused: u64,
+    /// Requests of which the system said that it does not know.
+    pub unknown: u64,
+    /// Requests without a whole answer or a final word.
+    pub lost: u64,
+    /// Requests with an answer that is not theirs.
+    pub wrong: u64,
+    /// Keys that a plain service executed more than once.
+    pub doubled: u64,
+    /// Tries that were refused as not run and were executed.
+    pub refused_but_run: u64,
+    /// Tries of all requests.
+    pub attempts: u64,
+    /// Tokens received.
+    pub tokens: u64,
+    /// Tokens of prompts and resumed text that engines computed.
+    pub computed_tokens: u64,
+    /// Tokens that engines found in their caches or in imported state.
+    pub cached_tokens: u64,
+    /// Tokens that engines computed for streams that came from elsewhere.
+    pub recomputed_tokens: u64,
+    /// Requests that engines took for streams from elsewhere.
+    pub moves: u64,
+    /// Some requests that were lost or wrong, with what was seen.
+    pub examples: Vec<String>,
+    /// Latency through entries.
+    pub through_entries: Latency,
+    /// Latency of the engine that was asked directly.
+    pub direct: Latency,
+    refused_requests: HashSet<String>,
+}
+
+impl Report {
+    /// Adds a request; `direct` says that no entry was asked.
+    pub fn add(&mut self, call: &Call, told: &Told, direct: bool) {
+        self.sent += 1;
+        self.attempts += told.attempts.len() as u64;
+        self.tokens += told.tokens as u64;
+        match &told.outcome {
+            Outcome::Whole => self.whole += 1,
+            Outcome::Refused => self.refused += 1,
+            Outcome::Unknown => self.unknown += 1,
+            Outcome::Lost(what) => {
+                self.lost += 1;
+                self.example(call, "lost", what);
+            }
+            Outcome::Wrong(what) => {
+                self.wrong += 1;
+                self.example(call, "wrong", what);
+            }
+        }
+        match (&told.outcome, call, direct) {
+            (Outcome::Whole, Call::Generate(_), true) => self.direct.record(told),
+            (Outcome::Whole, Call::Generate(_), false) => self.through_entries.record(told),
+            _ => {}
+        }
+        let refused = told
+            .attempts
+            .iter()
+            .filter(|it| matches!(it.ended, Ended::Refused(_)) && !it.request.is_empty());
+        self.refused_requests
+            .extend(refused.map(|it| it.request.clone()));
+    }
+
+    /// Counts what plain services executed more than once, or although it was refused.
+    ///
+    /// All ledgers of one fleet are given together, since a key may run on any of them.
+    pub fn check_ledgers(&mut self, ledgers: &[Ledger]) {
+        let executions = ledgers.iter().flat_map(|ledger| &ledger.executions);
+        let mut keys = HashSet::new();
+        for execution in executions {
+            let keyed = !execution.key.is_empty() && execution.method != "GET";
+            if keyed && !keys.insert(&execution.key) {
+                self.doubled += 1;
+            }
+            if self.refused_requests.contains(&execution.request) {
+                self.refused_but_run += 1;
+            }
+        }
+    }
+
+    /// Counts the tokens that an engine computed.
+    pub fn check_history(&mut self, records: &[Record]) {
+        for record in records {
+            self.computed_tokens += record.computed_tokens as u64;
+            self.cached_tokens += record.cached_tokens as u64;
+            if record.resumed_tokens > 0 {
+                self.moves += 1;
+                self.recomputed_tokens += record.computed_tokens as u64;
+            }
+        }
+    }
+
+    /// Returns how many requests engines finished, cancelled and exported.
+    pub fn ends(records: &[Record]) -> [usize; 3] {
+        let count = |end| records.iter().filter(|it| it.end == Some(end)).count();
+        [End::Finished, End::Cancelled, End::Exported].map(count)
+    }
+
+    /// Returns the report for programs.
+    pub fn json(&self) -> Value {
+        json!({
+            "sent": self.sent,
+            "whole": self.whole,
+            "refused": self.refused,
+            "unknown": self.unknown,
+            "lost": self.lost,
+            "wrong": self.wrong,
+            "doubled": self.doubled,
+            "refused_but_run": self.refused_but_run,
+            "attempts": self.attempts,
+            "tokens": self.tokens,
+            "computed_tokens": self.computed_tokens,
+            "cached_tokens": self.cached_tokens,
+            "recomputed_tokens": self.recomputed_tokens,
+            "moves": self.moves,
+            "examples": self.examples,
+            "through_entries": self.through_entries.json(),
+            "direct": self.direct.json(),
+        })
+    }
+
+    /// Reports whether nothing was lost, doubled, wrong or falsely refused.
+    pub fn is_clean(&self) -> bool {
+        self.lost + self.wrong + self.doubled + self.refused_but_run == 0
+    }
+
+    fn example(&mut self, call: &Call, kind: &str, what: &str) {
+        if self.examples.len() < KEPT_EXAMPLES {
+            self.examples.push(format!("{} {kind}: {what}", call.key()));
+        }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let rows = [
+            ("sent", self.sent),
+            ("whole", self.whole),
+            ("refused as not run", self.refused),
+            ("unknown", self.unknown),
+            ("lost", self.lost),
+            ("wrong", self.wrong),
+            ("doubled", self.doubled),
+            ("refused but run", self.refused_but_run),
+            ("tries", self.attempts),
+            ("tokens received", self.tokens),
+            ("tokens computed", self.computed_tokens),
+            ("tokens cached", self.cached_tokens),
+            ("streams moved", self.moves),
+            ("tokens recomputed", self.recomputed_tokens),
+        ];
+        for (name, count) in rows {
+            writeln!(f, "{name:<20} {count:>10}")?;
+        }
+        for (path, latency) in [("entry", &self.through_entries), ("direct", &self.direct)] {
+            for (name, histogram) in latency.named().iter().filter(|(_, it)| !it.is_empty()) {
+                let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+                let (p50, p95, p99) = (at(0.50), at(0.95), at(0.99));
+                writeln!(
+                    f,
+                    "{path:<7} {name:<15} p50 {p50:>9.3} ms  p95 {p95:>9.3} ms  p99 {p99:>9.3} ms"
+                )?;
+            }
+        }
+        for example in &self.examples {
+            writeln!(f, "{example}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/stand_ins/src/load/run.rs
@@ -0,0 +1,87 @@
+//! Makes the calls of a plan.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Method;
+use serde::de::DeserializeOwned;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::mix::Source;
+use super::{Call, Caller, Plan, Report, Settings, Told};
+use crate::web;
+
+const ADMIN_LIMIT: Duration = Duration::from_secs(10);
+
+/// Makes the calls of a plan, waits for their ends, and reads the stand-ins' histories.
+///
+/// # Errors
+/// Fails when an address is not loopback, or a stand-in that is to be read does not answer.
+pub async fn run(plan: &Plan) -> io::Result<Report> {
+    plan.check()?;
+    let mut report = Report::default();
+    let mut calls = begin(plan).await;
+    while let Some(ended) = calls.join_next().await {
+        let (call, told, direct) = ended.map_err(io::Error::other)?;
+        report.add(&call, &told, direct);
+    }
+    let mut ledgers = Vec::new();
+    for address in &plan.plain {
+        ledgers.push(read(*address, "/admin/ledger").await?);
+    }
+    report.check_ledgers(&ledgers);
+    for address in &plan.engines {
+        let records: Vec<_> = read(*address, "/admin/history").await?;
+        report.check_history(&records);
+    }
+    Ok(report)
+}
+
+type Ended = (Call, Told, bool);
+
+async fn begin(plan: &Plan) -> JoinSet<Ended> {
+    let through = Arc::new(Caller::new(plan.caller.clone()));
+    let direct = plan.direct.map(|engine| {
+        Arc::new(Caller::new(Settings {
+            entries: vec![engine],
+            bearer: String::new(),
+            ..plan.caller.clone()
+        }))
+    });
+    let mut source = Source::new(plan.mix, plan.target.clone(), plan.seed);
+    let slots = Arc::new(Semaphore::new(plan.in_progress));
+    let end = Instant::now() + plan.duration;
+    let mut due = Instant::now();
+    let mut calls = JoinSet::new();
+    let mut generations = 0_u64;
+    loop {
+        due += Duration::from_secs_f64(source.pause(plan.rate));
+        if due >= end {
+            return calls;
+        }
+        tokio::time::sleep_until(due).await;
+        let call = source.next();
+        generations += u64::from(matches!(call, Call::Generate(_)));
+        let (caller, is_direct) = match (&direct, &call) {
+            (Some(direct), Call::Generate(_)) if generations.is_multiple_of(2) => {
+                (direct.clone(), true)
+            }
+            _ => (through.clone(), false),
+        };
+        let slots = slots.clone();
+        calls.spawn(async move {
+            // The semaphore is never closed.
+            let _slot = slots.acquire_owned().await;
+            let told = caller.call(&call).await;
+            (call, told, is_direct)
+        });
+    }
+}
+
+async fn read<T: DeserializeOwned>(address: std::net::SocketAddr, path: &str) -> io::Result<T> {
+    let answer = web::call(address, Method::GET, path, "", ADMIN_LIMIT).await?;
+    serde_json::from_slice(&answer.body).map_err(io::Error::from)
+}
--- a/stand_ins/src/plain.rs
+++ b/stand_ins/src/plain.rs
@@ -5,7 +5,7 @@
 mod settings;
 mod switches;
 
-pub use api::read_answer;
+pub use api::{booking, read_answer};
 pub use ledger::{Execution, Ledger};
 pub use settings::Settings;
 pub use switches::Switches;
--- a/stand_ins/src/plain/api.rs
+++ b/stand_ins/src/plain/api.rs
@@ -22,6 +22,11 @@
     json!({"service": service, "path": path, "reading": format!("{reading:016x}")}).to_string()
 }
 
+/// Returns the number that a call with `body` is given.
+pub fn booking(body: &str) -> String {
+    format!("B-{:08x}", xxh3_64(body.as_bytes()) as u32)
+}
+
 pub(super) async fn handle(core: Arc<Core>, request: Request) -> Result<Response, Dropped> {
     match request.uri().path() {
         "/admin/ledger" => Ok(web::json(StatusCode::OK, &*lock(&core.ledger))),
@@ -104,11 +109,10 @@
             .expect("the answer of a read is JSON");
         return web::json(StatusCode::OK, &body);
     }
-    let booking = format!("B-{:08x}", xxh3_64(execution.body.as_bytes()) as u32);
     let body = json!({
         "service": service,
         "path": execution.path,
-        "booking": booking,
+        "booking": booking(&execution.body),
         "key": execution.key,
         "execution": count,
         "upstream": core.settings.upstream,
--- /dev/null
+++ b/stand_ins/tests/load.rs
@@ -0,0 +1,145 @@
+//! The load tool against the stand-ins.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use serde_json::json;
+use stand_ins::engine::{self, Engine};
+use stand_ins::load::{Call, Caller, Generate, Outcome, Plan, Settings, Target, run};
+use stand_ins::relay::{Mode, Relay, Scope};
+use stand_ins::{text, web};
+
+async fn engine() -> Engine {
+    Engine::start(engine::Settings {
+        time_scale: 20.0,
+        ..engine::Settings::default()
+    })
+    .await
+    .expect("the engine starts")
+}
+
+fn generate(stream: bool) -> Call {
+    Call::Generate(Generate {
+        model: "assistant".to_owned(),
+        prompt: "dot gain".to_owned(),
+        chat: true,
+        stream,
+        max_tokens: Some(20),
+        ..Generate::default()
+    })
+}
+
+fn caller(entries: Vec<std::net::SocketAddr>) -> Caller {
+    Caller::new(Settings {
+        entries,
+        attempts: 2,
+        pause: Duration::from_millis(10),
+        silence: Duration::from_millis(1_500),
+        ..Settings::default()
+    })
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn can_count_whole_answers_of_an_engine() {
+    let engine = engine().await;
+    let report = run(&Plan {
+        caller: Settings {
+            entries: vec![engine.address()],
+            pooled: true,
+            ..Settings::default()
+        },
+        direct: Some(engine.address()),
+        engines: vec![engine.address()],
+        target: Target {
+            model: "assistant".to_owned(),
+            plain: String::new(),
+            submit_path: String::new(),
+        },
+        rate: 100.0,
+        duration: Duration::from_millis(500),
+        ..Plan::default()
+    })
+    .await
+    .unwrap();
+    expect_that!(report.sent, gt(20));
+    expect_that!(report.whole, eq(report.sent));
+    expect_that!(report.direct.whole.len(), gt(5));
+    expect_that!(report.examples, is_empty());
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn errors_on_an_address_that_is_not_loopback() {
+    let plan = Plan {
+        caller: Settings {
+            entries: vec!["192.0.2.1:80".parse().unwrap()],
+            ..Settings::default()
+        },
+        ..Plan::default()
+    };
+    let refused = run(&plan).await.unwrap_err();
+    expect_that!(
+        refused.to_string(),
+        eq("load goes to loopback only, and not to 192.0.2.1:80")
+    );
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn can_tell_a_cut_stream_from_a_whole_one() {
+    let engine = engine().await;
+    let caller = caller(vec![engine.address()]);
+    expect_that!(
+        caller.call(&generate(true)).await.outcome,
+        eq(&Outcome::Whole)
+    );
+    expect_that!(
+        caller.call(&generate(false)).await.outcome,
+        eq(&Outcome::Whole)
+    );
+    engine.switch(|switches| switches.drop_done = true);
+    let told = caller.call(&generate(true)).await;
+    expect_that!(
+        told.outcome,
+        eq(&Outcome::Lost(
+            "stream closed without its end mark".to_owned()
+        ))
+    );
+    engine.switch(|switches| {
+        switches.drop_done = false;
+        switches.close_after = Some(4);
+    });
+    let told = caller.call(&generate(true)).await;
+    expect_that!(matches!(told.outcome, Outcome::Lost(_)), eq(true));
+    expect_that!(told.attempts.len(), eq(2));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn can_tell_the_answer_to_another_request() {
+    let life = stand_ins::Life::default();
+    let foreign = text::answer("assistant", "registration", Some(20)).concat();
+    let body = json!({"choices": [{"message": {"content": foreign}}]});
+    let handler = move |_| {
+        let answer = web::json(http::StatusCode::OK, &body);
+        async move { Ok(answer) }
+    };
+    let listen = "127.0.0.1:0".parse().unwrap();
+    let address = web::serve(listen, life.clone(), handler).await.unwrap();
+    let told = caller(vec![address]).call(&generate(false)).await;
+    expect_that!(matches!(told.outcome, Outcome::Wrong(_)), eq(true));
+    life.kill();
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn can_give_up_a_silent_connection_and_try_another() {
+    let engine = engine().await;
+    let silent = Relay::start(engine.address()).await.unwrap();
+    silent.set(Scope::All, Mode::DropDown);
+    let caller = caller(vec![silent.address(), engine.address()]);
+    let told = caller.call(&generate(true)).await;
+    expect_that!(told.outcome, eq(&Outcome::Whole));
+    expect_that!(told.attempts.len(), eq(2));
+}
