Start fleets of real processes for tests

Tests of failures need processes that can be killed, frozen and cut. A fleet has settings, keys, logs and data in a temporary folder and listens on a loopback address of its own: ports freed on the common address were open to being taken by an outgoing connection before the process listened.

--- /dev/null
+++ b/trials/src/fleet.rs
@@ -0,0 +1,258 @@
+//! The processes of a fleet.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use stand_ins::announcer;
+use stand_ins::load::{self, Caller};
+use stand_ins::web;
+use tempfile::TempDir;
+
+use crate::settings::{Peer, Place};
+use crate::{ACCOUNT_KEY, Address, Links, Process, Settings, keys, text, until};
+
+const PROBE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Processes that serve one text; they are killed when dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    settings: Settings,
+    /// Control processes.
+    pub controls: Vec<Process>,
+    /// Entry processes.
+    pub entries: Vec<Process>,
+    /// Relays between processes, where the fleet is relayed.
+    pub links: Links,
+    entry_addresses: Vec<SocketAddr>,
+    operators: Vec<SocketAddr>,
+    folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts all processes, submits the text and waits until all entries are ready.
+    ///
+    /// # Errors
+    /// Fails when a process can't be started or the text is not accepted.
+    ///
+    /// # Panics
+    /// Panics when the entries are not ready within 30 s.
+    pub async fn start(settings: Settings) -> io::Result<Fleet> {
+        let fleet = Fleet::prepare(settings).await?;
+        if fleet.settings.controls > 0 {
+            fleet.begin().await?;
+        }
+        for index in 0..fleet.entries.len() {
+            fleet.ready(index).await;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts all processes, and waits for nothing.
+    ///
+    /// # Errors
+    /// Fails when a process can't be started.
+    pub async fn prepare(settings: Settings) -> io::Result<Fleet> {
+        let folder = TempDir::new()?;
+        fs::write(folder.path().join("keys.toml"), keys::file())?;
+        fs::write(folder.path().join("text.toml"), &settings.text)?;
+        let address = Address::next();
+        let control_ports = address.ports(settings.controls * 2)?;
+        let ports: Vec<[u16; 2]> = pairs(&control_ports);
+        let entry_ports = pairs(&address.ports(settings.entries * 2)?);
+        let mut fleet = Fleet {
+            controls: Vec::new(),
+            entries: Vec::new(),
+            links: Links::default(),
+            entry_addresses: entry_ports
+                .iter()
+                .map(|[port, _]| address.at(*port))
+                .collect(),
+            operators: ports.iter().map(|[_, port]| address.at(*port)).collect(),
+            folder,
+            settings,
+        };
+        let peers: Vec<Peer> = ports
+            .iter()
+            .enumerate()
+            .map(|(index, [peer, operators])| Peer {
+                node: control_name(index),
+                address: address.at(*peer),
+                operators: address.at(*operators),
+            })
+            .collect();
+        for (index, ports) in ports.iter().enumerate() {
+            let name = control_name(index);
+            let known = fleet.peers_of(&name, &peers).await?;
+            let file = fleet
+                .place(address, &known)
+                .control(&name, centre(index), *ports);
+            let process = fleet.launch("control", &name, &file)?;
+            fleet.controls.push(process);
+        }
+        for (index, ports) in entry_ports.iter().enumerate() {
+            let name = format!("entry-{}", index + 1);
+            let known = fleet.peers_of(&name, &peers).await?;
+            let file = fleet
+                .place(address, &known)
+                .entry(&name, centre(index), *ports);
+            let process = fleet.launch("entry", &name, &file)?;
+            fleet.entries.push(process);
+        }
+        Ok(fleet)
+    }
+
+    /// Returns the settings with which the fleet was started.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Returns the folder with settings, keys, logs and data.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Returns the data folder of a process.
+    pub fn data_folder(&self, node: &str) -> PathBuf {
+        self.folder().join(format!("data-{node}"))
+    }
+
+    /// Returns where entries take requests and announcements.
+    pub fn entry_addresses(&self) -> &[SocketAddr] {
+        &self.entry_addresses
+    }
+
+    /// Returns where control processes answer operators.
+    pub fn operator_addresses(&self) -> &[SocketAddr] {
+        &self.operators
+    }
+
+    /// Returns how upstreams announce themselves here.
+    pub fn announce(&self) -> announcer::Settings {
+        announcer::Settings {
+            entries: self.entry_addresses.clone(),
+            secret: keys::upstreams(),
+            ..announcer::Settings::default()
+        }
+    }
+
+    /// Returns settings for callers of the account "shops".
+    pub fn caller_settings(&self) -> load::Settings {
+        load::Settings {
+            entries: self.entry_addresses.clone(),
+            bearer: ACCOUNT_KEY.to_owned(),
+            ..load::Settings::default()
+        }
+    }
+
+    /// Returns a caller of the account "shops".
+    pub fn caller(&self) -> Caller {
+        Caller::new(self.caller_settings())
+    }
+
+    /// Waits until entry `index` says that it is ready.
+    ///
+    /// # Panics
+    /// Panics when that is not so within 30 s.
+    pub async fn ready(&self, index: usize) {
+        let address = self.entry_addresses[index];
+        let what = format!("readiness of entry {}", index + 1);
+        until(&what, || async move { is_ready(address).await }).await;
+    }
+
+    /// Returns the metrics of the process at `address`, as text.
+    ///
+    /// # Errors
+    /// Fails when the process does not answer.
+    pub async fn metrics(&self, address: SocketAddr) -> io::Result<String> {
+        let answer = web::call(address, Method::GET, "/metrics", "", PROBE_LIMIT).await?;
+        Ok(String::from_utf8_lossy(&answer.body).into_owned())
+    }
+
+    /// Returns the logs of all processes, each line with its process.
+    pub fn logs(&self) -> String {
+        let processes = self.controls.iter().chain(&self.entries);
+        processes
+            .flat_map(|process| {
+                let name = process.name().to_owned();
+                let lines: Vec<String> = process.log().lines().map(str::to_owned).collect();
+                lines
+                    .into_iter()
+                    .map(move |line| format!("{name}: {line}\n"))
+            })
+            .collect()
+    }
+
+    pub(crate) fn operator_settings(&self) -> PathBuf {
+        self.folder().join("control-1.toml")
+    }
+
+    /// Submits the first text, as often as it takes for the control group to be there.
+    async fn begin(&self) -> io::Result<()> {
+        let mut said = self.submit(&self.settings.text, 0, "first").await?;
+        for _ in 0..20 {
+            if said.code == 0 {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            said = self.submit(&self.settings.text, 0, "first").await?;
+        }
+        let logs = self.logs();
+        Err(io::Error::other(format!(
+            "the first text was not accepted, exit code {}: {}\n{logs}",
+            said.code, said.text
+        )))
+    }
+
+    async fn peers_of(&mut self, name: &str, peers: &[Peer]) -> io::Result<Vec<Peer>> {
+        let mut known = peers.to_vec();
+        if self.settings.relayed {
+            for peer in known.iter_mut().filter(|peer| peer.node != name) {
+                peer.address = self.links.add(name, &peer.node, peer.address).await?;
+            }
+        }
+        Ok(known)
+    }
+
+    fn place<'a>(&'a self, address: Address, peers: &'a [Peer]) -> Place<'a> {
+        Place {
+            settings: &self.settings,
+            folder: self.folder.path(),
+            ip: address.ip(),
+            peers,
+        }
+    }
+
+    fn launch(&self, command: &str, name: &str, file: &str) -> io::Result<Process> {
+        let path = self.folder().join(format!("{name}.toml"));
+        fs::write(&path, file)?;
+        fs::create_dir_all(self.data_folder(name))?;
+        let arguments = [command, "--settings", &path.display().to_string()];
+        let arguments = arguments.map(str::to_owned).to_vec();
+        let log = self.folder().join(format!("{name}.log"));
+        Process::start(name, &self.settings.binary, arguments, log)
+    }
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    let answer = web::call(address, Method::GET, "/readyz", "", PROBE_LIMIT).await;
+    answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+}
+
+fn pairs(ports: &[u16]) -> Vec<[u16; 2]> {
+    ports
+        .chunks_exact(2)
+        .map(|pair| [pair[0], pair[1]])
+        .collect()
+}
+
+fn control_name(index: usize) -> String {
+    format!("control-{}", index + 1)
+}
+
+fn centre(index: usize) -> &'static str {
+    text::DATA_CENTRES[index % text::DATA_CENTRES.len()]
+}
--- a/trials/src/lib.rs
+++ b/trials/src/lib.rs
@@ -1,1 +1,27 @@
 //! Starts real processes on loopback for tests, and cuts the connections between them.
+//!
+//! A [`Fleet`] is a set of `chervilloft` processes with their settings, keys and data in a
+//! temporary folder. It listens on a loopback address of its own, so that its ports are never
+//! taken by an outgoing connection. Processes are killed when the fleet is dropped.
+
+mod address;
+mod fleet;
+mod keys;
+mod links;
+mod operator;
+mod process;
+mod settings;
+mod signal;
+pub mod text;
+pub mod upstreams;
+mod wait;
+
+pub use address::Address;
+pub use fleet::Fleet;
+pub use keys::{ACCOUNT_KEY, OPERATOR_TOKEN, SECOND_ACCOUNT_KEY};
+pub use links::Links;
+pub use operator::Said;
+pub use process::Process;
+pub use settings::Settings;
+pub use signal::Signal;
+pub use wait::{until, until_within};
--- /dev/null
+++ b/trials/src/process.rs
@@ -0,0 +1,177 @@
+//! One process of a fleet.
+
+use std::fs::{self, File};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use crate::Signal;
+
+const POLL: Duration = Duration::from_millis(10);
+
+/// A child process; it is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    binary: PathBuf,
+    arguments: Vec<String>,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    /// Starts a process whose output goes to the end of the file `log`.
+    ///
+    /// # Errors
+    /// Fails when the process can't be started.
+    pub fn start(
+        name: &str,
+        binary: &Path,
+        arguments: Vec<String>,
+        log: PathBuf,
+    ) -> io::Result<Process> {
+        let mut process = Process {
+            name: name.to_owned(),
+            binary: binary.to_owned(),
+            arguments,
+            log,
+            child: None,
+        };
+        process.restart()?;
+        Ok(process)
+    }
+
+    /// Starts the process again after it ended.
+    ///
+    /// # Errors
+    /// Fails when the process still runs or can't be started.
+    pub fn restart(&mut self) -> io::Result<()> {
+        if self.is_running()? {
+            let what = format!("process \"{}\" still runs", self.name);
+            return Err(io::Error::other(what));
+        }
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.binary)
+            .args(&self.arguments)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Returns the name of the process in its fleet.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the number of the process, or 0 when it does not run.
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
+    /// Reports whether the process runs.
+    ///
+    /// # Errors
+    /// Fails when the system does not tell.
+    pub fn is_running(&mut self) -> io::Result<bool> {
+        match &mut self.child {
+            Some(child) => Ok(child.try_wait()?.is_none()),
+            None => Ok(false),
+        }
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// Fails when the process does not run.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        match &self.child {
+            Some(child) => signal.send(child.id()),
+            None => Err(io::Error::other(format!(
+                "process \"{}\" does not run",
+                self.name
+            ))),
+        }
+    }
+
+    /// Ends the process at once, and waits for its end.
+    ///
+    /// # Errors
+    /// Fails when the system refuses.
+    pub fn kill(&mut self) -> io::Result<()> {
+        match self.child.take() {
+            Some(mut child) => {
+                child.kill()?;
+                child.wait().map(drop)
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// Waits up to `limit` for the end of the process.
+    ///
+    /// # Errors
+    /// Fails when it still runs then.
+    pub async fn exit(&mut self, limit: Duration) -> io::Result<ExitStatus> {
+        let end = Instant::now() + limit;
+        loop {
+            let status = match &mut self.child {
+                Some(child) => child.try_wait()?,
+                None => None,
+            };
+            match status {
+                Some(status) => {
+                    self.child = None;
+                    return Ok(status);
+                }
+                None if Instant::now() > end => {
+                    let what = format!("process \"{}\" did not end in {limit:?}", self.name);
+                    return Err(io::Error::other(what));
+                }
+                None => tokio::time::sleep(POLL).await,
+            }
+        }
+    }
+
+    /// Returns all that the process has written.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Returns processor time used so far.
+    ///
+    /// # Errors
+    /// Fails when the process does not run.
+    pub fn processor_time(&self) -> io::Result<Duration> {
+        const TICKS_PER_SECOND: f64 = 100.0;
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.pid()))?;
+        // The name in parentheses may hold spaces; user and system time are fields 14 and 15.
+        let fields = stat.rsplit(')').next().unwrap_or_default();
+        let ticks = fields.split_whitespace().skip(11).take(2);
+        let ticks: f64 = ticks.filter_map(|field| field.parse::<f64>().ok()).sum();
+        Ok(Duration::from_secs_f64(ticks / TICKS_PER_SECOND))
+    }
+
+    /// Returns resident memory in bytes.
+    ///
+    /// # Errors
+    /// Fails when the process does not run.
+    pub fn resident_bytes(&self) -> io::Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        kilobytes
+            .map(|kilobytes: u64| kilobytes * 1_024)
+            .ok_or_else(|| io::Error::other("the system does not tell the resident memory"))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A failure here has nowhere to go, and the process is gone or was never there.
+        let _ = self.kill();
+    }
+}
--- /dev/null
+++ b/trials/src/text.rs
@@ -0,0 +1,70 @@
+//! Operators' texts for trials.
+
+/// Service with model engines.
+pub const MODEL_SERVICE: &str = "assistant";
+/// Its model.
+pub const MODEL: &str = "plate-assistant";
+/// Version of its weights.
+pub const MODEL_VERSION: &str = "1";
+/// Plain service.
+pub const PLAIN_SERVICE: &str = "jobs";
+/// Path of its non-idempotent call.
+pub const SUBMIT_PATH: &str = "/exposures";
+/// Data centres, in the order of the text.
+pub const DATA_CENTRES: [&str; 4] = ["shah-alam", "penang", "johor-bahru", "ipoh"];
+
+/// Returns a text with one model service, one plain service and wide limits.
+pub fn small() -> String {
+    named("trial")
+}
+
+/// Returns the same text under another name, to be told from the first.
+pub fn named(name: &str) -> String {
+    let centres = DATA_CENTRES.map(|centre| {
+        format!(
+            "[data-centres.{centre}]\n\
+             region = \"peninsula\"\n\
+             reclaimable = {{ price = 3.0, max-instances = 20 }}\n\
+             on-demand = {{ price = 9.0, max-instances = 20 }}\n"
+        )
+    });
+    format!(
+        r#"name = "{name}"
+
+[latency]
+first-token = "5s"
+between-tokens = "200ms"
+
+{}
+[services.{MODEL_SERVICE}]
+kind = "model"
+models = [{{ name = "{MODEL}", version = "{MODEL_VERSION}" }}]
+fencing = "checked"
+timeout = "60s"
+min-instances = 1
+max-instances = 40
+requests-per-second-per-instance = 50.0
+expected-requests-per-second = 20.0
+
+[services.{PLAIN_SERVICE}]
+kind = "plain"
+routes = [{{ method = "POST", path = "{SUBMIT_PATH}", idempotent = false }}]
+timeout = "10s"
+min-instances = 1
+max-instances = 8
+requests-per-second-per-instance = 100.0
+expected-requests-per-second = 20.0
+
+[accounts.shops]
+requests-per-second = 5000.0
+tokens-per-second = 50000000.0
+max-in-progress = 5000
+
+[accounts.office]
+requests-per-second = 5000.0
+tokens-per-second = 50000000.0
+max-in-progress = 5000
+"#,
+        centres.concat()
+    )
+}
