Forecast next month's bill from a text or from a running fleet

The ledger document now has the rows that the forecast reads (hours and spend in place of milliseconds and millionths), so that no second format stands between the two.

--- a/components/control/src/documents.rs
+++ b/components/control/src/documents.rs
@@ -9,6 +9,11 @@
 use crate::leases::Leases;
 use crate::replica::Status;
 
+/// Milliseconds in an hour.
+const MS_PER_HOUR: f64 = 3_600_000.0;
+/// Millionths in a currency unit.
+const MICROS_PER_UNIT: f64 = 1_000_000.0;
+
 /// Returns the document that answers `query`.
 pub(crate) fn document(query: Query, state: &State, status: &Status, leases: &Leases) -> Value {
     match query {
@@ -75,18 +80,19 @@
 }
 
 fn ledger(state: &State) -> Value {
-    let mut lines = Vec::new();
+    let mut rows = Vec::new();
     for (day, items) in state.ledger().days() {
         for (item, total) in items {
-            lines.push(json!({
+            rows.push(json!({
                 "day": day,
                 "data_centre": item.data_centre,
                 "class": item.class,
                 "service": item.service,
-                "instance_ms": total.instance_ms,
-                "spend_micros": total.spend_micros,
+                "hours": total.instance_ms as f64 / MS_PER_HOUR,
+                "spend": total.spend_micros as f64 / MICROS_PER_UNIT,
+                "reclaims": 0,
             }));
         }
     }
-    json!({ "accounted_until_ms": state.ledger().accounted_until(), "lines": lines })
+    json!({ "accounted_until_ms": state.ledger().accounted_until(), "rows": rows })
 }
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -5,6 +5,7 @@
 mod entry;
 mod explain;
 mod files;
+mod forecast;
 mod operator;
 mod runtime;
 mod status;
@@ -28,6 +29,7 @@
         Some(("submit", matches)) => submit::run(matches),
         Some(("show", matches)) => status::show(matches),
         Some(("status", matches)) => status::run(matches),
+        Some(("forecast", matches)) => forecast::run(matches),
         Some(("explain", matches)) => explain::run(matches),
         _ => Ok(ExitCode::FAILURE),
     }
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -6,6 +6,7 @@
 use config::Diagnostic;
 use config::diagnostic;
 use control::client::Outcome;
+use placement::forecast::{Comparison, Forecast};
 use serde_json::Value;
 
 /// Exit codes, as `--help` lists them.
@@ -87,6 +88,25 @@
     }
 }
 
+/// Prints a forecast and what a change costs.
+pub(crate) fn print_forecast(forecast: &Forecast, comparison: Option<&Comparison>) {
+    print_line(&format!(
+        "Forecast for a month of {} days, in currency units.",
+        forecast.days
+    ));
+    print_line(&forecast.to_string());
+    print_line(
+        "Low and high: one month in ten is expected beyond each. Reclaims: part of the middle",
+    );
+    print_line(
+        "figure that lost instances and their replacements cost. Growth: part from the trend.",
+    );
+    if let Some(comparison) = comparison {
+        print_line("\nChange of the middle figure:");
+        print_line(&comparison.to_string());
+    }
+}
+
 /// Prints how to send a submission again whose answer was lost.
 pub(crate) fn print_resend(id: &str) {
     eprintln!(
