--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod metrics;
 mod node;
 pub mod operators;
+pub mod orders;
 mod peers;
 mod process;
 pub mod replica;
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -38,6 +38,8 @@
 /// What this process knows as the leader of a term.
 struct Led {
     term: u64,
+    /// When the term's take-over ended.
+    since: Instant,
     leases: Leases,
 }
 
@@ -53,6 +55,7 @@
         Arc::new(Node {
             led: Mutex::new(Led {
                 term: 0,
+                since: Instant::now(),
                 leases: Leases::new(settings.freshness_lease),
             }),
             identity,
@@ -142,6 +145,12 @@
         documents::document(query, &self.machine.read(), status, &led.leases).to_string()
     }
 
+    /// Returns the last term that this process took over, and when.
+    pub(crate) fn led_since(&self) -> Option<(u64, Instant)> {
+        let led = self.led();
+        (led.term > 0).then_some((led.term, led.since))
+    }
+
     fn led(&self) -> MutexGuard<'_, Led> {
         self.led.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/components/control/src/node/lead.rs
+++ b/components/control/src/node/lead.rs
@@ -80,6 +80,7 @@
             let entries = possibly_fresh(&self.machine.read(), hold);
             led.leases.take_over(entries.into_iter(), Instant::now());
             led.term = term;
+            led.since = Instant::now();
             info!("control: leads in term {term}");
         }
         Ok(term)
--- a/components/control/src/node/settings.rs
+++ b/components/control/src/node/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a control process, with its keys.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use config::ids::{Incarnation, NodeId};
@@ -21,6 +22,10 @@
     pub link: link::Settings,
     /// Time for which an entry may serve under the last version it confirmed.
     pub freshness_lease: Duration,
+    /// Longest lease of a leader, for which a new leader waits before it gives orders.
+    pub leader_lease: Duration,
+    /// Address of the cloud API; no instances are started or stopped without it.
+    pub cloud: Option<SocketAddr>,
     /// Time for which idempotency keys and recorded answers are kept.
     pub claim_retention: Duration,
 }
@@ -35,6 +40,8 @@
             secret: Secret::default(),
             link: link::Settings::default(),
             freshness_lease: control.freshness_lease,
+            leader_lease: control.election_timeout,
+            cloud: control.cloud,
             claim_retention: control.claim_retention,
         }
     }
--- /dev/null
+++ b/components/control/src/orders/giver.rs
@@ -0,0 +1,138 @@
+//! The leader as the single giver of orders.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use errors::Step;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+use state::order::{Action, Order};
+use state::{Change, Command, Output};
+use tracing::{info, warn};
+
+use super::exchange::{Call, exchange};
+use crate::Node;
+use crate::replica::Replica;
+
+/// Longest time from connecting for an order to the whole answer.
+pub const FLIGHT: Duration = Duration::from_millis(500);
+/// Time added to the wait after a take-over for clocks that run at different rates.
+const MARGIN: Duration = Duration::from_millis(250);
+
+/// What came of an order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Given {
+    /// The receiver took it, and answered this.
+    Taken(Value),
+    /// The receiver refused it, with this status and answer.
+    Refused(u16, Value),
+    /// It was not sent.
+    Unsent(String),
+    /// It may have been taken; the state is to be read back.
+    Unclear(String),
+}
+
+impl<R: Replica<Command = Command, Output = Output>> Node<R> {
+    /// Returns the term in which this process may give orders now: it leads, and has done so for
+    /// longer than an earlier leader's lease and an order's flight.
+    pub fn order_term(&self) -> Option<u64> {
+        let wait = self.settings.leader_lease + 2 * FLIGHT + MARGIN;
+        let led = self.led_since();
+        let term = self.replica.status().term;
+        let waited = led.is_some_and(|(led, since)| led == term && since.elapsed() >= wait);
+        (waited && self.leads()).then_some(term)
+    }
+
+    /// Gives an order: records it, sends it if this process still leads, and says what came of it.
+    pub async fn give(self: &Arc<Self>, order: Order) -> Given {
+        let Some(term) = self.order_term() else {
+            return Given::Unsent("this process does not lead for long enough".to_owned());
+        };
+        let reason = order.reason.clone();
+        let fence = match self.commit(Change::Order(order.clone())).await {
+            Ok(Output::Fence(fence)) => fence,
+            Ok(output) => return Given::Unsent(format!("the log answered {output:?}")),
+            Err(failure) => return Given::Unsent(format!("not recorded: {failure:?}")),
+        };
+        let Some((peer, call)) = self.call(&order.action, fence) else {
+            return Given::Unsent("no cloud API is set".to_owned());
+        };
+        let given = self.send(term, &call).await;
+        match &given {
+            Given::Taken(_) => info!("orders: {fence} to {peer}: {reason}: taken"),
+            given => warn!("orders: {fence} to {peer}: {reason}: {given:?}"),
+        }
+        given
+    }
+
+    async fn send(self: &Arc<Self>, term: u64, call: &Call) -> Given {
+        let node = self.clone();
+        let may_write = move || node.leads() && node.replica.status().term == term;
+        match exchange(call, may_write).await {
+            Ok((status, answer)) if status.is_success() => Given::Taken(answer),
+            Ok((status, answer)) => Given::Refused(status.as_u16(), answer),
+            Err(error) if error.step() == Step::Connect => Given::Unsent(error.to_string()),
+            Err(error) => Given::Unclear(error.to_string()),
+        }
+    }
+
+    fn call(&self, action: &Action, fence: u64) -> Option<(String, Call)> {
+        let cloud = |method, path: String, body| {
+            let address = self.settings.cloud?;
+            Some(("the cloud".to_owned(), call(address, method, path, body)))
+        };
+        match action {
+            Action::Engine {
+                upstream,
+                address,
+                set,
+            } => {
+                let body = json!({ "fence": fence, "order": set });
+                let path = "/v1/orders".to_owned();
+                let call = call(*address, Method::POST, path, Some(body));
+                Some((format!("engine \"{upstream}\""), call))
+            }
+            Action::Start {
+                token,
+                service,
+                data_centre,
+                class,
+            } => {
+                let body = json!({
+                    "token": token,
+                    "service": service,
+                    "data_centre": data_centre,
+                    "class": class,
+                });
+                cloud(Method::POST, "/v1/instances".to_owned(), Some(body))
+            }
+            Action::Stop { instance } => {
+                cloud(Method::DELETE, format!("/v1/instances/{instance}"), None)
+            }
+        }
+    }
+
+    /// Reads a document of an engine or of the cloud API.
+    pub(super) async fn fetch(&self, address: SocketAddr, path: String) -> errors::Result<Value> {
+        let call = call(address, Method::GET, path, None);
+        match exchange(&call, || true).await? {
+            (StatusCode::OK, answer) => Ok(answer),
+            (status, _) => Err(errors::Error::Protocol(
+                Step::Receive,
+                errors::Peer::Address(address),
+                format!("GET {} answered {status}", call.path),
+            )),
+        }
+    }
+}
+
+fn call(address: SocketAddr, method: Method, path: String, body: Option<Value>) -> Call {
+    Call {
+        address,
+        method,
+        path,
+        body,
+        limit: FLIGHT,
+    }
+}
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -15,7 +15,7 @@
 
 use crate::operators::{self, Gate};
 use crate::replica::{Group, Replica};
-use crate::{Machine, Node, Settings, clock, node, peers};
+use crate::{Machine, Node, Settings, clock, node, orders, peers};
 
 /// Longest wait for another process to take the lead on a planned stop.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -97,6 +97,7 @@
         tokio::spawn(peers::listen(node.clone(), listener));
         tokio::spawn(node::tell_versions(node.clone()));
         tokio::spawn(node::lead(node.clone()));
+        tokio::spawn(orders::run(node.clone()));
         info!(
             "control: listens on {peer_address} for the fleet and on {operators_address} for \
              operators"
@@ -170,6 +171,8 @@
         peers: settings.control_peers.clone(),
         secret: keys.fleet.clone(),
         freshness_lease: settings.control.freshness_lease,
+        leader_lease: settings.control.election_timeout,
+        cloud: settings.control.cloud,
         claim_retention: settings.control.claim_retention,
         ..Settings::default()
     };
--- /dev/null
+++ b/components/control/tests/orders/main.rs
@@ -0,0 +1,143 @@
+//! Orders to engines and to the cloud API.
+
+mod leader;
+mod placing;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use control::orders::{Call, Given, exchange};
+use control::{Memory, Node};
+use googletest::prelude::*;
+use http::Method;
+use serde_json::json;
+use stand_ins::engine::{self, Engine, Fencing};
+use state::order::{Action, Order, Setting};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+use upstream::Served;
+
+use leader::{any_port, leader, takes_orders};
+
+fn served(version: &str) -> Served {
+    Served {
+        model: "assistant".into(),
+        version: version.into(),
+        adapters: Vec::new(),
+    }
+}
+
+async fn engine(fencing: Fencing) -> Engine {
+    let settings = engine::Settings {
+        fencing,
+        ..engine::Settings::default()
+    };
+    Engine::start(settings).await.expect("an engine starts")
+}
+
+fn load(engine: &Engine, version: &str) -> Order {
+    Order {
+        action: Action::Engine {
+            upstream: "engine-1".into(),
+            address: engine.address(),
+            set: Setting::Load(served(version)),
+        },
+        reason: "test".into(),
+    }
+}
+
+fn call(address: std::net::SocketAddr, fence: u64, version: &str) -> Call {
+    Call {
+        address,
+        method: Method::POST,
+        path: "/v1/orders".to_owned(),
+        body: Some(json!({ "fence": fence, "order": { "load": served(version) } })),
+        limit: Duration::from_secs(5),
+    }
+}
+
+fn recorded(node: &Arc<Node<Memory>>) -> usize {
+    node.machine().read().orders().iter().count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn are_recorded_and_taken_by_engines_of_both_kinds() {
+    let process = leader(None);
+    takes_orders(&process).await;
+    for fencing in [Fencing::Checked, Fencing::Ignored] {
+        let engine = engine(fencing).await;
+        let first = process.node.give(load(&engine, "2")).await;
+        let second = process.node.give(load(&engine, "3")).await;
+        assert_that!(first, matches_pattern!(Given::Taken(_)));
+        assert_that!(second, matches_pattern!(Given::Taken(_)));
+        assert_that!(engine.models(), elements_are![eq(&served("3"))]);
+    }
+    assert_that!(recorded(&process.node), eq(4));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn are_refused_by_an_engine_that_saw_a_later_leader() {
+    let process = leader(None);
+    takes_orders(&process).await;
+    let engine = engine(Fencing::Checked).await;
+    let later = exchange(&call(engine.address(), u64::MAX, "9"), || true).await;
+    assert_that!(later, ok(anything()));
+    let given = process.node.give(load(&engine, "2")).await;
+    assert_that!(given, matches_pattern!(Given::Refused(eq(&409), _)));
+    assert_that!(engine.models(), elements_are![eq(&served("9"))]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn are_not_given_before_the_wait_after_a_take_over_ends() {
+    let process = leader(None);
+    takes_orders(&process).await;
+    process.node.replica().set_leads(false);
+    process.node.replica().set_leads(true);
+    let began = Instant::now();
+    let engine = engine(Fencing::Ignored).await;
+    let given = process.node.give(load(&engine, "2")).await;
+    assert_that!(given, matches_pattern!(Given::Unsent(_)));
+    assert_that!(recorded(&process.node), eq(0));
+
+    takes_orders(&process).await;
+    let lease_and_flight = leader::LEASE + control::orders::FLIGHT;
+    assert_that!(began.elapsed(), gt(lease_and_flight));
+    let given = process.node.give(load(&engine, "2")).await;
+    assert_that!(given, matches_pattern!(Given::Taken(_)));
+}
+
+#[tokio::test]
+async fn write_nothing_once_the_lead_is_lost() {
+    let listener = TcpListener::bind(any_port()).await.expect("it listens");
+    let address = listener.local_addr().expect("it has an address");
+    // The lead is lost between the look after connecting and the first write.
+    let looks = std::sync::atomic::AtomicUsize::new(0);
+    let may_write = move || looks.fetch_add(1, std::sync::atomic::Ordering::Relaxed) == 0;
+    let reading = async {
+        let (mut stream, _) = listener.accept().await.expect("a connection arrives");
+        let mut bytes = Vec::new();
+        let _ = stream.read_to_end(&mut bytes).await;
+        bytes
+    };
+    let order = call(address, 1, "2");
+    let (sent, bytes) = tokio::join!(exchange(&order, may_write), reading);
+    assert_that!(sent, err(anything()));
+    assert_that!(bytes, is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn are_unclear_when_the_engine_does_not_answer() {
+    let process = leader(None);
+    takes_orders(&process).await;
+    let engine = engine(Fencing::Ignored).await;
+    engine.life().freeze();
+    let given = process.node.give(load(&engine, "2")).await;
+    assert_that!(given, matches_pattern!(Given::Unclear(_)));
+    engine.life().thaw();
+    // Whatever became of it, the same order sets the same state.
+    sleep(Duration::from_millis(50)).await;
+    let given = process.node.give(load(&engine, "2")).await;
+    assert_that!(given, matches_pattern!(Given::Taken(_)));
+    assert_that!(engine.models(), elements_are![eq(&served("2"))]);
+}
