Test streams, bookings and a stock client against a real entry

Real processes and stand-ins, with histories compared: each answer token by token, each execution by its key.

A client written for the test was ruled out: it would share the entry's reading of the published API.

--- a/stand_ins/src/engine.rs
+++ b/stand_ins/src/engine.rs
@@ -162,7 +162,11 @@
     fn reclaim(&self, notice: Duration) {
         let ignored = lock(&self.switches).ignore_notice;
         if !ignored {
-            lock(&self.condition).stops_at = Some(Instant::now() + notice);
+            let now = Instant::now();
+            let mut condition = lock(&self.condition);
+            condition.noticed_at = Some(now);
+            condition.stops_at = Some(now + notice);
+            drop(condition);
             self.bell.ring();
         }
         let life = self.life.clone();
--- a/stand_ins/src/engine/condition.rs
+++ b/stand_ins/src/engine/condition.rs
@@ -16,6 +16,7 @@
     pub(super) draining: bool,
     pub(super) fence: u64,
     pub(super) stops_at: Option<Instant>,
+    pub(super) noticed_at: Option<Instant>,
     /// Models that orders ask for, while their weights are fetched and after.
     pub(super) wanted: IndexMap<ModelId, Served>,
     /// Orders that were carried out, oldest first.
@@ -31,6 +32,7 @@
             draining: false,
             fence: 0,
             stops_at: None,
+            noticed_at: None,
             wanted: IndexMap::new(),
             orders: Vec::new(),
             reported: None,
--- a/stand_ins/src/engine/generate.rs
+++ b/stand_ins/src/engine/generate.rs
@@ -138,7 +138,9 @@
         model: checked.generation.model.clone(),
         text: checked.text,
         arrived_ms: core.started.elapsed().as_millis() as u64,
-        after_notice: lock(&core.condition).stops_at.is_some(),
+        after_notice_ms: lock(&core.condition)
+            .noticed_at
+            .map(|at| at.elapsed().as_millis() as u64),
         prompt_tokens,
         resumed_tokens: resumed,
         cached_tokens: 0,
--- a/stand_ins/src/engine/history.rs
+++ b/stand_ins/src/engine/history.rs
@@ -13,8 +13,8 @@
     pub text: u64,
     /// Milliseconds between the engine's start and the request's arrival.
     pub arrived_ms: u64,
-    /// Whether the engine had announced by then that it leaves or is reclaimed.
-    pub after_notice: bool,
+    /// Milliseconds between the announcement of a reclaim and the arrival, if there was one.
+    pub after_notice_ms: Option<u64>,
     /// Prompt tokens.
     pub prompt_tokens: usize,
     /// Tokens that the request said were already generated.
--- a/stand_ins/src/load/report.rs
+++ b/stand_ins/src/load/report.rs
@@ -119,6 +119,21 @@
         [End::Finished, End::Cancelled, End::Exported].map(count)
     }
 
+    /// Returns what became of requests, in one line.
+    pub fn counts(&self) -> String {
+        format!(
+            "sent {} whole {} refused {} unknown {} lost {} wrong {} doubled {} refused but run {}",
+            self.sent,
+            self.whole,
+            self.refused,
+            self.unknown,
+            self.lost,
+            self.wrong,
+            self.doubled,
+            self.refused_but_run
+        )
+    }
+
     /// Returns the report for programs.
     pub fn json(&self) -> Value {
         json!({
--- a/stand_ins/src/plain.rs
+++ b/stand_ins/src/plain.rs
@@ -115,7 +115,7 @@
             incarnation,
             sequence,
             service: settings.service.clone(),
-            address,
+            address: settings.announce_as.unwrap_or(address),
             data_centre: settings.data_centre.clone(),
             class: settings.class,
             role: upstream::Role::Both,
--- a/stand_ins/src/plain/settings.rs
+++ b/stand_ins/src/plain/settings.rs
@@ -17,6 +17,8 @@
     pub service: ServiceId,
     /// Address of its listener; port 0 lets the system choose.
     pub listen: SocketAddr,
+    /// Address that it announces where that is not its listener's, such as a relay's.
+    pub announce_as: Option<SocketAddr>,
     /// Data centre that it announces.
     pub data_centre: DataCentreId,
     /// Class that it announces.
@@ -33,6 +35,7 @@
             upstream: UpstreamId::const_new("plain-1"),
             service: ServiceId::const_new("jobs"),
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            announce_as: None,
             data_centre: DataCentreId::const_new("shah-alam"),
             class: Class::OnDemand,
             capacity: Capacity::default(),
--- /dev/null
+++ b/tests/reclaims.rs
@@ -0,0 +1,227 @@
+//! Streams whose upstream is taken back, dies, or goes silent.
+//!
+//! Every caller's answer is compared token by token with what the engine must give.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use stand_ins::engine::{self, Engine, Record};
+use stand_ins::load::Report;
+use stand_ins::relay::{Mode, Relay, Scope};
+use trials::text::DATA_CENTRES;
+use trials::upstreams::{booking, chat, engine_settings, engines, plain, reachable, read};
+use trials::{Address, Crowd, Draw, Fleet, Settings, until};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_chervilloft");
+const SEEDS: [u64; 3] = [11, 12, 13];
+const CLEAN: &str = "unknown 0 lost 0 wrong 0 doubled 0 refused but run 0";
+
+async fn standalone() -> Fleet {
+    Fleet::start(Settings::standalone(BINARY))
+        .await
+        .expect("the fleet starts")
+}
+
+/// Begins streams of lengths drawn from `seed`, and waits until engines run them.
+async fn streams(fleet: &Fleet, engines: &[Engine], seed: u64, count: u64) -> Crowd {
+    let mut draw = Draw::new(seed);
+    let calls: Vec<_> = (0..count)
+        .map(|number| chat(seed * 10_000 + number, draw.number(800..1_400) as usize))
+        .collect();
+    let crowd = Crowd::begin(&Arc::new(fleet.caller()), calls);
+    until("all streams at the engines", || async {
+        let running: usize = engines.iter().map(Engine::in_progress).sum();
+        running as u64 >= count
+    })
+    .await;
+    // Where the streams stand when the fault comes differs by seed.
+    tokio::time::sleep(Duration::from_millis(draw.number(50..400))).await;
+    crowd
+}
+
+fn expect_all_whole(report: &Report, fleet: &Fleet) {
+    let expected = format!("sent {0} whole {0} refused 0 {CLEAN}", report.sent);
+    if report.counts() != expected {
+        println!("{report}\n{}", fleet.logs());
+    }
+    expect_that!(report.counts(), eq(&expected));
+}
+
+fn here<'a>(engines: &'a [Engine], centre: &'a str) -> impl Iterator<Item = &'a Engine> {
+    let of = move |engine: &&Engine| engine.settings().data_centre == centre;
+    engines.iter().filter(of)
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn can_keep_every_stream_when_a_data_centre_is_reclaimed() {
+    for seed in SEEDS {
+        wave(seed, 8, 24).await;
+    }
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn can_keep_200_streams_when_a_data_centre_is_reclaimed() {
+    wave(14, 20, 200).await;
+}
+
+async fn wave(seed: u64, count: usize, callers: u64) {
+    let fleet = standalone().await;
+    let _jobs = plain(&fleet, "jobs-1", DATA_CENTRES[1]).await.unwrap();
+    let engines = engines(&fleet, count, &DATA_CENTRES).await.unwrap();
+    reachable(&fleet, &chat(seed, 2)).await;
+    let crowd = streams(&fleet, &engines, seed, callers).await;
+    let mut draw = Draw::new(seed);
+    for engine in here(&engines, DATA_CENTRES[0]) {
+        engine.reclaim(Duration::from_millis(draw.number(300..1_200)));
+    }
+    let report = crowd.report(&engines, &[]).await;
+    expect_all_whole(&report, &fleet);
+    expect_that!(report.moves, gt(0));
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn can_keep_every_stream_when_its_next_engine_is_reclaimed_too() {
+    for seed in SEEDS {
+        let fleet = standalone().await;
+        let _jobs = plain(&fleet, "jobs-1", DATA_CENTRES[1]).await.unwrap();
+        let engines = engines(&fleet, 4, &DATA_CENTRES).await.unwrap();
+        reachable(&fleet, &chat(seed, 2)).await;
+        let crowd = streams(&fleet, &engines, seed, 24).await;
+        let mut draw = Draw::new(seed);
+        for engine in &engines[..3] {
+            engine.reclaim(Duration::from_millis(900));
+            tokio::time::sleep(Duration::from_millis(draw.number(20..400))).await;
+        }
+        let report = crowd.report(&engines, &[]).await;
+        expect_all_whole(&report, &fleet);
+    }
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn can_keep_every_stream_when_engines_die_without_notice() {
+    for seed in SEEDS {
+        let fleet = standalone().await;
+        let _jobs = plain(&fleet, "jobs-1", DATA_CENTRES[1]).await.unwrap();
+        let engines = engines(&fleet, 4, &DATA_CENTRES).await.unwrap();
+        reachable(&fleet, &chat(seed, 2)).await;
+        let crowd = streams(&fleet, &engines, seed, 24).await;
+        for engine in here(&engines, DATA_CENTRES[0]) {
+            engine.switch(|switches| switches.ignore_notice = true);
+            engine.reclaim(Duration::ZERO);
+        }
+        let report = crowd.report(&engines, &[]).await;
+        expect_all_whole(&report, &fleet);
+    }
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn can_keep_every_stream_when_an_engine_dies_while_it_exports() {
+    let fleet = standalone().await;
+    let _jobs = plain(&fleet, "jobs-1", DATA_CENTRES[1]).await.unwrap();
+    let engines = engines(&fleet, 4, &DATA_CENTRES).await.unwrap();
+    reachable(&fleet, &chat(1, 2)).await;
+    let crowd = streams(&fleet, &engines, 21, 24).await;
+    engines[0].switch(|switches| switches.die_on_export = true);
+    engines[1].switch(|switches| switches.refuse_import = true);
+    engines[0].reclaim(Duration::from_secs(1));
+    let report = crowd.report(&engines, &[]).await;
+    expect_all_whole(&report, &fleet);
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn can_finish_streams_that_engines_end_too_early() {
+    let fleet = standalone().await;
+    let _jobs = plain(&fleet, "jobs-1", DATA_CENTRES[1]).await.unwrap();
+    let engines = engines(&fleet, 4, &DATA_CENTRES).await.unwrap();
+    reachable(&fleet, &chat(1, 2)).await;
+    engines[0].switch(|switches| switches.close_after = Some(5));
+    engines[1].switch(|switches| switches.drop_done = true);
+    engines[2].switch(|switches| switches.silent_after = Some(7));
+    let calls = (0..16).map(|number| chat(30_000 + number, 40));
+    let crowd = Crowd::begin(&Arc::new(fleet.caller()), calls);
+    let report = crowd.report(&engines, &[]).await;
+    expect_all_whole(&report, &fleet);
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn can_keep_every_stream_when_engines_freeze() {
+    let fleet = standalone().await;
+    let _jobs = plain(&fleet, "jobs-1", DATA_CENTRES[1]).await.unwrap();
+    let engines = engines(&fleet, 3, &DATA_CENTRES).await.unwrap();
+    reachable(&fleet, &chat(1, 2)).await;
+    let crowd = streams(&fleet, &engines, 22, 12).await;
+    engines[0].life().freeze();
+    let report = crowd.report(&engines, &[]).await;
+    expect_all_whole(&report, &fleet);
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn can_keep_streams_over_pooled_connections_that_went_silent() {
+    let fleet = standalone().await;
+    let _jobs = plain(&fleet, "jobs-1", DATA_CENTRES[1]).await.unwrap();
+    let listen = Address::next();
+    let listen = listen.at(listen.ports(1).unwrap()[0]);
+    let relay = Relay::start(listen).await.unwrap();
+    let engine = Engine::start(engine::Settings {
+        listen,
+        announce_as: Some(relay.address()),
+        ..engine_settings(&fleet, "relayed", DATA_CENTRES[0])
+    })
+    .await
+    .unwrap();
+    let engines = [engine];
+    reachable(&fleet, &chat(1, 2)).await;
+    let crowd = streams(&fleet, &engines, 23, 8).await;
+    relay.set(Scope::Open, Mode::DropBoth);
+    let report = crowd.report(&engines, &[]).await;
+    expect_all_whole(&report, &fleet);
+    let calls = (0..8).map(|number| chat(40_000 + number, 4));
+    let report = Crowd::begin(&Arc::new(fleet.caller()), calls);
+    expect_all_whole(&report.report(&[], &[]).await, &fleet);
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn gives_no_new_work_to_a_reclaimed_engine() {
+    let fleet = standalone().await;
+    let _jobs = plain(&fleet, "jobs-1", DATA_CENTRES[1]).await.unwrap();
+    let engines = engines(&fleet, 3, &DATA_CENTRES).await.unwrap();
+    reachable(&fleet, &chat(1, 2)).await;
+    let caller = Arc::new(fleet.caller());
+    let mut crowd = Crowd::default();
+    engines[0].reclaim(Duration::from_secs(5));
+    for number in 0..200 {
+        crowd.add(&caller, chat(50_000 + number, 4));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let late = |record: &Record| record.after_notice_ms.is_some_and(|ms| ms > 3_000);
+    let late = engines[0].history().iter().filter(|it| late(it)).count();
+    expect_that!(late, eq(0));
+    let report = crowd.report(&engines, &[]).await;
+    expect_all_whole(&report, &fleet);
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_each_caller_with_its_own_answer_when_answers_are_late() {
+    let fleet = standalone().await;
+    let jobs = plain(&fleet, "jobs-1", DATA_CENTRES[1]).await.unwrap();
+    let engines = engines(&fleet, 2, &DATA_CENTRES).await.unwrap();
+    reachable(&fleet, &read(1)).await;
+    reachable(&fleet, &chat(1, 2)).await;
+    jobs.switch(|switches| switches.jitter_ms = 400);
+    engines[0].switch(|switches| switches.stretch = 5.0);
+    let calls = (0..40).flat_map(|n| [booking(n), read(n), chat(60_000 + n, 10)]);
+    let crowd = Crowd::begin(&Arc::new(fleet.caller()), calls);
+    let report = crowd.report(&engines, &[jobs]).await;
+    expect_all_whole(&report, &fleet);
+}
--- /dev/null
+++ b/tests/stock_client.rs
@@ -0,0 +1,67 @@
+//! A stock client of the published API, which knows nothing of chervilloft.
+
+use async_openai::Client;
+use async_openai::config::OpenAIConfig;
+use async_openai::types::chat::{
+    ChatCompletionRequestUserMessageArgs, CreateChatCompletionRequest,
+    CreateChatCompletionRequestArgs,
+};
+use futures_util::StreamExt;
+use googletest::prelude::*;
+use stand_ins::text;
+use trials::text::{DATA_CENTRES, MODEL};
+use trials::upstreams::{chat, engines, plain, reachable};
+use trials::{ACCOUNT_KEY, Fleet, Settings};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_chervilloft");
+const QUESTION: &str = "Which clause covers registration marks?";
+
+fn client(fleet: &Fleet) -> Client<OpenAIConfig> {
+    let entry = fleet.entry_addresses()[0];
+    let config = OpenAIConfig::new()
+        .with_api_base(format!("http://{entry}/v1"))
+        .with_api_key(ACCOUNT_KEY);
+    Client::with_config(config)
+}
+
+fn request() -> CreateChatCompletionRequest {
+    let message = ChatCompletionRequestUserMessageArgs::default()
+        .content(QUESTION)
+        .build()
+        .expect("the message is complete");
+    CreateChatCompletionRequestArgs::default()
+        .model(MODEL)
+        .max_completion_tokens(30_u32)
+        .messages([message.into()])
+        .build()
+        .expect("the request is complete")
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn can_serve_a_stock_client() {
+    let fleet = Fleet::start(Settings::standalone(BINARY)).await.unwrap();
+    let _jobs = plain(&fleet, "jobs-1", DATA_CENTRES[0]).await.unwrap();
+    let _engines = engines(&fleet, 1, &DATA_CENTRES).await.unwrap();
+    reachable(&fleet, &chat(1, 2)).await;
+    let client = client(&fleet);
+    let expected = text::answer(MODEL, &text::prompt_of("user", QUESTION), Some(30)).concat();
+
+    let whole = client.chat().create(request()).await.unwrap();
+    expect_that!(whole.choices[0].message.content, some(eq(&expected)));
+    expect_that!(whole.usage.unwrap().completion_tokens, eq(30));
+
+    let mut stream = client.chat().create_stream(request()).await.unwrap();
+    let mut streamed = String::new();
+    while let Some(event) = stream.next().await {
+        let event = event.expect("the client reads every event");
+        let choice = event.choices.first();
+        let token = choice.and_then(|choice| choice.delta.content.as_deref());
+        streamed.push_str(token.unwrap_or_default());
+    }
+    expect_that!(streamed, eq(&expected));
+
+    let models = client.models().list().await.unwrap();
+    let names: Vec<&str> = models.data.iter().map(|model| model.id.as_str()).collect();
+    expect_that!(names, contains(eq(&MODEL)));
+}
--- /dev/null
+++ b/trials/src/crowd.rs
@@ -0,0 +1,62 @@
+//! Many callers at one time.
+
+use std::sync::Arc;
+
+use stand_ins::engine::Engine;
+use stand_ins::load::{Call, Caller, Report, Told};
+use stand_ins::plain::Plain;
+use tokio::task::JoinSet;
+
+/// Calls that are under way.
+#[derive(Debug, Default)]
+pub struct Crowd {
+    calls: JoinSet<(Call, Told)>,
+    told: Vec<(Call, Told)>,
+}
+
+impl Crowd {
+    /// Begins each of `calls` at once.
+    pub fn begin(caller: &Arc<Caller>, calls: impl IntoIterator<Item = Call>) -> Crowd {
+        let mut crowd = Crowd::default();
+        for call in calls {
+            crowd.add(caller, call);
+        }
+        crowd
+    }
+
+    /// Begins one more call.
+    pub fn add(&mut self, caller: &Arc<Caller>, call: Call) {
+        let caller = caller.clone();
+        self.calls.spawn(async move {
+            let told = caller.call(&call).await;
+            (call, told)
+        });
+    }
+
+    /// Waits for the end of all calls.
+    pub async fn end(&mut self) {
+        while let Some(ended) = self.calls.join_next().await {
+            self.told.push(ended.expect("a caller does not panic"));
+        }
+    }
+
+    /// Returns what the callers were told.
+    pub fn told(&self) -> &[(Call, Told)] {
+        &self.told
+    }
+
+    /// Waits for the end of all calls, and compares what callers and upstreams saw.
+    pub async fn report(mut self, engines: &[Engine], plains: &[Plain]) -> Report {
+        self.end().await;
+        let mut report = Report::default();
+        for (call, told) in &self.told {
+            report.add(call, told, false);
+        }
+        for engine in engines {
+            report.check_history(&engine.history());
+        }
+        let ledgers: Vec<_> = plains.iter().map(Plain::ledger).collect();
+        report.check_ledgers(&ledgers);
+        report
+    }
+}
--- /dev/null
+++ b/trials/src/draw.rs
@@ -0,0 +1,22 @@
+//! Numbers drawn from a fixed seed.
+
+use std::ops::Range;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// A source of numbers; the same seed gives the same numbers.
+#[derive(Debug)]
+pub struct Draw(StdRng);
+
+impl Draw {
+    /// Returns the source for `seed`.
+    pub fn new(seed: u64) -> Draw {
+        Draw(StdRng::seed_from_u64(seed))
+    }
+
+    /// Returns a number in `range`.
+    pub fn number(&mut self, range: Range<u64>) -> u64 {
+        self.0.random_range(range)
+    }
+}
--- /dev/null
+++ b/trials/src/hole.rs
@@ -0,0 +1,45 @@
+//! An address at which connecting neither works nor fails.
+
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use socket2::{Domain, Protocol, SockAddr, Socket, Type};
+
+use crate::Address;
+
+const FILL: usize = 4;
+const FILL_LIMIT: Duration = Duration::from_millis(50);
+
+/// A listener that accepts nothing and whose queue is full.
+#[derive(Debug)]
+pub struct Hole {
+    address: SocketAddr,
+    _listener: Socket,
+    _queued: Vec<TcpStream>,
+}
+
+impl Hole {
+    /// Opens the listener and fills its queue.
+    ///
+    /// # Errors
+    /// Fails when the socket can't be opened.
+    pub fn open() -> io::Result<Hole> {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+        listener.bind(&SockAddr::from(Address::next().at(0)))?;
+        listener.listen(0)?;
+        let address = listener.local_addr()?.as_socket();
+        let address = address.ok_or_else(|| io::Error::other("the listener has no address"))?;
+        let queued = (0..FILL).map_while(|_| TcpStream::connect_timeout(&address, FILL_LIMIT).ok());
+        Ok(Hole {
+            address,
+            _queued: queued.collect(),
+            _listener: listener,
+        })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
--- a/trials/src/lib.rs
+++ b/trials/src/lib.rs
@@ -5,7 +5,10 @@
 //! taken by an outgoing connection. Processes are killed when the fleet is dropped.
 
 mod address;
+mod crowd;
+mod draw;
 mod fleet;
+mod hole;
 mod keys;
 mod links;
 mod operator;
@@ -17,7 +20,10 @@
 mod wait;
 
 pub use address::Address;
+pub use crowd::Crowd;
+pub use draw::Draw;
 pub use fleet::Fleet;
+pub use hole::Hole;
 pub use keys::{ACCOUNT_KEY, OPERATOR_TOKEN, SECOND_ACCOUNT_KEY};
 pub use links::Links;
 pub use operator::Said;
--- a/trials/src/upstreams.rs
+++ b/trials/src/upstreams.rs
@@ -48,14 +48,18 @@
 /// # Errors
 /// Fails when the socket can't be opened.
 pub async fn plain(fleet: &Fleet, name: &str, centre: &str) -> io::Result<Plain> {
-    Plain::start(plain::Settings {
+    Plain::start(plain_settings(fleet, name, centre)).await
+}
+
+/// Returns settings of a plain service that announces itself to `fleet`.
+pub fn plain_settings(fleet: &Fleet, name: &str, centre: &str) -> plain::Settings {
+    plain::Settings {
         upstream: name.into(),
         service: text::PLAIN_SERVICE.into(),
         data_centre: centre.into(),
         announce: fleet.announce(),
         ..plain::Settings::default()
-    })
-    .await
+    }
 }
 
 /// Returns a streamed chat with its own prompt and key.
