--- a/components/entry/src/cache.rs
+++ b/components/entry/src/cache.rs
@@ -78,7 +78,7 @@
     path: &str,
 ) -> Result<T> {
     let whole = core
-        .client
+        .engines
         .fetch(address, Method::GET, path, Bytes::new(), LIMIT)
         .await?;
     serde_json::from_slice(&whole.body)
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -33,8 +33,10 @@
     pub control: C,
     /// Chooses upstreams.
     pub router: Router,
-    /// Client for idempotent calls.
-    pub client: Client,
+    /// Client for idempotent calls of plain services.
+    pub plain: Client,
+    /// Client for engines.
+    pub engines: Client,
     /// Counters.
     pub metrics: Arc<Metrics>,
     /// Use of limits, by account.
--- a/components/entry/src/dispatch/client.rs
+++ b/components/entry/src/dispatch/client.rs
@@ -16,8 +16,8 @@
 
 /// Time for which an idle connection may be used again.
 const IDLE: Duration = Duration::from_secs(1);
-/// Bytes of the read buffer of one connection.
-const READ_BUFFER_BYTES: usize = 4 * 1_024;
+/// Bytes of the read buffer of a connection to an engine, and largest head of its answers.
+const ENGINE_BUFFER_BYTES: usize = 2 * 1_024;
 /// Largest answer to a request of the system's own, in bytes.
 const MAX_OWN_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
 
@@ -28,18 +28,30 @@
 }
 
 impl Client {
-    /// Builds a client that waits at most `connect_timeout` for a connection.
+    /// Builds a client for plain services that waits at most `connect_timeout` for a connection.
     pub fn new(connect_timeout: Duration) -> Self {
+        Client::build(connect_timeout, None)
+    }
+
+    /// Builds a client for engines, whose many open streams get small buffers.
+    pub fn for_engines(connect_timeout: Duration) -> Self {
+        Client::build(connect_timeout, Some(ENGINE_BUFFER_BYTES))
+    }
+
+    fn build(connect_timeout: Duration, buffer: Option<usize>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(connect_timeout));
         connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
-        let inner = legacy::Client::builder(TokioExecutor::new())
+        let mut builder = legacy::Client::builder(TokioExecutor::new());
+        builder
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE)
-            .http1_read_buf_exact_size(READ_BUFFER_BYTES)
-            .retry_canceled_requests(true)
-            .build(connector);
+            .retry_canceled_requests(true);
+        if let Some(bytes) = buffer {
+            builder.http1_read_buf_exact_size(bytes);
+        }
+        let inner = builder.build(connector);
         Client { inner }
     }
 
--- a/components/entry/src/handler.rs
+++ b/components/entry/src/handler.rs
@@ -182,11 +182,15 @@
     let served = async move {
         let _busy = busy;
         gauge.inc();
+        // Boxed, so that a stream does not hold the room of the largest kind of call.
         match target {
             Target::Model(shape) => {
-                model::serve(core, config, incoming, shape, exchange, sender).await;
+                let served = model::serve(core, config, incoming, shape, exchange, sender);
+                Box::pin(served).await;
+            }
+            Target::Plain => {
+                Box::pin(plain::serve(core, config, incoming, exchange, sender)).await;
             }
-            Target::Plain => plain::serve(core, config, incoming, exchange, sender).await,
             _ => {
                 let reply = model::list(&config.text).with_request(&request);
                 let _ = sender.send(reply);
--- a/components/entry/src/model/attempt.rs
+++ b/components/entry/src/model/attempt.rs
@@ -6,9 +6,9 @@
 use compact_str::{CompactString, format_compact};
 use errors::{Error, Step as ErrorStep};
 use fleet::Control;
-use http::{Method, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body::Frame;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use routing::Choice;
 use serde::Deserialize;
@@ -114,26 +114,38 @@
             .router
             .dispatched(choice, &self.route_request(), Instant::now());
         let _routed = Routed(self.core.clone(), choice.clone());
-        let client = self.core.client.clone();
-        let mut sending = std::pin::pin!(client.send(choice.address, request));
-        let answered = loop {
+        // Boxed, so that the state of sending is freed before the long time of reading.
+        let sent = Box::pin(self.send(&mut attempt, request)).await?;
+        match sent {
+            Ok(response) => self.answered(&mut attempt, response).await,
+            Err(loss) => Ok(Ended::Lost(loss)),
+        }
+    }
+
+    /// Sends the call and waits for the head of the answer.
+    async fn send(
+        &mut self,
+        attempt: &mut Attempt,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Result<Response<Incoming>, Loss>, Failure> {
+        let client = self.core.engines.clone();
+        let mut sending = std::pin::pin!(client.send(attempt.choice.address, request));
+        loop {
             tokio::select! {
-                answered = &mut sending => break answered,
+                answered = &mut sending => {
+                    return Ok(answered.map_err(|error| loss(cause_of(&error), &error)));
+                }
                 wake = self.sink.wait(false) => match wake {
                     Wake::Gone => return Err(gone()),
                     Wake::Room => {}
                 },
                 _ = attempt.looks.tick() => {
                     self.look_after_caller()?;
-                    if let Some(loss) = self.silent(&attempt) {
-                        return Ok(Ended::Lost(loss));
+                    if let Some(loss) = self.silent(attempt) {
+                        return Ok(Err(loss));
                     }
                 }
             }
-        };
-        match answered {
-            Ok(response) => self.answered(&mut attempt, response).await,
-            Err(error) => Ok(lost(cause_of(&error), &error)),
         }
     }
 
@@ -310,7 +322,7 @@
 
     /// Cancels at an upstream that may not notice that the connection is closed.
     fn cancel(&self, attempt: &Attempt) {
-        let client = self.core.client.clone();
+        let client = self.core.engines.clone();
         let address = attempt.choice.address;
         let path = format!("/v1/requests/{}/cancel", attempt.id);
         self.core.runtime.spawn(async move {
@@ -339,7 +351,7 @@
         if plan::ends_in_time(pace, left) {
             return None;
         }
-        let ended = self.transfer(attempt, body, left).await?;
+        let ended = Box::pin(self.transfer(attempt, body, left)).await?;
         self.note_unreported(attempt);
         Some(ended)
     }
@@ -353,8 +365,12 @@
 }
 
 fn lost(cause: Cause, detail: &impl std::fmt::Display) -> Ended {
+    Ended::Lost(loss(cause, detail))
+}
+
+fn loss(cause: Cause, detail: &impl std::fmt::Display) -> Loss {
     let detail = format_compact!("{detail}");
-    Ended::Lost(Loss { cause, detail })
+    Loss { cause, detail }
 }
 
 fn describe(fault: &Fault) -> CompactString {
--- a/components/entry/src/model/relay.rs
+++ b/components/entry/src/model/relay.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use compact_str::format_compact;
-use config::ids::{ServiceId, UpstreamId, Version};
+use compact_str::{CompactString, format_compact};
+use config::ids::{AccountId, ServiceId, UpstreamId, Version};
 use fleet::{Config, Control};
 use routing::{Choice, Request};
 use tokio::sync::watch;
@@ -52,7 +52,8 @@
     emitted: usize,
     last_sent: Instant,
     version: Version,
-    incoming: Incoming,
+    account: AccountId,
+    key: Option<CompactString>,
 }
 
 /// Everything that a relay starts from.
@@ -72,8 +73,7 @@
         let limit = start.config.text.services.get(&service);
         let limit = limit.map_or(Duration::ZERO, |service| service.timeout);
         let now = Instant::now();
-        let mut incoming = start.incoming;
-        incoming.body = bytes::Bytes::new();
+        let key = start.incoming.header("idempotency-key").map(Into::into);
         Relay {
             core: core.clone(),
             call: start.call,
@@ -91,7 +91,8 @@
             emitted: 0,
             last_sent: now,
             version: start.config.version,
-            incoming,
+            account: start.incoming.account,
+            key,
         }
     }
 
@@ -263,8 +264,8 @@
             .body(&request, self.admitted.priority, tokens, None);
         let kept = self.core.keeper.keep(Record {
             request,
-            account: self.incoming.account.clone(),
-            key: self.incoming.header("idempotency-key").map(Into::into),
+            account: self.account.clone(),
+            key: self.key.clone(),
             service: self.service.clone(),
             version: self.version,
             path: self.call.path().into(),
--- a/components/entry/src/model/serve.rs
+++ b/components/entry/src/model/serve.rs
@@ -10,7 +10,7 @@
 use super::relay::{Relay, Start};
 use super::sink::Sink;
 use super::{Call, list};
-use crate::admit;
+use crate::admit::{self, Admitted};
 use crate::core::Core;
 use crate::exchange::Exchange;
 use crate::failure::{Failure, Kind};
@@ -24,18 +24,32 @@
     config: Arc<Config>,
     incoming: Incoming,
     shape: Shape,
-    mut exchange: Exchange,
+    exchange: Exchange,
     reply: oneshot::Sender<Reply>,
 ) {
-    let call = match parse(&config, &incoming, shape, &mut exchange) {
-        Ok(call) => call,
-        Err(failure) => return drop(reply.send(exchange.fail(&failure))),
-    };
-    let tokens = call.prompt_tokens + call.max_tokens;
-    let admitted = admit::admit(&core, &config, &incoming, tokens, &mut exchange).await;
-    let admitted = match admitted {
+    // Boxed apart, so that the state of admission is freed before the long time of relaying.
+    let admitted = Box::pin(begin(core, config, incoming, shape, exchange, reply)).await;
+    if let Some(relay) = admitted {
+        Box::pin(relay.run()).await;
+    }
+}
+
+/// Admits a call, or answers why not.
+async fn begin<C: Control>(
+    core: Arc<Core<C>>,
+    config: Arc<Config>,
+    incoming: Incoming,
+    shape: Shape,
+    mut exchange: Exchange,
+    reply: oneshot::Sender<Reply>,
+) -> Option<Relay<C>> {
+    let admitted = admit(&core, &config, &incoming, shape, &mut exchange).await;
+    let (call, admitted) = match admitted {
         Ok(admitted) => admitted,
-        Err(failure) => return drop(reply.send(exchange.fail(&failure))),
+        Err(failure) => {
+            let _ = reply.send(exchange.fail(&failure));
+            return None;
+        }
     };
     let id = exchange.subject.request.clone();
     let encoder = Encoder::new(shape, &id, &call.model, unix_seconds());
@@ -49,7 +63,20 @@
         encoder,
         sink,
     };
-    Relay::new(&core, start).run().await;
+    Some(Relay::new(&core, start))
+}
+
+async fn admit<C: Control>(
+    core: &Core<C>,
+    config: &Arc<Config>,
+    incoming: &Incoming,
+    shape: Shape,
+    exchange: &mut Exchange,
+) -> Result<(Call, Admitted), Failure> {
+    let call = parse(config, incoming, shape, exchange)?;
+    let tokens = call.prompt_tokens + call.max_tokens;
+    let admitted = admit::admit(core, config, incoming, tokens, exchange).await?;
+    Ok((call, admitted))
 }
 
 fn parse(
--- a/components/entry/src/model/transfer.rs
+++ b/components/entry/src/model/transfer.rs
@@ -73,7 +73,7 @@
         body: &mut Incoming,
         limit: Duration,
     ) -> (Option<Exported>, Option<Ended>) {
-        let client = self.core.client.clone();
+        let client = self.core.engines.clone();
         let order = format!("{{\"request_id\":\"{}\"}}", attempt.id);
         let address = attempt.choice.address;
         let call = client.fetch(address, Method::POST, "/v1/kv/export", order, limit);
@@ -111,7 +111,7 @@
             "source": attempt.choice.address.to_string(),
             "handle": exported.handle.as_str(),
         });
-        let client = &self.core.client;
+        let client = &self.core.engines;
         let imported = client
             .fetch(
                 target.address,
--- a/components/entry/src/plain/hedge.rs
+++ b/components/entry/src/plain/hedge.rs
@@ -118,7 +118,7 @@
     let call = session.call.clone();
     async move {
         let choice = &routed.1;
-        dispatch(&core.client, &call, choice, limit).await
+        dispatch(&core.plain, &call, choice, limit).await
     }
 }
 
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -83,7 +83,8 @@
     let listener = listen(listen_at).map_err(io)?;
     let address = listener.local_addr().map_err(io)?;
     let core = Arc::new(Core {
-        client: Client::new(settings.entry.connect_timeout),
+        plain: Client::new(settings.entry.connect_timeout),
+        engines: Client::for_engines(settings.entry.connect_timeout),
         settings,
         keys,
         control,
