--- a/components/entry/src/model/serve.rs
+++ b/components/entry/src/model/serve.rs
@@ -10,14 +10,15 @@
 use super::relay::{Origin, Relay, Start};
 use super::sink::Sink;
 use super::{Call, list};
+use crate::admit::{self, Admitted};
 use crate::core::Core;
 use crate::exchange::Exchange;
 use crate::failure::{Failure, Kind};
+use crate::handover;
 use crate::incoming::Incoming;
 use crate::lifecycle::Event;
 use crate::reply::Reply;
 use crate::stream::{Assembler, Shape};
-use crate::{admit, handover};
 
 /// Serves one call until its answer is with the caller's connection.
 pub(crate) async fn serve<C: Control>(
@@ -25,23 +26,36 @@
     config: Arc<Config>,
     incoming: Incoming,
     shape: Shape,
-    mut exchange: Exchange,
+    exchange: Exchange,
     reply: oneshot::Sender<Reply>,
 ) {
-    let call = match parse(&config, &incoming, shape, &mut exchange) {
-        Ok(call) => call,
-        Err(failure) => return drop(reply.send(exchange.fail(&failure))),
-    };
-    match kept(&core, &incoming, &mut exchange).await {
-        Ok(None) => {}
-        Ok(Some(kept)) => return drop(reply.send(kept)),
-        Err(failure) => return drop(reply.send(exchange.fail(&failure))),
+    // Boxed apart, so that the state of admission is freed before the long time of relaying.
+    let admitted = Box::pin(begin(core, config, incoming, shape, exchange, reply)).await;
+    if let Some(relay) = admitted {
+        Box::pin(relay.run()).await;
     }
-    let tokens = call.prompt_tokens + call.max_tokens;
-    let admitted = admit::admit(&core, &config, &incoming, tokens, &mut exchange).await;
-    let admitted = match admitted {
-        Ok(admitted) => admitted,
-        Err(failure) => return drop(reply.send(exchange.fail(&failure))),
+}
+
+/// Admits a call, or answers why not.
+async fn begin<C: Control>(
+    core: Arc<Core<C>>,
+    config: Arc<Config>,
+    incoming: Incoming,
+    shape: Shape,
+    mut exchange: Exchange,
+    reply: oneshot::Sender<Reply>,
+) -> Option<Relay<C>> {
+    let begun = admit(&core, &config, &incoming, shape, &mut exchange).await;
+    let (call, admitted) = match begun {
+        Ok(Begun::Admitted(call, admitted)) => (call, admitted),
+        Ok(Begun::Kept(answer)) => {
+            let _ = reply.send(answer);
+            return None;
+        }
+        Err(failure) => {
+            let _ = reply.send(exchange.fail(&failure));
+            return None;
+        }
     };
     let origin = Origin {
         account: incoming.account.clone(),
@@ -58,7 +72,31 @@
         exchange,
         assembler: Assembler::default(),
     };
-    Relay::new(&core, start).run().await;
+    Some(Relay::new(&core, start))
+}
+
+/// What came of a call before it is dispatched.
+enum Begun {
+    /// It is admitted.
+    Admitted(Call, Admitted),
+    /// Its answer was kept for the caller.
+    Kept(Reply),
+}
+
+async fn admit<C: Control>(
+    core: &Arc<Core<C>>,
+    config: &Arc<Config>,
+    incoming: &Incoming,
+    shape: Shape,
+    exchange: &mut Exchange,
+) -> Result<Begun, Failure> {
+    let call = parse(config, incoming, shape, exchange)?;
+    if let Some(answer) = kept(core, incoming, exchange).await? {
+        return Ok(Begun::Kept(answer));
+    }
+    let tokens = call.prompt_tokens + call.max_tokens;
+    let admitted = admit::admit(core, config, incoming, tokens, exchange).await?;
+    Ok(Begun::Admitted(call, admitted))
 }
 
 fn parse(
