--- /dev/null
+++ b/components/control/examples/group/measure.rs
@@ -0,0 +1,173 @@
+//! The measurements.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use config::text::Class;
+use fleet::Control;
+use fleet::claim::Claim;
+use tokio::time::{interval, sleep};
+use upstream::{Announcement, Availability, Capacity, Load, Role};
+
+use crate::fleet_of::Fleet;
+
+const LEADERS: usize = 10;
+const SUBMISSIONS: usize = 20;
+const CLAIMS_FOR: Duration = Duration::from_secs(5);
+const REST_FOR: Duration = Duration::from_secs(10);
+const ENTRIES: usize = 10;
+
+fn ms(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
+
+fn quantile(sorted: &[Duration], part: f64) -> f64 {
+    let last = sorted.len() - 1;
+    ms(sorted[(last as f64 * part).round() as usize])
+}
+
+fn print(name: &str, mut times: Vec<Duration>) {
+    times.sort();
+    println!(
+        "{name}: n {} p50 {:.1} ms p99 {:.1} ms max {:.1} ms",
+        times.len(),
+        quantile(&times, 0.5),
+        quantile(&times, 0.99),
+        quantile(&times, 1.0)
+    );
+}
+
+/// Time from the loss of the leader to the next one, and to the next text in force.
+pub(crate) async fn leader(voters: usize) {
+    let (mut elected, mut in_force) = (Vec::new(), Vec::new());
+    for _ in 0..LEADERS {
+        let mut fleet = Fleet::start(voters, 3).await;
+        let leader = fleet.leader().await;
+        if let Some(process) = fleet.processes[leader].take() {
+            process.abort();
+        }
+        let lost = Instant::now();
+        fleet.leader().await;
+        elected.push(lost.elapsed());
+        fleet.submit().await;
+        in_force.push(lost.elapsed());
+        fleet.stop();
+    }
+    print(&format!("new leader, {voters} voters"), elected);
+    print(&format!("next text in force, {voters} voters"), in_force);
+}
+
+/// Claims per second by ten entries, each with some at a time.
+pub(crate) async fn claims(voters: usize) {
+    let fleet = Fleet::start(voters, ENTRIES).await;
+    for at_a_time in [1, 8, 64] {
+        let started = Instant::now();
+        let mut tasks = Vec::new();
+        for (entry, member) in fleet.members.iter().enumerate() {
+            for lane in 0..at_a_time {
+                let member = member.clone();
+                tasks.push(tokio::spawn(async move {
+                    let mut times = Vec::new();
+                    while started.elapsed() < CLAIMS_FOR {
+                        let name = format!("{at_a_time}-{entry}-{lane}-{}", times.len());
+                        let claim = Claim {
+                            account: "shop".into(),
+                            key: name.as_str().into(),
+                            fingerprint: 1,
+                            request: name.as_str().into(),
+                            version: 1,
+                        };
+                        let asked = Instant::now();
+                        if member.claim(claim).await.is_ok() {
+                            times.push(asked.elapsed());
+                        }
+                    }
+                    times
+                }));
+            }
+        }
+        let mut times = Vec::new();
+        for task in tasks {
+            times.extend(task.await.unwrap_or_default());
+        }
+        let rate = times.len() as f64 / started.elapsed().as_secs_f64();
+        let name = format!("claims, {voters} voters, {ENTRIES} entries x {at_a_time}");
+        print(&format!("{name}: {rate:.0}/s"), times);
+    }
+    fleet.stop();
+}
+
+/// Time from a submission to its answer, when it is in force at all entries.
+pub(crate) async fn in_force(entries: usize) {
+    let mut fleet = Fleet::start(3, entries).await;
+    let mut times = Vec::new();
+    for _ in 0..SUBMISSIONS {
+        times.push(fleet.submit().await);
+    }
+    fleet.stop();
+    print(&format!("in force at {entries} entries"), times);
+}
+
+/// Bytes per second of one entry's connections with the control group, without requests.
+pub(crate) async fn at_rest(upstreams: usize) {
+    let fleet = Fleet::start(3, ENTRIES).await;
+    let mut every = interval(Duration::from_secs(1));
+    for sequence in 1..=3 {
+        every.tick().await;
+        announce(&fleet, upstreams, sequence).await;
+    }
+    let before: Vec<_> = fleet.members.iter().map(fleet::Member::traffic).collect();
+    let started = Instant::now();
+    let mut sequence = 3;
+    while started.elapsed() < REST_FOR {
+        every.tick().await;
+        sequence += 1;
+        announce(&fleet, upstreams, sequence).await;
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    let mut most = (0, 0);
+    for (member, before) in fleet.members.iter().zip(before) {
+        let (frames, bytes) = member.traffic();
+        most = most.max((bytes - before.1, frames - before.0));
+    }
+    println!(
+        "at rest, {upstreams} upstreams: busiest entry {:.0} bytes/s in {:.1} frames/s",
+        most.0 as f64 / seconds,
+        most.1 as f64 / seconds
+    );
+    fleet.stop();
+}
+
+/// Renews all upstreams, spread over a second and over the entries.
+async fn announce(fleet: &Fleet, upstreams: usize, sequence: u64) {
+    let parts = 10;
+    for part in 0..parts {
+        for n in (part..upstreams).step_by(parts) {
+            let entry = (n + sequence as usize) % fleet.members.len();
+            fleet.members[entry].announce(announcement(n, sequence));
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+fn announcement(n: usize, sequence: u64) -> Announcement {
+    Announcement {
+        upstream: format!("engine-{n}").into(),
+        incarnation: 1,
+        sequence,
+        service: "bookings".into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
+        data_centre: "penang".into(),
+        class: Class::Reclaimable,
+        role: Role::Both,
+        models: Vec::new(),
+        capacity: Capacity::default(),
+        load: Load {
+            running: sequence as u32 % 16,
+            ..Load::default()
+        },
+        lease_ms: 3_000,
+        availability: Availability::Serving,
+        fence: 0,
+    }
+}
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -94,6 +94,15 @@
         self.shared.links.close();
     }
 
+    /// Returns frames and bytes that the open connections have carried.
+    pub fn traffic(&self) -> (u64, u64) {
+        let open = self.shared.links.open();
+        let traffic = open.values().map(link::Connection::traffic);
+        traffic.fold((0, 0), |(frames, bytes), traffic| {
+            (frames + traffic.frames(), bytes + traffic.bytes())
+        })
+    }
+
     async fn settle_until(&self, claim: &Claim, settlement: &Settlement) -> Result<()> {
         loop {
             let body = Body::Settle(claim.clone(), settlement.clone());
--- a/components/link/src/connection.rs
+++ b/components/link/src/connection.rs
@@ -18,7 +18,7 @@
 use crate::calls::Calls;
 use crate::handshake::{self, Side, Socket};
 use crate::window::Window;
-use crate::{Identity, Settings, reader, socket, writer};
+use crate::{Identity, Settings, Traffic, reader, socket, writer};
 
 /// A message from the other end with the greatest age that it can have.
 #[derive(Debug)]
@@ -37,6 +37,7 @@
     queue: mpsc::Sender<Frame>,
     calls: Arc<Calls>,
     closed: watch::Sender<bool>,
+    traffic: Arc<Traffic>,
 }
 
 /// What the tasks of one connection share.
@@ -48,6 +49,7 @@
     pub(crate) closed: watch::Sender<bool>,
     pub(crate) received: Arc<AtomicU64>,
     pub(crate) window: Arc<Mutex<Window>>,
+    pub(crate) traffic: Arc<Traffic>,
 }
 
 impl Shared {
@@ -151,6 +153,7 @@
         closed: watch::Sender::new(false),
         received: Arc::new(AtomicU64::new(2)),
         window: Arc::new(Mutex::new(window)),
+        traffic: Arc::default(),
     };
     let (queue, frames) = mpsc::channel(settings.queue);
     let (incoming, messages) = mpsc::channel(settings.queue);
@@ -163,6 +166,7 @@
         queue,
         calls: shared.calls,
         closed: shared.closed,
+        traffic: shared.traffic,
     };
     (connection, messages)
 }
@@ -178,6 +182,11 @@
         &self.peer
     }
 
+    /// Returns what the connection has carried.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     /// Reports whether the connection is open, as far as is known.
     pub fn is_open(&self) -> bool {
         !*self.closed.borrow()
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -8,9 +8,11 @@
 mod reader;
 mod settings;
 mod socket;
+mod traffic;
 pub mod window;
 mod writer;
 
 pub use connection::{Connection, Incoming, accept, dial};
 pub use identity::Identity;
 pub use settings::Settings;
+pub use traffic::Traffic;
--- a/components/link/src/reader.rs
+++ b/components/link/src/reader.rs
@@ -51,6 +51,7 @@
     incoming: &mpsc::Sender<Incoming>,
     shared: &Shared,
 ) -> Result<(), String> {
+    shared.traffic.count(bytes.len());
     let envelope = wire::decode(bytes).map_err(|error| error.to_string())?;
     let age = age(envelope.1, shared)?;
     let last = shared.received.load(Ordering::Acquire);
--- a/components/link/src/writer.rs
+++ b/components/link/src/writer.rs
@@ -55,6 +55,7 @@
             return false;
         }
     };
+    shared.traffic.count(bytes.len());
     shared.window().sent(number, Instant::now());
     let written = timeout(
         shared.settings.write_timeout,
