Test the control group with kills, freezes, silent cuts and lost folders

Whole histories over three control and three entry processes: bookings by key, streams token by token, and the order of the texts in force at each entry.

--- /dev/null
+++ b/tests/control_group.rs
@@ -0,0 +1,258 @@
+//! Entries behind a group of control processes that are killed, frozen, cut and emptied.
+//!
+//! After each fault the whole history is checked: answers token by token, executions by key, and
+//! the order of the texts that each entry put in force.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use stand_ins::load::Outcome;
+use stand_ins::relay::Mode;
+use trials::upstreams::{booking, chat};
+use trials::{Crowd, Settings, Signal, Trial, text, until};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_chervilloft");
+/// Exit code of a submission that came second.
+const CONFLICT: i32 = 4;
+const SEEDS: [u64; 2] = [41, 42];
+/// Longer than every lease of the settings.
+const FROZEN: Duration = Duration::from_secs(6);
+
+async fn start() -> Trial {
+    Trial::start(Settings::new(BINARY)).await
+}
+
+fn relayed() -> Settings {
+    Settings {
+        relayed: true,
+        ..Settings::new(BINARY)
+    }
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn loses_and_doubles_nothing_when_the_leader_is_killed() {
+    for seed in SEEDS {
+        let mut trial = start().await;
+        let leader = trial.leader().await;
+        let mut crowd = Crowd::default();
+        trial.load(&mut crowd, seed, 20).await;
+        trial.fleet.controls[leader].kill().unwrap();
+        trial.load(&mut crowd, seed + 100, 40).await;
+        trial.fleet.controls[leader].restart().unwrap();
+        trial.load(&mut crowd, seed + 200, 20).await;
+        let report = trial.check(crowd).await;
+        expect_that!(report.whole + report.unknown, eq(160), "{report}");
+    }
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn loses_and_doubles_nothing_when_the_leader_is_frozen_beyond_its_lease() {
+    for seed in SEEDS {
+        let trial = start().await;
+        let leader = trial.leader().await;
+        let mut crowd = Crowd::default();
+        trial.load(&mut crowd, seed, 10).await;
+        trial.fleet.controls[leader].signal(Signal::Stop).unwrap();
+        trial.load(&mut crowd, seed + 100, 20).await;
+        tokio::time::sleep(FROZEN).await;
+        trial.load(&mut crowd, seed + 200, 20).await;
+        trial.fleet.controls[leader]
+            .signal(Signal::Continue)
+            .unwrap();
+        trial.load(&mut crowd, seed + 300, 20).await;
+        let report = trial.check(crowd).await;
+        expect_that!(report.whole + report.unknown, eq(140), "{report}");
+    }
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn loses_and_doubles_nothing_when_an_entry_is_frozen_beyond_its_lease() {
+    let trial = start().await;
+    let mut crowd = Crowd::default();
+    trial.load(&mut crowd, 43, 10).await;
+    trial.fleet.entries[0].signal(Signal::Stop).unwrap();
+    trial.load(&mut crowd, 143, 20).await;
+    tokio::time::sleep(FROZEN).await;
+    trial.fleet.entries[0].signal(Signal::Continue).unwrap();
+    trial.load(&mut crowd, 243, 20).await;
+    let report = trial.check(crowd).await;
+    expect_that!(report.whole + report.unknown, eq(100), "{report}");
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn loses_and_doubles_nothing_when_the_leader_is_cut_off_in_silence() {
+    for seed in SEEDS {
+        let trial = Trial::start(relayed()).await;
+        let leader = trial.leader().await;
+        let name = trial.fleet.controls[leader].name().to_owned();
+        let mut crowd = Crowd::default();
+        trial.load(&mut crowd, seed, 10).await;
+        trial.fleet.links.cut(&name);
+        trial.load(&mut crowd, seed + 100, 20).await;
+        tokio::time::sleep(FROZEN).await;
+        let other = (leader + 1) % 3;
+        let text = text::named("while the leader is cut off");
+        until("a text in force without the old leader", || async {
+            let posted = trial.fleet.post_text(other, &text, 1, "while-cut").await;
+            posted.is_ok_and(|answer| answer.status.is_success())
+        })
+        .await;
+        trial.load(&mut crowd, seed + 200, 20).await;
+        trial.fleet.links.heal(&name);
+        trial.load(&mut crowd, seed + 300, 20).await;
+        let report = trial.check(crowd).await;
+        expect_that!(report.whole + report.unknown, eq(140), "{report}");
+        until("the new text at every entry", || async {
+            (0..3).all(|index| trial.fleet.versions_in_force(index).last() == Some(&2))
+        })
+        .await;
+    }
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn serves_over_links_that_are_reset_again_and_again() {
+    let trial = Trial::start(relayed()).await;
+    let mut crowd = Crowd::default();
+    for round in 0..6 {
+        let name = format!("control-{}", round % 3 + 1);
+        trial.fleet.links.set(&name, Mode::Reset);
+        trial.load(&mut crowd, 44 + round, 4).await;
+        trial.fleet.links.set(&name, Mode::Pass);
+        trial.load(&mut crowd, 54 + round, 4).await;
+    }
+    let report = trial.check(crowd).await;
+    expect_that!(report.whole + report.unknown, eq(96), "{report}");
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn keeps_texts_and_claims_when_a_data_folder_is_lost_and_another_after_the_repair() {
+    let mut trial = start().await;
+    let said = trial
+        .fleet
+        .submit(&text::named("second"), 1, "second")
+        .await;
+    expect_that!(said.unwrap().code, eq(0));
+    let caller = trial.patient_caller();
+    expect_that!(caller.call(&booking(1)).await.outcome, eq(&Outcome::Whole));
+    let first = trial.leader().await;
+    for lost in [first, (first + 1) % 3] {
+        lose(&mut trial, lost).await;
+        until("three voters that hold everything", || async {
+            repaired(&trial.fleet.status().await)
+        })
+        .await;
+    }
+    expect_that!(trial.fleet.version().await, eq(2));
+    let mut crowd = Crowd::default();
+    crowd.add(&caller, booking(1));
+    trial.load(&mut crowd, 45, 10).await;
+    let report = trial.check(crowd).await;
+    expect_that!(report.whole, eq(21), "{report}");
+    expect_that!(trial.plains[0].ledger().by_key()["booking-1"], eq(1));
+}
+
+/// Kills a control process and starts it again with an empty data folder.
+async fn lose(trial: &mut Trial, index: usize) {
+    let name = trial.fleet.controls[index].name().to_owned();
+    let folder = trial.fleet.data_folder(&name);
+    trial.fleet.controls[index].kill().unwrap();
+    std::fs::remove_dir_all(&folder).unwrap();
+    std::fs::create_dir_all(&folder).unwrap();
+    trial.fleet.controls[index].restart().unwrap();
+}
+
+fn repaired(status: &Value) -> bool {
+    let status = &status["status"];
+    let voters = status["voters"].as_array().map_or(0, Vec::len);
+    voters == 3 && status["learners"] == json!([]) && status["quorum"] == json!(true)
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn accepts_one_of_two_texts_that_operators_submit_on_the_same_base() {
+    let trial = start().await;
+    for base in 1..4 {
+        let (left, right) = (text::named("left"), text::named("right"));
+        let (left_id, right_id) = (format!("left-{base}"), format!("right-{base}"));
+        let both = tokio::join!(
+            trial.fleet.submit(&left, base, &left_id),
+            trial.fleet.submit(&right, base, &right_id),
+        );
+        let (left_said, right_said) = (both.0.unwrap(), both.1.unwrap());
+        let mut codes = [left_said.code, right_said.code];
+        codes.sort_unstable();
+        expect_that!(codes, eq([0, CONFLICT]), "{left_said:?} {right_said:?}");
+        let (winner, id) = match left_said.code {
+            0 => (left, left_id),
+            _ => (right, right_id),
+        };
+        let again = trial.fleet.submit(&winner, base, &id).await.unwrap();
+        expect_that!(again.code, eq(0), "{}", again.text);
+        expect_that!(trial.fleet.version().await, eq(base + 1));
+    }
+    let mut crowd = Crowd::default();
+    trial.load(&mut crowd, 46, 5).await;
+    trial.check(crowd).await;
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn serves_the_newest_text_after_restarts_that_missed_hundreds_of_changes() {
+    const CHANGES: u64 = 300;
+    let mut trial = start().await;
+    let control = (trial.leader().await + 1) % 3;
+    trial.fleet.controls[control].kill().unwrap();
+    trial.fleet.entries[2].kill().unwrap();
+    let alive = (control + 1) % 3;
+    for base in 1..=CHANGES {
+        let (text, id) = (text::named(&format!("change {base}")), format!("c-{base}"));
+        until("the acceptance of a text", || async {
+            let posted = trial.fleet.post_text(alive, &text, base, &id).await;
+            posted.is_ok_and(|answer| answer.status.is_success())
+        })
+        .await;
+    }
+    trial.fleet.controls[control].restart().unwrap();
+    trial.fleet.entries[2].restart().unwrap();
+    trial.fleet.ready(2).await;
+    expect_that!(
+        trial.fleet.versions_in_force(2).last(),
+        some(eq(&(CHANGES + 1)))
+    );
+    let mut crowd = Crowd::default();
+    trial.load(&mut crowd, 47, 10).await;
+    trial.check(crowd).await;
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_bookings_as_not_run_without_a_quorum() {
+    let mut trial = start().await;
+    let leader = trial.leader().await;
+    for other in [1, 2] {
+        trial.fleet.controls[(leader + other) % 3].kill().unwrap();
+    }
+    tokio::time::sleep(FROZEN).await;
+    let caller = trial.fleet.caller();
+    for number in 0..6 {
+        let told = caller.call(&booking(number)).await;
+        expect_that!(told.outcome, eq(&Outcome::Refused), "{told:?}");
+    }
+    expect_that!(trial.plains[0].ledger().by_key().is_empty(), eq(true));
+    for other in [1, 2] {
+        trial.fleet.controls[(leader + other) % 3]
+            .restart()
+            .unwrap();
+    }
+    let caller = trial.patient_caller();
+    for call in [booking(1), chat(1, 10)] {
+        expect_that!(caller.call(&call).await.outcome, eq(&Outcome::Whole));
+    }
+}
--- a/trials/src/lib.rs
+++ b/trials/src/lib.rs
@@ -16,6 +16,7 @@
 mod settings;
 mod signal;
 pub mod text;
+mod trial;
 pub mod upstreams;
 mod wait;
 
@@ -30,4 +31,5 @@
 pub use process::Process;
 pub use settings::Settings;
 pub use signal::Signal;
+pub use trial::Trial;
 pub use wait::{until, until_within};
--- a/trials/src/operator.rs
+++ b/trials/src/operator.rs
@@ -3,8 +3,15 @@
 use std::io;
 use std::path::Path;
 use std::process::Stdio;
+use std::time::Duration;
 
-use crate::Fleet;
+use http::Method;
+use serde_json::{Value, json};
+use stand_ins::web::{self, Answer};
+
+use crate::{Fleet, OPERATOR_TOKEN};
+
+const HTTP_LIMIT: Duration = Duration::from_secs(5);
 
 /// What a command said.
 #[derive(Clone, Debug)]
@@ -38,6 +45,59 @@
             .await
     }
 
+    /// Submits `text` by HTTP to control process `index`, without waiting for it to be in force.
+    ///
+    /// # Errors
+    /// Fails when the process does not answer.
+    pub async fn post_text(
+        &self,
+        index: usize,
+        text: &str,
+        base: u64,
+        id: &str,
+    ) -> io::Result<Answer> {
+        let bearer = format!("Bearer {OPERATOR_TOKEN}");
+        let headers = [("authorization", bearer.as_str())];
+        let body = json!({"base": base, "id": id, "text": text, "wait_ms": 0}).to_string();
+        let address = self.operator_addresses()[index];
+        let method = Method::POST;
+        web::call_with_headers(address, method, "/v1/text", &headers, body, HTTP_LIMIT).await
+    }
+
+    /// Returns what `chervilloft status` says, or null where nobody answers.
+    pub async fn status(&self) -> Value {
+        let said = self.operator(&["status", "--format", "json"]).await;
+        let text = said.map(|said| said.text).unwrap_or_default();
+        serde_json::from_str(&text).unwrap_or_default()
+    }
+
+    /// Returns the index of the control process that leads, as far as the group knows.
+    pub async fn leader(&self) -> Option<usize> {
+        let status = self.status().await;
+        let leader = status["status"]["leader"].as_str()?;
+        self.controls.iter().position(|it| it.name() == leader)
+    }
+
+    /// Returns the version of the text in force, or 0 where nobody answers.
+    pub async fn version(&self) -> u64 {
+        self.status().await["status"]["version"]
+            .as_u64()
+            .unwrap_or(0)
+    }
+
+    /// Returns the versions of the text that entry `index` logged as in force, oldest first.
+    pub fn versions_in_force(&self, index: usize) -> Vec<u64> {
+        let version = |line: &str| {
+            let rest = line.split("fleet: text ").nth(1)?;
+            rest.split(' ').next()?.parse().ok()
+        };
+        self.entries[index]
+            .log()
+            .lines()
+            .filter_map(version)
+            .collect()
+    }
+
     async fn operator_with(&self, settings: &Path, arguments: &[&str]) -> io::Result<Said> {
         let mut command = std::process::Command::new(&self.settings().binary);
         command
--- /dev/null
+++ b/trials/src/trial.rs
@@ -0,0 +1,105 @@
+//! A fleet with upstreams, and the checks that hold after any fault.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stand_ins::engine::Engine;
+use stand_ins::load::{self, Caller, Report};
+use stand_ins::plain::Plain;
+
+use crate::text::DATA_CENTRES;
+use crate::upstreams::{booking, chat, engines, plain, reachable, read};
+use crate::{Crowd, Draw, Fleet, Settings, until};
+
+const PATIENT_TRIES: usize = 60;
+const WARM_UP: u64 = 9_999_999;
+
+/// A running fleet with one plain service and engines in each data centre.
+#[derive(Debug)]
+pub struct Trial {
+    /// The processes of chervilloft.
+    pub fleet: Fleet,
+    /// The model engines.
+    pub engines: Vec<Engine>,
+    /// The plain services.
+    pub plains: Vec<Plain>,
+}
+
+impl Trial {
+    /// Starts everything and waits until each entry answers calls of each kind.
+    ///
+    /// # Panics
+    /// Panics when something can't be started or is not reachable within 30 s.
+    pub async fn start(settings: Settings) -> Trial {
+        let fleet = Fleet::start(settings).await.expect("the fleet starts");
+        let jobs = plain(&fleet, "jobs-1", DATA_CENTRES[1]).await;
+        let jobs = jobs.expect("the plain service starts");
+        let engines = engines(&fleet, DATA_CENTRES.len(), &DATA_CENTRES).await;
+        let engines = engines.expect("the engines start");
+        reachable(&fleet, &read(WARM_UP)).await;
+        reachable(&fleet, &chat(WARM_UP, 2)).await;
+        Trial {
+            fleet,
+            engines,
+            plains: vec![jobs],
+        }
+    }
+
+    /// Returns a caller that tries again, and for long, what was refused as not run.
+    pub fn patient_caller(&self) -> Arc<Caller> {
+        Arc::new(Caller::new(load::Settings {
+            retry_refused: true,
+            attempts: PATIENT_TRIES,
+            ..self.fleet.caller_settings()
+        }))
+    }
+
+    /// Begins `count` bookings and as many streams, with pauses drawn from `seed`.
+    pub async fn load(&self, crowd: &mut Crowd, seed: u64, count: u64) {
+        let caller = self.patient_caller();
+        let mut draw = Draw::new(seed);
+        for number in 0..count {
+            let number = seed * 1_000 + number;
+            crowd.add(&caller, booking(number));
+            crowd.add(&caller, chat(number, 20));
+            tokio::time::sleep(Duration::from_millis(draw.number(5..40))).await;
+        }
+    }
+
+    /// Waits for the callers, and checks that nothing was lost, doubled, wrong or falsely
+    /// refused, and that no entry went back to an earlier text.
+    ///
+    /// # Panics
+    /// Panics, with the counts and all logs, when something was.
+    pub async fn check(&self, crowd: Crowd) -> Report {
+        let report = crowd.report(&self.engines, &self.plains).await;
+        let logs = || self.fleet.logs();
+        assert!(report.is_clean(), "{report}\n{}", logs());
+        for index in 0..self.fleet.entries.len() {
+            let versions = self.fleet.versions_in_force(index);
+            assert!(versions.is_sorted(), "{versions:?}\n{}", logs());
+        }
+        report
+    }
+
+    /// Waits until the group has a leader, and returns its index.
+    ///
+    /// # Panics
+    /// Panics when there is none within 30 s.
+    pub async fn leader(&self) -> usize {
+        until("a leader", || async { self.fleet.leader().await.is_some() }).await;
+        self.fleet.leader().await.expect("the group has a leader")
+    }
+
+    /// Waits until the group has another leader than `former`.
+    ///
+    /// # Panics
+    /// Panics when there is none within 30 s.
+    pub async fn next_leader(&self, former: usize) -> usize {
+        until("another leader", || async {
+            self.fleet.leader().await.is_some_and(|it| it != former)
+        })
+        .await;
+        self.leader().await
+    }
+}
