--- a/trials/src/trial.rs
+++ b/trials/src/trial.rs
@@ -73,6 +73,7 @@
     /// Panics, with the counts and all logs, when something was.
     pub async fn check(&self, crowd: Crowd) -> Report {
         let report = crowd.report(&self.engines, &self.plains).await;
+        println!("{}", report.counts());
         let logs = || self.fleet.logs();
         assert!(report.is_clean(), "{report}\n{}", logs());
         for index in 0..self.fleet.entries.len() {
