--- a/stand_ins/src/cloud/api.rs
+++ b/stand_ins/src/cloud/api.rs
@@ -22,6 +22,7 @@
             let after = web::query(request.uri(), "after").and_then(|n| n.parse().ok());
             Ok(notices(&core, after.unwrap_or(0)))
         }
+        (&Method::GET, ["admin", "launched"]) => Ok(launched(&core)),
         (&Method::POST, ["admin", action]) => admin::handle(core, action, request).await,
         _ => {
             let message = format!("nothing is served at \"{path}\"");
@@ -98,6 +99,18 @@
     web::json(StatusCode::OK, &json!({"instances": list}))
 }
 
+fn launched(core: &Core) -> Response {
+    let table = core.table();
+    let services = table.instances().map(|it| (&it.instance, &it.service));
+    let list: Vec<Value> = services
+        .filter_map(|(name, service)| {
+            let address = table.launched(name)?.address();
+            Some(json!({"instance": name, "service": service, "address": address}))
+        })
+        .collect();
+    web::json(StatusCode::OK, &json!({"launched": list}))
+}
+
 fn prices(core: &Core) -> Response {
     let table = core.table();
     let current = |price: &Price| {
--- a/stand_ins/src/cloud/launch.rs
+++ b/stand_ins/src/cloud/launch.rs
@@ -1,6 +1,7 @@
 //! What runs on an instance.
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::Life;
@@ -64,6 +65,14 @@
         }
     }
 
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        match self {
+            Launched::Engine(engine) => engine.address(),
+            Launched::Plain(plain) => plain.address(),
+        }
+    }
+
     /// Returns the life of what was launched.
     pub fn life(&self) -> &Life {
         match self {
--- a/tests/entries.rs
+++ b/tests/entries.rs
@@ -7,7 +7,7 @@
 
 use googletest::prelude::*;
 use stand_ins::engine::Engine;
-use stand_ins::load::{self, Caller, Outcome};
+use stand_ins::load::{self, Caller, Ended, Outcome};
 use stand_ins::plain::{self, Plain};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -155,11 +155,17 @@
     })
     .await;
     let calls = (0..12).map(|number| chat(5_000 + number, 3_000));
-    let crowd = Crowd::begin(&caller(&trial), calls);
+    let mut crowd = Crowd::begin(&caller(&trial), calls);
     running(&trial.engines, 12).await;
     trial.fleet.entries[0].signal(Signal::Terminate).unwrap();
     let status = trial.fleet.entries[0].exit(STOP_LIMIT).await.unwrap();
     expect_that!(status.code(), some(eq(0)));
+    crowd.end().await;
+    for (_, told) in crowd.told() {
+        // A stream that begins again was not handed over.
+        let began_again = told.attempts.iter().any(|it| it.ended == Ended::Restart);
+        expect_that!(began_again, eq(false), "{told:?}");
+    }
     let report = trial.check(crowd).await;
     expect_that!(report.whole, eq(12), "{report}");
 }
