Test the hard cases of the replicated log and each safeguard by itself

Random faults (200 plans, seed 1) check one leader per term, equal logs and states, no lost entry, no two leases, read barriers, true fates of proposals and progress once the faults end; jumping clocks (100 plans, seed 2) check all of it but the leases.

--- a/components/consensus/tests/suite/chaos.rs
+++ b/components/consensus/tests/suite/chaos.rs
@@ -39,6 +39,8 @@
     Read,
     /// Lets milliseconds pass.
     Wait(u64),
+    /// Moves the clock of a process forward by milliseconds.
+    Jump(usize, u64),
 }
 
 fn fault() -> impl Strategy<Value = Fault> {
@@ -70,8 +72,16 @@
     faults: Vec<Fault>,
 }
 
-fn plan() -> impl Strategy<Value = Plan> {
-    let faults = prop::collection::vec(fault(), 10..60);
+/// Returns a fault, or now and then a clock that jumps.
+fn fault_or_jump() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        10 => fault(),
+        1 => (0usize..8, 1u64..5_000).prop_map(|(server, time)| Fault::Jump(server, time)),
+    ]
+}
+
+fn plan<F: Strategy<Value = Fault>>(fault: F) -> impl Strategy<Value = Plan> {
+    let faults = prop::collection::vec(fault, 10..60);
     (
         prop_oneof![Just(3usize), Just(5)],
         0usize..3,
@@ -87,7 +97,7 @@
 }
 
 /// Settings with small bounds, so that snapshots and parts of them occur often.
-pub(crate) fn small(guards: Guards) -> Settings {
+fn small(guards: Guards) -> Settings {
     Settings {
         repair_after: Duration::from_secs(2),
         settle_after: Duration::from_secs(2),
@@ -142,6 +152,9 @@
         }
         Fault::Read => world.read_everywhere(),
         Fault::Wait(time) => world.run(Duration::from_millis(time)),
+        Fault::Jump(server, time) => {
+            world.jump(&name(world, server), Duration::from_millis(time));
+        }
     }
 }
 
@@ -164,7 +177,16 @@
     }
 }
 
-fn run(cases: u32, seed: u64, guards: Guards) -> std::result::Result<(), String> {
+pub(crate) fn run(cases: u32, seed: u64, guards: Guards) -> std::result::Result<(), String> {
+    run_plans(cases, seed, plan(fault()), guards)
+}
+
+fn run_plans(
+    cases: u32,
+    seed: u64,
+    plans: impl Strategy<Value = Plan>,
+    guards: Guards,
+) -> std::result::Result<(), String> {
     let config = Config {
         cases,
         rng_seed: RngSeed::Fixed(seed),
@@ -173,7 +195,7 @@
         ..Config::default()
     };
     TestRunner::new(config)
-        .run(&plan(), |plan| {
+        .run(&plans, |plan| {
             execute(&plan, guards).map_err(TestCaseError::fail)
         })
         .map_err(|error| error.to_string())
@@ -181,5 +203,11 @@
 
 #[gtest]
 fn can_stay_safe_and_recover_under_random_faults() {
-    expect_that!(run(60, 1, Guards::ON), ok(anything()));
+    expect_that!(run(200, 1, Guards::ON), ok(anything()));
+}
+
+#[gtest]
+fn can_keep_the_log_where_clocks_jump() {
+    let plans = plan(fault_or_jump());
+    expect_that!(run_plans(100, 2, plans, Guards::ON), ok(anything()));
 }
--- a/components/consensus/tests/suite/disk.rs
+++ b/components/consensus/tests/suite/disk.rs
@@ -69,6 +69,14 @@
         }
     }
 
+    /// Returns the last entry that is synced.
+    pub(crate) fn end(&self) -> u64 {
+        let snapshot = self.stored.snapshot.as_ref();
+        let base = snapshot.map_or(0, |meta| meta.mark.index);
+        let last = self.stored.entries.last();
+        last.map_or(base, |entry| entry.index)
+    }
+
     /// Loses what was not synced.
     pub(crate) fn crash(&mut self) {
         self.unsynced.clear();
--- /dev/null
+++ b/components/consensus/tests/suite/hard_cases.rs
@@ -0,0 +1,367 @@
+//! The hard cases, one by one.
+
+use std::time::Duration;
+
+use consensus::ids::NodeId;
+use consensus::{Body, Fate, Mark, Message, Settings};
+use googletest::prelude::*;
+
+use crate::world::World;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn group(voters: usize, spares: usize, seed: u64) -> World {
+    let settings = Settings {
+        repair_after: 5 * SECOND,
+        snapshot_entries: 40,
+        trailing_entries: 10,
+        max_chunk_bytes: 64,
+        ..Settings::default()
+    };
+    World::new(settings, voters, spares, seed)
+}
+
+/// Waits for the end of a repair.
+fn repaired(world: &mut World, count: usize) -> bool {
+    world.run_until(60 * SECOND, |world| {
+        world.events_with("repair done").len() >= count
+    })
+}
+
+#[gtest]
+fn can_lose_a_second_voter_right_after_a_repair() {
+    for (seed, second_is_leader) in [(1, false), (2, true), (3, false), (4, true)] {
+        let mut world = group(3, 1, seed);
+        let last = world.commit(100);
+        let leader = world.elect();
+        let lost = world.others(&leader)[0].clone();
+        world.wipe(&lost);
+        expect_true!(repaired(&mut world, 1));
+        let leader = world.elect();
+        let is_spare = |name: &NodeId| *name == lost || *name == leader;
+        let second = match second_is_leader {
+            true => leader.clone(),
+            false => world
+                .others(&leader)
+                .into_iter()
+                .find(|name| !is_spare(name))
+                .unwrap(),
+        };
+        world.wipe(&second);
+        let next = world.commit(10);
+        expect_that!(next.index, gt(last.index + 10));
+        world.start_all();
+        expect_true!(world.recovers(60 * SECOND));
+        expect_that!(world.faults, is_empty());
+        let checksums: Vec<_> = world.servers.values().map(|server| server.state).collect();
+        expect_that!(checksums, each(eq(&checksums[0])));
+    }
+}
+
+#[gtest]
+fn can_report_each_step_of_a_repair() {
+    let mut world = group(3, 1, 1);
+    world.commit(10);
+    let leader = world.elect();
+    let lost = world.others(&leader)[0].clone();
+    world.kill(&lost);
+    expect_true!(repaired(&mut world, 1));
+    insta::assert_snapshot!(world.events_with("repair").join("\n"), @r"
+    repair began: d/00000004 is to replace a/00000001
+    repair done: d/00000004 replaced a/00000001 and holds the log up to entry 15
+    ");
+}
+
+#[gtest]
+fn can_wait_for_a_spare_that_holds_nothing() {
+    let mut world = group(3, 0, 1);
+    world.commit(10);
+    let leader = world.elect();
+    let lost = world.others(&leader)[0].clone();
+    world.kill(&lost);
+    world.run(20 * SECOND);
+    expect_that!(world.events_with("no spare").len(), eq(1));
+    expect_that!(world.node(&leader).membership().voters.len(), eq(3));
+}
+
+#[gtest]
+fn can_rejoin_under_another_identity_after_the_disk_was_emptied() {
+    let mut world = group(3, 0, 1);
+    world.commit(100);
+    let leader = world.elect();
+    let lost = world.others(&leader)[0].clone();
+    let former = world.servers[&lost].me.clone();
+    world.wipe(&lost);
+    world.start(&lost);
+    world.run_until(20 * SECOND, |world| {
+        !world.events_with("repair done").is_empty()
+    });
+    let membership = world.node(&leader).membership();
+    expect_false!(membership.contains(&former));
+    expect_true!(membership.votes(&world.servers[&lost].me));
+    expect_that!(world.faults, is_empty());
+}
+
+#[gtest]
+fn can_ignore_messages_for_the_former_disk() {
+    let mut world = group(3, 0, 1);
+    let leader = world.elect();
+    let lost = world.others(&leader)[0].clone();
+    let former = world.servers[&lost].me.clone();
+    let vote = Message {
+        group: world.node(&leader).group(),
+        from: world.servers[&leader].me.clone(),
+        to: lost.clone(),
+        to_disk: Some(former.disk),
+        term: 100,
+        body: Body::Vote {
+            last: world.node(&leader).last(),
+            transfer: true,
+        },
+    };
+    world.wipe(&lost);
+    world.start(&lost);
+    world.run(2 * world.settings.election_timeout);
+    let before = world.node(&lost).term();
+    world.messages.push((world.now, vote));
+    world.step();
+    expect_that!(world.node(&lost).term(), eq(before));
+}
+
+/// Cuts pairs for a minute, and returns whether the group commits meanwhile.
+fn commits_while_cut(world: &mut World, pairs: &[(NodeId, NodeId)]) -> bool {
+    for (from, to) in pairs {
+        world.cut(from, to);
+    }
+    world.run(10 * SECOND);
+    let before = world.committed();
+    world.commit(5);
+    world.run(50 * SECOND);
+    let is_done = world.committed() >= before + 5;
+    world.cuts.clear();
+    is_done
+}
+
+#[gtest]
+fn can_outlast_long_cuts_in_one_direction_and_in_both() {
+    for (seed, of_leader, outwards, inwards) in [
+        (1, true, true, true),
+        (2, true, true, false),
+        (3, true, false, true),
+        (4, false, true, true),
+        (5, false, true, false),
+        (6, false, false, true),
+    ] {
+        let mut world = group(3, 1, seed);
+        world.commit(5);
+        let leader = world.elect();
+        let cut = if of_leader {
+            leader.clone()
+        } else {
+            world.others(&leader)[0].clone()
+        };
+        let mut pairs = Vec::new();
+        for other in world.others(&cut) {
+            if outwards {
+                pairs.push((cut.clone(), other.clone()));
+            }
+            if inwards {
+                pairs.push((other, cut.clone()));
+            }
+        }
+        expect_true!(commits_while_cut(&mut world, &pairs));
+        expect_true!(world.recovers(60 * SECOND));
+        expect_that!(world.faults, is_empty());
+    }
+}
+
+#[gtest]
+fn can_take_a_removed_voter_back_without_an_election() {
+    let mut world = group(3, 1, 1);
+    world.commit(5);
+    let leader = world.elect();
+    let removed = world.others(&leader)[0].clone();
+    world.isolate(&removed);
+    expect_true!(repaired(&mut world, 1));
+    world.run(60 * SECOND);
+    let leader = world.elect();
+    let term = world.node(&leader).term();
+    world.cuts.clear();
+    world.run(10 * SECOND);
+    expect_that!(world.elect(), eq(&leader));
+    expect_that!(world.node(&leader).term(), eq(term));
+    let membership = world.node(&leader).membership();
+    expect_true!(membership.learners.contains(&world.servers[&removed].me));
+}
+
+/// Leaves a leader cut off with two open proposals: the others hold the first one without its
+/// knowing, and nobody holds the second one.
+fn cut_off_with_open_proposals(world: &mut World) -> (NodeId, Mark, Mark) {
+    world.commit(5);
+    let first = world.elect();
+    let others = world.others(&first);
+    for other in &others {
+        world.servers.get_mut(other).unwrap().is_slow = true;
+    }
+    let held = world.propose(&first).unwrap();
+    world.run(Duration::from_millis(50));
+    world.isolate(&first);
+    for other in &others {
+        world.servers.get_mut(other).unwrap().is_slow = false;
+    }
+    let unseen = world.propose(&first).unwrap();
+    (first, held, unseen)
+}
+
+#[gtest]
+fn can_call_proposals_unknown_where_the_successor_stays_unheard() {
+    let mut world = group(5, 0, 1);
+    let (first, held, unseen) = cut_off_with_open_proposals(&mut world);
+    world.run(10 * SECOND);
+    let proposals = &world.servers[&first].proposals;
+    expect_that!(proposals[&(held.index, held.term)], some(eq(Fate::Unknown)));
+    expect_that!(
+        proposals[&(unseen.index, unseen.term)],
+        some(eq(Fate::Unknown))
+    );
+    expect_that!(world.faults, is_empty());
+}
+
+#[gtest]
+fn can_tell_applied_and_lost_proposals_apart_once_the_successor_is_heard() {
+    let mut world = group(5, 0, 1);
+    let (first, held, unseen) = cut_off_with_open_proposals(&mut world);
+    world.run(2 * SECOND);
+    world.elect();
+    world.cuts.clear();
+    world.run(SECOND);
+    let proposals = &world.servers[&first].proposals;
+    expect_false!(proposals.contains_key(&(held.index, held.term)));
+    expect_that!(
+        proposals[&(unseen.index, unseen.term)],
+        some(eq(Fate::Lost))
+    );
+    expect_that!(world.faults, is_empty());
+}
+
+#[gtest]
+fn can_freeze_the_leader_without_two_leases() {
+    for seed in 1..=10 {
+        let mut world = group(3, 0, seed);
+        world.commit(5);
+        let leader = world.elect();
+        world.propose(&leader);
+        world.freeze(&leader, 5 * SECOND);
+        world.run(4 * SECOND);
+        expect_that!(world.leader(), some(not(eq(&leader))));
+        world.run(4 * SECOND);
+        expect_that!(world.faults, is_empty());
+    }
+}
+
+#[gtest]
+fn can_hand_the_lead_over_faster_than_an_election() {
+    let mut world = group(3, 0, 1);
+    world.commit(5);
+    let leader = world.elect();
+    let open = world.propose(&leader).unwrap();
+    world.transfer();
+    expect_that!(world.propose(&leader), none());
+    let limit = world.settings.election_timeout / 2;
+    expect_true!(world.run_until(limit, |world| {
+        world.leader().is_some_and(|name| name != leader)
+    }));
+    world.run(SECOND);
+    let proposals = &world.servers[&leader].proposals;
+    expect_false!(proposals.contains_key(&(open.index, open.term)));
+    expect_that!(world.faults, is_empty());
+}
+
+#[gtest]
+fn can_pass_read_barriers_only_with_a_quorum() {
+    let mut world = group(3, 0, 1);
+    world.commit(5);
+    let leader = world.elect();
+    let follower = world.others(&leader)[0].clone();
+    world.read(&leader, 1);
+    world.read(&follower, 2);
+    world.run(SECOND);
+    expect_that!(world.servers[&leader].reads[&1].1, some(eq(true)));
+    expect_that!(world.servers[&follower].reads[&2].1, some(eq(true)));
+    world.isolate(&leader);
+    world.read(&leader, 3);
+    world.run(2 * SECOND);
+    expect_that!(world.servers[&leader].reads[&3].1, some(eq(false)));
+}
+
+#[gtest]
+fn can_step_down_and_come_back_on_a_full_disk() {
+    let mut world = group(3, 0, 1);
+    world.commit(5);
+    let leader = world.elect();
+    world.servers.get_mut(&leader).unwrap().is_full = true;
+    world.propose(&leader);
+    world.run(3 * SECOND);
+    expect_that!(world.leader(), some(not(eq(&leader))));
+    world.servers.get_mut(&leader).unwrap().is_full = false;
+    expect_true!(world.recovers(20 * SECOND));
+    expect_that!(world.faults, is_empty());
+}
+
+#[gtest]
+fn can_catch_up_by_a_snapshot_in_parts_that_get_lost() {
+    let mut world = group(3, 0, 1);
+    world.commit(5);
+    let leader = world.elect();
+    let away = world.others(&leader)[0].clone();
+    world.kill(&away);
+    world.commit(200);
+    world.loss_percent = 20;
+    world.double_percent = 20;
+    world.start(&away);
+    let last = world.node(&leader).commit_index();
+    expect_true!(world.run_until(60 * SECOND, |world| {
+        world.servers[&away].state.index >= last
+    }));
+    expect_that!(world.faults, is_empty());
+}
+
+#[gtest]
+fn can_found_a_group_once_all_are_empty() {
+    let mut world = World::unfounded(Settings::default(), 3, 1, 1);
+    world.kill("c");
+    world.run(10 * SECOND);
+    expect_that!(world.leader(), none());
+    world.start("c");
+    let leader = world.elect();
+    world.run(5 * SECOND);
+    let membership = world.node(&leader).membership();
+    expect_that!(membership.voters.len(), eq(3));
+    expect_that!(membership.learners.len(), eq(1));
+    // The founder's disk is emptied: the others keep the group.
+    let group = world.node(&leader).group();
+    world.commit(5);
+    world.wipe("a");
+    world.start("a");
+    world.run(10 * SECOND);
+    expect_that!(world.node("a").group(), eq(group));
+    expect_true!(world.recovers(60 * SECOND));
+    expect_that!(world.events_with("founded").len(), eq(1));
+    expect_that!(world.faults, is_empty());
+}
+
+#[gtest]
+fn can_refuse_more_than_the_bound_of_uncommitted_bytes() {
+    let settings = Settings {
+        max_uncommitted_bytes: 1_000,
+        ..Settings::default()
+    };
+    let mut world = World::new(settings, 3, 0, 1);
+    let leader = world.elect();
+    let taken = (0..100)
+        .filter(|_| world.propose(&leader).is_some())
+        .count();
+    expect_that!(taken, all!(gt(10), lt(40)));
+    world.run(SECOND);
+    expect_that!(world.propose(&leader), some(anything()));
+}
--- a/components/consensus/tests/suite/main.rs
+++ b/components/consensus/tests/suite/main.rs
@@ -3,5 +3,7 @@
 mod chaos;
 mod disk;
 mod election;
+mod guards;
+mod hard_cases;
 mod server;
 mod world;
--- a/components/consensus/tests/suite/server.rs
+++ b/components/consensus/tests/suite/server.rs
@@ -20,6 +20,8 @@
     pub(crate) frozen_until: Duration,
     /// Whether the disk takes no more.
     pub(crate) is_full: bool,
+    /// Whether the disk syncs nothing.
+    pub(crate) is_slow: bool,
     pub(crate) state: State,
     /// Lease that the process last saw, by its own clock.
     pub(crate) leads_until: Option<Duration>,
@@ -73,4 +75,13 @@
     pub(crate) fn read(&self, now: Duration) -> Duration {
         now * self.rate_permille / 1_000 + self.offset
     }
+
+    /// Returns a clock that shows the same now and runs at another rate from here on.
+    pub(crate) fn at_rate(&self, rate_permille: u32, now: Duration) -> Clock {
+        let offset = self.read(now) - now * rate_permille / 1_000;
+        Clock {
+            rate_permille,
+            offset,
+        }
+    }
 }
--- a/components/consensus/tests/suite/world.rs
+++ b/components/consensus/tests/suite/world.rs
@@ -1,11 +1,14 @@
 //! A simulated group: network, clocks, faults, and checks after every step.
 
+mod checks;
+mod faults;
+mod users;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use bytes::Bytes;
 use consensus::ids::{NodeId, Term};
-use consensus::{Action, Entry, Event, Fate, Member, Message, Node, Payload, Settings, Stored};
+use consensus::{Action, Body, Entry, Event, Fate, Member, Message, Node, Settings, Stored};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -27,9 +30,14 @@
     pub(crate) spares: BTreeSet<NodeId>,
     /// Pairs between which messages are lost.
     pub(crate) cuts: BTreeSet<(NodeId, NodeId)>,
+    /// Processes to which no entries get through, though heartbeats do.
+    pub(crate) no_entries_to: BTreeSet<NodeId>,
+    /// Entries from this one on get through to nobody.
+    pub(crate) no_entries_from: Option<u64>,
     pub(crate) loss_percent: u64,
     pub(crate) double_percent: u64,
     pub(crate) max_delay_ms: u64,
+    has_jumped: bool,
     /// What was found to be wrong, first fault first.
     pub(crate) faults: Vec<String>,
     /// Messages sent, for tests that tamper with them.
@@ -37,6 +45,8 @@
     committed: BTreeMap<u64, (Entry, u64)>,
     leaders: BTreeMap<Term, Member>,
     lost: BTreeSet<(u64, Term)>,
+    /// Entries committed when each spare began to replace a voter.
+    repairs: BTreeMap<Member, u64>,
     acknowledged: u64,
     next_command: u64,
     next_disk: u64,
@@ -59,14 +69,18 @@
             events: Vec::new(),
             spares: names[voters..].iter().cloned().collect(),
             cuts: BTreeSet::new(),
+            no_entries_to: BTreeSet::new(),
+            no_entries_from: None,
             loss_percent: 0,
             double_percent: 0,
             max_delay_ms: 10,
+            has_jumped: false,
             faults: Vec::new(),
             messages: Vec::new(),
             committed: BTreeMap::new(),
             leaders: BTreeMap::new(),
             lost: BTreeSet::new(),
+            repairs: BTreeMap::new(),
             acknowledged: 0,
             next_command: 1,
             next_disk: 1,
@@ -88,6 +102,17 @@
         world
     }
 
+    /// Builds processes whose disks are all empty.
+    pub(crate) fn unfounded(settings: Settings, voters: usize, spares: usize, seed: u64) -> Self {
+        let mut world = World::new(settings, voters, spares, seed);
+        let names: Vec<NodeId> = world.servers.keys().cloned().collect();
+        for name in names {
+            world.wipe(&name);
+            world.start(&name);
+        }
+        world
+    }
+
     fn member(&mut self, node: NodeId) -> Member {
         let disk = self.next_disk;
         self.next_disk += 1;
@@ -99,7 +124,7 @@
         let rate = 1_000 - SPREAD_PERMILLE / 2 + self.rng.next_u64() % (SPREAD_PERMILLE + 1);
         let clock = Clock {
             rate_permille: rate as u32,
-            offset: Duration::from_millis(self.rng.next_u64() % 100_000),
+            offset: Duration::from_millis(100_000 + self.rng.next_u64() % 100_000),
         };
         let node = me.node.clone();
         self.servers.insert(
@@ -111,6 +136,7 @@
                 clock,
                 frozen_until: Duration::ZERO,
                 is_full: false,
+                is_slow: false,
                 state: State::default(),
                 leads_until: None,
                 proposals: BTreeMap::new(),
@@ -138,86 +164,6 @@
         server.reads.clear();
     }
 
-    /// Kills a process; what was not synced is lost.
-    pub(crate) fn kill(&mut self, name: &str) {
-        let server = self.servers.get_mut(name).unwrap();
-        server.node = None;
-        server.leads_until = None;
-        server.disk.crash();
-    }
-
-    /// Kills a process and empties its disk; it comes back under another identity unless the
-    /// guard is out.
-    pub(crate) fn wipe(&mut self, name: &str) {
-        self.kill(name);
-        let me = match self.settings.guards.disk_identity {
-            true => self.member(name.into()),
-            false => self.servers[name].me.clone(),
-        };
-        let server = self.servers.get_mut(name).unwrap();
-        server.me = me;
-        server.disk = Disk::default();
-    }
-
-    /// Freezes a process, as SIGSTOP does.
-    pub(crate) fn freeze(&mut self, name: &str, time: Duration) {
-        let until = self.now + time;
-        self.servers.get_mut(name).unwrap().frozen_until = until;
-    }
-
-    /// Cuts one direction.
-    pub(crate) fn cut(&mut self, from: &str, to: &str) {
-        self.cuts.insert((from.into(), to.into()));
-    }
-
-    /// Cuts a process off from all others, both ways.
-    pub(crate) fn isolate(&mut self, name: &str) {
-        let others: Vec<NodeId> = self.servers.keys().cloned().collect();
-        for other in others {
-            self.cut(name, &other);
-            self.cut(&other, name);
-        }
-    }
-
-    /// Proposes a command at a process; `None` where it refuses.
-    pub(crate) fn propose(&mut self, name: &str) -> Option<consensus::Mark> {
-        let number = self.next_command;
-        let now = self.now;
-        let server = self.servers.get_mut(name).unwrap();
-        let local = server.clock.read(now);
-        let node = server.node.as_mut()?;
-        let command = Bytes::copy_from_slice(&number.to_le_bytes());
-        let mark = node.propose(local, command).ok()?;
-        server.proposals.insert((mark.index, mark.term), None);
-        self.next_command += 1;
-        Some(mark)
-    }
-
-    /// Asks for a read barrier at a process.
-    pub(crate) fn read(&mut self, name: &str, id: u64) {
-        let (now, acknowledged) = (self.now, self.acknowledged);
-        let server = self.servers.get_mut(name).unwrap();
-        let local = server.clock.read(now);
-        if let Some(node) = server.node.as_mut() {
-            server.reads.insert(id, (acknowledged, None));
-            node.read(local, id);
-        }
-    }
-
-    /// Returns the leader with a lease, as all see it.
-    pub(crate) fn leader(&self) -> Option<NodeId> {
-        let mut leaders = self
-            .servers
-            .values()
-            .filter(|server| self.has_lease(server));
-        leaders.next().map(|server| server.me.node.clone())
-    }
-
-    fn has_lease(&self, server: &Server) -> bool {
-        let local = server.clock.read(self.now);
-        server.leads_until.is_some_and(|until| local < until)
-    }
-
     /// Lets time pass.
     pub(crate) fn run(&mut self, time: Duration) {
         let end = self.now + time;
@@ -283,7 +229,8 @@
         node.tick(local);
         if server.is_full && !server.disk.unsynced.is_empty() {
             node.stall(local);
-        } else if draw.is_multiple_of(2)
+        } else if !server.is_slow
+            && draw.is_multiple_of(2)
             && let Some(sequence) = server.disk.sync()
         {
             let mut last = sequence;
@@ -378,7 +325,7 @@
                 }
             }
             Action::Read { id, passed } => self.check_read(name, id, passed),
-            Action::Log(event) => self.events.push((name.into(), event)),
+            Action::Log(event) => self.note(name, event),
         }
     }
 
@@ -387,7 +334,7 @@
             .cuts
             .contains(&(message.from.node.clone(), message.to.clone()));
         let draw = self.rng.next_u64();
-        if is_cut || draw % 100 < self.loss_percent {
+        if is_cut || self.is_held_back(&message) || draw % 100 < self.loss_percent {
             return;
         }
         let copies = if (draw >> 8) % 100 < self.double_percent {
@@ -402,198 +349,12 @@
         }
     }
 
-    fn apply(&mut self, name: &str, entry: Entry) {
-        let server = self.servers.get_mut(name).unwrap();
-        let mark = entry.mark();
-        if mark.index != server.state.index + 1 {
-            let at = server.state.index;
-            self.faults
-                .push(format!("{name} applies {} after {at}", mark.index));
-            return;
-        }
-        let bytes = match &entry.payload {
-            Payload::Command(command) => command.clone(),
-            _ => Bytes::new(),
-        };
-        server.state.apply(mark, &bytes);
-        let checksum = server.state.checksum;
-        if server.proposals.remove(&(mark.index, mark.term)).is_some() {
-            self.acknowledged = self.acknowledged.max(mark.index);
-        }
-        match self.committed.get(&mark.index) {
-            None if self.lost.contains(&(mark.index, mark.term)) => {
-                let fault = format!("{mark:?} was called lost and is committed");
-                self.faults.push(fault);
-            }
-            None => {
-                self.committed.insert(mark.index, (entry, checksum));
-            }
-            Some((known, state)) if *known != entry || *state != checksum => {
-                let fault = format!("{name} applies {entry:?} where {known:?} was committed");
-                self.faults.push(fault);
-            }
-            Some(_) => {}
-        }
-    }
-
-    fn note_leader(&mut self, term: Term, me: Member) {
-        let known = self.leaders.entry(term).or_insert_with(|| me.clone());
-        if *known != me {
-            let fault = format!("{known} and {me} lead in term {term}");
-            self.faults.push(fault);
-        }
-    }
-
-    fn check_leases(&mut self) {
-        let holders: Vec<String> = self
-            .servers
-            .values()
-            .filter(|server| self.has_lease(server))
-            .map(|server| server.me.to_string())
-            .collect();
-        if holders.len() > 1 {
-            self.faults
-                .push(format!("{holders:?} hold a lease at {:?}", self.now));
-        }
-    }
-
-    fn check_lost(&mut self, mark: consensus::Mark) {
-        let is_committed = self
-            .committed
-            .get(&mark.index)
-            .is_some_and(|(entry, _)| entry.mark() == mark);
-        if is_committed {
-            self.faults
-                .push(format!("{mark:?} is committed and was called lost"));
-        }
-        self.lost.insert((mark.index, mark.term));
-    }
-
-    fn check_read(&mut self, name: &str, id: u64, passed: bool) {
-        let server = self.servers.get_mut(name).unwrap();
-        let Some((needed, end)) = server.reads.get_mut(&id) else {
-            return;
-        };
-        *end = Some(passed);
-        if passed && server.state.index < *needed {
-            let fault = format!(
-                "{name} reads at {} and {needed} was answered",
-                server.state.index
-            );
-            self.faults.push(fault);
-        }
-    }
-
-    /// Returns whether the group keeps a quorum of live disks without a voter's.
-    pub(crate) fn can_lose(&self, name: &str) -> bool {
-        let all_bear = self.servers.values().all(|server| {
-            let Some(node) = &server.node else {
-                return true;
-            };
-            let membership = node.membership();
-            let kept = membership
-                .voters
-                .iter()
-                .filter(|voter| voter.node != name && self.servers[&voter.node].me == **voter);
-            membership.voters.is_empty() || kept.count() >= membership.quorum()
-        });
-        all_bear && self.servers.values().all(|server| server.node.is_some())
-    }
-
-    /// Starts all processes that are down.
-    pub(crate) fn start_all(&mut self) {
-        let names: Vec<NodeId> = self.servers.keys().cloned().collect();
-        for name in names {
-            if self.servers[&name].node.is_none() {
-                self.start(&name);
-            }
-        }
-    }
-
-    /// Hands the leader's place over.
-    pub(crate) fn transfer(&mut self) {
-        let now = self.now;
-        for server in self.servers.values_mut() {
-            let local = server.clock.read(now);
-            if let Some(node) = server.node.as_mut() {
-                let _ = node.transfer(local);
-                server.leads_until = node.leads_until();
-            }
-        }
-    }
-
-    /// Asks every process for a read barrier.
-    pub(crate) fn read_everywhere(&mut self) {
-        let names: Vec<NodeId> = self.servers.keys().cloned().collect();
-        for name in names {
-            let id = self.rng.next_u64();
-            self.read(&name, id);
-        }
-    }
-
-    /// Ends all faults.
-    pub(crate) fn end_faults(&mut self) {
-        self.cuts.clear();
-        self.loss_percent = 0;
-        self.double_percent = 0;
-        self.max_delay_ms = 10;
-        for server in self.servers.values_mut() {
-            server.is_full = false;
-            server.frozen_until = Duration::ZERO;
-        }
-        self.start_all();
-    }
-
-    /// Returns whether the group comes to the target number of live voters, and a new entry is
-    /// applied by all members, in time.
-    pub(crate) fn recovers(&mut self, time: Duration) -> bool {
-        let is_whole = |world: &World| world.is_whole();
-        if !self.run_until(time, is_whole) {
-            return false;
-        }
-        let leader = self.leader().unwrap();
-        let Some(mark) = self.propose(&leader) else {
+    fn is_held_back(&self, message: &Message) -> bool {
+        let Body::Append { entries, .. } = &message.body else {
             return false;
         };
-        self.run_until(time, |world| {
-            let mut servers = world.servers.values();
-            servers.all(|server| server.state.index >= mark.index)
-        })
-    }
-
-    fn is_whole(&self) -> bool {
-        let Some(leader) = self.leader() else {
-            return false;
-        };
-        let membership = self.servers[&leader].node.as_ref().unwrap().membership();
-        let all_live = membership
-            .members()
-            .all(|member| self.servers[&member.node].me == *member);
-        let all_in = self
-            .servers
-            .values()
-            .all(|server| membership.contains(&server.me));
-        membership.voters.len() == membership.target && all_live && all_in
-    }
-
-    /// Returns a short description of all nodes.
-    pub(crate) fn summary(&self) -> String {
-        let nodes = self
-            .servers
-            .values()
-            .filter_map(|server| server.node.as_ref());
-        let lines = nodes.map(|node| {
-            format!(
-                "\n{} term {} leads {} last {:?} commit {} durable {} of {:?}",
-                node.me(),
-                node.term(),
-                node.is_leader(),
-                node.last(),
-                node.commit_index(),
-                node.durable_index(),
-                node.membership(),
-            )
-        });
-        lines.collect()
+        let from = self.no_entries_from.unwrap_or(u64::MAX);
+        let is_late = entries.iter().any(|entry| entry.index >= from);
+        is_late || !entries.is_empty() && self.no_entries_to.contains(&message.to)
     }
 }
--- /dev/null
+++ b/components/consensus/tests/suite/world/checks.rs
@@ -0,0 +1,112 @@
+//! Checks of everything that the simulated servers do.
+
+use bytes::Bytes;
+use consensus::ids::Term;
+use consensus::{Entry, Event, Mark, Member, Payload};
+
+use super::World;
+
+impl World {
+    pub(super) fn note(&mut self, name: &str, event: Event) {
+        match &event {
+            Event::RepairBegan(_, spare) => {
+                let committed = self.committed();
+                self.repairs.insert(spare.clone(), committed);
+            }
+            Event::RepairDone(_, spare, _) => {
+                let needed = self.repairs.get(spare).copied().unwrap_or(0);
+                let server = &self.servers[&spare.node];
+                let held = server.disk.end();
+                // A spare that lost its disk since is another repair's matter.
+                if server.me == *spare && held < needed {
+                    let fault = format!("{spare} holds {held} of {needed} and the repair is done");
+                    self.faults.push(fault);
+                }
+            }
+            _ => {}
+        }
+        self.events.push((name.into(), event));
+    }
+
+    pub(super) fn apply(&mut self, name: &str, entry: Entry) {
+        let server = self.servers.get_mut(name).unwrap();
+        let mark = entry.mark();
+        if mark.index != server.state.index + 1 {
+            let at = server.state.index;
+            self.faults
+                .push(format!("{name} applies {} after {at}", mark.index));
+            return;
+        }
+        let bytes = match &entry.payload {
+            Payload::Command(command) => command.clone(),
+            _ => Bytes::new(),
+        };
+        server.state.apply(mark, &bytes);
+        let checksum = server.state.checksum;
+        if server.proposals.remove(&(mark.index, mark.term)).is_some() {
+            self.acknowledged = self.acknowledged.max(mark.index);
+        }
+        match self.committed.get(&mark.index) {
+            None if self.lost.contains(&(mark.index, mark.term)) => {
+                let fault = format!("{mark:?} was called lost and is committed");
+                self.faults.push(fault);
+            }
+            None => {
+                self.committed.insert(mark.index, (entry, checksum));
+            }
+            Some((known, state)) if *known != entry || *state != checksum => {
+                let fault = format!("{name} applies {entry:?} where {known:?} was committed");
+                self.faults.push(fault);
+            }
+            Some(_) => {}
+        }
+    }
+
+    pub(super) fn note_leader(&mut self, term: Term, me: Member) {
+        let known = self.leaders.entry(term).or_insert_with(|| me.clone());
+        if *known != me {
+            let fault = format!("{known} and {me} lead in term {term}");
+            self.faults.push(fault);
+        }
+    }
+
+    pub(super) fn check_leases(&mut self) {
+        let holders: Vec<String> = self
+            .servers
+            .values()
+            .filter(|server| self.has_lease(server))
+            .map(|server| server.me.to_string())
+            .collect();
+        if holders.len() > 1 && !self.has_jumped {
+            self.faults
+                .push(format!("{holders:?} hold a lease at {:?}", self.now));
+        }
+    }
+
+    pub(super) fn check_lost(&mut self, mark: Mark) {
+        let is_committed = self
+            .committed
+            .get(&mark.index)
+            .is_some_and(|(entry, _)| entry.mark() == mark);
+        if is_committed {
+            self.faults
+                .push(format!("{mark:?} is committed and was called lost"));
+        }
+        self.lost.insert((mark.index, mark.term));
+    }
+
+    pub(super) fn check_read(&mut self, name: &str, id: u64, passed: bool) {
+        let server = self.servers.get_mut(name).unwrap();
+        let Some((needed, end)) = server.reads.get_mut(&id) else {
+            return;
+        };
+        *end = Some(passed);
+        if passed && server.state.index < *needed {
+            let fault = format!(
+                "{name} reads at {} and {needed} was answered",
+                server.state.index
+            );
+            self.faults.push(fault);
+        }
+    }
+}
--- /dev/null
+++ b/components/consensus/tests/suite/world/faults.rs
@@ -0,0 +1,151 @@
+//! Faults of a simulated group, and its recovery.
+
+use std::time::Duration;
+
+use consensus::ids::NodeId;
+
+use crate::disk::Disk;
+
+use super::World;
+
+impl World {
+    /// Kills a process; what was not synced is lost.
+    pub(crate) fn kill(&mut self, name: &str) {
+        let server = self.servers.get_mut(name).unwrap();
+        server.node = None;
+        server.leads_until = None;
+        server.disk.crash();
+    }
+
+    /// Kills a process and empties its disk; it comes back under another identity unless the
+    /// guard is out.
+    pub(crate) fn wipe(&mut self, name: &str) {
+        self.kill(name);
+        let me = match self.settings.guards.disk_identity {
+            true => self.member(name.into()),
+            false => self.servers[name].me.clone(),
+        };
+        let server = self.servers.get_mut(name).unwrap();
+        server.me = me;
+        server.disk = Disk::default();
+    }
+
+    /// Freezes a process, as SIGSTOP does.
+    pub(crate) fn freeze(&mut self, name: &str, time: Duration) {
+        let until = self.now + time;
+        self.servers.get_mut(name).unwrap().frozen_until = until;
+    }
+
+    /// Moves a clock forward. A lease holds only where clocks don't jump, so that leases are not
+    /// checked from here on.
+    pub(crate) fn jump(&mut self, name: &str, time: Duration) {
+        self.servers.get_mut(name).unwrap().clock.offset += time;
+        self.has_jumped = true;
+    }
+
+    /// Cuts one direction.
+    pub(crate) fn cut(&mut self, from: &str, to: &str) {
+        self.cuts.insert((from.into(), to.into()));
+    }
+
+    /// Cuts a process off from all others, both ways.
+    pub(crate) fn isolate(&mut self, name: &str) {
+        let others: Vec<NodeId> = self.servers.keys().cloned().collect();
+        for other in others {
+            self.cut(name, &other);
+            self.cut(&other, name);
+        }
+    }
+
+    /// Returns whether the group keeps a quorum of live disks without a voter's.
+    pub(crate) fn can_lose(&self, name: &str) -> bool {
+        let all_bear = self.servers.values().all(|server| {
+            let Some(node) = &server.node else {
+                return true;
+            };
+            let membership = node.membership();
+            let kept = membership
+                .voters
+                .iter()
+                .filter(|voter| voter.node != name && self.servers[&voter.node].me == **voter);
+            membership.voters.is_empty() || kept.count() >= membership.quorum()
+        });
+        all_bear && self.servers.values().all(|server| server.node.is_some())
+    }
+
+    /// Starts all processes that are down.
+    pub(crate) fn start_all(&mut self) {
+        let names: Vec<NodeId> = self.servers.keys().cloned().collect();
+        for name in names {
+            if self.servers[&name].node.is_none() {
+                self.start(&name);
+            }
+        }
+    }
+
+    /// Ends all faults.
+    pub(crate) fn end_faults(&mut self) {
+        self.cuts.clear();
+        self.loss_percent = 0;
+        self.double_percent = 0;
+        self.max_delay_ms = 10;
+        for server in self.servers.values_mut() {
+            server.is_full = false;
+            server.frozen_until = Duration::ZERO;
+        }
+        self.start_all();
+    }
+
+    /// Returns whether the group comes to the target number of live voters, and a new entry is
+    /// applied by all members, in time.
+    pub(crate) fn recovers(&mut self, time: Duration) -> bool {
+        let is_whole = |world: &World| world.is_whole();
+        if !self.run_until(time, is_whole) {
+            return false;
+        }
+        let leader = self.leader().unwrap();
+        let Some(mark) = self.propose(&leader) else {
+            return false;
+        };
+        self.run_until(time, |world| {
+            let mut servers = world.servers.values();
+            servers.all(|server| server.state.index >= mark.index)
+        })
+    }
+
+    pub(super) fn is_whole(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let membership = self.servers[&leader].node.as_ref().unwrap().membership();
+        let all_live = membership
+            .members()
+            .all(|member| self.servers[&member.node].me == *member);
+        let all_in = self
+            .servers
+            .values()
+            .all(|server| membership.contains(&server.me));
+        membership.voters.len() == membership.target && all_live && all_in
+    }
+
+    /// Returns a short description of all nodes.
+    pub(crate) fn summary(&self) -> String {
+        let nodes = self
+            .servers
+            .values()
+            .filter_map(|server| server.node.as_ref());
+        let lines = nodes.map(|node| {
+            format!(
+                "\n{} term {} leads {} last {:?} commit {} durable {} of {:?}",
+                node.me(),
+                node.term(),
+                node.is_leader(),
+                node.last(),
+                node.commit_index(),
+                node.durable_index(),
+                node.membership(),
+            )
+        });
+        lines.collect()
+    }
+}
--- /dev/null
+++ b/components/consensus/tests/suite/world/users.rs
@@ -0,0 +1,125 @@
+//! What users and tests ask of a simulated group.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use consensus::ids::NodeId;
+use consensus::{Mark, Membership, Node};
+use rand::Rng;
+
+use crate::server::Server;
+
+use super::World;
+
+impl World {
+    /// Returns the last entry known to be committed.
+    pub(crate) fn committed(&self) -> u64 {
+        self.committed.keys().last().copied().unwrap_or(0)
+    }
+
+    /// Proposes a command at a process; `None` where it refuses.
+    pub(crate) fn propose(&mut self, name: &str) -> Option<Mark> {
+        let number = self.next_command;
+        let now = self.now;
+        let server = self.servers.get_mut(name).unwrap();
+        let local = server.clock.read(now);
+        let node = server.node.as_mut()?;
+        let command = Bytes::copy_from_slice(&number.to_le_bytes());
+        let mark = node.propose(local, command).ok()?;
+        server.proposals.insert((mark.index, mark.term), None);
+        self.next_command += 1;
+        Some(mark)
+    }
+
+    /// Changes the membership at a process; returns whether it takes the change.
+    pub(crate) fn change(&mut self, name: &str, next: impl Fn(&Membership) -> Membership) -> bool {
+        let now = self.now;
+        let server = self.servers.get_mut(name).unwrap();
+        let local = server.clock.read(now);
+        let node = server.node.as_mut().expect("the process is up");
+        let next = next(node.membership());
+        node.change(local, next).is_ok()
+    }
+
+    /// Asks for a read barrier at a process.
+    pub(crate) fn read(&mut self, name: &str, id: u64) {
+        let (now, acknowledged) = (self.now, self.acknowledged);
+        let server = self.servers.get_mut(name).unwrap();
+        let local = server.clock.read(now);
+        if let Some(node) = server.node.as_mut() {
+            server.reads.insert(id, (acknowledged, None));
+            node.read(local, id);
+        }
+    }
+
+    /// Returns the leader with a lease, as all see it.
+    pub(crate) fn leader(&self) -> Option<NodeId> {
+        let mut leaders = self
+            .servers
+            .values()
+            .filter(|server| self.has_lease(server));
+        leaders.next().map(|server| server.me.node.clone())
+    }
+
+    pub(super) fn has_lease(&self, server: &Server) -> bool {
+        let local = server.clock.read(self.now);
+        server.leads_until.is_some_and(|until| local < until)
+    }
+
+    /// Lets time pass until a leader with a lease exists, and returns it.
+    pub(crate) fn elect(&mut self) -> NodeId {
+        const PATIENCE: Duration = Duration::from_secs(20);
+        assert!(self.run_until(PATIENCE, |world| world.leader().is_some()));
+        self.leader().unwrap()
+    }
+
+    /// Returns all processes but one.
+    pub(crate) fn others(&self, name: &str) -> Vec<NodeId> {
+        let names = self.servers.keys().filter(|other| *other != name);
+        names.cloned().collect()
+    }
+
+    /// Commits some commands, and returns the place of the last one.
+    pub(crate) fn commit(&mut self, count: usize) -> Mark {
+        let leader = self.elect();
+        let mut last = Mark::default();
+        for _ in 0..count {
+            last = self.propose(&leader).expect("the leader takes proposals");
+            self.step();
+        }
+        self.run(Duration::from_secs(1));
+        last
+    }
+
+    /// Returns the node of a process that is up.
+    pub(crate) fn node(&self, name: &str) -> &Node {
+        self.servers[name].node.as_ref().expect("the process is up")
+    }
+
+    /// Returns the events of one kind, in words.
+    pub(crate) fn events_with(&self, words: &str) -> Vec<String> {
+        let events = self.events.iter().map(|(_, event)| event.to_string());
+        events.filter(|event| event.contains(words)).collect()
+    }
+
+    /// Hands the leader's place over.
+    pub(crate) fn transfer(&mut self) {
+        let now = self.now;
+        for server in self.servers.values_mut() {
+            let local = server.clock.read(now);
+            if let Some(node) = server.node.as_mut() {
+                let _ = node.transfer(local);
+                server.leads_until = node.leads_until();
+            }
+        }
+    }
+
+    /// Asks every process for a read barrier.
+    pub(crate) fn read_everywhere(&mut self) {
+        let names: Vec<NodeId> = self.servers.keys().cloned().collect();
+        for name in names {
+            let id = self.rng.next_u64();
+            self.read(&name, id);
+        }
+    }
+}
