--- a/components/control/src/replica/group.rs
+++ b/components/control/src/replica/group.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::mpsc::{Sender, channel};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use consensus::{Member, Message, Node};
@@ -39,7 +39,8 @@
     /// Opens the data folder, restores the state and starts the threads.
     ///
     /// The receiver gets the error that ends the replica when its data folder fails; the process
-    /// must end then, and must not write to the folder again.
+    /// must end then, and must not write to the folder again. After a planned end the receiver is
+    /// closed without an error, once the folder can be opened again.
     ///
     /// # Errors
     /// Fails where the folder is damaged, in use or can't be read or written.
@@ -97,9 +98,12 @@
             next_read: 0,
             is_full: false,
         };
-        spawn("storage", move || keeper.run())?;
+        let storage = spawn("storage", move || keeper.run())?;
         spawn("replica", move || {
-            if let Err(cause) = driver.run() {
+            let ended = driver.run();
+            // The folder is free before anyone learns of the end.
+            let _ = storage.join();
+            if let Err(cause) = ended {
                 let _ = failed.send(cause);
             }
         })?;
@@ -182,9 +186,7 @@
     }
 }
 
-fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<()> {
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>> {
     let thread = thread::Builder::new().name(name.to_owned()).spawn(work);
-    thread
-        .map(drop)
-        .map_err(|cause| Error::Io(Step::Load, Peer::Local, cause))
+    thread.map_err(|cause| Error::Io(Step::Load, Peer::Local, cause))
 }
--- a/components/control/tests/replica.rs
+++ b/components/control/tests/replica/main.rs
@@ -1,13 +1,18 @@
 //! Replicas with real files, in one process.
 
+mod flaky;
+
 use std::collections::HashMap;
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use consensus::{Mark, Message};
 use control::replica::{Group, Machine, Replica, Settings};
 use errors::{Error, Peer, Result, Step};
+use flaky::{Faults, Flaky};
 use googletest::prelude::*;
+use storage::Disk;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 
@@ -42,25 +47,11 @@
     }
 }
 
-/// Starts a replica; a replica that was just stopped may still hold its folder.
-fn open(
-    settings: &Settings,
-    outgoing: &mpsc::Sender<Message>,
-) -> (Group<Journal>, oneshot::Receiver<Error>) {
-    let deadline = Instant::now() + PATIENCE;
-    loop {
-        match Group::start(settings.clone(), Journal::default(), outgoing.clone()) {
-            Ok(started) => return started,
-            Err(error) if Instant::now() > deadline => panic!("{error}"),
-            Err(_) => std::thread::sleep(POLL),
-        }
-    }
-}
-
 /// Replicas that reach each other through channels.
 #[derive(Default)]
 struct Fleet {
     groups: HashMap<String, std::sync::Arc<Group<Journal>>>,
+    faults: HashMap<String, std::sync::Arc<Faults>>,
     failures: HashMap<String, oneshot::Receiver<Error>>,
     routes: std::sync::Arc<std::sync::Mutex<HashMap<String, std::sync::Weak<Group<Journal>>>>>,
 }
@@ -83,7 +74,12 @@
             },
             ..Settings::default()
         };
-        let (group, failure) = open(&settings, &outgoing);
+        let folder = Flaky {
+            disk: Disk::open(&settings.folder).unwrap(),
+            faults: self.faults.entry(name.into()).or_default().clone(),
+        };
+        let started = Group::start_in(folder, settings, Journal::default(), outgoing);
+        let (group, failure) = started.unwrap();
         let group = std::sync::Arc::new(group);
         self.routes
             .lock()
@@ -230,3 +226,70 @@
     let (_, count) = fleet.propose(201).await;
     expect_that!(count, eq(201));
 }
+
+#[gtest]
+#[tokio::test]
+async fn errors_for_good_on_a_failed_sync_and_the_others_go_on() {
+    let folder = tempfile::tempdir().unwrap();
+    let names = ["a", "b", "c"];
+    let mut fleet = Fleet::default();
+    names
+        .iter()
+        .for_each(|name| fleet.start(folder.path(), &names, name, false));
+    fleet.propose(1).await;
+    let leader = fleet.leader().await;
+    fleet.faults[&leader]
+        .sync_fails
+        .store(true, Ordering::Relaxed);
+    let open = fleet.groups[&leader].propose(2).await.unwrap_err();
+    expect_that!(open.step(), eq(Step::Commit));
+    let failure = fleet.failures.remove(&leader).unwrap();
+    let failure = timeout(PATIENCE, failure).await.unwrap().unwrap();
+    expect_that!(failure.step(), eq(Step::Store));
+    expect_that!(
+        failure.to_string(),
+        contains_substring("the disk reports an error")
+    );
+    drop(fleet.groups.remove(&leader));
+    let (_, count) = fleet.propose(3).await;
+    expect_that!(count, ge(2));
+}
+
+#[gtest]
+#[tokio::test]
+async fn can_hand_the_lead_to_others_while_the_disk_is_full() {
+    let folder = tempfile::tempdir().unwrap();
+    let names = ["a", "b", "c"];
+    let mut fleet = Fleet::default();
+    names
+        .iter()
+        .for_each(|name| fleet.start(folder.path(), &names, name, false));
+    fleet.propose(1).await;
+    let leader = fleet.leader().await;
+    fleet.faults[&leader].is_full.store(true, Ordering::Relaxed);
+    let group = fleet.groups[&leader].clone();
+    let open = tokio::spawn(async move { group.propose(2).await });
+    let stepped_down = async {
+        while fleet.groups[&leader].status().leads_until.is_some() {
+            sleep(POLL).await;
+        }
+    };
+    expect_that!(timeout(PATIENCE, stepped_down).await, ok(anything()));
+    let (_, count) = fleet.propose(3).await;
+    expect_that!(fleet.leader().await, not(eq(&leader)));
+    fleet.faults[&leader]
+        .is_full
+        .store(false, Ordering::Relaxed);
+    let settled = timeout(PATIENCE, open).await.unwrap().unwrap();
+    // The others may have committed it: its answer must agree with what they applied.
+    match settled {
+        Ok((_, place)) => expect_that!((place, count), eq((2, 3))),
+        Err(error) => expect_that!(error.step(), eq(Step::Commit)),
+    }
+    let barrier = async {
+        while fleet.groups[&leader].read_barrier().await.is_err() {
+            sleep(POLL).await;
+        }
+    };
+    expect_that!(timeout(PATIENCE, barrier).await, ok(anything()));
+}
