--- a/components/consensus/src/node/repair.rs
+++ b/components/consensus/src/node/repair.rs
@@ -33,6 +33,9 @@
     /// Does what follows from entries that were committed.
     pub(super) fn after_commit(&mut self) {
         self.finish_repair();
+        if !self.membership().votes(&self.me) && self.may_change() {
+            self.step_down("it votes no more");
+        }
         if self.membership().voters.len() != self.membership().target {
             self.tend_members();
         }
--- a/components/consensus/tests/suite/hard_cases.rs
+++ b/components/consensus/tests/suite/hard_cases.rs
@@ -372,6 +372,19 @@
     expect_that!(world.faults, is_empty());
 }
 
+#[gtest]
+fn can_step_down_once_its_own_removal_is_committed() {
+    let mut world = group(3, 0, 1);
+    world.commit(5);
+    let leader = world.elect();
+    let me = world.servers[&leader].me.clone();
+    expect_true!(world.change(&leader, |membership| membership.without(&me)));
+    world.run(SECOND);
+    expect_false!(world.node(&leader).is_leader());
+    expect_true!(world.recovers(20 * SECOND));
+    expect_that!(world.faults, is_empty());
+}
+
 #[gtest]
 fn can_refuse_more_than_the_bound_of_uncommitted_bytes() {
     let settings = Settings {
