--- a/components/entry/src/stream/assembler.rs
+++ b/components/entry/src/stream/assembler.rs
@@ -47,6 +47,14 @@
 }
 
 impl Assembler {
+    /// Begins with tokens that another entry received.
+    pub fn resumed(tokens: Vec<CompactString>) -> Self {
+        Assembler {
+            tokens,
+            ..Assembler::default()
+        }
+    }
+
     /// Returns the tokens so far.
     pub fn tokens(&self) -> &[CompactString] {
         &self.tokens
@@ -114,6 +122,7 @@
             (_, _) if self.finish.is_some() => Err(Fault::OutOfPlace("an event after the last")),
             (Some(reason), "") => {
                 let reason = CompactString::from(reason);
+                self.check_count(&event)?;
                 let usage = event.usage.unwrap_or_default();
                 self.finish = Some(reason.clone());
                 self.usage = Some(usage);
@@ -123,6 +132,20 @@
         }
     }
 
+    /// Compares the count of tokens with what the last event says, so that a token left out
+    /// directly before the end is noticed.
+    fn check_count(&self, last: &Event<'_>) -> Result<(), Fault> {
+        let expected = self.tokens.len();
+        let counted = last.usage.map(|usage| usage.completion_tokens as usize);
+        match counted.or(last.token_index) {
+            Some(received) if received != expected => Err(Fault::WrongIndex {
+                expected,
+                received: Some(received),
+            }),
+            _ => Ok(()),
+        }
+    }
+
     fn add(&mut self, received: Option<usize>, token: &str) -> Result<Step, Fault> {
         let expected = self.tokens.len();
         if received != Some(expected) {
--- a/stand_ins/src/plain.rs
+++ b/stand_ins/src/plain.rs
@@ -5,7 +5,7 @@
 mod settings;
 mod switches;
 
-pub use api::read_answer;
+pub use api::{booking, read_answer};
 pub use ledger::{Execution, Ledger};
 pub use settings::Settings;
 pub use switches::Switches;
@@ -115,7 +115,7 @@
             incarnation,
             sequence,
             service: settings.service.clone(),
-            address,
+            address: settings.announce_as.unwrap_or(address),
             data_centre: settings.data_centre.clone(),
             class: settings.class,
             role: upstream::Role::Both,
