--- a/components/placement/src/forecast/from_ledger.rs
+++ b/components/placement/src/forecast/from_ledger.rs
@@ -16,7 +16,7 @@
 /// Standard deviations between the middle and one month in ten.
 const ONE_IN_TEN: f64 = 1.28;
 /// Least spread of a month around its forecast, relative to it.
-const MIN_SPREAD: f64 = 0.04;
+const MIN_SPREAD: f64 = 0.05;
 
 /// Returns the bill of the days that follow the ledger's last one.
 ///
