--- a/components/routing/benches/choose.rs
+++ b/components/routing/benches/choose.rs
@@ -6,7 +6,6 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use routing::{Router, Settings};
 
-#[allow(dead_code)]
 #[path = "../tests/support/fleet.rs"]
 mod fleet;
 
--- a/components/routing/tests/routing.rs
+++ b/components/routing/tests/routing.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use fleet::{blocks, engine, plain, request, routes, text};
+use fleet::{blocks, engine, request, routes, text};
 use googletest::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -13,6 +13,15 @@
 use upstream::cache::{Change, Contents, Event, Page};
 use upstream::{Announcement, Availability, Capacity, Load, Role};
 
+fn plain(n: usize, service: &str) -> Announcement {
+    Announcement {
+        upstream: format!("{service}-{n}").into(),
+        service: service.into(),
+        models: Vec::new(),
+        ..engine(n)
+    }
+}
+
 fn router(announcements: Vec<Announcement>, now: Instant) -> Router {
     let router = Router::default();
     router.update(&text(), &routes(announcements, now));
--- a/components/routing/tests/support/fleet.rs
+++ b/components/routing/tests/support/fleet.rs
@@ -60,15 +60,6 @@
     }
 }
 
-pub(crate) fn plain(n: usize, service: &str) -> Announcement {
-    Announcement {
-        upstream: format!("{service}-{n}").into(),
-        service: service.into(),
-        models: Vec::new(),
-        ..engine(n)
-    }
-}
-
 pub(crate) fn routes(
     announcements: impl IntoIterator<Item = Announcement>,
     now: Instant,
