Move every accepted answer when its engine dies, whatever the retry budget

Losses before the first token were charged to the retry budget: of 60 calls that waited at an engine when it died 23 were answered and 37 ended with an error. Now 60 of 60: the budget holds for refusals of calls that are not accepted yet and for 5xx answers before a token. Refusals of requests whose body was not read announce that the connection closes; lists of models and wrong methods carry an outcome.

--- a/components/entry/src/handler.rs
+++ b/components/entry/src/handler.rs
@@ -18,6 +18,7 @@
 use crate::exchange::Exchange;
 use crate::failure::{Failure, Kind};
 use crate::incoming::Incoming;
+use crate::lifecycle::Event;
 use crate::relay_body::RelayBody;
 use crate::reply::{Body, Reply};
 use crate::story::Subject;
@@ -27,6 +28,9 @@
 /// Pause after which another entry takes requests.
 const DRAIN_RETRY: Duration = Duration::from_secs(1);
 
+/// Value of the header by which a connection is announced to close.
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+
 /// What a path stands for.
 enum Target {
     Health,
@@ -77,11 +81,10 @@
 
 async fn answer<C: Control>(core: &Arc<Core<C>>, head: request::Parts, body: RequestBody) -> Reply {
     let target = Target::of(head.uri.path());
-    if !target.allows(&head.method) {
-        let message = format_compact!("method {} does not fit this path", head.method);
-        return Reply::failure(&Failure::new(Kind::Method, message));
-    }
     match target {
+        Target::Health | Target::Ready | Target::Metrics if !target.allows(&head.method) => {
+            Reply::failure(&wrong_method(&head.method))
+        }
         Target::Health => Reply::whole(StatusCode::OK, "text/plain", "ok\n"),
         Target::Ready => ready(core),
         Target::Metrics => Reply::whole(
@@ -108,6 +111,9 @@
     head: &request::Parts,
     body: RequestBody,
 ) -> Result<Reply, Failure> {
+    if !Target::Announce.allows(&head.method) {
+        return Err(wrong_method(&head.method));
+    }
     let length = Length::of(&head.headers);
     let body = body::read(body, length, limits(core)).await?;
     announce::take(core, &head.headers, &body)
@@ -124,9 +130,17 @@
         ..Subject::default()
     };
     let mut exchange = Exchange::new(subject, core.metrics.clone());
+    let has_body = Length::of(&head.headers) != Length::None;
     match receive(core, &target, head, body, &mut exchange).await {
         Ok(incoming) => dispatch(core, target, incoming, exchange).await,
-        Err(failure) => exchange.fail(&failure),
+        Err(failure) => {
+            let mut reply = exchange.fail(&failure);
+            if has_body {
+                // What is left of the body can't be told from a next request.
+                reply.headers.insert(header::CONNECTION, CLOSE);
+            }
+            reply
+        }
     }
 }
 
@@ -147,6 +161,7 @@
     let length = Length::of(&head.headers);
     match (target, length) {
         (Target::Nothing, _) => return Err(no_such_path(head.uri.path())),
+        _ if !target.allows(&head.method) => return Err(wrong_method(&head.method)),
         (Target::Plain, Length::Chunked) => {
             let message = "a call of a plain service needs \"content-length\"";
             return Err(Failure::new(Kind::LengthRequired, message));
@@ -177,7 +192,6 @@
     let (sender, receiver) = oneshot::channel();
     let (core, busy) = (core.clone(), core.drain.enter());
     let runtime = core.runtime.clone();
-    let request = exchange.subject.request.clone();
     let gauge = core.metrics.in_progress.clone();
     let served = async move {
         let _busy = busy;
@@ -192,7 +206,9 @@
                 Box::pin(plain::serve(core, config, incoming, exchange, sender)).await;
             }
             _ => {
-                let reply = model::list(&config.text).with_request(&request);
+                exchange.step(Event::Admitted);
+                exchange.step(Event::Replayed);
+                let reply = exchange.answer(model::list(&config.text), "listed the models");
                 let _ = sender.send(reply);
             }
         }
@@ -214,8 +230,7 @@
     *response.status_mut() = reply.status;
     *response.headers_mut() = reply.headers;
     if !core.drain.is_serving() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        response.headers_mut().insert(header::CONNECTION, CLOSE);
     }
     response
 }
@@ -228,6 +243,11 @@
     }
 }
 
+fn wrong_method(method: &Method) -> Failure {
+    let message = format_compact!("method {method} does not fit this path");
+    Failure::new(Kind::Method, message)
+}
+
 fn no_such_path(path: &str) -> Failure {
     let message = format_compact!("path \"{path}\" does not exist");
     Failure::new(Kind::NotFound, message)
--- a/components/entry/src/model/relay.rs
+++ b/components/entry/src/model/relay.rs
@@ -183,7 +183,12 @@
         self.failed.push(choice.upstream.clone());
         self.note_move(choice, loss.cause, &loss.detail);
         let accepted = self.exchange.state().is_exposed();
-        let costs = !accepted || self.assembler.tokens().is_empty();
+        // Accepted answers are moved without the budget, but for one that may be at fault itself.
+        let costs = match loss.cause {
+            Cause::Rejected => !accepted,
+            Cause::Fault => self.assembler.tokens().is_empty(),
+            _ => false,
+        };
         match () {
             () if self.attempts >= MAX_ATTEMPTS => Err(failed(loss)),
             () if costs && !self.core.budget.spend() => Err(failed(loss)),
--- a/components/entry/tests/path/input.rs
+++ b/components/entry/tests/path/input.rs
@@ -87,6 +87,17 @@
     expect_eq!(raw(&bench, &(head + &chunk)).status, 413);
 }
 
+#[gtest]
+fn errors_on_a_huge_body_with_an_answer_that_arrives() {
+    let bench = Bench::start();
+    let body = "x".repeat(8 * 1_024 * 1_024);
+    for _ in 0..5 {
+        let answer = bench.post("/v1/completions", &[], &body);
+        expect_eq!(answer.status, 413);
+        expect_eq!(answer.header("connection"), "close");
+    }
+}
+
 #[gtest]
 fn errors_on_a_body_that_does_not_arrive() {
     let bench = Bench::start();
@@ -162,7 +173,8 @@
     let bench = Bench::start();
     expect_eq!(bench.get("/v2/models").status, 404);
     expect_eq!(bench.get("/").status, 404);
-    expect_eq!(bench.get("/v1/completions").status, 405);
+    let answer = bench.get("/v1/completions");
+    expect_eq!((answer.status, answer.outcome()), (405, "not-run"));
     let answer = bench.get("/services/nothing/x");
     expect_eq!(answer.status, 404);
     expect_that!(
--- a/components/entry/tests/path/models.rs
+++ b/components/entry/tests/path/models.rs
@@ -77,6 +77,8 @@
         .map(|model| model["id"].as_str().unwrap().to_owned())
         .collect();
     expect_that!(names, elements_are![eq("imposition"), eq("press-notes")]);
+    expect_eq!(answer.outcome(), "answered");
+    expect_ne!(answer.header("chervilloft-request-id"), "");
 }
 
 #[gtest]
--- a/components/entry/tests/path/moves.rs
+++ b/components/entry/tests/path/moves.rs
@@ -268,3 +268,26 @@
     let answer = caller.receive();
     expect_eq!(answer.events().1, expected("ticket", 12));
 }
+
+#[gtest]
+fn can_move_every_accepted_request_of_an_engine_that_dies() {
+    const REQUESTS: usize = 60;
+    let bench = Bench::start();
+    let engine = bench.upstream("engine-1", "assistant");
+    engine.script(vec![Act::NoAnswer; REQUESTS]);
+    let answers: Vec<bool> = std::thread::scope(|scope| {
+        let call = |number: usize| {
+            let bench = &bench;
+            move || {
+                let prompt = format!("p{number}-");
+                let answer = bench.stream(&prompt, 4);
+                answer.is_done() && answer.events().1 == expected(&prompt, 4)
+            }
+        };
+        let calls: Vec<_> = (0..REQUESTS).map(|n| scope.spawn(call(n))).collect();
+        std::thread::sleep(Duration::from_millis(20));
+        bench.upstream("engine-2", "assistant");
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+    expect_eq!(answers.iter().filter(|whole| **whole).count(), REQUESTS);
+}
