--- /dev/null
+++ b/components/consensus/tests/suite/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the replicated log in a simulated group.
+
+mod chaos;
+mod disk;
+mod election;
+mod guards;
+mod hard_cases;
+mod server;
+mod world;
--- /dev/null
+++ b/components/consensus/tests/suite/world.rs
@@ -0,0 +1,360 @@
+//! A simulated group: network, clocks, faults, and checks after every step.
+
+mod checks;
+mod faults;
+mod users;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use consensus::ids::{NodeId, Term};
+use consensus::{Action, Body, Entry, Event, Fate, Member, Message, Node, Settings, Stored};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::disk::Disk;
+use crate::server::{Clock, Server, State};
+
+/// Time between two steps.
+pub(crate) const STEP: Duration = Duration::from_millis(5);
+const GROUP: u64 = 99;
+
+/// Everything that is simulated.
+#[derive(Debug)]
+pub(crate) struct World {
+    pub(crate) settings: Settings,
+    pub(crate) servers: BTreeMap<NodeId, Server>,
+    pub(crate) now: Duration,
+    pub(crate) events: Vec<(NodeId, Event)>,
+    /// Processes that start as spares.
+    pub(crate) spares: BTreeSet<NodeId>,
+    /// Pairs between which messages are lost.
+    pub(crate) cuts: BTreeSet<(NodeId, NodeId)>,
+    /// Processes to which no entries get through, though heartbeats do.
+    pub(crate) no_entries_to: BTreeSet<NodeId>,
+    /// Entries from this one on get through to nobody.
+    pub(crate) no_entries_from: Option<u64>,
+    pub(crate) loss_percent: u64,
+    pub(crate) double_percent: u64,
+    pub(crate) max_delay_ms: u64,
+    has_jumped: bool,
+    /// What was found to be wrong, first fault first.
+    pub(crate) faults: Vec<String>,
+    /// Messages sent, for tests that tamper with them.
+    pub(crate) messages: Vec<(Duration, Message)>,
+    committed: BTreeMap<u64, (Entry, u64)>,
+    leaders: BTreeMap<Term, Member>,
+    lost: BTreeSet<(u64, Term)>,
+    /// Entries committed when each spare began to replace a voter.
+    repairs: BTreeMap<Member, u64>,
+    acknowledged: u64,
+    next_command: u64,
+    next_disk: u64,
+    rng: StdRng,
+}
+
+impl World {
+    /// Builds a group of voters `a`, `b`, ... and spares after them.
+    pub(crate) fn new(settings: Settings, voters: usize, spares: usize, seed: u64) -> Self {
+        let names: Vec<NodeId> = (0..voters + spares)
+            .map(|place| NodeId::from(char::from(b'a' + place as u8).to_string()))
+            .collect();
+        let mut world = World {
+            settings: Settings {
+                peers: names.clone(),
+                ..settings
+            },
+            servers: BTreeMap::new(),
+            now: Duration::ZERO,
+            events: Vec::new(),
+            spares: names[voters..].iter().cloned().collect(),
+            cuts: BTreeSet::new(),
+            no_entries_to: BTreeSet::new(),
+            no_entries_from: None,
+            loss_percent: 0,
+            double_percent: 0,
+            max_delay_ms: 10,
+            has_jumped: false,
+            faults: Vec::new(),
+            messages: Vec::new(),
+            committed: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            lost: BTreeSet::new(),
+            repairs: BTreeMap::new(),
+            acknowledged: 0,
+            next_command: 1,
+            next_disk: 1,
+            rng: StdRng::seed_from_u64(seed),
+        };
+        let members: Vec<Member> = names.into_iter().map(|node| world.member(node)).collect();
+        let stored = Stored::founding(GROUP, members[..voters].to_vec());
+        for (place, me) in members.into_iter().enumerate() {
+            let disk = Disk {
+                stored: if place < voters {
+                    stored.clone()
+                } else {
+                    Stored::default()
+                },
+                ..Disk::default()
+            };
+            world.add(me, disk);
+        }
+        world
+    }
+
+    /// Builds processes whose disks are all empty.
+    pub(crate) fn unfounded(settings: Settings, voters: usize, spares: usize, seed: u64) -> Self {
+        let mut world = World::new(settings, voters, spares, seed);
+        let names: Vec<NodeId> = world.servers.keys().cloned().collect();
+        for name in names {
+            world.wipe(&name);
+            world.start(&name);
+        }
+        world
+    }
+
+    fn member(&mut self, node: NodeId) -> Member {
+        let disk = self.next_disk;
+        self.next_disk += 1;
+        Member { node, disk }
+    }
+
+    fn add(&mut self, me: Member, disk: Disk) {
+        const SPREAD_PERMILLE: u64 = 48;
+        let rate = 1_000 - SPREAD_PERMILLE / 2 + self.rng.next_u64() % (SPREAD_PERMILLE + 1);
+        let clock = Clock {
+            rate_permille: rate as u32,
+            offset: Duration::from_millis(100_000 + self.rng.next_u64() % 100_000),
+        };
+        let node = me.node.clone();
+        self.servers.insert(
+            node.clone(),
+            Server {
+                me,
+                node: None,
+                disk,
+                clock,
+                frozen_until: Duration::ZERO,
+                is_full: false,
+                is_slow: false,
+                state: State::default(),
+                leads_until: None,
+                proposals: BTreeMap::new(),
+                reads: BTreeMap::new(),
+            },
+        );
+        self.start(&node);
+    }
+
+    /// Starts a process from its disk.
+    pub(crate) fn start(&mut self, name: &str) {
+        let seed = self.rng.next_u64();
+        let (settings, now) = (self.settings.clone(), self.now);
+        let server = self.servers.get_mut(name).unwrap();
+        let stored = server.disk.stored.clone();
+        server.state = match server.disk.snapshots.last() {
+            Some((_, data)) => State::load(data),
+            None => State::default(),
+        };
+        let spare = self.spares.contains(name);
+        let settings = Settings { spare, ..settings };
+        let local = server.clock.read(now);
+        server.node = Some(Node::new(settings, server.me.clone(), stored, local, seed));
+        server.proposals.clear();
+        server.reads.clear();
+    }
+
+    /// Lets time pass.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Lets time pass until a condition holds; returns whether it does.
+    pub(crate) fn run_until(&mut self, time: Duration, holds: impl Fn(&World) -> bool) -> bool {
+        let end = self.now + time;
+        while self.now < end && !holds(self) {
+            self.step();
+        }
+        holds(self)
+    }
+
+    /// Does one step of time.
+    pub(crate) fn step(&mut self) {
+        self.now += STEP;
+        self.deliver();
+        let names: Vec<NodeId> = self.servers.keys().cloned().collect();
+        for name in names {
+            self.drive(&name);
+        }
+        self.check_leases();
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due: Vec<Message> = self
+            .messages
+            .extract_if(.., |(at, _)| *at <= now)
+            .map(|(_, message)| message)
+            .collect();
+        for message in due {
+            let Some(server) = self.servers.get_mut(&message.to) else {
+                continue;
+            };
+            if server.frozen_until > now {
+                // The socket's buffer keeps what a frozen process doesn't read.
+                self.messages.push((server.frozen_until, message));
+                continue;
+            }
+            let local = server.clock.read(now);
+            let name = server.me.node.clone();
+            if let Some(node) = server.node.as_mut() {
+                node.receive(local, message);
+                self.act(&name);
+            }
+        }
+    }
+
+    fn drive(&mut self, name: &str) {
+        let now = self.now;
+        let draw = self.rng.next_u64();
+        let server = self.servers.get_mut(name).unwrap();
+        if server.frozen_until > now || server.node.is_none() {
+            return;
+        }
+        let local = server.clock.read(now);
+        let node = server.node.as_mut().unwrap();
+        node.tick(local);
+        if server.is_full && !server.disk.unsynced.is_empty() {
+            node.stall(local);
+        } else if !server.is_slow
+            && draw.is_multiple_of(2)
+            && let Some(sequence) = server.disk.sync()
+        {
+            let mut last = sequence;
+            while draw.is_multiple_of(3)
+                && let Some(next) = server.disk.sync()
+            {
+                last = next;
+            }
+            node.persisted(local, last);
+        }
+        self.act(name);
+    }
+
+    /// Does what a node asks for.
+    fn act(&mut self, name: &str) {
+        loop {
+            let server = self.servers.get_mut(name).unwrap();
+            let Some(node) = server.node.as_mut() else {
+                return;
+            };
+            let actions = node.actions();
+            server.leads_until = node.leads_until();
+            if node.is_leader() {
+                let (term, me) = (node.term(), node.me().clone());
+                self.note_leader(term, me);
+            }
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.do_one(name, action);
+            }
+        }
+    }
+
+    fn do_one(&mut self, name: &str, action: Action) {
+        let now = self.now;
+        let server = self.servers.get_mut(name).unwrap();
+        let local = server.clock.read(now);
+        match action {
+            Action::Send(message) => self.post(message),
+            Action::Write(write) => server.disk.unsynced.push_back(write),
+            Action::Apply(entries) => {
+                for entry in entries {
+                    self.apply(name, entry);
+                }
+            }
+            Action::Restore(meta) => {
+                let (stored, data) = server.disk.snapshots.last().unwrap();
+                assert!(stored.mark.index >= meta.mark.index);
+                server.state = State::load(data);
+            }
+            Action::Snapshot(meta) => {
+                if server.state.index != meta.mark.index {
+                    let fault = format!("{name} is at {} for {meta:?}", server.state.index);
+                    self.faults.push(fault);
+                    return;
+                }
+                let data = server.state.save();
+                // A snapshot is written after the records before it.
+                while let Some(sequence) = server.disk.sync() {
+                    server.node.as_mut().unwrap().persisted(local, sequence);
+                }
+                server.disk.save(meta.clone(), data);
+                server.node.as_mut().unwrap().compacted(local, Some(meta));
+            }
+            Action::Fetch {
+                to,
+                index,
+                offset,
+                length,
+            } => {
+                let found = server
+                    .disk
+                    .snapshots
+                    .iter()
+                    .find(|(meta, _)| meta.mark.index == index);
+                let part = found.map(|(_, data)| {
+                    let end = data.len().min(offset as usize + length);
+                    (data.slice(offset as usize..end), end == data.len())
+                });
+                server
+                    .node
+                    .as_mut()
+                    .unwrap()
+                    .fetched(local, &to, index, offset, part);
+            }
+            Action::Settle(mark, fate) => {
+                server.proposals.insert((mark.index, mark.term), Some(fate));
+                if fate == Fate::Lost {
+                    self.check_lost(mark);
+                }
+            }
+            Action::Read { id, passed } => self.check_read(name, id, passed),
+            Action::Log(event) => self.note(name, event),
+        }
+    }
+
+    fn post(&mut self, message: Message) {
+        let is_cut = self
+            .cuts
+            .contains(&(message.from.node.clone(), message.to.clone()));
+        let draw = self.rng.next_u64();
+        if is_cut || self.is_held_back(&message) || draw % 100 < self.loss_percent {
+            return;
+        }
+        let copies = if (draw >> 8) % 100 < self.double_percent {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let delay = 1 + self.rng.next_u64() % self.max_delay_ms.max(1);
+            self.messages
+                .push((self.now + Duration::from_millis(delay), message.clone()));
+        }
+    }
+
+    fn is_held_back(&self, message: &Message) -> bool {
+        let Body::Append { entries, .. } = &message.body else {
+            return false;
+        };
+        let from = self.no_entries_from.unwrap_or(u64::MAX);
+        let is_late = entries.iter().any(|entry| entry.index >= from);
+        is_late || !entries.is_empty() && self.no_entries_to.contains(&message.to)
+    }
+}
--- a/components/entry/src/model/serve.rs
+++ b/components/entry/src/model/serve.rs
@@ -7,16 +7,18 @@
 use fleet::{Config, Control};
 use tokio::sync::oneshot;
 
-use super::relay::{Relay, Start};
+use super::relay::{Origin, Relay, Start};
 use super::sink::Sink;
 use super::{Call, list};
 use crate::admit::{self, Admitted};
 use crate::core::Core;
 use crate::exchange::Exchange;
 use crate::failure::{Failure, Kind};
+use crate::handover;
 use crate::incoming::Incoming;
+use crate::lifecycle::Event;
 use crate::reply::Reply;
-use crate::stream::{Encoder, Shape};
+use crate::stream::{Assembler, Shape};
 
 /// Serves one call until its answer is with the caller's connection.
 pub(crate) async fn serve<C: Control>(
@@ -43,40 +45,58 @@
     mut exchange: Exchange,
     reply: oneshot::Sender<Reply>,
 ) -> Option<Relay<C>> {
-    let admitted = admit(&core, &config, &incoming, shape, &mut exchange).await;
-    let (call, admitted) = match admitted {
-        Ok(admitted) => admitted,
+    let begun = admit(&core, &config, &incoming, shape, &mut exchange).await;
+    let (call, admitted) = match begun {
+        Ok(Begun::Admitted(call, admitted)) => (call, admitted),
+        Ok(Begun::Kept(answer)) => {
+            let _ = reply.send(answer);
+            return None;
+        }
         Err(failure) => {
             let _ = reply.send(exchange.fail(&failure));
             return None;
         }
     };
-    let id = exchange.subject.request.clone();
-    let encoder = Encoder::new(shape, &id, &call.model, unix_seconds());
-    let sink = Sink::new(reply, call.stream);
+    let origin = Origin {
+        account: incoming.account.clone(),
+        key: incoming.header("idempotency-key").map(Into::into),
+        fingerprint: handover::fingerprint(incoming.uri.path(), &incoming.body),
+        created: unix_seconds(),
+    };
     let start = Start {
         config,
-        incoming,
+        origin,
+        sink: Sink::new(reply, call.stream),
         call,
         admitted,
         exchange,
-        encoder,
-        sink,
+        assembler: Assembler::default(),
     };
     Some(Relay::new(&core, start))
 }
 
+/// What came of a call before it is dispatched.
+enum Begun {
+    /// It is admitted.
+    Admitted(Call, Admitted),
+    /// Its answer was kept for the caller.
+    Kept(Reply),
+}
+
 async fn admit<C: Control>(
-    core: &Core<C>,
+    core: &Arc<Core<C>>,
     config: &Arc<Config>,
     incoming: &Incoming,
     shape: Shape,
     exchange: &mut Exchange,
-) -> Result<(Call, Admitted), Failure> {
+) -> Result<Begun, Failure> {
     let call = parse(config, incoming, shape, exchange)?;
+    if let Some(answer) = kept(core, incoming, exchange).await? {
+        return Ok(Begun::Kept(answer));
+    }
     let tokens = call.prompt_tokens + call.max_tokens;
     let admitted = admit::admit(core, config, incoming, tokens, exchange).await?;
-    Ok((call, admitted))
+    Ok(Begun::Admitted(call, admitted))
 }
 
 fn parse(
@@ -96,13 +116,27 @@
         Failure::new(Kind::NotFound, message)
     })?;
     exchange.subject.service = service.clone();
-    match incoming.header("last-event-id") {
-        None => Ok(call),
-        Some(_) => {
-            let message = "no stream is kept here that goes on after \"last-event-id\"; \
+    Ok(call)
+}
+
+/// Returns the answer that an entry keeps for the caller, if it came back for one.
+async fn kept<C: Control>(
+    core: &Arc<Core<C>>,
+    incoming: &Incoming,
+    exchange: &mut Exchange,
+) -> Result<Option<Reply>, Failure> {
+    match handover::find(core, incoming).await? {
+        Some(reply) => {
+            exchange.step(Event::Admitted);
+            exchange.step(Event::Replayed);
+            Ok(Some(exchange.answer(reply, "given from what was kept")))
+        }
+        None if incoming.header("last-event-id").is_some() => {
+            let message = "no stream is kept that goes on after \"last-event-id\"; \
                            send the request without it to begin again";
             Err(Failure::new(Kind::Conflict, message))
         }
+        None => Ok(None),
     }
 }
 
--- /dev/null
+++ b/trials/src/operator.rs
@@ -0,0 +1,117 @@
+//! The operators' commands.
+
+use std::io;
+use std::path::Path;
+use std::process::Stdio;
+use std::time::Duration;
+
+use http::Method;
+use serde_json::{Value, json};
+use stand_ins::web::{self, Answer};
+
+use crate::{Fleet, OPERATOR_TOKEN};
+
+const HTTP_LIMIT: Duration = Duration::from_secs(5);
+
+/// What a command said.
+#[derive(Clone, Debug)]
+pub struct Said {
+    /// Exit code, or -1 when a signal ended the command.
+    pub code: i32,
+    /// Standard output and standard error.
+    pub text: String,
+}
+
+impl Fleet {
+    /// Runs a `chervilloft` command as the operator "ana", and waits for its end.
+    ///
+    /// # Errors
+    /// Fails when the command can't be started.
+    pub async fn operator(&self, arguments: &[&str]) -> io::Result<Said> {
+        self.operator_with(&self.operator_settings(), arguments)
+            .await
+    }
+
+    /// Submits `text` made from version `base` under the name `id`.
+    ///
+    /// # Errors
+    /// Fails when the command can't be started.
+    pub async fn submit(&self, text: &str, base: u64, id: &str) -> io::Result<Said> {
+        let file = self.folder().join(format!("submission-{id}.toml"));
+        std::fs::write(&file, text)?;
+        let base = base.to_string();
+        let path = file.display().to_string();
+        self.operator(&["submit", &path, "--base", &base, "--id", id])
+            .await
+    }
+
+    /// Submits `text` by HTTP to control process `index`, without waiting for it to be in force.
+    ///
+    /// # Errors
+    /// Fails when the process does not answer.
+    pub async fn post_text(
+        &self,
+        index: usize,
+        text: &str,
+        base: u64,
+        id: &str,
+    ) -> io::Result<Answer> {
+        let bearer = format!("Bearer {OPERATOR_TOKEN}");
+        let headers = [("authorization", bearer.as_str())];
+        let body = json!({"base": base, "id": id, "text": text, "wait_ms": 0}).to_string();
+        let address = self.operator_addresses()[index];
+        let method = Method::POST;
+        web::call_with_headers(address, method, "/v1/text", &headers, body, HTTP_LIMIT).await
+    }
+
+    /// Returns what `chervilloft status` says, or null where nobody answers.
+    pub async fn status(&self) -> Value {
+        let said = self.operator(&["status", "--format", "json"]).await;
+        let text = said.map(|said| said.text).unwrap_or_default();
+        serde_json::from_str(&text).unwrap_or_default()
+    }
+
+    /// Returns the index of the control process that leads, as far as the group knows.
+    pub async fn leader(&self) -> Option<usize> {
+        let status = self.status().await;
+        let leader = status["status"]["leader"].as_str()?;
+        self.controls.iter().position(|it| it.name() == leader)
+    }
+
+    /// Returns the version of the text in force, or 0 where nobody answers.
+    pub async fn version(&self) -> u64 {
+        self.status().await["status"]["version"]
+            .as_u64()
+            .unwrap_or(0)
+    }
+
+    /// Returns the versions of the text that entry `index` logged as in force, oldest first.
+    pub fn versions_in_force(&self, index: usize) -> Vec<u64> {
+        let version = |line: &str| {
+            let rest = line.split("fleet: text ").nth(1)?;
+            rest.split(' ').next()?.parse().ok()
+        };
+        self.entries[index]
+            .log()
+            .lines()
+            .filter_map(version)
+            .collect()
+    }
+
+    async fn operator_with(&self, settings: &Path, arguments: &[&str]) -> io::Result<Said> {
+        let mut command = std::process::Command::new(&self.settings().binary);
+        command
+            .args(arguments)
+            .arg("--settings")
+            .arg(settings)
+            .stdin(Stdio::null());
+        let output = tokio::task::spawn_blocking(move || command.output())
+            .await
+            .map_err(io::Error::other)??;
+        let text = [output.stdout, output.stderr].concat();
+        Ok(Said {
+            code: output.status.code().unwrap_or(-1),
+            text: String::from_utf8_lossy(&text).into_owned(),
+        })
+    }
+}
