--- a/components/entry/src/handover/ask.rs
+++ b/components/entry/src/handover/ask.rs
@@ -134,14 +134,14 @@
     };
     let probe = async |address| {
         let request = question.request(Method::HEAD, address)?;
-        let answered = timeout(PROBE_TIMEOUT, core.client.send(address, request)).await;
+        let answered = timeout(PROBE_TIMEOUT, core.plain.send(address, request)).await;
         let found = answered.ok()?.ok()?.status() != StatusCode::NOT_FOUND;
         found.then_some(address)
     };
     let probes = join_all(addresses.into_iter().map(probe)).await;
     let keeper = probes.into_iter().flatten().next()?;
     let request = question.request(Method::GET, keeper)?;
-    let response = core.client.send(keeper, request).await.ok()?;
+    let response = core.plain.send(keeper, request).await.ok()?;
     Some(pass_on(core, response).await)
 }
 
