--- a/trials/src/bin/bench.rs
+++ b/trials/src/bin/bench.rs
@@ -10,8 +10,9 @@
     let binary = std::env::args().nth(1);
     let missing = || io::Error::other("the path of the chervilloft program is missing");
     let progress = |rows: &[Row]| {
-        rows.iter()
-            .for_each(|row| eprintln!("{}: {:.3} {}", row.name, row.value, row.unit))
+        for Row { name, value, unit } in rows {
+            eprintln!("{name}: {value:.3} {unit}");
+        }
     };
     let table = bench::run(&binary.ok_or_else(missing)?, progress).await?;
     print!("{table}");
