Swap a spare for a lost voter with a quorum of both memberships

Removing a silent voter before its spare votes left two voters of three for a moment. Where the silent one was only cut off and another one lost its disk in that moment, the group stood still for good although two disks of three were whole.

The swap is one change in two entries, and each decision in between needs a quorum with the lost voter and one with the spare. All other changes stay single.

--- a/components/consensus/src/event.rs
+++ b/components/consensus/src/event.rs
@@ -20,9 +20,8 @@
     Joined(Member),
     /// The leader began to replace a lost voter by a spare that holds the whole log.
     RepairBegan(Member, Member),
-    /// The spare votes and holds the whole log on its disk; the lost voter is out, and not known
-    /// where an earlier leader removed it.
-    RepairDone(Option<Member>, Member, Index),
+    /// The spare votes, holds the whole log on its disk, and the lost voter is out.
+    RepairDone(Member, Member, Index),
     /// A voter is lost and no spare holds the whole log.
     NoSpare(Member),
 }
@@ -38,14 +37,10 @@
             Event::RepairBegan(lost, spare) => {
                 write!(f, "repair began: {spare} is to replace {lost}")
             }
-            Event::RepairDone(Some(lost), spare, index) => write!(
+            Event::RepairDone(lost, spare, index) => write!(
                 f,
                 "repair done: {spare} replaced {lost} and holds the log up to entry {index}"
             ),
-            Event::RepairDone(None, spare, index) => write!(
-                f,
-                "repair done: {spare} replaced a voter and holds the log up to entry {index}"
-            ),
             Event::NoSpare(lost) => write!(f, "voter {lost} is lost and no spare is up to date"),
         }
     }
--- a/components/consensus/src/node/apply.rs
+++ b/components/consensus/src/node/apply.rs
@@ -12,18 +12,13 @@
         let Role::Leader(leader) = &self.role else {
             return;
         };
-        let membership = self.membership();
-        let mut matched: Vec<Index> = membership
-            .voters
-            .iter()
-            .map(|voter| match leader.progress.get(voter) {
+        let index = self
+            .membership()
+            .agreed(|voter| match leader.progress.get(voter) {
                 Some(progress) => progress.matched,
                 None if *voter == self.me => self.durable,
                 None => 0,
-            })
-            .collect();
-        matched.sort_unstable_by(|a, b| b.cmp(a));
-        let index = matched.get(membership.quorum() - 1).copied().unwrap_or(0);
+            });
         let is_own = self.log.term(index) == Some(self.hard.term) || !self.guards.commit_own_term;
         if is_own && index > self.commit {
             self.commit_to(index);
--- a/components/consensus/src/node/change.rs
+++ b/components/consensus/src/node/change.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::ids::Index;
 use crate::{Body, Event, Member, Membership, Message, Payload, Refusal};
 
 use super::Node;
@@ -31,11 +32,29 @@
         let Role::Leader(leader) = &self.role else {
             return false;
         };
-        let is_settled = self.log.membership().0 <= self.commit || !self.guards.one_change;
+        let (index, membership) = self.log.membership();
+        let is_committed = index <= self.commit && !membership.is_swapping();
+        let is_settled = is_committed || !self.guards.one_change;
         let is_seasoned = self.commit >= leader.first || !self.guards.own_term_before_change;
         is_settled && is_seasoned && leader.transfer.is_none()
     }
 
+    /// Ends a swap of voters whose beginning is committed; returns the entry that does so.
+    pub(super) fn end_swap(&mut self) -> Option<Index> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        let (index, membership) = self.log.membership();
+        let is_due = membership.is_swapping() && index.max(leader.first) <= self.commit;
+        if !is_due {
+            return None;
+        }
+        let next = membership.with_swap_ended();
+        let mark = self.append(Payload::Members(next));
+        self.track_members();
+        Some(mark.index)
+    }
+
     /// Takes a process in as a learner where it is not a member.
     pub(super) fn on_join(&mut self, message: &Message) {
         let is_stranger = message.group.is_some() && message.group != self.hard.group;
--- a/components/consensus/src/node/election.rs
+++ b/components/consensus/src/node/election.rs
@@ -134,7 +134,7 @@
     }
 
     fn other_voters(&self) -> Vec<Member> {
-        let voters = self.membership().voters.iter();
+        let voters = self.membership().all_voters();
         voters.filter(|voter| **voter != self.me).cloned().collect()
     }
 
@@ -143,8 +143,7 @@
         let (Role::Asking(granters) | Role::Candidate(granters)) = &self.role else {
             return;
         };
-        let votes = granters.iter().filter(|voter| membership.votes(voter));
-        let enough = votes.count() >= membership.quorum();
+        let enough = membership.is_quorum(|voter| granters.contains(voter));
         match self.role {
             Role::Asking(_) if enough => self.campaign(false),
             Role::Candidate(_) if enough => self.begin_lead(),
--- a/components/consensus/src/node/lease.rs
+++ b/components/consensus/src/node/lease.rs
@@ -90,24 +90,20 @@
         let Role::Leader(leader) = &self.role else {
             return 0;
         };
-        let membership = self.membership();
-        let mut rounds: Vec<Round> = membership
-            .voters
-            .iter()
-            .map(|voter| match leader.progress.get(voter) {
+        self.membership()
+            .agreed(|voter| match leader.progress.get(voter) {
                 Some(progress) => progress.round,
                 None if *voter == self.me => leader.round(),
                 None => 0,
             })
-            .collect();
-        rounds.sort_unstable_by(|a, b| b.cmp(a));
-        rounds.get(membership.quorum() - 1).copied().unwrap_or(0)
     }
 
     /// Returns when the latest round that a quorum answered began; a quorum of one always does.
     fn quorum_round(&self) -> Option<Duration> {
         match &self.role {
-            Role::Leader(_) if self.membership().quorum() == 1 => Some(self.now),
+            Role::Leader(_) if self.membership().is_quorum(|voter| *voter == self.me) => {
+                Some(self.now)
+            }
             Role::Leader(leader) => leader.began(self.answered_round()),
             _ => None,
         }
--- a/components/consensus/src/node/repair.rs
+++ b/components/consensus/src/node/repair.rs
@@ -1,8 +1,9 @@
 //! Replacement of lost voters by spares.
 //!
-//! Once a spare holds the whole committed log on its disk, the lost voter is removed, and then the
-//! spare is made a voter. In between the group bears no fewer losses than before, and it never
-//! waits for the spare: where the spare is lost as well, the group goes on.
+//! Once a spare holds the whole committed log on its disk, it is swapped for the lost voter. While
+//! the swap is under way each decision needs a quorum with the lost voter and one with the spare,
+//! so that the group bears the loss of the spare, and the loss of another voter where the lost one
+//! comes back.
 
 use crate::ids::Index;
 use crate::{Event, Member, Membership};
@@ -13,11 +14,10 @@
 /// A repair under way.
 #[derive(Debug)]
 pub(super) struct Repair {
-    /// Voter that was removed; `None` where an earlier leader removed it.
-    lost: Option<Member>,
+    lost: Member,
     spare: Member,
-    /// Entry that makes the spare a voter; `None` while the lost voter is being removed.
-    promotion: Option<Index>,
+    /// Entry that ends the swap.
+    end: Index,
 }
 
 impl Node {
@@ -33,6 +33,7 @@
     /// Does what follows from entries that were committed.
     pub(super) fn after_commit(&mut self) {
         self.finish_repair();
+        self.end_repair_swap();
         if !self.membership().votes(&self.me) && self.may_change() {
             self.step_down("it votes no more");
         }
@@ -51,11 +52,13 @@
         let spare = self.ready_spare(&membership, lost.as_ref());
         let count = membership.voters.len();
         match (lost, spare) {
-            (_, Some(spare)) if count < membership.target => self.promote(&membership, spare),
-            (Some(lost), Some(spare)) => self.remove_lost(&membership, lost, spare),
-            (Some(lost), None) if count > membership.target => {
+            (_, Some(spare)) if count < membership.target => {
+                let _ = self.change(self.now, membership.with_voter(&spare));
+            }
+            (Some(lost), _) if count > membership.target => {
                 let _ = self.change(self.now, membership.without(&lost));
             }
+            (Some(lost), Some(spare)) => self.begin_swap(&membership, lost, spare),
             (Some(lost), None) => self.warn_of_loss(lost),
             (None, _) if count > membership.target => self.demote_newest(&membership),
             (None, _) => {}
@@ -114,34 +117,32 @@
         }
     }
 
-    fn remove_lost(&mut self, membership: &Membership, lost: Member, spare: Member) {
-        if self.change(self.now, membership.without(&lost)).is_err() {
-            return;
-        }
-        self.report(Event::RepairBegan(lost.clone(), spare.clone()));
-        if let Role::Leader(leader) = &mut self.role {
-            leader.repair = Some(Repair {
-                lost: Some(lost),
-                spare,
-                promotion: None,
-            });
+    fn begin_swap(&mut self, membership: &Membership, lost: Member, spare: Member) {
+        let next = membership.with_swap(&lost, &spare);
+        if self.change(self.now, next).is_ok() {
+            self.report(Event::RepairBegan(lost, spare));
         }
     }
 
-    fn promote(&mut self, membership: &Membership, spare: Member) {
-        if self
-            .change(self.now, membership.with_voter(&spare))
-            .is_err()
-        {
+    /// Ends a swap whose beginning is committed, also one that an earlier leader began.
+    fn end_repair_swap(&mut self) {
+        let swap = self.membership().clone();
+        let Some(end) = self.end_swap() else {
             return;
-        }
-        let promotion = self.log.last().index;
-        if let Role::Leader(leader) = &mut self.role {
-            let lost = leader.repair.take().and_then(|repair| repair.lost);
+        };
+        let lost = swap
+            .outgoing
+            .iter()
+            .find(|voter| !swap.voters.contains(voter));
+        let spare = swap
+            .voters
+            .iter()
+            .find(|voter| !swap.outgoing.contains(voter));
+        if let (Role::Leader(leader), Some(lost), Some(spare)) = (&mut self.role, lost, spare) {
             leader.repair = Some(Repair {
-                lost,
-                spare,
-                promotion: Some(promotion),
+                lost: lost.clone(),
+                spare: spare.clone(),
+                end,
             });
         }
     }
@@ -157,27 +158,20 @@
         }
     }
 
-    /// Reports a repair as done once the promotion is committed and the spare holds the whole
-    /// log up to it on its disk.
+    /// Reports a repair as done once the end of the swap is committed and the spare holds the
+    /// whole log up to it on its disk.
     fn finish_repair(&mut self) {
         let (commit, whole_state) = (self.commit, self.guards.whole_state);
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        let Some(Repair {
-            promotion: Some(promotion),
-            spare,
-            ..
-        }) = &leader.repair
-        else {
+        let Some(Repair { spare, end, .. }) = &leader.repair else {
             return;
         };
-        let matched = leader
-            .progress
-            .get(spare)
-            .map_or(0, |progress| progress.matched);
-        let holds_all = matched >= *promotion || !whole_state;
-        let is_done = commit >= *promotion && holds_all;
+        let progress = leader.progress.get(spare);
+        let matched = progress.map_or(0, |progress| progress.matched);
+        let holds_all = matched >= *end || !whole_state;
+        let is_done = commit >= *end && holds_all;
         if let Some(repair) = leader.repair.take_if(|_| is_done) {
             self.report(Event::RepairDone(repair.lost, repair.spare, matched));
         }
--- a/components/consensus/src/node/transfer.rs
+++ b/components/consensus/src/node/transfer.rs
@@ -23,7 +23,7 @@
     pub fn transfer(&mut self, now: Duration) -> Result<(), Refusal> {
         self.advance(now);
         let deadline = self.now + self.settings.election_timeout;
-        let voters = self.membership().voters.clone();
+        let voters: Vec<Member> = self.membership().voters.clone();
         let Role::Leader(leader) = &mut self.role else {
             return Err(Refusal::Follower(self.leader.clone()));
         };
--- a/components/consensus/tests/suite/hard_cases.rs
+++ b/components/consensus/tests/suite/hard_cases.rs
@@ -80,6 +80,26 @@
     }
 }
 
+#[gtest]
+fn can_lose_another_voter_while_a_silent_one_is_replaced() {
+    for steps in 0..30 {
+        let mut world = group(3, 1, 1);
+        world.commit(20);
+        let leader = world.elect();
+        let [silent, wiped] = [0, 1].map(|place| world.others(&leader)[place].clone());
+        world.isolate(&silent);
+        let began = |world: &World| !world.events_with("repair began").is_empty();
+        expect_true!(world.run_until(20 * SECOND, began));
+        (0..steps).for_each(|_| world.step());
+        expect_true!(world.can_lose(&wiped));
+        world.wipe(&wiped);
+        world.run(SECOND);
+        world.end_faults();
+        expect_true!(world.recovers(60 * SECOND));
+        expect_that!(world.faults, is_empty());
+    }
+}
+
 #[gtest]
 fn can_report_each_step_of_a_repair() {
     let mut world = group(3, 1, 1);
--- a/components/consensus/tests/suite/world/faults.rs
+++ b/components/consensus/tests/suite/world/faults.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use consensus::Member;
 use consensus::ids::NodeId;
 
 use crate::disk::Disk;
@@ -64,11 +65,9 @@
                 return true;
             };
             let membership = node.membership();
-            let kept = membership
-                .voters
-                .iter()
-                .filter(|voter| voter.node != name && self.servers[&voter.node].me == **voter);
-            membership.voters.is_empty() || kept.count() >= membership.quorum()
+            let is_kept =
+                |voter: &Member| voter.node != name && self.servers[&voter.node].me == *voter;
+            membership.voters.is_empty() || membership.is_quorum(is_kept)
         });
         all_bear && self.servers.values().all(|server| server.node.is_some())
     }
@@ -125,7 +124,8 @@
             .servers
             .values()
             .all(|server| membership.contains(&server.me));
-        membership.voters.len() == membership.target && all_live && all_in
+        let is_settled = !membership.is_swapping();
+        membership.voters.len() == membership.target && is_settled && all_live && all_in
     }
 
     /// Returns a short description of all nodes.
