Show the status without a quorum, and the upstreams

Seen with real processes: with two of three control processes killed, `status` failed ("no leader is known") since it also read the unknown outcomes, and a process that reaches no quorum hid the others' answer when it was listed first. Status now asks on until one process reaches a quorum, says so if none does, and lists upstreams. An entry logs a change of reach instead of each question.

--- a/components/control/src/client.rs
+++ b/components/control/src/client.rs
@@ -142,9 +142,11 @@
     /// # Errors
     /// Fails when no control process answers in time, or the token is refused.
     pub async fn read(&self, document: Document) -> Result<Value> {
-        let (status, answer) = self
-            .ask(Method::GET, document.path(), Bytes::new(), SLACK)
-            .await?;
+        let path = document.path();
+        let (status, answer) = match document {
+            Document::Status => self.ask_for_quorum(path).await?,
+            _ => self.ask(Method::GET, path, Bytes::new(), SLACK).await?,
+        };
         match status {
             StatusCode::OK => Ok(answer),
             _ => Err(Error::Protocol(
@@ -155,6 +157,28 @@
         }
     }
 
+    /// Asks all control processes until one reaches a quorum, and returns what one without says
+    /// if none does.
+    async fn ask_for_quorum(&self, path: &str) -> Result<(StatusCode, Value)> {
+        let mut without = None;
+        for address in &self.controls {
+            let asked = self.ask_one(*address, &Method::GET, path, Bytes::new());
+            match timeout(SLACK, asked).await {
+                Ok(Ok((StatusCode::OK, answer))) if answer["quorum"] == false => {
+                    without = Some((StatusCode::OK, answer));
+                }
+                Ok(Ok(answer)) if answer.0 != StatusCode::SERVICE_UNAVAILABLE => {
+                    return Ok(answer);
+                }
+                _ => {}
+            }
+        }
+        match without {
+            Some(answer) => Ok(answer),
+            None => self.ask(Method::GET, path, Bytes::new(), SLACK).await,
+        }
+    }
+
     async fn ask(
         &self,
         method: Method,
--- a/components/control/src/documents.rs
+++ b/components/control/src/documents.rs
@@ -4,6 +4,7 @@
 
 use serde_json::{Value, json};
 use state::State;
+use upstream::{Announcement, Availability};
 use wire::Query;
 
 use crate::leases::Leases;
@@ -15,10 +16,16 @@
 const MICROS_PER_UNIT: f64 = 1_000_000.0;
 
 /// Returns the document that answers `query`.
-pub(crate) fn document(query: Query, state: &State, status: &Status, leases: &Leases) -> Value {
+pub(crate) fn document(
+    query: Query,
+    state: &State,
+    status: &Status,
+    leases: &Leases,
+    upstreams: &[Announcement],
+) -> Value {
     match query {
         Query::Text => text(state),
-        Query::Status => fleet(state, status, leases),
+        Query::Status => fleet(state, status, leases, upstreams),
         Query::Unknowns => json!({ "unknowns": state.claims().unknowns().collect::<Vec<_>>() }),
         Query::Ledger => ledger(state),
         Query::Orders => json!({ "orders": state.orders().iter().collect::<Vec<_>>() }),
@@ -38,7 +45,7 @@
     }
 }
 
-fn fleet(state: &State, status: &Status, leases: &Leases) -> Value {
+fn fleet(state: &State, status: &Status, leases: &Leases, upstreams: &[Announcement]) -> Value {
     let now = Instant::now();
     let entry = |(entry, lease): (&config::ids::NodeId, &crate::leases::Lease)| {
         let left = lease.until.saturating_duration_since(now);
@@ -60,6 +67,24 @@
         "claims": state.claims().len(),
         "unknowns": state.claims().unknowns().count(),
         "entries": leases.iter().map(entry).collect::<Vec<_>>(),
+        "upstreams": upstreams.iter().map(upstream).collect::<Vec<_>>(),
+    })
+}
+
+fn upstream(announcement: &Announcement) -> Value {
+    let state = match announcement.availability {
+        Availability::Serving => "serving",
+        Availability::Leaving => "leaving",
+        Availability::Reclaimed { .. } => "reclaimed",
+    };
+    json!({
+        "upstream": announcement.upstream,
+        "service": announcement.service,
+        "data_centre": announcement.data_centre,
+        "class": announcement.class.name(),
+        "state": state,
+        "running": announcement.load.running,
+        "waiting": announcement.load.waiting,
     })
 }
 
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -141,8 +141,10 @@
     }
 
     pub(crate) fn document(&self, query: Query, status: &Status) -> String {
+        let upstreams = self.spread.live();
         let led = self.led();
-        documents::document(query, &self.machine.read(), status, &led.leases).to_string()
+        let state = self.machine.read();
+        documents::document(query, &state, status, &led.leases, &upstreams).to_string()
     }
 
     /// Returns the last term that this process took over, and when.
--- a/components/control/tests/process/submissions.rs
+++ b/components/control/tests/process/submissions.rs
@@ -105,6 +105,24 @@
     assert_that!(status.map(|s| s["version"].as_u64()), ok(some(eq(&0))));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn shows_the_status_of_a_process_with_a_quorum_if_there_is_one() {
+    let (isolated, leading) = (control().await, control().await);
+    isolated.node.replica().set_leads(false);
+    let without = operator(&isolated).read(Document::Status).await;
+    let client = control::client::Client {
+        controls: vec![isolated.operators_address, leading.operators_address],
+        ..operator(&leading)
+    };
+    let with = client.read(Document::Status).await;
+    let quorum = |status: errors::Result<serde_json::Value>| {
+        let status = status.map(|status| status["quorum"].as_bool());
+        status.ok().flatten()
+    };
+    assert_that!(quorum(without), some(eq(false)));
+    assert_that!(quorum(with), some(eq(true)));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn keeps_an_entry_from_serving_before_the_newest_text_is_confirmed() {
     let process = control().await;
--- a/components/fleet/src/member/confirm.rs
+++ b/components/fleet/src/member/confirm.rs
@@ -39,8 +39,9 @@
         }
         Ok(_) => false,
         Err(error) => {
-            let fresh = shared.freshness().is_fresh(Instant::now());
-            warn!("fleet: freshness not confirmed, still fresh: {fresh}: {error}");
+            if shared.view.load().control_reachable {
+                warn!("fleet: the control group does not answer: {error}");
+            }
             false
         }
     }
@@ -85,6 +86,7 @@
 
 fn set_reachable(shared: &Shared, reachable: bool) {
     if shared.view.load().control_reachable != reachable {
+        info!("fleet: control group reachable: {reachable}");
         shared.view.rcu(|view| View {
             control_reachable: reachable,
             ..(**view).clone()
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -15,7 +15,11 @@
     let client = operator::client(matches)?;
     let read = async {
         let status = client.read(Document::Status).await?;
-        let unknowns = client.read(Document::Unknowns).await?;
+        // Without a quorum nobody can say which outcomes are unknown.
+        let unknowns = match status["quorum"].as_bool() {
+            Some(true) => client.read(Document::Unknowns).await?,
+            _ => Value::Null,
+        };
         Ok((status, unknowns))
     };
     let (status, unknowns): (Value, Value) = runtime::single()?.block_on(read)?;
@@ -23,7 +27,9 @@
         true => messages::print_json(&json!({ "status": status, "unknowns": unknowns })),
         false => {
             messages::print_status(&status);
-            messages::print_unknowns(&unknowns);
+            if !unknowns.is_null() {
+                messages::print_unknowns(&unknowns);
+            }
         }
     }
     Ok(ExitCode::SUCCESS)
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -134,6 +134,14 @@
             "  {name}: version {version}, lease for {lease} ms more"
         ));
     }
+    print_line("upstreams:");
+    for upstream in status["upstreams"].as_array().into_iter().flatten() {
+        let keys = ["upstream", "service", "data_centre", "class", "state"];
+        let [name, service, data_centre, class, state] = keys.map(|key| plain(&upstream[key]));
+        print_line(&format!(
+            "  {name}: {service} in {data_centre}, {class}, {state}"
+        ));
+    }
 }
 
 /// Prints calls whose outcome is unknown, which a person has to look into.
