Share the limit of an account between all entries

Entries ask for allowance through the control group (`Control::allow`, with a default that knows no limit). The leader hands batches out of a bucket for each account of the newest text; nothing goes through the log. Found by the test: an unknown account was admitted once by the fallback bucket, and a rate near zero gave a wait that overflows an instant. Both are refused and bounded now.

--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -10,7 +10,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use config::Text;
+use config::ids::{AccountId, Version};
+use config::text::Account;
 use errors::Step;
+use indexmap::IndexMap;
+use limits::{Meter, Policy};
 use link::Identity;
 use state::{Change, Command, Output};
 use tokio::sync::watch;
@@ -32,11 +37,14 @@
     pub(crate) spread: Spread,
     pub(crate) metrics: Metrics,
     led: Mutex<Led>,
+    /// Requests per second by account, and the version of the text that they are from.
+    rates: Mutex<(Version, Arc<IndexMap<AccountId, f64>>)>,
     pub(crate) stopped: watch::Sender<bool>,
 }
 
 /// What this process knows as the leader of a term.
 struct Led {
+    meter: Meter,
     term: u64,
     /// When the term's take-over ended.
     since: Instant,
@@ -54,10 +62,12 @@
         };
         Arc::new(Node {
             led: Mutex::new(Led {
+                meter: Meter::new(Policy::default()),
                 term: 0,
                 since: Instant::now(),
                 leases: Leases::new(settings.freshness_lease),
             }),
+            rates: Mutex::default(),
             identity,
             replica,
             machine,
@@ -147,6 +157,21 @@
         documents::document(query, &state, status, &led.leases, &upstreams).to_string()
     }
 
+    /// Returns the requests per second of each account in the newest text.
+    pub(crate) fn rates(&self) -> Arc<IndexMap<AccountId, f64>> {
+        let state = self.machine.read();
+        let newest = state.texts().newest();
+        let mut rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
+        if rates.0 != newest {
+            let source = state.texts().revision(newest).map(|r| r.source.as_str());
+            let text = source.and_then(|source| Text::parse(source).ok());
+            let accounts = text.map(|text| text.accounts).unwrap_or_default();
+            let rate = |(name, account): (AccountId, Account)| (name, account.requests_per_second);
+            *rates = (newest, Arc::new(accounts.into_iter().map(rate).collect()));
+        }
+        rates.1.clone()
+    }
+
     /// Returns the last term that this process took over, and when.
     pub(crate) fn led_since(&self) -> Option<(u64, Instant)> {
         let led = self.led();
@@ -164,6 +189,7 @@
         Body::Leave => "leave",
         Body::Claim(_) => "claim",
         Body::Settle(..) => "settle",
+        Body::Allow(_) => "allow",
         Body::Submit { .. } => "submit",
         Body::Query(_) => "query",
     }
--- a/components/control/src/node/lead.rs
+++ b/components/control/src/node/lead.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+use compact_str::format_compact;
 use config::ids::{Incarnation, NodeId, Version};
+use limits::Report;
 use state::claims::millis;
 use state::text::{Outcome, Submission};
 use state::{Change, Command, Output, State};
@@ -52,6 +54,7 @@
                     output => Err(unexpected(&output)),
                 }
             }
+            Body::Allow(report) => self.allow(&node, &report),
             Body::Submit {
                 submission,
                 wait_ms,
@@ -116,6 +119,18 @@
         }
     }
 
+    /// Hands allowance out. The buckets are not replicated, so that no log entry is needed.
+    fn allow(&self, entry: &NodeId, report: &Report) -> Result<Answer, Failure> {
+        let rate = self.rates().get(&report.account).copied();
+        let Some(rate) = rate.filter(|rate| *rate > 0.0) else {
+            let what = format_compact!("account \"{}\" is not in the text", report.account);
+            return Err(Failure::Refused(what));
+        };
+        let now = Instant::now();
+        let grant = self.led().meter.report(entry, report, rate, now);
+        Ok(Answer::Grant(grant))
+    }
+
     async fn join(&self, entry: &NodeId, incarnation: Incarnation) -> Result<(), Failure> {
         let serves = || self.machine.read().members().serves(entry, incarnation);
         if serves() {
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! Control processes, entries' members and operators on loopback.
 
+mod allowance;
 mod announcements;
 mod claims;
 mod fleet_of_one;
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use config::ids::AccountId;
 use errors::Result;
+use limits::Decision;
 use upstream::Announcement;
 
 use crate::View;
@@ -21,6 +23,12 @@
     /// must not dispatch.
     fn claim(&self, claim: Claim) -> impl Future<Output = Result<Verdict>> + Send;
 
+    /// Asks whether a request of `account`, which counts as `units`, is within the limit that all
+    /// entries share. The default knows no shared limit.
+    fn allow(&self, _account: AccountId, _units: f64) -> impl Future<Output = Decision> + Send {
+        std::future::ready(Decision::Admitted)
+    }
+
     /// Commits the end of a claim that was granted to this entry.
     fn settle(
         &self,
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub use control::Control;
 pub use directory::{Directory, Learnt};
 pub use freshness::Freshness;
+pub use limits::Decision;
 pub use member::{Member, Settings};
 pub use standalone::Standalone;
 pub use state::claim;
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -1,6 +1,7 @@
 //! An entry as a member of the fleet: its connections to the control processes, its freshness
 //! lease, and the view that they keep up to date.
 
+mod allowance;
 mod confirm;
 mod links;
 mod settings;
@@ -12,7 +13,9 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use config::ids::AccountId;
 use errors::{Error, Peer, Result, Step};
+use limits::Decision;
 use link::Identity;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
@@ -46,6 +49,7 @@
     pub(crate) freshness: Mutex<Freshness>,
     pub(crate) directory: Mutex<Directory>,
     pub(crate) spread: spread::Queue,
+    pub(crate) allowance: allowance::Shares,
     /// Wakes the task that asks for freshness.
     pub(crate) ask: Notify,
     pub(crate) stopped: watch::Sender<bool>,
@@ -69,6 +73,7 @@
             freshness: Mutex::default(),
             directory: Mutex::default(),
             spread: spread::Queue::default(),
+            allowance: allowance::Shares::default(),
             ask: Notify::new(),
             stopped: watch::Sender::new(false),
         });
@@ -172,6 +177,10 @@
         result
     }
 
+    async fn allow(&self, account: AccountId, units: f64) -> Decision {
+        self.shared.allow(&account, units).await
+    }
+
     async fn settle(&self, claim: Claim, settlement: Settlement) -> Result<()> {
         let limit = SETTLE_TIMEOUT;
         timeout(limit, self.settle_until(&claim, &settlement))
--- a/components/limits/src/meter.rs
+++ b/components/limits/src/meter.rs
@@ -7,6 +7,9 @@
 
 use crate::{Bucket, Grant, Policy, Report};
 
+/// Longest wait that an entry is told, however low the limit.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
+
 /// Buckets of all accounts. It is not replicated: a new leader starts with full buckets.
 #[derive(Clone, Debug)]
 pub struct Meter {
@@ -71,12 +74,12 @@
         };
         // Short of a whole batch, entries wait for their turn, so that what comes in is handed
         // out in parts rather than one by one.
-        let turn = Duration::try_from_secs_f64(active * wanted / rate).unwrap_or(Duration::MAX);
+        let turn = Duration::try_from_secs_f64(active * wanted / rate).unwrap_or(MAX_WAIT);
         Grant {
             units,
             lease: policy.lease,
             retry_after: match units < batch {
-                true => turn.max(policy.pause),
+                true => turn.clamp(policy.pause, MAX_WAIT),
                 false => Duration::ZERO,
             },
             fallback_rate: rate / active,
--- a/components/limits/src/share.rs
+++ b/components/limits/src/share.rs
@@ -67,6 +67,10 @@
             true => self.fallback_rate,
             false => rate,
         };
+        if rate <= 0.0 {
+            self.refused_until = Some(now + pause);
+            return;
+        }
         let bucket = self
             .fallback
             .get_or_insert_with(|| Bucket::new(rate, FALLBACK_BURST, now));
--- a/components/limits/tests/limits.rs
+++ b/components/limits/tests/limits.rs
@@ -136,6 +136,24 @@
     assert_that!(share.decide(1.0, start + ms(1_100)), refused);
 }
 
+#[test]
+fn refuses_without_a_rate_and_bounds_the_wait_of_the_lowest_one() {
+    let now = Instant::now();
+    let mut share = Share::default();
+    share.unanswered(0.0, ms(200), now);
+    let retry_after = ms(200);
+    assert_that!(
+        share.decide(1.0, now),
+        eq(Decision::Refused { retry_after })
+    );
+
+    let mut meter = Meter::new(Policy::default());
+    let entry = "entry-1".into();
+    meter.report(&entry, &report(0.0), f64::MIN_POSITIVE, now);
+    let grant = meter.report(&entry, &report(0.0), f64::MIN_POSITIVE, now);
+    assert_that!(grant.retry_after, eq(ms(3_600_000)));
+}
+
 #[test]
 fn can_wait_for_units_of_a_bucket() {
     let start = Instant::now();
--- a/components/wire/src/answer.rs
+++ b/components/wire/src/answer.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 use config::ids::{NodeId, Version};
+use limits::Grant;
 use serde::{Deserialize, Serialize};
 use state::claim::Verdict;
 use state::text::Outcome;
@@ -15,6 +16,8 @@
     Verdict(Verdict),
     /// To `Settle`: whether the claim changed.
     Settled(bool),
+    /// To `Allow`.
+    Grant(Grant),
     /// To `Submit`.
     Submitted(Submitted),
     /// To `Query`: a JSON document.
--- a/components/wire/src/request.rs
+++ b/components/wire/src/request.rs
@@ -1,6 +1,7 @@
 //! Requests that expect an answer.
 
 use config::ids::{Incarnation, NodeId, Version};
+use limits::Report;
 use serde::{Deserialize, Serialize};
 use state::claim::{Claim, Settlement};
 use state::text::Submission;
@@ -33,6 +34,8 @@
     Claim(Claim),
     /// An entry reports what came of a claim.
     Settle(Claim, Settlement),
+    /// An entry reports what it spent of an account's limit and asks for more.
+    Allow(Report),
     /// An operator submits a text, and waits at most `wait_ms` until it is in force everywhere.
     Submit {
         /// The submission.
