Keep an accepted answer whose caller left and can come back with its key

A caller's leaving cancelled the work even where the call had a key, and Last-Event-ID was refused: the answer of an accepted request was lost with its caller's connection. The relay now goes on into the store of kept answers, as a request does that is handed over. Ruled out for now: keeping every keyed answer from its first token, 64 MB for 1,000 answers of 256 tokens.

--- a/components/entry/src/handover.rs
+++ b/components/entry/src/handover.rs
@@ -23,7 +23,7 @@
 pub(crate) use offer::Peers;
 pub(crate) use presence::{Presence, run};
 pub(crate) use store::Store;
-pub(crate) use take::take;
+pub(crate) use take::{collect, take};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
--- a/components/entry/src/handover/take.rs
+++ b/components/entry/src/handover/take.rs
@@ -69,7 +69,7 @@
 }
 
 /// Fills the kept answer with what the relay gives.
-async fn collect(kept: Arc<Kept>, receiver: oneshot::Receiver<Reply>) {
+pub(crate) async fn collect(kept: Arc<Kept>, receiver: oneshot::Receiver<Reply>) {
     let Ok(reply) = receiver.await else {
         return kept.end(StatusCode::BAD_GATEWAY);
     };
--- a/components/entry/src/model.rs
+++ b/components/entry/src/model.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod call;
 mod list;
+mod park;
 mod plan;
 mod relay;
 mod resume;
--- a/components/entry/src/model/serve.rs
+++ b/components/entry/src/model/serve.rs
@@ -1,7 +1,7 @@
 //! From a caller's request to the relay of its answer.
 
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use compact_str::format_compact;
 use fleet::{Config, Control};
@@ -20,6 +20,11 @@
 use crate::reply::Reply;
 use crate::stream::{Assembler, Shape};
 
+/// Longest wait for an answer that is about to be kept.
+const FIND_TIME: Duration = Duration::from_secs(1);
+/// Pause between two looks for it.
+const FIND_PAUSE: Duration = Duration::from_millis(50);
+
 /// Serves one call until its answer is with the caller's connection.
 pub(crate) async fn serve<C: Control>(
     core: Arc<Core<C>>,
@@ -125,7 +130,7 @@
     incoming: &Incoming,
     exchange: &mut Exchange,
 ) -> Result<Option<Reply>, Failure> {
-    match handover::find(core, incoming).await? {
+    match find(core, incoming).await? {
         Some(reply) => {
             exchange.step(Event::Admitted);
             exchange.step(Event::Replayed);
@@ -140,6 +145,23 @@
     }
 }
 
+/// Finds the answer that is kept for a caller. One who names the last event that it has seen may
+/// come before its old connection is known to be closed, and so waits a little.
+async fn find<C: Control>(
+    core: &Arc<Core<C>>,
+    incoming: &Incoming,
+) -> Result<Option<Reply>, Failure> {
+    let until = Instant::now() + FIND_TIME;
+    loop {
+        let found = handover::find(core, incoming).await?;
+        let again = incoming.headers.contains_key("last-event-id") && Instant::now() < until;
+        match found {
+            None if again => tokio::time::sleep(FIND_PAUSE).await,
+            found => return Ok(found),
+        }
+    }
+}
+
 fn unix_seconds() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |since| since.as_secs())
--- a/components/entry/src/model/sink.rs
+++ b/components/entry/src/model/sink.rs
@@ -72,6 +72,13 @@
         let _ = reply.send(head);
     }
 
+    /// Reports whether the caller has left.
+    pub(super) fn is_closed(&self) -> bool {
+        let events = self.events.as_ref().map(mpsc::Sender::is_closed);
+        let reply = self.reply.as_ref().map(oneshot::Sender::is_closed);
+        events.or(reply).unwrap_or(true)
+    }
+
     /// Gives an event to the caller's connection if there is room.
     pub(super) fn try_send(&self, event: Bytes) -> Result<(), Refused> {
         match &self.events {
--- a/components/entry/tests/path/fake.rs
+++ b/components/entry/tests/path/fake.rs
@@ -210,6 +210,10 @@
         Act::Reject => return reply(stream, 503, "{\"error\":{\"code\":\"overloaded\"}}"),
         Act::Status(status) => return reply(stream, status, "{\"error\":{\"code\":\"x\"}}"),
         Act::NoAnswer => return None,
+        Act::NoAnswerAfter(pause) => {
+            thread::sleep(pause);
+            return None;
+        }
         _ => {}
     }
     stream
--- a/components/entry/tests/path/main.rs
+++ b/components/entry/tests/path/main.rs
@@ -13,5 +13,6 @@
 mod keyed;
 mod models;
 mod moves;
+mod parked;
 mod plain;
 mod stop;
--- a/components/entry/tests/path/script.rs
+++ b/components/entry/tests/path/script.rs
@@ -25,6 +25,8 @@
     HalfBody,
     /// Runs the call and closes without an answer.
     NoAnswer,
+    /// Closes without an answer after this time.
+    NoAnswerAfter(Duration),
     /// Runs the call and answers without a length.
     Unbounded,
 }
