--- a/components/entry/tests/path/parked.rs
+++ b/components/entry/tests/path/parked.rs
@@ -71,7 +71,7 @@
 }
 
 #[gtest]
-fn can_keep_a_whole_answer_whose_caller_left() {
+fn can_ask_again_for_a_whole_answer_whose_caller_left() {
     let (bench, engine) = slow(20);
     let body = completion("ticket", 10, false);
     let mut caller = Caller::connect(bench.address);
