Decide on drawn allowance before another request can spend it

Cause: after a draw, waiting requests raced for the batch; one that lost three times in a row was refused with 429 although the account was far below its limit.

Each entry's router now knows its data centre and breaks ties by its name; all entries shared seed 0 and took every upstream for a far one.

can_admit_many_requests_at_once_within_the_limits: 200 calls at once.

--- a/components/entry/src/admission/usage.rs
+++ b/components/entry/src/admission/usage.rs
@@ -20,8 +20,6 @@
 const BUSY_RETRY: Duration = Duration::from_secs(1);
 /// Pause before the control group is asked again that did not answer.
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(200);
-/// Reports for one request, after which it is refused.
-const MAX_DRAWS: u32 = 3;
 
 /// Limits of an account.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -96,44 +94,33 @@
     ) -> Result<InProgress, Failure> {
         let place = self.enter(rates.in_progress)?;
         let tokens = tokens as f64;
-        for _ in 0..MAX_DRAWS {
-            match self.decide(tokens) {
-                Verdict::Admitted => return Ok(place),
-                Verdict::Refused(limit, after) => return Err(limited(limit, rates, after)),
-                Verdict::Ask => self.draw(rates, tokens, entries, control).await,
-            }
-        }
-        match self.decide(tokens) {
+        let verdict = self.decide(tokens, Instant::now());
+        let verdict = match verdict {
+            Verdict::Ask => self.draw(rates, tokens, entries, control).await,
+            verdict => verdict,
+        };
+        match verdict {
             Verdict::Admitted => Ok(place),
             Verdict::Refused(limit, after) => Err(limited(limit, rates, after)),
             Verdict::Ask => Err(limited(Limit::Requests, rates, UNANSWERED_PAUSE)),
         }
     }
 
-    fn decide(&self, tokens: f64) -> Verdict {
-        let now = Instant::now();
-        let mut shares = self.shares();
-        match shares.requests.decide(1.0, now) {
-            Decision::Admitted if tokens == 0.0 => Verdict::Admitted,
-            Decision::Admitted => match shares.tokens.decide(tokens, now) {
-                Decision::Admitted => Verdict::Admitted,
-                refused => {
-                    shares.requests.put_back(1.0);
-                    Verdict::of(refused, Limit::Tokens)
-                }
-            },
-            refused => Verdict::of(refused, Limit::Requests),
-        }
-    }
-
-    /// Draws allowance, unless another request has just done so.
-    async fn draw<C: Control>(&self, rates: Rates, tokens: f64, entries: usize, control: &C) {
+    /// Draws allowance, unless another request has just drawn enough, and decides.
+    async fn draw<C: Control>(
+        &self,
+        rates: Rates,
+        tokens: f64,
+        entries: usize,
+        control: &C,
+    ) -> Verdict {
         let _drawing = self.drawing.lock().await;
         let asked = Instant::now();
-        let draws = self.draws(tokens, asked);
-        if draws.is_empty() {
-            return;
+        match self.decide(tokens, asked) {
+            Verdict::Ask => {}
+            verdict => return verdict,
         }
+        let draws = self.draws(tokens, asked);
         let limits: Vec<Limit> = draws.iter().map(|draw| draw.limit).collect();
         let answered = control.draw(draws).await;
         let mut shares = self.shares();
@@ -145,6 +132,12 @@
             }
             Err(_) => shares.unanswered(rates, entries, asked),
         }
+        // Decided before another request can spend what was drawn for this one.
+        shares.decide(tokens, Instant::now())
+    }
+
+    fn decide(&self, tokens: f64, now: Instant) -> Verdict {
+        self.shares().decide(tokens, now)
     }
 
     /// Returns a report on each limit that does not admit the request as it stands.
@@ -191,6 +184,20 @@
 }
 
 impl Shares {
+    fn decide(&mut self, tokens: f64, now: Instant) -> Verdict {
+        match self.requests.decide(1.0, now) {
+            Decision::Admitted if tokens == 0.0 => Verdict::Admitted,
+            Decision::Admitted => match self.tokens.decide(tokens, now) {
+                Decision::Admitted => Verdict::Admitted,
+                refused => {
+                    self.requests.put_back(1.0);
+                    Verdict::of(refused, Limit::Tokens)
+                }
+            },
+            refused => Verdict::of(refused, Limit::Requests),
+        }
+    }
+
     fn granted(&mut self, limit: Limit, grant: Grant, asked: Instant) {
         match limit {
             Limit::Requests => self.requests.granted(grant, asked),
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use xitca_web::App;
 use xitca_web::service::fn_service;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admission::Budget;
 use crate::connections::Connections;
@@ -89,13 +90,15 @@
         .map_err(io)?;
     let listener = listen(listen_at).map_err(io)?;
     let address = listener.local_addr().map_err(io)?;
+    let router = router(&settings);
     let core = Arc::new(Core {
         plain: Client::new(settings.entry.connect_timeout),
         engines: Client::for_engines(settings.entry.connect_timeout),
         settings,
         keys,
         control,
-        router: Router::default(),
+        router,
+
         metrics: Arc::new(Metrics::default()),
         accounts: ArcSwap::from_pointee(IndexMap::new()),
         gates: ArcSwap::from_pointee(IndexMap::new()),
@@ -120,6 +123,14 @@
     })
 }
 
+fn router(settings: &Settings) -> Router {
+    Router::new(routing::Settings {
+        data_centre: settings.data_centre.clone(),
+        seed: xxh3_64(settings.node.as_bytes()),
+        ..routing::Settings::default()
+    })
+}
+
 fn threads(settings: &Settings) -> usize {
     match settings.entry.threads {
         0 => std::thread::available_parallelism().map_or(1, usize::from),
--- a/components/entry/tests/path/admission.rs
+++ b/components/entry/tests/path/admission.rs
@@ -74,3 +74,21 @@
     expect_that!(admitted as f64, le(most));
     expect_that!(admitted, ge(2));
 }
+
+#[gtest]
+fn can_admit_many_requests_at_once_within_the_limits() {
+    const REQUESTS: usize = 200;
+    let bench = Bench::start();
+    bench.upstream("engine-1", "assistant");
+    let refused: Vec<String> = std::thread::scope(|scope| {
+        let call = || {
+            let answer = bench.stream("ticket", 2);
+            (answer.status != 200).then_some(answer.body)
+        };
+        let calls: Vec<_> = (0..REQUESTS).map(|_| scope.spawn(call)).collect();
+        let answers = calls.into_iter().map(|call| call.join().unwrap());
+        answers.flatten().collect()
+    });
+    let limited = refused.iter().filter(|body| body.contains("limit"));
+    expect_eq!(limited.count(), 0, "{refused:?}");
+}
--- a/components/limits/src/accounts.rs
+++ b/components/limits/src/accounts.rs
@@ -15,12 +15,17 @@
     tokens: Meter,
 }
 
+/// Largest batch of tokens, which are counted in hundreds for each request.
+const TOKEN_BATCH: f64 = 100_000.0;
+
 impl Default for Accounts {
     fn default() -> Self {
-        let meter = || Meter::new(Policy::default());
         Accounts {
-            requests: meter(),
-            tokens: meter(),
+            requests: Meter::new(Policy::default()),
+            tokens: Meter::new(Policy {
+                batch: TOKEN_BATCH,
+                ..Policy::default()
+            }),
         }
     }
 }
