Let every engine of the survival tests fail once

Six tests scripted a fault on two engines of three and took for granted that the router prefers those; with a tie-break of the entry's own it chose the healthy one and no stream had to move. All three engines now fail on their first call, so that a stream survives up to three moves in place of two.

--- a/components/entry/tests/path/moves.rs
+++ b/components/entry/tests/path/moves.rs
@@ -23,6 +23,7 @@
 fn survives(act: Act) -> Bench {
     let (bench, engines) = two(&act);
     let third = bench.upstream("engine-3", "assistant");
+    third.script([act]);
     let answer = bench.stream("ticket", 12);
     assert_eq!(answer.status, 200, "{}", answer.body);
     assert_eq!(answer.events().0, (1..=13).collect::<Vec<_>>());
