Drain plain upstreams, which take no orders

A decision to drain a plain service's instance is an order to the system itself: recorded in the log, and told to each entry by every control process, on change and on connecting. Entries then treat the upstream as leaving, whatever it renews, until the instance is stopped. The stop waits 6 s beyond the drain, so that each entry has heard and the load report shows it. Before, such a decision was logged and not carried out.

--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -4,7 +4,7 @@
 mod lead;
 mod settings;
 
-pub(crate) use duty::{lead, tell_versions};
+pub(crate) use duty::{draining, lead, tell_versions};
 pub use settings::Settings;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/components/control/src/node/duty.rs
+++ b/components/control/src/node/duty.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use state::{Change, Command, Output};
+use config::ids::UpstreamId;
+use state::{Change, Command, Output, State};
 use tokio::time::sleep;
 use tracing::warn;
+use wire::Push;
 
 use super::Node;
 use crate::replica::Replica;
@@ -17,17 +19,31 @@
 /// Time between two commands that only let time pass.
 const TICK: Duration = Duration::from_secs(1);
 
-/// Tells the connected entries of each version that is applied here.
+/// Returns the upstreams that get no new work.
+pub(crate) fn draining(state: &State) -> Vec<UpstreamId> {
+    state.orders().draining().keys().cloned().collect()
+}
+
+/// Tells the connected entries of each version and each draining upstream that is applied here.
 pub(crate) async fn tell_versions<R>(node: Arc<Node<R>>)
 where
     R: Replica<Command = Command, Output = Output>,
 {
     let mut told = 0;
+    let mut drained = Vec::new();
     while !*node.stopped.borrow() {
-        let (newest, claims) = {
+        let (newest, claims, draining) = {
             let state = node.machine.read();
-            (state.texts().newest(), state.claims().len())
+            (
+                state.texts().newest(),
+                state.claims().len(),
+                draining(&state),
+            )
         };
+        if draining != drained {
+            node.peers.tell_entries(&Push::Draining(draining.clone()));
+            drained = draining;
+        }
         if newest > told {
             node.peers.announce_version(newest);
             told = newest;
--- a/components/control/src/orders/giver.rs
+++ b/components/control/src/orders/giver.rs
@@ -55,6 +55,11 @@
             Ok(output) => return Given::Unsent(format!("the log answered {output:?}")),
             Err(failure) => return Given::Unsent(format!("not recorded: {failure:?}")),
         };
+        if let Action::Drain { instance } = &order.action {
+            // Recording it is all: every control process tells its entries.
+            info!("orders: {fence} drains \"{instance}\": {reason}");
+            return Given::Taken(Value::Null);
+        }
         let Some((peer, call)) = self.call(&order.action, fence) else {
             return Given::Unsent("no cloud API is set".to_owned());
         };
@@ -107,6 +112,7 @@
                 });
                 cloud(Method::POST, "/v1/instances".to_owned(), Some(body))
             }
+            Action::Drain { .. } => None,
             Action::Stop { instance } => {
                 cloud(Method::DELETE, format!("/v1/instances/{instance}"), None)
             }
--- a/components/control/src/orders/placing.rs
+++ b/components/control/src/orders/placing.rs
@@ -30,6 +30,10 @@
 /// Time after which an order to load that shows no effect is given again.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(120);
 
+/// Time after which every entry has stopped giving work to a draining upstream, and its load
+/// report shows it.
+const DRAIN_SPREAD: Duration = Duration::from_secs(6);
+
 /// What one leader remembers between rounds.
 struct Placing<R> {
     node: Arc<Node<R>>,
@@ -203,6 +207,12 @@
             Some(Availability::Leaving) => placement::State::Draining,
             Some(Availability::Reclaimed { .. }) => placement::State::Reclaimed,
         };
+        let draining = self.draining_for(&instance.instance);
+        let state = match (state, draining) {
+            (placement::State::Running, Some(_)) => placement::State::Draining,
+            (state, _) => state,
+        };
+        let spreading = draining.is_some_and(|time| time < DRAIN_SPREAD);
         let loading = self.loading.get(&instance.instance);
         placement::Instance {
             instance: instance.instance.clone(),
@@ -210,13 +220,23 @@
             slot: slot(instance),
             state,
             started: now.checked_sub(age).unwrap_or(now),
-            in_progress: announced.map_or(0, |a| a.load.running + a.load.waiting),
+            in_progress: announced
+                .map_or(0, |a| a.load.running + a.load.waiting)
+                .max(u32::from(spreading)),
             models: announced.map(|a| a.models.clone()).unwrap_or_default(),
             loading: loading.map(|(served, _)| served.clone()),
             role: announced.map(|a| a.role).unwrap_or_default(),
         }
     }
 
+    /// Returns for how long entries have been told to give an upstream no new work.
+    fn draining_for(&self, instance: &InstanceId) -> Option<Duration> {
+        let state = self.node.machine.read();
+        let since = state.orders().draining().get(instance).copied()?;
+        let passed = clock::unix_ms().saturating_sub(since);
+        Some(Duration::from_millis(passed))
+    }
+
     async fn carry_out(&mut self, decision: Decision, seen: &Seen) {
         let reason = decision.reason.clone();
         let engine = |name: &InstanceId, set| {
@@ -242,7 +262,13 @@
             Action::Stop { instance } => Some(order::Action::Stop {
                 instance: instance.clone(),
             }),
-            Action::Drain { instance } => engine(instance, Setting::Drain(true)),
+            Action::Drain { instance } => {
+                let (drain, instance) = (Setting::Drain(true), instance.clone());
+                let own = order::Action::Drain {
+                    instance: instance.clone(),
+                };
+                engine(&instance, drain).or(Some(own))
+            }
             Action::Load { instance, served } => engine(instance, Setting::Load(served.clone())),
             Action::Unload {
                 instance,
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -52,9 +52,14 @@
 
     /// Tells all connected entries that a newer version is committed.
     pub(crate) fn announce_version(&self, version: Version) {
+        self.tell_entries(&Push::Newest(version));
+    }
+
+    /// Sends a message to all connected entries.
+    pub(crate) fn tell_entries(&self, push: &Push) {
         for connection in self.accepted().values() {
             if connection.hello().role == Role::Entry {
-                connection.push(Push::Newest(version));
+                connection.push(push.clone());
             }
         }
     }
@@ -166,6 +171,10 @@
     let name = connection.hello().node.clone();
     info!("control: \"{name}\" connected");
     node.peers.accepted().insert(number, connection.clone());
+    if connection.hello().role == Role::Entry {
+        let draining = crate::node::draining(&node.machine.read());
+        connection.push(Push::Draining(draining));
+    }
     serve(&node, &connection, messages).await;
     node.peers.accepted().swap_remove(&number);
     node.spread.unsubscribe(&connection);
--- a/components/control/src/spread.rs
+++ b/components/control/src/spread.rs
@@ -104,7 +104,7 @@
                 let wholes = upstreams.iter().filter_map(|u| directory.whole(u, now));
                 from.push(Push::Upstreams(wholes.collect()));
             }
-            Push::Newest(_) | Push::Log { .. } => {}
+            Push::Newest(_) | Push::Draining(_) | Push::Log { .. } => {}
         }
     }
 
--- a/components/control/tests/process/announcements.rs
+++ b/components/control/tests/process/announcements.rs
@@ -4,8 +4,11 @@
 
 use config::text::Class;
 use control::client::Outcome;
+use control::replica::Replica;
 use fleet::{Control, View};
 use googletest::prelude::*;
+use state::order::{Action, Order};
+use state::{Change, Command};
 use upstream::{Announcement, Availability, Capacity, Load, Role};
 
 use crate::fleet_of_one::{any_port, control, member, operator, submission, text, until};
@@ -90,6 +93,48 @@
     assert_that!(process.node.upstreams().len(), eq(1));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn give_way_to_an_order_to_drain_until_the_instance_stops() {
+    let process = control().await;
+    let members = [1, 2].map(|n| member(&format!("entry-{n}"), process.peer_address));
+    let order = |action| {
+        let reason = "test".into();
+        Command {
+            at: 0,
+            change: Change::Order(Order { action, reason }),
+        }
+    };
+    let instance: config::ids::InstanceId = "plain-1".into();
+    members[0].announce(announcement("plain-1", 1));
+    for member in &members {
+        until(member, |view| takes_work(view, "plain-1")).await;
+    }
+    let drain = Action::Drain {
+        instance: instance.clone(),
+    };
+    let drained = process.node.replica().propose(order(drain)).await;
+    assert_that!(drained, ok(anything()));
+    for member in &members {
+        until(member, |view| !takes_work(view, "plain-1")).await;
+    }
+    // A renewal does not bring it back, also not at an entry that comes later.
+    let late = crate::fleet_of_one::member("entry-3", process.peer_address);
+    late.announce(announcement("plain-1", 2));
+    until(&late, |view| sequence(view, "plain-1") == Some(2)).await;
+    until(&late, |view| !takes_work(view, "plain-1")).await;
+    until(&members[1], |view| sequence(view, "plain-1") == Some(2)).await;
+    assert_that!(takes_work(&members[1].view().load(), "plain-1"), eq(false));
+
+    let stop = process
+        .node
+        .replica()
+        .propose(order(Action::Stop { instance }));
+    assert_that!(stop.await, ok(anything()));
+    for member in &members {
+        until(member, |view| takes_work(view, "plain-1")).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn end_with_their_lease_at_an_entry_that_is_cut_off() {
     let process = control().await;
--- a/components/fleet/src/directory.rs
+++ b/components/fleet/src/directory.rs
@@ -97,6 +97,14 @@
             .map(|known| &known.announcement)
     }
 
+    /// Returns all announcements with the time at which they were made.
+    pub fn known(&self) -> Vec<(Announcement, Instant)> {
+        let known = self.known.values();
+        known
+            .map(|known| (known.announcement.clone(), known.announced))
+            .collect()
+    }
+
     /// Takes in an announcement made at `announced`, and reports whether it is newer than what
     /// was known.
     pub fn insert(&mut self, announcement: Announcement, announced: Instant) -> bool {
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -13,8 +13,9 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use config::ids::AccountId;
+use config::ids::{AccountId, UpstreamId};
 use errors::{Error, Peer, Result, Step};
+use indexmap::IndexSet;
 use limits::Decision;
 use link::Identity;
 use tokio::sync::{Notify, watch};
@@ -50,6 +51,8 @@
     pub(crate) directory: Mutex<Directory>,
     pub(crate) spread: spread::Queue,
     pub(crate) allowance: allowance::Shares,
+    /// Upstreams that get no new work, whatever they announce.
+    pub(crate) draining: Mutex<IndexSet<UpstreamId>>,
     /// Wakes the task that asks for freshness.
     pub(crate) ask: Notify,
     pub(crate) stopped: watch::Sender<bool>,
@@ -74,6 +77,7 @@
             directory: Mutex::default(),
             spread: spread::Queue::default(),
             allowance: allowance::Shares::default(),
+            draining: Mutex::default(),
             ask: Notify::new(),
             stopped: watch::Sender::new(false),
         });
--- a/components/fleet/src/member/links.rs
+++ b/components/fleet/src/member/links.rs
@@ -169,6 +169,7 @@
             Incoming::Push(Push::Upstreams(deltas), age) => {
                 shared.learn(deltas, age, &connection);
             }
+            Incoming::Push(Push::Draining(upstreams), _) => shared.drain(upstreams),
             Incoming::Push(Push::Missing(upstreams), _) => {
                 shared.repeat(&upstreams, &connection);
             }
--- a/components/fleet/src/member/spread.rs
+++ b/components/fleet/src/member/spread.rs
@@ -8,6 +8,7 @@
 use link::Connection;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
+use tracing::info;
 use upstream::{Announcement, Availability, Routes};
 use wire::{Delta, Push};
 
@@ -32,6 +33,7 @@
 
 #[derive(Debug, Default)]
 struct Waiting {
+    rebuild: bool,
     pass_on: IndexSet<UpstreamId>,
     show: Vec<(Announcement, Instant)>,
 }
@@ -49,6 +51,12 @@
         }
     }
 
+    fn rebuild(&self) {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        waiting.rebuild = true;
+        self.urgent.notify_one();
+    }
+
     fn take(&self) -> Waiting {
         let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
         std::mem::take(&mut *waiting)
@@ -56,6 +64,17 @@
 }
 
 impl Shared {
+    /// Takes in which upstreams get no new work.
+    pub(crate) fn drain(&self, upstreams: Vec<UpstreamId>) {
+        let upstreams: IndexSet<UpstreamId> = upstreams.into_iter().collect();
+        let mut draining = self.draining.lock().unwrap_or_else(PoisonError::into_inner);
+        if *draining != upstreams {
+            info!("fleet: upstreams that get no new work: {}", upstreams.len());
+            *draining = upstreams;
+            self.spread.rebuild();
+        }
+    }
+
     /// Takes in an announcement that an upstream made to this entry.
     pub(crate) fn announced(&self, announcement: Announcement) {
         let now = Instant::now();
@@ -114,7 +133,10 @@
             forget_at = now + FORGET;
             shared.directory().forget(now);
         }
-        show(&shared, waiting.show, forget.then_some(now));
+        match waiting.rebuild {
+            true => rebuild(&shared),
+            false => show(&shared, waiting.show, forget.then_some(now)),
+        }
     }
 }
 
@@ -130,12 +152,36 @@
     }
 }
 
+/// Replaces all routes by what is known, with the draining upstreams as leaving.
+fn rebuild(shared: &Shared) {
+    let known = shared.directory().known();
+    add(shared, Routes::default(), known, None);
+}
+
 fn show(shared: &Shared, news: Vec<(Announcement, Instant)>, forget_at: Option<Instant>) {
     if news.is_empty() && forget_at.is_none() {
         return;
     }
-    let mut routes = Routes::clone(&shared.view.load().routes);
-    for (announcement, announced) in news {
+    let routes = Routes::clone(&shared.view.load().routes);
+    add(shared, routes, news, forget_at);
+}
+
+fn add(
+    shared: &Shared,
+    mut routes: Routes,
+    news: Vec<(Announcement, Instant)>,
+    forget_at: Option<Instant>,
+) {
+    let draining = shared
+        .draining
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    for (mut announcement, announced) in news {
+        let drains = draining.contains(&announcement.upstream);
+        if drains && announcement.availability == Availability::Serving {
+            announcement.availability = Availability::Leaving;
+        }
         let expires = announced + Duration::from_millis(announcement.lease_ms);
         routes.insert(announcement, announced, expires);
     }
--- a/components/state/src/order.rs
+++ b/components/state/src/order.rs
@@ -14,6 +14,9 @@
 /// Orders kept; the oldest is forgotten first.
 pub const ORDERS_KEPT: usize = 1_000;
 
+/// Upstreams that drain at one time.
+pub const MAX_DRAINING: usize = 1_000;
+
 /// An order and why it is given.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Order {
@@ -35,6 +38,11 @@
         /// The state to be set.
         set: Setting,
     },
+    /// Lets entries give no new work to an upstream that takes no orders itself.
+    Drain {
+        /// The upstream, which is named as its instance.
+        instance: InstanceId,
+    },
     /// Starts an instance; the same token names the same instance.
     Start {
         /// Token chosen by the leader.
@@ -87,6 +95,7 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Orders {
     records: IndexMap<u64, Record>,
+    draining: IndexMap<InstanceId, Millis>,
 }
 
 impl Orders {
@@ -95,10 +104,24 @@
         self.records.values()
     }
 
+    /// Returns the upstreams that entries give no new work, and since when.
+    pub fn draining(&self) -> &IndexMap<InstanceId, Millis> {
+        &self.draining
+    }
+
     pub(crate) fn record(&mut self, now: Millis, position: Position, order: Order) -> u64 {
         while self.records.len() >= ORDERS_KEPT {
             self.records.shift_remove_index(0);
         }
+        match &order.action {
+            Action::Drain { instance } if self.draining.len() < MAX_DRAINING => {
+                self.draining.entry(instance.clone()).or_insert(now);
+            }
+            Action::Stop { instance } => {
+                self.draining.shift_remove(instance);
+            }
+            _ => {}
+        }
         let fence = position.fence();
         let record = Record {
             fence,
--- a/components/wire/src/push.rs
+++ b/components/wire/src/push.rs
@@ -17,6 +17,8 @@
     Upstreams(Vec<Delta>),
     /// Upstreams of which only a renewal is known; the whole announcement is wanted.
     Missing(Vec<UpstreamId>),
+    /// All upstreams that get no new work until they are stopped.
+    Draining(Vec<UpstreamId>),
     /// A newer text is committed.
     Newest(Version),
     /// A message of the replicated log.
