--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use config::ids::AccountId;
 use errors::Result;
-use limits::Decision;
+use limits::{Draw, Grant};
 use upstream::Announcement;
 
 use crate::View;
@@ -19,16 +18,13 @@
     /// Takes in an announcement that reached this entry, and passes it on.
     fn announce(&self, announcement: Announcement);
 
+    /// Reports what was used of accounts' limits, and returns a grant for each report, in order.
+    fn draw(&self, draws: Vec<Draw>) -> impl Future<Output = Result<Vec<Grant>>> + Send;
+
     /// Commits a claim. An error means that the claim may or may not be committed; the caller
     /// must not dispatch.
     fn claim(&self, claim: Claim) -> impl Future<Output = Result<Verdict>> + Send;
 
-    /// Asks whether a request of `account`, which counts as `units`, is within the limit that all
-    /// entries share. The default knows no shared limit.
-    fn allow(&self, _account: AccountId, _units: f64) -> impl Future<Output = Decision> + Send {
-        std::future::ready(Decision::Admitted)
-    }
-
     /// Commits the end of a claim that was granted to this entry.
     fn settle(
         &self,
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -1,7 +1,6 @@
 //! An entry as a member of the fleet: its connections to the control processes, its freshness
 //! lease, and the view that they keep up to date.
 
-mod allowance;
 mod confirm;
 mod links;
 mod settings;
@@ -13,10 +12,10 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use config::ids::{AccountId, UpstreamId};
+use config::ids::UpstreamId;
 use errors::{Error, Peer, Result, Step};
 use indexmap::IndexSet;
-use limits::Decision;
+use limits::{Draw, Grant};
 use link::Identity;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
@@ -30,6 +29,8 @@
 /// Longest wait for the verdict on a claim; shorter than the time within which the holder must
 /// dispatch.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest wait for allowance.
+const DRAW_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest wait for a settlement to be committed.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Wait between two tries of a settlement.
@@ -50,7 +51,6 @@
     pub(crate) freshness: Mutex<Freshness>,
     pub(crate) directory: Mutex<Directory>,
     pub(crate) spread: spread::Queue,
-    pub(crate) allowance: allowance::Shares,
     /// Upstreams that get no new work, whatever they announce.
     pub(crate) draining: Mutex<IndexSet<UpstreamId>>,
     /// Wakes the task that asks for freshness.
@@ -76,7 +76,6 @@
             freshness: Mutex::default(),
             directory: Mutex::default(),
             spread: spread::Queue::default(),
-            allowance: allowance::Shares::default(),
             draining: Mutex::default(),
             ask: Notify::new(),
             stopped: watch::Sender::new(false),
@@ -164,6 +163,15 @@
         self.shared.announced(announcement);
     }
 
+    async fn draw(&self, draws: Vec<Draw>) -> Result<Vec<Grant>> {
+        let count = draws.len();
+        let request = self.shared.request(Body::Draw(draws));
+        match self.shared.links.call(request, DRAW_TIMEOUT).await? {
+            Answer::Drawn(grants) if grants.len() == count => Ok(grants),
+            _ => Err(unexpected()),
+        }
+    }
+
     async fn claim(&self, claim: Claim) -> Result<Verdict> {
         let deadline = Instant::now() + CLAIM_TIMEOUT;
         let request = self.shared.request(Body::Claim(claim.clone()));
@@ -181,10 +189,6 @@
         result
     }
 
-    async fn allow(&self, account: AccountId, units: f64) -> Decision {
-        self.shared.allow(&account, units).await
-    }
-
     async fn settle(&self, claim: Claim, settlement: Settlement) -> Result<()> {
         let limit = SETTLE_TIMEOUT;
         timeout(limit, self.settle_until(&claim, &settlement))
--- a/components/wire/src/answer.rs
+++ b/components/wire/src/answer.rs
@@ -16,8 +16,8 @@
     Verdict(Verdict),
     /// To `Settle`: whether the claim changed.
     Settled(bool),
-    /// To `Allow`.
-    Grant(Grant),
+    /// To `Draw`: a grant for each report, in order.
+    Drawn(Vec<Grant>),
     /// To `Submit`.
     Submitted(Submitted),
     /// To `Query`: a JSON document.
