--- a/components/control/tests/process/claims.rs
+++ b/components/control/tests/process/claims.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use control::client::{Document, Outcome};
+use errors::Step;
 use fleet::claim::{Answer, Claim, Settlement, Verdict};
 use fleet::{Control, Member};
 use googletest::prelude::*;
@@ -104,6 +105,25 @@
     assert_that!(request, ok(eq(&"r1")));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn are_refused_at_once_while_no_leader_is_known() {
+    let process = control().await;
+    let first = operator(&process)
+        .submit(&submission(0, "a", text("first")))
+        .await;
+    assert_that!(first, ok(eq(&Outcome::InForce { version: 1 })));
+    let member = member("entry-1", process.peer_address);
+    serving(&member).await;
+    process.node.replica().set_leads(false);
+    until(&member, |view| !view.control_reachable).await;
+    let refused = member.claim(claim("r1")).await;
+    assert_that!(refused.map_err(|error| error.step()), err(eq(&Step::Route)));
+
+    process.node.replica().set_leads(true);
+    until(&member, |view| view.control_reachable).await;
+    assert_that!(granted(&member.claim(claim("r2")).await), eq(true));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn that_are_not_answered_in_time_free_their_key_again() {
     let process = control().await;
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -173,6 +173,11 @@
     }
 
     async fn claim(&self, claim: Claim) -> Result<Verdict> {
+        if !self.shared.view.load().control_reachable {
+            let what = "the control group does not answer; nothing was claimed".to_owned();
+            let peer = Peer::Named("control".into());
+            return Err(Error::Protocol(Step::Route, peer, what));
+        }
         let deadline = Instant::now() + CLAIM_TIMEOUT;
         let request = self.shared.request(Body::Claim(claim.clone()));
         let result = loop {
--- a/components/state/src/order.rs
+++ b/components/state/src/order.rs
@@ -95,6 +95,7 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Orders {
     records: IndexMap<u64, Record>,
+    #[serde(default)]
     draining: IndexMap<InstanceId, Millis>,
 }
 
