--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -5,7 +5,7 @@
 mod lead;
 mod settings;
 
-pub(crate) use duty::{lead, tell_versions};
+pub(crate) use duty::{draining, lead, tell_versions};
 pub use settings::Settings;
 
 use allowance::Allowance;
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -12,7 +12,9 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use config::ids::UpstreamId;
 use errors::{Error, Peer, Result, Step};
+use indexmap::IndexSet;
 use limits::{Draw, Grant};
 use link::Identity;
 use tokio::sync::{Notify, watch};
@@ -49,6 +51,8 @@
     pub(crate) freshness: Mutex<Freshness>,
     pub(crate) directory: Mutex<Directory>,
     pub(crate) spread: spread::Queue,
+    /// Upstreams that get no new work, whatever they announce.
+    pub(crate) draining: Mutex<IndexSet<UpstreamId>>,
     /// Wakes the task that asks for freshness.
     pub(crate) ask: Notify,
     pub(crate) stopped: watch::Sender<bool>,
@@ -72,6 +76,7 @@
             freshness: Mutex::default(),
             directory: Mutex::default(),
             spread: spread::Queue::default(),
+            draining: Mutex::default(),
             ask: Notify::new(),
             stopped: watch::Sender::new(false),
         });
@@ -168,6 +173,11 @@
     }
 
     async fn claim(&self, claim: Claim) -> Result<Verdict> {
+        if !self.shared.view.load().control_reachable {
+            let what = "the control group does not answer; nothing was claimed".to_owned();
+            let peer = Peer::Named("control".into());
+            return Err(Error::Protocol(Step::Route, peer, what));
+        }
         let deadline = Instant::now() + CLAIM_TIMEOUT;
         let request = self.shared.request(Body::Claim(claim.clone()));
         let result = loop {
