--- a/components/control/src/replica/driver.rs
+++ b/components/control/src/replica/driver.rs
@@ -143,12 +143,12 @@
     fn act_on(&mut self, action: Action) -> Result<()> {
         match action {
             Action::Send(message) => self.send(message),
-            Action::Write(write) => self.job(Job::Write(write)),
+            Action::Write(write) => self.job(Job::Write(write))?,
             Action::Apply(entries) => entries
                 .into_iter()
                 .try_for_each(|entry| self.apply(entry))?,
             Action::Restore(meta) => self.restore(&meta)?,
-            Action::Snapshot(meta) => self.job(Job::Save(meta, self.machine.snapshot()?)),
+            Action::Snapshot(meta) => self.job(Job::Save(meta, self.machine.snapshot()?))?,
             Action::Fetch {
                 to,
                 index,
@@ -159,7 +159,7 @@
                 index,
                 offset,
                 length,
-            }),
+            })?,
             Action::Settle(mark, fate) => self.settle(mark, fate),
             Action::Read { id, passed } => self.end_read(id, passed),
             Action::Log(event) => log(&event),
@@ -174,9 +174,20 @@
         }
     }
 
-    fn job(&self, job: Job) {
-        // The storage thread ends only after it told why.
-        let _ = self.jobs.send(job);
+    fn job(&self, job: Job) -> Result<()> {
+        self.jobs.send(job).map_err(|_| self.storage_ended())
+    }
+
+    /// Returns why the storage thread ended: what it told, unless it panicked.
+    fn storage_ended(&self) -> Error {
+        let told = self.inputs.try_iter().find_map(|input| match input {
+            Input::Failed(cause) => Some(cause),
+            _ => None,
+        });
+        told.unwrap_or_else(|| {
+            let what = String::from("the storage thread ended");
+            Error::Invalid(Step::Store, Peer::Local, what)
+        })
     }
 
     fn apply(&mut self, entry: Entry) -> Result<()> {
@@ -198,12 +209,8 @@
     /// Loads a received snapshot; waits for the storage thread, as nothing may be applied before.
     fn restore(&mut self, meta: &Meta) -> Result<()> {
         let (reply, loaded) = channel();
-        self.job(Job::Load(meta.mark.index, reply));
-        let ended = |_| {
-            let what = String::from("the storage thread ended");
-            Error::Invalid(Step::Store, Peer::Local, what)
-        };
-        let bytes = loaded.recv().map_err(ended)??;
+        self.job(Job::Load(meta.mark.index, reply))?;
+        let bytes = loaded.recv().map_err(|_| self.storage_ended())??;
         info!("replica: loads a snapshot up to entry {}", meta.mark.index);
         self.machine.restore(&bytes)
     }
--- a/components/control/src/replica/group.rs
+++ b/components/control/src/replica/group.rs
@@ -1,6 +1,7 @@
 //! A replica that takes part in a control group.
 
 use std::collections::BTreeMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::mpsc::{Sender, channel};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -38,8 +39,8 @@
 impl<M: Machine> Group<M> {
     /// Opens the data folder, restores the state and starts the threads.
     ///
-    /// The receiver gets the error that ends the replica when its data folder fails; the process
-    /// must end then, and must not write to the folder again. After a planned end the receiver is
+    /// The receiver gets the error that ends the replica when its data folder fails or its state
+    /// machine panics; the process must end then, and must not write to the folder again. After a planned end the receiver is
     /// closed without an error, once the folder can be opened again.
     ///
     /// # Errors
@@ -101,12 +102,18 @@
         };
         let storage = spawn("storage", move || keeper.run())?;
         spawn("replica", move || {
-            let ended = driver.run();
+            let ended = catch_unwind(AssertUnwindSafe(|| driver.run()));
             // The folder is free before anyone learns of the end.
             let _ = storage.join();
-            if let Err(cause) = ended {
-                let _ = failed.send(cause);
-            }
+            let cause = match ended {
+                Ok(Ok(())) => return,
+                Ok(Err(cause)) => cause,
+                Err(_) => {
+                    let what = String::from("the state machine panicked");
+                    Error::Invalid(Step::Commit, Peer::Local, what)
+                }
+            };
+            let _ = failed.send(cause);
         })?;
         let group = Group {
             inputs,
--- a/components/control/tests/replica/main.rs
+++ b/components/control/tests/replica/main.rs
@@ -17,6 +17,8 @@
 use tokio::time::{sleep, timeout};
 
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Command that makes the state machine panic.
+const PANIC: u64 = u64::MAX;
 const POLL: Duration = Duration::from_millis(5);
 
 /// A state that lists the commands and where each stood.
@@ -28,6 +30,7 @@
     type Output = (u64, usize);
 
     fn apply(&mut self, mark: Mark, command: u64) -> (u64, usize) {
+        assert_ne!(command, PANIC, "a command that the state can't take");
         self.0.push(command);
         (mark.index, self.0.len())
     }
@@ -293,3 +296,20 @@
     };
     expect_that!(timeout(PATIENCE, barrier).await, ok(anything()));
 }
+
+#[gtest]
+#[tokio::test]
+async fn errors_for_good_on_a_state_machine_that_panics() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut fleet = Fleet::default();
+    fleet.start(folder.path(), &["a"], "a", false);
+    fleet.propose(1).await;
+    let open = fleet.groups["a"].propose(PANIC).await;
+    expect_that!(open.unwrap_err().step(), eq(Step::Commit));
+    let failure = fleet.failures.remove("a").unwrap();
+    let failure = timeout(PATIENCE, failure).await.unwrap().unwrap();
+    expect_that!(
+        failure.to_string(),
+        contains_substring("the state machine panicked")
+    );
+}
