Run the random faults over the real files as well

The simulated servers now store through the project's own store, in a folder in memory, and each start compares what it finds with the model. Before, log and store were only tested apart.

--- a/components/consensus/tests/suite/main.rs
+++ b/components/consensus/tests/suite/main.rs
@@ -6,5 +6,7 @@
 mod garbage;
 mod guards;
 mod hard_cases;
+#[path = "../../../storage/tests/suite/memory.rs"]
+mod memory;
 mod server;
 mod world;
--- a/components/consensus/tests/suite/world.rs
+++ b/components/consensus/tests/suite/world.rs
@@ -89,13 +89,9 @@
         let members: Vec<Member> = names.into_iter().map(|node| world.member(node)).collect();
         let stored = Stored::founding(GROUP, members[..voters].to_vec());
         for (place, me) in members.into_iter().enumerate() {
-            let disk = Disk {
-                stored: if place < voters {
-                    stored.clone()
-                } else {
-                    Stored::default()
-                },
-                ..Disk::default()
+            let disk = match place < voters {
+                true => Disk::holding(stored.clone()),
+                false => Disk::default(),
             };
             world.add(me, disk);
         }
@@ -151,7 +147,7 @@
         let seed = self.rng.next_u64();
         let (settings, now) = (self.settings.clone(), self.now);
         let server = self.servers.get_mut(name).unwrap();
-        let stored = server.disk.stored.clone();
+        let stored = server.disk.open();
         server.state = match server.disk.snapshots.last() {
             Some((_, data)) => State::load(data),
             None => State::default(),
--- a/components/storage/tests/suite/damage.rs
+++ b/components/storage/tests/suite/damage.rs
@@ -3,7 +3,8 @@
 use googletest::prelude::*;
 use storage::Disk;
 
-use crate::memory::{Memory, entry, hard, write};
+use crate::memory::Memory;
+use crate::records::{copy, entry, hard, write};
 
 const SEGMENT: &str = "log-00000000000000000001";
 
@@ -77,14 +78,14 @@
         store.write(&mut write(number, records)).unwrap();
     }
     let second = "log-00000000000000000002";
-    let missing = folder.copy();
+    let missing = copy(&folder);
     missing.0.lock().unwrap().files.remove(second);
     let error = missing.open_store().unwrap_err().to_string();
     expect_that!(
         error,
         contains_substring("the segment before it is missing")
     );
-    let short = folder.copy();
+    let short = copy(&folder);
     let mut bytes = folder.bytes(second);
     bytes.pop();
     short.put(second, bytes);
@@ -93,7 +94,7 @@
         error,
         contains_substring("cut short and another segment follows")
     );
-    let first = folder.copy();
+    let first = copy(&folder);
     first.0.lock().unwrap().files.remove(SEGMENT);
     let error = first.open_store().unwrap_err().to_string();
     expect_that!(error, contains_substring("the entries after 0 are missing"));
@@ -102,14 +103,14 @@
 #[gtest]
 fn errors_on_a_folder_that_lost_its_identity_or_its_log() {
     let (folder, _) = three_batches(40);
-    let nameless = folder.copy();
+    let nameless = copy(&folder);
     nameless.0.lock().unwrap().files.remove("identity");
     let error = nameless.open_store().unwrap_err().to_string();
     expect_that!(
         error,
         contains_substring("a log or a snapshot and no identity")
     );
-    let empty = folder.copy();
+    let empty = copy(&folder);
     empty.0.lock().unwrap().files.remove(SEGMENT);
     let error = empty.open_store().unwrap_err().to_string();
     expect_that!(error, contains_substring("an identity and no log"));
--- a/components/storage/tests/suite/faults.rs
+++ b/components/storage/tests/suite/faults.rs
@@ -3,7 +3,8 @@
 use googletest::prelude::*;
 use storage::Failure;
 
-use crate::memory::{Memory, entry, hard, meta, write};
+use crate::memory::Memory;
+use crate::records::{copy, entry, hard, meta, write};
 
 #[gtest]
 fn errors_for_good_on_a_failed_sync() {
@@ -32,7 +33,7 @@
         let failure = store.write(&mut queue).unwrap_err();
         expect_true!(matches!(failure, Failure::Full(_)));
         expect_that!(queue.len(), eq(1));
-        let (_, opened) = folder.copy().open_store().unwrap();
+        let (_, opened) = copy(&folder).open_store().unwrap();
         expect_that!(opened.stored.entries.len(), eq(1));
         folder.0.lock().unwrap().room = None;
         expect_that!(store.write(&mut queue).ok(), some(eq(2)));
@@ -53,7 +54,7 @@
         folder.0.lock().unwrap().room = Some(room);
         let mut queue = write(2, vec![entry(2, 1, 100)]);
         expect_true!(matches!(store.write(&mut queue), Err(Failure::Full(_))));
-        let (_, opened) = folder.copy().open_store().unwrap();
+        let (_, opened) = copy(&folder).open_store().unwrap();
         expect_that!(opened.stored.entries.len(), eq(1));
         folder.0.lock().unwrap().room = None;
         expect_that!(store.write(&mut queue).ok(), some(eq(2)));
--- a/components/storage/tests/suite/main.rs
+++ b/components/storage/tests/suite/main.rs
@@ -4,4 +4,5 @@
 mod faults;
 mod memory;
 mod model;
+mod records;
 mod snapshots;
--- a/components/storage/tests/suite/memory.rs
+++ b/components/storage/tests/suite/memory.rs
@@ -1,12 +1,10 @@
-//! A folder in memory that fails on demand, and records to write.
+//! A folder in memory that fails on demand.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::io;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 
-use bytes::Bytes;
-use consensus::{Entry, Hard, Mark, Member, Membership, Meta, Payload, Record, Write};
 use storage::{File, Folder, Opened, Settings, Store};
 
 /// Files and the faults to come.
@@ -51,15 +49,6 @@
         self.0.lock().unwrap().files.keys().cloned().collect()
     }
 
-    /// Returns a copy that shares nothing.
-    pub(crate) fn copy(&self) -> Memory {
-        let files = self.0.lock().unwrap().files.clone();
-        Memory(Arc::new(Mutex::new(Inner {
-            files,
-            ..Inner::default()
-        })))
-    }
-
     fn gone(name: &str) -> io::Error {
         io::Error::new(io::ErrorKind::NotFound, name.to_owned())
     }
@@ -156,37 +145,3 @@
         self.folder.sync_one()
     }
 }
-
-pub(crate) fn entry(index: u64, term: u64, length: usize) -> Record {
-    Record::Entry(Entry {
-        index,
-        term,
-        payload: Payload::Command(Bytes::from(vec![index as u8 | 1; length])),
-    })
-}
-
-pub(crate) fn hard(term: u64) -> Record {
-    Record::Hard(Hard {
-        group: Some(9),
-        term,
-        vote: None,
-    })
-}
-
-pub(crate) fn write(sequence: u64, records: Vec<Record>) -> VecDeque<Write> {
-    VecDeque::from([Write {
-        sequence,
-        records,
-        chunk: None,
-    }])
-}
-
-pub(crate) fn meta(index: u64, term: u64) -> Meta {
-    Meta {
-        mark: Mark { index, term },
-        membership: Membership::of(vec![Member {
-            node: "a".into(),
-            disk: 1,
-        }]),
-    }
-}
--- a/components/storage/tests/suite/model.rs
+++ b/components/storage/tests/suite/model.rs
@@ -6,7 +6,8 @@
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use storage::Store;
 
-use crate::memory::{Memory, entry, hard, meta, write};
+use crate::memory::Memory;
+use crate::records::{entry, hard, meta, write};
 
 /// One step.
 #[derive(Clone, Debug)]
--- a/components/storage/tests/suite/snapshots.rs
+++ b/components/storage/tests/suite/snapshots.rs
@@ -5,7 +5,8 @@
 use consensus::{Chunk, Record, Write};
 use googletest::prelude::*;
 
-use crate::memory::{Memory, entry, hard, meta, write};
+use crate::memory::Memory;
+use crate::records::{copy, entry, hard, meta, write};
 
 /// Bytes of more than two blocks.
 const LONG_BYTES: usize = 600_000;
@@ -80,13 +81,13 @@
     store
         .write(&mut chunk(2, 50, 0, &data[..400_000], false))
         .unwrap();
-    let (_, crashed) = folder.copy().open_store().unwrap();
+    let (_, crashed) = copy(&folder).open_store().unwrap();
     expect_that!(crashed.stored.entries.len(), eq(2));
     expect_that!(crashed.stored.snapshot, none());
     store
         .write(&mut chunk(3, 50, 400_000, &data[400_000..], true))
         .unwrap();
-    let (_, crashed) = folder.copy().open_store().unwrap();
+    let (_, crashed) = copy(&folder).open_store().unwrap();
     expect_that!(crashed.stored.entries.len(), eq(0));
     expect_that!(crashed.stored.snapshot.unwrap().mark.index, eq(50));
     let records = vec![Record::Reset(meta(50, 1).mark), entry(51, 1, 10)];
