--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -1,5 +1,6 @@
 //! One control process: answers requests where it leads, and passes them on where it does not.
 
+mod allowance;
 mod duty;
 mod lead;
 mod settings;
@@ -7,6 +8,8 @@
 pub(crate) use duty::{lead, tell_versions};
 pub use settings::Settings;
 
+use allowance::Allowance;
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -32,6 +35,7 @@
     pub(crate) spread: Spread,
     pub(crate) metrics: Metrics,
     led: Mutex<Led>,
+    allowance: Mutex<Allowance>,
     pub(crate) stopped: watch::Sender<bool>,
 }
 
@@ -58,6 +62,7 @@
                 since: Instant::now(),
                 leases: Leases::new(settings.freshness_lease),
             }),
+            allowance: Mutex::default(),
             identity,
             replica,
             machine,
@@ -141,8 +146,10 @@
     }
 
     pub(crate) fn document(&self, query: Query, status: &Status) -> String {
+        let upstreams = self.spread.live();
         let led = self.led();
-        documents::document(query, &self.machine.read(), status, &led.leases).to_string()
+        let state = self.machine.read();
+        documents::document(query, &state, status, &led.leases, &upstreams).to_string()
     }
 
     /// Returns the last term that this process took over, and when.
@@ -162,6 +169,7 @@
         Body::Leave => "leave",
         Body::Claim(_) => "claim",
         Body::Settle(..) => "settle",
+        Body::Draw(_) => "draw",
         Body::Submit { .. } => "submit",
         Body::Query(_) => "query",
     }
