--- a/components/consensus/src/node/snapshot.rs
+++ b/components/consensus/src/node/snapshot.rs
@@ -79,11 +79,21 @@
         }
     }
 
-    /// Asks again for a part that was not answered.
+    /// Asks again for a part that was not answered: soon where the member answers heartbeats, as
+    /// the part is lost then.
     pub(super) fn retry_chunk(&mut self, member: &Member) {
-        let (now, patience) = (self.now, self.settings.election_timeout);
-        match self.progress_of(member).map(|progress| &progress.mode) {
-            Some(Mode::Snapshot { asked, .. }) if now >= *asked + patience => self.fetch(member),
+        const LOST_AFTER_HEARTBEATS: u32 = 2;
+        let (now, soon) = (self.now, self.settings.heartbeat * LOST_AFTER_HEARTBEATS);
+        let late = self.settings.election_timeout;
+        let Some(progress) = self.progress_of(member) else {
+            return;
+        };
+        let patience = match now < progress.heard + soon {
+            true => soon,
+            false => late,
+        };
+        match &progress.mode {
+            Mode::Snapshot { asked, .. } if now >= *asked + patience => self.fetch(member),
             _ => {}
         }
     }
