--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,159 @@
+//! Instances that control processes order from the cloud, and waves that take them back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use stand_ins::cloud::{self, Cloud, Launched, State, Template, Wave};
+use stand_ins::engine;
+use stand_ins::load::Report;
+use trials::text::{DATA_CENTRES, MODEL_SERVICE, PLAIN_SERVICE};
+use trials::upstreams::{chat, engine_settings, plain_settings, reachable, read};
+use trials::{Address, Crowd, Draw, Fleet, Settings, text, until};
+use upstream::Capacity;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_chervilloft");
+const SEED: u64 = 71;
+const STREAMS: u64 = 200;
+/// Lines of the text that set the count of engines.
+const FEWEST: &str = "min-instances = 1\nmax-instances = 40";
+const MANY: &str = "min-instances = 8\nmax-instances = 40";
+/// Requests that one engine runs at one time.
+const BATCH: u32 = 64;
+
+/// Starts a fleet whose control processes order from a cloud.
+///
+/// The cloud must know the entries, and the control processes the cloud: the cloud's port is
+/// chosen before both.
+async fn start() -> (Fleet, Cloud) {
+    let address = Address::next();
+    let listen = address.at(address.ports(1).unwrap()[0]);
+    let fleet = Fleet::start(Settings {
+        cloud: Some(listen),
+        text: text::small().replace(FEWEST, MANY),
+        ..Settings::new(BINARY)
+    })
+    .await
+    .expect("the fleet starts");
+    let templates = [
+        (
+            MODEL_SERVICE.into(),
+            Template::Engine(engine::Settings {
+                capacity: Capacity {
+                    batch: BATCH,
+                    ..Capacity::default()
+                },
+                ..engine_settings(&fleet, "", "")
+            }),
+        ),
+        (
+            PLAIN_SERVICE.into(),
+            Template::Plain(plain_settings(&fleet, "", "")),
+        ),
+    ];
+    let cloud = Cloud::start(cloud::Settings {
+        listen,
+        start_delay: Duration::from_millis(100),
+        templates: templates.into_iter().collect(),
+        ..cloud::Settings::default()
+    })
+    .await
+    .expect("the cloud starts");
+    reachable(&fleet, &read(1)).await;
+    reachable(&fleet, &chat(1, 2)).await;
+    until("eight engines", || async { engines(&cloud) >= 8 }).await;
+    (fleet, cloud)
+}
+
+fn running(cloud: &Cloud, centre: &str) -> usize {
+    let runs = |it: &cloud::Instance| it.state == State::Running && it.data_centre == centre;
+    cloud.instances().iter().filter(|it| runs(it)).count()
+}
+
+fn engines(cloud: &Cloud) -> usize {
+    let launched = cloud.all_launched();
+    let alive = launched.iter().filter(|(_, it)| !it.life().is_dead());
+    alive.filter_map(|(_, it)| it.engine()).count()
+}
+
+/// Returns the data centre with the most instances.
+fn largest(cloud: &Cloud) -> &'static str {
+    let largest = DATA_CENTRES.into_iter().max_by_key(|it| running(cloud, it));
+    largest.expect("there are data centres")
+}
+
+fn in_progress(cloud: &Cloud) -> usize {
+    let launched = cloud.all_launched();
+    let engines = launched.iter().filter_map(|(_, it)| it.engine());
+    engines.map(engine::Engine::in_progress).sum()
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn keeps_200_streams_when_a_wave_takes_a_data_centre_and_starts_are_refused() {
+    let (fleet, cloud) = start().await;
+    let mut draw = Draw::new(SEED);
+    let calls: Vec<_> = (0..STREAMS)
+        .map(|number| chat(SEED * 1_000 + number, draw.number(800..1_400) as usize))
+        .collect();
+    let crowd = Crowd::begin(&Arc::new(fleet.caller()), calls);
+    until("the streams at the engines", || async {
+        in_progress(&cloud) as u64 >= STREAMS * 9 / 10
+    })
+    .await;
+    let taken = cloud.wave(&Wave {
+        data_centre: Some(largest(&cloud).into()),
+        in_ms: 2_000,
+        refuse_ms: 20_000,
+        ..Wave::default()
+    });
+    expect_that!(taken, not(is_empty()));
+    let launched = cloud.all_launched();
+    let report: Report = crowd.report(&[], &[]).await;
+    let expected = format!(
+        "sent {STREAMS} whole {STREAMS} refused 0 unknown 0 lost 0 wrong 0 doubled 0 refused but run 0"
+    );
+    let engines: Vec<String> = launched
+        .iter()
+        .map(|(name, it)| match it.as_ref() {
+            Launched::Engine(engine) => format!("{name}: {} requests", engine.history().len()),
+            Launched::Plain(_) => format!("{name}: plain"),
+        })
+        .collect();
+    expect_that!(
+        report.counts(),
+        eq(&expected),
+        "{report}\n{engines:?}\n{}",
+        fleet.logs()
+    );
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn replaces_what_a_wave_took_once_starts_are_accepted_again() {
+    let (fleet, cloud) = start().await;
+    let wanted: usize = DATA_CENTRES.iter().map(|it| running(&cloud, it)).sum();
+    let taken = cloud.wave(&Wave {
+        data_centre: Some(largest(&cloud).into()),
+        in_ms: 500,
+        refuse_ms: 1_500,
+        ..Wave::default()
+    });
+    expect_that!(taken, not(is_empty()));
+    until("as many instances as before", || async {
+        let ended = cloud
+            .instances()
+            .iter()
+            .filter(|it| !it.state.is_live())
+            .count();
+        let now: usize = DATA_CENTRES.iter().map(|it| running(&cloud, it)).sum();
+        ended >= taken.len() && now >= wanted
+    })
+    .await;
+    let crowd = Crowd::begin(
+        &Arc::new(fleet.caller()),
+        (0..20).map(|n| chat(90_000 + n, 8)),
+    );
+    let report = crowd.report(&[], &[]).await;
+    expect_that!(report.whole, eq(20), "{report}\n{}", fleet.logs());
+}
--- a/trials/src/bench/memory.rs
+++ b/trials/src/bench/memory.rs
@@ -10,6 +10,8 @@
 
 /// Tokens of each stream: 40 s at 50 tokens a second.
 const TOKENS: usize = 2_000;
+/// Time between the beginnings of two streams, which leaves the listeners' queues short.
+const PACE: Duration = Duration::from_millis(3);
 const POLL: Duration = Duration::from_millis(10);
 /// Time for which streams run before the memory is read.
 const SETTLE: Duration = Duration::from_secs(3);
@@ -20,6 +22,7 @@
     let before = entry.resident_bytes()?;
     let mut readers = tokio::task::JoinSet::new();
     for number in 0..count {
+        tokio::time::sleep(PACE).await;
         let client = rig.through_entry();
         readers.spawn(async move {
             let mut body = client.stream(number, TOKENS).await?;
--- a/trials/src/operator.rs
+++ b/trials/src/operator.rs
@@ -99,12 +99,22 @@
     }
 
     async fn operator_with(&self, settings: &Path, arguments: &[&str]) -> io::Result<Said> {
+        let settings = settings.display().to_string();
+        let all = [arguments, &["--settings", &settings]].concat();
+        self.command(&all).await
+    }
+
+    /// Tells the story of a request from the log file `log`.
+    ///
+    /// # Errors
+    /// Fails when the command can't be started.
+    pub async fn explain(&self, request: &str, log: &str) -> io::Result<Said> {
+        self.command(&["explain", request, "--log", log]).await
+    }
+
+    async fn command(&self, arguments: &[&str]) -> io::Result<Said> {
         let mut command = std::process::Command::new(&self.settings().binary);
-        command
-            .args(arguments)
-            .arg("--settings")
-            .arg(settings)
-            .stdin(Stdio::null());
+        command.args(arguments).stdin(Stdio::null());
         let output = tokio::task::spawn_blocking(move || command.output())
             .await
             .map_err(io::Error::other)??;
