--- a/components/entry/tests/path/input.rs
+++ b/components/entry/tests/path/input.rs
@@ -96,6 +96,7 @@
         let answer = bench.post("/v1/completions", &[], &body);
         expect_eq!(answer.status, 413);
         expect_eq!(answer.outcome(), "not-run");
+        expect_eq!(answer.header("connection"), "close");
     }
 }
 
@@ -186,7 +187,8 @@
     let bench = Bench::start();
     expect_eq!(bench.get("/v2/models").status, 404);
     expect_eq!(bench.get("/").status, 404);
-    expect_eq!(bench.get("/v1/completions").status, 405);
+    let answer = bench.get("/v1/completions");
+    expect_eq!((answer.status, answer.outcome()), (405, "not-run"));
     let answer = bench.get("/services/nothing/x");
     expect_eq!(answer.status, 404);
     expect_that!(
--- a/components/limits/src/meter.rs
+++ b/components/limits/src/meter.rs
@@ -7,6 +7,9 @@
 
 use crate::{Bucket, Grant, Policy, Report};
 
+/// Longest wait that an entry is told, however low the limit.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
+
 /// Buckets of all accounts. It is not replicated: a new leader starts with full buckets.
 #[derive(Clone, Debug)]
 pub struct Meter {
@@ -60,6 +63,7 @@
 impl Account {
     /// Gives a batch, or an equal part of what is left when several entries ask for the last of it.
     fn grant(&mut self, wanted: f64, policy: Policy, now: Instant) -> Grant {
+        let wait = self.bucket.wait(wanted, now);
         let active = self.asked.len().max(1) as f64;
         let rate = self.bucket.rate();
         let batch = policy.batch_at(rate).max(wanted);
@@ -71,12 +75,12 @@
         };
         // Short of a whole batch, entries wait for their turn, so that what comes in is handed
         // out in parts rather than one by one.
-        let turn = Duration::try_from_secs_f64(active * wanted / rate).unwrap_or(Duration::MAX);
+        let turn = Duration::try_from_secs_f64(active * wanted / rate).unwrap_or(MAX_WAIT);
         Grant {
             units,
             lease: policy.lease,
             retry_after: match units < batch {
-                true => turn.max(policy.pause),
+                true => turn.max(wait).clamp(policy.pause, MAX_WAIT),
                 false => Duration::ZERO,
             },
             fallback_rate: rate / active,
