--- a/stand_ins/tests/load.rs
+++ b/stand_ins/tests/load.rs
@@ -3,9 +3,15 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use http::Method;
+use insta::assert_snapshot;
 use serde_json::json;
 use stand_ins::engine::{self, Engine};
-use stand_ins::load::{Call, Caller, Generate, Outcome, Plan, Settings, Target, run};
+use stand_ins::load::{
+    Attempt, Call, Caller, Ended, Generate, Outcome, Plan, Report, Settings, Submit, Target, Told,
+    run,
+};
+use stand_ins::plain::{self, Plain};
 use stand_ins::relay::{Mode, Relay, Scope};
 use stand_ins::{text, web};
 
@@ -132,6 +138,47 @@
     life.kill();
 }
 
+#[googletest::test]
+#[tokio::test]
+async fn can_count_doubled_bookings_and_false_refusals() {
+    let plain = Plain::start(plain::Settings::default()).await.unwrap();
+    let headers = [
+        ("idempotency-key", "k-1"),
+        ("chervilloft-request-id", "r-1"),
+    ];
+    let (address, limit) = (plain.address(), Duration::from_secs(5));
+    for _ in 0..2 {
+        let path = "/exposures";
+        let post = web::call_with_headers(address, Method::POST, path, &headers, "plate", limit);
+        post.await.unwrap();
+    }
+    let call = Call::Submit(Submit {
+        key: "k-1".to_owned(),
+        ..Submit::default()
+    });
+    let refused = Told {
+        outcome: Outcome::Refused,
+        attempts: vec![Attempt {
+            entry: address,
+            request: "r-1".to_owned(),
+            status: Some(503),
+            ended: Ended::Refused(1),
+        }],
+        first_token: None,
+        gaps: Vec::new(),
+        total: Duration::ZERO,
+        tokens: 0,
+    };
+    let mut report = Report::default();
+    report.add(&call, &refused, false);
+    report.check_ledgers(&[plain.ledger()]);
+    assert_snapshot!(
+        report.counts(),
+        @"sent 1 whole 0 refused 1 unknown 0 lost 0 wrong 0 doubled 1 refused but run 2"
+    );
+    expect_that!(report.is_clean(), eq(false));
+}
+
 #[googletest::test]
 #[tokio::test]
 async fn can_give_up_a_silent_connection_and_try_another() {
