--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use stand_ins::load::Outcome;
+use stand_ins::load::{self, Caller, Outcome};
 use stand_ins::relay::Mode;
 use trials::upstreams::{booking, chat};
 use trials::{Crowd, Settings, Signal, Trial, text, until};
@@ -113,6 +113,32 @@
     }
 }
 
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_as_not_run_at_an_entry_that_is_cut_off_in_silence() {
+    let trial = Trial::start(relayed()).await;
+    let mut crowd = Crowd::default();
+    trial.fleet.links.cut("entry-1");
+    trial.load(&mut crowd, 48, 20).await;
+    tokio::time::sleep(FROZEN).await;
+    let once = load::Settings {
+        attempts: 1,
+        ..trial.fleet.caller_settings()
+    };
+    let caller = Caller::new(once);
+    for number in 0..4 {
+        let told = caller.call_from(0, &booking(number)).await;
+        expect_that!(told.outcome, eq(&Outcome::Refused), "{told:?}");
+    }
+    trial.fleet.links.heal("entry-1");
+    trial.fleet.ready(0).await;
+    trial.load(&mut crowd, 148, 10).await;
+    let report = trial.check(crowd).await;
+    expect_that!(report.whole + report.unknown, eq(60), "{report}");
+    let keys = trial.plains[0].ledger().by_key();
+    expect_that!(keys.contains_key("booking-0"), eq(false));
+}
+
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn serves_over_links_that_are_reset_again_and_again() {
--- a/tests/reclaims.rs
+++ b/tests/reclaims.rs
@@ -172,6 +172,52 @@
     expect_all_whole(&report, &fleet);
 }
 
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn keeps_late_tokens_of_a_thawed_engine_out_of_every_answer() {
+    let fleet = Fleet::start(Settings {
+        entry_lines: "upstream-silence = \"1500ms\"".to_owned(),
+        ..Settings::standalone(BINARY)
+    })
+    .await
+    .unwrap();
+    let _jobs = plain(&fleet, "jobs-1", DATA_CENTRES[1]).await.unwrap();
+    let engines = engines(&fleet, 3, &DATA_CENTRES).await.unwrap();
+    reachable(&fleet, &chat(1, 2)).await;
+    for engine in &engines {
+        engine.switch(|switches| switches.stretch = 5.0);
+    }
+    let crowd = streams(&fleet, &engines, 24, 12).await;
+    for _ in 0..3 {
+        engines[0].life().freeze();
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        engines[0].life().thaw();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let report = crowd.report(&engines, &[]).await;
+    expect_all_whole(&report, &fleet);
+    expect_that!(report.moves, gt(0));
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn can_keep_every_stream_while_no_engine_is_left_for_a_while() {
+    let fleet = standalone().await;
+    let _jobs = plain(&fleet, "jobs-1", DATA_CENTRES[1]).await.unwrap();
+    let mut engines = engines(&fleet, 2, &DATA_CENTRES).await.unwrap();
+    reachable(&fleet, &chat(1, 2)).await;
+    let crowd = streams(&fleet, &engines, 25, 12).await;
+    for engine in &engines {
+        engine.reclaim(Duration::from_millis(600));
+    }
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let settings = engine_settings(&fleet, "replacement", DATA_CENTRES[2]);
+    engines.push(Engine::start(settings).await.unwrap());
+    let report = crowd.report(&engines, &[]).await;
+    expect_all_whole(&report, &fleet);
+    expect_that!(report.attempts, eq(12), "{report}");
+}
+
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn can_keep_streams_over_pooled_connections_that_went_silent() {
