--- /dev/null
+++ b/trials/src/bin/at_rest.rs
@@ -0,0 +1,54 @@
+//! Measures what entries and control processes cost while no caller asks for anything.
+
+use std::io;
+use std::time::Duration;
+
+use trials::text::DATA_CENTRES;
+use trials::upstreams::engines;
+use trials::{Fleet, Process, Settings};
+
+const UPSTREAMS: [usize; 4] = [0, 10, 100, 400];
+/// Time for announcements to spread before the measurement.
+const SETTLE: Duration = Duration::from_secs(8);
+/// Length of the measurement.
+const SPAN: Duration = Duration::from_secs(20);
+const BYTES_PER_MB: f64 = 1_048_576.0;
+
+/// Prints a table of processor time and memory by count of upstreams; the only argument is the
+/// `chervilloft` program.
+#[tokio::main]
+async fn main() -> io::Result<()> {
+    let missing = || io::Error::other("the path of the chervilloft program is missing");
+    let binary = std::env::args().nth(1).ok_or_else(missing)?;
+    println!("| upstreams | entry, % of a core | entry, MB | leader, % of a core | leader, MB |");
+    println!("| --- | --- | --- | --- | --- |");
+    for count in UPSTREAMS {
+        measure(&binary, count).await?;
+    }
+    Ok(())
+}
+
+async fn measure(binary: &str, count: usize) -> io::Result<()> {
+    let fleet = Fleet::start(Settings::new(binary)).await?;
+    let _engines = engines(&fleet, count, &DATA_CENTRES).await?;
+    tokio::time::sleep(SETTLE).await;
+    let leader = fleet.leader().await.unwrap_or_default();
+    let watched = [&fleet.entries[0], &fleet.controls[leader]];
+    let before = busy(watched)?;
+    tokio::time::sleep(SPAN).await;
+    let after = busy(watched)?;
+    print!("| {count} |");
+    for (index, process) in watched.into_iter().enumerate() {
+        let spent = (after[index] - before[index]).as_secs_f64();
+        let share = 100.0 * spent / SPAN.as_secs_f64();
+        let memory = process.resident_bytes()? as f64 / BYTES_PER_MB;
+        print!(" {share:.2} | {memory:.1} |");
+    }
+    println!();
+    Ok(())
+}
+
+fn busy(processes: [&Process; 2]) -> io::Result<[Duration; 2]> {
+    let [entry, leader] = processes;
+    Ok([entry.processor_time()?, leader.processor_time()?])
+}
