Keep a frozen engine from sending one last comment

The wait for a token or a comment had begun before the freeze, so a comment went out 1 s into it and put the entry's deadline off: the test of a thawed engine saw no move at 2.5 s of silence with a deadline of 1.5 s. The new test of the engine failed before and passes now. A fault of the entry was ruled out by the positions that the engine recorded during the freeze.

--- a/stand_ins/src/engine/stream.rs
+++ b/stand_ins/src/engine/stream.rs
@@ -120,10 +120,13 @@
         self.core.life.thawed().await;
         let keep_alive = tokio::time::sleep(self.core.settings.keep_alive);
         let output = tokio::select! {
-            output = self.output.recv() => output,
-            () = keep_alive => return Some((frame(COMMENT.to_owned()), self)),
+            output = self.output.recv() => Some(output),
+            () = keep_alive => None,
         };
         self.core.life.thawed().await;
+        let Some(output) = output else {
+            return Some((frame(COMMENT.to_owned()), self));
+        };
         let switches = lock(&self.core.switches).clone();
         self.fail(&switches).await;
         if reached(switches.close_after, self.written) {
--- a/stand_ins/tests/engine.rs
+++ b/stand_ins/tests/engine.rs
@@ -285,6 +285,28 @@
     expect_that!(answer.unwrap().status, eq(StatusCode::OK));
 }
 
+#[googletest::test]
+#[tokio::test]
+async fn sends_no_comment_while_it_is_frozen() {
+    use http_body_util::BodyExt;
+
+    let engine = engine().await;
+    let mut body = completion("dot gain", 20_000);
+    body["stream"] = json!(true);
+    let request = hyper::Request::post("/v1/completions")
+        .body(http_body_util::Full::from(body.to_string()))
+        .unwrap();
+    let answer = web::open(engine.address(), request).await.unwrap();
+    let mut events = answer.into_body();
+    expect_that!(events.frame().await.is_some(), eq(true));
+    engine.life().freeze();
+    let quiet = Duration::from_millis(300);
+    while tokio::time::timeout(quiet, events.frame()).await.is_ok() {}
+    let longer_than_a_comment = Duration::from_millis(1_500);
+    let late = tokio::time::timeout(longer_than_a_comment, events.frame()).await;
+    expect_that!(late.is_err(), eq(true));
+}
+
 #[googletest::test]
 #[tokio::test]
 async fn can_be_killed() {
