--- a/components/consensus/tests/suite/main.rs
+++ b/components/consensus/tests/suite/main.rs
@@ -6,7 +6,9 @@
 mod garbage;
 mod guards;
 mod hard_cases;
+mod leases;
 #[path = "../../../storage/tests/suite/memory.rs"]
 mod memory;
+mod repairs;
 mod server;
 mod world;
