Send a hedged call to the only upstream on another connection

Cause: a safe call was hedged only to an upstream not yet tried; with one upstream it waited on a connection that had gone silent until the service's timeout (504, outcome unknown, in the new test; 16.5 s for three reads in a process test with upstream-silence 1.5 s). Ruled out: the connect timeout and TCP_USER_TIMEOUT, as the bytes are confirmed by whatever lost the connection. After: 200 after half the latency target.

--- a/components/entry/src/plain/hedge.rs
+++ b/components/entry/src/plain/hedge.rs
@@ -88,14 +88,16 @@
     }
 }
 
-/// Chooses the second upstream of a hedged call, if the budget allows it.
+/// Chooses the second upstream of a hedged call, if the budget allows it. Where there is no other
+/// one, the call goes to the same upstream on another connection, since the first may be silent.
 fn second<C: Control>(
     session: &Session<C>,
     tried: &[CompactString],
     tries: &mut u32,
 ) -> Option<Choice> {
     *tries += 1;
-    let choice = session.choose(tried, *tries).ok()?;
+    let other = session.choose(tried, *tries);
+    let choice = other.or_else(|_| session.choose(&[], *tries)).ok()?;
     session.core.budget.spend().then_some(choice)
 }
 
--- a/components/entry/src/story.rs
+++ b/components/entry/src/story.rs
@@ -36,7 +36,7 @@
             service = %self.service,
             upstream = %choice.upstream,
             considered = choice.considered,
-            why = %choice.reason,
+            why = choice.reason.as_str(),
             expected_first_token_ms = choice.expected_first_token.as_millis() as u64,
             cached_tokens = choice.cached_tokens,
             attempt,
--- a/components/entry/tests/path/plain.rs
+++ b/components/entry/tests/path/plain.rs
@@ -129,3 +129,14 @@
     let answer = bench.post("/services/shop/exposures", &[], "plate");
     expect_eq!(answer.outcome(), "answered");
 }
+
+#[gtest]
+fn can_leave_a_silent_connection_of_the_only_upstream() {
+    let bench = Bench::start();
+    let shop = bench.upstream("shop-1", "shop");
+    shop.script([Act::SilentAfter(0)]);
+    let answer = bench.get("/services/shop/status");
+    expect_eq!(answer.status, 200, "{}", answer.body);
+    expect_eq!(answer.outcome(), "answered");
+    expect_eq!(shop.executions(), 2);
+}
