Ask for all ports of a trial's fleet at once

Cause: ports for control processes and for entries were asked for in two calls; the system gave one of the freed ports a second time, so that an entry listened where a control process was to (seen once: "Address already in use" in control-3.log, and a submission that waited for a third voter for ever). Ruled out: another fleet, since each has a loopback address of its own. All ports are now held until the last is known.

--- a/trials/src/bin/at_rest.rs
+++ b/trials/src/bin/at_rest.rs
@@ -7,37 +7,52 @@
 use trials::upstreams::engines;
 use trials::{Fleet, Process, Settings};
 
-const UPSTREAMS: [usize; 4] = [0, 10, 100, 400];
+/// Counts of entries and upstreams.
+const SIZES: [(usize, usize); 7] = [
+    (3, 0),
+    (3, 10),
+    (3, 100),
+    (3, 400),
+    (1, 10),
+    (10, 10),
+    (30, 10),
+];
 /// Time for announcements to spread before the measurement.
 const SETTLE: Duration = Duration::from_secs(8);
 /// Length of the measurement.
 const SPAN: Duration = Duration::from_secs(20);
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
-/// Prints a table of processor time and memory by count of upstreams; the only argument is the
+/// Prints a table of processor time and memory by counts of entries and upstreams; the only argument is the
 /// `chervilloft` program.
 #[tokio::main]
 async fn main() -> io::Result<()> {
     let missing = || io::Error::other("the path of the chervilloft program is missing");
     let binary = std::env::args().nth(1).ok_or_else(missing)?;
-    println!("| upstreams | entry, % of a core | entry, MB | leader, % of a core | leader, MB |");
-    println!("| --- | --- | --- | --- | --- |");
-    for count in UPSTREAMS {
-        measure(&binary, count).await?;
+    println!(
+        "| entries | upstreams | entry, % of a core | entry, MB | leader, % of a core | leader, MB |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for (entries, upstreams) in SIZES {
+        measure(&binary, entries, upstreams).await?;
     }
     Ok(())
 }
 
-async fn measure(binary: &str, count: usize) -> io::Result<()> {
-    let fleet = Fleet::start(Settings::new(binary)).await?;
-    let _engines = engines(&fleet, count, &DATA_CENTRES).await?;
+async fn measure(binary: &str, entries: usize, upstreams: usize) -> io::Result<()> {
+    let settings = Settings {
+        entries,
+        ..Settings::new(binary)
+    };
+    let fleet = Fleet::start(settings).await?;
+    let _engines = engines(&fleet, upstreams, &DATA_CENTRES).await?;
     tokio::time::sleep(SETTLE).await;
     let leader = fleet.leader().await.unwrap_or_default();
     let watched = [&fleet.entries[0], &fleet.controls[leader]];
     let before = busy(watched)?;
     tokio::time::sleep(SPAN).await;
     let after = busy(watched)?;
-    print!("| {count} |");
+    print!("| {entries} | {upstreams} |");
     for (index, process) in watched.into_iter().enumerate() {
         let spent = (after[index] - before[index]).as_secs_f64();
         let share = 100.0 * spent / SPAN.as_secs_f64();
--- a/trials/src/fleet.rs
+++ b/trials/src/fleet.rs
@@ -60,9 +60,10 @@
         fs::write(folder.path().join("keys.toml"), keys::file())?;
         fs::write(folder.path().join("text.toml"), &settings.text)?;
         let address = Address::next();
-        let control_ports = address.ports(settings.controls * 2)?;
-        let ports: Vec<[u16; 2]> = pairs(&control_ports);
-        let entry_ports = pairs(&address.ports(settings.entries * 2)?);
+        // Asked for in one go: a port that was freed could be given out a second time.
+        let free = address.ports((settings.controls + settings.entries) * 2)?;
+        let (control_ports, entry_ports) = free.split_at(settings.controls * 2);
+        let (ports, entry_ports) = (pairs(control_ports), pairs(entry_ports));
         let mut fleet = Fleet {
             controls: Vec::new(),
             entries: Vec::new(),
