Count cut hand-overs and forbidden steps, and show the text's version

Two promises had no counter: a planned stop that cuts an accepted request, and a lifecycle step that would make "not run" untrue. The version lets a monitor see a text that went back.

tests/mixes.rs named a closure that clippy refuses.

--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -53,6 +53,7 @@
     pub(crate) fn step(&mut self, event: Event) {
         let before = self.state.state();
         if !self.state.apply(event) {
+            self.metrics.lifecycle_errors.inc();
             debug_assert!(false, "{event:?} is not allowed in {before:?}");
             tracing::error!(request = %self.subject.request, "request: {event:?} in {before:?}");
         }
--- a/components/entry/src/handler.rs
+++ b/components/entry/src/handler.rs
@@ -90,11 +90,9 @@
         }
         Target::Health => Reply::whole(StatusCode::OK, "text/plain", "ok\n"),
         Target::Ready => ready(core),
-        Target::Metrics => Reply::whole(
-            StatusCode::OK,
-            "text/plain; version=0.0.4",
-            core.metrics.render(),
-        ),
+        Target::Metrics => {
+            Reply::whole(StatusCode::OK, "text/plain; version=0.0.4", measures(core))
+        }
         Target::Announce => announced(core, &head, body)
             .await
             .unwrap_or_else(|failure| Reply::failure(&failure)),
@@ -112,6 +110,13 @@
     }
 }
 
+fn measures<C: Control>(core: &Core<C>) -> Vec<u8> {
+    let view = core.control.view().load();
+    let version = view.config.as_ref().map_or(0, |config| config.version);
+    core.metrics.text_version(version);
+    core.metrics.render()
+}
+
 async fn announced<C: Control>(
     core: &Core<C>,
     head: &request::Parts,
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use config::ids::Version;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -28,6 +29,11 @@
     pub retries: IntCounter,
     /// Requests refused by a limit of their account.
     pub limited: IntCounter,
+    /// Accepted requests that a planned stop cut, as no other entry took them over.
+    pub handover_failures: IntCounter,
+    /// Steps that the lifecycle of a request does not allow.
+    pub lifecycle_errors: IntCounter,
+    text_version: IntGauge,
     first_token: Histogram,
 }
 
@@ -53,12 +59,18 @@
         );
         let in_progress = IntGauge::new("chervilloft_in_progress", "Requests in progress")
             .expect("the name is valid");
+        let text_version = IntGauge::new(
+            "chervilloft_text_version",
+            "Version of the operators' text held here, 0 before the first",
+        )
+        .expect("the name is valid");
         let first_token =
             HistogramOpts::new("chervilloft_first_token_seconds", "Time to the first token")
                 .buckets(FIRST_TOKEN_SECONDS.to_vec());
         let first_token = Histogram::with_opts(first_token).expect("the buckets are sorted");
         for collector in [
             Box::new(in_progress.clone()) as Box<dyn prometheus::core::Collector>,
+            Box::new(text_version.clone()),
             Box::new(first_token.clone()),
         ] {
             registry
@@ -73,6 +85,15 @@
             relayed_tokens: counter("chervilloft_relayed_tokens_total", "Tokens sent to callers"),
             retries: counter("chervilloft_retries_total", "Second dispatches"),
             limited: counter("chervilloft_limited_total", "Requests over a limit"),
+            handover_failures: counter(
+                "chervilloft_handover_failures_total",
+                "Accepted requests cut by a planned stop, as no other entry took them over",
+            ),
+            lifecycle_errors: counter(
+                "chervilloft_lifecycle_errors_total",
+                "Steps that the lifecycle of a request does not allow",
+            ),
+            text_version,
             first_token,
             registry,
         }
@@ -108,6 +129,12 @@
         self.first_token.observe(elapsed.as_secs_f64());
     }
 
+    /// Records the version of the operators' text that is held here.
+    pub(crate) fn text_version(&self, version: Version) {
+        self.text_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
     /// Returns all measures as text.
     pub(crate) fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/components/entry/src/model/relay.rs
+++ b/components/entry/src/model/relay.rs
@@ -277,7 +277,10 @@
     async fn hand_over(&self) -> Failure {
         let message = match self.core.keeper.keep(self.record()).await {
             true => "the entry stops; come back with the same key and last-event-id",
-            false => "the entry stops, and nobody took the request over",
+            false => {
+                self.core.metrics.handover_failures.inc();
+                "the entry stops, and nobody took the request over"
+            }
         };
         Failure::retry(Kind::Draining, message, RETRY)
     }
--- a/components/entry/tests/path/stop.rs
+++ b/components/entry/tests/path/stop.rs
@@ -102,3 +102,37 @@
         expected("ticket", records[0].tokens.len())
     );
 }
+
+#[gtest]
+fn can_count_a_request_that_nobody_takes_over() {
+    let mut settings = settings();
+    settings.entry.drain_timeout = Duration::from_millis(300);
+    let bench = Bench::start_with(settings, Standalone::new(text()));
+    let engine = bench.upstream("engine-1", "assistant");
+    let shop = bench.upstream("shop-1", "shop");
+    engine.pace(Duration::from_millis(20));
+    // Still runs after the stream has ended, so that the measures can be read meanwhile.
+    shop.script([Act::Whole(Duration::from_millis(1_500))]);
+    let address = bench.address;
+    let mut stream = Caller::connect(address);
+    let body = completion("ticket", 2_000, true);
+    stream.send("POST", "/v1/completions", &[], &body);
+    let mut booking = Caller::connect(address);
+    let headers = [("idempotency-key", "k1")];
+    booking.send("POST", "/services/shop/exposures", &headers, "plate");
+    eventually("both calls", || engine.open() > 0 && shop.executions() > 0);
+    let failures = "chervilloft_handover_failures_total";
+    expect_eq!(bench.measure(failures), 0.0);
+    expect_eq!(bench.measure("chervilloft_lifecycle_errors_total"), 0.0);
+    expect_eq!(bench.measure("chervilloft_text_version"), 1.0);
+    let stopping = thread::spawn(move || bench.entry.stop());
+    let answer = stream.receive();
+    expect_that!(
+        answer.body,
+        contains_substring("nobody took the request over")
+    );
+    let measures = call(address, "GET", "/metrics", &[], "").body;
+    expect_that!(measures, contains_substring(format!("{failures} 1\n")));
+    expect_eq!(booking.receive().outcome(), "answered");
+    stopping.join().unwrap();
+}
--- a/tests/mixes.rs
+++ b/tests/mixes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use stand_ins::engine::Engine;
 use stand_ins::load::{Mix, Plan, Target, run};
 use trials::text::{MODEL, PLAIN_SERVICE, SUBMIT_PATH};
 use trials::{Settings, Trial};
@@ -16,7 +17,7 @@
         let trial = Trial::start(Settings::new(BINARY)).await;
         let plan = Plan {
             caller: trial.fleet.caller_settings(),
-            engines: trial.engines[1..].iter().map(|it| it.address()).collect(),
+            engines: trial.engines[1..].iter().map(Engine::address).collect(),
             plain: vec![trial.plains[0].address()],
             mix,
             target: Target {
