--- a/tests/entries.rs
+++ b/tests/entries.rs
@@ -18,6 +18,8 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_chervilloft");
 const SEEDS: [u64; 2] = [51, 52];
 const STOP_LIMIT: Duration = Duration::from_secs(30);
+/// Time between the notice of a reclaim and its end.
+const NOTICE: Duration = Duration::from_secs(5);
 
 async fn start() -> Trial {
     Trial::start(Settings::new(BINARY)).await
@@ -60,6 +62,28 @@
     }
 }
 
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_the_retry_when_an_entry_and_the_leader_are_killed_together() {
+    for seed in [53, 54] {
+        let mut trial = start().await;
+        trial.plains[0].switch(|switches| switches.late_ms = 700);
+        let leader = trial.leader().await;
+        let mut draw = Draw::new(seed);
+        let calls = (0..12).map(|number| booking(seed * 100 + number));
+        let crowd = Crowd::begin(&caller(&trial), calls);
+        until("an execution", || async {
+            trial.plains[0].ledger().by_key().len() >= 6
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(draw.number(0..700))).await;
+        trial.fleet.controls[leader].kill().unwrap();
+        trial.fleet.entries[0].kill().unwrap();
+        let report = trial.check(crowd).await;
+        expect_that!(report.whole + report.unknown, eq(12), "{report}");
+    }
+}
+
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_the_retry_when_an_entry_is_killed_before_the_dispatch() {
@@ -169,3 +193,24 @@
     let report = trial.check(crowd).await;
     expect_that!(report.whole, eq(12), "{report}");
 }
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn hands_streams_over_before_the_notice_of_its_reclaim_ends() {
+    let mut trial = start().await;
+    for engine in &trial.engines {
+        engine.switch(|switches| switches.stretch = 4.0);
+    }
+    let calls = (0..12).map(|number| chat(6_000 + number, 3_000));
+    let mut crowd = Crowd::begin(&caller(&trial), calls);
+    running(&trial.engines, 12).await;
+    trial.fleet.entries[0].signal(Signal::Terminate).unwrap();
+    tokio::time::sleep(NOTICE).await;
+    trial.fleet.entries[0].kill().unwrap();
+    crowd.end().await;
+    let began_again = |told: &load::Told| told.attempts.iter().any(|it| it.ended == Ended::Restart);
+    let lost = crowd.told().iter().filter(|(_, told)| began_again(told));
+    expect_that!(lost.count(), eq(0));
+    let report = trial.check(crowd).await;
+    expect_that!(report.whole, eq(12), "{report}");
+}
--- a/tests/mixes.rs
+++ b/tests/mixes.rs
@@ -16,7 +16,10 @@
         let trial = Trial::start(Settings::new(BINARY)).await;
         let plan = Plan {
             caller: trial.fleet.caller_settings(),
-            engines: trial.engines[1..].iter().map(|it| it.address()).collect(),
+            engines: trial.engines[1..]
+                .iter()
+                .map(stand_ins::engine::Engine::address)
+                .collect(),
             plain: vec![trial.plains[0].address()],
             mix,
             target: Target {
--- a/tests/reclaims.rs
+++ b/tests/reclaims.rs
@@ -265,6 +265,32 @@
     expect_all_whole(&report, &fleet);
 }
 
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_bookings_once_when_their_service_is_reclaimed() {
+    for seed in SEEDS {
+        let fleet = standalone().await;
+        let mut draw = Draw::new(seed);
+        let first = plain(&fleet, "jobs-1", DATA_CENTRES[0]).await.unwrap();
+        let second = plain(&fleet, "jobs-2", DATA_CENTRES[1]).await.unwrap();
+        reachable(&fleet, &read(1)).await;
+        for jobs in [&first, &second] {
+            jobs.switch(|switches| switches.late_ms = 400);
+        }
+        let caller = Arc::new(fleet.caller());
+        let mut crowd = Crowd::default();
+        for number in 0..60 {
+            if number == 20 {
+                first.reclaim(Duration::from_millis(1_500));
+            }
+            crowd.add(&caller, booking(seed * 100 + number));
+            tokio::time::sleep(Duration::from_millis(draw.number(20..80))).await;
+        }
+        let report = crowd.report(&[], &[first, second]).await;
+        expect_all_whole(&report, &fleet);
+    }
+}
+
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_each_caller_with_its_own_answer_when_answers_are_late() {
--- a/trials/src/hole.rs
+++ b/trials/src/hole.rs
@@ -1,7 +1,7 @@
 //! An address at which connecting neither works nor fails.
 
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
@@ -15,8 +15,8 @@
 #[derive(Debug)]
 pub struct Hole {
     address: SocketAddr,
-    _listener: Socket,
-    _queued: Vec<TcpStream>,
+    listener: Socket,
+    queued: Vec<TcpStream>,
 }
 
 impl Hole {
@@ -33,8 +33,8 @@
         let queued = (0..FILL).map_while(|_| TcpStream::connect_timeout(&address, FILL_LIMIT).ok());
         Ok(Hole {
             address,
-            _queued: queued.collect(),
-            _listener: listener,
+            queued: queued.collect(),
+            listener,
         })
     }
 
@@ -42,4 +42,21 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Empties the queue, and returns the listener, at which connecting then works.
+    ///
+    /// # Errors
+    /// Fails when the listener does.
+    pub fn into_listener(self) -> io::Result<TcpListener> {
+        drop(self.queued);
+        self.listener.set_nonblocking(true)?;
+        loop {
+            match self.listener.accept() {
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(self.listener.into())
+    }
 }
