--- a/components/config/src/settings/entry.rs
+++ b/components/config/src/settings/entry.rs
@@ -11,8 +11,6 @@
 pub struct Entry {
     /// Port of the HTTP listener for callers and upstreams.
     pub port: u16,
-    /// Port of the WebSocket listener for other entries; 0 turns hand-over off.
-    pub peer_port: u16,
     /// Operators' text to serve without control processes, for trials on one machine.
     pub standalone_text: Option<PathBuf>,
     /// Largest request body, in bytes.
@@ -48,7 +46,6 @@
     fn default() -> Self {
         Entry {
             port: 8_080,
-            peer_port: 0,
             standalone_text: None,
             max_body_bytes: 4 * 1_024 * 1_024,
             head_timeout: Duration::from_secs(5),
--- a/trials/src/fleet.rs
+++ b/trials/src/fleet.rs
@@ -61,17 +61,14 @@
         fs::write(folder.path().join("text.toml"), &settings.text)?;
         let address = Address::next();
         // Asked for in one go: a port that was freed could be given out a second time.
-        let free = address.ports((settings.controls + settings.entries) * 2)?;
+        let free = address.ports(settings.controls * 2 + settings.entries)?;
         let (control_ports, entry_ports) = free.split_at(settings.controls * 2);
-        let (ports, entry_ports) = (pairs(control_ports), pairs(entry_ports));
+        let ports = pairs(control_ports);
         let mut fleet = Fleet {
             controls: Vec::new(),
             entries: Vec::new(),
             links: Links::default(),
-            entry_addresses: entry_ports
-                .iter()
-                .map(|[port, _]| address.at(*port))
-                .collect(),
+            entry_addresses: entry_ports.iter().map(|port| address.at(*port)).collect(),
             operators: ports.iter().map(|[_, port]| address.at(*port)).collect(),
             folder,
             settings,
@@ -94,12 +91,12 @@
             let process = fleet.launch("control", &name, &file)?;
             fleet.controls.push(process);
         }
-        for (index, ports) in entry_ports.iter().enumerate() {
+        for (index, port) in entry_ports.iter().enumerate() {
             let name = format!("entry-{}", index + 1);
             let known = fleet.peers_of(&name, &peers).await?;
             let file = fleet
                 .place(address, &known)
-                .entry(&name, centre(index), *ports);
+                .entry(&name, centre(index), *port);
             let process = fleet.launch("entry", &name, &file)?;
             fleet.entries.push(process);
         }
--- a/trials/src/settings.rs
+++ b/trials/src/settings.rs
@@ -88,14 +88,10 @@
     }
 
     /// Returns the settings file of entry process `node`.
-    pub(crate) fn entry(&self, node: &str, centre: &str, ports: [u16; 2]) -> String {
+    pub(crate) fn entry(&self, node: &str, centre: &str, port: u16) -> String {
         let mut file = self.head(node, centre);
-        let [port, peer] = ports;
         let lines = &self.settings.entry_lines;
-        let _ = write!(
-            file,
-            "[entry]\nport = {port}\npeer-port = {peer}\n{lines}\n"
-        );
+        let _ = write!(file, "[entry]\nport = {port}\n{lines}\n");
         if self.settings.controls == 0 {
             let text = self.folder.join("text.toml");
             let _ = writeln!(file, "standalone-text = \"{}\"", text.display());
