Let explain find an order by its fencing number

The help promised decisions by number, but no line of placement or orders had a field to find it by (exit 1). The lines of orders now carry order = NUMBER. Seen with the fleet of quickstart: explain prints the order with its reason and what came of it. quickstart ran again, all seven exit codes 0.

--- a/components/control/src/orders/giver.rs
+++ b/components/control/src/orders/giver.rs
@@ -57,7 +57,10 @@
         };
         if let Action::Drain { instance } = &order.action {
             // Recording it is all: every control process tells its entries.
-            info!("orders: {fence} drains \"{instance}\": {reason}");
+            info!(
+                order = fence,
+                "orders: {fence} drains \"{instance}\": {reason}"
+            );
             return Given::Taken(Value::Null);
         }
         let Some((peer, call)) = self.call(&order.action, fence) else {
@@ -65,8 +68,11 @@
         };
         let given = self.send(term, &call).await;
         match &given {
-            Given::Taken(_) => info!("orders: {fence} to {peer}: {reason}: taken"),
-            given => warn!("orders: {fence} to {peer}: {reason}: {given:?}"),
+            Given::Taken(_) => info!(order = fence, "orders: {fence} to {peer}: {reason}: taken"),
+            given => warn!(
+                order = fence,
+                "orders: {fence} to {peer}: {reason}: {given:?}"
+            ),
         }
         given
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -157,11 +157,13 @@
 
 fn explain() -> Command {
     Command::new("explain")
-        .about("Tells the story of a request or of a placement decision from log files")
+        .about(
+            "Tells the story of a request or of an order to an engine or the cloud from log files",
+        )
         .arg(
             Arg::new("id")
                 .value_name("ID")
-                .help("Value of a Chervilloft-Request-Id header, or the number of a decision")
+                .help("Value of a Chervilloft-Request-Id header, or the number of an order")
                 .required(true),
         )
         .arg(
