Freeze the engine that has the most streams

The test froze the first of three engines, on which the router had put none in one of four runs, and then missed the move that it counts. It freezes the busiest one; the checks are as they were.

--- a/tests/reclaims.rs
+++ b/tests/reclaims.rs
@@ -194,10 +194,12 @@
         engine.switch(|switches| switches.stretch = 3.0);
     }
     let crowd = streams(&fleet, &engines, 24, 12).await;
+    let busiest = engines.iter().max_by_key(|engine| engine.in_progress());
+    let busiest = busiest.expect("three engines run");
     for _ in 0..2 {
-        engines[0].life().freeze();
+        busiest.life().freeze();
         tokio::time::sleep(Duration::from_millis(2_500)).await;
-        engines[0].life().thaw();
+        busiest.life().thaw();
         tokio::time::sleep(Duration::from_millis(200)).await;
     }
     let report = crowd.report(&engines, &[]).await;
