Hand over before a reclaim's notice ends, and pass the answer on

Cause: an entry offered its streams to others only after drain-timeout, 22 s after SIGTERM with the default settings, longer than a reclaim's notice. Killed 5 s after SIGTERM, 4 of 12 streams began again from the start.

Weighed: a shorter drain-timeout by default (every planned stop would cut streams longer than that, and callers would have to come back), and a copy of each stream from its first token on (each token twice, for announced stops). Taken: offers come hand-over-after (1.5 s) after the balancer's lag; the stopping entry then follows the other's answer and passes it on to its caller until drain-timeout, so that an ordinary client sees one whole answer.

What it costs: a stream that outlasts 3.5 s of a stop computes its tokens again at its next engine.

--- a/components/config/src/settings/entry.rs
+++ b/components/config/src/settings/entry.rs
@@ -35,6 +35,9 @@
     /// Time for which the balancer may still send requests after readiness is gone.
     #[serde(with = "crate::duration")]
     pub balancer_lag: Duration,
+    /// Time after `balancer_lag` at which other entries go on with what is still in progress.
+    #[serde(with = "crate::duration")]
+    pub hand_over_after: Duration,
     /// Longest time for a planned stop before work is handed over.
     #[serde(with = "crate::duration")]
     pub drain_timeout: Duration,
@@ -55,6 +58,7 @@
             upstream_silence: Duration::from_secs(5),
             connect_timeout: Duration::from_secs(1),
             balancer_lag: Duration::from_secs(2),
+            hand_over_after: Duration::from_millis(1_500),
             drain_timeout: Duration::from_secs(20),
             threads: 0,
         }
--- a/components/entry/src/drain.rs
+++ b/components/entry/src/drain.rs
@@ -13,7 +13,9 @@
     Leaving,
     /// Refuses new requests as not run and finishes those in progress.
     Finishing,
-    /// Hands over what is still in progress.
+    /// Has other entries go on with what is in progress, and passes their answers on.
+    Offering,
+    /// Ends what is still in progress.
     HandingOver,
 }
 
@@ -37,6 +39,7 @@
             0 => Phase::Serving,
             1 => Phase::Leaving,
             2 => Phase::Finishing,
+            3 => Phase::Offering,
             _ => Phase::HandingOver,
         }
     }
--- a/components/entry/src/handler.rs
+++ b/components/entry/src/handler.rs
@@ -136,7 +136,10 @@
     body: RequestBody,
 ) -> Result<Reply, Failure> {
     if head.method != Method::POST {
-        let account = access::account(&head.headers, &core.keys)?;
+        let account = match handover::followed_account(&head.headers, &core.keys.fleet) {
+            Some(account) => account,
+            None => access::account(&head.headers, &core.keys)?,
+        };
         return handover::kept_here(core, &account, &head.method, &head.headers).await;
     }
     let limits = Limits {
--- a/components/entry/src/handover.rs
+++ b/components/entry/src/handover.rs
@@ -19,7 +19,7 @@
 pub use keeper::{Keeper, Keeping, Nobody};
 pub use record::Record;
 
-pub(crate) use ask::{find, kept_here};
+pub(crate) use ask::{find, follow_request, followed_account, kept_here};
 pub(crate) use offer::Peers;
 pub(crate) use presence::{Presence, run};
 pub(crate) use store::Store;
--- a/components/entry/src/handover/ask.rs
+++ b/components/entry/src/handover/ask.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use config::ids::AccountId;
+use config::keys::Secret;
 use fleet::Control;
 use futures_util::future::join_all;
 use http::{HeaderMap, Method, Response, StatusCode, header};
@@ -13,11 +15,12 @@
 use hyper::body::Incoming as Streamed;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
+use upstream::SIGNATURE_HEADER;
 
 use super::offer::ranked;
 use super::presence::{self, any_departed};
 use super::replay::Replay;
-use super::{PATH, fingerprint};
+use super::{PATH, Record, fingerprint};
 use crate::core::Core;
 use crate::failure::{Failure, Kind};
 use crate::incoming::Incoming;
@@ -31,6 +34,8 @@
 const CHANNEL_EVENTS: usize = 32;
 /// Header with the number of the caller's path and body.
 const FINGERPRINT: &str = "chervilloft-fingerprint";
+/// Header with the account for which another entry follows an answer.
+const ACCOUNT: &str = "chervilloft-account";
 /// Header with the caller's key.
 const KEY: &str = "idempotency-key";
 /// Header with the number of the last event that the caller has.
@@ -203,6 +208,39 @@
     let _ = sender.send(Bytes::new()).await;
 }
 
+/// Returns a request by which one entry follows an answer at another, proven by the fleet's secret.
+pub(crate) fn follow_request(
+    keeper: SocketAddr,
+    secret: &Secret,
+    record: &Record,
+) -> Option<Request<Full<Bytes>>> {
+    let proof = secret.sign(&follow_text(&record.account, record.key()));
+    Request::builder()
+        .method(Method::GET)
+        .uri(format!("http://{keeper}{PATH}"))
+        .header(ACCOUNT, record.account.as_str())
+        .header(SIGNATURE_HEADER, proof)
+        .header(KEY, record.key())
+        .header(AFTER, record.emitted)
+        .header(FINGERPRINT, record.fingerprint)
+        .body(Full::new(Bytes::new()))
+        .ok()
+}
+
+/// Returns the account for which another entry follows an answer, if it proves to be one.
+pub(crate) fn followed_account(headers: &HeaderMap, secret: &Secret) -> Option<AccountId> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let (account, key) = (text(ACCOUNT)?, text(KEY)?);
+    let proof = text(SIGNATURE_HEADER)?;
+    secret
+        .verifies(&follow_text(account, key), proof)
+        .then(|| account.into())
+}
+
+fn follow_text(account: &str, key: &str) -> Vec<u8> {
+    format!("follow {account} {key}").into_bytes()
+}
+
 fn after(headers: &HeaderMap) -> Result<usize, Failure> {
     match headers.get(AFTER).map(http::HeaderValue::to_str) {
         None | Some(Ok("")) => Ok(0),
--- a/components/entry/src/handover/keeper.rs
+++ b/components/entry/src/handover/keeper.rs
@@ -1,16 +1,17 @@
 //! The edge to the entry that goes on with a request.
 
 use std::future::ready;
+use std::net::SocketAddr;
 use std::pin::Pin;
 
 use super::Record;
 
-/// Becomes true once the request is taken over.
-pub type Keeping = Pin<Box<dyn Future<Output = bool> + Send>>;
+/// Becomes the address of the entry that took the request over, if one did.
+pub type Keeping = Pin<Box<dyn Future<Output = Option<SocketAddr>> + Send>>;
 
 /// Finds an entry that goes on with a request.
 pub trait Keeper: Send + Sync + 'static {
-    /// Has a request taken over, and reports whether it was.
+    /// Has a request taken over.
     fn keep(&self, record: Record) -> Keeping;
 }
 
@@ -25,6 +26,6 @@
             tokens = record.tokens.len(),
             "request: nobody takes it over"
         );
-        Box::pin(ready(false))
+        Box::pin(ready(None))
     }
 }
--- a/components/entry/src/handover/offer.rs
+++ b/components/entry/src/handover/offer.rs
@@ -48,7 +48,7 @@
 }
 
 impl Peers {
-    async fn offer(&self, record: &Record) -> bool {
+    async fn offer(&self, record: &Record) -> Option<SocketAddr> {
         let view = self.view.load_full();
         let ranked = ranked(
             &view.routes,
@@ -70,7 +70,7 @@
             {
                 Ok(Ok(())) => {
                     tracing::info!(request = %record.request, to = %peer, tokens = record.tokens.len(), "request: handed over");
-                    return true;
+                    return Some(route.announcement.address);
                 }
                 Ok(Err(error)) => {
                     tracing::warn!(request = %record.request, to = %peer, "request: not handed over: {error}");
@@ -81,7 +81,7 @@
             }
         }
         tracing::warn!(request = %record.request, "request: nobody takes it over");
-        false
+        None
     }
 
     async fn offer_to(&self, address: SocketAddr, record: &Record) -> Result<()> {
--- a/components/entry/src/model.rs
+++ b/components/entry/src/model.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod call;
+mod follow;
 mod list;
 mod park;
 mod plan;
--- a/components/entry/src/model/relay.rs
+++ b/components/entry/src/model/relay.rs
@@ -1,5 +1,6 @@
 //! One answer from one or several upstreams, given to the caller without gap or repetition.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -53,6 +54,9 @@
     pub(super) emitted: usize,
     last_sent: Instant,
     version: Version,
+    /// Entry that goes on with the answer.
+    keeper: Option<SocketAddr>,
+    offered: bool,
     pub(super) origin: Origin,
 }
 
@@ -103,6 +107,8 @@
             emitted: 0,
             last_sent: now,
             version: start.config.version,
+            keeper: None,
+            offered: false,
             origin: start.origin,
         }
     }
@@ -117,7 +123,10 @@
         match self.go_through_attempts().await {
             Ok(None) => self.finish().await,
             Ok(Some(reply)) => self.sink.answer(&mut self.exchange, reply, "answered"),
-            Err(failure) => self.sink.fail(&mut self.exchange, &failure).await,
+            Err(failure) => match self.keeper.take() {
+                Some(keeper) => self.follow(keeper, &failure).await,
+                None => self.sink.fail(&mut self.exchange, &failure).await,
+            },
         }
     }
 
@@ -260,9 +269,7 @@
             );
             return Err(Failure::retry(Kind::Timeout, message, RETRY));
         }
-        if self.core.drain.phase() == Phase::HandingOver {
-            return Err(self.hand_over().await);
-        }
+        self.hand_over().await?;
         let keep_alive = self.core.settings.entry.keep_alive;
         if self.sink.streams() && now - self.last_sent >= keep_alive {
             self.sink.open(&self.exchange.subject.request);
@@ -274,15 +281,25 @@
         Ok(())
     }
 
-    async fn hand_over(&self) -> Failure {
-        let message = match self.core.keeper.keep(self.record()).await {
-            true => "the entry stops; come back with the same key and last-event-id",
-            false => {
+    /// Has another entry go on with the answer once this one offers or ends what is left.
+    async fn hand_over(&mut self) -> Result<(), Failure> {
+        let phase = self.core.drain.phase();
+        if phase < Phase::Offering {
+            return Ok(());
+        }
+        if !self.offered {
+            self.offered = true;
+            self.keeper = self.core.keeper.keep(self.record()).await;
+        }
+        let message = match self.keeper {
+            Some(_) => "the entry stops; come back with the same key and last-event-id",
+            None if phase < Phase::HandingOver => return Ok(()),
+            None => {
                 self.core.metrics.handover_failures.inc();
                 "the entry stops, and nobody took the request over"
             }
         };
-        Failure::retry(Kind::Draining, message, RETRY)
+        Err(Failure::retry(Kind::Draining, message, RETRY))
     }
 
     pub(super) fn record(&self) -> Record {
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -209,10 +209,22 @@
         std::thread::sleep(entry.balancer_lag);
         core.drain.advance(Phase::Finishing);
         tracing::info!(in_progress = core.drain.in_progress(), "entry: finishes");
-        if !finished(core, entry.drain_timeout) {
+        let before_offers = entry.hand_over_after.min(entry.drain_timeout);
+        if !finished(core, before_offers) {
+            core.drain.advance(Phase::Offering);
+            core.announce_change();
+            tracing::info!(
+                in_progress = core.drain.in_progress(),
+                "entry: offers what is left"
+            );
+        }
+        if !finished(core, entry.drain_timeout - before_offers) {
             core.drain.advance(Phase::HandingOver);
             core.announce_change();
-            tracing::warn!(in_progress = core.drain.in_progress(), "entry: hands over");
+            tracing::warn!(
+                in_progress = core.drain.in_progress(),
+                "entry: ends what is left"
+            );
             finished(core, HAND_OVER_TIME);
         }
         (self.server)();
--- a/components/entry/tests/path/handover.rs
+++ b/components/entry/tests/path/handover.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use config::settings::Settings;
 use entry::handover::ENTRIES;
 use fleet::claim::{Claim, Settlement, Verdict};
 use fleet::{Control, Standalone, View};
@@ -53,9 +54,14 @@
 
 impl Trio {
     fn start() -> Trio {
+        Trio::start_with(of("one"))
+    }
+
+    /// Starts with other settings of the first entry.
+    fn start_with(first: Settings) -> Trio {
         let control = Shared(Arc::new(Standalone::new(text())));
-        let entries: Vec<_> = ["one", "two", "three"]
-            .map(|node| start(node, &control))
+        let entries: Vec<_> = [first, of("two"), of("three")]
+            .map(|settings| Bench::start_with(settings, control.clone()))
             .into();
         let view = control.view().clone();
         eventually("all entries", || {
@@ -86,13 +92,13 @@
     }
 }
 
-fn start(node: &str, control: &Shared) -> Bench<Shared> {
+fn of(node: &str) -> Settings {
     let mut settings = settings();
     settings.node = node.into();
     settings.data_centre = node.into();
     settings.entry.balancer_lag = Duration::from_millis(50);
     settings.entry.drain_timeout = Duration::from_millis(300);
-    Bench::start_with(settings, control.clone())
+    settings
 }
 
 #[gtest]
@@ -183,3 +189,29 @@
     );
     expect_eq!(bench.get("/v1/kept").status, 404);
 }
+
+#[gtest]
+fn can_pass_an_answer_on_that_another_entry_finishes() {
+    let mut settings = of("one");
+    settings.entry.hand_over_after = Duration::from_millis(100);
+    settings.entry.drain_timeout = Duration::from_secs(20);
+    for stream in [true, false] {
+        let mut trio = Trio::start_with(settings.clone());
+        let answer = trio.interrupt(&[], stream);
+        expect_eq!(answer.status, 200, "{}", answer.body);
+        expect_eq!(answer.outcome(), "answered");
+        match stream {
+            true => {
+                expect_true!(answer.is_done() && answer.whole);
+                expect_eq!(answer.events().0, (1..=TOKENS + 1).collect::<Vec<_>>());
+                expect_eq!(answer.events().1, expected("ticket", TOKENS));
+            }
+            false => expect_eq!(
+                answer.json()["choices"][0]["text"].as_str(),
+                Some(expected("ticket", TOKENS).as_str())
+            ),
+        }
+        // The first entry's own call, and that of the entry that went on.
+        expect_eq!(trio.engine.seen(PATH).len(), 2);
+    }
+}
--- a/components/entry/tests/path/stop.rs
+++ b/components/entry/tests/path/stop.rs
@@ -62,7 +62,9 @@
 impl Keeper for Memory {
     fn keep(&self, record: Record) -> Keeping {
         self.0.lock().unwrap().push(record);
-        Box::pin(std::future::ready(true))
+        // Nobody listens there, so that the caller must come back.
+        let unreachable = "127.0.0.1:1".parse().unwrap();
+        Box::pin(std::future::ready(Some(unreachable)))
     }
 }
 
