--- a/components/config/src/check.rs
+++ b/components/config/src/check.rs
@@ -22,6 +22,19 @@
     finish(text, findings)
 }
 
+/// Reads and checks the operators' text in TOML; it is the [`crate::text::Reader`] of our own
+/// language.
+///
+/// # Errors
+/// Returns all findings, one to a line.
+pub fn read(source: &str) -> Result<Text, String> {
+    let (text, findings) = text("text", source);
+    text.ok_or_else(|| {
+        let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+        lines.join("\n")
+    })
+}
+
 /// Reads and checks the settings of a process in `source`, as [`text`] does.
 pub fn settings(file: &str, source: &str) -> (Option<Settings>, Vec<Diagnostic>) {
     let document = match Document::parse(file, source) {
--- a/components/config/src/check/settings.rs
+++ b/components/config/src/check/settings.rs
@@ -57,10 +57,10 @@
         );
     }
     finder.error_if(
-        settings.control_peers.is_empty() && settings.entry.standalone_text.is_none(),
+        settings.controls().is_empty() && settings.entry.standalone_text.is_none(),
         &["control-peers"],
         "no control process is listed".into(),
-        "add [[control-peers]] with node, address and operators",
+        "add [[control-peers]] with node, address and operators, or seeds",
     );
 }
 
--- a/components/config/src/check/text.rs
+++ b/components/config/src/check/text.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod data_centres;
 mod dependencies;
+mod ingress;
 mod services;
 
 use super::finder::Finder;
@@ -17,6 +18,7 @@
     services::check(&mut finder, text);
     dependencies::check(&mut finder, text);
     accounts::check(&mut finder, text);
+    ingress::check(&mut finder, text);
     capacity::check(&mut finder, text);
     finder.into_findings()
 }
--- /dev/null
+++ b/components/config/src/check/text/ingress.rs
@@ -0,0 +1,17 @@
+//! Checks of routes by host and path.
+
+use crate::Text;
+use crate::check::finder::Finder;
+
+const HELP: &str = "give each route a place of its own, known services with a weight, a timeout, \
+                    and each account keys of its own";
+
+pub(super) fn check(finder: &mut Finder<'_, '_>, text: &Text) {
+    for fault in text.ingress.faults(&text.services, &text.accounts) {
+        let at = fault.route().map(|route| route.to_string());
+        match &at {
+            Some(at) => finder.error_if(true, &["ingress", "routes", at], fault.to_string(), HELP),
+            None => finder.error_if(true, &["accounts"], fault.to_string(), HELP),
+        }
+    }
+}
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -5,14 +5,15 @@
 mod log;
 mod peer;
 
-pub use control::Control;
-pub use entry::Entry;
+pub use control::{Control, Usage};
+pub use entry::{Entry, Retries};
 pub use log::{Format, Log};
 pub use peer::Peer;
 
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 
+use compact_str::format_compact;
 use serde::Deserialize;
 
 use crate::ids::{DataCentreId, NodeId};
@@ -33,6 +34,13 @@
     pub keys_file: PathBuf,
     /// Control processes of the fleet, which may include this one.
     pub control_peers: Vec<Peer>,
+    /// Listeners of some control processes, in place of `control-peers` where the others are
+    /// learnt from these. Control processes are then named by their IP numbers.
+    pub seeds: Vec<SocketAddr>,
+    /// Language of callers, upstreams, operators and the cloud.
+    pub interface: Interface,
+    /// Address of the HTTP listener for metrics; none where another listener serves them.
+    pub metrics: Option<SocketAddr>,
     /// Settings of `chervilloft entry`.
     pub entry: Entry,
     /// Settings of `chervilloft control`.
@@ -50,6 +58,9 @@
             data_folder: PathBuf::from("data"),
             keys_file: PathBuf::from("keys.toml"),
             control_peers: Vec::new(),
+            seeds: Vec::new(),
+            interface: Interface::default(),
+            metrics: None,
             entry: Entry::default(),
             control: Control::default(),
             log: Log::default(),
@@ -57,7 +68,31 @@
     }
 }
 
+/// Language of callers, upstreams, operators and the cloud.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Interface {
+    /// The languages of `docs/PROTOCOLS.md`.
+    #[default]
+    Own,
+    /// Those of the users' platform.
+    Platform,
+}
+
 impl Settings {
+    /// Returns the control processes that this process knows from its settings.
+    pub fn controls(&self) -> Vec<Peer> {
+        let seed = |seed: &SocketAddr| Peer {
+            node: format_compact!("{}", seed.ip()),
+            address: SocketAddr::new(seed.ip(), self.control.peer_port),
+            operators: *seed,
+        };
+        match self.seeds.is_empty() {
+            true => self.control_peers.clone(),
+            false => self.seeds.iter().map(seed).collect(),
+        }
+    }
+
     /// Parses settings.
     ///
     /// # Errors
--- a/components/config/src/settings/control.rs
+++ b/components/config/src/settings/control.rs
@@ -11,6 +11,15 @@
 pub struct Control {
     /// Port of the WebSocket listener for the system's own processes.
     pub peer_port: u16,
+    /// Whole address of the listener for upstreams and operators of another interface than our own.
+    pub listen: Option<SocketAddr>,
+    /// Whether this process may found the group; it joins one otherwise.
+    pub founds: bool,
+    /// Time for which an announcement of an upstream holds that names none.
+    #[serde(with = "crate::duration")]
+    pub announcement_lease: Duration,
+    /// Usage reports to the cloud.
+    pub usage: Usage,
     /// Port of the HTTP listener for operators, metrics and health.
     pub operators_port: u16,
     /// Whether this process joins as a spare that votes only after a repair.
@@ -39,6 +48,10 @@
         Control {
             peer_port: 7_100,
             operators_port: 7_200,
+            listen: None,
+            founds: true,
+            announcement_lease: Duration::from_secs(6),
+            usage: Usage::default(),
             spare: false,
             heartbeat: Duration::from_millis(150),
             election_timeout: Duration::from_millis(750),
@@ -49,3 +62,28 @@
         }
     }
 }
+
+/// Reports of the requests that ran in each window of the wall clock.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Usage {
+    /// Length of a window; no reports where it is 0.
+    #[serde(with = "crate::duration")]
+    pub window: Duration,
+    /// Time after the end of a window within which its report is due.
+    #[serde(with = "crate::duration")]
+    pub due: Duration,
+    /// Time for which a holder of the duty may not alternate with another.
+    #[serde(with = "crate::duration")]
+    pub lease: Duration,
+}
+
+impl Default for Usage {
+    fn default() -> Self {
+        Usage {
+            window: Duration::ZERO,
+            due: Duration::from_secs(10),
+            lease: Duration::from_secs(3),
+        }
+    }
+}
--- a/components/config/src/settings/entry.rs
+++ b/components/config/src/settings/entry.rs
@@ -1,5 +1,6 @@
 //! Settings of `chervilloft entry`.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -11,6 +12,12 @@
 pub struct Entry {
     /// Port of the HTTP listener for callers and upstreams.
     pub port: u16,
+    /// Whole address of the listener for callers on routes by host and path.
+    pub listen: Option<SocketAddr>,
+    /// Address at which the balancer asks whether this entry takes new connections.
+    pub ready: Option<SocketAddr>,
+    /// Bounds on repeated requests.
+    pub retries: Retries,
     /// Operators' text to serve without control processes, for trials on one machine.
     pub standalone_text: Option<PathBuf>,
     /// Largest request body, in bytes.
@@ -49,6 +56,9 @@
     fn default() -> Self {
         Entry {
             port: 8_080,
+            listen: None,
+            ready: None,
+            retries: Retries::default(),
             standalone_text: None,
             max_body_bytes: 4 * 1_024 * 1_024,
             head_timeout: Duration::from_secs(5),
@@ -64,3 +74,26 @@
         }
     }
 }
+
+/// Bounds on requests that are sent to an upstream again, for each service and over all entries.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Retries {
+    /// Repeats relative to requests.
+    pub ratio: f64,
+    /// Time over which both are counted.
+    #[serde(with = "crate::duration")]
+    pub window: Duration,
+    /// Repeats that are allowed beyond the ratio.
+    pub slack: f64,
+}
+
+impl Default for Retries {
+    fn default() -> Self {
+        Retries {
+            ratio: 0.2,
+            window: Duration::from_secs(10),
+            slack: 50.0,
+        }
+    }
+}
--- a/components/config/src/text.rs
+++ b/components/config/src/text.rs
@@ -3,17 +3,23 @@
 mod account;
 mod class;
 mod data_centre;
+mod engine;
+pub mod ingress;
 mod latency;
 mod objective;
 mod priority;
+mod scaling;
 mod service;
 
 pub use account::Account;
 pub use class::Class;
 pub use data_centre::{Cost, DataCentre};
+pub use engine::Engine;
+pub use ingress::Ingress;
 pub use latency::Latency;
 pub use objective::Objective;
 pub use priority::Priority;
+pub use scaling::Scaling;
 pub use service::{Fencing, Kind, Model, Route, Service};
 
 use indexmap::IndexMap;
@@ -39,8 +45,16 @@
     pub services: IndexMap<ServiceId, Service>,
     /// Client accounts by name.
     pub accounts: IndexMap<AccountId, Account>,
+    /// Routes by host and path, for callers who don't name the service.
+    #[serde(default)]
+    pub ingress: Ingress,
 }
 
+/// Reads the operators' text in the language that the operators use.
+///
+/// The error says what is wrong, and where.
+pub type Reader = fn(&str) -> Result<Text, String>;
+
 impl Text {
     /// Parses a text without the checks that go across its parts.
     ///
--- a/components/config/src/text/account.rs
+++ b/components/config/src/text/account.rs
@@ -1,5 +1,6 @@
 //! Client accounts.
 
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 use super::Priority;
@@ -18,6 +19,14 @@
     pub weight: f64,
     /// Priority of requests that name none.
     pub priority: Priority,
+    /// Bearer keys, where they are part of the text and not of the keys file.
+    pub keys: Vec<CompactString>,
+    /// Rank of requests on routes by host and path, before that of the route; 0 comes first.
+    pub rank: Option<u8>,
+    /// Tokens that may be used at once beyond the steady rate; none for one second's worth.
+    pub token_burst: Option<f64>,
+    /// Tokens that a request counts as which states none.
+    pub tokens_per_request: u32,
 }
 
 impl Default for Account {
@@ -28,6 +37,10 @@
             max_in_progress: 100,
             weight: 1.0,
             priority: Priority::Normal,
+            keys: Vec::new(),
+            rank: None,
+            token_burst: None,
+            tokens_per_request: 200,
         }
     }
 }
--- /dev/null
+++ b/components/config/src/text/ingress/limits.rs
@@ -0,0 +1,32 @@
+//! Bounds on what callers send.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Sizes and times beyond which a caller's request or connection is refused.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Limits {
+    /// Largest request head, in bytes.
+    pub head_bytes: usize,
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a request head.
+    #[serde(with = "crate::duration")]
+    pub head_timeout: Duration,
+    /// Longest time that a connection stays open between two requests.
+    #[serde(with = "crate::duration")]
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            head_bytes: 16 * 1_024,
+            body_bytes: 4 * 1_024 * 1_024,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
--- a/components/config/src/text/service.rs
+++ b/components/config/src/text/service.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use super::Priority;
+use super::{Engine, Priority, Scaling};
 use crate::ids::{ModelId, ServiceId};
 
 /// A service and what it depends on.
@@ -47,6 +47,37 @@
     /// Expected requests per second at the peak, for placement and forecast.
     #[serde(default = "five")]
     pub expected_requests_per_second: f64,
+    /// Connections that each upstream accepts from all callers together.
+    #[serde(default)]
+    pub max_connections: Option<u32>,
+    /// What its engines have in common, for a model service with routes by host and path.
+    #[serde(default)]
+    pub engine: Option<Engine>,
+    /// How its instances are ordered, where that is done by count.
+    #[serde(default)]
+    pub scaling: Option<Scaling>,
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Service {
+            kind: Kind::default(),
+            depends_on: Vec::new(),
+            models: Vec::new(),
+            fencing: Fencing::default(),
+            idempotent_methods: idempotent_methods(),
+            routes: Vec::new(),
+            timeout: answer_timeout(),
+            priority: Priority::default(),
+            min_instances: one(),
+            max_instances: hundred(),
+            requests_per_second_per_instance: five(),
+            expected_requests_per_second: five(),
+            max_connections: None,
+            engine: None,
+            scaling: None,
+        }
+    }
 }
 
 impl Service {
--- a/components/control/examples/group/fleet_of.rs
+++ b/components/control/examples/group/fleet_of.rs
@@ -34,6 +34,7 @@
             .collect();
         let peer = |(n, sockets): (usize, &Sockets)| {
             let (address, operators) = sockets.addresses().expect("the sockets have addresses");
+            let operators = operators.expect("it listens for operators");
             Peer {
                 node: format!("control-{n}").into(),
                 address,
--- a/components/control/src/documents.rs
+++ b/components/control/src/documents.rs
@@ -24,7 +24,7 @@
     upstreams: &[Announcement],
 ) -> Value {
     match query {
-        Query::Text => text(state),
+        Query::Text | Query::Source => text(state),
         Query::Status => fleet(state, status, leases, upstreams),
         Query::Unknowns => json!({ "unknowns": state.claims().unknowns().collect::<Vec<_>>() }),
         Query::Ledger => ledger(state),
--- /dev/null
+++ b/components/control/src/duties.rs
@@ -0,0 +1,95 @@
+//! Duties towards the cloud that one process has at a time.
+//!
+//! The leader takes them over in the replicated log, which gives it a fencing number. It begins
+//! once no call of an earlier holder can be under way, and stops with its lease. What it sends
+//! is committed before, so that a later holder sends the same.
+
+mod usage;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use state::{Change, Command, Output};
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use crate::Node;
+use crate::orders::{Call, exchange};
+use crate::outside::{Order, Speaker};
+use crate::replica::Replica;
+
+/// Time between two rounds.
+const ROUND: Duration = Duration::from_millis(500);
+/// Time beyond the lease of a holder after which its calls count as ended.
+const MARGIN: Duration = Duration::from_millis(500);
+
+/// The duties of one process.
+struct Duties<R> {
+    node: Arc<Node<R>>,
+    speaker: Arc<dyn Speaker>,
+    cloud: SocketAddr,
+    /// Term in which the duties were taken over, with the number that this gave.
+    held: Option<(u64, Order)>,
+}
+
+/// Carries out the duties while this process leads, if a cloud is set.
+pub(crate) async fn run<R>(node: Arc<Node<R>>, speaker: Arc<dyn Speaker>)
+where
+    R: Replica<Command = Command, Output = Output>,
+{
+    let Some(cloud) = node.settings.cloud else {
+        return;
+    };
+    let mut duties = Duties {
+        node,
+        speaker,
+        cloud,
+        held: None,
+    };
+    while !*duties.node.stopped.borrow() {
+        sleep(ROUND).await;
+        if let Some((term, order)) = duties.hold().await {
+            duties.report_usage(term, &order).await;
+        }
+    }
+}
+
+impl<R: Replica<Command = Command, Output = Output>> Duties<R> {
+    /// Returns the term and the order under which calls may be made now.
+    async fn hold(&mut self) -> Option<(u64, Order)> {
+        let term = self.node.order_term()?;
+        let (_, since) = self.node.led_since()?;
+        if since.elapsed() < self.node.settings.usage.lease + MARGIN {
+            return None;
+        }
+        match &self.held {
+            Some((held, order)) if *held == term => return Some((term, order.clone())),
+            _ => {}
+        }
+        let holder = self.node.settings.node.clone();
+        let take = Change::Take {
+            holder: holder.clone(),
+        };
+        match self.node.commit(take).await {
+            Ok(Output::Fence(fence)) => {
+                info!(
+                    order = fence,
+                    "duties: taken over in term {term}, number {fence}"
+                );
+                self.held = Some((term, Order { holder, fence }));
+            }
+            Ok(output) => warn!("duties: not taken over, the log answered {output:?}"),
+            Err(failure) => warn!("duties: not taken over: {failure:?}"),
+        }
+        self.held.clone()
+    }
+
+    /// Makes a call unless the lead was lost; returns the status of the answer.
+    async fn call(&self, term: u64, call: &Call) -> errors::Result<u16> {
+        let node = self.node.clone();
+        let may_write = move || node.leads() && node.replica.status().term == term;
+        let (status, _) = exchange(call, may_write).await?;
+        Ok(status.as_u16())
+    }
+}
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -1,6 +1,8 @@
 //! One control process: answers requests where it leads, and passes them on where it does not.
 
 mod allowance;
+pub(crate) mod board;
+mod current;
 mod duty;
 mod lead;
 mod settings;
@@ -9,6 +11,8 @@
 pub use settings::Settings;
 
 use allowance::Allowance;
+use board::Board;
+use current::Current;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
@@ -36,6 +40,8 @@
     pub(crate) metrics: Metrics,
     led: Mutex<Led>,
     allowance: Mutex<Allowance>,
+    board: Mutex<Board>,
+    current: Mutex<Current>,
     pub(crate) stopped: watch::Sender<bool>,
 }
 
@@ -63,6 +69,8 @@
                 leases: Leases::new(settings.freshness_lease),
             }),
             allowance: Mutex::default(),
+            board: Mutex::default(),
+            current: Mutex::default(),
             identity,
             replica,
             machine,
@@ -84,6 +92,20 @@
         &self.machine
     }
 
+    /// Returns a request of this process's own, or of an operator who asked it.
+    pub(crate) fn own(&self, body: Body) -> Request {
+        Request {
+            node: self.settings.node.clone(),
+            incarnation: self.settings.incarnation,
+            forwarded: false,
+            body,
+        }
+    }
+
+    pub(crate) fn board(&self) -> MutexGuard<'_, Board> {
+        self.board.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Answers a request, here or through the leader.
     ///
     /// # Errors
@@ -171,6 +193,8 @@
         Body::Settle(..) => "settle",
         Body::Draw(_) => "draw",
         Body::Submit { .. } => "submit",
+        Body::Replace { .. } => "replace",
+        Body::Report(_) => "report",
         Body::Query(_) => "query",
     }
 }
--- a/components/control/src/node/allowance.rs
+++ b/components/control/src/node/allowance.rs
@@ -15,7 +15,18 @@
 #[derive(Debug, Default)]
 pub(super) struct Allowance {
     accounts: Accounts,
-    text: Option<(Version, Arc<Text>)>,
+    version: Version,
+}
+
+impl Allowance {
+    /// Forgets the accounts that a newer text does not name.
+    fn keep(&mut self, version: Version, text: Arc<Text>) -> Arc<Text> {
+        if self.version != version {
+            self.accounts.retain(&text);
+            self.version = version;
+        }
+        text
+    }
 }
 
 impl<R: Replica<Command = Command, Output = Output>> Node<R> {
@@ -25,7 +36,9 @@
             .allowance
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let text = self.newest_text(&mut allowance);
+        let text = self
+            .text()
+            .map(|(version, text)| allowance.keep(version, text));
         let now = Instant::now();
         let grant = |draw: &Draw| match &text {
             Some(text) => allowance.accounts.draw(entry, draw, text, now),
@@ -33,20 +46,4 @@
         };
         draws.iter().map(grant).collect()
     }
-
-    /// Returns the newest text, which is parsed once for each version.
-    fn newest_text(&self, allowance: &mut Allowance) -> Option<Arc<Text>> {
-        let state = self.machine.read();
-        let newest = state.texts().newest();
-        match &allowance.text {
-            Some((version, text)) if *version == newest => Some(text.clone()),
-            _ => {
-                let source = &state.texts().revision(newest)?.source;
-                let text = Arc::new(Text::parse(source).ok()?);
-                allowance.accounts.retain(&text);
-                allowance.text = Some((newest, text.clone()));
-                Some(text)
-            }
-        }
-    }
 }
--- /dev/null
+++ b/components/control/src/node/board.rs
@@ -0,0 +1,142 @@
+//! What the leader knows of the work of all entries. Pure: time comes in with each call.
+//!
+//! Nothing of it is replicated: each entry reports totals, so that a new leader knows everything
+//! after one round of reports.
+
+use std::time::{Duration, Instant};
+
+use config::Text;
+use config::ids::{AccountId, Incarnation, NodeId, UpstreamId};
+use indexmap::IndexMap;
+use limits::Balance;
+use state::usage::{Counts, Window};
+use wire::{Overview, Report, Work};
+
+/// Time after the last report for which an entry's work counts.
+const KEPT: Duration = Duration::from_secs(2);
+/// Time after which a silent entry is forgotten, with what it spent.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+/// Windows whose counts are kept.
+const WINDOWS: usize = 16;
+
+/// One process of an entry.
+type Process = (NodeId, Incarnation);
+
+/// The work of all entries.
+#[derive(Debug, Default)]
+pub(crate) struct Board {
+    entries: IndexMap<Process, Seen>,
+    balances: IndexMap<AccountId, Balance>,
+    begun: IndexMap<Window, IndexMap<Process, Counts>>,
+}
+
+#[derive(Debug)]
+struct Seen {
+    at: Instant,
+    spent: IndexMap<AccountId, u64>,
+    held: Vec<(UpstreamId, Work)>,
+}
+
+impl Board {
+    /// Takes in a report and returns what all entries report, under the limits of `text`.
+    pub(crate) fn report(
+        &mut self,
+        process: Process,
+        report: Report,
+        text: Option<&Text>,
+        now: Instant,
+    ) -> Overview {
+        self.entries
+            .retain(|_, seen| now.saturating_duration_since(seen.at) < FORGOTTEN);
+        self.count(&process, report.begun);
+        self.spend(&process, &report.spent, text, now);
+        let seen = Seen {
+            at: now,
+            spent: report.spent.into_iter().collect(),
+            held: report.held,
+        };
+        self.entries.insert(process, seen);
+        Overview {
+            now_ms: 0,
+            entries: u32::try_from(self.live(now).count()).unwrap_or(u32::MAX),
+            balances: self.balances(text, now),
+            held: self.held(now),
+        }
+    }
+
+    /// Returns the requests that ran in a window, as far as entries told.
+    pub(crate) fn counts(&self, window: Window) -> Counts {
+        let mut counts = Counts::new();
+        let processes = self.begun.get(&window).into_iter().flatten();
+        for (account, count) in processes.flat_map(|(_, counts)| counts) {
+            *counts.entry(account.clone()).or_default() += count;
+        }
+        counts
+    }
+
+    fn count(&mut self, process: &Process, begun: Vec<(Window, AccountId, u64)>) {
+        for (window, account, count) in begun {
+            let processes = self.begun.entry(window).or_default();
+            let counts = processes.entry(process.clone()).or_default();
+            let known = counts.entry(account).or_default();
+            *known = count.max(*known);
+        }
+        self.begun.sort_unstable_keys();
+        while self.begun.len() > WINDOWS {
+            self.begun.shift_remove_index(0);
+        }
+    }
+
+    fn spend(
+        &mut self,
+        process: &Process,
+        spent: &[(AccountId, u64)],
+        text: Option<&Text>,
+        now: Instant,
+    ) {
+        let Some(text) = text else {
+            return;
+        };
+        let before = self.entries.get(process);
+        for (account, total) in spent {
+            // What a process spent before this leader heard of it is not known to be recent.
+            let known = before.map(|seen| seen.spent.get(account).copied().unwrap_or(0));
+            let used = total.saturating_sub(known.unwrap_or(*total));
+            if let Some(limit) = text.accounts.get(account).and_then(limits::tokens) {
+                let fresh = || Balance::full(limit, now);
+                let balance = self.balances.entry(account.clone()).or_insert_with(fresh);
+                balance.set(limit, now);
+                balance.spend(used as f64, now);
+            }
+        }
+    }
+
+    fn balances(&mut self, text: Option<&Text>, now: Instant) -> Vec<(AccountId, i64)> {
+        let accounts = text.into_iter().flat_map(|text| &text.accounts);
+        let mut told = Vec::new();
+        for (name, account) in accounts {
+            if let Some(limit) = limits::tokens(account) {
+                let fresh = || Balance::full(limit, now);
+                let balance = self.balances.entry(name.clone()).or_insert_with(fresh);
+                balance.set(limit, now);
+                told.push((name.clone(), balance.available(now) as i64));
+            }
+        }
+        told
+    }
+
+    fn live(&self, now: Instant) -> impl Iterator<Item = &Seen> {
+        let seen = self.entries.values();
+        seen.filter(move |seen| now.saturating_duration_since(seen.at) < KEPT)
+    }
+
+    fn held(&self, now: Instant) -> Vec<(UpstreamId, Work)> {
+        let mut sums: IndexMap<UpstreamId, Work> = IndexMap::new();
+        for (upstream, work) in self.live(now).flat_map(|seen| &seen.held) {
+            let sum = sums.entry(upstream.clone()).or_default();
+            sum.requests += work.requests;
+            sum.prefill_tokens += work.prefill_tokens;
+        }
+        sums.into_iter().collect()
+    }
+}
--- a/components/control/src/node/lead.rs
+++ b/components/control/src/node/lead.rs
@@ -4,11 +4,11 @@
 
 use config::ids::{Incarnation, NodeId, Version};
 use state::claims::millis;
-use state::text::{Outcome, Submission};
+use state::text::{Outcome, Replacement, Submission};
 use state::{Change, Command, Output, State};
 use tokio::time::sleep;
 use tracing::info;
-use wire::{Answer, Body, Failure, Fresh, Request, Submitted};
+use wire::{Answer, Body, Failure, Fresh, Overview, Query, Request, Submitted};
 
 use super::Node;
 use crate::leases::MARGIN;
@@ -60,6 +60,31 @@
                 self.submit(submission, Duration::from_millis(wait_ms))
                     .await
             }
+            Body::Replace {
+                replacement,
+                wait_ms,
+            } => {
+                self.replace(replacement, Duration::from_millis(wait_ms))
+                    .await
+            }
+            Body::Report(report) => {
+                let text = self.text().map(|(_, text)| text);
+                let process = (node, incarnation);
+                let overview =
+                    self.board()
+                        .report(process, report, text.as_deref(), Instant::now());
+                Ok(Answer::Overview(Overview {
+                    now_ms: clock::true_ms(),
+                    ..overview
+                }))
+            }
+            Body::Query(Query::Source) => {
+                self.barrier().await?;
+                let state = self.machine.read();
+                let newest = state.texts().revision(state.texts().newest());
+                let source = newest.map(|revision| revision.source.clone());
+                Ok(Answer::Document(source.unwrap_or_default()))
+            }
             Body::Query(query) => {
                 self.barrier().await?;
                 let status = self.replica.status();
@@ -153,11 +178,7 @@
 
     async fn submit(&self, submission: Submission, wait: Duration) -> Result<Answer, Failure> {
         let base = submission.base;
-        let (_, findings) = config::check::text("text", &submission.source);
-        if config::diagnostic::has_errors(&findings) {
-            let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
-            return Err(Failure::Refused(lines.join("\n").into()));
-        }
+        self.check(&submission.source)?;
         let id = submission.id.clone();
         let outcome = match self.commit(Change::Submit(submission)).await? {
             Output::Submitted(outcome) => outcome,
@@ -174,6 +195,28 @@
         Ok(Answer::Submitted(self.submitted(outcome, base, missing)))
     }
 
+    /// Refuses a text that can't be put in force.
+    fn check(&self, source: &str) -> Result<(), Failure> {
+        let read = (self.settings.reader)(source);
+        read.map(|_| ())
+            .map_err(|what| Failure::Refused(what.into()))
+    }
+
+    async fn replace(&self, replacement: Replacement, wait: Duration) -> Result<Answer, Failure> {
+        self.check(&replacement.source)?;
+        let base = replacement.version;
+        let outcome = match self.commit(Change::Replace(replacement)).await? {
+            Output::Submitted(outcome) => outcome,
+            output => return Err(unexpected(&output)),
+        };
+        if let Outcome::Accepted { version } = outcome {
+            self.peers.announce_version(version);
+            // It is committed: that an entry is late, or the lead lost, changes nothing of that.
+            let _ = self.in_force(version, wait).await;
+        }
+        Ok(Answer::Submitted(self.submitted(outcome, base, Vec::new())))
+    }
+
     /// Waits until no entry can serve under a version older than `version`, and returns those
     /// that still can when the wait is over.
     async fn in_force(&self, version: Version, wait: Duration) -> Result<Vec<NodeId>, Failure> {
--- a/components/control/src/node/settings.rs
+++ b/components/control/src/node/settings.rs
@@ -5,7 +5,8 @@
 
 use config::ids::{Incarnation, NodeId};
 use config::keys::Secret;
-use config::settings::Peer;
+use config::settings::{Peer, Usage};
+use config::text::Reader;
 
 /// What a control process needs to know.
 #[derive(Clone, Debug)]
@@ -16,6 +17,12 @@
     pub incarnation: Incarnation,
     /// Control processes, which may include this one.
     pub peers: Vec<Peer>,
+    /// Port for peers of all control processes, where these are named by their IP numbers.
+    pub peer_port: Option<u16>,
+    /// Reader of the operators' text.
+    pub reader: Reader,
+    /// Reports of usage to the cloud.
+    pub usage: Usage,
     /// Secret of the fleet.
     pub secret: Secret,
     /// Times and sizes of the connections.
@@ -37,6 +44,9 @@
             node: NodeId::default(),
             incarnation: 0,
             peers: Vec::new(),
+            peer_port: None,
+            reader: config::check::read,
+            usage: control.usage,
             secret: Secret::default(),
             link: link::Settings::default(),
             freshness_lease: control.freshness_lease,
--- a/components/control/src/operators/routes.rs
+++ b/components/control/src/operators/routes.rs
@@ -187,6 +187,10 @@
                 "difference": submitted.difference,
             }),
         ),
+        Outcome::Superseded { newest } => {
+            let what = format!("version {newest} is in force");
+            error(StatusCode::CONFLICT, "superseded", &what)
+        }
         Outcome::Reused => {
             let what = "the submission id was used with another base or text";
             error(StatusCode::UNPROCESSABLE_ENTITY, "reused_id", what)
--- a/components/control/src/orders/exchange.rs
+++ b/components/control/src/orders/exchange.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use errors::{Error, Peer, Result, Step};
-use http::{Method, Request, StatusCode};
+use http::{HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -28,6 +28,8 @@
     pub method: Method,
     /// Its path.
     pub path: String,
+    /// Headers beside those that describe the body.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
     /// Its body, in JSON.
     pub body: Option<Value>,
     /// Longest time from connecting to the whole answer, and for which the kernel keeps bytes
@@ -75,13 +77,14 @@
     let peer = || Peer::Address(call.address);
     let wrap = |step| move |error: hyper::Error| Error::Other(step, peer(), Box::new(error));
     let body = call.body.as_ref().map(Value::to_string).unwrap_or_default();
-    let request = Request::builder()
+    let mut request = Request::builder()
         .method(&call.method)
         .uri(&call.path)
         .header("host", call.address.to_string())
         .header("content-type", "application/json")
         .body(Full::new(Bytes::from(body)))
         .map_err(|error| Error::Other(Step::Encode, peer(), Box::new(error)))?;
+    request.headers_mut().extend(call.headers.iter().cloned());
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(wrap(Step::Send))?;
--- a/components/control/src/orders/giver.rs
+++ b/components/control/src/orders/giver.rs
@@ -144,6 +144,7 @@
         address,
         method,
         path,
+        headers: Vec::new(),
         body,
         limit: FLIGHT,
     }
--- a/components/control/src/orders/placing.rs
+++ b/components/control/src/orders/placing.rs
@@ -48,7 +48,7 @@
 
 /// What one round reads.
 struct Seen {
-    text: Text,
+    text: Arc<Text>,
     instances: Vec<Instance>,
     prices: IndexMap<Slot, f64>,
     announced: IndexMap<InstanceId, Announcement>,
@@ -99,7 +99,7 @@
     }
 
     async fn see(&mut self) -> Result<Option<Seen>> {
-        let Some(text) = self.text() else {
+        let Some((_, text)) = self.node.text() else {
             return Ok(None);
         };
         let instances: Instances = self.read("/v1/instances".to_owned()).await?;
@@ -123,13 +123,6 @@
         }))
     }
 
-    fn text(&self) -> Option<Text> {
-        let state = self.node.machine.read();
-        let texts = state.texts();
-        let revision = texts.revision(texts.newest())?;
-        Text::parse(&revision.source).ok()
-    }
-
     async fn read<T: DeserializeOwned>(&self, path: String) -> Result<T> {
         let answer = self.node.fetch(self.cloud, path).await?;
         serde_json::from_value(answer).map_err(|error| {
--- /dev/null
+++ b/components/control/src/outside/server.rs
@@ -0,0 +1,130 @@
+//! Serves the listener.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use errors::Result;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use state::text::Outcome;
+use state::{Command, Output};
+use tracing::{info, warn};
+use wire::{Answer, Body, Failure, Query};
+
+use super::{Inquiry, Reply, Speaker};
+use crate::Node;
+use crate::replica::Replica;
+
+/// Longest time for a request body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait for a text to be in force at all entries before it is acknowledged; it is durable
+/// before that.
+const IN_FORCE_WAIT: Duration = Duration::from_millis(300);
+
+/// Serves `address` on the current runtime.
+///
+/// # Errors
+/// Fails when the address can't be listened on.
+pub(crate) fn start<R>(
+    node: Arc<Node<R>>,
+    speaker: Arc<dyn Speaker>,
+    address: SocketAddr,
+) -> Result<web::Server>
+where
+    R: Replica<Command = Command, Output = Output>,
+{
+    let listener = web::listen(address)?;
+    let serve = move |request, _| serve(node.clone(), speaker.clone(), request);
+    Ok(web::Server::start(
+        listener,
+        web::Settings::default(),
+        serve,
+    ))
+}
+
+async fn serve<R>(
+    node: Arc<Node<R>>,
+    speaker: Arc<dyn Speaker>,
+    request: Request<Incoming>,
+) -> Response<web::Body>
+where
+    R: Replica<Command = Command, Output = Output>,
+{
+    let (head, body) = request.into_parts();
+    let body = match web::collect(body, speaker.max_body_bytes(), BODY_TIMEOUT).await {
+        web::Collected::Whole(body) => body,
+        web::Collected::TooLarge => return plain(StatusCode::PAYLOAD_TOO_LARGE),
+        web::Collected::Cut(_) | web::Collected::Slow => return plain(StatusCode::BAD_REQUEST),
+    };
+    let request = Request::from_parts(head, body);
+    let answer = match speaker.decode(&request) {
+        Ok(inquiry) => speaker.encode(node.answer(inquiry).await),
+        Err(unreadable) => {
+            let (method, path) = (request.method(), request.uri().path());
+            warn!("control: refused {method} {path}: {}", unreadable.what);
+            unreadable.answer
+        }
+    };
+    answer.map(web::full)
+}
+
+fn plain(status: StatusCode) -> Response<web::Body> {
+    let mut answer = Response::new(web::full(Bytes::new()));
+    *answer.status_mut() = status;
+    answer
+}
+
+impl<R: Replica<Command = Command, Output = Output>> Node<R> {
+    async fn answer(&self, inquiry: Inquiry) -> Reply {
+        match inquiry {
+            Inquiry::Announce(announcement) => {
+                self.announced(*announcement);
+                Reply::Noted
+            }
+            Inquiry::Leave {
+                upstream,
+                incarnation,
+            } => {
+                self.left(&upstream, incarnation);
+                Reply::Noted
+            }
+            Inquiry::Replace(replacement) => {
+                let version = replacement.version;
+                let body = Body::Replace {
+                    replacement,
+                    wait_ms: state::claims::millis(IN_FORCE_WAIT),
+                };
+                let reply = replaced(self.handle(self.own(body)).await);
+                info!(version, "control: text {version} submitted: {reply:?}");
+                reply
+            }
+            Inquiry::Read => match self.handle(self.own(Body::Query(Query::Source))).await {
+                Ok(Answer::Document(source)) if source.is_empty() => Reply::NoText,
+                Ok(Answer::Document(source)) => Reply::Text(source),
+                answer => unavailable(answer),
+            },
+        }
+    }
+}
+
+fn replaced(answer: std::result::Result<Answer, Failure>) -> Reply {
+    match answer {
+        Ok(Answer::Submitted(submitted)) => match submitted.outcome {
+            Outcome::Accepted { version } => Reply::Replaced { newest: version },
+            Outcome::Superseded { newest } => Reply::Replaced { newest },
+            outcome => Reply::Invalid(format!("the text was not taken: {outcome:?}")),
+        },
+        Err(Failure::Refused(what)) => Reply::Invalid(what.into()),
+        answer => unavailable(answer),
+    }
+}
+
+fn unavailable(answer: std::result::Result<Answer, Failure>) -> Reply {
+    match answer {
+        Err(Failure::NoLeader) => Reply::Unavailable("no leader is known".to_owned()),
+        Err(Failure::Uncertain(what) | Failure::Refused(what)) => Reply::Unavailable(what.into()),
+        Ok(_) => Reply::Unavailable("the answer is of another kind".to_owned()),
+    }
+}
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -1,5 +1,6 @@
 //! Connections with entries and with the other control processes.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -20,6 +21,8 @@
 use crate::Node;
 use crate::replica::Replica;
 
+/// Time between two looks at who is in the group.
+const LOOK: Duration = Duration::from_millis(250);
 /// Wait before a connection is opened again.
 const REDIAL: Duration = Duration::from_millis(200);
 /// Longest wait for the leader's answer.
@@ -50,6 +53,33 @@
         self.accepted.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns a connection to each control process that is reached.
+    pub(crate) fn controls(&self) -> Vec<Connection> {
+        let mut links = self.dialed().clone();
+        for connection in self.accepted().values() {
+            let hello = connection.hello();
+            if hello.role == Role::Control && connection.is_open() {
+                links
+                    .entry(hello.node.clone())
+                    .or_insert(connection.clone());
+            }
+        }
+        links.into_values().collect()
+    }
+
+    /// Returns a connection to a control process, whichever end opened it.
+    fn link(&self, node: &NodeId) -> Option<Connection> {
+        let dialed = self.dialed().get(node).filter(|c| c.is_open()).cloned();
+        let accepted = || {
+            let accepted = self.accepted();
+            let mut open = accepted.values().filter(|c| c.is_open());
+            let is_it =
+                |c: &&Connection| c.hello().role == Role::Control && c.hello().node == *node;
+            open.find(is_it).cloned()
+        };
+        dialed.or_else(accepted)
+    }
+
     /// Tells all connected entries that a newer version is committed.
     pub(crate) fn announce_version(&self, version: Version) {
         self.tell_entries(&Push::Newest(version));
@@ -66,7 +96,7 @@
 
     /// Sends a message of the replicated log; without a connection it is lost.
     pub(crate) fn send_log(&self, from: &NodeId, message: &Message) {
-        let link = self.dialed().get(&message.to).cloned();
+        let link = self.link(&message.to);
         let mut bytes = Vec::new();
         match (link, ciborium::into_writer(message, &mut bytes)) {
             (Some(link), Ok(())) => link.push(Push::Log {
@@ -84,12 +114,14 @@
         leader: &NodeId,
         request: Request,
     ) -> Result<Answer, Failure> {
-        let link = self.dialed().get(leader).cloned();
+        let link = self.link(leader);
         let Some(link) = link else {
             return Err(Failure::NoLeader);
         };
         let limit = match request.body {
-            Body::Submit { wait_ms, .. } => Duration::from_millis(wait_ms) + SUBMIT_SLACK,
+            Body::Submit { wait_ms, .. } | Body::Replace { wait_ms, .. } => {
+                Duration::from_millis(wait_ms) + SUBMIT_SLACK
+            }
             _ => FORWARD_TIMEOUT,
         };
         let request = Request {
@@ -174,6 +206,7 @@
     if connection.hello().role == Role::Entry {
         let draining = crate::node::draining(&node.machine.read());
         connection.push(Push::Draining(draining));
+        connection.push(Push::Group(node.group()));
     }
     serve(&node, &connection, messages).await;
     node.peers.accepted().swap_remove(&number);
@@ -181,13 +214,66 @@
     info!("control: \"{name}\" is no longer connected");
 }
 
-/// Keeps a connection to another control process open until this one stops.
+/// Opens connections to control processes that join, where they are named by their IP numbers, and
+/// tells entries who is in the group.
+pub(crate) async fn follow_group<R>(node: Arc<Node<R>>)
+where
+    R: Replica<Command = Command, Output = Output>,
+{
+    let mut told = Vec::new();
+    while !*node.stopped.borrow() {
+        sleep(LOOK).await;
+        let group = node.group();
+        if group == told {
+            continue;
+        }
+        info!("control: the group is {}", group.join(", "));
+        node.peers.tell_entries(&Push::Group(group.clone()));
+        for peer in group.iter().filter_map(|name| node.peer(name)) {
+            let is_kept = node.settings.peers.contains(&peer) || told.contains(&peer.node);
+            if !is_kept && peer.node != node.settings.node {
+                tokio::spawn(keep(node.clone(), peer));
+            }
+        }
+        told = group;
+    }
+}
+
+impl<R: Replica<Command = Command, Output = Output>> Node<R> {
+    /// Returns the control processes of the group.
+    fn group(&self) -> Vec<NodeId> {
+        let status = self.replica.status();
+        let mut group = [status.voters, status.learners].concat();
+        group.sort_unstable();
+        group.dedup();
+        group
+    }
+
+    /// Returns the addresses of a control process that is named by its IP number.
+    fn peer(&self, name: &NodeId) -> Option<Peer> {
+        let port = self.settings.peer_port?;
+        let address = SocketAddr::new(name.parse().ok()?, port);
+        Some(Peer {
+            node: name.clone(),
+            address,
+            operators: address,
+        })
+    }
+
+    /// Reports whether a connection to a control process is to be kept open.
+    fn keeps(&self, peer: &Peer) -> bool {
+        self.settings.peers.contains(peer) || self.group().contains(&peer.node)
+    }
+}
+
+/// Keeps a connection to another control process open until this one stops, or the other is no
+/// longer in the group.
 pub(crate) async fn keep<R>(node: Arc<Node<R>>, peer: Peer)
 where
     R: Replica<Command = Command, Output = Output>,
 {
     let mut stopped = node.stopped.subscribe();
-    while !*node.stopped.borrow() {
+    while !*node.stopped.borrow() && node.keeps(&peer) {
         let opened = link::dial(peer.address, &node.identity, node.settings.link).await;
         if let Ok((connection, messages)) = opened {
             info!("control: connected to control \"{}\"", peer.node);
@@ -271,7 +357,7 @@
     let hello = connection.hello();
     match (hello.role, &request.body) {
         (Role::Control, _) => true,
-        (Role::Entry, Body::Submit { .. } | Body::Query(_)) => false,
+        (Role::Entry, Body::Submit { .. } | Body::Replace { .. } | Body::Query(_)) => false,
         (Role::Entry, _) => {
             request.node == hello.node
                 && request.incarnation == hello.incarnation
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use config::text::Reader;
 use config::{Keys, Settings as Configured};
 use errors::{Error, Peer, Result, Step};
 use state::{Command, Output};
@@ -14,8 +15,9 @@
 use tracing::{error, info};
 
 use crate::operators::{self, Gate};
+use crate::outside::Speaker;
 use crate::replica::{Group, Replica};
-use crate::{Machine, Node, Settings, clock, node, orders, peers};
+use crate::{Machine, Node, Settings, clock, duties, node, orders, outside, peers, spread};
 
 /// Longest wait for another process to take the lead on a planned stop.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -29,7 +31,7 @@
 #[derive(Debug)]
 pub struct Sockets {
     peers: StdListener,
-    operators: StdListener,
+    operators: Option<StdListener>,
 }
 
 impl Sockets {
@@ -38,13 +40,17 @@
     /// # Errors
     /// Fails when an address can't be listened on.
     pub fn bind(peers: SocketAddr, operators: SocketAddr) -> Result<Sockets> {
+        Sockets::bind_some(peers, Some(operators))
+    }
+
+    fn bind_some(peers: SocketAddr, operators: Option<SocketAddr>) -> Result<Sockets> {
         let bind = |address| {
             StdListener::bind(address)
                 .map_err(|error| Error::Io(Step::Listen, Peer::Address(address), error))
         };
         Ok(Sockets {
             peers: bind(peers)?,
-            operators: bind(operators)?,
+            operators: operators.map(bind).transpose()?,
         })
     }
 
@@ -52,15 +58,16 @@
     ///
     /// # Errors
     /// Fails when the system does not know them.
-    pub fn addresses(&self) -> Result<(SocketAddr, SocketAddr)> {
+    pub fn addresses(&self) -> Result<(SocketAddr, Option<SocketAddr>)> {
         let address = |listener: &StdListener| {
             let address = listener.local_addr();
             address.map_err(|error| Error::Io(Step::Listen, Peer::Local, error))
         };
-        Ok((address(&self.peers)?, address(&self.operators)?))
+        let operators = self.operators.as_ref().map(address).transpose()?;
+        Ok((address(&self.peers)?, operators))
     }
 
-    fn into_listeners(self) -> Result<(TcpListener, StdListener)> {
+    fn into_listeners(self) -> Result<(TcpListener, Option<StdListener>)> {
         let take = |error| Error::Io(Step::Listen, Peer::Local, error);
         self.peers.set_nonblocking(true).map_err(take)?;
         let peers = TcpListener::from_std(self.peers).map_err(take)?;
@@ -74,9 +81,9 @@
     pub node: Arc<Node<R>>,
     /// Address of the listener for entries and control processes.
     pub peer_address: SocketAddr,
-    /// Address of the HTTP listener for operators.
-    pub operators_address: SocketAddr,
-    operators: operators::Server,
+    /// Address of the HTTP listener for operators who speak our own language.
+    pub operators_address: Option<SocketAddr>,
+    operators: Option<operators::Server>,
 }
 
 impl<R: Replica<Command = Command, Output = Output>> Process<R> {
@@ -87,21 +94,26 @@
     pub fn start(node: Arc<Node<R>>, keys: Keys, sockets: Sockets) -> Result<Process<R>> {
         let (peer_address, operators_address) = sockets.addresses()?;
         let (listener, operators) = sockets.into_listeners()?;
-        let gate = Gate::start(node.clone(), keys);
-        let operators = operators::Server::start(operators, gate)?;
+        let serve = |listener| operators::Server::start(listener, Gate::start(node.clone(), keys));
+        let operators = operators.map(serve).transpose()?;
         for peer in &node.settings.peers {
             if peer.node != node.settings.node {
                 tokio::spawn(peers::keep(node.clone(), peer.clone()));
             }
         }
         tokio::spawn(peers::listen(node.clone(), listener));
+        tokio::spawn(peers::follow_group(node.clone()));
+        tokio::spawn(spread::run(node.clone()));
         tokio::spawn(node::tell_versions(node.clone()));
         tokio::spawn(node::lead(node.clone()));
-        tokio::spawn(orders::run(node.clone()));
-        info!(
-            "control: listens on {peer_address} for the fleet and on {operators_address} for \
-             operators"
-        );
+        let told = operators_address.map_or(String::new(), |address| {
+            format!(", on {address} for operators")
+        });
+        info!("control: listens on {peer_address} for the fleet{told}");
+        if operators_address.is_some() {
+            // Instances that are ordered one by one belong to our own cloud interface.
+            tokio::spawn(orders::run(node.clone()));
+        }
         Ok(Process {
             operators_address,
             node,
@@ -122,36 +134,79 @@
     /// Stops all tasks without handing the lead over, as a crash does.
     pub fn abort(self) {
         self.node.stopped.send_replace(true);
-        self.operators.stop();
+        if let Some(operators) = &self.operators {
+            operators.stop();
+        }
         self.node.peers.close();
         info!("control: stopped");
     }
 }
 
-/// Runs a control process until SIGTERM or SIGINT.
+/// The listener for upstreams and operators who speak another language than our own.
+#[derive(Clone)]
+pub struct Outside {
+    /// Their language.
+    pub speaker: Arc<dyn Speaker>,
+    /// Where they are listened to.
+    pub address: SocketAddr,
+}
+
+/// Runs a control process until SIGTERM or SIGINT. With `outside`, it serves that listener in
+/// place of the one for operators.
 ///
 /// # Errors
 /// Fails when the process can't listen or take signals.
-pub async fn run(settings: Configured, keys: Keys) -> Result<()> {
+pub async fn run(settings: Configured, keys: Keys, outside: Option<Outside>) -> Result<()> {
     let take = |error| Error::Io(Step::Load, Peer::Local, error);
     let mut terminate = signal(SignalKind::terminate()).map_err(take)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(take)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(take)?;
     let peers = SocketAddr::new(settings.address, settings.control.peer_port);
     let operators = SocketAddr::new(settings.address, settings.control.operators_port);
-    let sockets = Sockets::bind(peers, operators)?;
-    let (process, failure) = start_group(&settings, keys, sockets)?;
-    tokio::select! {
-        _ = terminate.recv() => info!("control: SIGTERM, stops"),
-        _ = interrupt.recv() => info!("control: SIGINT, stops"),
-        Ok(failed) = failure => {
-            error!("control: the data folder can't be used any more: {failed}");
-            return Err(failed);
+    let sockets = Sockets::bind_some(peers, outside.is_none().then_some(operators))?;
+    let reader = outside.as_ref().map(|outside| outside.speaker.reader());
+    let (process, mut failure) = start_group_reading(&settings, keys, sockets, reader)?;
+    let server = match outside {
+        Some(outside) => Some(serve(&process.node, outside)?),
+        None => None,
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => {
+                info!("control: SIGTERM, stops");
+                break;
+            }
+            _ = interrupt.recv() => {
+                info!("control: SIGINT, stops");
+                break;
+            }
+            _ = reload.recv() => info!("control: SIGHUP, settings take effect at the next start"),
+            Ok(failed) = &mut failure => {
+                error!("control: the data folder can't be used any more: {failed}");
+                return Err(failed);
+            }
         }
     }
+    if let Some(server) = server {
+        server.stop();
+    }
     process.stop().await;
     Ok(())
 }
 
+fn serve<R>(node: &Arc<Node<R>>, outside: Outside) -> Result<web::Server>
+where
+    R: Replica<Command = Command, Output = Output>,
+{
+    tokio::spawn(duties::run(node.clone(), outside.speaker.clone()));
+    let server = outside::start(node.clone(), outside.speaker, outside.address)?;
+    info!(
+        "control: listens on {} for upstreams and operators",
+        outside.address
+    );
+    Ok(server)
+}
+
 /// Starts a process that takes part in a control group. The receiver gets the error that ends
 /// its replica; the process must end then.
 ///
@@ -161,20 +216,34 @@
     settings: &Configured,
     keys: Keys,
     sockets: Sockets,
+) -> Result<(Process<Group<Machine>>, oneshot::Receiver<Error>)> {
+    start_group_reading(settings, keys, sockets, None)
+}
+
+/// Does what [`start_group`] does, for operators whose texts `reader` reads.
+fn start_group_reading(
+    settings: &Configured,
+    keys: Keys,
+    sockets: Sockets,
+    reader: Option<Reader>,
 ) -> Result<(Process<Group<Machine>>, oneshot::Receiver<Error>)> {
     let machine = Machine::default();
     let (outgoing, messages) = mpsc::channel(LOG_QUEUE);
     let (group, failure) = Group::start(settings.into(), machine.clone(), outgoing)?;
+    let defaults = Settings::default();
     let own = Settings {
         node: settings.node.clone(),
         incarnation: clock::unix_ms(),
-        peers: settings.control_peers.clone(),
+        peers: settings.controls(),
+        peer_port: (!settings.seeds.is_empty()).then_some(settings.control.peer_port),
+        reader: reader.unwrap_or(defaults.reader),
+        usage: settings.control.usage,
         secret: keys.fleet.clone(),
         freshness_lease: settings.control.freshness_lease,
         leader_lease: settings.control.election_timeout,
         cloud: settings.control.cloud,
         claim_retention: settings.control.claim_retention,
-        ..Settings::default()
+        ..defaults
     };
     let node = Node::new(own, group, machine);
     tokio::spawn(peers::send_logs(node.clone(), messages));
--- a/components/control/src/replica/settings.rs
+++ b/components/control/src/replica/settings.rs
@@ -38,13 +38,17 @@
 impl From<&config::Settings> for Settings {
     fn from(settings: &config::Settings) -> Self {
         const FOLDER: &str = "log";
-        let peers = settings.control_peers.iter();
+        let peers = settings.controls();
+        let is_founder = peers.iter().any(|peer| peer.node == settings.node);
+        // Where processes are found by seeds, only these found the group, and only once.
+        let may_found = settings.control.founds && is_founder;
+        let joins = !settings.seeds.is_empty() && !may_found;
         Settings {
             node: settings.node.clone(),
             folder: settings.data_folder.join(FOLDER),
             consensus: consensus::Settings {
-                peers: peers.map(|peer| peer.node.clone()).collect(),
-                spare: settings.control.spare,
+                peers: peers.into_iter().map(|peer| peer.node).collect(),
+                spare: settings.control.spare || joins,
                 heartbeat: settings.control.heartbeat,
                 election_timeout: settings.control.election_timeout,
                 repair_after: settings.control.repair_after,
--- a/components/control/src/spread.rs
+++ b/components/control/src/spread.rs
@@ -1,23 +1,29 @@
-//! Announcements of upstreams on their way from one entry to all others.
+//! Announcements of upstreams on their way to all entries.
 //!
-//! An entry sends what reached it to every control process that it is connected to. A control
-//! process passes it on to the entries that subscribed here, and once to the other control
-//! processes, so that one broken path does not matter.
+//! An upstream announces itself to an entry, which sends it to every control process that it is
+//! connected to, or to a control process. A control process passes it on to the entries that
+//! subscribed here, and once to the other control processes, so that one broken path does not
+//! matter. What came to the control process itself waits for others a little while, unless it
+//! changes where requests may go.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use config::ids::UpstreamId;
+use config::ids::{Incarnation, UpstreamId};
 use fleet::{Directory, Learnt};
 use indexmap::IndexSet;
 use link::Connection;
 use state::{Command, Output};
+use tokio::time::sleep;
+use tracing::info;
 use upstream::Announcement;
 use wire::{Delta, Push, Role};
 
 use crate::Node;
 use crate::replica::Replica;
 
+/// Time for which renewals wait to be passed on together.
+const BATCH: Duration = Duration::from_millis(400);
 /// Upstreams in one message.
 const PER_MESSAGE: usize = 500;
 
@@ -26,6 +32,8 @@
 pub(crate) struct Spread {
     directory: Mutex<Directory>,
     subscribers: Mutex<Vec<Connection>>,
+    /// Upstreams whose renewal came to this process and waits to be passed on.
+    waiting: Mutex<IndexSet<UpstreamId>>,
 }
 
 impl Spread {
@@ -77,6 +85,16 @@
         upstreams.iter().filter_map(delta).collect()
     }
 
+    fn wait(&self, upstream: UpstreamId) {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        waiting.insert(upstream);
+    }
+
+    fn take_waiting(&self) -> IndexSet<UpstreamId> {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *waiting)
+    }
+
     /// Returns the announcements whose lease has not run out.
     pub(crate) fn live(&self) -> Vec<Announcement> {
         self.directory().live(Instant::now()).cloned().collect()
@@ -89,6 +107,52 @@
         self.spread.live()
     }
 
+    /// Takes in an announcement that an upstream made to this process.
+    pub(crate) fn announced(&self, announcement: Announcement) {
+        let upstream = announcement.upstream.clone();
+        let availability = announcement.availability;
+        let (before, is_news) = {
+            let now = Instant::now();
+            let mut directory = self.spread.directory();
+            let before = directory.availability(&upstream);
+            (before, directory.insert(announcement, now))
+        };
+        match before {
+            _ if !is_news => {}
+            Some(before) if before == availability => self.spread.wait(upstream),
+            _ => {
+                info!(upstream = %upstream, "control: \"{upstream}\" is {availability:?}");
+                self.pass_on_to_all(&IndexSet::from([upstream]));
+            }
+        }
+    }
+
+    /// Takes in that an upstream ended, as it said to this process.
+    pub(crate) fn left(&self, upstream: &UpstreamId, incarnation: Option<Incarnation>) {
+        let left = self
+            .spread
+            .directory()
+            .leave(upstream, incarnation, Instant::now());
+        info!(upstream = %upstream, known = left.is_some(), "control: \"{upstream}\" leaves");
+        match left {
+            Some(_) => self.pass_on_to_all(&IndexSet::from([upstream.clone()])),
+            None => self.send_to_all(&[Delta::Left(upstream.clone(), incarnation)]),
+        }
+    }
+
+    fn pass_on_to_all(&self, upstreams: &IndexSet<UpstreamId>) {
+        self.send_to_all(&self.spread.deltas(upstreams));
+    }
+
+    fn send_to_all(&self, deltas: &[Delta]) {
+        for subscriber in self.spread.subscribers().iter() {
+            send(deltas, subscriber);
+        }
+        for control in self.peers.controls() {
+            send(deltas, &control);
+        }
+    }
+
     /// Takes in a message that expects no answer.
     pub(crate) fn pushed(&self, from: &Connection, push: Push, age: Duration) {
         match push {
@@ -104,7 +168,7 @@
                 let wholes = upstreams.iter().filter_map(|u| directory.whole(u, now));
                 from.push(Push::Upstreams(wholes.collect()));
             }
-            Push::Newest(_) | Push::Draining(_) | Push::Log { .. } => {}
+            Push::Group(_) | Push::Newest(_) | Push::Draining(_) | Push::Log { .. } => {}
         }
     }
 
@@ -123,13 +187,27 @@
             }
         }
         if from.hello().role == Role::Entry {
-            for control in self.peers.dialed().values() {
-                send(&deltas, control);
+            for control in self.peers.controls() {
+                send(&deltas, &control);
             }
         }
     }
 }
 
+/// Passes on what waits until the process stops.
+pub(crate) async fn run<R>(node: Arc<Node<R>>)
+where
+    R: Replica<Command = Command, Output = Output>,
+{
+    while !*node.stopped.borrow() {
+        sleep(BATCH).await;
+        let waiting = node.spread.take_waiting();
+        if !waiting.is_empty() {
+            node.pass_on_to_all(&waiting);
+        }
+    }
+}
+
 fn send(deltas: &[Delta], to: &Connection) {
     for part in deltas.chunks(PER_MESSAGE) {
         to.push(Push::Upstreams(part.to_vec()));
--- a/components/control/tests/orders/main.rs
+++ b/components/control/tests/orders/main.rs
@@ -52,6 +52,7 @@
         address,
         method: Method::POST,
         path: "/v1/orders".to_owned(),
+        headers: Vec::new(),
         body: Some(json!({ "fence": fence, "order": { "load": served(version) } })),
         limit: Duration::from_secs(5),
     }
--- a/components/control/tests/orders/placing.rs
+++ b/components/control/tests/orders/placing.rs
@@ -48,7 +48,7 @@
     let cloud = Cloud::start(settings).await.expect("the cloud starts");
     let process = leader(Some(cloud.address()));
     let client = Client {
-        controls: vec![process.operators_address],
+        controls: process.operators_address.into_iter().collect(),
         token: "token".to_owned(),
     };
     let submission = Submission {
--- a/components/control/tests/process/fleet_of_one.rs
+++ b/components/control/tests/process/fleet_of_one.rs
@@ -64,7 +64,7 @@
 
 pub(crate) fn operator(process: &Process<Memory>) -> Client {
     Client {
-        controls: vec![process.operators_address],
+        controls: process.operators_address.into_iter().collect(),
         token: TOKEN.to_owned(),
     }
 }
--- a/components/control/tests/process/group_of_three.rs
+++ b/components/control/tests/process/group_of_three.rs
@@ -30,6 +30,7 @@
             .collect();
         let peer = |(n, sockets): (usize, &Sockets)| {
             let (address, operators) = sockets.addresses().expect("the sockets have addresses");
+            let operators = operators.expect("it listens for operators");
             let node = format!("control-{n}").into();
             Peer {
                 node,
--- a/components/control/tests/process/submissions.rs
+++ b/components/control/tests/process/submissions.rs
@@ -111,7 +111,10 @@
     isolated.node.replica().set_leads(false);
     let without = operator(&isolated).read(Document::Status).await;
     let client = control::client::Client {
-        controls: vec![isolated.operators_address, leading.operators_address],
+        controls: [isolated.operators_address, leading.operators_address]
+            .into_iter()
+            .flatten()
+            .collect(),
         ..operator(&leading)
     };
     let with = client.read(Document::Status).await;
--- a/components/fleet/src/directory.rs
+++ b/components/fleet/src/directory.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use config::ids::UpstreamId;
+use config::ids::{Incarnation, UpstreamId};
 use indexmap::IndexMap;
-use upstream::Announcement;
+use upstream::{Announcement, Availability};
 use wire::{Delta, Renewal, Whole, fingerprint};
 
 /// Renewals after which the whole announcement is passed on again.
@@ -105,6 +105,12 @@
             .collect()
     }
 
+    /// Returns whether an upstream takes new work, as it last said.
+    pub fn availability(&self, upstream: &str) -> Option<Availability> {
+        let known = self.known.get(upstream)?;
+        Some(known.announcement.availability)
+    }
+
     /// Takes in an announcement made at `announced`, and reports whether it is newer than what
     /// was known.
     pub fn insert(&mut self, announcement: Announcement, announced: Instant) -> bool {
@@ -128,6 +134,27 @@
         true
     }
 
+    /// Takes in that an upstream ended, and returns its last announcement. `None` means that it is
+    /// not known, that it had ended before, or that a later start of it is known.
+    pub fn leave(
+        &mut self,
+        upstream: &str,
+        incarnation: Option<Incarnation>,
+        now: Instant,
+    ) -> Option<Announcement> {
+        let known = &self.known.get(upstream)?.announcement;
+        if incarnation.is_some_and(|ended| ended < known.incarnation) {
+            return None;
+        }
+        let last = Announcement {
+            availability: Availability::Leaving,
+            // Nothing that it said before can be newer.
+            sequence: u64::MAX,
+            ..known.clone()
+        };
+        self.insert(last.clone(), now).then_some(last)
+    }
+
     /// Takes in a delta that is at most `transit` on its way.
     pub fn learn(&mut self, delta: Delta, transit: Duration, now: Instant) -> Learnt {
         let at = |age_ms| {
@@ -135,6 +162,10 @@
             now.checked_sub(age).unwrap_or(now)
         };
         match delta {
+            Delta::Left(upstream, incarnation) => match self.leave(&upstream, incarnation, now) {
+                Some(announcement) => Learnt::Newer(Box::new(announcement), now),
+                None => Learnt::Known,
+            },
             Delta::Whole(whole) => {
                 let announced = at(whole.age_ms);
                 match self.insert(whole.announcement.clone(), announced) {
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use config::ids::UpstreamId;
+use config::ids::{NodeId, UpstreamId};
 use errors::{Error, Peer, Result, Step};
 use indexmap::IndexSet;
 use limits::{Draw, Grant};
@@ -20,7 +20,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 use upstream::Announcement;
-use wire::{Answer, Body, Request, Role};
+use wire::{Answer, Body, Overview, Report, Request, Role};
 
 use crate::claim::{Claim, Settlement, Verdict};
 use crate::{Control, Directory, Freshness, View};
@@ -55,6 +55,8 @@
     pub(crate) draining: Mutex<IndexSet<UpstreamId>>,
     /// Wakes the task that asks for freshness.
     pub(crate) ask: Notify,
+    /// Control processes of the group, as one of them last told.
+    pub(crate) group: Mutex<IndexSet<NodeId>>,
     pub(crate) stopped: watch::Sender<bool>,
 }
 
@@ -78,6 +80,7 @@
             spread: spread::Queue::default(),
             draining: Mutex::default(),
             ask: Notify::new(),
+            group: Mutex::default(),
             stopped: watch::Sender::new(false),
         });
         for peer in &shared.settings.peers {
@@ -111,6 +114,18 @@
         })
     }
 
+    /// Tells the leader of this entry's work, and returns that of all entries.
+    ///
+    /// # Errors
+    /// Fails when the leader does not answer within `limit`.
+    pub async fn report(&self, report: Report, limit: Duration) -> Result<Overview> {
+        let request = self.shared.request(Body::Report(report));
+        match self.shared.links.call(request, limit).await? {
+            Answer::Overview(overview) => Ok(overview),
+            _ => Err(unexpected()),
+        }
+    }
+
     async fn settle_until(&self, claim: &Claim, settlement: &Settlement) -> Result<()> {
         loop {
             let body = Body::Settle(claim.clone(), settlement.clone());
--- a/components/fleet/src/member/confirm.rs
+++ b/components/fleet/src/member/confirm.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use config::Text;
 use tokio::time::{sleep, timeout};
 use tracing::{error, info, warn};
 use wire::{Answer, Body, Fresh};
@@ -48,7 +47,11 @@
 }
 
 fn take(shared: &Shared, asked: Instant, fresh: Fresh) {
-    let parsed = fresh.source.as_deref().map(Text::parse).transpose();
+    let parsed = fresh
+        .source
+        .as_deref()
+        .map(shared.settings.reader)
+        .transpose();
     let text = match parsed {
         Ok(text) => text,
         Err(what) => {
--- a/components/fleet/src/member/links.rs
+++ b/components/fleet/src/member/links.rs
@@ -1,12 +1,13 @@
 //! Connections to all control processes, and calls through any of them.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use config::ids::NodeId;
 use config::settings::Peer;
 use errors::{Error, Result, Step};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use link::{Connection, Incoming};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -25,7 +26,7 @@
 pub(crate) struct Links {
     open: Mutex<IndexMap<NodeId, Connection>>,
     preferred: Mutex<Option<NodeId>>,
-    subscribed: Mutex<Option<NodeId>>,
+    subscribed: Mutex<IndexSet<NodeId>>,
     settings: link::Settings,
 }
 
@@ -56,23 +57,33 @@
         *self.preferred() = Some(leader);
     }
 
-    /// Sees to it that one control process passes announcements on to this entry.
-    fn subscribe(&self) {
+    /// Sees to it that enough control processes pass announcements on to this entry.
+    fn subscribe(&self, wanted: usize) {
         let open = self.open();
         let mut subscribed = self
             .subscribed
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let holds = |node: &NodeId| open.get(node).is_some_and(Connection::is_open);
-        if subscribed.as_ref().is_some_and(holds) {
-            return;
-        }
-        *subscribed = open.keys().find(|node| holds(node)).cloned();
-        if let Some(link) = subscribed.as_ref().and_then(|node| open.get(node)) {
-            link.push(Push::Subscribe);
+        subscribed.retain(|node| open.get(node).is_some_and(Connection::is_open));
+        for (node, link) in open.iter().filter(|(_, link)| link.is_open()) {
+            if subscribed.len() >= wanted {
+                return;
+            }
+            if subscribed.insert(node.clone()) {
+                link.push(Push::Subscribe);
+            }
         }
     }
 
+    fn lost(&self, node: &NodeId) {
+        self.open().swap_remove(node);
+        let mut subscribed = self
+            .subscribed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        subscribed.swap_remove(node);
+    }
+
     pub(crate) fn close(&self) {
         for link in self.open().values() {
             link.close();
@@ -124,11 +135,43 @@
     }
 }
 
-/// Keeps a connection to one control process open until the member stops.
+impl Shared {
+    /// Opens connections to control processes that joined the group.
+    fn follow_group(self: &Arc<Self>, group: Vec<NodeId>) {
+        let Some(port) = self.settings.peer_port else {
+            return;
+        };
+        let address = |name: &NodeId| Some(SocketAddr::new(name.parse().ok()?, port));
+        let peer = |node: &NodeId| {
+            let address = address(node)?;
+            Some(Peer {
+                node: node.clone(),
+                address,
+                operators: address,
+            })
+        };
+        let mut known = self.group.lock().unwrap_or_else(PoisonError::into_inner);
+        for peer in group.iter().filter_map(peer) {
+            if !known.contains(&peer.node) && !self.settings.peers.contains(&peer) {
+                tokio::spawn(keep(self.clone(), peer));
+            }
+        }
+        *known = group.into_iter().collect();
+    }
+
+    /// Reports whether a connection to a control process is to be kept open.
+    fn keeps(&self, peer: &Peer) -> bool {
+        let group = self.group.lock().unwrap_or_else(PoisonError::into_inner);
+        self.settings.peers.contains(peer) || group.contains(&peer.node)
+    }
+}
+
+/// Keeps a connection to one control process open until the member stops, or the process is no
+/// longer in the group.
 pub(crate) async fn keep(shared: Arc<Shared>, peer: Peer) {
     let mut stopped = shared.stopped.subscribe();
     let mut failed = false;
-    while !*shared.stopped.borrow() {
+    while !*shared.stopped.borrow() && shared.keeps(&peer) {
         match link::dial(peer.address, &shared.identity, shared.links.settings).await {
             Ok((connection, messages)) => {
                 info!("fleet: connected to control \"{}\"", peer.node);
@@ -149,7 +192,7 @@
 }
 
 async fn serve(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     peer: &Peer,
     connection: Connection,
     mut messages: mpsc::Receiver<Incoming>,
@@ -158,7 +201,7 @@
         .links
         .open()
         .insert(peer.node.clone(), connection.clone());
-    shared.links.subscribe();
+    shared.links.subscribe(shared.settings.subscriptions);
     shared.introduce(&connection);
     shared.ask.notify_one();
     while let Some(message) = messages.recv().await {
@@ -169,6 +212,7 @@
             Incoming::Push(Push::Upstreams(deltas), age) => {
                 shared.learn(deltas, age, &connection);
             }
+            Incoming::Push(Push::Group(group), _) => shared.follow_group(group),
             Incoming::Push(Push::Draining(upstreams), _) => shared.drain(upstreams),
             Incoming::Push(Push::Missing(upstreams), _) => {
                 shared.repeat(&upstreams, &connection);
@@ -177,6 +221,6 @@
         }
     }
     connection.close();
-    shared.links.open().swap_remove(&peer.node);
-    shared.links.subscribe();
+    shared.links.lost(&peer.node);
+    shared.links.subscribe(shared.settings.subscriptions);
 }
--- a/components/fleet/src/member/settings.rs
+++ b/components/fleet/src/member/settings.rs
@@ -1,11 +1,13 @@
 //! Settings of a member.
 
+use config::Text;
 use config::ids::{Incarnation, NodeId};
 use config::keys::Secret;
 use config::settings::Peer;
+use config::text::Reader;
 
 /// What a member needs to know.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Settings {
     /// Name of the entry.
     pub node: NodeId,
@@ -13,8 +15,30 @@
     pub incarnation: Incarnation,
     /// Control processes.
     pub peers: Vec<Peer>,
+    /// Port for peers of all control processes, where these are named by their IP numbers.
+    pub peer_port: Option<u16>,
+    /// Control processes that pass announcements on to this entry; one is enough where each of
+    /// them hears of every upstream.
+    pub subscriptions: usize,
+    /// Reader of the operators' text.
+    pub reader: Reader,
     /// Secret of the fleet.
     pub secret: Secret,
     /// Times and sizes of the connections.
     pub link: link::Settings,
 }
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            node: NodeId::default(),
+            incarnation: 0,
+            peers: Vec::new(),
+            peer_port: None,
+            subscriptions: 1,
+            reader: Text::parse,
+            secret: Secret::default(),
+            link: link::Settings::default(),
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/accounts.rs
@@ -0,0 +1,86 @@
+//! What accounts may spend, as one entry knows it.
+
+use std::time::{Duration, Instant};
+
+use config::ids::AccountId;
+use indexmap::IndexMap;
+use limits::{Balance, Rate};
+
+/// Balances of accounts with a limit, and what was spent of each here.
+#[derive(Debug, Default)]
+pub struct Accounts {
+    accounts: IndexMap<AccountId, Spending>,
+}
+
+#[derive(Debug)]
+struct Spending {
+    balance: Balance,
+    /// Tokens admitted since the process began.
+    total: u64,
+    /// The part of `total` that the newest report told.
+    told: u64,
+}
+
+impl Accounts {
+    /// Admits a request of `tokens`, or returns when the account may come back.
+    ///
+    /// # Errors
+    /// Returns the time until the balance covers the request.
+    pub fn take(
+        &mut self,
+        account: &AccountId,
+        rate: Rate,
+        tokens: u64,
+        now: Instant,
+    ) -> Result<(), Duration> {
+        let fresh = || Spending {
+            balance: Balance::full(rate, now),
+            total: 0,
+            told: 0,
+        };
+        let spending = self.accounts.entry(account.clone()).or_insert_with(fresh);
+        spending.balance.set(rate, now);
+        match spending.balance.take(tokens as f64, now) {
+            true => {
+                spending.total += tokens;
+                Ok(())
+            }
+            false => Err(spending.balance.wait(tokens as f64, now)),
+        }
+    }
+
+    /// Gives back the tokens of a request that did not run.
+    pub fn put_back(&mut self, account: &AccountId, tokens: u64, now: Instant) {
+        if let Some(spending) = self.accounts.get_mut(account) {
+            spending.total = spending.total.saturating_sub(tokens);
+            spending.balance.spend(-(tokens as f64), now);
+        }
+    }
+
+    /// Returns the totals for a report.
+    pub fn report(&mut self) -> Vec<(AccountId, u64)> {
+        let total = |(account, spending): (&AccountId, &mut Spending)| {
+            spending.told = spending.total;
+            (account.clone(), spending.total)
+        };
+        self.accounts.iter_mut().map(total).collect()
+    }
+
+    /// Takes in the balances that the leader told in answer to the newest report.
+    pub fn told(
+        &mut self,
+        balances: &[(AccountId, i64)],
+        rates: &IndexMap<AccountId, Rate>,
+        now: Instant,
+    ) {
+        for (account, tokens) in balances {
+            let (Some(spending), Some(rate)) = (self.accounts.get_mut(account), rates.get(account))
+            else {
+                continue;
+            };
+            let since_report = spending.total.saturating_sub(spending.told);
+            let tokens = *tokens as f64 - since_report as f64;
+            spending.balance = Balance::told(*rate, tokens, now);
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/balancer/estimate.rs
@@ -0,0 +1,114 @@
+//! The expected time to the first event at one upstream, and its score.
+
+use std::time::{Duration, Instant};
+
+use super::pick::Wish;
+use super::settings::Settings;
+use super::upstream::Upstream;
+use crate::Prompt;
+
+/// Age up to which a load that an upstream told counts in place of a lower sum of the entries.
+const REPORT_AGE: Duration = Duration::from_millis(500);
+/// Delay in milliseconds that a failure for certain is taken as.
+const FAILURE_MS: f64 = 400.0;
+
+/// What is expected of one upstream.
+#[derive(Clone, Debug)]
+pub(super) struct Estimate {
+    /// Time to the first event.
+    pub(super) first: Duration,
+    /// Tokens of the prompt that have to be computed.
+    pub(super) uncached_tokens: u32,
+    /// Requests that are there already.
+    pub(super) present: u32,
+    /// Milliseconds that this choice costs the request and others; the least is chosen.
+    pub(super) score: f64,
+}
+
+impl Estimate {
+    pub(super) fn new(
+        upstream: &Upstream,
+        wish: &Wish<'_>,
+        at_home: bool,
+        settings: &Settings,
+        now: Instant,
+    ) -> Self {
+        let present = present(upstream, now);
+        let common = if upstream.data_centre == settings.data_centre {
+            0.0
+        } else {
+            settings.distance_ms
+        };
+        let failing = upstream.health.failing() * FAILURE_MS;
+        match wish.prompt.filter(|_| upstream.is_engine) {
+            Some(prompt) => {
+                let uncached = uncached(upstream, prompt, at_home, settings);
+                let engine = engine(upstream, uncached, present, settings);
+                Estimate {
+                    first: millis(engine.first + common),
+                    uncached_tokens: uncached,
+                    present,
+                    score: engine.score + common + failing,
+                }
+            }
+            None => {
+                let time = upstream.time_ms.unwrap_or(settings.plain_ms);
+                let ahead = f64::from(present) / f64::from(upstream.slots.max(1));
+                let first = time * (1.0 + ahead) + common;
+                Estimate {
+                    first: millis(first),
+                    uncached_tokens: 0,
+                    present,
+                    score: first + failing,
+                }
+            }
+        }
+    }
+}
+
+struct Engine {
+    first: f64,
+    score: f64,
+}
+
+fn engine(upstream: &Upstream, uncached: u32, present: u32, settings: &Settings) -> Engine {
+    let batch = f64::from(upstream.slots.max(1));
+    let present = f64::from(present);
+    let ahead = f64::from(upstream.own.prefill_tokens + upstream.others.prefill_tokens);
+    let queue = ahead / settings.prefill_per_ms;
+    let prefill = f64::from(uncached) / settings.prefill_per_ms;
+    let for_place = (present + 1.0 - batch).max(0.0) / batch * settings.stay_ms;
+    let first = queue + prefill + for_place;
+    Engine {
+        first,
+        score: first + prefill * settings.recompute_weight + present * settings.crowd_ms,
+    }
+}
+
+/// Returns the requests at an upstream, of all entries.
+fn present(upstream: &Upstream, now: Instant) -> u32 {
+    let counted = upstream.own.requests + upstream.others.requests;
+    match upstream.reported {
+        Some((reported, at)) if now.saturating_duration_since(at) < REPORT_AGE => {
+            counted.max(reported)
+        }
+        _ => counted,
+    }
+}
+
+/// Returns the tokens of a prompt that an engine has to compute.
+fn uncached(upstream: &Upstream, prompt: &Prompt, at_home: bool, settings: &Settings) -> u32 {
+    let held = upstream.warm.depth(prompt);
+    let shared = prompt.parts.split_last().map_or(0, |(_, shared)| {
+        shared.iter().map(|part| part.tokens).sum::<u32>()
+    });
+    let expected = match at_home {
+        true => (f64::from(shared) * settings.home_share) as u32,
+        false => 0,
+    };
+    prompt.input_tokens.saturating_sub(held.max(expected))
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::from_secs_f64((ms / 1_000.0).max(0.0))
+}
--- /dev/null
+++ b/components/gateway/src/balancer/pick.rs
@@ -0,0 +1,48 @@
+//! What is asked of the balancer, and what it answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use config::ids::{Incarnation, ServiceId, UpstreamId};
+
+use crate::Prompt;
+
+/// A request as the balancer needs it.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// What a generation is asked for.
+    pub prompt: Option<&'a Prompt>,
+    /// Upstreams that were tried.
+    pub excluded: &'a [UpstreamId],
+    /// Time until the deadline.
+    pub left: Duration,
+}
+
+/// The upstream of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pick {
+    /// Its name.
+    pub upstream: UpstreamId,
+    /// Its start number.
+    pub incarnation: Incarnation,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Tokens of the prompt that it has to compute.
+    pub uncached_tokens: u32,
+    /// Expected time to the first event.
+    pub expected: Duration,
+    /// What decided, for the log.
+    pub reason: CompactString,
+}
+
+/// Why there is no upstream for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Shortage {
+    /// None takes work.
+    None,
+    /// Even the best could not begin before the deadline, by this much.
+    Busy(Duration),
+}
--- /dev/null
+++ b/components/gateway/src/core.rs
@@ -0,0 +1,32 @@
+//! What the tasks of one entry share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use fleet::Member;
+
+use crate::drain::Drain;
+use crate::pool::Pool;
+use crate::{Accounts, Balancer, Metrics, Retries, Settings, Speaker, Table, Usage};
+
+/// What the tasks of one entry share.
+pub(crate) struct Core {
+    pub(crate) settings: Settings,
+    pub(crate) speaker: Arc<dyn Speaker>,
+    pub(crate) member: Member,
+    pub(crate) metrics: Metrics,
+    pub(crate) drain: Drain,
+    pub(crate) table: ArcSwap<Table>,
+    pub(crate) started: Instant,
+    pub(crate) balancer: Mutex<Balancer>,
+    pub(crate) accounts: Mutex<Accounts>,
+    pub(crate) retries: Mutex<Retries>,
+    pub(crate) usage: Mutex<Usage>,
+    pub(crate) pool: Mutex<Pool>,
+}
+
+/// Locks for as long as a decision takes; never across an await.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/components/gateway/src/lib.rs
@@ -0,0 +1,42 @@
+//! The request path for callers on routes by host and path: finds route and account, keeps limits,
+//! chooses an upstream, sends the request on and passes the answer back as its bytes come.
+//!
+//! What is decided ([`Table`], [`balancer`], [`Retries`], [`Accounts`], [`Usage`]) has no sockets
+//! and no clock: time comes in with each call. The languages of callers and upstreams stand
+//! behind [`Speaker`].
+
+mod accounts;
+mod answer;
+pub mod balancer;
+mod call;
+mod connection;
+mod core;
+mod dispatch;
+mod drain;
+mod events;
+mod exchange;
+mod metrics;
+mod pool;
+mod refusal;
+mod retries;
+mod server;
+mod settings;
+mod speaker;
+mod story;
+mod sync;
+mod table;
+mod ticket;
+mod usage;
+
+pub use accounts::Accounts;
+pub use balancer::Balancer;
+pub use call::{Call, Part, PartId, Prompt};
+pub use events::Events;
+pub use metrics::Metrics;
+pub use refusal::Refusal;
+pub use retries::Retries;
+pub use server::run;
+pub use settings::Settings;
+pub use speaker::{Head, Onward, Reply, Speaker};
+pub use table::{Account, Table};
+pub use usage::Usage;
--- /dev/null
+++ b/components/gateway/src/metrics.rs
@@ -0,0 +1,110 @@
+//! Counters and histograms of the request path.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Bounds of the latency histograms, in seconds.
+const BUCKETS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
+];
+
+/// Counters and histograms of one entry.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    attempts: IntCounterVec,
+    first: HistogramVec,
+    total: HistogramVec,
+    /// Version of the text in force.
+    pub version: IntGauge,
+    /// Open connections of callers.
+    pub connections: IntGauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels).expect("valid metric");
+            registry
+                .register(Box::new(counters.clone()))
+                .expect("metric registered once");
+            counters
+        };
+        let histograms = |name: &str, help: &str| {
+            let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+            let histograms = HistogramVec::new(opts, &["route"]).expect("valid metric");
+            registry
+                .register(Box::new(histograms.clone()))
+                .expect("metric registered once");
+            histograms
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("valid metric");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("metric registered once");
+            gauge
+        };
+        Metrics {
+            requests: counters(
+                "chervilloft_gateway_requests_total",
+                "Requests by route and outcome.",
+                &["route", "outcome"],
+            ),
+            attempts: counters(
+                "chervilloft_gateway_attempts_total",
+                "Requests sent to upstreams, by service and outcome.",
+                &["service", "outcome"],
+            ),
+            first: histograms(
+                "chervilloft_gateway_first_seconds",
+                "Time to the first event, or to the head of a whole answer.",
+            ),
+            total: histograms(
+                "chervilloft_gateway_total_seconds",
+                "Time to the end of the answer.",
+            ),
+            version: gauge(
+                "chervilloft_gateway_version",
+                "Version of the text in force.",
+            ),
+            connections: gauge(
+                "chervilloft_gateway_connections",
+                "Open connections of callers.",
+            ),
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a request that ended.
+    pub fn ended(&self, route: &str, outcome: &str, first: Option<Duration>, total: Duration) {
+        self.requests.with_label_values(&[route, outcome]).inc();
+        if let Some(first) = first {
+            let histogram = self.first.with_label_values(&[route]);
+            histogram.observe(first.as_secs_f64());
+        }
+        let histogram = self.total.with_label_values(&[route]);
+        histogram.observe(total.as_secs_f64());
+    }
+
+    /// Counts what came of sending a request to an upstream.
+    pub fn attempt(&self, service: &str, outcome: &str) {
+        self.attempts.with_label_values(&[service, outcome]).inc();
+    }
+
+    /// Returns all metrics in the text format.
+    pub fn render(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
+            tracing::warn!("metrics: not encoded: {error}");
+        }
+        bytes
+    }
+}
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -6,6 +6,7 @@
 //! asking. It reports when the batch is spent or its time is over.
 
 mod accounts;
+mod balance;
 mod bucket;
 mod decision;
 mod draw;
@@ -16,6 +17,7 @@
 mod share;
 
 pub use accounts::Accounts;
+pub use balance::{Balance, Rate, tokens};
 pub use bucket::Bucket;
 pub use decision::Decision;
 pub use draw::{Draw, Limit};
--- a/components/state/src/command.rs
+++ b/components/state/src/command.rs
@@ -7,7 +7,8 @@
 use crate::claim::{Claim, Settlement};
 use crate::ledger::Usage;
 use crate::order::Order;
-use crate::text::Submission;
+use crate::text::{Replacement, Submission};
+use crate::usage::{Counts, Window};
 
 /// A change of the replicated state with the leader's time.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -23,6 +24,8 @@
 pub enum Change {
     /// Replaces the operators' text.
     Submit(Submission),
+    /// Replaces the operators' text by one with a higher version.
+    Replace(Replacement),
     /// Asks for the right to run a call once.
     Claim {
         /// Entry that asks.
@@ -63,6 +66,20 @@
     Use(Usage),
     /// Records an order before it is sent, and gives it a fencing number.
     Order(Order),
+    /// Takes over the duties that one process has at a time, and gives them a fencing number.
+    Take {
+        /// Control process that takes them over.
+        holder: NodeId,
+    },
+    /// Makes the counts of a window final.
+    Close {
+        /// The window.
+        window: Window,
+        /// Requests that ran in it.
+        counts: Counts,
+    },
+    /// Notes that the reports of all windows up to this one are taken.
+    Reported(Window),
     /// Lets time pass.
     Tick,
 }
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -14,6 +14,7 @@
 mod position;
 mod state;
 pub mod text;
+pub mod usage;
 
 pub use command::{Change, Command};
 pub use error::Error;
--- a/components/state/src/state.rs
+++ b/components/state/src/state.rs
@@ -7,6 +7,7 @@
 use crate::members::Members;
 use crate::order::Orders;
 use crate::text::Texts;
+use crate::usage::Windows;
 use crate::{Change, Command, Error, Millis, Output, Position};
 
 /// Layout of a snapshot.
@@ -22,6 +23,8 @@
     members: Members,
     ledger: Ledger,
     orders: Orders,
+    #[serde(default)]
+    windows: Windows,
 }
 
 impl State {
@@ -60,6 +63,11 @@
         &self.orders
     }
 
+    /// Returns the windows whose counts are final.
+    pub fn windows(&self) -> &Windows {
+        &self.windows
+    }
+
     /// Applies the command at `position`, unless that was done before.
     pub fn apply(&mut self, position: Position, command: Command) -> Output {
         if position.index <= self.applied.index {
@@ -123,6 +131,18 @@
                 Output::Done
             }
             Change::Order(order) => Output::Fence(self.orders.record(now, position, order)),
+            Change::Replace(replacement) => {
+                Output::Submitted(self.texts.replace_by(now, replacement))
+            }
+            Change::Take { .. } => Output::Fence(position.fence()),
+            Change::Close { window, counts } => {
+                self.windows.close(window, counts);
+                Output::Done
+            }
+            Change::Reported(window) => {
+                self.windows.report(window);
+                Output::Done
+            }
             Change::Tick => Output::Done,
         }
     }
--- a/components/state/src/text/outcome.rs
+++ b/components/state/src/text/outcome.rs
@@ -16,6 +16,11 @@
         /// Version that was the newest when the submission was first seen.
         newest: Version,
     },
+    /// A version as high or higher is in force with another text; nothing changed.
+    Superseded {
+        /// The version in force.
+        newest: Version,
+    },
     /// The submission id was used before with another base or text; nothing changed.
     Reused,
     /// The text is larger than [`super::MAX_TEXT_BYTES`]; nothing changed.
--- /dev/null
+++ b/components/state/src/text/replacement.rs
@@ -0,0 +1,16 @@
+//! A text that comes with its own version.
+
+use compact_str::CompactString;
+use config::ids::Version;
+use serde::{Deserialize, Serialize};
+
+/// A text whose operator gave it a version; the highest version is in force.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Replacement {
+    /// Version that the operator gave it.
+    pub version: Version,
+    /// Operator who submits.
+    pub operator: CompactString,
+    /// The text, in the operators' language.
+    pub source: String,
+}
--- a/components/state/src/text/texts.rs
+++ b/components/state/src/text/texts.rs
@@ -6,11 +6,13 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_128;
 
-use super::{Outcome, Submission, SubmissionId};
+use super::{Outcome, Replacement, Submission, SubmissionId};
 use crate::Millis;
 
 /// Largest text, in bytes.
 pub const MAX_TEXT_BYTES: usize = 256 * 1_024;
+/// Largest text that comes with its own version, in bytes.
+pub const MAX_NUMBERED_BYTES: usize = 4 * 1_024 * 1_024;
 /// Newest texts kept, for the difference that a conflict shows.
 pub const TEXTS_KEPT: usize = 32;
 /// Submissions remembered, oldest forgotten first. A resend of a forgotten one can't be applied
@@ -34,7 +36,7 @@
     pub operator: CompactString,
     /// When it was committed.
     pub at: Millis,
-    /// The text, in TOML.
+    /// The text, in the operators' language.
     pub source: String,
 }
 
@@ -75,6 +77,32 @@
         outcome
     }
 
+    /// Puts a text in force if its version is higher than that of the newest one.
+    pub(crate) fn replace_by(&mut self, now: Millis, replacement: Replacement) -> Outcome {
+        let version = replacement.version;
+        let newest = self.revisions.get(&self.newest);
+        match newest {
+            _ if replacement.source.len() > MAX_NUMBERED_BYTES => Outcome::TooLarge,
+            Some(newest) if newest.version == version && newest.source == replacement.source => {
+                Outcome::Accepted { version }
+            }
+            Some(newest) if newest.version >= version => Outcome::Superseded {
+                newest: newest.version,
+            },
+            _ => {
+                // Operators who number their texts compare them by themselves.
+                self.revisions.clear();
+                self.put(Revision {
+                    version,
+                    operator: replacement.operator,
+                    at: now,
+                    source: replacement.source,
+                });
+                Outcome::Accepted { version }
+            }
+        }
+    }
+
     fn remember(&mut self, id: SubmissionId, fingerprint: (u64, u64), outcome: Outcome) {
         while self.submissions.len() >= SUBMISSIONS_KEPT {
             self.submissions.shift_remove_index(0);
@@ -90,14 +118,17 @@
         while self.revisions.len() >= TEXTS_KEPT {
             self.revisions.shift_remove_index(0);
         }
-        let revision = Revision {
+        self.put(Revision {
             version,
             operator: submission.operator,
             at: now,
             source: submission.source,
-        };
-        self.revisions.insert(version, revision);
-        self.newest = version;
+        });
+    }
+
+    fn put(&mut self, revision: Revision) {
+        self.newest = revision.version;
+        self.revisions.insert(revision.version, revision);
     }
 }
 
--- /dev/null
+++ b/components/web/src/body.rs
@@ -0,0 +1,72 @@
+//! Bodies of requests and answers.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+/// Body of an answer; an error ends the connection, so that the answer does not look complete.
+pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Returns a body that is complete.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    let never = |error: Infallible| match error {};
+    Full::new(bytes.into()).map_err(never).boxed_unsync()
+}
+
+/// Returns an empty body.
+pub fn empty() -> Body {
+    full(Bytes::new())
+}
+
+/// What came of reading a request body.
+#[derive(Debug)]
+pub enum Collected {
+    /// The whole body.
+    Whole(Bytes),
+    /// It is larger than allowed.
+    TooLarge,
+    /// The connection ended, or the body is malformed: it is not whole.
+    Cut(hyper::Error),
+    /// It took too long.
+    Slow,
+}
+
+/// Reads a whole request body of at most `max_bytes` within `limit`.
+pub async fn collect(body: Incoming, max_bytes: usize, limit: Duration) -> Collected {
+    match timeout(limit, read(body, max_bytes)).await {
+        Ok(collected) => collected,
+        Err(_) => Collected::Slow,
+    }
+}
+
+async fn read(mut body: Incoming, max_bytes: usize) -> Collected {
+    let mut first = Bytes::new();
+    let mut rest = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let data = match frame.map(hyper::body::Frame::into_data) {
+            Ok(Ok(data)) => data,
+            Ok(Err(_trailers)) => continue,
+            Err(error) => return Collected::Cut(error),
+        };
+        if first.len() + rest.len() + data.len() > max_bytes {
+            return Collected::TooLarge;
+        }
+        match (first.is_empty(), rest.is_empty()) {
+            (true, true) => first = data,
+            (false, true) => {
+                rest.extend_from_slice(&std::mem::take(&mut first));
+                rest.extend_from_slice(&data);
+            }
+            _ => rest.extend_from_slice(&data),
+        }
+    }
+    match rest.is_empty() {
+        true => Collected::Whole(first),
+        false => Collected::Whole(rest.freeze()),
+    }
+}
--- /dev/null
+++ b/components/web/src/server.rs
@@ -0,0 +1,162 @@
+//! Accepts connections and answers their requests until it is stopped.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tracing::warn;
+
+use crate::{Body, Settings};
+
+/// Pause after the listener failed to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Smallest read buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER_BYTES: usize = 8_192;
+
+/// How far a server is stopped.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Stop {
+    /// It serves.
+    #[default]
+    No,
+    /// Connections end once they are idle; no new ones are accepted.
+    Idle,
+}
+
+/// A running server; clones share it.
+#[derive(Clone, Debug)]
+pub struct Server {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    stop: watch::Sender<Stop>,
+    settings: watch::Sender<Settings>,
+    open: AtomicUsize,
+}
+
+impl Server {
+    /// Serves `listener` on the current runtime.
+    pub fn start<H, F>(listener: TcpListener, settings: Settings, handler: H) -> Server
+    where
+        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let shared = Arc::new(Shared {
+            stop: watch::Sender::default(),
+            settings: watch::Sender::new(settings),
+            open: AtomicUsize::new(0),
+        });
+        tokio::spawn(accept(listener, shared.clone(), handler));
+        Server { shared }
+    }
+
+    /// Changes the bounds of connections that are accepted from now on.
+    pub fn set(&self, settings: Settings) {
+        let changed = |old: &mut Settings| std::mem::replace(old, settings) != settings;
+        self.shared.settings.send_if_modified(changed);
+    }
+
+    /// Returns how many connections are open.
+    pub fn open(&self) -> usize {
+        self.shared.open.load(Ordering::Relaxed)
+    }
+
+    /// Accepts no more connections, and ends each open one after the answer that it waits for.
+    pub fn stop(&self) {
+        self.shared.stop.send_replace(Stop::Idle);
+    }
+}
+
+async fn accept<H, F>(listener: TcpListener, shared: Arc<Shared>, handler: H)
+where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let mut stop = shared.stop.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stopped(&mut stop) => return,
+        };
+        let settings = *shared.settings.borrow();
+        match accepted {
+            Ok((stream, peer))
+                if shared.open.load(Ordering::Relaxed) < settings.max_connections =>
+            {
+                shared.open.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(connection(
+                    stream,
+                    peer,
+                    settings,
+                    shared.clone(),
+                    handler.clone(),
+                ));
+            }
+            Ok((_, peer)) => warn!("http: refused {peer}: too many connections are open"),
+            Err(error) => {
+                warn!("http: no connection accepted: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Returns once the server is stopped.
+async fn stopped(stop: &mut watch::Receiver<Stop>) {
+    let _ = stop.wait_for(|stop| *stop != Stop::No).await;
+}
+
+async fn connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    settings: Settings,
+    shared: Arc<Shared>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    prepare(&stream, settings);
+    let service = service_fn(move |request| {
+        let answer = handler(request, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(settings.idle_timeout)
+        .max_buf_size(settings.head_bytes.max(MIN_BUFFER_BYTES))
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(served);
+    let mut stop = shared.stop.subscribe();
+    // An error concerns this connection alone; the caller sees that it ended.
+    let _ = tokio::select! {
+        ended = served.as_mut() => ended,
+        () = stopped(&mut stop) => {
+            served.as_mut().graceful_shutdown();
+            served.await
+        }
+    };
+    shared.open.fetch_sub(1, Ordering::Relaxed);
+}
+
+/// Sets options without which a connection still works; that one fails means that the other end
+/// has closed already.
+fn prepare(stream: &TcpStream, settings: Settings) {
+    let socket = SockRef::from(stream);
+    let _ = socket.set_tcp_nodelay(true);
+    let _ = socket.set_tcp_user_timeout(Some(settings.user_timeout));
+}
--- a/components/wire/src/answer.rs
+++ b/components/wire/src/answer.rs
@@ -7,6 +7,8 @@
 use state::claim::Verdict;
 use state::text::Outcome;
 
+use crate::Overview;
+
 /// Answer to a request.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Answer {
@@ -18,9 +20,11 @@
     Settled(bool),
     /// To `Draw`: a grant for each report, in order.
     Drawn(Vec<Grant>),
-    /// To `Submit`.
+    /// To `Submit` and `Replace`.
     Submitted(Submitted),
-    /// To `Query`: a JSON document.
+    /// To `Report`.
+    Overview(Overview),
+    /// To `Query`: a JSON document, or the text.
     Document(String),
     /// To `Leave`.
     Done,
--- a/components/wire/src/codec.rs
+++ b/components/wire/src/codec.rs
@@ -3,7 +3,7 @@
 use crate::{Envelope, Malformed};
 
 /// Largest encoded envelope, in bytes.
-pub const MAX_FRAME_BYTES: usize = 1_024 * 1_024;
+pub const MAX_FRAME_BYTES: usize = 5 * 1_024 * 1_024;
 /// Deepest nesting of CBOR items.
 const MAX_DEPTH: usize = 32;
 
--- a/components/wire/src/delta.rs
+++ b/components/wire/src/delta.rs
@@ -14,6 +14,9 @@
     /// A renewal that changes nothing but load and number.
     #[serde(rename = "r")]
     Renewal(Renewal),
+    /// An upstream ended, of which the sender knows no announcement.
+    #[serde(rename = "l")]
+    Left(UpstreamId, Option<Incarnation>),
 }
 
 /// A whole announcement with its age.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod hello;
 mod malformed;
 mod push;
+mod report;
 mod request;
 
 pub use answer::{Answer, Failure, Fresh, Submitted};
@@ -21,4 +22,5 @@
 pub use hello::{Hello, PROTOCOL, Role};
 pub use malformed::Malformed;
 pub use push::Push;
+pub use report::{Overview, Report, Work};
 pub use request::{Body, Query, Request};
--- a/components/wire/src/push.rs
+++ b/components/wire/src/push.rs
@@ -19,6 +19,8 @@
     Missing(Vec<UpstreamId>),
     /// All upstreams that get no new work until they are stopped.
     Draining(Vec<UpstreamId>),
+    /// The control processes of the group, where they are named by their IP numbers.
+    Group(Vec<NodeId>),
     /// A newer text is committed.
     Newest(Version),
     /// A message of the replicated log.
--- /dev/null
+++ b/components/wire/src/report.rs
@@ -0,0 +1,39 @@
+//! What entries tell the leader of their work, and what they learn of that of all entries.
+
+use config::ids::{AccountId, UpstreamId};
+use serde::{Deserialize, Serialize};
+use state::usage::Window;
+
+/// Work of one process of an entry.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// Tokens admitted since the process began, by account.
+    pub spent: Vec<(AccountId, u64)>,
+    /// Requests that began to run, by window and account.
+    pub begun: Vec<(Window, AccountId, u64)>,
+    /// Work at the upstreams now.
+    pub held: Vec<(UpstreamId, Work)>,
+}
+
+/// Work of entries at one upstream.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Work {
+    /// Requests in progress.
+    pub requests: u32,
+    /// Prompt tokens of requests whose first event has not come.
+    pub prefill_tokens: u32,
+}
+
+/// What the leader knows of all entries.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Overview {
+    /// The leader's time, in milliseconds since the Unix epoch.
+    pub now_ms: u64,
+    /// Entries that reported lately.
+    pub entries: u32,
+    /// Tokens that accounts may spend now, which may be below 0; what the report told is taken
+    /// off. Accounts without a limit are left out.
+    pub balances: Vec<(AccountId, i64)>,
+    /// Work of all entries at the upstreams, that of the reporting entry included.
+    pub held: Vec<(UpstreamId, Work)>,
+}
--- a/components/wire/src/request.rs
+++ b/components/wire/src/request.rs
@@ -4,7 +4,9 @@
 use limits::Draw;
 use serde::{Deserialize, Serialize};
 use state::claim::{Claim, Settlement};
-use state::text::Submission;
+use state::text::{Replacement, Submission};
+
+use crate::Report;
 
 /// A request, on behalf of one process of an entry or of an operator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -43,6 +45,16 @@
         /// Longest wait, in milliseconds.
         wait_ms: u64,
     },
+    /// An operator submits a text with its own version, and waits at most `wait_ms` until it is in
+    /// force everywhere.
+    Replace {
+        /// The text.
+        replacement: Replacement,
+        /// Longest wait, in milliseconds.
+        wait_ms: u64,
+    },
+    /// An entry tells of its work, and asks for that of all entries.
+    Report(Report),
     /// An operator reads the leader's state.
     Query(Query),
 }
@@ -50,8 +62,10 @@
 /// A document that operators read, in JSON.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Query {
-    /// The text in force.
+    /// The text in force, with who submitted it.
     Text,
+    /// The text in force as it was submitted; empty before the first.
+    Source,
     /// Leader, quorum and entries.
     Status,
     /// Calls whose outcome is unknown.
--- a/src/cmd/control.rs
+++ b/src/cmd/control.rs
@@ -1,6 +1,11 @@
 //! `chervilloft control`: keeps the replicated state until the process is told to stop.
 
+use std::sync::Arc;
+
 use clap::ArgMatches;
+use config::Settings;
+use config::settings::Interface;
+use control::Outside;
 use errors::Result;
 
 use super::{files, runtime};
@@ -11,5 +16,22 @@
     let settings = files::settings(&cli::path(matches, "settings"))?;
     let keys = files::keys(&settings)?;
     let _log = logging::start(&settings.log)?;
-    runtime::several()?.block_on(control::run(settings, keys))
+    let outside = outside(&settings);
+    match settings.interface {
+        Interface::Own => runtime::several()?.block_on(control::run(settings, keys, outside)),
+        Interface::Platform => runtime::single()?.block_on(control::run(settings, keys, outside)),
+    }
+}
+
+/// Returns the listener for those who speak another language than our own.
+fn outside(settings: &Settings) -> Option<Outside> {
+    let address = settings.control.listen?;
+    let lease = settings.control.announcement_lease;
+    match settings.interface {
+        Interface::Own => None,
+        Interface::Platform => Some(Outside {
+            speaker: Arc::new(platform::Operators { lease }),
+            address,
+        }),
+    }
 }
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -1,8 +1,11 @@
 //! `chervilloft entry`: takes requests from callers until the process is told to stop.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use clap::ArgMatches;
+use config::settings::Interface;
 use config::{Keys, Settings};
 use errors::Result;
 use fleet::{Member, Standalone};
@@ -15,28 +18,62 @@
     let settings = files::settings(&cli::path(matches, "settings"))?;
     let keys = files::keys(&settings)?;
     let _log = logging::start(&settings.log)?;
-    match settings.entry.standalone_text.clone() {
-        Some(path) => {
+    match (settings.interface, settings.entry.standalone_text.clone()) {
+        (Interface::Platform, _) => runtime::single()?.block_on(run_gateway(&settings, &keys)),
+        (Interface::Own, Some(path)) => {
             let (text, _) = files::text(&path)?;
             entry::run(settings, keys, Standalone::new(text))
         }
-        None => run_member(settings, keys),
+        (Interface::Own, None) => run_member(settings, keys),
     }
 }
 
 fn run_member(settings: Settings, keys: Keys) -> Result<()> {
     let runtime = runtime::several()?;
     let _context = runtime.enter();
+    let member = Member::start(member_settings(&settings, &keys));
+    let served = entry::run(settings, keys, member.clone());
+    runtime.block_on(member.leave());
+    served
+}
+
+async fn run_gateway(settings: &Settings, keys: &Keys) -> Result<()> {
     let member = Member::start(fleet::Settings {
+        subscriptions: usize::MAX,
+        reader: platform::read,
+        ..member_settings(settings, keys)
+    });
+    let entry = &settings.entry;
+    let own = gateway::Settings {
+        node: settings.node.clone(),
+        data_centre: settings.data_centre.clone(),
+        listen: entry
+            .listen
+            .unwrap_or(SocketAddr::new(settings.address, entry.port)),
+        ready: entry
+            .ready
+            .unwrap_or(SocketAddr::new(settings.address, entry.port + 1)),
+        metrics: settings.metrics,
+        retries: entry.retries,
+        balancer_lag: entry.balancer_lag,
+        drain_timeout: entry.drain_timeout,
+        max_connections: entry.max_connections,
+    };
+    let window = settings.control.usage.window;
+    let served = gateway::run(own, window, Arc::new(platform::Callers), member.clone()).await;
+    member.leave().await;
+    served
+}
+
+fn member_settings(settings: &Settings, keys: &Keys) -> fleet::Settings {
+    fleet::Settings {
         node: settings.node.clone(),
         incarnation: incarnation(),
-        peers: settings.control_peers.clone(),
+        peers: settings.controls(),
+        peer_port: (!settings.seeds.is_empty()).then_some(settings.control.peer_port),
         secret: keys.fleet.clone(),
         ..Default::default()
-    });
-    let served = entry::run(settings, keys, member.clone());
-    runtime.block_on(member.leave());
-    served
+    }
 }
 
 fn incarnation() -> u64 {
