Order instances by count, reclaimable ones first, and refuse what a stop would cut

placement::counts plans counts by slot so that enough are left without any one data centre, by placement::allocate. The gateway refuses, as not run, streams that are not expected to end before the process does.

--- a/components/control/src/duties.rs
+++ b/components/control/src/duties.rs
@@ -4,12 +4,16 @@
 //! once no call of an earlier holder can be under way, and stops with its lease. What it sends
 //! is committed before, so that a later holder sends the same.
 
+mod scaling;
 mod usage;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use config::ids::ServiceId;
+use indexmap::IndexMap;
+use placement::counts::Counter;
 use state::{Change, Command, Output};
 use tokio::time::sleep;
 use tracing::{info, warn};
@@ -31,6 +35,8 @@
     cloud: SocketAddr,
     /// Term in which the duties were taken over, with the number that this gave.
     held: Option<(u64, Order)>,
+    /// Plans by service, of the term that is held.
+    counters: IndexMap<ServiceId, Counter>,
 }
 
 /// Carries out the duties while this process leads, if a cloud is set.
@@ -46,10 +52,12 @@
         speaker,
         cloud,
         held: None,
+        counters: IndexMap::new(),
     };
     while !*duties.node.stopped.borrow() {
         sleep(ROUND).await;
         if let Some((term, order)) = duties.hold().await {
+            duties.scale(term, &order).await;
             duties.report_usage(term, &order).await;
         }
     }
@@ -78,6 +86,7 @@
                     "duties: taken over in term {term}, number {fence}"
                 );
                 self.held = Some((term, Order { holder, fence }));
+                self.counters.clear();
             }
             Ok(output) => warn!("duties: not taken over, the log answered {output:?}"),
             Err(failure) => warn!("duties: not taken over: {failure:?}"),
--- /dev/null
+++ b/components/control/src/duties/scaling.rs
@@ -0,0 +1,112 @@
+//! Orders of instances by count.
+
+use std::time::Instant;
+
+use config::ids::ServiceId;
+use config::text::Scaling;
+use indexmap::IndexMap;
+use placement::Slot;
+use placement::counts::{self, Demand, Present};
+use state::{Command, Output};
+use tracing::{info, warn};
+use upstream::{Announcement, Availability};
+
+use super::Duties;
+use crate::outside::Order;
+use crate::replica::Replica;
+
+/// Status with which the cloud says that a slot has none to sell.
+const NONE_TO_SELL: u16 = 409;
+
+impl<R: Replica<Command = Command, Output = Output>> Duties<R> {
+    /// Orders what each service needs now.
+    pub(super) async fn scale(&mut self, term: u64, order: &Order) {
+        let Some((_, text)) = self.node.text() else {
+            return;
+        };
+        let live = self.node.upstreams();
+        for (name, service) in &text.services {
+            if let Some(scaling) = &service.scaling {
+                self.scale_one(term, order, name, scaling, &live).await;
+            }
+        }
+    }
+
+    async fn scale_one(
+        &mut self,
+        term: u64,
+        order: &Order,
+        name: &ServiceId,
+        scaling: &Scaling,
+        live: &[Announcement],
+    ) {
+        let of_service: Vec<_> = live.iter().filter(|a| a.service == *name).collect();
+        let demand = self.demand(&of_service);
+        let present = present(&of_service);
+        let counter = self.counters.entry(name.clone()).or_default();
+        for wanted in counter.plan(scaling, &present, demand, Instant::now()) {
+            self.order(term, order, name, &wanted).await;
+        }
+    }
+
+    fn demand(&self, upstreams: &[&Announcement]) -> Demand {
+        let held = self.node.board().held(Instant::now());
+        let of_service = |name: &str| upstreams.iter().any(|a| a.upstream == name);
+        let held = held.iter().filter(|(name, _)| of_service(name));
+        held.fold(Demand::default(), |demand, (_, work)| Demand {
+            requests: demand.requests + f64::from(work.requests),
+            tokens: demand.tokens + f64::from(work.prefill_tokens),
+        })
+    }
+
+    async fn order(&mut self, term: u64, order: &Order, name: &ServiceId, wanted: &counts::Order) {
+        let counts::Order {
+            slot,
+            count,
+            reason,
+        } = wanted;
+        let data_centre = &slot.data_centre;
+        let call = self
+            .speaker
+            .scale(order, self.cloud, name, data_centre, slot.class, *count);
+        let status = self.call(term, &call).await;
+        let fence = order.fence;
+        let Some(counter) = self.counters.get_mut(name) else {
+            return;
+        };
+        match status {
+            Ok(status) if (200..300).contains(&status) => {
+                counter.ordered(wanted);
+                info!(order = fence, "placement: {count} of {name} in {slot}: {reason}");
+            }
+            Ok(NONE_TO_SELL) => {
+                counter.refused(slot, Instant::now());
+                info!(order = fence, "placement: {count} of {name} in {slot}: none to sell");
+            }
+            Ok(status) => {
+                counter.refused(slot, Instant::now());
+                warn!(order = fence, "placement: {count} of {name} in {slot}: status {status}");
+            }
+            Err(error) => {
+                warn!(order = fence, "placement: {count} of {name} in {slot}: {error}");
+            }
+        }
+    }
+}
+
+fn present(upstreams: &[&Announcement]) -> IndexMap<Slot, Present> {
+    let mut present: IndexMap<Slot, Present> = IndexMap::new();
+    for announcement in upstreams {
+        let slot = Slot {
+            data_centre: announcement.data_centre.clone(),
+            class: announcement.class,
+        };
+        let counts = present.entry(slot).or_default();
+        match announcement.availability {
+            Availability::Serving => counts.serving += 1,
+            Availability::Reclaimed { .. } => counts.reclaimed += 1,
+            Availability::Leaving => {}
+        }
+    }
+    present
+}
--- a/components/control/src/node/board.rs
+++ b/components/control/src/node/board.rs
@@ -130,7 +130,8 @@
         seen.filter(move |seen| now.saturating_duration_since(seen.at) < KEPT)
     }
 
-    fn held(&self, now: Instant) -> Vec<(UpstreamId, Work)> {
+    /// Returns the work of all entries at the upstreams.
+    pub(crate) fn held(&self, now: Instant) -> Vec<(UpstreamId, Work)> {
         let mut sums: IndexMap<UpstreamId, Work> = IndexMap::new();
         for (upstream, work) in self.live(now).flat_map(|seen| &seen.held) {
             let sum = sums.entry(upstream.clone()).or_default();
--- a/components/gateway/src/drain.rs
+++ b/components/gateway/src/drain.rs
@@ -1,21 +1,31 @@
 //! Whether the entry takes requests.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 /// State of the entry that its readiness follows from.
 #[derive(Debug, Default)]
 pub(crate) struct Drain {
-    stopping: AtomicBool,
+    stopping: OnceLock<Instant>,
     in_progress: AtomicUsize,
 }
 
 impl Drain {
-    pub(crate) fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Begins the stop.
+    pub(crate) fn stop(&self, now: Instant) {
+        self.stopping.get_or_init(|| now);
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping.get().is_some()
+    }
+
+    /// Reports whether a request that is expected to take `expected` ends before the process does,
+    /// which lives at most `limit` after the stop began.
+    pub(crate) fn outlives(&self, expected: Duration, limit: Duration, now: Instant) -> bool {
+        let stopping = self.stopping.get();
+        stopping.is_none_or(|began| now + expected <= *began + limit)
     }
 
     pub(crate) fn in_progress(&self) -> usize {
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -1,7 +1,7 @@
 //! One request of a caller, from its head to the head of its answer.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::{HeaderValue, Request, Response, header, request};
 use hyper::body::Incoming;
@@ -10,7 +10,14 @@
 use crate::core::{Core, lock};
 use crate::dispatch::{self, Tries};
 use crate::story::Story;
-use crate::{Account, Head, Refusal, Table, answer, retries, table};
+use crate::{Account, Head, Prompt, Refusal, Table, answer, retries, table};
+
+/// Time within which most calls of plain services end.
+const PLAIN_TIME: Duration = Duration::from_millis(500);
+/// Time within which the first event of most generations comes.
+const GENERATION_BASE: Duration = Duration::from_millis(1_500);
+/// Time within which an engine makes a token on a busy day.
+const GENERATION_PER_TOKEN: Duration = Duration::from_millis(15);
 
 /// Serves one request.
 pub(crate) async fn serve(core: Arc<Core>, request: Request<Incoming>) -> Response<web::Body> {
@@ -90,6 +97,11 @@
     if table.version() == 0 {
         return Err(Refusal::Unready);
     }
+    let expected = expected_time(head.prompt.as_ref());
+    let limit = core.settings.drain_timeout;
+    if !core.drain.outlives(expected, limit, arrived) {
+        return Err(Refusal::Stopping);
+    }
     let host = parts.headers.get(header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     let route = table
@@ -126,6 +138,14 @@
     Ok(call)
 }
 
+/// Returns the time within which most requests end.
+fn expected_time(prompt: Option<&Prompt>) -> Duration {
+    match prompt {
+        Some(prompt) => GENERATION_BASE + GENERATION_PER_TOKEN * prompt.output_tokens,
+        None => PLAIN_TIME,
+    }
+}
+
 fn account(table: &Table, head: &Head, public: bool) -> Result<Option<Arc<Account>>, Refusal> {
     let known = head.key.as_ref().and_then(|key| table.account(key));
     match known {
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -12,6 +12,10 @@
         Unready {
             display("no text is known yet")
         }
+        /// This entry stops before the request could end; another one takes it.
+        Stopping {
+            display("this entry stops")
+        }
         /// The head can't be read.
         Malformed(what: String) {
             display("the request can't be read: {what}")
@@ -76,6 +80,7 @@
             | Refusal::NoUpstream(after)
             | Refusal::Overloaded(after)
             | Refusal::Shed(after) => Some(*after),
+            Refusal::Stopping => Some(Duration::ZERO),
             _ => None,
         }
     }
@@ -84,6 +89,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Refusal::Unready => "unready",
+            Refusal::Stopping => "stopping",
             Refusal::Malformed(_) => "malformed",
             Refusal::NoRoute => "no-route",
             Refusal::NoAccount => "no-account",
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -149,7 +149,7 @@
 /// Goes on accepting until the balancer has noticed, and ends once nothing is in progress.
 async fn stop(core: &Core, servers: &Servers) {
     let began = Instant::now();
-    core.drain.stop();
+    core.drain.stop(began);
     loop {
         let waited = began.elapsed();
         let is_idle = core.drain.in_progress() == 0 && waited >= core.settings.balancer_lag;
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod allocation;
 mod backoff;
+pub mod counts;
 mod decision;
 pub mod forecast;
 mod history;
