Follow what callers ask in ordering instances; end stories and connections rightly

A body of known length is not polled for its end, so its request was logged as caller-left and its connection not kept. Kept connections brought requests to entries long into a stop.

The leader counts what callers ask per second by service; the allotment counts only reclaimable instances as lost. Ruled out: a lower bound on capacity alone (the runaway came from the queue, with any bound).

--- a/components/control/src/duties/scaling.rs
+++ b/components/control/src/duties/scaling.rs
@@ -6,7 +6,7 @@
 use config::text::Scaling;
 use indexmap::IndexMap;
 use placement::Slot;
-use placement::counts::{self, Demand, Present};
+use placement::counts::{self, Present};
 use state::{Command, Output};
 use tracing::{info, warn};
 use upstream::{Announcement, Availability};
@@ -41,7 +41,7 @@
         live: &[Announcement],
     ) {
         let of_service: Vec<_> = live.iter().filter(|a| a.service == *name).collect();
-        let demand = self.demand(&of_service);
+        let demand = self.node.board().rate(name, Instant::now());
         let present = present(&of_service);
         let counter = self.counters.entry(name.clone()).or_default();
         for wanted in counter.plan(scaling, &present, demand, Instant::now()) {
@@ -49,16 +49,6 @@
         }
     }
 
-    fn demand(&self, upstreams: &[&Announcement]) -> Demand {
-        let held = self.node.board().held(Instant::now());
-        let of_service = |name: &str| upstreams.iter().any(|a| a.upstream == name);
-        let held = held.iter().filter(|(name, _)| of_service(name));
-        held.fold(Demand::default(), |demand, (_, work)| Demand {
-            requests: demand.requests + f64::from(work.requests),
-            tokens: demand.tokens + f64::from(work.prefill_tokens),
-        })
-    }
-
     async fn order(&mut self, term: u64, order: &Order, name: &ServiceId, wanted: &counts::Order) {
         let counts::Order {
             slot,
@@ -77,18 +67,30 @@
         match status {
             Ok(status) if (200..300).contains(&status) => {
                 counter.ordered(wanted);
-                info!(order = fence, "placement: {count} of {name} in {slot}: {reason}");
+                info!(
+                    order = fence,
+                    "placement: {count} of {name} in {slot}: {reason}"
+                );
             }
             Ok(NONE_TO_SELL) => {
                 counter.refused(slot, Instant::now());
-                info!(order = fence, "placement: {count} of {name} in {slot}: none to sell");
+                info!(
+                    order = fence,
+                    "placement: {count} of {name} in {slot}: none to sell"
+                );
             }
             Ok(status) => {
                 counter.refused(slot, Instant::now());
-                warn!(order = fence, "placement: {count} of {name} in {slot}: status {status}");
+                warn!(
+                    order = fence,
+                    "placement: {count} of {name} in {slot}: status {status}"
+                );
             }
             Err(error) => {
-                warn!(order = fence, "placement: {count} of {name} in {slot}: {error}");
+                warn!(
+                    order = fence,
+                    "placement: {count} of {name} in {slot}: {error}"
+                );
             }
         }
     }
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -5,6 +5,7 @@
 mod current;
 mod duty;
 mod lead;
+mod rate;
 mod settings;
 
 pub(crate) use duty::{draining, lead, tell_versions};
--- a/components/control/src/node/board.rs
+++ b/components/control/src/node/board.rs
@@ -6,11 +6,14 @@
 use std::time::{Duration, Instant};
 
 use config::Text;
-use config::ids::{AccountId, Incarnation, NodeId, UpstreamId};
+use config::ids::{AccountId, Incarnation, NodeId, ServiceId, UpstreamId};
 use indexmap::IndexMap;
 use limits::Balance;
+use placement::counts::Demand;
 use state::usage::{Counts, Window};
-use wire::{Overview, Report, Work};
+use wire::{Offered, Overview, Report, Work};
+
+use super::rate::Rate;
 
 /// Time after the last report for which an entry's work counts.
 const KEPT: Duration = Duration::from_secs(2);
@@ -28,6 +31,7 @@
     entries: IndexMap<Process, Seen>,
     balances: IndexMap<AccountId, Balance>,
     begun: IndexMap<Window, IndexMap<Process, Counts>>,
+    rates: IndexMap<ServiceId, Rate>,
 }
 
 #[derive(Debug)]
@@ -35,6 +39,7 @@
     at: Instant,
     spent: IndexMap<AccountId, u64>,
     held: Vec<(UpstreamId, Work)>,
+    offered: IndexMap<ServiceId, Offered>,
 }
 
 impl Board {
@@ -54,7 +59,9 @@
             at: now,
             spent: report.spent.into_iter().collect(),
             held: report.held,
+            offered: report.offered.into_iter().collect(),
         };
+        self.offer(&process, &seen.offered, now);
         self.entries.insert(process, seen);
         Overview {
             now_ms: 0,
@@ -74,6 +81,24 @@
         counts
     }
 
+    /// Returns what callers ask of a service per second.
+    pub(crate) fn rate(&self, service: &str, now: Instant) -> Demand {
+        self.rates
+            .get(service)
+            .map_or(Demand::default(), |rate| rate.at(now))
+    }
+
+    fn offer(&mut self, process: &Process, offered: &IndexMap<ServiceId, Offered>, now: Instant) {
+        let before = self.entries.get(process);
+        for (service, total) in offered {
+            // What was offered before this leader heard of the process is not known to be recent.
+            let known = before.map(|seen| seen.offered.get(service).copied().unwrap_or_default());
+            let known = known.unwrap_or(*total);
+            let rate = self.rates.entry(service.clone()).or_insert(Rate::new(now));
+            rate.add(known, *total, now);
+        }
+    }
+
     fn count(&mut self, process: &Process, begun: Vec<(Window, AccountId, u64)>) {
         for (window, account, count) in begun {
             let processes = self.begun.entry(window).or_default();
@@ -130,8 +155,7 @@
         seen.filter(move |seen| now.saturating_duration_since(seen.at) < KEPT)
     }
 
-    /// Returns the work of all entries at the upstreams.
-    pub(crate) fn held(&self, now: Instant) -> Vec<(UpstreamId, Work)> {
+    fn held(&self, now: Instant) -> Vec<(UpstreamId, Work)> {
         let mut sums: IndexMap<UpstreamId, Work> = IndexMap::new();
         for (upstream, work) in self.live(now).flat_map(|seen| &seen.held) {
             let sum = sums.entry(upstream.clone()).or_default();
--- /dev/null
+++ b/components/control/src/node/rate.rs
@@ -0,0 +1,53 @@
+//! What callers ask of a service per second.
+
+use std::time::{Duration, Instant};
+
+use placement::counts::Demand;
+use wire::Offered;
+
+/// Time after which an arrival counts for a third.
+const MEMORY: Duration = Duration::from_secs(3);
+
+/// A rate that follows arrivals within some seconds.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rate {
+    sums: Demand,
+    at: Instant,
+}
+
+impl Rate {
+    pub(super) fn new(now: Instant) -> Self {
+        Rate {
+            sums: Demand::default(),
+            at: now,
+        }
+    }
+
+    /// Takes in that a total rose from `before` to `after`.
+    pub(super) fn add(&mut self, before: Offered, after: Offered, now: Instant) {
+        let rise = |before: u64, after: u64| after.saturating_sub(before) as f64;
+        self.sums = self.faded(now);
+        self.at = now;
+        self.sums.requests += rise(before.requests, after.requests);
+        self.sums.input_tokens += rise(before.input_tokens, after.input_tokens);
+        self.sums.output_tokens += rise(before.output_tokens, after.output_tokens);
+    }
+
+    /// Returns the rate per second.
+    pub(super) fn at(&self, now: Instant) -> Demand {
+        scaled(self.faded(now), 1.0 / MEMORY.as_secs_f64())
+    }
+
+    fn faded(&self, now: Instant) -> Demand {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        scaled(self.sums, (-passed / MEMORY.as_secs_f64()).exp())
+    }
+}
+
+fn scaled(demand: Demand, factor: f64) -> Demand {
+    Demand {
+        requests: demand.requests * factor,
+        input_tokens: demand.input_tokens * factor,
+        output_tokens: demand.output_tokens * factor,
+    }
+}
--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -193,6 +193,16 @@
         }
     }
 
+    /// Takes in the last bytes, and returns all that is left to be passed on.
+    fn last(&mut self, data: &Bytes) -> Bytes {
+        let left = match &mut self.events {
+            Some(events) => events.finish(data),
+            None => data.clone(),
+        };
+        self.complete();
+        left
+    }
+
     /// Returns the bytes that may be passed on.
     fn pass(&mut self, data: Bytes) -> Bytes {
         match &mut self.events {
@@ -247,8 +257,13 @@
                     let frame = ready!(Pin::new(&mut source.body).poll_frame(cx));
                     match frame.map(|frame| frame.map(Frame::into_data)) {
                         Some(Ok(Ok(data))) => {
+                            // A body of known length is not asked for its end.
+                            let is_last = source.body.is_end_stream();
                             this.began();
-                            let data = this.pass(data);
+                            let data = match is_last {
+                                true => this.last(&data),
+                                false => this.pass(data),
+                            };
                             if !data.is_empty() {
                                 return Poll::Ready(Some(Ok(Frame::data(data))));
                             }
@@ -261,14 +276,11 @@
                         }
                         None => {
                             this.began();
-                            let rest = this.events.as_mut().map(Events::rest);
-                            this.complete();
-                            match rest {
-                                Some(rest) if !rest.is_empty() => {
-                                    return Poll::Ready(Some(Ok(Frame::data(rest))));
-                                }
-                                _ => return Poll::Ready(None),
-                            }
+                            let rest = this.last(&Bytes::new());
+                            return match rest.is_empty() {
+                                true => Poll::Ready(None),
+                                false => Poll::Ready(Some(Ok(Frame::data(rest)))),
+                            };
                         }
                     }
                 }
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -7,6 +7,7 @@
 use fleet::Member;
 
 use crate::drain::Drain;
+use crate::offered::Totals;
 use crate::pool::Pool;
 use crate::{Accounts, Balancer, Metrics, Retries, Settings, Speaker, Table, Usage};
 
@@ -23,6 +24,7 @@
     pub(crate) accounts: Mutex<Accounts>,
     pub(crate) retries: Mutex<Retries>,
     pub(crate) usage: Mutex<Usage>,
+    pub(crate) offered: Mutex<Totals>,
     pub(crate) pool: Mutex<Pool>,
 }
 
--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -22,8 +22,9 @@
         whole
     }
 
-    /// Returns bytes that are no whole event, at the end of a stream.
-    pub fn rest(&mut self) -> Bytes {
+    /// Takes in the last bytes of a stream, and returns all that has not been returned before.
+    pub fn finish(&mut self, bytes: &[u8]) -> Bytes {
+        self.rest.extend_from_slice(bytes);
         self.rest.split().freeze()
     }
 
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -53,6 +53,7 @@
     story.admitted(&call);
     let since = retries::since(core.started, arrived);
     lock(&core.retries).requested(&call.service, since);
+    lock(&core.offered).add(&call.service, call.prompt.as_ref());
     let mut tries = Tries::default();
     match dispatch::dispatch(&core, &call, None, &mut tries, &mut story).await {
         Ok(sent) => last_if_stopping(&core, answer::relay(&core, call, sent, tries, story)),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod events;
 mod exchange;
 mod metrics;
+mod offered;
 mod pool;
 mod refusal;
 mod retries;
--- /dev/null
+++ b/components/gateway/src/offered.rs
@@ -0,0 +1,31 @@
+//! What callers asked of each service since the process began.
+
+use config::ids::ServiceId;
+use indexmap::IndexMap;
+use wire::Offered;
+
+use crate::Prompt;
+
+/// Totals by service.
+#[derive(Debug, Default)]
+pub(crate) struct Totals {
+    services: IndexMap<ServiceId, Offered>,
+}
+
+impl Totals {
+    /// Counts an admitted request.
+    pub(crate) fn add(&mut self, service: &ServiceId, prompt: Option<&Prompt>) {
+        let total = self.services.entry(service.clone()).or_default();
+        total.requests += 1;
+        if let Some(prompt) = prompt {
+            total.input_tokens += u64::from(prompt.input_tokens);
+            total.output_tokens += u64::from(prompt.output_tokens);
+        }
+    }
+
+    /// Returns the totals for a report.
+    pub(crate) fn report(&self) -> Vec<(ServiceId, Offered)> {
+        let total = |(service, offered): (&ServiceId, &Offered)| (service.clone(), *offered);
+        self.services.iter().map(total).collect()
+    }
+}
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -100,6 +100,7 @@
         balancer: Mutex::new(Balancer::new(balancing)),
         accounts: Mutex::new(Accounts::default()),
         usage: Mutex::new(Usage::new(usage_window, unix_ms, now)),
+        offered: Mutex::default(),
         pool: Mutex::new(Pool::default()),
     })
 }
@@ -150,12 +151,18 @@
 async fn stop(core: &Core, servers: &Servers) {
     let began = Instant::now();
     core.drain.stop(began);
+    let mut retired = false;
     loop {
         let waited = began.elapsed();
         let is_idle = core.drain.in_progress() == 0 && waited >= core.settings.balancer_lag;
         if is_idle || waited >= core.settings.drain_timeout {
             break;
         }
+        if !retired && waited >= core.settings.balancer_lag {
+            // Their callers come back on connections that the balancer leads elsewhere.
+            servers.callers.retire();
+            retired = true;
+        }
         sleep(STOP_LOOK).await;
     }
     servers.callers.stop();
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -64,6 +64,7 @@
             spent: lock(&core.accounts).report(),
             begun: lock(&core.usage).report(),
             held: lock(&core.balancer).held(),
+            offered: lock(&core.offered).report(),
         };
         if report == last.0 && last.1.elapsed() < SILENCE {
             continue;
--- a/components/placement/src/counts.rs
+++ b/components/placement/src/counts.rs
@@ -1,26 +1,36 @@
 //! How many instances of a service to order where and in which class, where the cloud takes orders
 //! by count. Pure: time comes in with each call.
 //!
-//! The counts are the cheapest with which enough instances are left when any one data centre is
-//! lost. They grow at once and shrink after a while; instances that are to go stay until those
+//! The load that this answers is what callers ask per second, not what waits: during a loss of
+//! instances more waits, and orders by it would run away. The counts are the cheapest with which
+//! enough instances are left when the cloud takes all reclaimable ones of any one data centre
+//! back. They grow at once and shrink after a while; instances that are to go stay until those
 //! that replace them serve. A slot whose instances are taken back, or that has none to sell, is
 //! left out for a while.
 
+mod allotment;
+
 use std::time::{Duration, Instant};
 
 use compact_str::{CompactString, format_compact};
 use config::text::{Class, Scaling};
 use indexmap::IndexMap;
 
-use crate::{Allocation, Need, Offer, Slot, allocate};
+use crate::Slot;
+use allotment::{Allotment, Room};
 
 /// Settings of a [`Counter`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
+    /// Prompt tokens per second that one instance computes, within the latency target, of prompts
+    /// that share parts as usual.
+    pub input_tokens_per_second: f64,
+    /// Time that a request holds its place beside that for its tokens.
+    pub stay: Duration,
+    /// Time that each token of an answer adds to that.
+    pub stay_per_token: Duration,
     /// Requests in progress that one instance carries well within the latency target.
     pub requests_per_instance: f64,
-    /// Prompt tokens waiting to be computed that one instance works off in time.
-    pub tokens_per_instance: f64,
     /// Fewest instances that must be left when a data centre is lost.
     pub least: u32,
     /// Time for which less must be needed before fewer are ordered.
@@ -29,20 +39,19 @@
     pub after_reclaim: Duration,
     /// Time for which a slot is left out after it had none to sell.
     pub after_refusal: Duration,
-    /// Share of the price by which a new slot must be cheaper than one that is held.
-    pub stickiness: f64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            requests_per_instance: 9.0,
-            tokens_per_instance: 12_000.0,
-            least: 4,
+            input_tokens_per_second: 26_000.0,
+            stay: Duration::from_millis(300),
+            stay_per_token: Duration::from_millis(9),
+            requests_per_instance: 14.0,
+            least: 5,
             hold: Duration::from_secs(12),
             after_reclaim: Duration::from_secs(6),
             after_refusal: Duration::from_secs(2),
-            stickiness: 0.05,
         }
     }
 }
@@ -56,13 +65,15 @@
     pub reclaimed: u32,
 }
 
-/// Work of a service.
+/// What callers ask of a service per second.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Demand {
-    /// Requests in progress.
+    /// Requests.
     pub requests: f64,
-    /// Prompt tokens that wait to be computed.
-    pub tokens: f64,
+    /// Tokens of their prompts.
+    pub input_tokens: f64,
+    /// Most tokens of their answers.
+    pub output_tokens: f64,
 }
 
 /// A count to be ordered.
@@ -116,40 +127,30 @@
     ) -> Vec<Order> {
         self.note_reclaims(present, now);
         let capacity = self.size(demand, now);
-        let need = Need {
-            capacity,
-            on_demand: 0,
-            limit: u32::MAX,
-        };
-        let offers = self.offers(scaling, present, now);
-        let mut wanted = allocate(&offers, need);
-        keep_minimum(&mut wanted, &offers, scaling);
-        let serving = |slot: &Slot| present.get(slot).map_or(0, |p| p.serving);
-        let is_complete = wanted
-            .counts
+        let rooms = self.rooms(scaling, present, now);
+        let wanted = Allotment::cheapest(&rooms, capacity, scaling);
+        let is_complete = rooms
             .iter()
-            .all(|(slot, count)| serving(slot) >= *count);
+            .all(|room| room.serving >= wanted.count(&room.slot));
         let mut orders = Vec::new();
-        for offer in &offers {
-            let slot = &offer.slot;
-            let count = wanted.counts.get(slot).copied().unwrap_or(0);
+        for Room { slot, serving, .. } in &rooms {
             let known = self.ordered.get(slot).copied();
-            let held = known.unwrap_or(serving(slot));
+            let held = known.unwrap_or(*serving);
             let count = match is_complete {
-                true => count,
-                false => count.max(held),
+                true => wanted.count(slot),
+                false => wanted.count(slot).max(held),
             };
-            if count != held || (known.is_none() && count > 0) {
+            if count != held {
                 orders.push(Order {
                     slot: slot.clone(),
                     count,
                     reason: format_compact!(
-                        "{} in all, so that {capacity} are left without any one data centre; \
-                         {:.0} requests in progress, {:.0} tokens wait; {} serve here",
+                        "{} in all, so that {capacity} are left when one data centre's are taken \
+                         back; {:.1} requests and {:.0} prompt tokens a second; {serving} serve \
+                         here",
                         wanted.total(),
                         demand.requests,
-                        demand.tokens,
-                        serving(slot),
+                        demand.input_tokens,
                     ),
                 });
             }
@@ -173,8 +174,11 @@
 
     /// Returns how many instances must be left when a data centre is lost.
     fn size(&mut self, demand: Demand, now: Instant) -> u32 {
-        let by_requests = demand.requests / self.settings.requests_per_instance;
-        let by_tokens = demand.tokens / self.settings.tokens_per_instance;
+        let settings = &self.settings;
+        let by_tokens = demand.input_tokens / settings.input_tokens_per_second;
+        let in_progress = demand.requests * settings.stay.as_secs_f64()
+            + demand.output_tokens * settings.stay_per_token.as_secs_f64();
+        let by_requests = in_progress / settings.requests_per_instance;
         let needed = by_requests.max(by_tokens).ceil() as u32;
         let needed = needed.max(self.settings.least);
         let since = self.surplus_since.unwrap_or(now);
@@ -194,54 +198,35 @@
         self.capacity
     }
 
-    fn offers(
+    fn rooms(
         &self,
         scaling: &Scaling,
         present: &IndexMap<Slot, Present>,
         now: Instant,
-    ) -> Vec<Offer> {
-        let mut offers = Vec::new();
+    ) -> Vec<Room> {
+        let mut rooms = Vec::new();
         for (data_centre, price) in &scaling.prices {
             for class in Class::ALL {
                 let slot = Slot {
                     data_centre: data_centre.clone(),
                     class,
                 };
-                let price = match class {
-                    Class::Reclaimable => price * scaling.reclaimable_price,
-                    Class::OnDemand => *price,
-                };
-                let held = present.get(&slot).map_or(0, |present| present.serving);
+                let serving = present.get(&slot).map_or(0, |present| present.serving);
                 let is_left_out = self.left_out.get(&slot).is_some_and(|until| now < *until);
-                offers.push(Offer {
-                    held_price: price * (1.0 - self.settings.stickiness),
-                    new_price: price,
-                    held,
+                rooms.push(Room {
+                    price: match class {
+                        Class::Reclaimable => price * scaling.reclaimable_price,
+                        Class::OnDemand => *price,
+                    },
                     limit: match is_left_out {
-                        true => held.min(scaling.max_count),
+                        true => serving.min(scaling.max_count),
                         false => scaling.max_count,
                     },
+                    serving,
                     slot,
                 });
             }
         }
-        offers
-    }
-}
-
-/// Adds instances where a data centre has fewer than it must have, of the cheapest class that it
-/// offers.
-fn keep_minimum(wanted: &mut Allocation, offers: &[Offer], scaling: &Scaling) {
-    for data_centre in scaling.prices.keys() {
-        let here = |slot: &Slot| slot.data_centre == *data_centre;
-        let counts = wanted.counts.iter().filter(|(slot, _)| here(slot));
-        let count: u32 = counts.map(|(_, count)| count).sum();
-        let missing = scaling.min_count.saturating_sub(count);
-        let open = offers.iter().filter(|offer| here(&offer.slot));
-        let open = open.filter(|offer| offer.limit >= missing);
-        let cheapest = open.min_by(|a, b| a.new_price.total_cmp(&b.new_price));
-        if let Some(offer) = cheapest.filter(|_| missing > 0) {
-            *wanted.counts.entry(offer.slot.clone()).or_default() += missing;
-        }
+        rooms
     }
 }
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -25,11 +25,13 @@
 const MIN_BUFFER_BYTES: usize = 8_192;
 
 /// How far a server is stopped.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Stop {
     /// It serves.
     #[default]
     No,
+    /// Connections that are open end once they are idle; new ones are still accepted.
+    Retire,
     /// Connections end once they are idle; no new ones are accepted.
     Idle,
 }
@@ -74,6 +76,11 @@
         self.shared.open.load(Ordering::Relaxed)
     }
 
+    /// Ends each connection that is open now after the answer that it waits for.
+    pub fn retire(&self) {
+        self.shared.stop.send_replace(Stop::Retire);
+    }
+
     /// Accepts no more connections, and ends each open one after the answer that it waits for.
     pub fn stop(&self) {
         self.shared.stop.send_replace(Stop::Idle);
@@ -89,7 +96,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = stopped(&mut stop) => return,
+            () = reached(&mut stop, Stop::Idle) => return,
         };
         let settings = *shared.settings.borrow();
         match accepted {
@@ -114,9 +121,9 @@
     }
 }
 
-/// Returns once the server is stopped.
-async fn stopped(stop: &mut watch::Receiver<Stop>) {
-    let _ = stop.wait_for(|stop| *stop != Stop::No).await;
+/// Returns once the server is stopped as far as `wanted`.
+async fn reached(stop: &mut watch::Receiver<Stop>, wanted: Stop) {
+    let _ = stop.wait_for(|stop| *stop >= wanted).await;
 }
 
 async fn connection<H, F>(
@@ -142,10 +149,15 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
     let mut stop = shared.stop.subscribe();
+    // A connection that is accepted after the others were retired has a request of its own.
+    let ends_at = match *stop.borrow() {
+        Stop::No => Stop::Retire,
+        Stop::Retire | Stop::Idle => Stop::Idle,
+    };
     // An error concerns this connection alone; the caller sees that it ended.
     let _ = tokio::select! {
         ended = served.as_mut() => ended,
-        () = stopped(&mut stop) => {
+        () = reached(&mut stop, ends_at) => {
             served.as_mut().graceful_shutdown();
             served.await
         }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -22,5 +22,5 @@
 pub use hello::{Hello, PROTOCOL, Role};
 pub use malformed::Malformed;
 pub use push::Push;
-pub use report::{Overview, Report, Work};
+pub use report::{Offered, Overview, Report, Work};
 pub use request::{Body, Query, Request};
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -1,6 +1,6 @@
 //! What entries tell the leader of their work, and what they learn of that of all entries.
 
-use config::ids::{AccountId, UpstreamId};
+use config::ids::{AccountId, ServiceId, UpstreamId};
 use serde::{Deserialize, Serialize};
 use state::usage::Window;
 
@@ -13,6 +13,19 @@
     pub begun: Vec<(Window, AccountId, u64)>,
     /// Work at the upstreams now.
     pub held: Vec<(UpstreamId, Work)>,
+    /// Requests admitted since the process began, by service.
+    pub offered: Vec<(ServiceId, Offered)>,
+}
+
+/// What callers asked of a service.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Offered {
+    /// Requests.
+    pub requests: u64,
+    /// Tokens of their prompts.
+    pub input_tokens: u64,
+    /// Most tokens of their answers.
+    pub output_tokens: u64,
 }
 
 /// Work of entries at one upstream.
