--- a/components/config/src/settings/control.rs
+++ b/components/config/src/settings/control.rs
@@ -18,6 +18,9 @@
     /// Time for which an announcement of an upstream holds that names none.
     #[serde(with = "crate::duration")]
     pub announcement_lease: Duration,
+    /// Time over which token limits of accounts hold on routes by host and path.
+    #[serde(with = "crate::duration")]
+    pub limit_window: Duration,
     /// Usage reports to the cloud.
     pub usage: Usage,
     /// Port of the HTTP listener for operators, metrics and health.
@@ -51,6 +54,7 @@
             listen: None,
             founds: true,
             announcement_lease: Duration::from_secs(6),
+            limit_window: Duration::from_secs(8),
             usage: Usage::default(),
             spare: false,
             heartbeat: Duration::from_millis(150),
--- a/components/control/src/duties/scaling.rs
+++ b/components/control/src/duties/scaling.rs
@@ -66,7 +66,7 @@
         };
         match status {
             Ok(status) if (200..300).contains(&status) => {
-                counter.ordered(wanted);
+                counter.ordered(wanted, Instant::now());
                 info!(
                     order = fence,
                     "placement: {count} of {name} in {slot}: {reason}"
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -70,7 +70,7 @@
                 leases: Leases::new(settings.freshness_lease),
             }),
             allowance: Mutex::default(),
-            board: Mutex::default(),
+            board: Mutex::new(Board::new(settings.limit_window)),
             current: Mutex::default(),
             identity,
             replica,
--- a/components/control/src/node/board.rs
+++ b/components/control/src/node/board.rs
@@ -8,7 +8,7 @@
 use config::Text;
 use config::ids::{AccountId, Incarnation, NodeId, ServiceId, UpstreamId};
 use indexmap::IndexMap;
-use limits::Balance;
+use limits::Spent;
 use placement::counts::Demand;
 use state::usage::{Counts, Window};
 use wire::{Offered, Overview, Report, Work};
@@ -26,10 +26,12 @@
 type Process = (NodeId, Incarnation);
 
 /// The work of all entries.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Board {
     entries: IndexMap<Process, Seen>,
-    balances: IndexMap<AccountId, Balance>,
+    spent: IndexMap<AccountId, Spent>,
+    /// Time over which limits hold.
+    limit_window: Duration,
     begun: IndexMap<Window, IndexMap<Process, Counts>>,
     rates: IndexMap<ServiceId, Rate>,
 }
@@ -43,6 +45,17 @@
 }
 
 impl Board {
+    /// Knows nothing yet; limits hold for each span of `limit_window`.
+    pub(crate) fn new(limit_window: Duration) -> Self {
+        Board {
+            entries: IndexMap::new(),
+            spent: IndexMap::new(),
+            limit_window,
+            begun: IndexMap::new(),
+            rates: IndexMap::new(),
+        }
+    }
+
     /// Takes in a report and returns what all entries report, under the limits of `text`.
     pub(crate) fn report(
         &mut self,
@@ -54,7 +67,7 @@
         self.entries
             .retain(|_, seen| now.saturating_duration_since(seen.at) < FORGOTTEN);
         self.count(&process, report.begun);
-        self.spend(&process, &report.spent, text, now);
+        self.spend(&process, &report.spent, now);
         let seen = Seen {
             at: now,
             spent: report.spent.into_iter().collect(),
@@ -112,40 +125,28 @@
         }
     }
 
-    fn spend(
-        &mut self,
-        process: &Process,
-        spent: &[(AccountId, u64)],
-        text: Option<&Text>,
-        now: Instant,
-    ) {
-        let Some(text) = text else {
-            return;
-        };
+    fn spend(&mut self, process: &Process, spent: &[(AccountId, u64)], now: Instant) {
         let before = self.entries.get(process);
+        let window = self.limit_window;
         for (account, total) in spent {
             // What a process spent before this leader heard of it is not known to be recent.
             let known = before.map(|seen| seen.spent.get(account).copied().unwrap_or(0));
             let used = total.saturating_sub(known.unwrap_or(*total));
-            if let Some(limit) = text.accounts.get(account).and_then(limits::tokens) {
-                let fresh = || Balance::full(limit, now);
-                let balance = self.balances.entry(account.clone()).or_insert_with(fresh);
-                balance.set(limit, now);
-                balance.spend(used as f64, now);
-            }
+            let of_account = self.spent.entry(account.clone());
+            let of_account = of_account.or_insert_with(|| Spent::new(window));
+            of_account.add(used as f64, now);
         }
     }
 
     fn balances(&mut self, text: Option<&Text>, now: Instant) -> Vec<(AccountId, i64)> {
         let accounts = text.into_iter().flat_map(|text| &text.accounts);
+        let limited = accounts.filter_map(|(name, account)| Some((name, limits::tokens(account)?)));
+        let window = self.limit_window;
         let mut told = Vec::new();
-        for (name, account) in accounts {
-            if let Some(limit) = limits::tokens(account) {
-                let fresh = || Balance::full(limit, now);
-                let balance = self.balances.entry(name.clone()).or_insert_with(fresh);
-                balance.set(limit, now);
-                told.push((name.clone(), balance.available(now) as i64));
-            }
+        for (name, rate) in limited {
+            let spent = self.spent.entry(name.clone());
+            let spent = spent.or_insert_with(|| Spent::new(window));
+            told.push((name.clone(), spent.left(rate, now) as i64));
         }
         told
     }
--- a/components/control/src/node/settings.rs
+++ b/components/control/src/node/settings.rs
@@ -23,6 +23,8 @@
     pub reader: Reader,
     /// Reports of usage to the cloud.
     pub usage: Usage,
+    /// Time over which token limits of accounts hold on routes by host and path.
+    pub limit_window: Duration,
     /// Secret of the fleet.
     pub secret: Secret,
     /// Times and sizes of the connections.
@@ -47,6 +49,7 @@
             peer_port: None,
             reader: config::check::read,
             usage: control.usage,
+            limit_window: control.limit_window,
             secret: Secret::default(),
             link: link::Settings::default(),
             freshness_lease: control.freshness_lease,
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -238,6 +238,7 @@
         peer_port: (!settings.seeds.is_empty()).then_some(settings.control.peer_port),
         reader: reader.unwrap_or(defaults.reader),
         usage: settings.control.usage,
+        limit_window: settings.control.limit_window,
         secret: keys.fleet.clone(),
         freshness_lease: settings.control.freshness_lease,
         leader_lease: settings.control.election_timeout,
--- a/components/gateway/src/accounts.rs
+++ b/components/gateway/src/accounts.rs
@@ -10,6 +10,8 @@
 #[derive(Debug, Default)]
 pub struct Accounts {
     accounts: IndexMap<AccountId, Spending>,
+    /// Entries that share the limits, as the leader last told; 0 before.
+    entries: u32,
 }
 
 #[derive(Debug)]
@@ -33,27 +35,27 @@
         tokens: u64,
         now: Instant,
     ) -> Result<(), Duration> {
+        let entries = self.entries;
         let fresh = || Spending {
-            balance: Balance::full(rate, now),
+            balance: Balance::new(rate.burst, now),
             total: 0,
             told: 0,
         };
         let spending = self.accounts.entry(account.clone()).or_insert_with(fresh);
-        spending.balance.set(rate, now);
-        match spending.balance.take(tokens as f64, now) {
+        match spending.balance.take(tokens as f64, rate, entries, now) {
             true => {
                 spending.total += tokens;
                 Ok(())
             }
-            false => Err(spending.balance.wait(tokens as f64, now)),
+            false => Err(spending.balance.wait(tokens as f64, rate)),
         }
     }
 
     /// Gives back the tokens of a request that did not run.
-    pub fn put_back(&mut self, account: &AccountId, tokens: u64, now: Instant) {
+    pub fn put_back(&mut self, account: &AccountId, tokens: u64) {
         if let Some(spending) = self.accounts.get_mut(account) {
             spending.total = spending.total.saturating_sub(tokens);
-            spending.balance.spend(-(tokens as f64), now);
+            spending.balance.put_back(tokens as f64);
         }
     }
 
@@ -66,21 +68,16 @@
         self.accounts.iter_mut().map(total).collect()
     }
 
-    /// Takes in the balances that the leader told in answer to the newest report.
-    pub fn told(
-        &mut self,
-        balances: &[(AccountId, i64)],
-        rates: &IndexMap<AccountId, Rate>,
-        now: Instant,
-    ) {
+    /// Takes in the balances that the leader told in answer to the newest report, and how many
+    /// entries there are.
+    pub fn told(&mut self, balances: &[(AccountId, i64)], entries: u32, now: Instant) {
+        self.entries = entries;
         for (account, tokens) in balances {
-            let (Some(spending), Some(rate)) = (self.accounts.get_mut(account), rates.get(account))
-            else {
-                continue;
-            };
-            let since_report = spending.total.saturating_sub(spending.told);
-            let tokens = *tokens as f64 - since_report as f64;
-            spending.balance = Balance::told(*rate, tokens, now);
+            if let Some(spending) = self.accounts.get_mut(account) {
+                let since_report = spending.total.saturating_sub(spending.told);
+                let tokens = *tokens as f64 - since_report as f64;
+                spending.balance = Balance::new(tokens, now);
+            }
         }
     }
 }
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -93,7 +93,7 @@
     pub fn choose(&mut self, wish: &Wish<'_>, now: Instant) -> Result<Pick, Shortage> {
         self.turn = self.turn.wrapping_add(1);
         let usable = self.usable(wish, now);
-        let home = home::of(wish, &usable);
+        let home = home::of(wish, &usable, now);
         let scored = usable.into_iter().map(|(name, upstream)| {
             let at_home = home.as_deref() == Some(name.as_str());
             let estimate = Estimate::new(upstream, wish, at_home, &self.settings, now);
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -28,6 +28,8 @@
     pub(super) data_centre: DataCentreId,
     pub(super) availability: Availability,
     pub(super) expires: Instant,
+    /// When this entry first heard of it.
+    pub(super) appeared: Instant,
     /// Whether an upstream that began later has its address.
     pub(super) superseded: bool,
     pub(super) is_engine: bool,
@@ -56,6 +58,7 @@
             data_centre: announcement.data_centre.clone(),
             availability: announcement.availability,
             expires: route.expires,
+            appeared: route.received,
             superseded: false,
             is_engine: false,
             slots: announcement.capacity.batch,
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -71,7 +71,7 @@
     };
     let now = Instant::now();
     match refusal.is_not_run() {
-        true => lock(&core.accounts).put_back(&account.name, tokens(call, account), now),
+        true => lock(&core.accounts).put_back(&account.name, tokens(call, account)),
         false if !call.route.kind.is_stream() => lock(&core.usage).began(&account.name, now),
         false => {}
     }
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -87,8 +87,7 @@
 fn take(core: &Core, overview: &wire::Overview, asked: Instant) {
     let now = Instant::now();
     let half_way = now.saturating_duration_since(asked) / 2;
-    let table = core.table.load();
-    lock(&core.accounts).told(&overview.balances, table.rates(), now);
+    lock(&core.accounts).told(&overview.balances, overview.entries, now);
     lock(&core.balancer).shared(&overview.held);
     lock(&core.retries).share_with(overview.entries);
     let unix_ms = overview.now_ms + u64::try_from(half_way.as_millis()).unwrap_or(0);
--- a/components/gateway/src/table.rs
+++ b/components/gateway/src/table.rs
@@ -17,7 +17,6 @@
     /// Routes by host, those with longer prefixes first.
     routes: IndexMap<CompactString, Vec<Arc<Route>>>,
     accounts: IndexMap<CompactString, Arc<Account>>,
-    rates: IndexMap<AccountId, Rate>,
     limits: Limits,
 }
 
@@ -46,7 +45,6 @@
             of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let mut accounts = IndexMap::new();
-        let mut rates = IndexMap::new();
         for (name, account) in &text.accounts {
             let prepared = Arc::new(Account {
                 name: name.clone(),
@@ -54,7 +52,6 @@
                 limit: limits::tokens(account),
                 tokens_per_request: account.tokens_per_request,
             });
-            rates.extend(prepared.limit.map(|rate| (name.clone(), rate)));
             let keys = account.keys.iter().cloned();
             accounts.extend(keys.map(|key| (key, prepared.clone())));
         }
@@ -62,7 +59,6 @@
             version,
             routes,
             accounts,
-            rates,
             limits: text.ingress.limits,
         }
     }
@@ -90,11 +86,6 @@
     pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
         self.accounts.get(key)
     }
-
-    /// Returns the limits of the accounts that have one.
-    pub fn rates(&self) -> &IndexMap<AccountId, Rate> {
-        &self.rates
-    }
 }
 
 /// Returns the service of a route that a request goes to; equal for equal requests.
--- a/components/placement/src/counts.rs
+++ b/components/placement/src/counts.rs
@@ -17,14 +17,19 @@
 use indexmap::IndexMap;
 
 use crate::Slot;
-use allotment::{Allotment, Room};
+use allotment::{Allotment, Need, Room};
+
+/// Time beyond that of its start within which an instance is expected to serve.
+const START_SLACK: Duration = Duration::from_secs(2);
 
 /// Settings of a [`Counter`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// Prompt tokens per second that one instance computes, within the latency target, of prompts
-    /// that share parts as usual.
+    /// Prompt tokens per second that one instance computes in time, of prompts that share parts as
+    /// usual.
     pub input_tokens_per_second: f64,
+    /// Instances with which requests are served well, relative to those that just carry them.
+    pub comfort: f64,
     /// Time that a request holds its place beside that for its tokens.
     pub stay: Duration,
     /// Time that each token of an answer adds to that.
@@ -44,11 +49,12 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            input_tokens_per_second: 26_000.0,
+            input_tokens_per_second: 44_000.0,
+            comfort: 1.8,
             stay: Duration::from_millis(300),
             stay_per_token: Duration::from_millis(9),
-            requests_per_instance: 14.0,
-            least: 5,
+            requests_per_instance: 20.0,
+            least: 3,
             hold: Duration::from_secs(12),
             after_reclaim: Duration::from_secs(6),
             after_refusal: Duration::from_secs(2),
@@ -94,7 +100,14 @@
     capacity: u32,
     surplus_since: Option<Instant>,
     left_out: IndexMap<Slot, Instant>,
-    ordered: IndexMap<Slot, u32>,
+    ordered: IndexMap<Slot, Ordered>,
+}
+
+/// An order that was taken.
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    count: u32,
+    at: Instant,
 }
 
 impl Counter {
@@ -113,8 +126,10 @@
     }
 
     /// Takes in that an order was taken.
-    pub fn ordered(&mut self, order: &Order) {
-        self.ordered.insert(order.slot.clone(), order.count);
+    pub fn ordered(&mut self, order: &Order, now: Instant) {
+        let count = order.count;
+        let ordered = Ordered { count, at: now };
+        self.ordered.insert(order.slot.clone(), ordered);
     }
 
     /// Returns the orders that lead to the counts that are right now.
@@ -128,24 +143,21 @@
         self.note_reclaims(present, now);
         let capacity = self.size(demand, now);
         let rooms = self.rooms(scaling, present, now);
-        let wanted = Allotment::cheapest(&rooms, capacity, scaling);
-        let is_complete = rooms
-            .iter()
-            .all(|room| room.serving >= wanted.count(&room.slot));
+        let need = Need {
+            left: capacity,
+            usual: (f64::from(capacity) * self.settings.comfort).ceil() as u32,
+        };
+        let wanted = Allotment::new(&rooms, need, scaling);
         let mut orders = Vec::new();
         for Room { slot, serving, .. } in &rooms {
-            let known = self.ordered.get(slot).copied();
-            let held = known.unwrap_or(*serving);
-            let count = match is_complete {
-                true => wanted.count(slot),
-                false => wanted.count(slot).max(held),
-            };
+            let held = self.ordered.get(slot).map_or(*serving, |order| order.count);
+            let count = wanted.count(slot);
             if count != held {
                 orders.push(Order {
                     slot: slot.clone(),
                     count,
                     reason: format_compact!(
-                        "{} in all, so that {capacity} are left when one data centre's are taken \
+                        "{} in all, {capacity} are to be left when one data centre's are taken \
                          back; {:.1} requests and {:.0} prompt tokens a second; {serving} serve \
                          here",
                         wanted.total(),
@@ -213,7 +225,13 @@
                 };
                 let serving = present.get(&slot).map_or(0, |present| present.serving);
                 let is_left_out = self.left_out.get(&slot).is_some_and(|until| now < *until);
+                let starts = |order: &&Ordered| {
+                    let time = scaling.boot_time + START_SLACK;
+                    now.saturating_duration_since(order.at) < time
+                };
+                let ordered = self.ordered.get(&slot).filter(starts);
                 rooms.push(Room {
+                    coming: ordered.map_or(serving, |order| order.count.max(serving)),
                     price: match class {
                         Class::Reclaimable => price * scaling.reclaimable_price,
                         Class::OnDemand => *price,
--- a/components/placement/src/counts/allotment.rs
+++ b/components/placement/src/counts/allotment.rs
@@ -1,46 +1,61 @@
-//! The cheapest counts with which enough instances are left after a reclaim.
+//! Counts by slot: reclaimable instances as far as they are to be had, and on demand what is
+//! missing.
 
 use config::text::{Class, Scaling};
 use indexmap::IndexMap;
 
 use crate::Slot;
 
-/// What a slot offers.
+/// Data centres with reclaimable instances from which on these alone are made to outlast the loss
+/// of one of them; with fewer that takes too many of them.
+const SPREAD: usize = 3;
+/// Part of the price by which a slot that has instances on demand is preferred.
+const STICKINESS: f64 = 0.05;
+
+/// What a slot offers, and what it has.
 #[derive(Clone, Debug)]
 pub(super) struct Room {
     pub(super) slot: Slot,
     /// Price of one instance.
     pub(super) price: f64,
-    /// Most instances that it can have.
+    /// Most instances that it may have.
     pub(super) limit: u32,
     /// Instances that take work.
     pub(super) serving: u32,
+    /// Instances that take work or were ordered so lately that they may still start.
+    pub(super) coming: u32,
+}
+
+/// What the instances of a service must carry.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct Need {
+    /// Instances that must be left when a data centre's reclaimable ones are taken back, whatever
+    /// they cost.
+    pub(super) left: u32,
+    /// Instances with which requests are served well, as far as reclaimable ones are to be had.
+    pub(super) usual: u32,
 }
 
 /// Counts by slot.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Allotment {
     counts: IndexMap<Slot, u32>,
-    price: f64,
 }
 
 impl Allotment {
-    /// Returns the cheapest counts with which `capacity` instances are left when all reclaimable
-    /// ones of a data centre are taken back; the nearest to it where there is too little room.
-    pub(super) fn cheapest(rooms: &[Room], capacity: u32, scaling: &Scaling) -> Self {
-        let tries = (0..=capacity).map(|on_demand| {
-            let mut allotment = Allotment::default();
-            let placed = allotment.buy_on_demand(rooms, on_demand, scaling);
-            allotment.buy_reclaimable(rooms, capacity.saturating_sub(placed), scaling);
-            allotment.keep_minimum(rooms, scaling);
-            allotment
-        });
-        let by_need = |a: &Allotment, b: &Allotment| {
-            let missing = |allotment: &Allotment| capacity.saturating_sub(allotment.left());
-            let by_missing = missing(a).cmp(&missing(b));
-            by_missing.then(a.price.total_cmp(&b.price))
-        };
-        tries.min_by(by_need).unwrap_or_default()
+    /// Returns the counts that meet `need`. Reclaimable instances that are only asked for are not
+    /// counted on: until they come, the same number is kept or ordered on demand.
+    pub(super) fn new(rooms: &[Room], need: Need, scaling: &Scaling) -> Self {
+        let mut allotment = Allotment::default();
+        allotment.ask_for_reclaimable(rooms, need, scaling);
+        let missing = |has: fn(&Room) -> u32| need.left.saturating_sub(allotment.left(rooms, has));
+        let least = missing(|room| room.coming);
+        let most = missing(|room| room.serving);
+        let on_demand = rooms.iter().filter(|room| is(room, Class::OnDemand));
+        let held: u32 = on_demand.map(|room| room.coming).sum();
+        allotment.order_on_demand(rooms, held.clamp(least, most.max(least)), scaling);
+        allotment.keep_minimum(rooms, scaling);
+        allotment
     }
 
     pub(super) fn count(&self, slot: &Slot) -> u32 {
@@ -51,56 +66,63 @@
         self.counts.values().sum()
     }
 
-    /// Returns the instances that are left when the fullest data centre's are taken back.
-    fn left(&self) -> u32 {
-        let reclaimable = self.counts.iter();
-        let reclaimable = reclaimable.filter(|(slot, _)| slot.class == Class::Reclaimable);
-        let most = reclaimable.map(|(_, count)| *count).max().unwrap_or(0);
-        self.total() - most
+    /// Asks for reclaimable instances evenly over the data centres.
+    fn ask_for_reclaimable(&mut self, rooms: &[Room], need: Need, scaling: &Scaling) {
+        let open = rooms.iter().filter(|room| is(room, Class::Reclaimable));
+        let spread = open.filter(|room| room.limit > 0).count();
+        let emptiest =
+            |room: &Room, count: u32| f64::from(count) + room.price / f64::from(u32::MAX);
+        loop {
+            let left = self.left(rooms, |_| u32::MAX);
+            let outlasts = spread < SPREAD || left >= need.left;
+            let is_enough = self.total() >= need.usual && outlasts;
+            if is_enough || !self.add(rooms, Class::Reclaimable, scaling, emptiest) {
+                return;
+            }
+        }
     }
 
-    /// Buys the cheapest on demand, and returns how many there was room for.
-    fn buy_on_demand(&mut self, rooms: &[Room], count: u32, scaling: &Scaling) -> u32 {
-        (0..count)
-            .take_while(|_| self.buy(rooms, Class::OnDemand, scaling, |room, _| room.price))
-            .count() as u32
+    fn order_on_demand(&mut self, rooms: &[Room], count: u32, scaling: &Scaling) {
+        let by_price = |room: &Room, count: u32| match count < room.serving {
+            true => room.price * (1.0 - STICKINESS),
+            false => room.price,
+        };
+        for _ in 0..count {
+            if !self.add(rooms, Class::OnDemand, scaling, by_price) {
+                return;
+            }
+        }
     }
 
-    /// Buys evenly over the data centres until enough are left without the fullest one.
-    fn buy_reclaimable(&mut self, rooms: &[Room], left: u32, scaling: &Scaling) {
-        let enough = |allotment: &Allotment| {
-            let counts = allotment.counts.iter();
-            let counts = counts.filter(|(slot, _)| slot.class == Class::Reclaimable);
-            let counts: Vec<u32> = counts.map(|(_, count)| *count).collect();
-            let most = counts.iter().copied().max().unwrap_or(0);
-            counts.iter().sum::<u32>() - most >= left
-        };
-        let emptiest =
-            |room: &Room, count: u32| f64::from(count) + room.price / f64::from(u32::MAX);
-        while !enough(self) && self.buy(rooms, Class::Reclaimable, scaling, emptiest) {}
+    /// Returns the reclaimable instances that are left, of those that `has` tells, when the fullest
+    /// data centre's are taken back.
+    fn left(&self, rooms: &[Room], has: impl Fn(&Room) -> u32) -> u32 {
+        let reclaimable = rooms.iter().filter(|room| is(room, Class::Reclaimable));
+        let counts: Vec<u32> = reclaimable
+            .map(|room| self.count(&room.slot).min(has(room)))
+            .collect();
+        let most = counts.iter().copied().max().unwrap_or(0);
+        counts.iter().sum::<u32>() - most
     }
 
     /// Adds instances where a data centre has fewer than it must have.
     fn keep_minimum(&mut self, rooms: &[Room], scaling: &Scaling) {
+        let by_price = |room: &Room, _| room.price;
         for data_centre in scaling.prices.keys() {
-            let here: Vec<Room> = rooms
-                .iter()
-                .filter(|room| room.slot.data_centre == *data_centre)
-                .cloned()
-                .collect();
-            while self.in_data_centre(&here) < scaling.min_count {
-                let by_price = |room: &Room, _| room.price;
-                let bought = self.buy(&here, Class::Reclaimable, scaling, by_price)
-                    || self.buy(&here, Class::OnDemand, scaling, by_price);
-                if !bought {
+            let is_here = |room: &&Room| room.slot.data_centre == *data_centre;
+            let here: Vec<Room> = rooms.iter().filter(is_here).cloned().collect();
+            while self.sum(&here) < scaling.min_count {
+                let added = self.add(&here, Class::Reclaimable, scaling, by_price)
+                    || self.add(&here, Class::OnDemand, scaling, by_price);
+                if !added {
                     break;
                 }
             }
         }
     }
 
-    /// Buys one instance of a class where `rank` is least; reports whether there was room.
-    fn buy(
+    /// Adds one instance of a class where `rank` is least; reports whether there was room.
+    fn add(
         &mut self,
         rooms: &[Room],
         class: Class,
@@ -108,27 +130,28 @@
         rank: impl Fn(&Room, u32) -> f64,
     ) -> bool {
         let has_room = |room: &&Room| {
-            let here: Vec<Room> = rooms
-                .iter()
-                .filter(|other| other.slot.data_centre == room.slot.data_centre)
-                .cloned()
-                .collect();
-            room.slot.class == class
-                && self.count(&room.slot) < room.limit
-                && self.in_data_centre(&here) < scaling.max_count
+            let neighbours = rooms.iter();
+            let neighbours = neighbours.filter(|r| r.slot.data_centre == room.slot.data_centre);
+            let there: u32 = neighbours.map(|r| self.count(&r.slot)).sum();
+            is(room, class) && self.count(&room.slot) < room.limit && there < scaling.max_count
         };
-        let open = rooms.iter().filter(has_room);
         let ranked = |room: &&Room| rank(room, self.count(&room.slot));
+        let open = rooms.iter().filter(has_room);
         let best = open.min_by(|a, b| ranked(a).total_cmp(&ranked(b)));
-        let Some(room) = best else {
-            return false;
-        };
-        *self.counts.entry(room.slot.clone()).or_default() += 1;
-        self.price += room.price;
-        true
+        match best {
+            Some(room) => {
+                *self.counts.entry(room.slot.clone()).or_default() += 1;
+                true
+            }
+            None => false,
+        }
     }
 
-    fn in_data_centre(&self, rooms: &[Room]) -> u32 {
+    fn sum(&self, rooms: &[Room]) -> u32 {
         rooms.iter().map(|room| self.count(&room.slot)).sum()
     }
 }
+
+fn is(room: &Room, class: Class) -> bool {
+    room.slot.class == class
+}
