--- a/components/placement/src/counts.rs
+++ b/components/placement/src/counts.rs
@@ -49,8 +49,8 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            input_tokens_per_second: 44_000.0,
-            comfort: 1.8,
+            input_tokens_per_second: 36_000.0,
+            comfort: 2.4,
             stay: Duration::from_millis(300),
             stay_per_token: Duration::from_millis(9),
             requests_per_instance: 20.0,
--- a/components/placement/src/counts/allotment.rs
+++ b/components/placement/src/counts/allotment.rs
@@ -9,8 +9,10 @@
 /// Data centres with reclaimable instances from which on these alone are made to outlast the loss
 /// of one of them; with fewer that takes too many of them.
 const SPREAD: usize = 3;
-/// Part of the price by which a slot that has instances on demand is preferred.
-const STICKINESS: f64 = 0.05;
+/// Weight of the price of an instance that is there already, since its memory is warm.
+const HELD_WEIGHT: f64 = 0.1;
+/// Reclaimable instances that a data centre may have beyond its even part.
+const UNEVEN: u32 = 1;
 
 /// What a slot offers, and what it has.
 #[derive(Clone, Debug)]
@@ -68,23 +70,32 @@
 
     /// Asks for reclaimable instances evenly over the data centres.
     fn ask_for_reclaimable(&mut self, rooms: &[Room], need: Need, scaling: &Scaling) {
-        let open = rooms.iter().filter(|room| is(room, Class::Reclaimable));
-        let spread = open.filter(|room| room.limit > 0).count();
+        let data_centres = u32::try_from(scaling.prices.len().max(1)).unwrap_or(u32::MAX);
+        let even = need.usual.div_ceil(data_centres) + UNEVEN;
+        let rooms: Vec<Room> = rooms
+            .iter()
+            .filter(|room| is(room, Class::Reclaimable))
+            .map(|room| Room {
+                limit: room.limit.min(even),
+                ..room.clone()
+            })
+            .collect();
+        let spread = rooms.iter().filter(|room| room.limit > 0).count();
         let emptiest =
             |room: &Room, count: u32| f64::from(count) + room.price / f64::from(u32::MAX);
         loop {
-            let left = self.left(rooms, |_| u32::MAX);
+            let left = self.left(&rooms, |_| u32::MAX);
             let outlasts = spread < SPREAD || left >= need.left;
             let is_enough = self.total() >= need.usual && outlasts;
-            if is_enough || !self.add(rooms, Class::Reclaimable, scaling, emptiest) {
+            if is_enough || !self.add(&rooms, Class::Reclaimable, scaling, emptiest) {
                 return;
             }
         }
     }
 
     fn order_on_demand(&mut self, rooms: &[Room], count: u32, scaling: &Scaling) {
-        let by_price = |room: &Room, count: u32| match count < room.serving {
-            true => room.price * (1.0 - STICKINESS),
+        let by_price = |room: &Room, count: u32| match count < room.coming {
+            true => room.price * HELD_WEIGHT,
             false => room.price,
         };
         for _ in 0..count {
