--- a/components/gateway/src/accounts.rs
+++ b/components/gateway/src/accounts.rs
@@ -6,6 +6,9 @@
 use indexmap::IndexMap;
 use limits::{Balance, Rate};
 
+/// Entries that are taken to share a limit before the leader has told how many there are.
+const ASSUMED_ENTRIES: u32 = 10;
+
 /// Balances of accounts with a limit, and what was spent of each here.
 #[derive(Debug, Default)]
 pub struct Accounts {
@@ -23,6 +26,16 @@
     told: u64,
 }
 
+impl Spending {
+    fn new(tokens: f64, now: Instant) -> Self {
+        Spending {
+            balance: Balance::new(tokens, now),
+            total: 0,
+            told: 0,
+        }
+    }
+}
+
 impl Accounts {
     /// Admits a request of `tokens`, or returns when the account may come back.
     ///
@@ -35,13 +48,11 @@
         tokens: u64,
         now: Instant,
     ) -> Result<(), Duration> {
-        let entries = self.entries;
-        let fresh = || Spending {
-            balance: Balance::new(rate.burst, now),
-            total: 0,
-            told: 0,
-        };
-        let spending = self.accounts.entry(account.clone()).or_insert_with(fresh);
+        let entries = self.entries.max(ASSUMED_ENTRIES);
+        let spending = self.accounts.entry(account.clone()).or_insert_with(|| {
+            // Until the leader has told, each entry counts on its part alone.
+            Spending::new(rate.burst / f64::from(entries), now)
+        });
         match spending.balance.take(tokens as f64, rate, entries, now) {
             true => {
                 spending.total += tokens;
@@ -61,11 +72,14 @@
 
     /// Returns the totals for a report.
     pub fn report(&mut self) -> Vec<(AccountId, u64)> {
-        let total = |(account, spending): (&AccountId, &mut Spending)| {
+        let mut totals = Vec::new();
+        for (account, spending) in &mut self.accounts {
             spending.told = spending.total;
-            (account.clone(), spending.total)
-        };
-        self.accounts.iter_mut().map(total).collect()
+            if spending.total > 0 {
+                totals.push((account.clone(), spending.total));
+            }
+        }
+        totals
     }
 
     /// Takes in the balances that the leader told in answer to the newest report, and how many
@@ -73,11 +87,11 @@
     pub fn told(&mut self, balances: &[(AccountId, i64)], entries: u32, now: Instant) {
         self.entries = entries;
         for (account, tokens) in balances {
-            if let Some(spending) = self.accounts.get_mut(account) {
-                let since_report = spending.total.saturating_sub(spending.told);
-                let tokens = *tokens as f64 - since_report as f64;
-                spending.balance = Balance::new(tokens, now);
-            }
+            let tokens = *tokens as f64;
+            let known = self.accounts.entry(account.clone());
+            let spending = known.or_insert_with(|| Spending::new(tokens, now));
+            let since_report = spending.total.saturating_sub(spending.told);
+            spending.balance = Balance::new(tokens - since_report as f64, now);
         }
     }
 }
--- a/components/placement/src/counts.rs
+++ b/components/placement/src/counts.rs
@@ -141,6 +141,11 @@
         now: Instant,
     ) -> Vec<Order> {
         self.note_reclaims(present, now);
+        if self.capacity == 0 {
+            // What is there was right for the load until a while ago.
+            let serving: u32 = present.values().map(|present| present.serving).sum();
+            self.capacity = (f64::from(serving) / self.settings.comfort).ceil() as u32;
+        }
         let capacity = self.size(demand, now);
         let rooms = self.rooms(scaling, present, now);
         let need = Need {
