Let engines fetch shared parts from each other, and keep room for what is sure

An engine is told from which other one it may fetch: the home, or the one that would be it without the chosen one.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -17,6 +17,7 @@
 pub use pick::{Pick, Shortage, Wish};
 pub use settings::Settings;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use ::upstream::{Availability, Routes};
@@ -106,8 +107,24 @@
         if estimate.first > wish.left {
             return Err(Shortage::Busy(estimate.first - wish.left));
         }
+        let fetch_from = self.source(wish, &name, now);
         let upstream = self.upstreams.get_mut(&name).ok_or(Shortage::None)?;
-        Ok(upstream.send(&name, wish, &estimate, home.as_deref(), now))
+        Ok(Pick {
+            fetch_from,
+            ..upstream.send(&name, wish, &estimate, home.as_deref(), now)
+        })
+    }
+
+    /// Returns an engine from which the chosen one may fetch what it does not hold.
+    fn source(&self, wish: &Wish<'_>, chosen: &UpstreamId, now: Instant) -> Option<SocketAddr> {
+        let live = self.upstreams.iter().filter(|(_, upstream)| {
+            upstream.service == *wish.service
+                && upstream.is_engine
+                && now < upstream.expires
+                && !upstream.superseded
+                && !upstream.health.is_ejected(now)
+        });
+        home::source(wish, chosen, live).map(|upstream| upstream.address)
     }
 
     /// Returns the upstreams that may be given the request: those that take work, else, as an
--- a/components/gateway/src/balancer/home.rs
+++ b/components/gateway/src/balancer/home.rs
@@ -36,6 +36,20 @@
     home.map(|(name, _)| (*name).clone())
 }
 
+/// Returns the engine that is most likely to hold what an engine that was chosen lacks: the home, or
+/// the one that would be it without the chosen one. It may be one that leaves.
+pub(super) fn source<'a>(
+    wish: &Wish<'_>,
+    chosen: &UpstreamId,
+    live: impl Iterator<Item = (&'a UpstreamId, &'a Upstream)>,
+) -> Option<&'a Upstream> {
+    let key = key(wish.prompt?)?;
+    let weight = |name: &UpstreamId| xxh3_64_with_seed(name.as_bytes(), key);
+    let others = live.filter(|(name, _)| *name != chosen);
+    let best = others.max_by_key(|(name, _)| weight(name));
+    best.map(|(_, upstream)| upstream)
+}
+
 /// Reports whether an engine is there for long enough to be the home of a key. The weights of two
 /// keys at one engine are unrelated, so that they spread the times as well.
 fn has_moved_in(weight: u64, upstream: &Upstream, now: Instant) -> bool {
--- a/components/gateway/src/balancer/pick.rs
+++ b/components/gateway/src/balancer/pick.rs
@@ -30,6 +30,8 @@
     pub incarnation: Incarnation,
     /// Its address.
     pub address: SocketAddr,
+    /// An engine from which it may fetch parts of the prompt that it does not hold.
+    pub fetch_from: Option<SocketAddr>,
     /// Tokens of the prompt that it has to compute.
     pub uncached_tokens: u32,
     /// Expected time to the first event.
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -109,6 +109,7 @@
             upstream: name.clone(),
             incarnation: self.incarnation,
             address: self.address,
+            fetch_from: None,
             uncached_tokens: estimate.uncached_tokens,
             expected: estimate.first,
             reason: format_compact!(
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -296,6 +296,7 @@
         left,
         account: call.account.as_ref().map(|account| &account.name),
         rank: call.prompt.as_ref().map(|_| call.rank()),
+        fetch_from: pick.fetch_from,
         resume_after: resume_after.or(call.resume_after),
     };
     let mut request = Request::new(Full::new(call.body.clone()));
--- a/components/gateway/src/speaker.rs
+++ b/components/gateway/src/speaker.rs
@@ -1,5 +1,6 @@
 //! The language that callers and upstreams speak.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -56,6 +57,8 @@
     pub account: Option<&'a AccountId>,
     /// Rank of a generation; 0 comes first.
     pub rank: Option<u8>,
+    /// An engine from which parts of the prompt may be fetched.
+    pub fetch_from: Option<SocketAddr>,
     /// The last event that is known of an earlier run.
     pub resume_after: Option<u64>,
 }
--- a/components/placement/src/counts/allotment.rs
+++ b/components/placement/src/counts/allotment.rs
@@ -56,6 +56,7 @@
         let on_demand = rooms.iter().filter(|room| is(room, Class::OnDemand));
         let held: u32 = on_demand.map(|room| room.coming).sum();
         allotment.order_on_demand(rooms, held.clamp(least, most.max(least)), scaling);
+        allotment.make_room(rooms, scaling);
         allotment.keep_minimum(rooms, scaling);
         allotment
     }
@@ -116,6 +117,20 @@
         counts.iter().sum::<u32>() - most
     }
 
+    /// Asks for fewer reclaimable instances where those on demand leave too little room.
+    fn make_room(&mut self, rooms: &[Room], scaling: &Scaling) {
+        for room in rooms.iter().filter(|room| is(room, Class::Reclaimable)) {
+            let neighbours = rooms.iter();
+            let on_demand = neighbours
+                .filter(|r| r.slot.data_centre == room.slot.data_centre)
+                .filter(|r| is(r, Class::OnDemand));
+            let taken: u32 = on_demand.map(|r| self.count(&r.slot)).sum();
+            if let Some(count) = self.counts.get_mut(&room.slot) {
+                *count = (*count).min(scaling.max_count.saturating_sub(taken));
+            }
+        }
+    }
+
     /// Adds instances where a data centre has fewer than it must have.
     fn keep_minimum(&mut self, rooms: &[Room], scaling: &Scaling) {
         let by_price = |room: &Room, _| room.price;
@@ -143,7 +158,12 @@
         let has_room = |room: &&Room| {
             let neighbours = rooms.iter();
             let neighbours = neighbours.filter(|r| r.slot.data_centre == room.slot.data_centre);
-            let there: u32 = neighbours.map(|r| self.count(&r.slot)).sum();
+            // What is only asked for takes no room from what is sure to come.
+            let takes = |r: &Room| match class {
+                Class::OnDemand if is(r, Class::Reclaimable) => self.count(&r.slot).min(r.coming),
+                _ => self.count(&r.slot),
+            };
+            let there: u32 = neighbours.map(takes).sum();
             is(room, class) && self.count(&room.slot) < room.limit && there < scaling.max_count
         };
         let ranked = |room: &&Room| rank(room, self.count(&room.slot));
