--- a/components/gateway/src/balancer/estimate.rs
+++ b/components/gateway/src/balancer/estimate.rs
@@ -44,11 +44,12 @@
             Some(prompt) => {
                 let uncached = uncached(upstream, prompt, at_home, settings);
                 let engine = engine(upstream, uncached, present, settings);
+                let home = if at_home { settings.home_ms } else { 0.0 };
                 Estimate {
                     first: millis(engine.first + common),
                     uncached_tokens: uncached,
                     present,
-                    score: engine.score + common + failing,
+                    score: engine.score + common + failing - home,
                 }
             }
             None => {
--- a/components/gateway/src/balancer/settings.rs
+++ b/components/gateway/src/balancer/settings.rs
@@ -23,6 +23,9 @@
     pub distance_ms: f64,
     /// Part of the shared tokens of a prompt that its home is expected to hold.
     pub home_share: f64,
+    /// Advantage of the home over an engine that holds as much, in milliseconds, so that all entries
+    /// choose alike.
+    pub home_ms: f64,
     /// Time after the end of its lease for which an upstream is remembered.
     pub kept_after_lease: Duration,
 }
@@ -37,7 +40,8 @@
             recompute_weight: 1.0,
             crowd_ms: 2.0,
             distance_ms: 2.0,
-            home_share: 0.9,
+            home_share: 1.0,
+            home_ms: 25.0,
             kept_after_lease: Duration::from_secs(60),
         }
     }
--- /dev/null
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -0,0 +1,184 @@
+//! Entries and engines without a network.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use config::Text;
+use config::ids::UpstreamId;
+use config::text::{Kind, Service};
+use gateway::balancer::{Balancer, End, Pick, Settings, Shortage, Wish};
+use gateway::{Part, Prompt};
+use indexmap::IndexMap;
+use upstream::{Announcement, Availability, Capacity, Load, Role, Routes};
+use wire::Work;
+
+const SERVICE: &str = "model";
+const LEASE: Duration = Duration::from_secs(6);
+
+/// An engine's announcement; its address follows from its name.
+pub(crate) fn engine(name: &str) -> Announcement {
+    let number: u16 = name[1..].parse().expect("names are a letter and a number");
+    Announcement {
+        upstream: name.into(),
+        incarnation: 1,
+        sequence: 1,
+        service: SERVICE.into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
+        data_centre: "here".into(),
+        class: config::text::Class::Reclaimable,
+        role: Role::Both,
+        models: Vec::new(),
+        capacity: Capacity {
+            batch: 64,
+            ..Capacity::default()
+        },
+        load: Load::default(),
+        lease_ms: LEASE.as_millis() as u64,
+        availability: Availability::Serving,
+        fence: 0,
+    }
+}
+
+/// A long prompt whose first part is shared, and whose last one belongs to one request.
+pub(crate) fn prompt(shared: u64, own: u64) -> Prompt {
+    let part = |id, tokens| Part { id, tokens };
+    Prompt {
+        model: "m".into(),
+        input_tokens: 17_000,
+        output_tokens: 120,
+        parts: vec![part(shared, 13_300), part(1_000_000 + own, 3_700)],
+    }
+}
+
+/// Entries that see the same engines.
+pub(crate) struct Fleet {
+    now: Instant,
+    text: Text,
+    routes: Routes,
+    engines: IndexMap<UpstreamId, Announcement>,
+    entries: Vec<Balancer>,
+    open: Vec<(usize, Pick)>,
+    sent: u64,
+}
+
+impl Fleet {
+    pub(crate) fn of_engines(engines: u16, entries: usize) -> Self {
+        let service = Service {
+            kind: Kind::Model,
+            ..Service::default()
+        };
+        let mut fleet = Fleet {
+            now: Instant::now(),
+            text: Text {
+                services: [(SERVICE.into(), service)].into_iter().collect(),
+                ..Text::default()
+            },
+            routes: Routes::default(),
+            engines: IndexMap::new(),
+            entries: (0..entries)
+                .map(|_| Balancer::new(Settings::default()))
+                .collect(),
+            open: Vec::new(),
+            sent: 0,
+        };
+        for number in 0..engines {
+            fleet.announce(&engine(&format!("e{number}")));
+        }
+        fleet
+    }
+
+    /// Lets an engine announce itself to all entries.
+    pub(crate) fn announce(&mut self, announcement: &Announcement) {
+        let name = announcement.upstream.clone();
+        self.engines.insert(name, announcement.clone());
+        self.routes
+            .insert(announcement.clone(), self.now, self.now + LEASE);
+        self.update();
+    }
+
+    /// Lets time pass, in which engines renew their leases.
+    pub(crate) fn pass(&mut self, time: Duration) {
+        self.now += time;
+        for announcement in self.engines.values_mut() {
+            announcement.sequence += 1;
+            self.routes
+                .insert(announcement.clone(), self.now, self.now + LEASE);
+        }
+        self.update();
+    }
+
+    /// Lets time pass without any news.
+    pub(crate) fn forget_nothing_for(&mut self, time: Duration) {
+        self.now += time;
+        self.update();
+    }
+
+    fn update(&mut self) {
+        for entry in &mut self.entries {
+            entry.update(&self.text, &self.routes, self.now);
+        }
+    }
+
+    pub(crate) fn pick(&mut self, entry: usize, shared: u64) -> Result<Pick, Shortage> {
+        self.sent += 1;
+        let prompt = prompt(shared, self.sent);
+        let wish = Wish {
+            service: &SERVICE.into(),
+            prompt: Some(&prompt),
+            excluded: &[],
+            left: Duration::from_secs(15),
+        };
+        let pick = self.entries[entry].choose(&wish, self.now)?;
+        self.open.push((entry, pick.clone()));
+        Ok(pick)
+    }
+
+    pub(crate) fn send(&mut self, entry: usize, shared: u64) -> String {
+        let pick = self.pick(entry, shared).expect("an engine takes work");
+        pick.upstream.to_string()
+    }
+
+    pub(crate) fn end(&mut self, entry: usize, pick: &Pick, end: End) {
+        self.open.retain(|(_, open)| open != pick);
+        self.entries[entry].ended(pick, false, end, self.now);
+    }
+
+    /// Lets a request to an upstream fail.
+    pub(crate) fn fail(&mut self, entry: usize, upstream: &str) {
+        let announcement = &self.engines[upstream];
+        let pick = Pick {
+            upstream: upstream.into(),
+            incarnation: announcement.incarnation,
+            address: announcement.address,
+            fetch_from: None,
+            uncached_tokens: 0,
+            expected: Duration::ZERO,
+            reason: "".into(),
+        };
+        self.entries[entry].ended(&pick, true, End::Failed, self.now);
+    }
+
+    pub(crate) fn finish_all(&mut self) {
+        for (entry, pick) in std::mem::take(&mut self.open) {
+            self.entries[entry].ended(&pick, false, End::Answered, self.now);
+        }
+    }
+
+    pub(crate) fn held(&mut self, entry: usize) -> Vec<(UpstreamId, Work)> {
+        self.entries[entry].held()
+    }
+
+    /// Lets all entries tell each other of their work, as through the leader.
+    pub(crate) fn report_all(&mut self) {
+        let mut sums: IndexMap<UpstreamId, Work> = IndexMap::new();
+        for (name, work) in self.entries.iter_mut().flat_map(Balancer::held) {
+            let sum = sums.entry(name).or_default();
+            sum.requests += work.requests;
+            sum.prefill_tokens += work.prefill_tokens;
+        }
+        let sums: Vec<_> = sums.into_iter().collect();
+        for entry in &mut self.entries {
+            entry.shared(&sums);
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/tests/balancing/main.rs
@@ -0,0 +1,162 @@
+//! The choice of upstreams, played without a network.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Fleet, engine, prompt};
+use gateway::balancer::{End, Shortage};
+use googletest::prelude::*;
+use indexmap::IndexMap;
+use upstream::Availability;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn sends_prompts_with_the_same_parts_to_the_same_engine_from_every_entry() {
+    let mut fleet = Fleet::of_engines(9, 10);
+    fleet.pass(ms(15_000));
+    for part in 1..40 {
+        let homes: Vec<_> = (0..10).map(|entry| fleet.send(entry, part)).collect();
+        assert_that!(
+            homes.iter().all(|home| *home == homes[0]),
+            eq(true),
+            "part {part}"
+        );
+        fleet.finish_all();
+    }
+}
+
+#[test]
+fn spreads_parts_over_all_engines() {
+    let mut fleet = Fleet::of_engines(9, 1);
+    fleet.pass(ms(15_000));
+    let mut counts: IndexMap<String, u32> = IndexMap::new();
+    for part in 1..200 {
+        *counts.entry(fleet.send(0, part)).or_default() += 1;
+        fleet.finish_all();
+    }
+    assert_that!(counts.len(), eq(9));
+    assert_that!(counts.values().max(), some(le(&45)));
+}
+
+#[test]
+fn leaves_a_home_that_has_too_much_to_compute() {
+    let mut fleet = Fleet::of_engines(9, 10);
+    fleet.pass(ms(15_000));
+    let mut counts: IndexMap<String, u32> = IndexMap::new();
+    for turn in 0..30 {
+        *counts.entry(fleet.send(turn % 10, 1)).or_default() += 1;
+        fleet.report_all();
+    }
+    // So many parts of their own are computed within the target of 1.2 s.
+    assert_that!(counts.values().max(), some(le(&16)));
+}
+
+#[test]
+fn moves_homes_to_a_new_engine_one_after_the_other() {
+    let mut fleet = Fleet::of_engines(4, 1);
+    fleet.pass(ms(15_000));
+    fleet.announce(&engine("e9"));
+    let homes = |fleet: &mut Fleet| {
+        let mut at_new = 0;
+        for part in 1..100 {
+            at_new += u32::from(fleet.send(0, part) == "e9");
+            fleet.finish_all();
+        }
+        at_new
+    };
+    let at_once = homes(&mut fleet);
+    fleet.pass(ms(12_000));
+    let later = homes(&mut fleet);
+    assert_that!(at_once, le(4));
+    assert_that!(later, ge(8));
+}
+
+#[test]
+fn names_the_former_home_as_the_source_of_what_a_new_one_lacks() {
+    let mut fleet = Fleet::of_engines(4, 1);
+    fleet.pass(ms(15_000));
+    let home = fleet.pick(0, 1).expect("there are engines");
+    fleet.finish_all();
+    let mut leaving = engine(&home.upstream);
+    leaving.availability = Availability::Reclaimed { in_ms: 2_000 };
+    leaving.sequence = 100;
+    fleet.announce(&leaving);
+    let next = fleet.pick(0, 1).expect("there are engines");
+    assert_that!(next.upstream, not(eq(&home.upstream)));
+    assert_that!(next.fetch_from, some(eq(home.address)));
+}
+
+#[test]
+fn gives_a_leaving_upstream_nothing_new() {
+    let mut fleet = Fleet::of_engines(2, 1);
+    let mut leaving = engine("e0");
+    leaving.availability = Availability::Leaving;
+    leaving.sequence = 100;
+    fleet.announce(&leaving);
+    for part in 1..50 {
+        assert_that!(fleet.send(0, part), eq("e1"));
+    }
+}
+
+#[test]
+fn goes_on_with_what_it_knows_when_all_leases_have_run_out() {
+    let mut fleet = Fleet::of_engines(2, 1);
+    fleet.forget_nothing_for(ms(30_000));
+    assert_that!(fleet.pick(0, 1).is_ok(), eq(true));
+}
+
+#[test]
+fn gives_nothing_to_an_upstream_whose_address_belongs_to_a_later_one() {
+    let mut fleet = Fleet::of_engines(1, 1);
+    let mut later = engine("e1");
+    later.address = engine("e0").address;
+    later.incarnation = 50;
+    fleet.announce(&later);
+    for part in 1..20 {
+        assert_that!(fleet.send(0, part), eq("e1"));
+    }
+}
+
+#[test]
+fn leaves_an_upstream_alone_that_fails_again_and_again_but_never_empties_a_service() {
+    let mut fleet = Fleet::of_engines(3, 1);
+    fleet.pass(ms(15_000));
+    let failing = fleet.pick(0, 1).expect("there are engines");
+    fleet.end(0, &failing, End::Failed);
+    for _ in 0..2 {
+        fleet.fail(0, &failing.upstream);
+    }
+    assert_that!(fleet.send(0, 1), not(eq(failing.upstream.as_str())));
+    for other in ["e0", "e1", "e2"] {
+        (0..3).for_each(|_| fleet.fail(0, other));
+    }
+    assert_that!(fleet.pick(0, 1).is_ok(), eq(true));
+}
+
+#[test]
+fn refuses_at_once_what_no_engine_can_begin_before_its_deadline() {
+    let mut fleet = Fleet::of_engines(2, 1);
+    fleet.pass(ms(15_000));
+    for part in 0..400 {
+        let _ = fleet.pick(0, part);
+    }
+    let picked = fleet.pick(0, 1_000);
+    assert_that!(picked, err(matches_pattern!(Shortage::Busy(gt(&ms(0))))));
+}
+
+#[test]
+fn counts_no_work_of_an_upstream_that_began_anew() {
+    let mut fleet = Fleet::of_engines(1, 1);
+    let before = fleet.pick(0, 1).expect("there is an engine");
+    let mut again = engine("e0");
+    again.incarnation = 60;
+    again.sequence = 1;
+    fleet.announce(&again);
+    fleet.end(0, &before, End::Answered);
+    assert_that!(fleet.held(0), is_empty());
+    assert_that!(prompt(1, 1).parts.len(), eq(2));
+}
--- /dev/null
+++ b/components/limits/tests/balance.rs
@@ -0,0 +1,119 @@
+//! Token limits that all entries keep together on news that are late.
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use limits::{Balance, Rate, Spent};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const SEED: u64 = 0x5eed_0010;
+const WINDOW: Duration = Duration::from_secs(8);
+const REPORT: Duration = Duration::from_millis(250);
+const RATE: Rate = Rate {
+    per_second: 160_000.0,
+    burst: 160_000.0,
+};
+const ENTRIES: usize = 10;
+/// Largest excess that the users allow: a tenth of the limit, and tokens beyond that.
+const ALLOWED: f64 = 1.1;
+const ALLOWED_TOKENS: f64 = 190_000.0;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn counts_what_was_spent_within_the_window_alone() {
+    let now = Instant::now();
+    let mut spent = Spent::new(WINDOW);
+    spent.add(1_000_000.0, now);
+    assert_that!(spent.left(RATE, now), near(440_000.0, 1.0));
+    assert_that!(spent.left(RATE, now + ms(7_900)), near(440_000.0, 1.0));
+    assert_that!(spent.left(RATE, now + ms(9_000)), near(1_440_000.0, 1.0));
+}
+
+#[test]
+fn admits_a_request_larger_than_the_burst_where_nothing_was_spent() {
+    let now = Instant::now();
+    let mut balance = Balance::new(RATE.within(WINDOW), now);
+    assert_that!(balance.take(300_000.0, RATE, 10, now), eq(true));
+}
+
+#[test]
+fn goes_on_at_its_part_of_the_rate_when_the_leader_is_silent() {
+    let now = Instant::now();
+    let mut balance = Balance::new(0.0, now);
+    assert_that!(balance.take(16_000.0, RATE, 10, now + ms(1_000)), eq(false));
+    assert_that!(balance.take(16_000.0, RATE, 10, now + ms(2_000)), eq(true));
+    assert_that!(balance.take(32_000.0, RATE, 10, now + ms(2_100)), eq(false));
+}
+
+/// Plays an account that asks for `load` times its limit, most of it at the first entry, and
+/// returns the greatest sum of any window, and the share of what was asked
+/// within the limit that was admitted.
+fn play(load: f64, skew: f64) -> (f64, f64) {
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let start = Instant::now();
+    let mut spent = Spent::new(WINDOW);
+    let mut entries: Vec<(Balance, f64)> = (0..ENTRIES)
+        .map(|_| (Balance::new(RATE.within(WINDOW), start), 0.0))
+        .collect();
+    let mut admitted: Vec<(Duration, f64)> = Vec::new();
+    let mut asked = 0.0;
+    for step in 0..6_000_u64 {
+        let at = ms(step * 10);
+        let now = start + at;
+        for (index, (balance, since)) in entries.iter_mut().enumerate() {
+            // Entries report one after the other within each quarter of a second.
+            let turn = index as u64 * 20;
+            if (step * 10) % REPORT.as_millis() as u64 == turn {
+                spent.add(std::mem::take(since), now);
+                *balance = Balance::new(spent.left(RATE, now), now);
+            }
+        }
+        let tokens = rng.random_range(2_000.0..32_000.0);
+        let chance = load * RATE.per_second * 0.01 / 17_000.0;
+        if rng.random_bool(chance.min(1.0)) {
+            asked += tokens;
+            let index = match rng.random_bool(skew) {
+                true => 0,
+                false => rng.random_range(0..ENTRIES),
+            };
+            let (balance, since) = &mut entries[index];
+            if balance.take(tokens, RATE, ENTRIES as u32, now) {
+                *since += tokens;
+                admitted.push((at, tokens));
+            }
+        }
+    }
+    let within = |from: Duration| {
+        let span = admitted
+            .iter()
+            .filter(|(at, _)| *at >= from && *at < from + WINDOW);
+        span.map(|(_, tokens)| tokens).sum::<f64>()
+    };
+    let most = admitted
+        .iter()
+        .map(|(at, _)| within(*at))
+        .fold(0.0, f64::max);
+    let total: f64 = admitted.iter().map(|(_, tokens)| tokens).sum();
+    (most, total / asked)
+}
+
+#[test]
+fn admits_everything_within_the_limit_however_skewed_it_is() {
+    for skew in [0.0, 0.5, 1.0] {
+        let (_, share) = play(0.6, skew);
+        assert_that!(share, ge(0.999), "skew {skew}");
+    }
+}
+
+#[test]
+fn keeps_an_account_beyond_its_limit_within_what_users_allow() {
+    let bound = RATE.within(WINDOW) * ALLOWED + ALLOWED_TOKENS;
+    for skew in [0.0, 0.5, 1.0] {
+        let (most, _) = play(3.5, skew);
+        assert_that!(most, le(bound), "skew {skew}");
+    }
+}
--- a/components/placement/src/counts/allotment.rs
+++ b/components/placement/src/counts/allotment.rs
@@ -46,13 +46,20 @@
 
 impl Allotment {
     /// Returns the counts that meet `need`. Reclaimable instances that are only asked for are not
-    /// counted on: until they come, the same number is kept or ordered on demand.
+    /// counted on: what is missing without them is ordered on demand, and while some are starting
+    /// nothing on demand is given back.
     pub(super) fn new(rooms: &[Room], need: Need, scaling: &Scaling) -> Self {
         let mut allotment = Allotment::default();
         allotment.ask_for_reclaimable(rooms, need, scaling);
         let missing = |has: fn(&Room) -> u32| need.left.saturating_sub(allotment.left(rooms, has));
         let least = missing(|room| room.coming);
-        let most = missing(|room| room.serving);
+        let is_coming = |room: &Room| {
+            is(room, Class::Reclaimable) && allotment.count(&room.slot) > room.serving
+        };
+        let most = match rooms.iter().any(is_coming) {
+            true => u32::MAX,
+            false => missing(|room| room.serving),
+        };
         let on_demand = rooms.iter().filter(|room| is(room, Class::OnDemand));
         let held: u32 = on_demand.map(|room| room.coming).sum();
         allotment.order_on_demand(rooms, held.clamp(least, most.max(least)), scaling);
--- /dev/null
+++ b/components/placement/tests/counts.rs
@@ -0,0 +1,222 @@
+//! Counts of instances ordered by slot, under reclaims and refusals.
+
+use std::time::{Duration, Instant};
+
+use config::text::{Class, Scaling};
+use googletest::prelude::*;
+use indexmap::IndexMap;
+use placement::Slot;
+use placement::counts::{Counter, Demand, Present};
+
+const DATA_CENTRES: [(&str, f64); 4] = [("a", 1.0), ("b", 0.8), ("c", 1.25), ("d", 0.9)];
+
+/// Requests for which four or five instances are just enough.
+const USUAL: Demand = Demand {
+    requests: 17.0,
+    input_tokens: 160_000.0,
+    output_tokens: 2_500.0,
+};
+
+fn scaling() -> Scaling {
+    Scaling {
+        min_count: 1,
+        max_count: 6,
+        boot_time: Duration::from_secs(4),
+        reclaimable_price: 0.15,
+        prices: DATA_CENTRES
+            .iter()
+            .map(|(name, price)| ((*name).into(), *price))
+            .collect(),
+    }
+}
+
+/// A cloud that serves what was ordered once it has started, and sells as it is told to.
+struct Cloud {
+    now: Instant,
+    counter: Counter,
+    present: IndexMap<Slot, Present>,
+    starting: Vec<(Instant, Slot, u32)>,
+    dry: bool,
+}
+
+impl Cloud {
+    fn new() -> Self {
+        let on_demand = |data_centre: &str, serving| (slot(data_centre, Class::OnDemand), serving);
+        let present = [("a", 3), ("b", 2), ("c", 2), ("d", 2)]
+            .into_iter()
+            .map(|(name, serving)| on_demand(name, serving))
+            .map(|(slot, serving)| {
+                (
+                    slot,
+                    Present {
+                        serving,
+                        reclaimed: 0,
+                    },
+                )
+            })
+            .collect();
+        Cloud {
+            now: Instant::now(),
+            counter: Counter::default(),
+            present,
+            starting: Vec::new(),
+            dry: false,
+        }
+    }
+
+    /// Lets half a second pass, as the leader's rounds do.
+    fn round(&mut self, demand: Demand) {
+        self.now += Duration::from_millis(500);
+        let now = self.now;
+        let (started, starting): (Vec<_>, Vec<_>) =
+            self.starting.drain(..).partition(|(at, ..)| *at <= now);
+        self.starting = starting;
+        for (_, slot, count) in started {
+            self.present.entry(slot).or_default().serving = count;
+        }
+        for order in self.counter.plan(&scaling(), &self.present, demand, now) {
+            let serving = self.serving(&order.slot);
+            let is_more = order.count > serving;
+            if is_more && self.dry && order.slot.class == Class::Reclaimable {
+                self.counter.refused(&order.slot, now);
+                continue;
+            }
+            self.counter.ordered(&order, now);
+            match is_more {
+                true => {
+                    let at = now + scaling().boot_time;
+                    self.starting.push((at, order.slot, order.count));
+                }
+                false => self.present.entry(order.slot).or_default().serving = order.count,
+            }
+        }
+    }
+
+    fn rounds(&mut self, seconds: u32, demand: Demand) {
+        (0..seconds * 2).for_each(|_| self.round(demand));
+    }
+
+    /// Takes all reclaimable instances of a data centre back.
+    fn reclaim(&mut self, data_centre: &str) {
+        let slot = slot(data_centre, Class::Reclaimable);
+        let reclaimed = self.serving(&slot);
+        self.starting.retain(|(_, starting, _)| *starting != slot);
+        let gone = Present {
+            serving: 0,
+            reclaimed,
+        };
+        self.present.insert(slot.clone(), gone);
+        self.round(USUAL);
+        self.present.insert(slot, Present::default());
+    }
+
+    fn serving(&self, slot: &Slot) -> u32 {
+        self.present.get(slot).map_or(0, |present| present.serving)
+    }
+
+    fn of_class(&self, class: Class) -> u32 {
+        let of_class = self.present.iter().filter(|(slot, _)| slot.class == class);
+        of_class.map(|(_, present)| present.serving).sum()
+    }
+
+    fn total(&self) -> u32 {
+        self.of_class(Class::OnDemand) + self.of_class(Class::Reclaimable)
+    }
+}
+
+fn slot(data_centre: &str, class: Class) -> Slot {
+    Slot {
+        data_centre: data_centre.into(),
+        class,
+    }
+}
+
+#[test]
+fn replaces_instances_on_demand_by_reclaimable_ones_and_never_runs_with_fewer() {
+    let mut cloud = Cloud::new();
+    for _ in 0..20 {
+        cloud.round(USUAL);
+        assert_that!(cloud.total(), ge(9));
+    }
+    assert_that!(cloud.of_class(Class::OnDemand), eq(0));
+}
+
+#[test]
+fn leaves_enough_when_any_data_centre_is_taken_back() {
+    let mut cloud = Cloud::new();
+    cloud.rounds(10, USUAL);
+    for (name, _) in DATA_CENTRES {
+        let lost = cloud.serving(&slot(name, Class::Reclaimable));
+        assert_that!(cloud.total() - lost, ge(5), "without {name}");
+    }
+}
+
+#[test]
+fn orders_on_demand_while_no_reclaimable_instance_is_to_be_had() {
+    let mut cloud = Cloud::new();
+    cloud.rounds(10, USUAL);
+    cloud.dry = true;
+    for (name, _) in DATA_CENTRES {
+        cloud.reclaim(name);
+        cloud.rounds(5, USUAL);
+        assert_that!(cloud.total(), ge(5), "after the loss of {name}");
+    }
+    assert_that!(cloud.of_class(Class::Reclaimable), eq(0));
+}
+
+#[test]
+fn orders_no_more_for_requests_that_wait_during_a_reclaim() {
+    let mut cloud = Cloud::new();
+    cloud.rounds(10, USUAL);
+    cloud.dry = true;
+    cloud.reclaim("a");
+    cloud.reclaim("b");
+    cloud.rounds(10, USUAL);
+    assert_that!(cloud.of_class(Class::OnDemand), le(6));
+}
+
+#[test]
+fn goes_back_to_reclaimable_instances_when_they_are_to_be_had_again() {
+    let mut cloud = Cloud::new();
+    cloud.rounds(10, USUAL);
+    cloud.dry = true;
+    cloud.reclaim("a");
+    cloud.reclaim("b");
+    cloud.rounds(10, USUAL);
+    cloud.dry = false;
+    cloud.rounds(25, USUAL);
+    assert_that!(cloud.of_class(Class::OnDemand), eq(0));
+    assert_that!(cloud.of_class(Class::Reclaimable), ge(9));
+}
+
+#[test]
+fn grows_at_once_and_shrinks_after_a_while() {
+    let mut cloud = Cloud::new();
+    cloud.rounds(10, USUAL);
+    let before = cloud.total();
+    let burst = Demand {
+        requests: USUAL.requests * 2.0,
+        input_tokens: USUAL.input_tokens * 2.0,
+        output_tokens: USUAL.output_tokens * 2.0,
+    };
+    cloud.rounds(6, burst);
+    let grown = cloud.total();
+    assert_that!(grown, gt(before));
+    cloud.rounds(8, USUAL);
+    assert_that!(cloud.total(), eq(grown));
+    cloud.rounds(60, USUAL);
+    assert_that!(cloud.total(), lt(grown));
+}
+
+#[test]
+fn moves_no_instance_on_demand_for_its_price() {
+    let mut cloud = Cloud::new();
+    cloud.dry = true;
+    cloud.rounds(5, USUAL);
+    let before = cloud.present.clone();
+    cloud.rounds(20, USUAL);
+    let ordered = before
+        .keys()
+        .all(|slot| cloud.serving(slot) <= before[slot].serving);
+    assert_that!(ordered, eq(true));
+}
--- /dev/null
+++ b/tests/deploy.rs
@@ -0,0 +1,113 @@
+//! The deploy file's templates, rendered as the platform does.
+
+use std::path::Path;
+
+use config::check;
+use googletest::prelude::*;
+
+fn read(path: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(path);
+    std::fs::read_to_string(path).expect("the file exists")
+}
+
+/// Fills the templates' placeholders in with the values of one machine.
+fn render(template: &str) -> String {
+    let seeds = "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}";
+    let cloud = "{{#cloud.address}}cloud = \"{{.}}\"{{/cloud.address}}";
+    let values = [
+        (
+            seeds,
+            "\"10.1.0.14:8229\",\"10.2.0.4:8229\",\"10.3.0.34:8229\"",
+        ),
+        (cloud, "cloud = \"10.200.0.35:8225\""),
+        ("{{node_name}}", "edge-north-1"),
+        ("{{zone}}", "north"),
+        ("{{ip}}", "10.1.0.14"),
+        ("{{data_dir}}", "/data/control"),
+        ("{{bootstrap}}", "true"),
+        ("{{listen.front}}", "10.1.0.14:8221"),
+        ("{{listen.ready}}", "10.1.0.14:8224"),
+        ("{{listen.control}}", "10.1.0.14:8229"),
+        ("{{internal_ports.0}}", "7600"),
+        ("{{bounds.grace_s}}", "8"),
+        ("{{bounds.lease_ms}}", "3000"),
+        ("{{bounds.quota_window_s}}", "8"),
+        ("{{bounds.retry_ratio}}", "0.2"),
+        ("{{bounds.retry_slack}}", "60"),
+        ("{{bounds.retry_window_s}}", "10"),
+        ("{{bounds.usage_delay_s}}", "10"),
+        ("{{bounds.window_s}}", "5"),
+    ];
+    let fill = |text: String, (name, value): &(&str, &str)| text.replace(name, value);
+    values.iter().fold(template.to_owned(), fill)
+}
+
+#[test]
+fn renders_settings_that_pass_the_check() {
+    for template in ["deploy/entry.toml", "deploy/control.toml"] {
+        let rendered = render(&read(template));
+        assert_that!(rendered, not(contains_substring("{{")), "{template}");
+        let (settings, findings) = check::settings(template, &rendered);
+        let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+        assert_that!(findings, is_empty(), "{template}");
+        let settings = settings.expect("there are no findings");
+        assert_that!(settings.controls().len(), eq(3));
+    }
+}
+
+#[test]
+fn finds_control_processes_at_the_seeds_ip_numbers() {
+    let rendered = render(&read("deploy/control.toml"));
+    let (settings, _) = check::settings("control.toml", &rendered);
+    let controls = settings.expect("the settings are right").controls();
+    let names: Vec<String> = controls.iter().map(|peer| peer.node.to_string()).collect();
+    assert_that!(names, eq(&["10.1.0.14", "10.2.0.4", "10.3.0.34"]));
+    assert_that!(
+        controls[1].address,
+        eq("10.2.0.4:7600".parse().expect("an address"))
+    );
+}
+
+#[test]
+fn keeps_the_platform_s_names_in_its_folder() {
+    let names = [
+        "attempt-id",
+        "server-seal",
+        "expect-instance",
+        "prompt-prefix",
+        "token-counts",
+        "not-executed",
+        "instance-load",
+        "duty-holder",
+        "fencing-token",
+        "kv-fetch",
+        "instances.heartbeat",
+        "configuration.replace",
+        "path_prefix",
+        "api_keys",
+    ];
+    let mut found = Vec::new();
+    for folder in ["components", "src", "stand_ins", "trials", "experiments"] {
+        let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join(folder);
+        sources(&folder, &mut |path, source| {
+            let source = source.to_ascii_lowercase();
+            let held = names.iter().filter(|name| source.contains(**name));
+            found.extend(held.map(|name| format!("{}: {name}", path.display())));
+        });
+    }
+    assert_that!(found, is_empty());
+}
+
+fn sources(folder: &Path, visit: &mut impl FnMut(&Path, &str)) {
+    let entries = std::fs::read_dir(folder).expect("the folder can be read");
+    for path in entries.map(|entry| entry.expect("the entry can be read").path()) {
+        match path.extension() {
+            _ if path.is_dir() => sources(&path, visit),
+            Some(extension) if extension == "rs" => {
+                let source = std::fs::read_to_string(&path).expect("the file can be read");
+                visit(&path, &source);
+            }
+            _ => {}
+        }
+    }
+}
