Try to have enough left after the loss of two data centres

Also mended: what is on demand was kept for ever where it took the places of reclaimable instances that were wanted there (found by a test).

--- a/components/placement/src/counts.rs
+++ b/components/placement/src/counts.rs
@@ -3,10 +3,10 @@
 //!
 //! The load that this answers is what callers ask per second, not what waits: during a loss of
 //! instances more waits, and orders by it would run away. The counts are the cheapest with which
-//! enough instances are left when the cloud takes all reclaimable ones of any one data centre
-//! back. They grow at once and shrink after a while; instances that are to go stay until those
-//! that replace them serve. A slot whose instances are taken back, or that has none to sell, is
-//! left out for a while.
+//! enough instances are left when the cloud takes the reclaimable ones of some data centres back.
+//! They grow at once and shrink after a while; instances that are to go stay until those that
+//! replace them serve. A slot whose instances are taken back, or that has none to sell, is left out
+//! for a while.
 
 mod allotment;
 
@@ -162,8 +162,7 @@
                     slot: slot.clone(),
                     count,
                     reason: format_compact!(
-                        "{} in all, {capacity} are to be left when one data centre's are taken \
-                         back; {:.1} requests and {:.0} prompt tokens a second; {serving} serve \
+                        "{} in all, {capacity} are to be left after a wave of reclaims; {:.1} requests and {:.0} prompt tokens a second; {serving} serve \
                          here",
                         wanted.total(),
                         demand.requests,
--- a/components/placement/src/counts/allotment.rs
+++ b/components/placement/src/counts/allotment.rs
@@ -6,9 +6,12 @@
 
 use crate::Slot;
 
-/// Data centres with reclaimable instances from which on these alone are made to outlast the loss
-/// of one of them; with fewer that takes too many of them.
-const SPREAD: usize = 3;
+/// Data centres whose reclaimable instances may be taken back within the time that others need to
+/// start: reclaims come in waves.
+const LOSSES: usize = 2;
+/// Data centres with reclaimable instances from which on these alone are made to outlast such
+/// losses; with fewer that takes too many of them.
+const SPREAD: usize = LOSSES + 2;
 /// Weight of the price of an instance that is there already, since its memory is warm.
 const HELD_WEIGHT: f64 = 0.1;
 /// Reclaimable instances that a data centre may have beyond its even part.
@@ -31,8 +34,7 @@
 /// What the instances of a service must carry.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) struct Need {
-    /// Instances that must be left when a data centre's reclaimable ones are taken back, whatever
-    /// they cost.
+    /// Instances that must be left when a wave takes reclaimable ones back, whatever they cost.
     pub(super) left: u32,
     /// Instances with which requests are served well, as far as reclaimable ones are to be had.
     pub(super) usual: u32,
@@ -54,7 +56,10 @@
         let missing = |has: fn(&Room) -> u32| need.left.saturating_sub(allotment.left(rooms, has));
         let least = missing(|room| room.coming);
         let is_coming = |room: &Room| {
-            is(room, Class::Reclaimable) && allotment.count(&room.slot) > room.serving
+            let taken = neighbours(rooms, room).map(|other| other.coming).sum();
+            let fits = scaling.max_count.saturating_sub(taken);
+            let asked = allotment.count(&room.slot).min(fits);
+            is(room, Class::Reclaimable) && asked > room.serving
         };
         let most = match rooms.iter().any(is_coming) {
             true => u32::MAX,
@@ -113,25 +118,22 @@
         }
     }
 
-    /// Returns the reclaimable instances that are left, of those that `has` tells, when the fullest
-    /// data centre's are taken back.
+    /// Returns the reclaimable instances that are left, of those that `has` tells, when those of the
+    /// fullest data centres are taken back.
     fn left(&self, rooms: &[Room], has: impl Fn(&Room) -> u32) -> u32 {
         let reclaimable = rooms.iter().filter(|room| is(room, Class::Reclaimable));
-        let counts: Vec<u32> = reclaimable
+        let mut counts: Vec<u32> = reclaimable
             .map(|room| self.count(&room.slot).min(has(room)))
             .collect();
-        let most = counts.iter().copied().max().unwrap_or(0);
-        counts.iter().sum::<u32>() - most
+        counts.sort_unstable();
+        counts.iter().rev().skip(LOSSES).sum()
     }
 
     /// Asks for fewer reclaimable instances where those on demand leave too little room.
     fn make_room(&mut self, rooms: &[Room], scaling: &Scaling) {
         for room in rooms.iter().filter(|room| is(room, Class::Reclaimable)) {
-            let neighbours = rooms.iter();
-            let on_demand = neighbours
-                .filter(|r| r.slot.data_centre == room.slot.data_centre)
-                .filter(|r| is(r, Class::OnDemand));
-            let taken: u32 = on_demand.map(|r| self.count(&r.slot)).sum();
+            let others = neighbours(rooms, room);
+            let taken: u32 = others.map(|other| self.count(&other.slot)).sum();
             if let Some(count) = self.counts.get_mut(&room.slot) {
                 *count = (*count).min(scaling.max_count.saturating_sub(taken));
             }
@@ -190,6 +192,15 @@
     }
 }
 
+/// Returns the other classes of a room's data centre.
+fn neighbours<'a>(rooms: &'a [Room], room: &'a Room) -> impl Iterator<Item = &'a Room> {
+    let is_here = |other: &&Room| other.slot.data_centre == room.slot.data_centre;
+    let others = rooms
+        .iter()
+        .filter(|other| other.slot.class != room.slot.class);
+    others.filter(is_here)
+}
+
 fn is(room: &Room, class: Class) -> bool {
     room.slot.class == class
 }
