--- a/components/placement/src/counts/allotment.rs
+++ b/components/placement/src/counts/allotment.rs
@@ -6,12 +6,12 @@
 
 use crate::Slot;
 
-/// Data centres whose reclaimable instances may be taken back within the time that others need to
-/// start: reclaims come in waves.
-const LOSSES: usize = 2;
+/// Data centres whose reclaimable instances may be taken back at once, within the time that others
+/// need to start.
+const LOSSES: usize = 1;
 /// Data centres with reclaimable instances from which on these alone are made to outlast such
 /// losses; with fewer that takes too many of them.
-const SPREAD: usize = LOSSES + 2;
+const SPREAD: usize = 3;
 /// Weight of the price of an instance that is there already, since its memory is warm.
 const HELD_WEIGHT: f64 = 0.1;
 /// Reclaimable instances that a data centre may have beyond its even part.
