--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -9,7 +9,7 @@
 use config::settings::Peer;
 use consensus::Message;
 use errors::Step;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use link::{Connection, Incoming};
 use state::{Command, Output};
 use tokio::net::{TcpListener, TcpStream};
@@ -42,6 +42,8 @@
     /// Connections that were accepted, by number.
     accepted: Mutex<IndexMap<u64, Connection>>,
     next: AtomicU64,
+    /// Control processes to which a task keeps a connection.
+    kept: Mutex<IndexSet<NodeId>>,
 }
 
 impl Peers {
@@ -53,6 +55,12 @@
         self.accepted.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Reports whether no task keeps a connection to a control process yet; one does from now on.
+    pub(crate) fn begins_to_keep(&self, node: &NodeId) -> bool {
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.insert(node.clone())
+    }
+
     /// Returns a connection to each control process that is reached.
     pub(crate) fn controls(&self) -> Vec<Connection> {
         let mut links = self.dialed().clone();
@@ -230,8 +238,7 @@
         info!("control: the group is {}", group.join(", "));
         node.peers.tell_entries(&Push::Group(group.clone()));
         for peer in group.iter().filter_map(|name| node.peer(name)) {
-            let is_kept = node.settings.peers.contains(&peer) || told.contains(&peer.node);
-            if !is_kept && peer.node != node.settings.node {
+            if node.peers.begins_to_keep(&peer.node) {
                 tokio::spawn(keep(node.clone(), peer));
             }
         }
@@ -261,8 +268,9 @@
     }
 
     /// Reports whether a connection to a control process is to be kept open.
-    fn keeps(&self, peer: &Peer) -> bool {
-        self.settings.peers.contains(peer) || self.group().contains(&peer.node)
+    fn keeps(&self, node: &NodeId) -> bool {
+        let mut listed = self.settings.peers.iter();
+        listed.any(|other| other.node == *node) || self.group().contains(node)
     }
 }
 
@@ -273,7 +281,7 @@
     R: Replica<Command = Command, Output = Output>,
 {
     let mut stopped = node.stopped.subscribe();
-    while !*node.stopped.borrow() && node.keeps(&peer) {
+    while !*node.stopped.borrow() && node.keeps(&peer.node) {
         let opened = link::dial(peer.address, &node.identity, node.settings.link).await;
         if let Ok((connection, messages)) = opened {
             info!("control: connected to control \"{}\"", peer.node);
@@ -289,6 +297,12 @@
             _ = stopped.wait_for(|stopped| *stopped) => {}
         }
     }
+    let mut kept = node
+        .peers
+        .kept
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    kept.swap_remove(&peer.node);
 }
 
 async fn serve<R>(
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -96,8 +96,9 @@
         let (listener, operators) = sockets.into_listeners()?;
         let serve = |listener| operators::Server::start(listener, Gate::start(node.clone(), keys));
         let operators = operators.map(serve).transpose()?;
+        node.peers.begins_to_keep(&node.settings.node);
         for peer in &node.settings.peers {
-            if peer.node != node.settings.node {
+            if node.peers.begins_to_keep(&peer.node) {
                 tokio::spawn(peers::keep(node.clone(), peer.clone()));
             }
         }
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -57,6 +57,8 @@
     pub(crate) ask: Notify,
     /// Control processes of the group, as one of them last told.
     pub(crate) group: Mutex<IndexSet<NodeId>>,
+    /// Control processes to which a task keeps a connection.
+    pub(crate) kept: Mutex<IndexSet<NodeId>>,
     pub(crate) stopped: watch::Sender<bool>,
 }
 
@@ -81,10 +83,13 @@
             draining: Mutex::default(),
             ask: Notify::new(),
             group: Mutex::default(),
+            kept: Mutex::default(),
             stopped: watch::Sender::new(false),
         });
         for peer in &shared.settings.peers {
-            tokio::spawn(links::keep(shared.clone(), peer.clone()));
+            if shared.begins_to_keep(&peer.node) {
+                tokio::spawn(links::keep(shared.clone(), peer.clone()));
+            }
         }
         tokio::spawn(confirm::run(shared.clone()));
         tokio::spawn(spread::run(shared.clone()));
--- a/components/fleet/src/member/confirm.rs
+++ b/components/fleet/src/member/confirm.rs
@@ -12,6 +12,8 @@
 
 /// Time between two questions, several of which fit into a lease.
 const INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two questions while no leader answers.
+const RETRY: Duration = Duration::from_millis(100);
 /// Shortest time between two questions.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Longest wait for an answer.
@@ -23,7 +25,8 @@
         let reached = ask(&shared).await;
         set_reachable(&shared, reached);
         sleep(PAUSE).await;
-        let _ = timeout(INTERVAL, shared.ask.notified()).await;
+        let interval = if reached { INTERVAL } else { RETRY };
+        let _ = timeout(interval, shared.ask.notified()).await;
     }
 }
 
--- a/components/fleet/src/member/links.rs
+++ b/components/fleet/src/member/links.rs
@@ -120,7 +120,8 @@
                         next = Instant::now();
                     }
                 },
-                () = sleep_until(deadline) => break,
+                // Once all have failed there is nothing to wait for.
+                () = sleep_until(deadline), if left.len() > 0 || !calls.is_empty() => break,
                 else => break,
             }
         }
@@ -141,28 +142,36 @@
         let Some(port) = self.settings.peer_port else {
             return;
         };
-        let address = |name: &NodeId| Some(SocketAddr::new(name.parse().ok()?, port));
         let peer = |node: &NodeId| {
-            let address = address(node)?;
+            let address = SocketAddr::new(node.parse().ok()?, port);
             Some(Peer {
                 node: node.clone(),
                 address,
                 operators: address,
             })
         };
-        let mut known = self.group.lock().unwrap_or_else(PoisonError::into_inner);
         for peer in group.iter().filter_map(peer) {
-            if !known.contains(&peer.node) && !self.settings.peers.contains(&peer) {
+            if self.begins_to_keep(&peer.node) {
                 tokio::spawn(keep(self.clone(), peer));
             }
         }
-        *known = group.into_iter().collect();
+        *self.group() = group.into_iter().collect();
+    }
+
+    /// Reports whether no task keeps a connection to a control process yet; one does from now on.
+    pub(crate) fn begins_to_keep(&self, node: &NodeId) -> bool {
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.insert(node.clone())
     }
 
     /// Reports whether a connection to a control process is to be kept open.
-    fn keeps(&self, peer: &Peer) -> bool {
-        let group = self.group.lock().unwrap_or_else(PoisonError::into_inner);
-        self.settings.peers.contains(peer) || group.contains(&peer.node)
+    fn keeps(&self, node: &NodeId) -> bool {
+        let is_listed = self.settings.peers.iter().any(|peer| peer.node == *node);
+        is_listed || self.group().contains(node)
+    }
+
+    fn group(&self) -> MutexGuard<'_, IndexSet<NodeId>> {
+        self.group.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -171,7 +180,7 @@
 pub(crate) async fn keep(shared: Arc<Shared>, peer: Peer) {
     let mut stopped = shared.stopped.subscribe();
     let mut failed = false;
-    while !*shared.stopped.borrow() && shared.keeps(&peer) {
+    while !*shared.stopped.borrow() && shared.keeps(&peer.node) {
         match link::dial(peer.address, &shared.identity, shared.links.settings).await {
             Ok((connection, messages)) => {
                 info!("fleet: connected to control \"{}\"", peer.node);
@@ -189,6 +198,8 @@
             _ = stopped.wait_for(|stopped| *stopped) => {}
         }
     }
+    let mut kept = shared.kept.lock().unwrap_or_else(PoisonError::into_inner);
+    kept.swap_remove(&peer.node);
 }
 
 async fn serve(
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -4,6 +4,9 @@
 
 use quick_error::quick_error;
 
+/// Time within which an entry that was just started usually learns the text.
+const UNREADY_PAUSE: Duration = Duration::from_secs(1);
+
 quick_error! {
     /// An answer of the entry's own. Whether the request may have run follows from the reason.
     #[derive(Clone, Debug, PartialEq)]
@@ -80,6 +83,7 @@
             | Refusal::NoUpstream(after)
             | Refusal::Overloaded(after)
             | Refusal::Shed(after) => Some(*after),
+            Refusal::Unready => Some(UNREADY_PAUSE),
             Refusal::Stopping => Some(Duration::ZERO),
             _ => None,
         }
