--- a/components/control/src/outside/server.rs
+++ b/components/control/src/outside/server.rs
@@ -77,7 +77,8 @@
 }
 
 impl<R: Replica<Command = Command, Output = Output>> Node<R> {
-    async fn answer(&self, inquiry: Inquiry) -> Reply {
+    /// Answers an upstream or operator, here or through the leader.
+    pub async fn answer(&self, inquiry: Inquiry) -> Reply {
         match inquiry {
             Inquiry::Announce(announcement) => {
                 self.announced(*announcement);
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod fleet_of_one;
 mod group;
 mod group_of_three;
+mod numbered;
 mod relay;
 mod silence;
 mod submissions;
--- /dev/null
+++ b/components/control/tests/process/numbered.rs
@@ -0,0 +1,213 @@
+//! Texts that operators number, and reports of entries, on loopback.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use config::keys::Secret;
+use config::settings::Peer;
+use control::outside::{Inquiry, Reply};
+use googletest::prelude::*;
+use link::{Identity, Incoming};
+use state::text::Replacement;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use upstream::{Announcement, Availability};
+use wire::{Offered, Push, Report, Role, Work};
+
+use crate::fleet_of_one::{SECRET, any_port, control, fresh_version, member, text, until};
+
+/// Longest wait for an answer that comes at once.
+const LIMIT: Duration = Duration::from_secs(60);
+
+fn replacement(version: u64, name: &str) -> Inquiry {
+    Inquiry::Replace(Replacement {
+        version,
+        operator: "ana".into(),
+        source: text(name),
+    })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keeps_the_text_with_the_highest_version() {
+    let process = control().await;
+    let node = &process.node;
+    let member = member("entry-1", process.peer_address);
+    assert_that!(node.answer(Inquiry::Read).await, eq(&Reply::NoText));
+    let newest = |newest| Reply::Replaced { newest };
+    assert_that!(node.answer(replacement(7, "seven")).await, eq(&newest(7)));
+    assert_that!(node.answer(replacement(4, "four")).await, eq(&newest(7)));
+    assert_that!(node.answer(replacement(7, "other")).await, eq(&newest(7)));
+    assert_that!(node.answer(replacement(7, "seven")).await, eq(&newest(7)));
+    assert_that!(
+        node.answer(Inquiry::Read).await,
+        eq(&Reply::Text(text("seven")))
+    );
+    let view = until(&member, |view| fresh_version(view) == Some(7)).await;
+    let config = view.config.as_ref().expect("a text is in force");
+    assert_that!(config.text.name, eq("seven"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn errors_on_a_text_that_can_not_be_put_in_force() {
+    let process = control().await;
+    let inquiry = Inquiry::Replace(Replacement {
+        version: 7,
+        operator: "ana".into(),
+        source: "name = ".to_owned(),
+    });
+    let reply = process.node.answer(inquiry).await;
+    assert_that!(reply, matches_pattern!(Reply::Invalid(anything())));
+    assert_that!(process.node.answer(Inquiry::Read).await, eq(&Reply::NoText));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_unavailable_without_a_leader() {
+    let process = control().await;
+    process.node.replica().set_leads(false);
+    let reply = process.node.answer(replacement(7, "seven")).await;
+    assert_that!(reply, matches_pattern!(Reply::Unavailable(anything())));
+    let reply = process.node.answer(Inquiry::Read).await;
+    assert_that!(reply, matches_pattern!(Reply::Unavailable(anything())));
+}
+
+fn announcement(sequence: u64) -> Announcement {
+    serde_json::from_value(serde_json::json!({
+        "upstream": "u-1", "incarnation": 3, "sequence": sequence, "service": "bookings",
+        "address": "127.0.0.1:9", "data_centre": "penang", "class": "on-demand",
+        "capacity": {}, "load": {}, "lease_ms": 60_000, "availability": {"state": "serving"},
+    }))
+    .expect("the announcement is right")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn takes_announcements_without_a_leader_and_knows_that_an_upstream_ended() {
+    let process = control().await;
+    process.node.replica().set_leads(false);
+    let member = member("entry-1", process.peer_address);
+    let announced = Inquiry::Announce(Box::new(announcement(1)));
+    assert_that!(process.node.answer(announced).await, eq(&Reply::Noted));
+    let serving = |availability: Availability| {
+        move |view: &fleet::View| {
+            let mut all = view.routes.all();
+            all.any(|route| route.announcement.availability == availability)
+        }
+    };
+    until(&member, serving(Availability::Serving)).await;
+    let left = Inquiry::Leave {
+        upstream: "u-1".into(),
+        incarnation: None,
+    };
+    assert_that!(process.node.answer(left).await, eq(&Reply::Noted));
+    until(&member, serving(Availability::Leaving)).await;
+    // An announcement that was late on its way does not bring it back.
+    let late = Inquiry::Announce(Box::new(announcement(2)));
+    assert_that!(process.node.answer(late).await, eq(&Reply::Noted));
+    let live = process.node.upstreams();
+    assert_that!(live[0].availability, eq(Availability::Leaving));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tells_each_entry_of_the_work_of_all() {
+    let process = control().await;
+    let members = ["entry-1", "entry-2"].map(|name| member(name, process.peer_address));
+    for member in &members {
+        until(member, |view| view.control_reachable).await;
+    }
+    let report = |requests| Report {
+        held: vec![(
+            "u-1".into(),
+            Work {
+                requests,
+                prefill_tokens: 100,
+            },
+        )],
+        offered: vec![("bookings".into(), Offered::default())],
+        ..Report::default()
+    };
+    let first = members[0].report(report(2), LIMIT).await;
+    assert_that!(first.map(|overview| overview.entries), ok(eq(&1)));
+    let second = members[1].report(report(3), LIMIT).await;
+    let second = second.expect("the leader answers");
+    assert_that!(second.entries, eq(2));
+    let sum = Work {
+        requests: 5,
+        prefill_tokens: 200,
+    };
+    assert_that!(second.held, eq(&vec![("u-1".into(), sum)]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ends_a_call_once_all_control_processes_have_failed() {
+    let process = control().await;
+    let member = member("entry-1", process.peer_address);
+    until(&member, |view| view.control_reachable).await;
+    process.node.replica().set_leads(false);
+    let began = Instant::now();
+    let answer = member.report(Report::default(), LIMIT).await;
+    assert_that!(answer.is_err(), eq(true));
+    // Half of the limit is far from the milliseconds that an answer takes, also on a busy machine.
+    assert_that!(began.elapsed(), lt(LIMIT / 2));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn opens_one_connection_to_each_control_process_however_often_the_group_is_told() {
+    let listener = TcpListener::bind(any_port())
+        .await
+        .expect("loopback can be listened on");
+    let address = listener.local_addr().expect("the listener has an address");
+    let identity = Identity {
+        node: "127.0.0.1".into(),
+        incarnation: 1,
+        role: Role::Control,
+        secret: Secret::new(SECRET),
+    };
+    let (count, mut counted) = watch::channel(0_u32);
+    let (told, mut answered) = watch::channel(0_u32);
+    tokio::spawn(accept(listener, identity, Arc::new(count), Arc::new(told)));
+    let _member = fleet::Member::start(fleet::Settings {
+        node: "entry-1".into(),
+        incarnation: 1,
+        peers: vec![Peer {
+            node: "127.0.0.1".into(),
+            address,
+            operators: any_port(),
+        }],
+        peer_port: Some(address.port()),
+        secret: Secret::new(SECRET),
+        ..fleet::Settings::default()
+    });
+    let _ = counted.wait_for(|count| *count >= 1).await;
+    // The entry asks for freshness each half a second, after all groups were told.
+    let _ = answered.wait_for(|answered| *answered >= 4).await;
+    assert_that!(*counted.borrow(), eq(1));
+}
+
+/// Accepts connections, tells each of them two groups in turn, and counts what it receives.
+async fn accept(
+    listener: TcpListener,
+    identity: Identity,
+    count: Arc<watch::Sender<u32>>,
+    received: Arc<watch::Sender<u32>>,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        count.send_modify(|count| *count += 1);
+        let (identity, received) = (identity.clone(), received.clone());
+        tokio::spawn(async move {
+            let opened = link::accept(stream, &identity, link::Settings::default()).await;
+            let (connection, mut messages) = opened.expect("the entry proves itself");
+            for round in 0..6 {
+                let group = match round % 2 {
+                    0 => vec!["127.0.0.1".into()],
+                    _ => Vec::new(),
+                };
+                connection.push(Push::Group(group));
+            }
+            while let Some(message) = messages.recv().await {
+                if let Incoming::Call(id, ..) = message {
+                    connection.answer(id, Err(wire::Failure::NoLeader));
+                    received.send_modify(|received| *received += 1);
+                }
+            }
+        });
+    }
+}
--- a/components/state/tests/texts.rs
+++ b/components/state/tests/texts.rs
@@ -1,7 +1,7 @@
 //! Submissions of the operators' text.
 
 use googletest::prelude::*;
-use state::text::{MAX_TEXT_BYTES, Outcome, SUBMISSIONS_KEPT, Submission, TEXTS_KEPT};
+use state::text::{MAX_TEXT_BYTES, Outcome, Replacement, SUBMISSIONS_KEPT, Submission, TEXTS_KEPT};
 use state::{Change, Command, Output, Position, State};
 
 fn submit(state: &mut State, id: &str, base: u64, source: &str) -> Outcome {
@@ -79,3 +79,37 @@
     let newest = state.texts().revision(count).map(|r| r.source.as_str());
     assert_that!(newest, some(eq("text 33")));
 }
+
+fn replace(state: &mut State, version: u64, source: &str) -> Outcome {
+    let index = state.applied().index + 1;
+    let replacement = Replacement {
+        version,
+        operator: "ana".into(),
+        source: source.to_owned(),
+    };
+    let command = Command {
+        at: index,
+        change: Change::Replace(replacement),
+    };
+    match state.apply(Position { term: 1, index }, command) {
+        Output::Submitted(outcome) => outcome,
+        output => panic!("{output:?} is no outcome"),
+    }
+}
+
+#[test]
+fn keeps_the_text_with_the_highest_version_in_any_order() {
+    let mut state = State::default();
+    let accepted = |version| Outcome::Accepted { version };
+    let superseded = |newest| Outcome::Superseded { newest };
+    assert_that!(replace(&mut state, 5, "five"), eq(accepted(5)));
+    assert_that!(replace(&mut state, 9, "nine"), eq(accepted(9)));
+    assert_that!(replace(&mut state, 5, "five"), eq(superseded(9)));
+    assert_that!(replace(&mut state, 9, "other"), eq(superseded(9)));
+    assert_that!(replace(&mut state, 9, "nine"), eq(accepted(9)));
+    let bytes = state.snapshot().expect("a state can be encoded");
+    let state = State::restore(&bytes).expect("a snapshot can be decoded");
+    assert_that!(state.texts().newest(), eq(9));
+    let source = state.texts().revision(9).map(|r| r.source.as_str());
+    assert_that!(source, some(eq("nine")));
+}
--- /dev/null
+++ b/components/state/tests/usage.rs
@@ -0,0 +1,55 @@
+//! Windows of usage.
+
+use googletest::prelude::*;
+use state::usage::{Counts, WINDOWS_KEPT};
+use state::{Change, Command, Position, State};
+
+fn apply(state: &mut State, change: Change) {
+    let index = state.applied().index + 1;
+    let command = Command { at: index, change };
+    state.apply(Position { term: 1, index }, command);
+}
+
+fn counts(count: u64) -> Counts {
+    [("shop".into(), count)].into_iter().collect()
+}
+
+fn close(state: &mut State, window: u64, count: u64) {
+    let counts = counts(count);
+    apply(state, Change::Close { window, counts });
+}
+
+#[test]
+fn keeps_the_counts_that_a_window_was_closed_with() {
+    let mut state = State::default();
+    close(&mut state, 7, 3);
+    close(&mut state, 7, 4);
+    assert_that!(state.windows().get(7), some(eq(&counts(3))));
+}
+
+#[test]
+fn tells_the_windows_whose_report_is_not_known_to_be_taken() {
+    let mut state = State::default();
+    for window in 1..=4 {
+        close(&mut state, window, window);
+    }
+    apply(&mut state, Change::Reported(2));
+    let bytes = state.snapshot().expect("a state can be encoded");
+    let state = State::restore(&bytes).expect("a snapshot can be decoded");
+    let left: Vec<u64> = state
+        .windows()
+        .unreported()
+        .map(|(window, _)| window)
+        .collect();
+    assert_that!(left, eq(&vec![3, 4]));
+    assert_that!(state.windows().newest(), eq(4));
+}
+
+#[test]
+fn forgets_the_oldest_windows() {
+    let mut state = State::default();
+    let count = WINDOWS_KEPT as u64 + 3;
+    (1..=count).for_each(|window| close(&mut state, window, 1));
+    assert_that!(state.windows().get(3), none());
+    assert_that!(state.windows().get(4), some(eq(&counts(1))));
+}
