--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -74,6 +74,16 @@
         self.supersede();
     }
 
+    /// Returns how many upstreams are known.
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Reports whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
     /// Takes upstreams out whose address belongs to one that began later.
     fn supersede(&mut self) {
         let mut newest: IndexMap<_, u64> = IndexMap::new();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -36,7 +36,7 @@
 pub use metrics::Metrics;
 pub use refusal::Refusal;
 pub use retries::Retries;
-pub use server::run;
+pub use server::{Gateway, run};
 pub use settings::Settings;
 pub use speaker::{Head, Onward, Reply, Speaker};
 pub use table::{Account, Table};
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -13,7 +13,7 @@
 use tracing::info;
 
 use crate::balancer;
-use crate::core::Core;
+use crate::core::{Core, lock};
 use crate::drain::Drain;
 use crate::pool::Pool;
 use crate::{
@@ -27,28 +27,50 @@
 /// Time for which connections are given to end after the last answer.
 const LAST_WORDS: Duration = Duration::from_millis(100);
 
+/// A running request path.
+pub struct Gateway {
+    core: Arc<Core>,
+    servers: Servers,
+}
+
+impl Gateway {
+    /// Starts to serve callers on the current runtime.
+    ///
+    /// # Errors
+    /// Fails when an address can't be listened on.
+    pub fn start(settings: Settings, speaker: Arc<dyn Speaker>, member: Member) -> Result<Gateway> {
+        let core = core(settings, speaker, member);
+        let servers = listen(&core)?;
+        tokio::spawn(sync::follow(core.clone()));
+        tokio::spawn(sync::report(core.clone()));
+        info!(
+            "gateway: listens on {} for callers and on {} for readiness",
+            core.settings.listen, core.settings.ready
+        );
+        Ok(Gateway { core, servers })
+    }
+
+    /// Returns how many upstreams requests may go to, as far as is known.
+    pub fn upstreams(&self) -> usize {
+        lock(&self.core.balancer).len()
+    }
+
+    /// Stops being ready, and returns once all requests in progress are answered.
+    pub async fn stop(&self) {
+        stop(&self.core, &self.servers).await;
+    }
+}
+
 /// Serves callers until SIGTERM or SIGINT, and then until all requests in progress are answered.
 ///
 /// # Errors
 /// Fails when an address can't be listened on, or signals can't be taken.
-pub async fn run(
-    settings: Settings,
-    usage_window: Duration,
-    speaker: Arc<dyn Speaker>,
-    member: Member,
-) -> Result<()> {
+pub async fn run(settings: Settings, speaker: Arc<dyn Speaker>, member: Member) -> Result<()> {
     let take = |error| Error::Io(Step::Load, Peer::Local, error);
     let mut terminate = signal(SignalKind::terminate()).map_err(take)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(take)?;
     let mut reload = signal(SignalKind::hangup()).map_err(take)?;
-    let core = core(settings, usage_window, speaker, member);
-    tokio::spawn(sync::follow(core.clone()));
-    tokio::spawn(sync::report(core.clone()));
-    let servers = listen(&core)?;
-    info!(
-        "gateway: listens on {} for callers and on {} for readiness",
-        core.settings.listen, core.settings.ready
-    );
+    let gateway = Gateway::start(settings, speaker, member)?;
     loop {
         tokio::select! {
             _ = terminate.recv() => {
@@ -62,7 +84,7 @@
             _ = reload.recv() => info!("gateway: SIGHUP, settings take effect at the next start"),
         }
     }
-    stop(&core, &servers).await;
+    gateway.stop().await;
     Ok(())
 }
 
@@ -72,12 +94,7 @@
     _metrics: Option<web::Server>,
 }
 
-fn core(
-    settings: Settings,
-    usage_window: Duration,
-    speaker: Arc<dyn Speaker>,
-    member: Member,
-) -> Arc<Core> {
+fn core(settings: Settings, speaker: Arc<dyn Speaker>, member: Member) -> Arc<Core> {
     let now = Instant::now();
     let unix_ms = SystemTime::now()
         .duration_since(UNIX_EPOCH)
@@ -90,6 +107,7 @@
     };
     Arc::new(Core {
         retries: Mutex::new(Retries::new(settings.retries, ASSUMED_ENTRIES)),
+        usage: Mutex::new(Usage::new(settings.usage_window, unix_ms, now)),
         settings,
         speaker,
         member,
@@ -99,7 +117,6 @@
         started: now,
         balancer: Mutex::new(Balancer::new(balancing)),
         accounts: Mutex::new(Accounts::default()),
-        usage: Mutex::new(Usage::new(usage_window, unix_ms, now)),
         offered: Mutex::default(),
         pool: Mutex::new(Pool::default()),
     })
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -21,6 +21,8 @@
     pub metrics: Option<SocketAddr>,
     /// Bounds on repeated requests.
     pub retries: Retries,
+    /// Length of the windows in which requests that ran are counted; 0 for no counts.
+    pub usage_window: Duration,
     /// Time for which the balancer may still send requests after readiness is gone.
     pub balancer_lag: Duration,
     /// Longest time for a planned stop.
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -55,12 +55,12 @@
             .unwrap_or(SocketAddr::new(settings.address, entry.port + 1)),
         metrics: settings.metrics,
         retries: entry.retries,
+        usage_window: settings.control.usage.window,
         balancer_lag: entry.balancer_lag,
         drain_timeout: entry.drain_timeout,
         max_connections: entry.max_connections,
     };
-    let window = settings.control.usage.window;
-    let served = gateway::run(own, window, Arc::new(platform::Callers), member.clone()).await;
+    let served = gateway::run(own, Arc::new(platform::Callers), member.clone()).await;
     member.leave().await;
     served
 }
