Let a leader that knows nothing of before count on the rate alone

A process that had led before kept what it knew then.

A board whose reports begin takes the steady rate as spent over the last window. Ruled out: replicating what is spent, four times a second for each account.

Tests: a window of unknown spending, and a leader that tells its first balances.

--- a/components/control/src/node/board.rs
+++ b/components/control/src/node/board.rs
@@ -30,6 +30,8 @@
 pub(crate) struct Board {
     entries: IndexMap<Process, Seen>,
     spent: IndexMap<AccountId, Spent>,
+    /// When reports began to come, after none had.
+    began: Option<Instant>,
     /// Time over which limits hold.
     limit_window: Duration,
     begun: IndexMap<Window, IndexMap<Process, Counts>>,
@@ -50,6 +52,7 @@
         Board {
             entries: IndexMap::new(),
             spent: IndexMap::new(),
+            began: None,
             limit_window,
             begun: IndexMap::new(),
             rates: IndexMap::new(),
@@ -66,8 +69,13 @@
     ) -> Overview {
         self.entries
             .retain(|_, seen| now.saturating_duration_since(seen.at) < FORGOTTEN);
+        if self.live(now).next().is_none() {
+            // What entries spent while another process led, or none, is not known.
+            self.spent.clear();
+            self.began = Some(now);
+        }
         self.count(&process, report.begun);
-        self.spend(&process, &report.spent, now);
+        self.spend(&process, &report.spent, text, now);
         let seen = Seen {
             at: now,
             spent: report.spent.into_iter().collect(),
@@ -125,32 +133,51 @@
         }
     }
 
-    fn spend(&mut self, process: &Process, spent: &[(AccountId, u64)], now: Instant) {
+    fn spend(
+        &mut self,
+        process: &Process,
+        spent: &[(AccountId, u64)],
+        text: Option<&Text>,
+        now: Instant,
+    ) {
+        let accounts = text.into_iter().flat_map(|text| &text.accounts);
+        for (name, rate) in accounts.filter_map(|(name, a)| Some((name, limits::tokens(a)?))) {
+            if !self.spent.contains_key(name) {
+                self.spent.insert(name.clone(), self.first_spent(rate, now));
+            }
+        }
         let before = self.entries.get(process);
-        let window = self.limit_window;
         for (account, total) in spent {
             // What a process spent before this leader heard of it is not known to be recent.
             let known = before.map(|seen| seen.spent.get(account).copied().unwrap_or(0));
             let used = total.saturating_sub(known.unwrap_or(*total));
-            let of_account = self.spent.entry(account.clone());
-            let of_account = of_account.or_insert_with(|| Spent::new(window));
-            of_account.add(used as f64, now);
+            if let Some(of_account) = self.spent.get_mut(account) {
+                of_account.add(used as f64, now);
+            }
         }
     }
 
     fn balances(&mut self, text: Option<&Text>, now: Instant) -> Vec<(AccountId, i64)> {
         let accounts = text.into_iter().flat_map(|text| &text.accounts);
         let limited = accounts.filter_map(|(name, account)| Some((name, limits::tokens(account)?)));
-        let window = self.limit_window;
         let mut told = Vec::new();
         for (name, rate) in limited {
-            let spent = self.spent.entry(name.clone());
-            let spent = spent.or_insert_with(|| Spent::new(window));
-            told.push((name.clone(), spent.left(rate, now) as i64));
+            if let Some(spent) = self.spent.get_mut(name) {
+                told.push((name.clone(), spent.left(rate, now) as i64));
+            }
         }
         told
     }
 
+    /// Returns what an account is taken to have spent when it is first heard of.
+    fn first_spent(&self, rate: limits::Rate, now: Instant) -> Spent {
+        let is_new = |began| now.saturating_duration_since(began) < self.limit_window;
+        match self.began.is_some_and(is_new) {
+            true => Spent::unknown(rate, self.limit_window, now),
+            false => Spent::new(self.limit_window),
+        }
+    }
+
     fn live(&self, now: Instant) -> impl Iterator<Item = &Seen> {
         let seen = self.entries.values();
         seen.filter(move |seen| now.saturating_duration_since(seen.at) < KEPT)
--- a/components/control/tests/process/numbered.rs
+++ b/components/control/tests/process/numbered.rs
@@ -136,6 +136,19 @@
     assert_that!(second.held, eq(&vec![("u-1".into(), sum)]));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn counts_on_no_more_than_the_burst_where_a_leader_knows_nothing_of_before() {
+    let process = control().await;
+    let member = member("entry-1", process.peer_address);
+    let accepted = process.node.answer(replacement(7, "seven")).await;
+    assert_that!(accepted, eq(&Reply::Replaced { newest: 7 }));
+    until(&member, |view| fresh_version(view) == Some(7)).await;
+    let overview = member.report(Report::default(), LIMIT).await;
+    let balances = overview.expect("the leader answers").balances;
+    // The account's rate and burst are 10,000 tokens, its window holds nine times as much.
+    assert_that!(balances, elements_are![eq(&("shop".into(), 10_000))]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn ends_a_call_once_all_control_processes_have_failed() {
     let process = control().await;
--- a/components/limits/src/balance.rs
+++ b/components/limits/src/balance.rs
@@ -56,6 +56,20 @@
         }
     }
 
+    /// Starts as if the steady rate had been spent all the while, for a leader that does not know
+    /// what was: an account keeps to its rate until what was before has left the window.
+    pub fn unknown(rate: Rate, window: Duration, now: Instant) -> Self {
+        let length = window / SLICES;
+        let slice = |back: u32| {
+            let began = now.checked_sub(length * back)?;
+            Some((began, rate.per_second * length.as_secs_f64()))
+        };
+        Spent {
+            window,
+            slices: (1..=SLICES).rev().filter_map(slice).collect(),
+        }
+    }
+
     /// Counts tokens as spent now.
     pub fn add(&mut self, tokens: f64, now: Instant) {
         self.forget(now);
--- a/components/limits/tests/balance.rs
+++ b/components/limits/tests/balance.rs
@@ -33,6 +33,16 @@
     assert_that!(spent.left(RATE, now + ms(9_000)), near(1_440_000.0, 1.0));
 }
 
+#[test]
+fn keeps_an_account_to_its_rate_where_what_was_spent_is_not_known() {
+    let now = Instant::now();
+    let mut spent = Spent::unknown(RATE, WINDOW, now);
+    assert_that!(spent.left(RATE, now), near(RATE.burst, 1.0));
+    let after_a_second = spent.left(RATE, now + ms(1_000));
+    assert_that!(after_a_second, le(RATE.burst + RATE.per_second));
+    assert_that!(spent.left(RATE, now + ms(9_000)), near(1_440_000.0, 1.0));
+}
+
 #[test]
 fn admits_a_request_larger_than_the_burst_where_nothing_was_spent() {
     let now = Instant::now();
