Record what accounts spent, so that a leader after a kill of all goes on from there

Ruled out: the burst at the restart alone (the test fails without it as well); the news of entries being late (a test without the kill stays within its bound). Now the leader commits twice a second what accounts spent within the window that spent more than half of it. The time since the record counts as spent at the pace before it until the next was due, and at the steady rate after that.

--- a/components/control/src/node/board.rs
+++ b/components/control/src/node/board.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 use limits::Spent;
 use placement::counts::Demand;
+use state::spending::{Slice, Slices};
 use state::usage::{Counts, Window};
 use wire::{Offered, Overview, Report, Work};
 
@@ -30,14 +31,28 @@
 pub(crate) struct Board {
     entries: IndexMap<Process, Seen>,
     spent: IndexMap<AccountId, Spent>,
-    /// When reports began to come, after none had.
-    began: Option<Instant>,
+    /// Reports that began to come after none had.
+    began: Option<Beginning>,
     /// Time over which limits hold.
     limit_window: Duration,
     begun: IndexMap<Window, IndexMap<Process, Counts>>,
     rates: IndexMap<ServiceId, Rate>,
 }
 
+/// What an earlier leader recorded of accounts that spent much of their limit.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Recorded {
+    /// Time since then.
+    pub(crate) since: Duration,
+    pub(crate) accounts: Slices,
+}
+
+#[derive(Debug)]
+struct Beginning {
+    at: Instant,
+    recorded: Recorded,
+}
+
 #[derive(Debug)]
 struct Seen {
     at: Instant,
@@ -59,6 +74,35 @@
         }
     }
 
+    /// Reports whether no entry has reported lately, so that what they spent is not known.
+    pub(crate) fn is_idle(&self, now: Instant) -> bool {
+        self.live(now).next().is_none()
+    }
+
+    /// Begins anew with what an earlier leader recorded.
+    pub(crate) fn begin(&mut self, recorded: Recorded, now: Instant) {
+        self.spent.clear();
+        self.began = Some(Beginning { at: now, recorded });
+    }
+
+    /// Returns what accounts spent within the last window, of those that spent much of their limit.
+    pub(crate) fn spendings(&mut self, text: &Text, now: Instant) -> Slices {
+        let slice = |(age, tokens): (Duration, f64)| Slice {
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            tokens,
+        };
+        let mut notable = Slices::new();
+        for (name, rate) in limited(text) {
+            if let Some(spent) = self.spent.get_mut(name)
+                && spent.is_notable(rate, now)
+            {
+                let slices = spent.record(now).into_iter().map(slice).collect();
+                notable.insert(name.clone(), slices);
+            }
+        }
+        notable
+    }
+
     /// Takes in a report and returns what all entries report, under the limits of `text`.
     pub(crate) fn report(
         &mut self,
@@ -69,11 +113,6 @@
     ) -> Overview {
         self.entries
             .retain(|_, seen| now.saturating_duration_since(seen.at) < FORGOTTEN);
-        if self.live(now).next().is_none() {
-            // What entries spent while another process led, or none, is not known.
-            self.spent.clear();
-            self.began = Some(now);
-        }
         self.count(&process, report.begun);
         self.spend(&process, &report.spent, text, now);
         let seen = Seen {
@@ -140,10 +179,10 @@
         text: Option<&Text>,
         now: Instant,
     ) {
-        let accounts = text.into_iter().flat_map(|text| &text.accounts);
-        for (name, rate) in accounts.filter_map(|(name, a)| Some((name, limits::tokens(a)?))) {
+        for (name, rate) in text.into_iter().flat_map(limited) {
             if !self.spent.contains_key(name) {
-                self.spent.insert(name.clone(), self.first_spent(rate, now));
+                let first = self.first_spent(name, rate, now);
+                self.spent.insert(name.clone(), first);
             }
         }
         let before = self.entries.get(process);
@@ -158,10 +197,8 @@
     }
 
     fn balances(&mut self, text: Option<&Text>, now: Instant) -> Vec<(AccountId, i64)> {
-        let accounts = text.into_iter().flat_map(|text| &text.accounts);
-        let limited = accounts.filter_map(|(name, account)| Some((name, limits::tokens(account)?)));
         let mut told = Vec::new();
-        for (name, rate) in limited {
+        for (name, rate) in text.into_iter().flat_map(limited) {
             if let Some(spent) = self.spent.get_mut(name) {
                 told.push((name.clone(), spent.left(rate, now) as i64));
             }
@@ -170,11 +207,20 @@
     }
 
     /// Returns what an account is taken to have spent when it is first heard of.
-    fn first_spent(&self, rate: limits::Rate, now: Instant) -> Spent {
-        let is_new = |began| now.saturating_duration_since(began) < self.limit_window;
-        match self.began.is_some_and(is_new) {
-            true => Spent::unknown(rate, self.limit_window, now),
-            false => Spent::new(self.limit_window),
+    fn first_spent(&self, account: &str, rate: limits::Rate, now: Instant) -> Spent {
+        let window = self.limit_window;
+        let passed = |began: &Beginning| now.saturating_duration_since(began.at);
+        let Some(began) = self.began.as_ref().filter(|began| passed(began) < window) else {
+            return Spent::new(window);
+        };
+        match began.recorded.accounts.get(account) {
+            Some(slices) => {
+                let age = |slice: &Slice| (Duration::from_millis(slice.age_ms), slice.tokens);
+                let slices: Vec<_> = slices.iter().map(age).collect();
+                let since = began.recorded.since + passed(began);
+                Spent::recorded(&slices, since, rate, window, now)
+            }
+            None => Spent::unknown(rate, window, now),
         }
     }
 
@@ -193,3 +239,9 @@
         sums.into_iter().collect()
     }
 }
+
+/// Returns the accounts that have a token limit.
+fn limited(text: &Text) -> impl Iterator<Item = (&AccountId, limits::Rate)> {
+    let accounts = text.accounts.iter();
+    accounts.filter_map(|(name, account)| Some((name, limits::tokens(account)?)))
+}
--- a/components/control/src/node/duty.rs
+++ b/components/control/src/node/duty.rs
@@ -65,12 +65,17 @@
     R: Replica<Command = Command, Output = Output>,
 {
     let mut ticked = Instant::now();
+    let mut recorded = Instant::now();
     while !*node.stopped.borrow() {
         sleep(LAPSE).await;
         if !node.leads() || node.take_over().await.is_err() {
             continue;
         }
         record_lost(&node).await;
+        if recorded.elapsed() >= limits::RECORD_PERIOD - LAPSE / 2 {
+            recorded = Instant::now();
+            record_spending(&node).await;
+        }
         if ticked.elapsed() >= TICK {
             ticked = Instant::now();
             let _ = node.commit(Change::Tick).await;
@@ -99,3 +104,21 @@
         }
     }
 }
+
+/// Records what accounts spent that spent much of their limit, for a leader that comes after all
+/// processes were killed. For the others such a leader counts on the steady rate.
+async fn record_spending<R>(node: &Node<R>)
+where
+    R: Replica<Command = Command, Output = Output>,
+{
+    let Some((_, text)) = node.text() else {
+        return;
+    };
+    let notable = node.board().spendings(&text, Instant::now());
+    if notable.is_empty() {
+        return;
+    }
+    if let Err(failure) = node.commit(Change::Spend(notable)).await {
+        warn!("control: what accounts spent is not recorded: {failure:?}");
+    }
+}
--- a/components/control/src/node/lead.rs
+++ b/components/control/src/node/lead.rs
@@ -11,6 +11,7 @@
 use wire::{Answer, Body, Failure, Fresh, Overview, Query, Request, Submitted};
 
 use super::Node;
+use super::board::Recorded;
 use crate::leases::MARGIN;
 use crate::replica::Replica;
 use crate::{clock, difference};
@@ -70,9 +71,14 @@
             Body::Report(report) => {
                 let text = self.text().map(|(_, text)| text);
                 let process = (node, incarnation);
-                let overview =
-                    self.board()
-                        .report(process, report, text.as_deref(), Instant::now());
+                let now = Instant::now();
+                let overview = {
+                    let mut board = self.board();
+                    if board.is_idle(now) {
+                        board.begin(self.recorded(), now);
+                    }
+                    board.report(process, report, text.as_deref(), now)
+                };
                 Ok(Answer::Overview(Overview {
                     now_ms: clock::true_ms(),
                     ..overview
@@ -93,6 +99,17 @@
         }
     }
 
+    /// Returns what an earlier leader recorded of the accounts' spending.
+    fn recorded(&self) -> Recorded {
+        let state = self.machine.read();
+        let spending = state.spending();
+        let since = clock::true_ms().saturating_sub(spending.at());
+        Recorded {
+            since: Duration::from_millis(since),
+            accounts: spending.accounts().clone(),
+        }
+    }
+
     /// Prepares for a new term, in which leases of the earlier leaders may still hold.
     pub(super) async fn take_over(&self) -> Result<u64, Failure> {
         let term = self.replica.status().term;
--- a/components/limits/src/balance.rs
+++ b/components/limits/src/balance.rs
@@ -12,6 +12,10 @@
 
 use config::text::Account;
 
+/// Longest time between two records of what was spent.
+pub const RECORD_PERIOD: Duration = Duration::from_millis(500);
+/// Age of the news of entries that a record is made of.
+const NEWS_AGE: Duration = Duration::from_millis(250);
 /// Slices into which a window is divided; what was spent in one becomes free together.
 const SLICES: u32 = 16;
 
@@ -70,6 +74,49 @@
         }
     }
 
+    /// Starts with what an earlier leader recorded `since` ago, as the age of each slice at that
+    /// time and its tokens, oldest first. What came after is not known: it counts as spent as fast
+    /// as just before until the next record was due, and at the steady rate from then on.
+    pub fn recorded(
+        slices: &[(Duration, f64)],
+        since: Duration,
+        rate: Rate,
+        window: Duration,
+        now: Instant,
+    ) -> Self {
+        let known = slices
+            .iter()
+            .filter_map(|(age, tokens)| Some((now.checked_sub(*age + since)?, *tokens)));
+        let just_before = |(age, _): &&(Duration, f64)| *age <= RECORD_PERIOD;
+        let newest: f64 = slices.iter().filter(just_before).map(|(_, sum)| sum).sum();
+        let pace = (newest / RECORD_PERIOD.as_secs_f64()).max(rate.per_second);
+        let fast = since.min(RECORD_PERIOD) + NEWS_AGE;
+        let steady = since.min(window).saturating_sub(RECORD_PERIOD);
+        let sum = pace * fast.as_secs_f64() + rate.per_second * steady.as_secs_f64();
+        let unknown = now.checked_sub(since.min(window) / 2);
+        let unknown = unknown.map(|middle| (middle, sum));
+        let mut spent = Spent {
+            window,
+            slices: known.chain(unknown).collect(),
+        };
+        spent.forget(now);
+        spent
+    }
+
+    /// Reports whether so much was spent that the steady rate does not tell enough of it.
+    pub fn is_notable(&mut self, rate: Rate, now: Instant) -> bool {
+        self.left(rate, now) < rate.within(self.window) / 2.0
+    }
+
+    /// Returns the age of each slice and its tokens, oldest first.
+    pub fn record(&mut self, now: Instant) -> Vec<(Duration, f64)> {
+        self.forget(now);
+        let slices = self.slices.iter();
+        slices
+            .map(|(began, tokens)| (now.saturating_duration_since(*began), *tokens))
+            .collect()
+    }
+
     /// Counts tokens as spent now.
     pub fn add(&mut self, tokens: f64, now: Instant) {
         self.forget(now);
--- a/components/limits/tests/balance.rs
+++ b/components/limits/tests/balance.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use limits::{Balance, Rate, Spent};
+use limits::{Balance, RECORD_PERIOD, Rate, Spent};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -59,10 +59,32 @@
     assert_that!(balance.take(32_000.0, RATE, 10, now + ms(2_100)), eq(false));
 }
 
-/// Plays an account that asks for `load` times its limit, most of it at the first entry, and
-/// returns the greatest sum of any window, and the share of what was asked
-/// within the limit that was admitted.
+/// An account's requests, and what happens to the processes meanwhile.
+#[derive(Clone, Copy, Debug, Default)]
+struct Scenario {
+    /// What is asked, relative to the limit, before `changes`.
+    usual: f64,
+    /// What is asked after that.
+    load: f64,
+    changes: Duration,
+    /// Share of the requests that reach the first entry.
+    skew: f64,
+    /// When all processes are killed and start anew, with the last record of the leader.
+    killed: Option<Duration>,
+}
+
+/// Plays an account that asks for `load` times its limit all the time.
 fn play(load: f64, skew: f64) -> (f64, f64) {
+    run(Scenario {
+        load,
+        skew,
+        ..Scenario::default()
+    })
+}
+
+/// Returns the greatest sum of any window, and the share of what was asked that was admitted.
+fn run(scenario: Scenario) -> (f64, f64) {
+    let Scenario { skew, killed, .. } = scenario;
     let mut rng = StdRng::seed_from_u64(SEED);
     let start = Instant::now();
     let mut spent = Spent::new(WINDOW);
@@ -71,9 +93,26 @@
         .collect();
     let mut admitted: Vec<(Duration, f64)> = Vec::new();
     let mut asked = 0.0;
+    let mut recorded = (Vec::new(), start);
     for step in 0..6_000_u64 {
         let at = ms(step * 10);
         let now = start + at;
+        if at.as_millis().is_multiple_of(RECORD_PERIOD.as_millis()) {
+            recorded = match spent.is_notable(RATE, now) {
+                true => (spent.record(now), now),
+                false => recorded,
+            };
+        }
+        if killed == Some(at) {
+            let (slices, since) = &recorded;
+            spent = Spent::recorded(slices, now - *since, RATE, WINDOW, now);
+            let part = RATE.burst / ENTRIES as f64;
+            entries.fill((Balance::new(part, now), 0.0));
+        }
+        let load = match at < scenario.changes {
+            true => scenario.usual,
+            false => scenario.load,
+        };
         for (index, (balance, since)) in entries.iter_mut().enumerate() {
             // Entries report one after the other within each quarter of a second.
             let turn = index as u64 * 20;
@@ -127,3 +166,19 @@
         assert_that!(most, le(bound), "skew {skew}");
     }
 }
+
+#[test]
+fn keeps_an_account_within_what_users_allow_when_all_processes_are_killed() {
+    let bound = RATE.within(WINDOW) * ALLOWED + ALLOWED_TOKENS;
+    for before_ms in [1_200, 1_490, 2_700, 4_000, 6_990] {
+        let changes = ms(30_000);
+        let (most, _) = run(Scenario {
+            usual: 0.55,
+            load: 3.5,
+            changes,
+            skew: 0.2,
+            killed: Some(changes + ms(before_ms)),
+        });
+        assert_that!(most, le(bound), "killed {before_ms} ms after the load rose");
+    }
+}
--- a/components/state/src/command.rs
+++ b/components/state/src/command.rs
@@ -7,6 +7,7 @@
 use crate::claim::{Claim, Settlement};
 use crate::ledger::Usage;
 use crate::order::Order;
+use crate::spending::Slices;
 use crate::text::{Replacement, Submission};
 use crate::usage::{Counts, Window};
 
@@ -80,6 +81,8 @@
     },
     /// Notes that the reports of all windows up to this one are taken.
     Reported(Window),
+    /// Records what accounts spent within the last window that spent much of their limit.
+    Spend(Slices),
     /// Lets time pass.
     Tick,
 }
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod order;
 mod output;
 mod position;
+pub mod spending;
 mod state;
 pub mod text;
 pub mod usage;
--- a/components/state/src/state.rs
+++ b/components/state/src/state.rs
@@ -6,6 +6,7 @@
 use crate::ledger::Ledger;
 use crate::members::Members;
 use crate::order::Orders;
+use crate::spending::Spending;
 use crate::text::Texts;
 use crate::usage::Windows;
 use crate::{Change, Command, Error, Millis, Output, Position};
@@ -25,6 +26,8 @@
     orders: Orders,
     #[serde(default)]
     windows: Windows,
+    #[serde(default)]
+    spending: Spending,
 }
 
 impl State {
@@ -68,6 +71,11 @@
         &self.windows
     }
 
+    /// Returns what accounts spent lately.
+    pub fn spending(&self) -> &Spending {
+        &self.spending
+    }
+
     /// Applies the command at `position`, unless that was done before.
     pub fn apply(&mut self, position: Position, command: Command) -> Output {
         if position.index <= self.applied.index {
@@ -76,10 +84,10 @@
         self.applied = position;
         self.now = self.now.max(command.at);
         self.claims.expire(self.now);
-        self.change(position, command.change)
+        self.change(position, command.at, command.change)
     }
 
-    fn change(&mut self, position: Position, change: Change) -> Output {
+    fn change(&mut self, position: Position, at: Millis, change: Change) -> Output {
         let now = self.now;
         match change {
             Change::Submit(submission) => Output::Submitted(self.texts.submit(now, submission)),
@@ -143,6 +151,10 @@
                 self.windows.report(window);
                 Output::Done
             }
+            Change::Spend(accounts) => {
+                self.spending.record(at, accounts);
+                Output::Done
+            }
             Change::Tick => Output::Done,
         }
     }
--- a/components/state/tests/usage.rs
+++ b/components/state/tests/usage.rs
@@ -1,6 +1,7 @@
-//! Windows of usage.
+//! Windows of usage, and what accounts spent.
 
 use googletest::prelude::*;
+use state::spending::{Slice, Slices};
 use state::usage::{Counts, WINDOWS_KEPT};
 use state::{Change, Command, Position, State};
 
@@ -53,3 +54,15 @@
     assert_that!(state.windows().get(3), none());
     assert_that!(state.windows().get(4), some(eq(&counts(1))));
 }
+
+#[test]
+fn keeps_the_newest_record_of_what_accounts_spent() {
+    let mut state = State::default();
+    let slices = |tokens| Slices::from_iter([("shop".into(), vec![Slice { age_ms: 20, tokens }])]);
+    apply(&mut state, Change::Spend(slices(1_000.0)));
+    apply(&mut state, Change::Spend(slices(3_000.0)));
+    let bytes = state.snapshot().expect("a state can be encoded");
+    let state = State::restore(&bytes).expect("a snapshot can be decoded");
+    assert_that!(state.spending().accounts(), eq(&slices(3_000.0)));
+    assert_that!(state.spending().at(), eq(2));
+}
