Free spending that is not known little by little, and pass over old records

The steady rate now counts in slices of the usual length. Test of a leader with a record of 3, 7 and 20 s failed before (nothing freed for 4 s).

--- a/components/limits/src/balance.rs
+++ b/components/limits/src/balance.rs
@@ -63,14 +63,9 @@
     /// Starts as if the steady rate had been spent all the while, for a leader that does not know
     /// what was: an account keeps to its rate until what was before has left the window.
     pub fn unknown(rate: Rate, window: Duration, now: Instant) -> Self {
-        let length = window / SLICES;
-        let slice = |back: u32| {
-            let began = now.checked_sub(length * back)?;
-            Some((began, rate.per_second * length.as_secs_f64()))
-        };
         Spent {
             window,
-            slices: (1..=SLICES).rev().filter_map(slice).collect(),
+            slices: Spent::steady(rate, window, window, now).collect(),
         }
     }
 
@@ -90,19 +85,35 @@
         let just_before = |(age, _): &&(Duration, f64)| *age <= RECORD_PERIOD;
         let newest: f64 = slices.iter().filter(just_before).map(|(_, sum)| sum).sum();
         let pace = (newest / RECORD_PERIOD.as_secs_f64()).max(rate.per_second);
-        let fast = since.min(RECORD_PERIOD) + NEWS_AGE;
-        let steady = since.min(window).saturating_sub(RECORD_PERIOD);
-        let sum = pace * fast.as_secs_f64() + rate.per_second * steady.as_secs_f64();
-        let unknown = now.checked_sub(since.min(window) / 2);
-        let unknown = unknown.map(|middle| (middle, sum));
+        let fast = pace * (since.min(RECORD_PERIOD) + NEWS_AGE).as_secs_f64();
+        let fast = now.checked_sub(since).map(|at| (at, fast));
+        let steady = Spent::steady(rate, since.saturating_sub(RECORD_PERIOD), window, now);
         let mut spent = Spent {
             window,
-            slices: known.chain(unknown).collect(),
+            slices: known.chain(fast).chain(steady).collect(),
         };
         spent.forget(now);
         spent
     }
 
+    /// Returns the slices in which the steady rate was spent for `time` up to now, oldest first.
+    fn steady(
+        rate: Rate,
+        time: Duration,
+        window: Duration,
+        now: Instant,
+    ) -> impl Iterator<Item = (Instant, f64)> {
+        let length = window / SLICES;
+        let time = time.min(window);
+        let count = time.as_nanos().div_ceil(length.as_nanos().max(1));
+        let count = u32::try_from(count).unwrap_or(SLICES);
+        (1..=count).rev().filter_map(move |back| {
+            let began = now.checked_sub(length * back)?;
+            let left = time.saturating_sub(length * (back - 1)).min(length);
+            Some((began, rate.per_second * left.as_secs_f64()))
+        })
+    }
+
     /// Reports whether so much was spent that the steady rate does not tell enough of it.
     pub fn is_notable(&mut self, rate: Rate, now: Instant) -> bool {
         self.left(rate, now) < rate.within(self.window) / 2.0
--- a/components/limits/tests/balance.rs
+++ b/components/limits/tests/balance.rs
@@ -43,6 +43,23 @@
     assert_that!(spent.left(RATE, now + ms(9_000)), near(1_440_000.0, 1.0));
 }
 
+#[test]
+fn frees_what_was_spent_little_by_little_where_the_record_is_old() {
+    let now = Instant::now();
+    let slices = [(ms(7_000), 500_000.0), (ms(100), 40_000.0)];
+    for since_ms in [3_000, 7_000, 20_000] {
+        let mut spent = Spent::recorded(&slices, ms(since_ms), RATE, WINDOW, now);
+        let mut left = spent.left(RATE, now);
+        assert_that!(left, ge(RATE.burst), "{since_ms} ms old");
+        for after in 1..4 {
+            let later = spent.left(RATE, now + ms(after * 1_000));
+            assert_that!(later, ge(left), "{since_ms} ms old, after {after} s");
+            left = later;
+        }
+        assert_that!(left, ge(RATE.burst + 2.0 * RATE.per_second), "{since_ms} ms old");
+    }
+}
+
 #[test]
 fn admits_a_request_larger_than_the_burst_where_nothing_was_spent() {
     let now = Instant::now();
