Give no account a whole window at once, and less than what is left while news are late

Ruled out: the start of a new leader (broken at 1.6 s, before the leader froze). Entries are told what is left without what they spent since their reports at the pace of late, and beside the burst an account can have one second's rate at once.

--- a/components/control/src/node/board.rs
+++ b/components/control/src/node/board.rs
@@ -200,7 +200,7 @@
         let mut told = Vec::new();
         for (name, rate) in text.into_iter().flat_map(limited) {
             if let Some(spent) = self.spent.get_mut(name) {
-                told.push((name.clone(), spent.left(rate, now) as i64));
+                told.push((name.clone(), spent.available(rate, now) as i64));
             }
         }
         told
--- a/components/limits/src/balance.rs
+++ b/components/limits/src/balance.rs
@@ -2,8 +2,8 @@
 //! and tells the others afterwards.
 //!
 //! The limit holds for each span of a window's length: the steady rate over the window, and the
-//! burst. Within it requests may come as they like, since a prompt can be as large as a second's
-//! rate. An entry that admits on news which are some hundred milliseconds old can let an account
+//! burst. Within it requests may come unevenly, since a prompt can be as large as a second's rate,
+//! but not all at once. An entry that admits on news which are some hundred milliseconds old can let an account
 //! go beyond its limit; that is missing later. In exchange no request waits for an answer of the
 //! leader, and none is refused while any part of the limit is left anywhere.
 
@@ -14,7 +14,10 @@
 
 /// Longest time between two records of what was spent.
 pub const RECORD_PERIOD: Duration = Duration::from_millis(500);
-/// Age of the news of entries that a record is made of.
+/// Tokens that may be spent at once beside the burst, as the time in which the rate yields them. A
+/// whole window at once would leave an account nothing for the rest of it.
+const PEAK: Duration = Duration::from_secs(1);
+/// Age of the news that entries have told.
 const NEWS_AGE: Duration = Duration::from_millis(250);
 /// Slices into which a window is divided; what was spent in one becomes free together.
 const SLICES: u32 = 16;
@@ -141,8 +144,23 @@
     /// Returns the tokens that are left of a limit; below zero after it was passed.
     pub fn left(&mut self, rate: Rate, now: Instant) -> f64 {
         self.forget(now);
-        let spent: f64 = self.slices.iter().map(|(_, sum)| sum).sum();
-        rate.within(self.window) - spent
+        let mut spent = 0.0;
+        let mut left = rate.burst + rate.per_second * PEAK.as_secs_f64();
+        for (began, sum) in self.slices.iter().rev() {
+            spent += sum;
+            let span = now.saturating_duration_since(*began) + PEAK;
+            left = left.min(rate.within(span.min(self.window)) - spent);
+        }
+        left.min(rate.within(self.window) - spent)
+    }
+
+    /// Returns the tokens that entries may still spend until they hear more: those that are left,
+    /// without what they have spent since their last report at the pace of late.
+    pub fn available(&mut self, rate: Rate, now: Instant) -> f64 {
+        let is_late = |at: &Instant| now.saturating_duration_since(*at) <= RECORD_PERIOD;
+        let late = self.slices.iter().filter(|(at, _)| is_late(at));
+        let pace = late.map(|(_, sum)| sum).sum::<f64>() / RECORD_PERIOD.as_secs_f64();
+        self.left(rate, now) - pace * NEWS_AGE.as_secs_f64()
     }
 
     fn forget(&mut self, now: Instant) {
