Elect at once after a restart, dial again sooner, and let requests wait for the first text

Entries that started before the control processes waited 700 ms for connections to instances that were still down; voters waited 400 to 800 ms although their promise to an earlier leader ends after 400; callers were sent away for a whole second. Ruled out: upstreams unknown to the new control processes (all had announced themselves again by 59.6 s), the log's replay (1.5 ms). A voter that was started asks for votes as soon as its promise ends, and repeats the pre-vote, which disturbs nobody, each heartbeat; connections are given 300 ms and dialled again after 100 ms; requests wait for up to 400 ms for the first text of an entry that was just started, and callers are told the time that is left of a usual start.

--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -106,7 +106,8 @@
             founding: Founding::default(),
             settings,
         };
-        node.restart_election_timer();
+        // Once the promise to an earlier leader is over nothing is gained by waiting.
+        node.election_at = now + node.settings.election_timeout + node.jitter();
         node
     }
 
@@ -241,6 +242,12 @@
         self.election_at = self.now + base + Duration::from_micros(spread);
     }
 
+    /// Returns a short time that keeps nodes from asking for votes at the same moment.
+    fn jitter(&mut self) -> Duration {
+        let longest = self.settings.heartbeat.as_micros() as u64;
+        Duration::from_micros(self.rng.next_u64() % longest.max(1))
+    }
+
     fn append(&mut self, payload: Payload) -> Mark {
         let entry = Entry {
             index: self.log.last().index + 1,
--- a/components/consensus/src/node/election.rs
+++ b/components/consensus/src/node/election.rs
@@ -31,6 +31,8 @@
             message.term = term;
             self.outbox.send(message);
         }
+        // A pre-vote disturbs nobody, so it is repeated soon while promises to a lost leader hold.
+        self.election_at = self.now + self.settings.heartbeat + self.jitter();
         self.count_votes();
     }
 
--- a/components/consensus/tests/suite/election.rs
+++ b/components/consensus/tests/suite/election.rs
@@ -37,3 +37,22 @@
     expect_that!(world.leader(), not(some(eq(&first))));
     expect_that!(world.faults, is_empty());
 }
+
+#[gtest]
+fn can_elect_soon_after_all_nodes_were_killed() {
+    for seed in 0..20 {
+        let mut world = World::new(Settings::default(), 3, 0, seed);
+        world.elect();
+        let names: Vec<_> = world.servers.keys().cloned().collect();
+        names.iter().for_each(|name| world.start(name));
+        let settings = &world.settings;
+        let limit = settings.election_timeout + 3 * settings.heartbeat;
+        let elected = world.run_until(limit, |world| {
+            let nodes = world.servers.values();
+            nodes
+                .filter_map(|server| server.node.as_ref())
+                .any(|node| node.is_leader())
+        });
+        expect_true!(elected, "seed {seed}");
+    }
+}
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -24,7 +24,7 @@
 /// Time between two looks at who is in the group.
 const LOOK: Duration = Duration::from_millis(250);
 /// Wait before a connection is opened again.
-const REDIAL: Duration = Duration::from_millis(200);
+const REDIAL: Duration = Duration::from_millis(100);
 /// Longest wait for the leader's answer.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time added to an operator's wait for the answer of the leader.
--- a/components/fleet/src/member/links.rs
+++ b/components/fleet/src/member/links.rs
@@ -18,7 +18,7 @@
 use super::Shared;
 
 /// Wait before a connection is opened again.
-const REDIAL: Duration = Duration::from_millis(200);
+const REDIAL: Duration = Duration::from_millis(100);
 /// Wait for an answer before the next control process is asked as well.
 const HEDGE: Duration = Duration::from_millis(250);
 
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -9,7 +9,7 @@
 use crate::drain::Drain;
 use crate::offered::Totals;
 use crate::pool::Pool;
-use crate::{Accounts, Balancer, Metrics, Retries, Settings, Speaker, Table, Usage};
+use crate::{Accounts, Balancer, Metrics, Readiness, Retries, Settings, Speaker, Table, Usage};
 
 /// What the tasks of one entry share.
 pub(crate) struct Core {
@@ -26,6 +26,7 @@
     pub(crate) usage: Mutex<Usage>,
     pub(crate) offered: Mutex<Totals>,
     pub(crate) pool: Mutex<Pool>,
+    pub(crate) readiness: Readiness,
 }
 
 /// Locks for as long as a decision takes; never across an await.
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -12,6 +12,14 @@
 use crate::story::Story;
 use crate::{Account, Head, Prompt, Refusal, Table, answer, retries, table};
 
+/// Time for which a request waits for the first text of an entry that was just started; it still
+/// meets most latency targets after that.
+const READY_WAIT: Duration = Duration::from_millis(400);
+/// Time after its start within which an entry usually learns the text, also where all processes
+/// were started at once.
+const EXPECTED_START: Duration = Duration::from_millis(1_200);
+/// Shortest time after which a caller comes back to an entry that learns the text late.
+const LEAST_PAUSE: Duration = Duration::from_millis(300);
 /// Time within which most calls of plain services end.
 const PLAIN_TIME: Duration = Duration::from_millis(500);
 /// Time within which the first event of most generations comes.
@@ -43,6 +51,10 @@
             return refuse(story, &Refusal::Malformed(error.to_string()));
         }
     };
+    if !core.readiness.wait(READY_WAIT).await {
+        let pause = EXPECTED_START.saturating_sub(core.started.elapsed());
+        return refuse(story, &Refusal::Unready(pause.max(LEAST_PAUSE)));
+    }
     let admitted = head
         .map_err(Refusal::Malformed)
         .and_then(|head| admit(&core, head, parts, bytes, arrived));
@@ -95,9 +107,6 @@
     arrived: Instant,
 ) -> Result<Call, Refusal> {
     let table = core.table.load();
-    if table.version() == 0 {
-        return Err(Refusal::Unready);
-    }
     let expected = expected_time(head.prompt.as_ref());
     let limit = core.settings.drain_timeout;
     if !core.drain.outlives(expected, limit, arrived) {
--- /dev/null
+++ b/components/gateway/src/readiness.rs
@@ -0,0 +1,29 @@
+//! Whether an entry that was just started knows a text.
+
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Lets requests wait for the first text.
+#[derive(Debug, Default)]
+pub struct Readiness {
+    ready: watch::Sender<bool>,
+}
+
+impl Readiness {
+    /// Notes that a text is in force.
+    pub fn set(&self) {
+        self.ready.send_replace(true);
+    }
+
+    /// Waits for the first text, for at most `limit`; returns whether one is in force.
+    pub async fn wait(&self, limit: Duration) -> bool {
+        if *self.ready.borrow() {
+            return true;
+        }
+        let mut ready = self.ready.subscribe();
+        let text = timeout(limit, ready.wait_for(|ready| *ready));
+        matches!(text.await, Ok(Ok(_)))
+    }
+}
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -4,15 +4,12 @@
 
 use quick_error::quick_error;
 
-/// Time within which an entry that was just started usually learns the text.
-const UNREADY_PAUSE: Duration = Duration::from_secs(1);
-
 quick_error! {
     /// An answer of the entry's own. Whether the request may have run follows from the reason.
     #[derive(Clone, Debug, PartialEq)]
     pub enum Refusal {
         /// No text is known yet.
-        Unready {
+        Unready(retry_after: Duration) {
             display("no text is known yet")
         }
         /// This entry stops before the request could end; another one takes it.
@@ -79,11 +76,11 @@
     /// Returns when the caller is asked to come back.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Refusal::OverLimit(after)
+            Refusal::Unready(after)
+            | Refusal::OverLimit(after)
             | Refusal::NoUpstream(after)
             | Refusal::Overloaded(after)
             | Refusal::Shed(after) => Some(*after),
-            Refusal::Unready => Some(UNREADY_PAUSE),
             Refusal::Stopping => Some(Duration::ZERO),
             _ => None,
         }
@@ -92,7 +89,7 @@
     /// Returns the name in logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
-            Refusal::Unready => "unready",
+            Refusal::Unready(_) => "unready",
             Refusal::Stopping => "stopping",
             Refusal::Malformed(_) => "malformed",
             Refusal::NoRoute => "no-route",
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -17,7 +17,8 @@
 use crate::drain::Drain;
 use crate::pool::Pool;
 use crate::{
-    Accounts, Balancer, Metrics, Retries, Settings, Speaker, Table, Usage, exchange, sync,
+    Accounts, Balancer, Metrics, Readiness, Retries, Settings, Speaker, Table, Usage, exchange,
+    sync,
 };
 
 /// Entries that share the retry budget until the leader has told how many there are.
@@ -119,6 +120,7 @@
         accounts: Mutex::new(Accounts::default()),
         offered: Mutex::default(),
         pool: Mutex::new(Pool::default()),
+        readiness: Readiness::default(),
     })
 }
 
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -43,6 +43,7 @@
         core.table
             .store(Table::new(config.version, &config.text).into());
         core.metrics.version.set(config.version.cast_signed());
+        core.readiness.set();
         info!(
             version = config.version,
             "gateway: text {} is in force", config.version
--- a/components/link/src/settings.rs
+++ b/components/link/src/settings.rs
@@ -29,7 +29,7 @@
             heartbeat: Duration::from_millis(400),
             silence: Duration::from_millis(1_500),
             max_age: Duration::from_millis(1_500),
-            connect_timeout: Duration::from_millis(700),
+            connect_timeout: Duration::from_millis(300),
             handshake_timeout: Duration::from_millis(700),
             write_timeout: Duration::from_millis(1_000),
             user_timeout: Duration::from_millis(1_500),
--- a/components/placement/src/counts.rs
+++ b/components/placement/src/counts.rs
@@ -189,7 +189,11 @@
     /// Leaves out slots whose instances are taken back.
     fn note_reclaims(&mut self, present: &IndexMap<Slot, Present>, now: Instant) {
         let serving = |slot: &Slot| present.get(slot).map_or(0, |present| present.serving);
-        let is_told = |slot: &Slot| present.get(slot).is_some_and(|present| present.reclaimed > 0);
+        let is_told = |slot: &Slot| {
+            present
+                .get(slot)
+                .is_some_and(|present| present.reclaimed > 0)
+        };
         let is_gone = |slot: &Slot| {
             let wanted = self.ordered.get(slot).is_some_and(|order| order.count > 0);
             let served = self.served.get(slot).is_some_and(|served| *served > 0);
