Let entries without news keep to their own part of a limit, and name account and route in refusals

The leader was frozen at 2.5 s, and for up to 1.5 s without news each of 76 entries went on as if all that was left were its own. Then what an entry had spent meanwhile was counted in one moment, so that the account seemed to spend without measure and was refused. Ruled out: the leader's new start (records and the steady rate keep the limit in the tests). After 400 ms without news an entry goes on with its part of the room in the window, by what it spent of all of late, and of the rate; a late report is spread over the time since the one before. The old test of a silent leader stated 1.5 s of patience; it now states the part and the rate at 0.4 s.

--- a/components/control/src/node/board.rs
+++ b/components/control/src/node/board.rs
@@ -12,7 +12,7 @@
 use placement::counts::Demand;
 use state::spending::{Slice, Slices};
 use state::usage::{Counts, Window};
-use wire::{Offered, Overview, Report, Work};
+use wire::{Balance, Offered, Overview, Report, Work};
 
 use super::rate::Rate;
 
@@ -191,16 +191,25 @@
             let known = before.map(|seen| seen.spent.get(account).copied().unwrap_or(0));
             let used = total.saturating_sub(known.unwrap_or(*total));
             if let Some(of_account) = self.spent.get_mut(account) {
-                of_account.add(used as f64, now);
+                let silence = before.map_or(Duration::ZERO, |seen| {
+                    now.saturating_duration_since(seen.at)
+                });
+                of_account.add_over(used as f64, silence, now);
             }
         }
     }
 
-    fn balances(&mut self, text: Option<&Text>, now: Instant) -> Vec<(AccountId, i64)> {
+    fn balances(&mut self, text: Option<&Text>, now: Instant) -> Vec<(AccountId, Balance)> {
         let mut told = Vec::new();
         for (name, rate) in text.into_iter().flat_map(limited) {
             if let Some(spent) = self.spent.get_mut(name) {
-                told.push((name.clone(), spent.available(rate, now) as i64));
+                let news = spent.news(rate, now);
+                let balance = Balance {
+                    left: news.left as i64,
+                    room: news.room as i64,
+                    spent: news.spent as u64,
+                };
+                told.push((name.clone(), balance));
             }
         }
         told
--- a/components/control/tests/process/numbered.rs
+++ b/components/control/tests/process/numbered.rs
@@ -146,7 +146,11 @@
     let overview = member.report(Report::default(), LIMIT).await;
     let balances = overview.expect("the leader answers").balances;
     // The account's rate and burst are 10,000 tokens, its window holds nine times as much.
-    assert_that!(balances, elements_are![eq(&("shop".into(), 10_000))]);
+    let left: Vec<_> = balances
+        .iter()
+        .map(|(name, balance)| (name.as_str(), balance.left))
+        .collect();
+    assert_that!(left, eq(&vec![("shop", 10_000)]));
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/components/gateway/src/accounts.rs
+++ b/components/gateway/src/accounts.rs
@@ -4,8 +4,10 @@
 
 use config::ids::AccountId;
 use indexmap::IndexMap;
-use limits::{Balance, Rate};
+use limits::{Balance, News, Rate, Spent};
 
+/// Time over which an entry's part of what an account spends is measured.
+const RECENT: Duration = Duration::from_secs(8);
 /// Entries that are taken to share a limit before the leader has told how many there are.
 const ASSUMED_ENTRIES: u32 = 10;
 
@@ -20,6 +22,8 @@
 #[derive(Debug)]
 struct Spending {
     balance: Balance,
+    /// What was admitted here of late.
+    recent: Spent,
     /// Tokens admitted since the process began.
     total: u64,
     /// The part of `total` that the newest report told.
@@ -27,9 +31,10 @@
 }
 
 impl Spending {
-    fn new(tokens: f64, now: Instant) -> Self {
+    fn new(balance: Balance) -> Self {
         Spending {
-            balance: Balance::new(tokens, now),
+            balance,
+            recent: Spent::new(RECENT),
             total: 0,
             told: 0,
         }
@@ -51,11 +56,16 @@
         let entries = self.entries.max(ASSUMED_ENTRIES);
         let spending = self.accounts.entry(account.clone()).or_insert_with(|| {
             // Until the leader has told, each entry counts on its part alone.
-            Spending::new(rate.burst / f64::from(entries), now)
+            Spending::new(Balance::part(rate.burst / f64::from(entries), now))
         });
-        match spending.balance.take(tokens as f64, rate, entries, now) {
+        let own = spending.recent.total(now);
+        match spending
+            .balance
+            .take(tokens as f64, rate, own, entries, now)
+        {
             true => {
                 spending.total += tokens;
+                spending.recent.add(tokens as f64, now);
                 Ok(())
             }
             false => Err(spending.balance.wait(tokens as f64, rate)),
@@ -84,14 +94,23 @@
 
     /// Takes in the balances that the leader told in answer to the newest report, and how many
     /// entries there are.
-    pub fn told(&mut self, balances: &[(AccountId, i64)], entries: u32, now: Instant) {
+    pub fn told(&mut self, balances: &[(AccountId, wire::Balance)], entries: u32, now: Instant) {
         self.entries = entries;
-        for (account, tokens) in balances {
-            let tokens = *tokens as f64;
+        for (account, told) in balances {
+            let news = News {
+                left: told.left as f64,
+                room: told.room as f64,
+                spent: told.spent as f64,
+            };
             let known = self.accounts.entry(account.clone());
-            let spending = known.or_insert_with(|| Spending::new(tokens, now));
-            let since_report = spending.total.saturating_sub(spending.told);
-            spending.balance = Balance::new(tokens - since_report as f64, now);
+            let spending = known.or_insert_with(|| Spending::new(Balance::new(news, now)));
+            let since_report = spending.total.saturating_sub(spending.told) as f64;
+            let news = News {
+                left: news.left - since_report,
+                room: news.room - since_report,
+                ..news
+            };
+            spending.balance = Balance::new(news, now);
         }
     }
 }
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -57,12 +57,11 @@
     }
     let admitted = head
         .map_err(Refusal::Malformed)
-        .and_then(|head| admit(&core, head, parts, bytes, arrived));
+        .and_then(|head| admit(&core, &mut story, head, parts, bytes, arrived));
     let call = match admitted {
         Ok(call) => Arc::new(call),
         Err(refusal) => return refuse(story, &refusal),
     };
-    story.admitted(&call);
     let since = retries::since(core.started, arrived);
     lock(&core.retries).requested(&call.service, since);
     lock(&core.offered).add(&call.service, call.prompt.as_ref());
@@ -101,6 +100,7 @@
 /// Finds the route and the account of a request, and takes what it uses off the account's limit.
 fn admit(
     core: &Core,
+    story: &mut Story,
     head: Head,
     parts: request::Parts,
     body: bytes::Bytes,
@@ -117,7 +117,11 @@
     let route = table
         .route(host, parts.uri.path())
         .ok_or(Refusal::NoRoute)?;
+    story.routed(&route.name, table.version());
     let account = account(&table, &head, route.public)?;
+    if let Some(account) = &account {
+        story.of_account(&account.name);
+    }
     let service = table::service(route, &head.id).ok_or(Refusal::NoRoute)?;
     let wait = head
         .wait
--- a/components/gateway/src/story.rs
+++ b/components/gateway/src/story.rs
@@ -4,10 +4,9 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use config::ids::{RequestId, UpstreamId};
+use config::ids::{AccountId, RequestId, UpstreamId};
 use tracing::info;
 
-use crate::call::Call;
 use crate::core::Core;
 
 /// What happened to one request; written when it ends.
@@ -48,12 +47,13 @@
         self.id = id.clone();
     }
 
-    pub(crate) fn admitted(&mut self, call: &Call) {
-        self.route = call.route.name.clone();
-        self.version = call.version;
-        if let Some(account) = &call.account {
-            self.account = account.name.clone();
-        }
+    pub(crate) fn routed(&mut self, route: &CompactString, version: u64) {
+        self.route = route.clone();
+        self.version = version;
+    }
+
+    pub(crate) fn of_account(&mut self, account: &AccountId) {
+        self.account = account.clone();
     }
 
     pub(crate) fn sent(&mut self, upstream: &UpstreamId, reason: &CompactString) {
--- a/components/limits/src/balance.rs
+++ b/components/limits/src/balance.rs
@@ -141,6 +141,31 @@
         }
     }
 
+    /// Counts tokens as spent evenly over `time` up to now, as an entry reports them that was not
+    /// heard for so long.
+    pub fn add_over(&mut self, tokens: f64, time: Duration, now: Instant) {
+        let length = self.window / SLICES;
+        let count = (time.min(self.window).as_nanos() / length.as_nanos().max(1)).max(1);
+        let count = u32::try_from(count).unwrap_or(SLICES);
+        for back in (1..count).rev() {
+            if let Some(at) = now.checked_sub(length * back) {
+                self.insert(tokens / f64::from(count), at);
+            }
+        }
+        self.add(tokens / f64::from(count), now);
+    }
+
+    /// Counts tokens as spent at an earlier time.
+    fn insert(&mut self, tokens: f64, at: Instant) {
+        let later = self
+            .slices
+            .iter()
+            .rev()
+            .take_while(|(began, _)| *began > at);
+        let place = self.slices.len() - later.count();
+        self.slices.insert(place, (at, tokens));
+    }
+
     /// Returns the tokens that are left of a limit; below zero after it was passed.
     pub fn left(&mut self, rate: Rate, now: Instant) -> f64 {
         self.forget(now);
@@ -154,13 +179,25 @@
         left.min(rate.within(self.window) - spent)
     }
 
-    /// Returns the tokens that entries may still spend until they hear more: those that are left,
-    /// without what they have spent since their last report at the pace of late.
-    pub fn available(&mut self, rate: Rate, now: Instant) -> f64 {
+    /// Returns what entries are told: of the tokens that are left, those that they may still spend
+    /// where they go on at the pace of late until they hear more.
+    pub fn news(&mut self, rate: Rate, now: Instant) -> News {
         let is_late = |at: &Instant| now.saturating_duration_since(*at) <= RECORD_PERIOD;
         let late = self.slices.iter().filter(|(at, _)| is_late(at));
         let pace = late.map(|(_, sum)| sum).sum::<f64>() / RECORD_PERIOD.as_secs_f64();
-        self.left(rate, now) - pace * NEWS_AGE.as_secs_f64()
+        let unheard = pace * NEWS_AGE.as_secs_f64();
+        let spent = self.total(now);
+        News {
+            left: self.left(rate, now) - unheard,
+            room: rate.within(self.window) - spent - unheard,
+            spent,
+        }
+    }
+
+    /// Returns the tokens that were spent within the window.
+    pub fn total(&mut self, now: Instant) -> f64 {
+        self.forget(now);
+        self.slices.iter().map(|(_, sum)| sum).sum()
     }
 
     fn forget(&mut self, now: Instant) {
@@ -174,26 +211,57 @@
     }
 }
 
+/// What the leader tells of an account's limit, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct News {
+    /// What may be spent now; below zero after the limit was passed.
+    pub left: f64,
+    /// What may be spent little by little until the window is full.
+    pub room: f64,
+    /// What all entries spent within the window.
+    pub spent: f64,
+}
+
 /// What an account may spend, as an entry knows it from what the leader last told.
+///
+/// While news come, any part of what is left may be spent at any entry. Without news an entry keeps
+/// to its own part, so that all of them together keep the limit however long that lasts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Balance {
     tokens: f64,
     told: Instant,
+    news: News,
+    /// Whether `tokens` are this entry's part alone.
+    is_part: bool,
 }
 
-/// Time after the leader last told for which an entry waits before it counts on the steady rate.
-const PATIENCE: Duration = Duration::from_millis(1_500);
+/// Time after the leader last told for which an entry counts on the whole balance.
+const FRESH: Duration = Duration::from_millis(400);
 
 impl Balance {
-    /// Starts with what the leader told, or with a whole burst where it told nothing yet.
-    pub fn new(tokens: f64, now: Instant) -> Self {
-        Balance { tokens, told: now }
+    /// Starts with what the leader told.
+    pub fn new(news: News, now: Instant) -> Self {
+        Balance {
+            tokens: news.left,
+            told: now,
+            news,
+            is_part: false,
+        }
     }
 
-    /// Takes `tokens` if the balance covers them, and reports whether it did. One of `entries` that
-    /// hears nothing more of the leader goes on at its part of the rate.
-    pub fn take(&mut self, tokens: f64, rate: Rate, entries: u32, now: Instant) -> bool {
-        self.fill(rate, entries, now);
+    /// Starts with the part of one entry that was told nothing yet.
+    pub fn part(tokens: f64, now: Instant) -> Self {
+        Balance {
+            tokens,
+            is_part: true,
+            ..Balance::new(News::default(), now)
+        }
+    }
+
+    /// Takes `tokens` if the balance covers them, and reports whether it did. `own` is what this
+    /// one of `entries` spent within the window before.
+    pub fn take(&mut self, tokens: f64, rate: Rate, own: f64, entries: u32, now: Instant) -> bool {
+        self.fill(rate, own, entries, now);
         let covered = self.tokens > 0.0 && self.tokens >= tokens.min(rate.burst);
         if covered {
             self.tokens -= tokens;
@@ -212,12 +280,29 @@
         Duration::try_from_secs_f64(missing / rate.per_second).unwrap_or(Duration::MAX)
     }
 
-    fn fill(&mut self, rate: Rate, entries: u32, now: Instant) {
+    fn fill(&mut self, rate: Rate, own: f64, entries: u32, now: Instant) {
         let silence = now.saturating_duration_since(self.told);
-        if silence > PATIENCE {
-            let gained = silence.as_secs_f64() * rate.per_second / f64::from(entries.max(1));
-            self.tokens = (self.tokens + gained).min(rate.burst);
-            self.told = now;
+        if silence <= FRESH && !self.is_part {
+            return;
+        }
+        let part = self.part_of(own, entries);
+        if !self.is_part && self.tokens > 0.0 {
+            let taken = self.news.left - self.tokens;
+            self.tokens = self.news.room.max(self.news.left) * part - taken;
+        }
+        self.is_part = true;
+        let gained = silence.as_secs_f64() * rate.per_second * part;
+        self.tokens = (self.tokens + gained).min(rate.burst.max(self.tokens));
+        self.told = now;
+    }
+
+    /// Returns the part of the limit that belongs to an entry: that which it had of late, or an even
+    /// one.
+    fn part_of(&self, own: f64, entries: u32) -> f64 {
+        let even = 1.0 / f64::from(entries.max(1));
+        match self.news.spent > 0.0 {
+            true => (own / self.news.spent).clamp(even, 1.0),
+            false => even,
         }
     }
 }
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -17,7 +17,7 @@
 mod share;
 
 pub use accounts::Accounts;
-pub use balance::{Balance, RECORD_PERIOD, Rate, Spent, tokens};
+pub use balance::{Balance, News, RECORD_PERIOD, Rate, Spent, tokens};
 pub use bucket::Bucket;
 pub use decision::Decision;
 pub use draw::{Draw, Limit};
--- a/components/limits/tests/balance.rs
+++ b/components/limits/tests/balance.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use limits::{Balance, RECORD_PERIOD, Rate, Spent};
+use limits::{Balance, News, RECORD_PERIOD, Rate, Spent};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -21,6 +21,14 @@
 const ALLOWED: f64 = 1.1;
 const ALLOWED_TOKENS: f64 = 190_000.0;
 
+fn left(left: f64) -> News {
+    News {
+        left,
+        room: left,
+        spent: 0.0,
+    }
+}
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -87,17 +95,19 @@
 #[test]
 fn admits_a_request_larger_than_the_burst_where_nothing_was_spent() {
     let now = Instant::now();
-    let mut balance = Balance::new(RATE.within(WINDOW), now);
-    assert_that!(balance.take(300_000.0, RATE, 10, now), eq(true));
+    let mut balance = Balance::new(left(RATE.within(WINDOW)), now);
+    assert_that!(balance.take(300_000.0, RATE, 0.0, 10, now), eq(true));
 }
 
 #[test]
 fn goes_on_at_its_part_of_the_rate_when_the_leader_is_silent() {
     let now = Instant::now();
-    let mut balance = Balance::new(0.0, now);
-    assert_that!(balance.take(16_000.0, RATE, 10, now + ms(1_000)), eq(false));
-    assert_that!(balance.take(16_000.0, RATE, 10, now + ms(2_000)), eq(true));
-    assert_that!(balance.take(32_000.0, RATE, 10, now + ms(2_100)), eq(false));
+    let mut balance = Balance::new(left(0.0), now);
+    let mut take = |tokens, after| balance.take(tokens, RATE, 0.0, 10, now + ms(after));
+    assert_that!(take(4_000.0, 300), eq(false));
+    assert_that!(take(16_000.0, 1_000), eq(true));
+    assert_that!(take(32_000.0, 1_100), eq(false));
+    assert_that!(take(16_000.0, 2_100), eq(true));
 }
 
 /// An account's requests, and what happens to the processes meanwhile.
@@ -113,6 +123,8 @@
     entries: usize,
     /// The account's limit, relative to [`RATE`].
     size: f64,
+    /// When no news come through, and for how long.
+    silent: Option<(Duration, Duration)>,
     /// When all processes are killed and start anew, with the last record of the leader.
     killed: Option<Duration>,
 }
@@ -133,6 +145,7 @@
     let Scenario {
         skew,
         entries: count,
+        silent,
         killed,
         ..
     } = scenario;
@@ -143,9 +156,8 @@
     let mut rng = StdRng::seed_from_u64(SEED);
     let start = Instant::now();
     let mut spent = Spent::new(WINDOW);
-    let mut entries: Vec<(Balance, f64)> = (0..count)
-        .map(|_| (Balance::new(rate.within(WINDOW), start), 0.0))
-        .collect();
+    let whole = Balance::new(left(rate.within(WINDOW)), start);
+    let mut entries = vec![(whole, 0.0, Spent::new(WINDOW), Duration::ZERO); count];
     let mut admitted: Vec<(Duration, f64)> = Vec::new();
     let mut asked = 0.0;
     let mut recorded = (Vec::new(), start);
@@ -162,18 +174,20 @@
             let (slices, since) = &recorded;
             spent = Spent::recorded(slices, now - *since, rate, WINDOW, now);
             let part = rate.burst / count as f64;
-            entries.fill((Balance::new(part, now), 0.0));
+            entries.fill((Balance::part(part, now), 0.0, Spent::new(WINDOW), at));
         }
         let load = match at < scenario.changes {
             true => scenario.usual,
             false => scenario.load,
         };
-        for (index, (balance, since)) in entries.iter_mut().enumerate() {
+        let is_silent = silent.is_some_and(|(from, time)| at >= from && at < from + time);
+        for (index, (balance, since, _, heard)) in entries.iter_mut().enumerate() {
             // Entries report one after the other within each quarter of a second.
             let turn = index as u64 * 20 % REPORT.as_millis() as u64;
-            if (step * 10) % REPORT.as_millis() as u64 == turn {
-                spent.add(std::mem::take(since), now);
-                *balance = Balance::new(spent.available(rate, now), now);
+            if (step * 10) % REPORT.as_millis() as u64 == turn && !is_silent {
+                spent.add_over(std::mem::take(since), at - *heard, now);
+                *heard = at;
+                *balance = Balance::new(spent.news(rate, now), now);
             }
         }
         let expected = load * rate.per_second * 0.01 / 17_000.0;
@@ -185,9 +199,11 @@
                 true => 0,
                 false => rng.random_range(0..count),
             };
-            let (balance, since) = &mut entries[index];
-            if balance.take(tokens, rate, count as u32, now) {
+            let (balance, since, recent, _) = &mut entries[index];
+            let own = recent.total(now);
+            if balance.take(tokens, rate, own, count as u32, now) {
                 *since += tokens;
+                recent.add(tokens, now);
                 admitted.push((at, tokens));
             }
         }
@@ -206,6 +222,31 @@
     (most, total / asked)
 }
 
+#[test]
+fn keeps_to_its_part_of_what_is_left_when_the_leader_is_silent() {
+    let now = Instant::now();
+    let news = News {
+        left: 100_000.0,
+        room: 120_000.0,
+        spent: 200_000.0,
+    };
+    let mut balance = Balance::new(news, now);
+    let own = 50_000.0;
+    assert_that!(
+        balance.take(20_000.0, RATE, own, 10, now + ms(700)),
+        eq(true)
+    );
+    // A quarter of the room and of the rate for 0.7 s.
+    assert_that!(
+        balance.take(38_001.0, RATE, own, 10, now + ms(700)),
+        eq(false)
+    );
+    assert_that!(
+        balance.take(37_999.0, RATE, own, 10, now + ms(700)),
+        eq(true)
+    );
+}
+
 #[test]
 fn admits_everything_within_the_limit_however_skewed_it_is() {
     for skew in [0.0, 0.5, 1.0] {
@@ -239,6 +280,38 @@
     }
 }
 
+#[test]
+fn keeps_an_account_within_what_users_allow_while_the_leader_is_silent() {
+    let size = 3.2;
+    let bound = size * RATE.within(WINDOW) * ALLOWED + ALLOWED_TOKENS;
+    for after_ms in [300, 1_000, 3_000] {
+        let changes = ms(30_000);
+        let (most, _) = run(Scenario {
+            usual: 0.55,
+            load: 4.2,
+            changes,
+            entries: 76,
+            size,
+            silent: Some((changes + ms(after_ms), ms(1_400))),
+            ..Scenario::default()
+        });
+        assert_that!(most, le(bound), "silent {after_ms} ms after the load rose");
+    }
+}
+
+#[test]
+fn goes_on_within_its_limit_while_the_leader_is_silent() {
+    let (_, share) = run(Scenario {
+        usual: 0.55,
+        load: 0.55,
+        entries: ENTRIES,
+        size: 1.0,
+        silent: Some((ms(20_000), ms(3_000))),
+        ..Scenario::default()
+    });
+    assert_that!(share, ge(0.99));
+}
+
 #[test]
 fn keeps_an_account_within_what_users_allow_when_all_processes_are_killed() {
     let bound = RATE.within(WINDOW) * ALLOWED + ALLOWED_TOKENS;
@@ -252,6 +325,7 @@
             entries: ENTRIES,
             size: 1.0,
             killed: Some(changes + ms(before_ms)),
+            silent: None,
         });
         assert_that!(most, le(bound), "killed {before_ms} ms after the load rose");
     }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -22,5 +22,5 @@
 pub use hello::{Hello, PROTOCOL, Role};
 pub use malformed::Malformed;
 pub use push::Push;
-pub use report::{Offered, Overview, Report, Work};
+pub use report::{Balance, Offered, Overview, Report, Work};
 pub use request::{Body, Query, Request};
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -37,6 +37,17 @@
     pub prefill_tokens: u32,
 }
 
+/// What the leader knows of an account's limit.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Balance {
+    /// Tokens that may be spent now, which may be below 0.
+    pub left: i64,
+    /// Tokens that may be spent little by little until the window is full.
+    pub room: i64,
+    /// Tokens that all entries spent within the window.
+    pub spent: u64,
+}
+
 /// What the leader knows of all entries.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Overview {
@@ -44,9 +55,8 @@
     pub now_ms: u64,
     /// Entries that reported lately.
     pub entries: u32,
-    /// Tokens that accounts may spend now, which may be below 0; what the report told is taken
-    /// off. Accounts without a limit are left out.
-    pub balances: Vec<(AccountId, i64)>,
+    /// Balances of the accounts that have a limit; what the report told is taken off.
+    pub balances: Vec<(AccountId, Balance)>,
     /// Work of all entries at the upstreams, that of the reporting entry included.
     pub held: Vec<(UpstreamId, Work)>,
 }
