--- a/components/consensus/tests/suite/election.rs
+++ b/components/consensus/tests/suite/election.rs
@@ -51,7 +51,7 @@
             let nodes = world.servers.values();
             nodes
                 .filter_map(|server| server.node.as_ref())
-                .any(|node| node.is_leader())
+                .any(consensus::Node::is_leader)
         });
         expect_true!(elected, "seed {seed}");
     }
