--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -151,13 +151,14 @@
         // Closes the connection, so that the upstream stops before another one goes on.
         drop(source);
         warn!(request = %self.call.id, upstream = %upstream, "answer: broken off: {what}");
-        let (Some(events), Some(tries), Some(story)) =
-            (&mut self.events, self.tries.take(), self.story.take())
-        else {
+        let Some(events) = &mut self.events else {
             self.finish("broken");
             return Err(io::Error::other(what.to_owned()));
         };
         events.forget_rest();
+        let (Some(tries), Some(story)) = (self.tries.take(), self.story.take()) else {
+            return Err(io::Error::other("the answer had ended"));
+        };
         let last = events.last().or(self.call.resume_after);
         self.state = State::Resuming(Box::pin(resume(
             self.core.clone(),
