--- a/components/limits/tests/balance.rs
+++ b/components/limits/tests/balance.rs
@@ -330,3 +330,16 @@
         assert_that!(most, le(bound), "killed {before_ms} ms after the load rose");
     }
 }
+
+#[test]
+fn records_an_account_only_where_it_spent_much_of_its_limit() {
+    let now = Instant::now();
+    let mut spent = Spent::new(WINDOW);
+    for second in 0..8 {
+        let at = now + ms(second * 1_000);
+        spent.add(RATE.per_second / 2.0, at);
+        assert_that!(spent.is_notable(RATE, at), eq(false), "after {second} s");
+    }
+    spent.add(RATE.per_second, now + ms(7_100));
+    assert_that!(spent.is_notable(RATE, now + ms(7_100)), eq(true));
+}
