--- a/components/control/tests/process/fleet_of_one.rs
+++ b/components/control/tests/process/fleet_of_one.rs
@@ -32,12 +32,18 @@
 }
 
 pub(crate) async fn control() -> Process<Memory> {
-    let machine = Machine::default();
+    control_with(Machine::default(), Settings::default().limit_window).await
+}
+
+/// Starts a control process with a state that an earlier one left, and limits that hold for each span
+/// of `limit_window`.
+pub(crate) async fn control_with(machine: Machine, limit_window: Duration) -> Process<Memory> {
     let settings = Settings {
         node: "control-1".into(),
         incarnation: 1,
         secret: Secret::new(SECRET),
         freshness_lease: Duration::from_secs(2),
+        limit_window,
         ..Settings::default()
     };
     let replica = Memory::new("control-1".into(), machine.clone());
--- a/components/control/tests/process/numbered.rs
+++ b/components/control/tests/process/numbered.rs
@@ -5,16 +5,20 @@
 
 use config::keys::Secret;
 use config::settings::Peer;
+use control::Machine;
 use control::outside::{Inquiry, Reply};
 use googletest::prelude::*;
 use link::{Identity, Incoming};
 use state::text::Replacement;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::sleep;
 use upstream::{Announcement, Availability};
 use wire::{Offered, Push, Report, Role, Work};
 
-use crate::fleet_of_one::{SECRET, any_port, control, fresh_version, member, text, until};
+use crate::fleet_of_one::{
+    SECRET, any_port, control, control_with, fresh_version, member, text, until,
+};
 
 /// Longest wait for an answer that comes at once.
 const LIMIT: Duration = Duration::from_secs(60);
@@ -154,6 +158,37 @@
     assert_that!(left, eq(&vec![("shop", 7_500)]));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn goes_on_from_what_an_earlier_leader_recorded_of_an_account() {
+    // Long enough for the slowest machine.
+    let window = Duration::from_secs(600);
+    let process = control_with(Machine::default(), window).await;
+    let before = member("entry-1", process.peer_address);
+    let accepted = process.node.answer(replacement(7, "seven")).await;
+    assert_that!(accepted, eq(&Reply::Replaced { newest: 7 }));
+    until(&before, |view| fresh_version(view) == Some(7)).await;
+    let report = |tokens| Report {
+        spent: vec![("shop".into(), tokens)],
+        ..Report::default()
+    };
+    for tokens in [0, 4_000_000] {
+        let told = before.report(report(tokens), LIMIT).await;
+        assert_that!(told.is_ok(), eq(true));
+    }
+    let machine = process.node.machine().clone();
+    while machine.read().spending().accounts().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    before.stop();
+    let later = control_with(machine, window).await;
+    let after = member("entry-1", later.peer_address);
+    until(&after, |view| fresh_version(view) == Some(7)).await;
+    let overview = after.report(report(0), LIMIT).await;
+    let balances = overview.expect("the leader answers").balances;
+    // A leader without the record would tell the burst of 10,000 tokens.
+    assert_that!(balances[0].1.left, lt(0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn ends_a_call_once_all_control_processes_have_failed() {
     let process = control().await;
