Show what accounts spend under a token limit, at each entry and as the leader counts it

Change: the line of a request has its tokens, an entry counts admitted, refused and put-back tokens by account, and the leader has a gauge of what each account spent within the window and logs when an account goes beyond its limit and when it is within it again.

--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of the control process.
 
-use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{Encoder, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
 
 /// Counters and gauges of one control process.
 #[derive(Clone, Debug)]
@@ -16,6 +16,9 @@
     pub claims: IntGauge,
     /// Claims whose outcome is unknown.
     pub unknowns: IntGauge,
+    /// Tokens that each account with a limit spent within the last window at all entries, as the
+    /// leader counts them.
+    pub account_spent: IntGaugeVec,
 }
 
 impl Default for Metrics {
@@ -29,6 +32,14 @@
         registry
             .register(Box::new(requests.clone()))
             .expect("metric registered once");
+        let opts = Opts::new(
+            "chervilloft_control_account_spent_tokens",
+            "Tokens spent within the last window of the account's limit.",
+        );
+        let account_spent = IntGaugeVec::new(opts, &["account"]).expect("valid metric");
+        registry
+            .register(Box::new(account_spent.clone()))
+            .expect("metric registered once");
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help).expect("valid metric");
             registry
@@ -45,6 +56,7 @@
                 "chervilloft_control_unknown_claims",
                 "Claims whose outcome is unknown.",
             ),
+            account_spent,
             registry,
         }
     }
--- a/components/control/src/node/background.rs
+++ b/components/control/src/node/background.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use config::ids::UpstreamId;
+use config::ids::{AccountId, UpstreamId};
+use indexmap::IndexSet;
 use state::{Change, Command, Output, State};
 use tokio::time::sleep;
-use tracing::warn;
+use tracing::{info, warn};
 use wire::Push;
 
 use super::Node;
@@ -69,6 +70,7 @@
 {
     let mut last_tick = Instant::now();
     let mut last_recorded = Instant::now();
+    let mut exceeded = IndexSet::new();
     while !*node.stopped.borrow() {
         sleep(LEASE_CHECK_INTERVAL).await;
         if !node.leads() || node.take_over().await.is_err() {
@@ -77,6 +79,7 @@
         record_lost_entries(&node).await;
         if last_recorded.elapsed() >= limits::RECORD_PERIOD - LEASE_CHECK_INTERVAL / 2 {
             last_recorded = Instant::now();
+            observe_spending(&node, &mut exceeded);
             record_spending(&node).await;
         }
         if last_tick.elapsed() >= TICK_INTERVAL {
@@ -108,6 +111,31 @@
     }
 }
 
+/// Updates the gauges of what accounts spent, and logs which accounts go beyond their limit or
+/// return to it.
+fn observe_spending<R>(node: &Node<R>, exceeded: &mut IndexSet<AccountId>)
+where
+    R: Replica<Command = Command, Output = Output>,
+{
+    let Some((_, text)) = node.text() else {
+        return;
+    };
+    let spending = node.workload().spending(&text, Instant::now());
+    for (account, spent, limit) in spending {
+        let gauge = node.metrics.account_spent.with_label_values(&[&account]);
+        gauge.set(spent as i64);
+        match spent > limit {
+            true if exceeded.insert(account.clone()) => {
+                warn!("control: account \"{account}\" spent {spent:.0} tokens of {limit:.0}");
+            }
+            false if exceeded.shift_remove(&account) => {
+                info!("control: account \"{account}\" is within its limit again");
+            }
+            _ => {}
+        }
+    }
+}
+
 /// Records the spending of accounts that spent more than half of their limit. A leader that starts
 /// after all processes were killed continues from the record; for all other accounts it assumes
 /// that they spent at their steady rate.
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -111,6 +111,19 @@
         spending
     }
 
+    /// Returns each account with a token limit, what it spent within the last window and its limit
+    /// for such a window.
+    pub(crate) fn spending(&mut self, text: &Text, now: Instant) -> Vec<(AccountId, f64, f64)> {
+        let window = self.limit_window;
+        let mut spending = Vec::new();
+        for (name, rate) in limited_accounts(text) {
+            if let Some(spent) = self.spent.get_mut(name) {
+                spending.push((name.clone(), spent.total(now), rate.within(window)));
+            }
+        }
+        spending
+    }
+
     /// Records a report, and returns the sums over all entries and the balances under the limits of
     /// `text`.
     pub(crate) fn record_report(
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -92,7 +92,11 @@
     };
     let now = Instant::now();
     match refusal.is_not_run() {
-        true => lock(&core.accounts).put_back(&account.name, token_cost(call, account)),
+        true => {
+            let tokens = token_cost(call, account);
+            core.metrics.record_limit(&account.name, "put-back", tokens);
+            lock(&core.accounts).put_back(&account.name, tokens);
+        }
         false if !call.route.kind.is_stream() => lock(&core.usage).record(&account.name, now),
         false => {}
     }
@@ -155,9 +159,14 @@
     };
     if let Some((account, rate)) = call.account.as_ref().and_then(|a| Some((a, a.limit?))) {
         let tokens = token_cost(&call, account);
-        lock(&core.accounts)
-            .take(&account.name, rate, tokens, Instant::now())
-            .map_err(Refusal::OverLimit)?;
+        request_log.set_tokens(tokens);
+        let taken = lock(&core.accounts).take(&account.name, rate, tokens, Instant::now());
+        let decision = match taken {
+            Ok(()) => "admitted",
+            Err(_) => "refused",
+        };
+        core.metrics.record_limit(&account.name, decision, tokens);
+        taken.map_err(Refusal::OverLimit)?;
     }
     Ok(call)
 }
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -17,6 +17,7 @@
     registry: Registry,
     requests: IntCounterVec,
     attempts: IntCounterVec,
+    limit_tokens: IntCounterVec,
     first_event: HistogramVec,
     total: HistogramVec,
     /// Version of the text in force.
@@ -61,6 +62,11 @@
                 "Requests sent to upstreams, by service and outcome.",
                 &["service", "outcome"],
             ),
+            limit_tokens: counters(
+                "chervilloft_gateway_limit_tokens_total",
+                "Tokens of requests under a limit of their account, by account and decision.",
+                &["account", "decision"],
+            ),
             first_event: histograms(
                 "chervilloft_gateway_first_seconds",
                 "Time to the first event, or to the head of a whole answer.",
@@ -105,6 +111,13 @@
         self.attempts.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Counts the tokens of a request under a limit of its account.
+    pub fn record_limit(&self, account: &str, decision: &str, tokens: u64) {
+        self.limit_tokens
+            .with_label_values(&[account, decision])
+            .inc_by(tokens);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut bytes = Vec::new();
--- a/components/gateway/src/request_log.rs
+++ b/components/gateway/src/request_log.rs
@@ -16,6 +16,8 @@
     id: RequestId,
     route: CompactString,
     account: CompactString,
+    /// Tokens that the request takes from its account's limit; 0 without a limit.
+    tokens: u64,
     /// Version of the operators' text by which the request is routed.
     version: u64,
     upstream: UpstreamId,
@@ -38,6 +40,7 @@
             id: RequestId::default(),
             route: CompactString::default(),
             account: CompactString::default(),
+            tokens: 0,
             version: core.table.load().version(),
             upstream: UpstreamId::default(),
             reason: CompactString::default(),
@@ -60,6 +63,10 @@
         self.account = account.clone();
     }
 
+    pub(crate) fn set_tokens(&mut self, tokens: u64) {
+        self.tokens = tokens;
+    }
+
     pub(crate) fn record_dispatch(&mut self, upstream: &UpstreamId, reason: &CompactString) {
         self.upstream = upstream.clone();
         self.reason = reason.clone();
@@ -87,6 +94,7 @@
             request = %self.id,
             route = %self.route,
             account = %self.account,
+            tokens = self.tokens,
             version = self.version,
             upstream = %self.upstream,
             sends = self.sends,
