Add failing tests of how far all entries together exceed an account's limit

A simulation without a network plays one account at 10, 100 and 300 entries that goes from 0.55 to 10 times its limit: spread evenly or skewed, from the first second on, beside a new leader, a cut and a restart. Accepted is a tenth beyond the limit in any window of 8 s.

--- /dev/null
+++ b/components/limits/tests/excess/main.rs
@@ -0,0 +1,155 @@
+//! How far all entries together exceed an account's limit, and what they refuse below it, by the
+//! number of entries, the skew of the load and the faults of processes and links.
+
+mod fleet;
+mod simulation;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use simulation::{Fault, Outcome, Scenario};
+
+/// Numbers of entries that share the limit.
+const ENTRIES: [usize; 3] = [10, 100, 300];
+/// Largest excess in any window that users accept, relative to the limit of a window.
+const MAX_EXCESS: f64 = 0.1;
+/// Time at which the account becomes hot in most scenarios.
+const HOT_AT: Duration = Duration::from_secs(20);
+
+fn at(offset_ms: u64) -> Duration {
+    HOT_AT + Duration::from_millis(offset_ms)
+}
+
+/// An account that requests a bit more than half of its limit, and ten times its limit later on.
+fn hot(entries: usize) -> Scenario {
+    Scenario {
+        entries,
+        usual_load: 0.55,
+        hot_load: 10.0,
+        hot_at: HOT_AT,
+        ..Scenario::default()
+    }
+}
+
+fn expect_within_limit(name: &str, scenario: &Scenario) {
+    let Outcome { excess, .. } = simulation::run(scenario);
+    let entries = scenario.entries;
+    expect_that!(excess, le(MAX_EXCESS), "{name}, {entries} entries");
+}
+
+#[gtest]
+fn keeps_a_hot_account_within_its_limit_however_many_entries_share_it() {
+    for entries in ENTRIES {
+        expect_within_limit("load spread evenly", &hot(entries));
+    }
+}
+
+#[gtest]
+fn keeps_a_hot_account_within_its_limit_with_any_skew() {
+    for (entries, skew) in ENTRIES.into_iter().flat_map(|n| [(n, 0.5), (n, 1.0)]) {
+        let scenario = Scenario {
+            skew,
+            ..hot(entries)
+        };
+        expect_within_limit(&format!("skew {skew}"), &scenario);
+    }
+}
+
+#[gtest]
+fn keeps_an_account_within_its_limit_that_is_hot_from_the_first_second() {
+    for entries in ENTRIES {
+        let scenario = Scenario {
+            hot_at: Duration::ZERO,
+            ..hot(entries)
+        };
+        expect_within_limit("hot at once", &scenario);
+    }
+}
+
+#[gtest]
+fn keeps_a_hot_account_within_its_limit_when_the_leader_changes() {
+    for (entries, after_ms) in ENTRIES
+        .into_iter()
+        .flat_map(|n| [(n, 100), (n, 700), (n, 3_000)])
+    {
+        let scenario = Scenario {
+            fault: Fault::NewLeader {
+                at: at(after_ms),
+                gap: Duration::from_millis(1_400),
+            },
+            ..hot(entries)
+        };
+        expect_within_limit(&format!("new leader after {after_ms} ms"), &scenario);
+    }
+}
+
+#[gtest]
+fn keeps_a_hot_account_within_its_limit_when_entries_are_cut_off_from_the_leader() {
+    for (entries, share) in ENTRIES
+        .into_iter()
+        .flat_map(|n| [(n, 0.3), (n, 0.5), (n, 1.0)])
+    {
+        let scenario = Scenario {
+            fault: Fault::Cut {
+                share,
+                from: at(0) - Duration::from_secs(3),
+                to: at(15_000),
+            },
+            ..hot(entries)
+        };
+        expect_within_limit(&format!("{share} of the entries cut off"), &scenario);
+    }
+}
+
+#[gtest]
+fn keeps_a_hot_account_within_its_limit_when_all_processes_restart() {
+    for (entries, after_ms) in ENTRIES
+        .into_iter()
+        .flat_map(|n| [(n, 300), (n, 1_490), (n, 4_000)])
+    {
+        let scenario = Scenario {
+            fault: Fault::Restart {
+                at: at(after_ms),
+                gap: Duration::from_millis(1_400),
+            },
+            ..hot(entries)
+        };
+        expect_within_limit(&format!("restart after {after_ms} ms"), &scenario);
+    }
+}
+
+/// An account that never requests more than 60% of its limit.
+fn modest(entries: usize) -> Scenario {
+    Scenario {
+        entries,
+        usual_load: 0.6,
+        hot_load: 0.6,
+        ..Scenario::default()
+    }
+}
+
+#[gtest]
+fn refuses_nothing_below_the_limit_with_any_skew() {
+    for (entries, skew) in ENTRIES
+        .into_iter()
+        .flat_map(|n| [(n, 0.0), (n, 0.5), (n, 1.0)])
+    {
+        let outcome = simulation::run(&Scenario {
+            skew,
+            ..modest(entries)
+        });
+        expect_that!(
+            outcome.admitted,
+            ge(0.999),
+            "{entries} entries, skew {skew}"
+        );
+    }
+}
+
+#[gtest]
+fn admits_almost_the_whole_limit_of_an_overloaded_account() {
+    for entries in ENTRIES {
+        let outcome = simulation::run(&hot(entries));
+        expect_that!(outcome.used, ge(0.9), "{entries} entries");
+    }
+}
