limits: Divide an account's limit among the entries by parts that none exceeds

Cause: each entry received the same headroom and could spend all of it by itself. What all of them admitted beyond the limit was what they spent between two answers, times the number of entries that saw the same tokens; without a leader an entry took its share from a sum that no longer moved while its own spending grew. Change: the leader divides the limit of a window into parts, one for each entry, that add up to the limit at most; an entry keeps its own spending within any window to its part, with or without a leader. A part is what the entry spent lately and an even share of half of what is unspent; an entry that needs more asks for it. A part counts until its holder has stated a smaller one, so lost answers and silent entries keep the sum. Entries tell a new leader what they hold; processes that are gone count as having spent their part. The common headroom stays as the pace of entries that reach the leader, so that an account does not spend a window at once and then nothing. Why it works: the sum of the parts bounds the sum of what is spent within any window, at any number of entries, skew, cut or leader. After a restart of all processes the record says what was spent, as before. The test of a leader without a record now has an earlier leader, as a leader that saw the account from its start knows what was spent.

--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -7,6 +7,7 @@
 mod parsed_text;
 mod rate;
 mod settings;
+mod token_limits;
 pub(crate) mod workload;
 
 pub(crate) use background::{draining, notify_entries, run_leader_tasks};
@@ -200,6 +201,7 @@
         Body::Submit { .. } => "submit",
         Body::Replace { .. } => "replace",
         Body::Report(_) => "report",
+        Body::Balance(_) => "balance",
         Body::Query(_) => "query",
     }
 }
--- a/components/control/src/node/background.rs
+++ b/components/control/src/node/background.rs
@@ -11,6 +11,7 @@
 use wire::Push;
 
 use super::Node;
+use super::token_limits::Spent;
 use crate::replica::Replica;
 
 /// Time between two reads of the state for changes that entries are notified of.
@@ -120,13 +121,18 @@
     let Some((_, text)) = node.text() else {
         return;
     };
-    let spending = node.workload().spending(&text, Instant::now());
-    for (account, spent, limit) in spending {
+    let spending = node.workload().limits().spent(&text, Instant::now());
+    for Spent {
+        account,
+        tokens,
+        limit,
+    } in spending
+    {
         let gauge = node.metrics.account_spent.with_label_values(&[&account]);
-        gauge.set(spent as i64);
-        match spent > limit {
+        gauge.set(tokens as i64);
+        match tokens > limit {
             true if exceeded.insert(account.clone()) => {
-                warn!("control: account \"{account}\" spent {spent:.0} tokens of {limit:.0}");
+                warn!("control: account \"{account}\" spent {tokens:.0} tokens of {limit:.0}");
             }
             false if exceeded.shift_remove(&account) => {
                 info!("control: account \"{account}\" is within its limit again");
@@ -146,7 +152,7 @@
     let Some((_, text)) = node.text() else {
         return;
     };
-    let spending = node.workload().spending_above_half(&text, Instant::now());
+    let spending = node.workload().limits().above_half(&text, Instant::now());
     if spending.is_empty() {
         return;
     }
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -11,7 +11,7 @@
 use wire::{Answer, Body, Failure, FreshnessLease, Overview, Query, Request, Submitted};
 
 use super::Node;
-use super::workload::SpendingRecord;
+use super::token_limits::SpendingRecord;
 use crate::leases::CLOCK_DRIFT_MARGIN;
 use crate::replica::Replica;
 use crate::{clock, difference};
@@ -73,18 +73,25 @@
                 let text = self.text().map(|(_, text)| text);
                 let process = (node, incarnation);
                 let now = Instant::now();
-                let overview = {
-                    let mut workload = self.workload();
-                    if workload.is_idle(now) {
-                        workload.resume_from(self.recorded_spending(), now);
-                    }
-                    workload.record_report(process, report, text.as_deref(), now)
-                };
+                let overview = self
+                    .workload()
+                    .record_report(process, report, text.as_deref(), now);
                 Ok(Answer::Overview(Overview {
                     now_ms: clock::monotonic_unix_ms(),
                     ..overview
                 }))
             }
+            Body::Balance(statements) => {
+                let process = (node, incarnation);
+                let balances = self.text().map(|(_, text)| {
+                    let mut workload = self.workload();
+                    let now = Instant::now();
+                    workload
+                        .limits()
+                        .balances(&process, &statements, &text, now)
+                });
+                Ok(Answer::Balances(balances.unwrap_or_default()))
+            }
             Body::Query(Query::Source) => {
                 self.read_barrier().await?;
                 let state = self.machine.read();
@@ -126,6 +133,7 @@
             leadership
                 .leases
                 .take_over(entries.into_iter(), Instant::now());
+            self.take_over_limits();
             leadership.term = term;
             leadership.since = Instant::now();
             info!("control: became the leader of term {term}");
@@ -133,6 +141,22 @@
         Ok(term)
     }
 
+    /// Assumes that every entry that served lately holds a part of the accounts' token limits.
+    fn take_over_limits(&self) {
+        let Some((_, text)) = self.text() else {
+            return;
+        };
+        let record = self.recorded_spending();
+        let processes = {
+            let state = self.machine.read();
+            entries_with_possible_lease(&state, millis(limits::PART_RETENTION))
+        };
+        let now = Instant::now();
+        self.workload()
+            .limits()
+            .take_over(&processes, &record, &text, now);
+    }
+
     async fn confirm(
         &self,
         entry: NodeId,
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -7,15 +7,14 @@
 use std::time::{Duration, Instant};
 
 use config::Text;
-use config::ids::{AccountId, Incarnation, NodeId, ServiceId, UpstreamId};
+use config::ids::{AccountId, ServiceId, UpstreamId};
 use indexmap::IndexMap;
-use limits::SlidingWindow;
 use placement::autoscaler::Demand;
-use state::spending::{Slice, Slices};
 use state::usage::{Counts, Window};
-use wire::{Balance, DemandTotals, Overview, Report, Work};
+use wire::{DemandTotals, Overview, Report, Work};
 
 use super::rate::Rate;
+use super::token_limits::{EntryProcess, TokenLimits};
 
 /// Time after an entry's last report for which its work is counted.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
@@ -24,45 +23,21 @@
 /// Maximum number of usage windows whose counts are kept.
 const MAX_WINDOWS: usize = 16;
 
-/// One process of an entry.
-type EntryProcess = (NodeId, Incarnation);
-
 /// Reports of all entries, and the sums over them.
 #[derive(Debug)]
 pub(crate) struct Workload {
     entries: IndexMap<EntryProcess, EntryReport>,
-    spent: IndexMap<AccountId, SlidingWindow>,
-    /// Set when reports resume after a time without any.
-    resumption: Option<Resumption>,
-    /// Length of the sliding window over which token limits apply.
-    limit_window: Duration,
+    limits: TokenLimits,
     /// Started requests by usage window, process and account.
     window_counts: IndexMap<Window, IndexMap<EntryProcess, Counts>>,
     rates: IndexMap<ServiceId, Rate>,
 }
 
-/// Spending of the accounts that spent more than half of their limit, as an earlier leader recorded
-/// it.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct SpendingRecord {
-    /// Time since it was recorded.
-    pub(crate) age: Duration,
-    pub(crate) accounts: Slices,
-}
-
-/// Resumption of reports after a time without any, with the recorded spending to continue from.
-#[derive(Debug)]
-struct Resumption {
-    at: Instant,
-    record: SpendingRecord,
-}
-
 /// Last report of one entry.
 #[derive(Debug)]
 struct EntryReport {
     /// Time at which it was received.
     at: Instant,
-    spent: IndexMap<AccountId, u64>,
     work: Vec<(UpstreamId, Work)>,
     demand: IndexMap<ServiceId, DemandTotals>,
 }
@@ -72,56 +47,15 @@
     pub(crate) fn new(limit_window: Duration) -> Self {
         Workload {
             entries: IndexMap::new(),
-            spent: IndexMap::new(),
-            resumption: None,
-            limit_window,
+            limits: TokenLimits::new(limit_window),
             window_counts: IndexMap::new(),
             rates: IndexMap::new(),
         }
     }
 
-    /// Reports whether no entry has reported within [`REPORT_LIFETIME`], so that recent spending is
-    /// unknown.
-    pub(crate) fn is_idle(&self, now: Instant) -> bool {
-        self.live_reports(now).next().is_none()
-    }
-
-    /// Discards the counted spending, and continues from the record of an earlier leader.
-    pub(crate) fn resume_from(&mut self, record: SpendingRecord, now: Instant) {
-        self.spent.clear();
-        self.resumption = Some(Resumption { at: now, record });
-    }
-
-    /// Returns the spending within the last window of the accounts that spent more than half of
-    /// their limit (see [`SlidingWindow::needs_record`]).
-    pub(crate) fn spending_above_half(&mut self, text: &Text, now: Instant) -> Slices {
-        let slice = |(age, tokens): (Duration, f64)| Slice {
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            tokens,
-        };
-        let mut spending = Slices::new();
-        for (name, rate) in limited_accounts(text) {
-            if let Some(spent) = self.spent.get_mut(name)
-                && spent.needs_record(rate, now)
-            {
-                let slices = spent.slices(now).into_iter().map(slice).collect();
-                spending.insert(name.clone(), slices);
-            }
-        }
-        spending
-    }
-
-    /// Returns each account with a token limit, what it spent within the last window and its limit
-    /// for such a window.
-    pub(crate) fn spending(&mut self, text: &Text, now: Instant) -> Vec<(AccountId, f64, f64)> {
-        let window = self.limit_window;
-        let mut spending = Vec::new();
-        for (name, rate) in limited_accounts(text) {
-            if let Some(spent) = self.spent.get_mut(name) {
-                spending.push((name.clone(), spent.total(now), rate.within(window)));
-            }
-        }
-        spending
+    /// Returns the token limits of accounts.
+    pub(crate) fn limits(&mut self) -> &mut TokenLimits {
+        &mut self.limits
     }
 
     /// Records a report, and returns the sums over all entries and the balances under the limits of
@@ -133,13 +67,14 @@
         text: Option<&Text>,
         now: Instant,
     ) -> Overview {
-        self.entries
-            .retain(|_, report| now.saturating_duration_since(report.at) < ENTRY_RETENTION);
+        self.drop_old_entries(now);
         self.add_counts(&process, report.started);
-        self.add_spent(&process, &report.spent, text, now);
+        let balances = text.map(|text| {
+            self.limits
+                .balances(&process, &report.statements, text, now)
+        });
         let report = EntryReport {
             at: now,
-            spent: report.spent.into_iter().collect(),
             work: report.work,
             demand: report.demand.into_iter().collect(),
         };
@@ -148,7 +83,7 @@
         Overview {
             now_ms: 0,
             entries: u32::try_from(self.live_reports(now).count()).unwrap_or(u32::MAX),
-            balances: self.balances(text, now),
+            balances: balances.unwrap_or_default(),
             work: self.total_work(now),
         }
     }
@@ -201,70 +136,14 @@
         }
     }
 
-    fn add_spent(
-        &mut self,
-        process: &EntryProcess,
-        spent: &[(AccountId, u64)],
-        text: Option<&Text>,
-        now: Instant,
-    ) {
-        for (name, rate) in text.into_iter().flat_map(limited_accounts) {
-            if !self.spent.contains_key(name) {
-                let initial = self.initial_spent(name, rate, now);
-                self.spent.insert(name.clone(), initial);
-            }
-        }
-        let before = self.entries.get(process);
-        for (account, total) in spent {
-            // The total of a process's first report may be old, so it is not counted as spent.
-            let known = before.map(|report| report.spent.get(account).copied().unwrap_or(0));
-            let used = total.saturating_sub(known.unwrap_or(*total));
-            if let Some(account_spent) = self.spent.get_mut(account) {
-                let interval = before.map_or(Duration::ZERO, |report| {
-                    now.saturating_duration_since(report.at)
-                });
-                account_spent.add_over(used as f64, interval, now);
-            }
-        }
-    }
-
-    fn balances(&mut self, text: Option<&Text>, now: Instant) -> Vec<(AccountId, Balance)> {
-        let mut balances = Vec::new();
-        for (name, rate) in text.into_iter().flat_map(limited_accounts) {
-            if let Some(spent) = self.spent.get_mut(name) {
-                let headroom = spent.headroom(rate, now);
-                let balance = Balance {
-                    available: headroom.available as i64,
-                    remaining: headroom.remaining as i64,
-                    spent: headroom.spent as u64,
-                };
-                balances.push((name.clone(), balance));
-            }
-        }
-        balances
-    }
-
-    /// Returns the assumed spending of a newly added account. Within one limit window
-    /// after a resumption it is the recorded spending, or the steady rate if none was recorded;
-    /// otherwise it is zero.
-    fn initial_spent(&self, account: &str, rate: limits::Rate, now: Instant) -> SlidingWindow {
-        let window = self.limit_window;
-        let elapsed = |resumption: &Resumption| now.saturating_duration_since(resumption.at);
-        let Some(resumption) = self
-            .resumption
-            .as_ref()
-            .filter(|resumption| elapsed(resumption) < window)
-        else {
-            return SlidingWindow::new(window);
-        };
-        match resumption.record.accounts.get(account) {
-            Some(slices) => {
-                let to_pair = |slice: &Slice| (Duration::from_millis(slice.age_ms), slice.tokens);
-                let slices: Vec<_> = slices.iter().map(to_pair).collect();
-                let since = resumption.record.age + elapsed(resumption);
-                SlidingWindow::from_record(&slices, since, rate, window, now)
-            }
-            None => SlidingWindow::at_steady_rate(rate, window, now),
+    fn drop_old_entries(&mut self, now: Instant) {
+        let count = self.entries.len();
+        self.entries
+            .retain(|_, report| now.saturating_duration_since(report.at) < ENTRY_RETENTION);
+        if self.entries.len() < count {
+            let entries = &self.entries;
+            self.limits
+                .retain_processes(|process| entries.contains_key(process));
         }
     }
 
@@ -283,9 +162,3 @@
         sums.into_iter().collect()
     }
 }
-
-/// Returns the accounts that have a token limit.
-fn limited_accounts(text: &Text) -> impl Iterator<Item = (&AccountId, limits::Rate)> {
-    let accounts = text.accounts.iter();
-    accounts.filter_map(|(name, account)| Some((name, limits::token_rate(account)?)))
-}
--- a/components/control/tests/process/replacements.rs
+++ b/components/control/tests/process/replacements.rs
@@ -8,13 +8,14 @@
 use control::Machine;
 use control::external::{Operation, Reply};
 use googletest::prelude::*;
+use limits::Statement;
 use link::{Identity, Incoming};
 use state::text::Replacement;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use upstream::{Announcement, Availability};
-use wire::{DemandTotals, Push, Report, Role, Work};
+use wire::{DemandTotals, Push, Report, Role, Statements, Work};
 
 use crate::single_control::{
     SECRET, any_port, control, control_with, fresh_version, member, text, wait_until,
@@ -148,20 +149,41 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn grants_no_more_than_the_burst_when_a_leader_has_no_record() {
-    let process = control().await;
-    let member = member("entry-1", process.peer_address);
+    let window = Duration::from_secs(600);
+    let process = control_with(Machine::default(), window).await;
+    let before = member("entry-1", process.peer_address);
     let accepted = process.node.execute(replacement(7, "seven")).await;
     assert_that!(accepted, eq(&Reply::Replaced { newest: 7 }));
-    wait_until(&member, |view| fresh_version(view) == Some(7)).await;
-    let overview = member.report(Report::default(), ANSWER_TIMEOUT).await;
-    let balances = overview.expect("the leader answers").balances;
-    // The account's rate and burst are 10,000 tokens, and its window holds nine times as much. The
-    // rate of a quarter of a second counts as spent until the next report.
+    wait_until(&before, |view| fresh_version(view) == Some(7)).await;
+    before.stop();
+    let later = control_with(process.node.machine().clone(), window).await;
+    // The leader has not heard of the other entry, which may hold the whole limit.
+    let after = member("entry-2", later.peer_address);
+    wait_until(&after, |view| fresh_version(view) == Some(7)).await;
+    let overview = after.report(report(1, 0), ANSWER_TIMEOUT).await;
+    let balances = overview.expect("the leader answers").balances.accounts;
+    // The account's rate and burst are 10,000 tokens, and its window holds 601 times as much.
     let left: Vec<_> = balances
         .iter()
         .map(|(name, balance)| (name.as_str(), balance.available))
         .collect();
-    assert_that!(left, eq(&vec![("shop", 7_500)]));
+    assert_that!(left, eq(&vec![("shop", 10_000)]));
+    assert_that!(balances[0].1.part, le(10_000));
+}
+
+/// Returns the report of an entry that spent `total` tokens and holds no part of the limit.
+fn report(number: u64, total: u64) -> Report {
+    let statement = Statement {
+        total,
+        ..Statement::default()
+    };
+    Report {
+        statements: Statements {
+            number,
+            accounts: vec![("shop".into(), statement)],
+        },
+        ..Report::default()
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -173,12 +195,8 @@
     let accepted = process.node.execute(replacement(7, "seven")).await;
     assert_that!(accepted, eq(&Reply::Replaced { newest: 7 }));
     wait_until(&before, |view| fresh_version(view) == Some(7)).await;
-    let report = |tokens| Report {
-        spent: vec![("shop".into(), tokens)],
-        ..Report::default()
-    };
-    for tokens in [0, 4_000_000] {
-        let overview = before.report(report(tokens), ANSWER_TIMEOUT).await;
+    for (number, tokens) in [(1, 0), (2, 4_000_000)] {
+        let overview = before.report(report(number, tokens), ANSWER_TIMEOUT).await;
         assert_that!(overview.is_ok(), eq(true));
     }
     let machine = process.node.machine().clone();
@@ -189,8 +207,8 @@
     let later = control_with(machine, window).await;
     let after = member("entry-1", later.peer_address);
     wait_until(&after, |view| fresh_version(view) == Some(7)).await;
-    let overview = after.report(report(0), ANSWER_TIMEOUT).await;
-    let balances = overview.expect("the leader answers").balances;
+    let overview = after.report(report(1, 0), ANSWER_TIMEOUT).await;
+    let balances = overview.expect("the leader answers").balances.accounts;
     // A leader without the record would return the burst of 10,000 tokens.
     assert_that!(balances[0].1.available, lt(0));
 }
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -20,7 +20,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 use upstream::Announcement;
-use wire::{Answer, Body, Overview, Report, Request, Role};
+use wire::{Answer, Balances, Body, Overview, Report, Request, Role, Statements};
 
 use crate::claim::{Claim, Settlement, Verdict};
 use crate::{Control, Directory, Freshness, View};
@@ -132,6 +132,18 @@
         }
     }
 
+    /// Asks the leader for a larger part of the token limit of accounts.
+    ///
+    /// # Errors
+    /// If the leader does not answer within `limit`.
+    pub async fn balance(&self, statements: Statements, limit: Duration) -> Result<Balances> {
+        let request = self.shared.request(Body::Balance(statements));
+        match self.shared.links.call(request, limit).await? {
+            Answer::Balances(balances) => Ok(balances),
+            _ => Err(unexpected_answer()),
+        }
+    }
+
     /// Sends the settlement until the control group has committed it.
     async fn settle_with_retries(&self, claim: &Claim, settlement: &Settlement) -> Result<()> {
         loop {
--- a/components/gateway/src/accounts.rs
+++ b/components/gateway/src/accounts.rs
@@ -1,122 +1,145 @@
 //! Token limits of client accounts at one entry.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use config::ids::AccountId;
 use indexmap::IndexMap;
-use limits::{Balance, Headroom, Rate, SlidingWindow};
+use limits::{Decision, Headroom, Holding, Rate};
+use wire::{Balances, Statements};
 
-/// Window over which this entry's part of an account's spending is measured.
-const RECENT_WINDOW: Duration = Duration::from_secs(8);
-/// Number of entries assumed to share a limit until the leader has sent the actual number.
-const ASSUMED_ENTRIES: u32 = 10;
+/// Longest wait of a request for a larger part of its account's limit.
+pub(crate) const DRAW_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Balances of the accounts that have a limit, and the tokens admitted at this entry.
+/// This entry's holdings of the accounts that have a token limit.
 #[derive(Debug, Default)]
 pub struct Accounts {
-    accounts: IndexMap<AccountId, Spending>,
-    /// Number of entries that share the limits, as last received from the leader; 0 before.
-    entries: u32,
+    accounts: IndexMap<AccountId, Account>,
+    /// Number of the newest statements.
+    number: u64,
+    /// Whether the leader did not answer the newest statements.
+    is_cut_off: bool,
 }
 
-/// Balance and spending of one account.
-#[derive(Debug)]
-struct Spending {
-    balance: Balance,
-    /// Tokens admitted here within [`RECENT_WINDOW`].
-    recent: SlidingWindow,
-    /// Tokens admitted since the process started.
-    total: u64,
-    /// Value of `total` in the newest report.
-    reported: u64,
+#[derive(Debug, Default)]
+struct Account {
+    holding: Holding,
+    /// Number of the newest statement about the account.
+    number: u64,
+    /// Until when the answer to a draw is expected. Reports leave the account out until then.
+    draws_until: Option<Instant>,
+    /// Held by the request that draws.
+    drawing: Arc<tokio::sync::Mutex<()>>,
 }
 
-impl Spending {
-    fn new(balance: Balance) -> Self {
-        Spending {
-            balance,
-            recent: SlidingWindow::new(RECENT_WINDOW),
-            total: 0,
-            reported: 0,
-        }
+impl Account {
+    fn is_drawing(&self, now: Instant) -> bool {
+        self.draws_until.is_some_and(|until| now < until)
     }
 }
 
 impl Accounts {
-    /// Takes `tokens` from the balance of an account.
-    ///
-    /// # Errors
-    /// Returns the time until the balance covers the request.
-    pub fn take(
+    /// Decides on a request of `tokens` tokens, and takes them if it is admitted. A draw is needed
+    /// only while the leader answers.
+    pub fn take(&mut self, account: &AccountId, rate: Rate, tokens: u64, now: Instant) -> Decision {
+        let is_cut_off = self.is_cut_off;
+        let holding = &mut self.account(account).holding;
+        match holding.take(tokens, rate, now) {
+            Decision::Draw if is_cut_off => holding.refuse(tokens, rate),
+            decision => decision,
+        }
+    }
+
+    /// Puts back the tokens of a request that arrived at `arrived` and did not run.
+    pub fn put_back(&mut self, account: &AccountId, tokens: u64, arrived: Instant) {
+        if let Some(account) = self.accounts.get_mut(account) {
+            account.holding.put_back(tokens, arrived);
+        }
+    }
+
+    /// Returns the statements of a report about `accounts`, except those for which the answer to a
+    /// draw is expected.
+    pub fn statements(&mut self, accounts: &[AccountId], now: Instant) -> Statements {
+        self.number += 1;
+        let number = self.number;
+        let mut statements = Vec::new();
+        for name in accounts {
+            let account = self.account(name);
+            if !account.is_drawing(now) {
+                account.number = number;
+                statements.push((name.clone(), account.holding.statement(0, now)));
+            }
+        }
+        Statements {
+            number,
+            accounts: statements,
+        }
+    }
+
+    /// Returns the lock that a request holds while it draws.
+    pub fn drawing(&mut self, account: &AccountId) -> Arc<tokio::sync::Mutex<()>> {
+        self.account(account).drawing.clone()
+    }
+
+    /// Returns the statement of a draw, for a request of `tokens` tokens that the part does not
+    /// cover.
+    pub fn draw(&mut self, account: &AccountId, tokens: u64, now: Instant) -> Statements {
+        self.number += 1;
+        let number = self.number;
+        let slot = self.account(account);
+        slot.number = number;
+        slot.draws_until = Some(now + DRAW_TIMEOUT);
+        let statement = slot.holding.statement(tokens, now);
+        Statements {
+            number,
+            accounts: vec![(account.clone(), statement)],
+        }
+    }
+
+    /// Ends the draw of an account, and decides on its request. What the part still does not cover
+    /// is refused.
+    pub fn end_draw(
         &mut self,
         account: &AccountId,
         rate: Rate,
         tokens: u64,
         now: Instant,
-    ) -> Result<(), Duration> {
-        let entries = self.entries.max(ASSUMED_ENTRIES);
-        let spending = self.accounts.entry(account.clone()).or_insert_with(|| {
-            // The balance is unknown until the leader sends it: an entry assumes its own share.
-            Spending::new(Balance::local(rate.burst / f64::from(entries), now))
-        });
-        let recent = spending.recent.total(now);
-        match spending
-            .balance
-            .take(tokens as f64, rate, recent, entries, now)
-        {
-            true => {
-                spending.total += tokens;
-                spending.recent.add(tokens as f64, now);
-                Ok(())
+    ) -> Decision {
+        let holding = &mut self.account(account).holding;
+        match holding.take(tokens, rate, now) {
+            Decision::Draw => {
+                holding.pause_draws(now);
+                holding.refuse(tokens, rate)
             }
-            false => Err(spending.balance.wait_time(tokens as f64, rate)),
+            decision => decision,
         }
     }
 
-    /// Puts the tokens of a request that did not run back into the balance.
-    pub fn put_back(&mut self, account: &AccountId, tokens: u64) {
-        if let Some(spending) = self.accounts.get_mut(account) {
-            spending.total = spending.total.saturating_sub(tokens);
-            spending.balance.put_back(tokens as f64);
+    /// Applies the leader's answer to the statements with `number`. Accounts about which a later
+    /// statement was made wait for its answer.
+    pub fn apply(&mut self, number: u64, balances: &Balances, now: Instant) {
+        self.is_cut_off = false;
+        let window = Duration::from_millis(balances.window_ms);
+        for (name, balance) in &balances.accounts {
+            let account = self.account(name);
+            if account.number == number {
+                let headroom = Headroom {
+                    available: balance.available as f64,
+                    part: balance.part as f64,
+                };
+                account.holding.apply(headroom, window, now);
+                account.draws_until = None;
+            }
         }
     }
 
-    /// Returns the total of each account, for a report to the leader.
-    pub fn report(&mut self) -> Vec<(AccountId, u64)> {
-        let mut totals = Vec::new();
-        for (account, spending) in &mut self.accounts {
-            spending.reported = spending.total;
-            if spending.total > 0 {
-                totals.push((account.clone(), spending.total));
-            }
-        }
-        totals
+    /// Records that the leader did not answer. Until it does, requests that the holdings do not
+    /// cover are refused at once.
+    pub fn record_silence(&mut self) {
+        self.is_cut_off = true;
     }
 
-    /// Applies the balances that the leader sent in answer to the newest report, and the number of
-    /// entries. Tokens admitted since that report are deducted.
-    pub fn apply_balances(
-        &mut self,
-        balances: &[(AccountId, wire::Balance)],
-        entries: u32,
-        now: Instant,
-    ) {
-        self.entries = entries;
-        for (account, balance) in balances {
-            let headroom = Headroom {
-                available: balance.available as f64,
-                remaining: balance.remaining as f64,
-                spent: balance.spent as f64,
-            };
-            let slot = self.accounts.entry(account.clone());
-            let spending = slot.or_insert_with(|| Spending::new(Balance::new(headroom, now)));
-            let since_report = spending.total.saturating_sub(spending.reported) as f64;
-            let headroom = Headroom {
-                available: headroom.available - since_report,
-                remaining: headroom.remaining - since_report,
-                ..headroom
-            };
-            spending.balance = Balance::new(headroom, now);
-        }
+    fn account(&mut self, account: &AccountId) -> &mut Account {
+        self.accounts.entry(account.clone()).or_default()
     }
 }
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -10,7 +10,7 @@
 use crate::core::{Core, lock};
 use crate::dispatch::{self, Attempts};
 use crate::request_log::RequestLog;
-use crate::{Account, Head, Prompt, Refusal, Table, relay, retries, table};
+use crate::{Account, Head, Prompt, Refusal, Table, relay, retries, table, token_limit};
 
 /// Longest wait of a request for the first text after the start of the entry. A request that waits
 /// this long still meets most latency targets.
@@ -68,6 +68,9 @@
         Ok(call) => Arc::new(call),
         Err(refusal) => return refuse(request_log, &refusal),
     };
+    if let Err(refusal) = token_limit::take(&core, &call, &mut request_log).await {
+        return refuse(request_log, &refusal);
+    }
     let since_start = retries::elapsed(core.started, arrived);
     lock(&core.retries).record_request(&call.service, since_start);
     lock(&core.demand).add(&call.service, call.prompt.as_ref());
@@ -92,11 +95,7 @@
     };
     let now = Instant::now();
     match refusal.is_not_run() {
-        true => {
-            let tokens = token_cost(call, account);
-            core.metrics.record_limit(&account.name, "put-back", tokens);
-            lock(&core.accounts).put_back(&account.name, tokens);
-        }
+        true => token_limit::put_back(core, call, account),
         false if !call.route.kind.is_stream() => lock(&core.usage).record(&account.name, now),
         false => {}
     }
@@ -111,7 +110,7 @@
     answer
 }
 
-/// Finds the route and the account of a request, and takes its tokens from the account's limit.
+/// Finds the route, the service and the account of a request.
 fn admit(
     core: &Core,
     request_log: &mut RequestLog,
@@ -157,17 +156,6 @@
         arrived,
         deadline: arrived + wait,
     };
-    if let Some((account, rate)) = call.account.as_ref().and_then(|a| Some((a, a.limit?))) {
-        let tokens = token_cost(&call, account);
-        request_log.set_tokens(tokens);
-        let taken = lock(&core.accounts).take(&account.name, rate, tokens, Instant::now());
-        let decision = match taken {
-            Ok(()) => "admitted",
-            Err(_) => "refused",
-        };
-        core.metrics.record_limit(&account.name, decision, tokens);
-        taken.map_err(Refusal::OverLimit)?;
-    }
     Ok(call)
 }
 
@@ -188,11 +176,3 @@
         None => Err(Refusal::NoAccount),
     }
 }
-
-/// Returns the tokens that a request takes from its account's limit.
-fn token_cost(call: &Call, account: &Account) -> u64 {
-    match &call.prompt {
-        Some(prompt) => u64::from(prompt.input_tokens) + u64::from(prompt.output_tokens),
-        None => u64::from(account.tokens_per_request),
-    }
-}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod sync;
 mod table;
 mod ticket;
+mod token_limit;
 mod usage;
 
 pub use accounts::Accounts;
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -64,23 +64,30 @@
     let mut is_reachable = true;
     loop {
         sleep(REPORT_PERIOD).await;
+        let limited = core.table.load();
+        let statements =
+            lock(&core.accounts).statements(limited.limited_accounts(), Instant::now());
         let report = Report {
-            spent: lock(&core.accounts).report(),
+            statements,
             started: lock(&core.usage).report(),
             work: lock(&core.balancer).report(),
             demand: lock(&core.demand).report(),
         };
-        if report == last.0 && last.1.elapsed() < MAX_REPORT_GAP {
+        if is_same(&report, &last.0) && last.1.elapsed() < MAX_REPORT_GAP {
             continue;
         }
         last = (report.clone(), Instant::now());
+        let number = report.statements.number;
         let reported = core.member.report(report, REPORT_TIMEOUT).await;
         let succeeded = reported.is_ok();
         match reported {
-            Ok(overview) => apply_overview(&core, &overview, last.1),
+            Ok(overview) => apply_overview(&core, number, &overview, last.1),
             Err(error) if is_reachable => warn!("gateway: report to the leader failed: {error}"),
             Err(_) => {}
         }
+        if !succeeded {
+            lock(&core.accounts).record_silence();
+        }
         if succeeded && !is_reachable {
             info!("gateway: reports to the leader succeed again");
         }
@@ -88,11 +95,20 @@
     }
 }
 
-/// Applies the leader's answer to a report that was sent at `sent_at`.
-fn apply_overview(core: &Core, overview: &wire::Overview, sent_at: Instant) {
+/// Reports whether two reports differ in the number of their statements at most.
+fn is_same(report: &Report, other: &Report) -> bool {
+    report.statements.accounts == other.statements.accounts
+        && report.started == other.started
+        && report.work == other.work
+        && report.demand == other.demand
+}
+
+/// Applies the leader's answer to the report whose statements have `number`, which was sent at
+/// `sent_at`.
+fn apply_overview(core: &Core, number: u64, overview: &wire::Overview, sent_at: Instant) {
     let now = Instant::now();
     let one_way = now.saturating_duration_since(sent_at) / 2;
-    lock(&core.accounts).apply_balances(&overview.balances, overview.entries, now);
+    lock(&core.accounts).apply(number, &overview.balances, now);
     lock(&core.balancer).apply_work(&overview.work);
     lock(&core.retries).set_entries(overview.entries);
     let unix_ms = overview.now_ms + u64::try_from(one_way.as_millis()).unwrap_or(0);
--- a/components/gateway/src/table.rs
+++ b/components/gateway/src/table.rs
@@ -18,6 +18,8 @@
     routes: IndexMap<CompactString, Vec<Arc<Route>>>,
     /// Accounts by key.
     accounts: IndexMap<CompactString, Arc<Account>>,
+    /// Accounts that have a token limit.
+    limited: Vec<AccountId>,
     limits: Limits,
 }
 
@@ -56,10 +58,13 @@
             let keys = account.keys.iter().cloned();
             accounts.extend(keys.map(|key| (key, attributes.clone())));
         }
+        let has_limit = |(name, account)| limits::token_rate(account).map(|_| name);
+        let limited = text.accounts.iter().filter_map(has_limit);
         Table {
             version,
             routes,
             accounts,
+            limited: limited.cloned().collect(),
             limits: text.ingress.limits,
         }
     }
@@ -74,6 +79,11 @@
         self.limits
     }
 
+    /// Returns the accounts that have a token limit.
+    pub(crate) fn limited_accounts(&self) -> &[AccountId] {
+        &self.limited
+    }
+
     /// Returns the route with the longest prefix of `path` at `host`; a port is ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.split_once(':').map_or(host, |(name, _port)| name);
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -7,32 +7,38 @@
 //! - Batches: the leader keeps a [`Meter`] with a token [`Bucket`] for each account. An entry keeps
 //!   a [`Share`] for each account, a batch of units that was drawn from the bucket and that it
 //!   spends without asking. It draws again when the batch is spent or its lease has expired.
-//! - Balances: each entry admits requests by itself against a [`Balance`] and reports what it
-//!   spent afterwards. The leader adds the reports up in a [`SlidingWindow`] for each account and
-//!   returns the [`Headroom`] that is left.
+//! - Parts: the leader keeps a [`Division`] of each account's limit. An entry holds a part of it, a
+//!   [`Holding`], which it never exceeds within any window, and states regularly what it spent. The
+//!   leader divides the limit again with each [`Statement`], and also sends the [`Headroom`] that
+//!   all entries together have at their pace, from the statements it adds up in a
+//!   [`SlidingWindow`].
 
 mod accounts;
-mod balance;
 mod bucket;
 mod decision;
+mod division;
 mod draw;
 mod grant;
+mod holding;
 mod meter;
 mod policy;
 mod rate;
 mod report;
 mod share;
 mod sliding_window;
+mod statement;
 
 pub use accounts::Accounts;
-pub use balance::{Balance, Headroom};
 pub use bucket::Bucket;
 pub use decision::Decision;
+pub use division::{Division, PART_RETENTION};
 pub use draw::{Draw, Limit};
 pub use grant::Grant;
+pub use holding::Holding;
 pub use meter::Meter;
 pub use policy::Policy;
 pub use rate::{Rate, token_rate};
 pub use report::Report;
 pub use share::Share;
 pub use sliding_window::{RECORD_PERIOD, SlidingWindow};
+pub use statement::{Headroom, Statement};
--- a/components/limits/src/sliding_window.rs
+++ b/components/limits/src/sliding_window.rs
@@ -12,7 +12,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use crate::{Headroom, Rate};
+use crate::Rate;
 
 /// Longest time between two records of what accounts spent.
 pub const RECORD_PERIOD: Duration = Duration::from_millis(500);
@@ -138,6 +138,35 @@
         self.add(tokens / f64::from(count), now);
     }
 
+    /// Adds the slices of another window, each multiplied by `factor`.
+    pub fn add_all(&mut self, other: &SlidingWindow, factor: f64) {
+        for (began, tokens) in &other.slices {
+            self.insert(tokens * factor, *began);
+        }
+    }
+
+    /// Removes tokens that were added at `at` or later. They are removed from an earlier slice than
+    /// they were added to rather than from a later one, so that the total is not too small after
+    /// that slice has left the window.
+    pub fn remove(&mut self, tokens: f64, at: Instant) {
+        let later = self.slices.iter().rev();
+        let later = later.take_while(|(began, _)| *began > at).count();
+        let index = (self.slices.len() - later).saturating_sub(1);
+        if let Some((_, sum)) = self.slices.get_mut(index) {
+            *sum -= tokens;
+        }
+    }
+
+    /// Returns the length of the window.
+    pub fn length(&self) -> Duration {
+        self.length
+    }
+
+    /// Changes the length of the window.
+    pub fn set_length(&mut self, length: Duration) {
+        self.length = length;
+    }
+
     /// Adds a slice that began at an earlier time.
     fn insert(&mut self, tokens: f64, at: Instant) {
         let later = self
@@ -163,19 +192,13 @@
         available.min(rate.within(self.length) - spent)
     }
 
-    /// Returns the headroom that the leader sends to entries. It deducts what entries spend between
-    /// two reports if they continue at the latest pace.
-    pub fn headroom(&mut self, rate: Rate, now: Instant) -> Headroom {
+    /// Returns the tokens that all entries may spend now. It deducts what entries spend between two
+    /// reports if they continue at the latest pace.
+    pub fn unreserved(&mut self, rate: Rate, now: Instant) -> f64 {
         let is_latest = |at: &Instant| now.saturating_duration_since(*at) <= RECORD_PERIOD;
         let latest = self.slices.iter().filter(|(at, _)| is_latest(at));
         let pace = latest.map(|(_, sum)| sum).sum::<f64>() / RECORD_PERIOD.as_secs_f64();
-        let unreported = pace * REPORT_AGE.as_secs_f64();
-        let spent = self.total(now);
-        Headroom {
-            available: self.available(rate, now) - unreported,
-            remaining: rate.within(self.length) - spent - unreported,
-            spent,
-        }
+        self.available(rate, now) - pace * REPORT_AGE.as_secs_f64()
     }
 
     /// Returns the tokens spent within the window.
--- a/components/limits/tests/excess/main.rs
+++ b/components/limits/tests/excess/main.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use limits::Rate;
 use simulation::{Fault, Outcome, Scenario};
 
 /// Numbers of entries that share the limit.
@@ -153,3 +154,97 @@
         expect_that!(outcome.used, ge(0.9), "{entries} entries");
     }
 }
+
+/// An account with a limit of `size` times 160,000 tokens per second.
+fn sized(size: f64, scenario: Scenario) -> Scenario {
+    let tokens = 160_000.0 * size;
+    Scenario {
+        rate: Rate {
+            per_second: tokens,
+            burst: tokens,
+        },
+        ..scenario
+    }
+}
+
+#[gtest]
+fn keeps_an_overloaded_account_within_the_allowed_excess() {
+    for skew in [0.0, 0.5, 1.0] {
+        let scenario = Scenario {
+            usual_load: 3.5,
+            hot_load: 3.5,
+            skew,
+            ..hot(10)
+        };
+        expect_within_limit(&format!("skew {skew}"), &sized(1.0, scenario));
+    }
+}
+
+#[gtest]
+fn keeps_an_account_within_the_allowed_excess_at_many_entries() {
+    for (hot_load, size) in [(3.5, 1.0), (7.0, 1.0), (4.2, 3.2), (5.0, 3.2)] {
+        let scenario = Scenario {
+            hot_load,
+            ..hot(76)
+        };
+        let name = format!("{hot_load} times the limit of {size}");
+        expect_within_limit(&name, &sized(size, scenario));
+    }
+}
+
+#[gtest]
+fn keeps_an_account_within_the_allowed_excess_while_the_leader_is_silent() {
+    for after_ms in [300, 1_000, 3_000] {
+        let fault = Fault::Cut {
+            share: 1.0,
+            from: at(after_ms),
+            to: at(after_ms + 1_400),
+        };
+        let scenario = Scenario {
+            hot_load: 4.2,
+            fault,
+            ..hot(76)
+        };
+        expect_within_limit(
+            &format!("silent after {after_ms} ms"),
+            &sized(3.2, scenario),
+        );
+    }
+}
+
+#[gtest]
+fn keeps_an_account_within_the_allowed_excess_when_all_processes_are_killed() {
+    for after_ms in [1_200, 1_490, 2_700, 4_000, 6_990] {
+        let fault = Fault::Restart {
+            at: at(after_ms),
+            gap: Duration::ZERO,
+        };
+        let scenario = Scenario {
+            hot_load: 3.5,
+            skew: 0.2,
+            fault,
+            ..hot(10)
+        };
+        expect_within_limit(
+            &format!("killed after {after_ms} ms"),
+            &sized(1.0, scenario),
+        );
+    }
+}
+
+#[gtest]
+fn admits_everything_within_the_limit_while_the_leader_is_silent() {
+    let fault = Fault::Cut {
+        share: 1.0,
+        from: at(0),
+        to: at(3_000),
+    };
+    let scenario = Scenario {
+        usual_load: 0.55,
+        hot_load: 0.55,
+        fault,
+        ..Scenario::default()
+    };
+    let outcome = simulation::run(&sized(1.0, scenario));
+    expect_that!(outcome.admitted, ge(0.99));
+}
--- a/components/limits/tests/excess/simulation.rs
+++ b/components/limits/tests/excess/simulation.rs
@@ -11,7 +11,7 @@
 const SEED: u64 = 0x5eed_0020;
 /// Length of the window over which the limit applies.
 pub(crate) const WINDOW: Duration = Duration::from_secs(8);
-/// The account's limit.
+/// The account's limit in most scenarios.
 pub(crate) const RATE: Rate = Rate {
     per_second: 500_000.0,
     burst: 500_000.0,
@@ -38,6 +38,7 @@
     /// Fraction of the requests that reaches the first entry.
     pub(crate) skew: f64,
     pub(crate) fault: Fault,
+    pub(crate) rate: Rate,
 }
 
 impl Default for Scenario {
@@ -49,6 +50,7 @@
             hot_at: Duration::ZERO,
             skew: 0.0,
             fault: Fault::None,
+            rate: RATE,
         }
     }
 }
@@ -90,7 +92,7 @@
 pub(crate) fn run(scenario: &Scenario) -> Outcome {
     let mut rng = StdRng::seed_from_u64(SEED);
     let start = Instant::now() + WARM_UP;
-    let mut fleet = Fleet::new(scenario.entries, RATE, WINDOW, start - WARM_UP);
+    let mut fleet = Fleet::new(scenario.entries, scenario.rate, WINDOW, start - WARM_UP);
     warm_up(&mut fleet, scenario.entries, start - WARM_UP);
     let mut admitted: Vec<(Duration, f64)> = Vec::new();
     let mut requested = 0.0;
@@ -111,7 +113,7 @@
             false => scenario.hot_load,
         };
         let mean_tokens = (TOKENS.start + TOKENS.end) / 2.0;
-        let expected = load * RATE.per_second * STEP.as_secs_f64() / mean_tokens;
+        let expected = load * scenario.rate.per_second * STEP.as_secs_f64() / mean_tokens;
         let count = expected.floor() as u32 + u32::from(rng.random_bool(expected.fract()));
         for _ in 0..count {
             let tokens = rng.random_range(TOKENS).floor();
@@ -124,7 +126,7 @@
             }
             requested += tokens;
             let is_connected = is_connected(scenario, entry, time);
-            if fleet.admit(entry, tokens, is_connected, now) {
+            if fleet.admit(entry, tokens as u64, is_connected, now) {
                 admitted.push((time, tokens));
             }
         }
@@ -148,10 +150,12 @@
 
 fn apply_fault(fleet: &mut Fleet, scenario: &Scenario, time: Duration, now: Instant) {
     match scenario.fault {
-        Fault::NewLeader { at, gap } if time == at + gap => fleet.replace_leader(now),
+        Fault::NewLeader { at, gap } if time == at + gap => {
+            fleet.replace_leader(fleet.incarnation(), now);
+        }
         Fault::Restart { at, gap } if time == at + gap => {
-            fleet.restart_entries(now);
-            fleet.replace_leader(now);
+            let former = fleet.restart_entries(now);
+            fleet.replace_leader(former, now);
         }
         _ => {}
     }
@@ -187,8 +191,8 @@
     let late = admitted.iter().filter(|(time, _)| *time >= from);
     let late: f64 = late.map(|(_, tokens)| tokens).sum();
     Outcome {
-        excess: (largest / RATE.within(WINDOW) - 1.0).max(0.0),
+        excess: (largest / scenario.rate.within(WINDOW) - 1.0).max(0.0),
         admitted: total / requested,
-        used: late / (RATE.per_second * (LENGTH - from).as_secs_f64()),
+        used: late / (scenario.rate.per_second * (LENGTH - from).as_secs_f64()),
     }
 }
--- a/components/wire/src/answer.rs
+++ b/components/wire/src/answer.rs
@@ -7,7 +7,7 @@
 use state::claim::Verdict;
 use state::text::Outcome;
 
-use crate::Overview;
+use crate::{Balances, Overview};
 
 /// Answer to a request.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -26,6 +26,8 @@
     Submitted(Submitted),
     /// Answers `Report`.
     Overview(Overview),
+    /// Answers `Balance`.
+    Balances(Balances),
     /// Answers `Query` with a JSON document, or with the text itself.
     Document(String),
     /// Answers `Leave`.
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -1,14 +1,16 @@
 //! Reports of entries on their work, and the leader's sums over all entries.
 
 use config::ids::{AccountId, ServiceId, UpstreamId};
+use limits::Statement;
 use serde::{Deserialize, Serialize};
 use state::usage::Window;
 
 /// Report of an entry on its work. Its totals count from the start of the process.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Report {
-    /// Tokens admitted since the process started, by account.
-    pub spent: Vec<(AccountId, u64)>,
+    /// Statements about the accounts with a token limit.
+    #[serde(rename = "spent")]
+    pub statements: Statements,
     /// Requests that started to run, by accounting window and account.
     #[serde(rename = "begun")]
     pub started: Vec<(Window, AccountId, u64)>,
@@ -40,17 +42,33 @@
     pub prefill_tokens: u32,
 }
 
-/// State of an account's token limit over all entries, as the leader knows it.
+/// Statements of an entry about accounts with a token limit. At most one of them about an account
+/// waits for its answer at a time.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Statements {
+    /// Number that is higher than that of all earlier statements of the process.
+    pub number: u64,
+    /// The statements.
+    pub accounts: Vec<(AccountId, Statement)>,
+}
+
+/// Answer to [`Statements`].
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Balances {
+    /// Length of the window over which the limits apply, in milliseconds.
+    pub window_ms: u64,
+    /// Balances of the accounts that the statements name and that have a limit.
+    pub accounts: Vec<(AccountId, Balance)>,
+}
+
+/// An account's token limit, as the leader knows it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Balance {
-    /// Tokens that may be spent at once; negative if the limit is exceeded.
+    /// Tokens that all entries together may spend now; negative after they spent too fast.
     #[serde(rename = "left")]
     pub available: i64,
-    /// Tokens that may be spent gradually until the limit of the window is reached.
-    #[serde(rename = "room")]
-    pub remaining: i64,
-    /// Tokens that all entries have spent within the window.
-    pub spent: u64,
+    /// Tokens that the entry may spend within any window.
+    pub part: u64,
 }
 
 /// State of all entries, as the leader knows it.
@@ -60,9 +78,8 @@
     pub now_ms: u64,
     /// Number of entries that reported recently.
     pub entries: u32,
-    /// Balances of the accounts that have a token limit; spending in the answered report is already
-    /// subtracted.
-    pub balances: Vec<(AccountId, Balance)>,
+    /// Answer to the statements of the report.
+    pub balances: Balances,
     /// Work in progress of all entries, including the reporting one, by upstream.
     #[serde(rename = "held")]
     pub work: Vec<(UpstreamId, Work)>,
--- a/components/wire/src/request.rs
+++ b/components/wire/src/request.rs
@@ -6,7 +6,7 @@
 use state::claim::{Claim, Settlement};
 use state::text::{Replacement, Submission};
 
-use crate::Report;
+use crate::{Report, Statements};
 
 /// A request, on behalf of one process of an entry or of an operator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -56,6 +56,8 @@
     },
     /// An entry reports its work, and requests the sums over all entries.
     Report(Report),
+    /// An entry needs a larger part of the token limit of accounts, between two reports.
+    Balance(Statements),
     /// An operator reads the leader's state.
     Query(Query),
 }
