limits: Divide less evenly once little of a limit is unspent

Cause: half of what nobody spent was divided evenly, always. That is too little for entries that are cut off while much is unspent, and too much when little is: the even parts are smaller than a request then, and lie idle. Change: three quarters while at least half of the limit is unspent, proportionally less below. The example now plays the token limit too, with the fleet of the tests.

--- a/components/limits/examples/schemes/main.rs
+++ b/components/limits/examples/schemes/main.rs
@@ -1,11 +1,17 @@
 //! Compares schemes that enforce a limit over ten entries: messages per second at the leader, and
-//! how far admissions exceed or fall short of the limit.
+//! how far admissions exceed or fall short of the limit. Then plays the token limit of an account at
+//! up to 2,200 entries, beside faults.
 //!
 //! Run with `cargo run --release -p limits --example schemes`.
 
 mod arrivals;
+#[path = "../../tests/excess/fleet.rs"]
+mod fleet;
 mod scheme;
 mod score;
+#[path = "../../tests/excess/simulation.rs"]
+mod simulation;
+mod tokens;
 
 use std::time::Duration;
 
@@ -32,6 +38,7 @@
             }
         }
     }
+    tokens::print();
 }
 
 fn schemes() -> Vec<Scheme> {
--- a/components/limits/src/division.rs
+++ b/components/limits/src/division.rs
@@ -8,7 +8,10 @@
 use crate::{Rate, SlidingWindow, Statement};
 
 /// Fraction of the unspent limit that is divided evenly; the rest is for entries that ask for more.
-const EVEN_FRACTION: f64 = 0.5;
+const EVEN_FRACTION: f64 = 0.75;
+/// Fraction of the limit below which less of what is unspent is divided evenly: even parts that are
+/// smaller than a request are of no use.
+const SCARCE_FRACTION: f64 = 0.5;
 /// Largest fraction of the unspent limit that an entry receives in addition to what it asks for.
 const MAX_EXTRA_FRACTION: f64 = 1.0 / 16.0;
 /// What an entry receives in addition, as a fraction of what it spent within the window.
@@ -142,7 +145,8 @@
         let free = (limit - self.parts).max(0.0);
         let unspent = (limit - self.recent).max(0.0);
         let others = self.entries.len() - usize::from(self.entries.contains_key(node));
-        let even = unspent * EVEN_FRACTION / (others + 1) as f64;
+        let plenty = (unspent / (limit * SCARCE_FRACTION)).clamp(0.0, 1.0);
+        let even = unspent * EVEN_FRACTION * plenty / (others + 1) as f64;
         let extra = match statement.wanted {
             0 => 0.0,
             wanted => {
--- a/components/limits/tests/excess/fleet.rs
+++ b/components/limits/tests/excess/fleet.rs
@@ -17,6 +17,7 @@
     record: (Vec<(Duration, f64)>, Instant),
     entries: Vec<Entry>,
     incarnation: Incarnation,
+    draws: usize,
 }
 
 struct Leader {
@@ -58,6 +59,7 @@
             record: (Vec::new(), now),
             entries: (0..count).map(|index| Entry::new(index, now)).collect(),
             incarnation: 1,
+            draws: 0,
         }
     }
 
@@ -89,6 +91,7 @@
         let decision = self.entries[entry].holding.take(tokens, self.rate, now);
         match decision {
             Decision::Draw if is_connected => {
+                self.draws += 1;
                 let headroom = self.exchange(entry, tokens, now);
                 let entry = &mut self.entries[entry];
                 entry.answer = None;
@@ -131,6 +134,11 @@
         self.incarnation - 1
     }
 
+    /// Returns the number of draws so far.
+    pub(crate) fn draws(&self) -> usize {
+        self.draws
+    }
+
     /// Returns the incarnation of the entries.
     pub(crate) fn incarnation(&self) -> Incarnation {
         self.incarnation
