limits: Bound the draws of entries by their reports

Cause: the simulation counted draws and no check read the count. Change: a test that all entries together draw no more often than they report, four times a second each.

--- a/components/limits/tests/excess/main.rs
+++ b/components/limits/tests/excess/main.rs
@@ -155,6 +155,15 @@
     }
 }
 
+#[gtest]
+fn draws_no_more_often_than_entries_report() {
+    for entries in ENTRIES {
+        let outcome = simulation::run(&hot(entries));
+        let reports = entries as f64 / 0.25;
+        expect_that!(outcome.draws, le(reports), "{entries} entries");
+    }
+}
+
 /// An account with a limit of `size` times 160,000 tokens per second.
 fn sized(size: f64, scenario: Scenario) -> Scenario {
     let tokens = 160_000.0 * size;
