limits: Count batches that entries hold towards the burst

Cause: the leader's bucket refilled to the whole burst while entries held batches out of it. Change: what entries hold under leases that have not expired counts towards the capacity of the bucket. Why it works: level and held units never exceed the burst together, so any span admits the rate and one burst at most, with any number of entries.

--- a/components/limits/examples/schemes/scheme.rs
+++ b/components/limits/examples/schemes/scheme.rs
@@ -56,7 +56,7 @@
     let mut bucket = Bucket::new(rate, BURST, start);
     let admitted = arrivals
         .iter()
-        .filter(|arrival| bucket.take(1.0, start + arrival.at))
+        .filter(|arrival| bucket.take(1.0, 0.0, start + arrival.at))
         .map(|arrival| arrival.at)
         .collect();
     (admitted, 2 * arrivals.len())
@@ -66,7 +66,7 @@
     let mut buckets = [Bucket::new(rate / ENTRIES as f64, BURST, start); ENTRIES];
     arrivals
         .iter()
-        .filter(|arrival| buckets[arrival.entry].take(1.0, start + arrival.at))
+        .filter(|arrival| buckets[arrival.entry].take(1.0, 0.0, start + arrival.at))
         .map(|arrival| arrival.at)
         .collect()
 }
--- a/components/limits/src/bucket.rs
+++ b/components/limits/src/bucket.rs
@@ -37,20 +37,22 @@
         self.units = self.units.min(self.capacity);
     }
 
-    /// Returns the units that are available at `now`.
-    pub fn available(&mut self, now: Instant) -> f64 {
+    /// Returns the units that are available at `now`. `held` units were taken and not spent yet;
+    /// they count towards the capacity.
+    pub fn available(&mut self, held: f64, now: Instant) -> f64 {
         self.refill(now);
-        self.units
+        self.units.min(self.capacity - held)
     }
 
     /// Takes `units` if they are available, and reports whether it did. A request for more than
     /// the capacity succeeds when the bucket is full; it leaves a level below zero, which has to be
-    /// refilled before the next units are taken.
-    pub fn take(&mut self, units: f64, now: Instant) -> bool {
-        self.refill(now);
-        let enough = self.units >= units.min(self.capacity);
+    /// refilled before the next units are taken. `held` units count towards the capacity.
+    pub fn take(&mut self, units: f64, held: f64, now: Instant) -> bool {
+        let available = self.available(held, now);
+        let capacity = self.capacity - held;
+        let enough = capacity > 0.0 && available >= units.min(capacity);
         if enough {
-            self.units -= units;
+            self.units = available - units;
         }
         enough
     }
@@ -60,10 +62,11 @@
         self.units = (self.units + units.max(0.0)).min(self.capacity);
     }
 
-    /// Returns the time until [`Bucket::take`] succeeds for `units`.
-    pub fn wait_time(&mut self, units: f64, now: Instant) -> Duration {
-        self.refill(now);
-        let missing = (units.min(self.capacity) - self.units).max(0.0);
+    /// Returns the time until [`Bucket::take`] succeeds for `units`, as far as that depends on the
+    /// rate.
+    pub fn wait_time(&mut self, units: f64, held: f64, now: Instant) -> Duration {
+        let available = self.available(held, now);
+        let missing = (units.min(self.capacity - held) - available).max(0.0);
         Duration::try_from_secs_f64(missing / self.rate).unwrap_or(Duration::MAX)
     }
 
--- a/components/limits/src/meter.rs
+++ b/components/limits/src/meter.rs
@@ -20,8 +20,14 @@
 #[derive(Clone, Debug)]
 struct Account {
     bucket: Bucket,
-    /// Time of the newest report of each entry.
-    last_reports: IndexMap<NodeId, Instant>,
+    /// Newest batch of each entry whose lease has not expired.
+    batches: IndexMap<NodeId, Batch>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Batch {
+    units: f64,
+    leased_until: Instant,
 }
 
 impl Meter {
@@ -42,17 +48,21 @@
             .entry(report.account.clone())
             .or_insert_with(|| Account {
                 bucket: Bucket::new(rate, policy.burst, now),
-                last_reports: IndexMap::new(),
+                batches: IndexMap::new(),
             });
         if account.bucket.rate() != rate {
             account.bucket.set_rate(rate, policy.burst, now);
         }
         account.bucket.put_back(report.unspent);
-        account.last_reports.insert(entry.clone(), now);
-        account
-            .last_reports
-            .retain(|_, at| now.saturating_duration_since(*at) <= policy.lease);
-        account.grant(report.wanted, policy, now)
+        account.batches.swap_remove(entry);
+        account.batches.retain(|_, batch| now < batch.leased_until);
+        let grant = account.grant(report.wanted, policy, now);
+        let batch = Batch {
+            units: grant.units,
+            leased_until: now + policy.lease,
+        };
+        account.batches.insert(entry.clone(), batch);
+        grant
     }
 
     /// Drops the buckets of all accounts but those that `is_known` accepts.
@@ -63,15 +73,17 @@
 
 impl Account {
     /// Grants a batch, or an equal part of the available units if they don't suffice for a batch
-    /// for each active entry. The grant has at least the units `wanted`, or none.
+    /// for each active entry. The grant has at least the units `wanted`, or none. `batches` has
+    /// those of the other entries.
     fn grant(&mut self, wanted: f64, policy: Policy, now: Instant) -> Grant {
-        let wait_time = self.bucket.wait_time(wanted, now);
-        let active = self.last_reports.len().max(1) as f64;
+        let held = self.batches.values().map(|batch| batch.units).sum();
+        let wait_time = self.bucket.wait_time(wanted, held, now);
+        let active = (self.batches.len() + 1) as f64;
         let rate = self.bucket.rate();
         let batch = policy.max_batch_at(rate).max(wanted);
-        let part = self.bucket.available(now) / active;
+        let part = self.bucket.available(held, now) / active;
         let units = batch.min(part).max(wanted);
-        let units = match self.bucket.take(units, now) {
+        let units = match self.bucket.take(units, held, now) {
             true => units,
             false => 0.0,
         };
--- a/components/limits/src/share.rs
+++ b/components/limits/src/share.rs
@@ -36,7 +36,7 @@
 
     fn decide_by_fallback(&mut self, units: f64, now: Instant) -> Decision {
         let bucket = self.fallback.as_mut();
-        match bucket.is_some_and(|bucket| bucket.take(units, now)) {
+        match bucket.is_some_and(|bucket| bucket.take(units, 0.0, now)) {
             true => Decision::Admitted,
             false => Decision::Draw,
         }
@@ -86,7 +86,7 @@
         let bucket = self
             .fallback
             .get_or_insert_with(|| Bucket::new(rate, FALLBACK_BURST, now));
-        let is_spent = bucket.available(now) < 1.0;
+        let is_spent = bucket.available(0.0, now) < 1.0;
         self.refused_until = is_spent.then(|| now + retry_after);
     }
 }
--- a/components/limits/tests/limits.rs
+++ b/components/limits/tests/limits.rs
@@ -46,7 +46,31 @@
 }
 
 #[test]
-fn never_admits_more_than_rate_burst_and_one_batch_per_entry() {
+fn never_admits_more_than_rate_and_burst_however_many_entries_hold_a_batch() {
+    for entries in [10, 100, 300] {
+        let (rate, policy, start) = (1_000.0, Policy::default(), Instant::now());
+        let mut meter = Meter::new(policy);
+        let mut shares = vec![Share::default(); entries];
+        let mut admitted = 0.0;
+        // Each entry draws a batch and stays idle; then all spend within a tenth of a second.
+        for (pause_ms, requests) in [(1_000, 1), (100, 1_000)] {
+            for (entry, share) in shares.iter_mut().enumerate() {
+                let now = start
+                    + ms(pause_ms * entry as u64 / entries as u64)
+                    + ms(2_000 * u64::from(requests > 1));
+                for _ in 0..requests {
+                    let is_admitted = admits(&mut meter, share, entry, rate, now);
+                    admitted += f64::from(u8::from(is_admitted && requests > 1));
+                }
+            }
+        }
+        let bound = rate * 0.1 + rate * policy.burst.as_secs_f64();
+        assert_that!(admitted, le(bound), "{entries} entries");
+    }
+}
+
+#[test]
+fn never_admits_more_than_rate_and_burst() {
     let mut runner = TestRunner::new(Config {
         cases: 300,
         rng_seed: RngSeed::Fixed(SEED),
@@ -70,8 +94,7 @@
             for (last, to) in admitted.iter().enumerate().skip(first) {
                 let count = (last + 1 - first) as f64;
                 let burst = (rate * policy.burst.as_secs_f64()).max(1.0);
-                let batches = policy.max_batch_at(rate) * ENTRIES as f64;
-                let max_admitted = rate * (*to - *from).as_secs_f64() + burst + batches;
+                let max_admitted = rate * (*to - *from).as_secs_f64() + burst;
                 prop_assert!(
                     count <= max_admitted + 1e-6,
                     "{count} admitted, {max_admitted} allowed"
@@ -161,10 +184,10 @@
 fn can_take_units_after_the_wait_time() {
     let start = Instant::now();
     let mut bucket = Bucket::new(10.0, ms(1_000), start);
-    assert_that!(bucket.take(10.0, start), eq(true));
-    assert_that!(bucket.wait_time(1.0, start), eq(ms(100)));
-    assert_that!(bucket.take(1.0, start + ms(99)), eq(false));
-    assert_that!(bucket.take(1.0, start + ms(101)), eq(true));
+    assert_that!(bucket.take(10.0, 0.0, start), eq(true));
+    assert_that!(bucket.wait_time(1.0, 0.0, start), eq(ms(100)));
+    assert_that!(bucket.take(1.0, 0.0, start + ms(99)), eq(false));
+    assert_that!(bucket.take(1.0, 0.0, start + ms(101)), eq(true));
 }
 
 #[test]
@@ -185,9 +208,9 @@
         for (pause, units) in calls {
             now += ms(pause);
             let units = f64::from(units);
-            if !bucket.take(units, now) {
-                now += bucket.wait_time(units, now) + Duration::from_nanos(1);
-                prop_assert!(bucket.take(units, now));
+            if !bucket.take(units, 0.0, now) {
+                now += bucket.wait_time(units, 0.0, now) + Duration::from_nanos(1);
+                prop_assert!(bucket.take(units, 0.0, now));
             }
             taken += units;
             largest = largest.max(units);
@@ -203,8 +226,8 @@
 fn can_take_more_than_the_capacity_from_a_full_bucket_and_refills_the_deficit() {
     let start = Instant::now();
     let mut bucket = Bucket::new(100.0, ms(1_000), start);
-    expect_true!(bucket.take(300.0, start));
-    expect_false!(bucket.take(1.0, start + ms(1_900)));
-    expect_eq!(bucket.wait_time(100.0, start + ms(1_900)), ms(1_100));
-    expect_true!(bucket.take(100.0, start + ms(3_000)));
+    expect_true!(bucket.take(300.0, 0.0, start));
+    expect_false!(bucket.take(1.0, 0.0, start + ms(1_900)));
+    expect_eq!(bucket.wait_time(100.0, 0.0, start + ms(1_900)), ms(1_100));
+    expect_true!(bucket.take(100.0, 0.0, start + ms(3_000)));
 }
