limits: Keep the batches of all entries within a quarter of the burst

Cause: a unit that an entry had spent at once counted as held until its next draw; a batch whose lease expired left the bucket full, as it had refilled meanwhile; and a request that fits the burst was taken into debt, which only a larger one may. Change: only what exceeds the waiting request counts as held, the bucket refills from the expiry on, and a batch is an equal share of a quarter of the burst at most. Result: all tests of the crate pass.

--- a/components/limits/src/bucket.rs
+++ b/components/limits/src/bucket.rs
@@ -29,6 +29,11 @@
         self.rate
     }
 
+    /// Returns the largest level.
+    pub fn capacity(&self) -> f64 {
+        self.capacity
+    }
+
     /// Changes the rate and the capacity from `now` on.
     pub fn set_rate(&mut self, rate: f64, burst: Duration, now: Instant) {
         self.refill(now);
@@ -37,6 +42,11 @@
         self.units = self.units.min(self.capacity);
     }
 
+    /// Limits the level at `now` to what `held` units leave of the capacity.
+    pub fn cap(&mut self, held: f64, now: Instant) {
+        self.units = self.available(held, now);
+    }
+
     /// Returns the units that are available at `now`. `held` units were taken and not spent yet;
     /// they count towards the capacity.
     pub fn available(&mut self, held: f64, now: Instant) -> f64 {
@@ -49,8 +59,7 @@
     /// refilled before the next units are taken. `held` units count towards the capacity.
     pub fn take(&mut self, units: f64, held: f64, now: Instant) -> bool {
         let available = self.available(held, now);
-        let capacity = self.capacity - held;
-        let enough = capacity > 0.0 && available >= units.min(capacity);
+        let enough = available >= self.needed(units, held);
         if enough {
             self.units = available - units;
         }
@@ -66,10 +75,18 @@
     /// rate.
     pub fn wait_time(&mut self, units: f64, held: f64, now: Instant) -> Duration {
         let available = self.available(held, now);
-        let missing = (units.min(self.capacity - held) - available).max(0.0);
+        let missing = (self.needed(units, held) - available).max(0.0);
         Duration::try_from_secs_f64(missing / self.rate).unwrap_or(Duration::MAX)
     }
 
+    /// Returns the level at which `units` can be taken.
+    fn needed(&self, units: f64, held: f64) -> f64 {
+        match units > self.capacity {
+            true => self.capacity - held,
+            false => units,
+        }
+    }
+
     fn refill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.updated_at).as_secs_f64();
         self.units = (self.units + elapsed * self.rate).min(self.capacity);
--- a/components/limits/src/meter.rs
+++ b/components/limits/src/meter.rs
@@ -10,6 +10,9 @@
 /// Longest time after which an entry may draw again, however low the limit.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3_600);
 
+/// Largest fraction of the burst that all entries hold together in batches.
+const MAX_HELD_FRACTION: f64 = 0.25;
+
 /// Buckets of all accounts. They are not replicated: a new leader starts with full buckets.
 #[derive(Clone, Debug)]
 pub struct Meter {
@@ -26,6 +29,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Batch {
+    /// Units beyond those that the entry needed at once.
     units: f64,
     leased_until: Instant,
 }
@@ -53,12 +57,13 @@
         if account.bucket.rate() != rate {
             account.bucket.set_rate(rate, policy.burst, now);
         }
-        account.bucket.put_back(report.unspent);
+        account.expire_batches(now);
+        account.bucket.cap(account.held(), now);
         account.batches.swap_remove(entry);
-        account.batches.retain(|_, batch| now < batch.leased_until);
+        account.bucket.put_back(report.unspent);
         let grant = account.grant(report.wanted, policy, now);
         let batch = Batch {
-            units: grant.units,
+            units: (grant.units - report.wanted).max(0.0),
             leased_until: now + policy.lease,
         };
         account.batches.insert(entry.clone(), batch);
@@ -72,15 +77,36 @@
 }
 
 impl Account {
+    /// Returns the units that entries hold.
+    fn held(&self) -> f64 {
+        self.batches.values().map(|batch| batch.units).sum()
+    }
+
+    /// Drops the batches whose lease has expired. Their units count as spent at that time, so the
+    /// bucket refills only from then on.
+    fn expire_batches(&mut self, now: Instant) {
+        self.batches
+            .sort_unstable_by(|_, a, _, b| a.leased_until.cmp(&b.leased_until));
+        while let Some((_, batch)) = self.batches.first() {
+            let expired_at = batch.leased_until;
+            if now < expired_at {
+                break;
+            }
+            self.bucket.cap(self.held(), expired_at);
+            self.batches.shift_remove_index(0);
+        }
+    }
+
     /// Grants a batch, or an equal part of the available units if they don't suffice for a batch
     /// for each active entry. The grant has at least the units `wanted`, or none. `batches` has
     /// those of the other entries.
     fn grant(&mut self, wanted: f64, policy: Policy, now: Instant) -> Grant {
-        let held = self.batches.values().map(|batch| batch.units).sum();
+        let held = self.held();
         let wait_time = self.bucket.wait_time(wanted, held, now);
         let active = (self.batches.len() + 1) as f64;
         let rate = self.bucket.rate();
-        let batch = policy.max_batch_at(rate).max(wanted);
+        let fair_batch = self.bucket.capacity() * MAX_HELD_FRACTION / active;
+        let batch = policy.max_batch_at(rate).min(fair_batch).max(wanted);
         let part = self.bucket.available(held, now) / active;
         let units = batch.min(part).max(wanted);
         let units = match self.bucket.take(units, held, now) {
