gateway: Assume ten entries again until the leader has said how many share the retry budget

The part of each limit comes with the same answer. Not bounded for any number of entries: retries in the milliseconds between an entry's text and that answer.

--- a/components/gateway/src/retries.rs
+++ b/components/gateway/src/retries.rs
@@ -16,8 +16,8 @@
 #[derive(Debug)]
 pub struct Retries {
     settings: settings::Retries,
-    /// Number of entries that share the bound; `None` until the leader has sent it.
-    entries: Option<u32>,
+    /// Number of entries that share the bound.
+    entries: u32,
     services: IndexMap<ServiceId, Counts>,
 }
 
@@ -58,19 +58,18 @@
 }
 
 impl Retries {
-    /// Creates an empty budget. Until the number of entries is set, it allows only retries in
-    /// proportion to the requests.
-    pub fn new(settings: settings::Retries) -> Self {
+    /// Creates an empty budget that is shared by `entries` entries.
+    pub fn new(settings: settings::Retries, entries: u32) -> Self {
         Retries {
             settings,
-            entries: None,
+            entries: entries.max(1),
             services: IndexMap::new(),
         }
     }
 
     /// Sets the number of entries that share the bound.
     pub fn set_entries(&mut self, entries: u32) {
-        self.entries = Some(entries.max(1));
+        self.entries = entries.max(1);
     }
 
     /// Counts a caller's request at the time `since_start` after the start of the process.
@@ -82,8 +81,7 @@
     /// Takes one retry from the budget of a service, and returns whether it was granted.
     pub fn take(&mut self, service: &ServiceId, since_start: Duration) -> bool {
         let number = self.slice_number(since_start);
-        let entries = self.entries.map_or(f64::INFINITY, f64::from);
-        let slack = self.settings.slack / entries;
+        let slack = self.settings.slack / f64::from(self.entries);
         let ratio = self.settings.ratio;
         let counts = self.counts(service);
         let (requests, retries) = counts.totals(number);
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -21,6 +21,9 @@
     sync,
 };
 
+/// Number of entries assumed to share the retry budget until the leader has answered the first
+/// report, which is sent as soon as there is a text.
+const ASSUMED_ENTRIES: u32 = 10;
 /// Pause between two checks of the requests in progress during a planned stop.
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// Time that connections get to close after the last answer.
@@ -113,7 +116,7 @@
         ..balancer::Settings::default()
     };
     Arc::new(Core {
-        retries: Mutex::new(Retries::new(settings.retries)),
+        retries: Mutex::new(Retries::new(settings.retries, ASSUMED_ENTRIES)),
         usage: Mutex::new(Usage::new(settings.usage_window, unix_ms, now)),
         settings,
         protocol,
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -60,10 +60,10 @@
 
 /// Reports this entry's work to the leader for as long as the process runs.
 pub(crate) async fn report(core: Arc<Core>) {
-    let mut last = (Report::default(), Instant::now());
+    let mut last: Option<(Report, Instant)> = None;
     let mut is_reachable = true;
+    while !core.readiness.wait(REPORT_PERIOD).await {}
     loop {
-        sleep(REPORT_PERIOD).await;
         let limited = core.table.load();
         let statements =
             lock(&core.accounts).statements(limited.limited_accounts(), Instant::now());
@@ -73,15 +73,20 @@
             work: lock(&core.balancer).report(),
             demand: lock(&core.demand).report(),
         };
-        if is_same(&report, &last.0) && last.1.elapsed() < MAX_REPORT_GAP {
+        let is_recent = |(last, at): &(Report, Instant)| {
+            is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
+        };
+        if last.as_ref().is_some_and(is_recent) {
+            sleep(REPORT_PERIOD).await;
             continue;
         }
-        last = (report.clone(), Instant::now());
+        let sent_at = Instant::now();
+        last = Some((report.clone(), sent_at));
         let number = report.statements.number;
         let reported = core.member.report(report, REPORT_TIMEOUT).await;
         let succeeded = reported.is_ok();
         match reported {
-            Ok(overview) => apply_overview(&core, number, &overview, last.1),
+            Ok(overview) => apply_overview(&core, number, &overview, sent_at),
             Err(error) if is_reachable => warn!("gateway: report to the leader failed: {error}"),
             Err(_) => {}
         }
@@ -92,6 +97,7 @@
             info!("gateway: reports to the leader succeed again");
         }
         is_reachable = succeeded;
+        sleep(REPORT_PERIOD).await;
     }
 }
 
@@ -111,6 +117,7 @@
     lock(&core.accounts).apply(number, &overview.balances, now);
     lock(&core.balancer).apply_work(&overview.work);
     lock(&core.retries).set_entries(overview.entries);
+    lock(&core.pool).set_entries(overview.entries);
     let unix_ms = overview.now_ms + u64::try_from(one_way.as_millis()).unwrap_or(0);
     lock(&core.usage).set_clock(unix_ms, now);
 }
--- a/components/gateway/tests/retries.rs
+++ b/components/gateway/tests/retries.rs
@@ -13,16 +13,10 @@
     "plain".into()
 }
 
-fn budget(entries: u32) -> Retries {
-    let mut retries = Retries::new(settings::Retries::default());
-    retries.set_entries(entries);
-    retries
-}
-
 /// Simulates `requests` per second at one entry, each of which asks for a retry, and returns the
 /// number of retries granted in the last window.
 fn granted_retries(requests: u32) -> u32 {
-    let mut retries = budget(ENTRIES);
+    let mut retries = Retries::new(settings::Retries::default(), ENTRIES);
     let mut count = 0;
     for second in 0..40 {
         for _ in 0..requests {
@@ -54,7 +48,7 @@
 
 #[test]
 fn grants_retries_again_after_the_window() {
-    let mut retries = budget(ENTRIES);
+    let mut retries = Retries::new(settings::Retries::default(), ENTRIES);
     let first = Duration::from_secs(1);
     while retries.take(&service(), first) {}
     assert_that!(retries.take(&service(), first), eq(false));
@@ -67,7 +61,7 @@
     for entries in [10, 100, 300, 2_200] {
         let mut granted = 0;
         for _ in 0..entries {
-            let mut retries = budget(entries);
+            let mut retries = Retries::new(settings::Retries::default(), entries);
             retries.record_request(&service(), at);
             granted += u32::from(retries.take(&service(), at));
         }
