--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub use call::{Call, Part, PartId, Prompt};
 pub use event_buffer::EventBuffer;
 pub use metrics::Metrics;
+pub use pool::idle_limit;
 pub use protocol::{Head, Metadata, Protocol, Reply};
 pub use readiness::Readiness;
 pub use refusal::Refusal;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -139,7 +139,9 @@
             };
             ticket.finish(outcome);
             let choice = ticket.choice();
-            lock(&self.core.pool).put(choice, connection, reply.keep_alive, Instant::now());
+            let now = Instant::now();
+            let max_connections = self.core.table.load().max_connections(&self.call.service);
+            lock(&self.core.pool).put(choice, connection, reply.keep_alive, max_connections, now);
         }
         self.log_outcome("answered");
     }
--- a/components/gateway/src/table.rs
+++ b/components/gateway/src/table.rs
@@ -20,6 +20,8 @@
     accounts: IndexMap<CompactString, Arc<Account>>,
     /// Accounts that have a token limit.
     limited: Vec<AccountId>,
+    /// Connections that an upstream of each service accepts from all entries, if that is known.
+    max_connections: IndexMap<ServiceId, u32>,
     limits: Limits,
 }
 
@@ -60,11 +62,15 @@
         }
         let has_limit = |(name, account)| limits::token_rate(account).map(|_| name);
         let limited = text.accounts.iter().filter_map(has_limit);
+        let max_connections = text.services.iter();
+        let max_connections =
+            max_connections.filter_map(|(name, s)| Some((name.clone(), s.max_connections?)));
         Table {
             version,
             routes,
             accounts,
             limited: limited.cloned().collect(),
+            max_connections: max_connections.collect(),
             limits: text.ingress.limits,
         }
     }
@@ -84,6 +90,11 @@
         &self.limited
     }
 
+    /// Returns how many connections an upstream of a service accepts from all entries.
+    pub(crate) fn max_connections(&self, service: &str) -> Option<u32> {
+        self.max_connections.get(service).copied()
+    }
+
     /// Returns the route with the longest prefix of `path` at `host`; a port is ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.split_once(':').map_or(host, |(name, _port)| name);
