limits: Search for silent entries once a second

Cause: the leader looked at all entries for each statement about each account, which grows with the square of the entries: at 2,200 entries that report four times a second about 16 accounts, 310 million looks a second. Change: it looks once a second.

--- a/components/limits/src/division.rs
+++ b/components/limits/src/division.rs
@@ -21,6 +21,8 @@
 const LEARNING_TIME: Duration = Duration::from_secs(1);
 /// Time after an entry's last statement for which its part is kept for it.
 pub const PART_RETENTION: Duration = Duration::from_secs(60);
+/// Time between two searches for entries that are silent for so long.
+const SEARCH_PERIOD: Duration = Duration::from_secs(1);
 
 /// Division of one account's limit among the entries, by parts.
 ///
@@ -43,6 +45,8 @@
     /// Number of processes that this leader has taken over and that have not made a statement.
     unheard: usize,
     learning_until: Option<Instant>,
+    /// When silent entries were searched for.
+    searched_at: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -68,6 +72,7 @@
             assumed: None,
             unheard: 0,
             learning_until: None,
+            searched_at: None,
         }
     }
 
@@ -141,7 +146,7 @@
 
     /// Returns the part of an entry whose former part is subtracted from the sum.
     fn part(&mut self, node: &NodeId, statement: Statement, rate: Rate, now: Instant) -> f64 {
-        let limit = rate.within(self.window) - self.gone.total(now);
+        let limit = (rate.within(self.window) - self.gone.total(now)).max(1.0);
         let free = (limit - self.parts).max(0.0);
         let unspent = (limit - self.recent).max(0.0);
         let others = self.entries.len() - usize::from(self.entries.contains_key(node));
@@ -182,6 +187,11 @@
 
     /// Drops entries that have not made a statement for a long time.
     fn drop_silent(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < SEARCH_PERIOD;
+        if self.searched_at.is_some_and(is_recent) {
+            return;
+        }
+        self.searched_at = Some(now);
         let is_silent = |entry: &Entry| now.saturating_duration_since(entry.at) >= PART_RETENTION;
         let silent = self.entries.values().copied().filter(is_silent);
         for entry in silent.collect::<Vec<_>>() {
