--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -141,7 +141,7 @@
         Ok(term)
     }
 
-    /// Assumes that every entry that served lately holds a part of the accounts' token limits.
+    /// Assumes that every entry that served lately holds an allotment of the accounts' token limits.
     fn take_over_limits(&self) {
         let Some((_, text)) = self.text() else {
             return;
@@ -149,7 +149,7 @@
         let record = self.recorded_spending();
         let processes = {
             let state = self.machine.read();
-            entries_with_possible_lease(&state, millis(limits::PART_RETENTION))
+            entries_with_possible_lease(&state, millis(limits::ALLOTMENT_RETENTION))
         };
         let now = Instant::now();
         self.workload()
--- a/components/control/src/node/token_limits.rs
+++ b/components/control/src/node/token_limits.rs
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Starts a term. Each of `processes` may hold a part of each limit, and all of them spent what
+    /// Starts a term. Each of `processes` may hold an allotment of each limit, and all of them spent what
     /// `record` says, or the steady rate where it says nothing.
     pub(crate) fn take_over(
         &mut self,
@@ -134,13 +134,14 @@
         let slot = self.accounts.entry(name.clone());
         let account = slot.or_insert_with(new_account);
         let (node, incarnation) = process;
-        let part = account
-            .division
-            .divide(node, *incarnation, number, statement, rate, now)?;
+        let allotment =
+            account
+                .division
+                .divide(node, *incarnation, number, statement, rate, now)?;
         account.add(process, statement.total, now);
         Some(Balance {
             available: account.spent.unreserved(rate, now) as i64,
-            part: part as u64,
+            allotment: allotment as u64,
         })
     }
 
--- a/components/control/tests/process/replacements.rs
+++ b/components/control/tests/process/replacements.rs
@@ -168,10 +168,10 @@
         .map(|(name, balance)| (name.as_str(), balance.available))
         .collect();
     assert_that!(left, eq(&vec![("shop", 10_000)]));
-    assert_that!(balances[0].1.part, le(10_000));
+    assert_that!(balances[0].1.allotment, le(10_000));
 }
 
-/// Returns the report of an entry that spent `total` tokens and holds no part of the limit.
+/// Returns the report of an entry that spent `total` tokens and holds no allotment of the limit.
 fn report(number: u64, total: u64) -> Report {
     let statement = Statement {
         total,
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -132,7 +132,7 @@
         }
     }
 
-    /// Asks the leader for a larger part of the token limit of accounts.
+    /// Asks the leader for a larger allotment of accounts' token limits.
     ///
     /// # Errors
     /// If the leader does not answer within `limit`.
--- a/components/gateway/src/accounts.rs
+++ b/components/gateway/src/accounts.rs
@@ -8,7 +8,7 @@
 use limits::{Decision, Headroom, Holding, Rate};
 use wire::{Balances, Statements};
 
-/// Longest wait of a request for a larger part of its account's limit.
+/// Longest wait of a request for a larger allotment of its account's limit.
 pub(crate) const DRAW_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// This entry's holdings of the accounts that have a token limit.
@@ -81,7 +81,7 @@
         self.account(account).drawing.clone()
     }
 
-    /// Returns the statement of a draw, for a request of `tokens` tokens that the part does not
+    /// Returns the statement of a draw, for a request of `tokens` tokens that the allotment does not
     /// cover.
     pub fn draw(&mut self, account: &AccountId, tokens: u64, now: Instant) -> Statements {
         self.number += 1;
@@ -96,7 +96,7 @@
         }
     }
 
-    /// Ends the draw of an account, and decides on its request. What the part still does not cover
+    /// Ends the draw of an account, and decides on its request. What the allotment still does not cover
     /// is refused.
     pub fn end_draw(
         &mut self,
@@ -125,7 +125,7 @@
             if account.number == number {
                 let headroom = Headroom {
                     available: balance.available as f64,
-                    part: balance.part as f64,
+                    allotment: balance.allotment as f64,
                 };
                 account.holding.apply(headroom, window, now);
                 account.draws_until = None;
--- a/components/gateway/tests/accounts.rs
+++ b/components/gateway/tests/accounts.rs
@@ -17,18 +17,24 @@
     "shop".into()
 }
 
-fn balances(available: i64, part: u64) -> Balances {
+fn balances(available: i64, allotment: u64) -> Balances {
     Balances {
         window_ms: 8_000,
-        accounts: vec![(shop(), Balance { available, part })],
+        accounts: vec![(
+            shop(),
+            Balance {
+                available,
+                allotment,
+            },
+        )],
     }
 }
 
 /// Returns an entry to which the leader has sent a balance.
-fn entry(available: i64, part: u64, now: Instant) -> Accounts {
+fn entry(available: i64, allotment: u64, now: Instant) -> Accounts {
     let mut accounts = Accounts::default();
     let number = accounts.statements(&[shop()], now).number;
-    accounts.apply(number, &balances(available, part), now);
+    accounts.apply(number, &balances(available, allotment), now);
     accounts
 }
 
@@ -79,7 +85,7 @@
     assert_that!(accounts.statements(&[shop()], now).accounts, is_empty());
     accounts.apply(draw.number, &balances(50_000, 30_000), now);
     let statements = accounts.statements(&[shop()], now);
-    assert_that!(statements.accounts[0].1.part, eq(30_000));
+    assert_that!(statements.accounts[0].1.allotment, eq(30_000));
 }
 
 #[test]
--- a/components/limits/src/division.rs
+++ b/components/limits/src/division.rs
@@ -9,7 +9,7 @@
 
 /// Fraction of the unspent limit that is divided evenly; the rest is for entries that ask for more.
 const EVEN_FRACTION: f64 = 0.75;
-/// Fraction of the limit below which less of what is unspent is divided evenly: even parts that are
+/// Fraction of the limit below which less of what is unspent is divided evenly: even shares that are
 /// smaller than a request are of no use.
 const SCARCE_FRACTION: f64 = 0.5;
 /// Largest fraction of the unspent limit that an entry receives in addition to what it asks for.
@@ -17,25 +17,25 @@
 /// What an entry receives in addition, as a fraction of what it spent within the window.
 const EXTRA_RECENT_FRACTION: f64 = 1.0 / 32.0;
 /// Time within which the entries that reach a new leader state what they hold. Until all have done
-/// so, or this time is over, processes that held a part before keep just that.
+/// so, or this time is over, processes that held an allotment before keep just that.
 const LEARNING_TIME: Duration = Duration::from_secs(1);
-/// Time after an entry's last statement for which its part is kept for it.
-pub const PART_RETENTION: Duration = Duration::from_secs(60);
+/// Time after an entry's last statement for which its allotment is kept for it.
+pub const ALLOTMENT_RETENTION: Duration = Duration::from_secs(60);
 /// Time between two searches for entries that are silent for so long.
 const SEARCH_PERIOD: Duration = Duration::from_secs(1);
 
-/// Division of one account's limit among the entries, by parts.
+/// Division of one account's limit among the entries, by allotments.
 ///
-/// A part is what an entry may spend within any window, also while it does not reach the leader.
-/// The parts add up to the limit at most, hence the entries together never spend more than the
-/// limit within a window, however many there are and however the load moves. An entry's part is
-/// what it spent recently and an even part of what nobody spent; entries that need more ask for it.
+/// An allotment is what an entry may spend within any window, also while it does not reach the leader.
+/// The allotments add up to the limit at most, hence the entries together never spend more than the
+/// limit within a window, however many there are and however the load moves. An entry's allotment is
+/// what it spent recently and an even share of what nobody spent; entries that need more ask for it.
 #[derive(Clone, Debug)]
 pub struct Division {
     window: Duration,
     entries: IndexMap<NodeId, Entry>,
-    /// Sum of the entries' parts.
-    parts: f64,
+    /// Sum of the entries' allotments.
+    allotments: f64,
     /// Sum of the tokens that the entries spent within the window.
     recent: f64,
     /// What processes that are gone may have spent.
@@ -54,19 +54,19 @@
     incarnation: Incarnation,
     /// Number of its newest statement; `None` if it has not made any to this leader.
     number: Option<u64>,
-    /// Largest part that it may hold.
-    part: f64,
+    /// Largest allotment that it may hold.
+    allotment: f64,
     recent: f64,
     at: Instant,
 }
 
 impl Division {
-    /// Returns the division of an account that no entry has a part of.
+    /// Returns the division of an account that no entry has an allotment of.
     pub fn new(window: Duration) -> Self {
         Division {
             window,
             entries: IndexMap::new(),
-            parts: 0.0,
+            allotments: 0.0,
             recent: 0.0,
             gone: SlidingWindow::new(window),
             assumed: None,
@@ -76,7 +76,7 @@
         }
     }
 
-    /// Returns the division of a new leader. Each of `processes` is assumed to hold an even part
+    /// Returns the division of a new leader. Each of `processes` is assumed to hold an even share
     /// until it states what it holds; `assumed` is what they spent together.
     pub fn taken_over(
         window: Duration,
@@ -85,11 +85,11 @@
         rate: Rate,
         now: Instant,
     ) -> Self {
-        let part = (rate.within(window) / processes.len().max(1) as f64).floor();
+        let allotment = (rate.within(window) / processes.len().max(1) as f64).floor();
         let entry = |incarnation| Entry {
             incarnation,
             number: None,
-            part,
+            allotment,
             recent: 0.0,
             at: now,
         };
@@ -98,7 +98,7 @@
             .map(|(node, incarnation)| (node.clone(), entry(*incarnation)))
             .collect();
         Division {
-            parts: part * entries.len() as f64,
+            allotments: allotment * entries.len() as f64,
             assumed: Some((assumed, entries.len())),
             unheard: entries.len(),
             learning_until: Some(now + LEARNING_TIME),
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Returns the part of an entry that sent `statement`, or `None` if it has sent a later one.
+    /// Returns the allotment of an entry that sent `statement`, or `None` if it has sent a later one.
     pub fn divide(
         &mut self,
         node: &NodeId,
@@ -125,29 +125,29 @@
             Some(entry) => self.subtract(entry),
             None => {}
         }
-        let (recent, held) = (statement.recent as f64, statement.part as f64);
+        let (recent, held) = (statement.recent as f64, statement.allotment as f64);
         self.recent += recent;
-        let part = match known {
+        let allotment = match known {
             Some(entry) if entry.incarnation == incarnation && self.is_learning(now) => held,
-            _ => self.part(node, statement, rate, now),
+            _ => self.allotment(node, statement, rate, now),
         };
         // The answer may be lost: the entry may keep what it holds until its next statement.
         let entry = Entry {
             incarnation,
             number: Some(number),
-            part: part.max(held),
+            allotment: allotment.max(held),
             recent,
             at: now,
         };
-        self.parts += entry.part;
+        self.allotments += entry.allotment;
         self.entries.insert(node.clone(), entry);
-        Some(part)
+        Some(allotment)
     }
 
-    /// Returns the part of an entry whose former part is subtracted from the sum.
-    fn part(&mut self, node: &NodeId, statement: Statement, rate: Rate, now: Instant) -> f64 {
+    /// Returns the allotment of an entry whose former allotment is subtracted from the sum.
+    fn allotment(&mut self, node: &NodeId, statement: Statement, rate: Rate, now: Instant) -> f64 {
         let limit = (rate.within(self.window) - self.gone.total(now)).max(1.0);
-        let free = (limit - self.parts).max(0.0);
+        let free = (limit - self.allotments).max(0.0);
         let unspent = (limit - self.recent).max(0.0);
         let others = self.entries.len() - usize::from(self.entries.contains_key(node));
         let plenty = (unspent / (limit * SCARCE_FRACTION)).clamp(0.0, 1.0);
@@ -163,25 +163,25 @@
         desired.min(free).floor()
     }
 
-    /// Reports whether processes may hold parts that this leader does not know yet.
+    /// Reports whether processes may hold allotments that this leader does not know yet.
     fn is_learning(&self, now: Instant) -> bool {
         self.unheard > 0 && self.learning_until.is_some_and(|until| now < until)
     }
 
     /// Records that the process of an entry was replaced by a later one. The former one can have
-    /// spent its whole part; one that this leader has not heard of, an even part of what all spent.
+    /// spent its whole allotment; one that this leader has not heard of, an even share of what all spent.
     fn replace(&mut self, node: &NodeId, entry: Entry, now: Instant) {
         self.subtract(entry);
         self.entries.swap_remove(node);
         match (&self.assumed, entry.number) {
             (Some((assumed, count)), None) => self.gone.add_all(assumed, 1.0 / *count as f64),
-            _ => self.gone.add(entry.part, now),
+            _ => self.gone.add(entry.allotment, now),
         }
     }
 
     fn subtract(&mut self, entry: Entry) {
         self.unheard -= usize::from(entry.number.is_none());
-        self.parts -= entry.part;
+        self.allotments -= entry.allotment;
         self.recent -= entry.recent;
     }
 
@@ -192,7 +192,8 @@
             return;
         }
         self.searched_at = Some(now);
-        let is_silent = |entry: &Entry| now.saturating_duration_since(entry.at) >= PART_RETENTION;
+        let is_silent =
+            |entry: &Entry| now.saturating_duration_since(entry.at) >= ALLOTMENT_RETENTION;
         let silent = self.entries.values().copied().filter(is_silent);
         for entry in silent.collect::<Vec<_>>() {
             self.subtract(entry);
--- a/components/limits/src/holding.rs
+++ b/components/limits/src/holding.rs
@@ -1,4 +1,4 @@
-//! The part of an account's limit that one entry holds, and what it spent of it.
+//! The allotment of an account's limit that one entry holds, and what it spent of it.
 
 use std::time::{Duration, Instant};
 
@@ -16,13 +16,13 @@
 
 /// An entry's holding of the token limit of one account.
 ///
-/// The entry never spends more than its part within any window, whether or not it reaches the
-/// leader. The parts of all entries add up to the limit, so all entries together keep it. While the
+/// The entry never spends more than its allotment within any window, whether or not it reaches the
+/// leader. The allotments of all entries add up to the limit, so all entries together keep it. While the
 /// leader answers, the entry also keeps to the pace that the leader observes at all entries.
 #[derive(Clone, Debug)]
 pub struct Holding {
     /// Tokens that this entry may spend within any window.
-    part: f64,
+    allotment: f64,
     /// Tokens spent here.
     recent: SlidingWindow,
     /// Tokens spent here since the process started.
@@ -37,7 +37,7 @@
 impl Default for Holding {
     fn default() -> Self {
         Holding {
-            part: 0.0,
+            allotment: 0.0,
             recent: SlidingWindow::new(DEFAULT_WINDOW),
             total: 0,
             available: None,
@@ -51,7 +51,7 @@
     /// Decides on a request of `tokens` tokens, and takes them if it is admitted.
     ///
     /// A request larger than the burst needs an available burst only, and one larger than the limit
-    /// of a window a part of that size, so that such requests are slow and not impossible.
+    /// of a window an allotment of that size, so that such requests are slow and not impossible.
     pub fn take(&mut self, tokens: u64, rate: Rate, now: Instant) -> Decision {
         let needed = tokens as f64;
         let missing = self.missing_pace(needed, rate, now);
@@ -59,7 +59,7 @@
             return refused(missing, rate);
         }
         let limit = rate.within(self.recent.length());
-        if self.recent.total(now) + needed.min(limit) <= self.part {
+        if self.recent.total(now) + needed.min(limit) <= self.allotment {
             self.spend(tokens, now);
             return Decision::Admitted;
         }
@@ -69,7 +69,7 @@
         }
     }
 
-    /// Refuses a request that the part does not cover.
+    /// Refuses a request that the allotment does not cover.
     pub fn refuse(&self, tokens: u64, rate: Rate) -> Decision {
         refused(tokens as f64, rate)
     }
@@ -83,13 +83,13 @@
         }
     }
 
-    /// Returns the statement to send to the leader; `wanted` tokens are needed beyond the part.
+    /// Returns the statement to send to the leader; `wanted` tokens are needed beyond the allotment.
     pub fn statement(&mut self, wanted: u64, now: Instant) -> Statement {
         self.since_statement = 0.0;
         Statement {
             total: self.total,
             recent: self.recent.total(now).ceil() as u64,
-            part: self.part as u64,
+            allotment: self.allotment as u64,
             wanted,
         }
     }
@@ -97,11 +97,11 @@
     /// Applies the leader's answer to the newest statement.
     pub fn apply(&mut self, headroom: Headroom, window: Duration, now: Instant) {
         self.recent.set_length(window);
-        self.part = headroom.part;
+        self.allotment = headroom.allotment;
         self.available = Some((headroom.available - self.since_statement, now));
     }
 
-    /// Refuses what the part does not cover for a short time, without another draw.
+    /// Refuses what the allotment does not cover for a short time, without another draw.
     pub fn pause_draws(&mut self, now: Instant) {
         self.draw_after = Some(now + DRAW_PAUSE);
     }
--- a/components/limits/src/statement.rs
+++ b/components/limits/src/statement.rs
@@ -10,18 +10,18 @@
     pub total: u64,
     /// Spent within the last window.
     pub recent: u64,
-    /// The entry's part of the limit: what it may spend within any window.
-    pub part: u64,
+    /// The entry's allotment of the limit: what it may spend within any window.
+    pub allotment: u64,
     /// Needed in addition, by a request that waits for the answer.
     pub wanted: u64,
 }
 
 impl From<(u64, u64, u64, u64)> for Statement {
-    fn from((total, recent, part, wanted): (u64, u64, u64, u64)) -> Self {
+    fn from((total, recent, allotment, wanted): (u64, u64, u64, u64)) -> Self {
         Statement {
             total,
             recent,
-            part,
+            allotment,
             wanted,
         }
     }
@@ -32,10 +32,10 @@
         let Statement {
             total,
             recent,
-            part,
+            allotment,
             wanted,
         } = statement;
-        (total, recent, part, wanted)
+        (total, recent, allotment, wanted)
     }
 }
 
@@ -44,6 +44,6 @@
 pub struct Headroom {
     /// What all entries together may spend now; below zero after they spent too fast.
     pub available: f64,
-    /// The entry's part of the limit.
-    pub part: f64,
+    /// The entry's allotment of the limit.
+    pub allotment: f64,
 }
--- a/components/limits/tests/division.rs
+++ b/components/limits/tests/division.rs
@@ -52,7 +52,7 @@
     number: u64,
 }
 
-/// Sends a statement, and returns the part that the leader answers with.
+/// Sends a statement, and returns the allotment that the leader answers with.
 fn state(
     division: &mut Division,
     entry: &mut Entry,
@@ -62,14 +62,14 @@
 ) -> f64 {
     entry.number += 1;
     let statement = entry.holding.statement(wanted, now);
-    let part = division.divide(&node(index), 1, entry.number, statement, RATE, now);
-    part.expect("statements arrive in order")
+    let allotment = division.divide(&node(index), 1, entry.number, statement, RATE, now);
+    allotment.expect("statements arrive in order")
 }
 
-fn apply(entry: &mut Entry, part: f64, now: Instant) {
+fn apply(entry: &mut Entry, allotment: f64, now: Instant) {
     let headroom = Headroom {
         available: f64::MAX,
-        part,
+        allotment,
     };
     entry.holding.apply(headroom, WINDOW, now);
 }
@@ -107,8 +107,8 @@
                 Event::Request(tokens) => {
                     let mut decision = entry.holding.take(tokens, RATE, now);
                     if decision == Decision::Draw {
-                        let part = state(&mut division, entry, index, tokens, now);
-                        apply(entry, part, now);
+                        let allotment = state(&mut division, entry, index, tokens, now);
+                        apply(entry, allotment, now);
                         decision = entry.holding.take(tokens, RATE, now);
                     }
                     if decision == Decision::Admitted {
@@ -116,8 +116,8 @@
                     }
                 }
                 Event::Statement => {
-                    let part = state(&mut division, entry, index, 0, now);
-                    apply(entry, part, now);
+                    let allotment = state(&mut division, entry, index, 0, now);
+                    apply(entry, allotment, now);
                 }
                 Event::LostAnswer => {
                     state(&mut division, entry, index, 0, now);
@@ -127,8 +127,8 @@
                     let spent = SlidingWindow::at_steady_rate(RATE, WINDOW, now);
                     division = Division::taken_over(WINDOW, &processes, spent, RATE, now);
                     for (index, entry) in entries.iter_mut().enumerate() {
-                        let part = state(&mut division, entry, index, 0, now);
-                        apply(entry, part, now);
+                        let allotment = state(&mut division, entry, index, 0, now);
+                        apply(entry, allotment, now);
                     }
                 }
             }
@@ -155,22 +155,22 @@
 fn gives_an_entry_that_asks_what_the_others_do_not_hold() {
     let now = Instant::now();
     let mut division = Division::new(WINDOW);
-    let mut parts = [0; 10];
+    let mut allotments = [0; 10];
     for (round, entry) in (1..4).flat_map(|round| (0..10).map(move |entry| (round, entry))) {
         let statement = Statement {
-            part: parts[entry],
+            allotment: allotments[entry],
             ..Statement::default()
         };
-        let part = division.divide(&node(entry), 1, round, statement, RATE, now);
-        parts[entry] = part.unwrap_or_default() as u64;
+        let allotment = division.divide(&node(entry), 1, round, statement, RATE, now);
+        allotments[entry] = allotment.unwrap_or_default() as u64;
     }
     let wanted = Statement {
-        part: parts[9],
+        allotment: allotments[9],
         wanted: 200_000,
         ..Statement::default()
     };
-    let part = division.divide(&node(9), 1, 4, wanted, RATE, now);
-    assert_that!(part, some(ge(200_000.0)));
+    let allotment = division.divide(&node(9), 1, 4, wanted, RATE, now);
+    assert_that!(allotment, some(ge(200_000.0)));
 }
 
 #[test]
@@ -190,7 +190,7 @@
     let rest = division.divide(&node(1), 1, 1, greedy, RATE, later);
     let sum = silent.zip(rest).map(|(silent, rest)| silent + rest);
     assert_that!(sum, some(le(RATE.within(WINDOW))));
-    let much_later = later + limits::PART_RETENTION;
+    let much_later = later + limits::ALLOTMENT_RETENTION;
     let rest = division.divide(&node(1), 1, 2, greedy, RATE, much_later);
     assert_that!(rest, some(near(RATE.within(WINDOW), 1.0)));
 }
@@ -216,10 +216,10 @@
     let now = Instant::now();
     let mut division = Division::new(WINDOW);
     let mut entry = Entry::default();
-    let part = state(&mut division, &mut entry, 0, 300_000, now);
+    let allotment = state(&mut division, &mut entry, 0, 300_000, now);
     let headroom = Headroom {
         available: RATE.burst,
-        part,
+        allotment,
     };
     entry.holding.apply(headroom, WINDOW, now);
     let decision = entry.holding.take(300_000, RATE, now);
--- a/components/limits/tests/excess/fleet.rs
+++ b/components/limits/tests/excess/fleet.rs
@@ -152,7 +152,7 @@
         let spent = statement.total.saturating_sub(entry.stated.0);
         pace.add_over(spent as f64, now - entry.stated.1, now);
         entry.stated = (statement.total, now);
-        let part = division.divide(
+        let allotment = division.divide(
             &entry.node,
             self.incarnation,
             entry.number,
@@ -162,7 +162,7 @@
         );
         Headroom {
             available: pace.unreserved(self.rate, now),
-            part: part.expect("statements arrive in order"),
+            allotment: allotment.expect("statements arrive in order"),
         }
     }
 }
--- a/components/limits/tests/excess/simulation.rs
+++ b/components/limits/tests/excess/simulation.rs
@@ -103,10 +103,9 @@
         let now = start + time;
         apply_fault(&mut fleet, scenario, time, now);
         let step = (time.as_millis() / STEP.as_millis()) as u32;
-        for entry in 0..scenario.entries {
-            let is_due = step % REPORT_STEPS == entry as u32 % REPORT_STEPS;
-            fleet.receive(entry, now);
-            if is_due && is_connected(scenario, entry, time) {
+        receive_answers(&mut fleet, step, scenario.entries, now);
+        for entry in reporting(step, scenario.entries) {
+            if is_connected(scenario, entry, time) {
                 fleet.report(entry, now);
             }
         }
@@ -144,15 +143,26 @@
     let steps = (WARM_UP.as_millis() / STEP.as_millis()) as u32;
     for step in 0..steps {
         let now = from + STEP * step;
-        for entry in 0..entries {
-            fleet.receive(entry, now);
-            if step % REPORT_STEPS == entry as u32 % REPORT_STEPS {
-                fleet.report(entry, now);
-            }
+        receive_answers(fleet, step, entries, now);
+        for entry in reporting(step, entries) {
+            fleet.report(entry, now);
         }
     }
 }
 
+/// Returns the entries that report in a step, one after the other within each report period.
+fn reporting(step: u32, entries: usize) -> impl Iterator<Item = usize> {
+    let first = (step % REPORT_STEPS) as usize;
+    (first..entries).step_by(REPORT_STEPS as usize)
+}
+
+/// Lets the entries that reported in the step before receive their answers.
+fn receive_answers(fleet: &mut Fleet, step: u32, entries: usize, now: Instant) {
+    for entry in reporting(step + REPORT_STEPS - 1, entries) {
+        fleet.receive(entry, now);
+    }
+}
+
 fn apply_fault(fleet: &mut Fleet, scenario: &Scenario, time: Duration, now: Instant) {
     match scenario.fault {
         Fault::NewLeader { at, gap } if time == at + gap => {
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -68,7 +68,8 @@
     #[serde(rename = "left")]
     pub available: i64,
     /// Tokens that the entry may spend within any window.
-    pub part: u64,
+    #[serde(rename = "part")]
+    pub allotment: u64,
 }
 
 /// State of all entries, as the leader knows it.
--- a/components/wire/src/request.rs
+++ b/components/wire/src/request.rs
@@ -56,7 +56,7 @@
     },
     /// An entry reports its work, and requests the sums over all entries.
     Report(Report),
-    /// An entry needs a larger part of the token limit of accounts, between two reports.
+    /// An entry needs a larger allotment of the token limit of accounts, between two reports.
     Balance(Statements),
     /// An operator reads the leader's state.
     Query(Query),
