consensus: Let the group grow to the number of voters in the settings

Cause: the three founders stayed the only voters, however many control processes joined. Why it works: five voters bear two lost disks, and in a split only three of them go on.

--- a/components/config/src/settings/control.rs
+++ b/components/config/src/settings/control.rs
@@ -35,6 +35,9 @@
     /// Shortest time without a heartbeat before a replica starts an election.
     #[serde(with = "crate::duration")]
     pub election_timeout: Duration,
+    /// Number of voters to which the group grows once enough control processes have joined; 0 to
+    /// keep the number of founders.
+    pub voters: usize,
     /// Time without messages from a voter after which a spare replaces it.
     #[serde(with = "crate::duration")]
     pub repair_after: Duration,
@@ -61,6 +64,7 @@
             spare: false,
             heartbeat: Duration::from_millis(150),
             election_timeout: Duration::from_millis(750),
+            voters: 0,
             repair_after: Duration::from_secs(10),
             freshness_lease: Duration::from_secs(3),
             claim_retention: Duration::from_secs(24 * 3_600),
--- a/components/consensus/src/membership.rs
+++ b/components/consensus/src/membership.rs
@@ -96,6 +96,11 @@
         next
     }
 
+    /// Returns this membership with another target.
+    pub fn with_target(self, target: usize) -> Self {
+        Membership { target, ..self }
+    }
+
     /// Returns this membership with a swap of a lost voter for a spare begun.
     pub fn with_swap(&self, lost: &Member, spare: &Member) -> Self {
         let mut next = self.without(lost).with_voter(spare);
--- a/components/consensus/src/node/repair.rs
+++ b/components/consensus/src/node/repair.rs
@@ -1,4 +1,4 @@
-//! Replacement of lost voters by spares.
+//! Replacement of lost voters by spares, and growth of the group by spares.
 //!
 //! Once a spare holds the whole committed log on its disk, it is swapped for the lost voter. During
 //! the swap each decision needs a quorum of the voters with the lost one and a quorum of those with
@@ -52,6 +52,12 @@
         let spare = self.ready_spare(&membership, lost.as_ref());
         let count = membership.voters.len();
         match (lost, spare) {
+            (None, Some(spare)) if self.can_grow(&membership) => {
+                let next = membership
+                    .with_voter(&spare)
+                    .with_target(self.settings.voters);
+                let _ = self.change_membership(self.now, next);
+            }
             (_, Some(spare)) if count < membership.target => {
                 let _ = self.change_membership(self.now, membership.with_voter(&spare));
             }
@@ -65,6 +71,22 @@
         }
     }
 
+    /// Returns whether there are enough live spares, each of a process that does not vote yet, to
+    /// grow to the number of voters in the settings. With fewer, the group keeps its size, as an
+    /// even number of voters tolerates no more losses.
+    fn can_grow(&self, membership: &Membership) -> bool {
+        let count = membership.voters.len();
+        let goal = self.settings.voters;
+        if count != membership.target || count >= goal {
+            return false;
+        }
+        let is_new = |learner: &&Member| {
+            let mut voters = membership.voters.iter();
+            self.is_ready_spare(learner) && voters.all(|voter| voter.node != learner.node)
+        };
+        count + membership.learners.iter().filter(is_new).count() >= goal
+    }
+
     /// Returns a voter that did not answer for too long, or whose process has a new data folder.
     fn lost_voter(&self, membership: &Membership) -> Option<Member> {
         let Role::Leader(leader) = &self.role else {
@@ -89,21 +111,22 @@
         }
     }
 
+    /// Returns whether a learner is live and holds the whole committed log on its disk.
+    fn is_ready_spare(&self, learner: &Member) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let progress = leader.progress.get(learner);
+        let holds_all = progress.is_some_and(|progress| progress.matched >= self.commit);
+        (holds_all || !self.guards.spare_up_to_date) && self.is_responsive(learner)
+    }
+
     /// Returns a live learner that holds the whole committed log on its disk; prefers one of the
     /// lost voter's own process.
     fn ready_spare(&self, membership: &Membership, lost: Option<&Member>) -> Option<Member> {
-        let Role::Leader(leader) = &self.role else {
-            return None;
-        };
-        let is_ready = |learner: &&Member| {
-            let holds_all = leader
-                .progress
-                .get(*learner)
-                .is_some_and(|progress| progress.matched >= self.commit);
-            (holds_all || !self.guards.spare_up_to_date) && self.is_responsive(learner)
-        };
         let is_same_process = |learner: &Member| lost.is_some_and(|lost| lost.node == learner.node);
-        let learners = membership.learners.iter().filter(is_ready);
+        let learners = membership.learners.iter();
+        let learners = learners.filter(|learner| self.is_ready_spare(learner));
         learners
             .min_by_key(|learner| !is_same_process(learner))
             .cloned()
--- a/components/consensus/src/settings.rs
+++ b/components/consensus/src/settings.rs
@@ -19,6 +19,9 @@
     pub election_timeout: Duration,
     /// Maximum difference in rate between two clocks, in thousandths.
     pub drift_permille: u32,
+    /// Number of voters to which the group grows as soon as it has that many members; 0 to keep the
+    /// number of founders.
+    pub voters: usize,
     /// Time without an answer after which the leader replaces a voter by a spare.
     pub repair_after: Duration,
     /// Time after a step-down after which the outcome of an open proposal is reported as unknown.
@@ -52,6 +55,7 @@
             heartbeat: Duration::from_millis(150),
             election_timeout: Duration::from_millis(750),
             drift_permille: 50,
+            voters: 0,
             repair_after: Duration::from_secs(10),
             settle_after: Duration::from_secs(3),
             max_append_bytes: 256 * 1_024,
--- a/components/consensus/tests/suite/chaos.rs
+++ b/components/consensus/tests/suite/chaos.rs
@@ -68,6 +68,8 @@
 pub(crate) struct Plan {
     voters: usize,
     spares: usize,
+    /// Number of voters to which the group grows; 0 for none.
+    goal: usize,
     seed: u64,
     faults: Vec<Fault>,
 }
@@ -91,11 +93,24 @@
         .prop_map(|(voters, spares, seed, faults)| Plan {
             voters,
             spares,
+            goal: 0,
             seed,
             faults,
         })
 }
 
+/// Returns a plan for three founders and two or three spares that grow to five voters.
+fn growing_plan() -> impl Strategy<Value = Plan> {
+    let faults = prop::collection::vec(fault(), 10..60);
+    (2usize..4, any::<u64>(), faults).prop_map(|(spares, seed, faults)| Plan {
+        voters: 3,
+        spares,
+        goal: 5,
+        seed,
+        faults,
+    })
+}
+
 /// Settings with small limits, so that snapshots and their chunks occur often.
 fn small_settings(guards: Guards) -> Settings {
     Settings {
@@ -161,7 +176,11 @@
 /// Runs a plan, ends all faults, and fails with the first violation found or if the group
 /// doesn't recover.
 fn execute(plan: &Plan, guards: Guards) -> std::result::Result<(), String> {
-    let mut world = World::new(small_settings(guards), plan.voters, plan.spares, plan.seed);
+    let settings = Settings {
+        voters: plan.goal,
+        ..small_settings(guards)
+    };
+    let mut world = World::new(settings, plan.voters, plan.spares, plan.seed);
     world.run(Duration::from_secs(3));
     for fault in &plan.faults {
         inject(&mut world, fault);
@@ -212,3 +231,9 @@
     let plans = plan(fault_or_jump());
     expect_that!(run_plans(100, 2, plans, Guards::ON), ok(anything()));
 }
+
+#[gtest]
+fn can_stay_safe_and_recover_while_the_group_grows() {
+    let plans = growing_plan();
+    expect_that!(run_plans(200, 3, plans, Guards::ON), ok(anything()));
+}
--- a/components/consensus/tests/suite/main.rs
+++ b/components/consensus/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod chaos;
 mod disk;
 mod election;
+mod growth;
 mod guards;
 mod leases;
 #[path = "../../../storage/tests/suite/memory.rs"]
--- a/components/control/src/replica/settings.rs
+++ b/components/control/src/replica/settings.rs
@@ -52,6 +52,7 @@
                 spare: settings.control.spare || joins,
                 heartbeat: settings.control.heartbeat,
                 election_timeout: settings.control.election_timeout,
+                voters: settings.control.voters,
                 repair_after: settings.control.repair_after,
                 ..consensus::Settings::default()
             },
