control: Wait for the end of the repair in the test of a lost folder

What was seen: can_rejoin_and_vote_again_after_its_folder_was_lost failed now and then, with no commit after the second voter was stopped. Cause: the test waited for three voters and no learner. Both hold as soon as the swap of the lost voter begins, while decisions still need a quorum of the voters before as well. Of those one is lost, and the test stopped another: no group of three bears that. Change: a replica's status says whether a voter is being replaced, and the test waits for the end of that besides.

--- a/components/control/src/memory_replica.rs
+++ b/components/control/src/memory_replica.rs
@@ -99,6 +99,7 @@
             commit_index: inner.index,
             voters: vec![self.node.clone()],
             learners: Vec::new(),
+            is_swapping: false,
         }
     }
 }
--- a/components/control/src/replica/driver.rs
+++ b/components/control/src/replica/driver.rs
@@ -267,6 +267,7 @@
             commit_index: self.node.commit_index(),
             voters: names(&membership.voters),
             learners: names(&membership.learners),
+            is_swapping: membership.is_swapping(),
         });
     }
 
--- a/components/control/tests/replica/main.rs
+++ b/components/control/tests/replica/main.rs
@@ -221,7 +221,8 @@
     let is_restored = async {
         loop {
             let status = cluster.replicas[lost].status();
-            if status.voters.len() == 3 && status.learners.is_empty() && status.commit_index > 200 {
+            let is_complete = status.voters.len() == 3 && status.learners.is_empty();
+            if is_complete && !status.is_swapping && status.commit_index > 200 {
                 return;
             }
             sleep(POLL_INTERVAL).await;
