--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -141,7 +141,8 @@
         Ok(term)
     }
 
-    /// Assumes that every entry that served lately holds an allotment of the accounts' token limits.
+    /// Assumes that every entry that served lately holds an allotment of the accounts' token
+    /// limits.
     fn take_over_limits(&self) {
         let Some((_, text)) = self.text() else {
             return;
--- a/components/control/src/node/token_limits.rs
+++ b/components/control/src/node/token_limits.rs
@@ -71,8 +71,8 @@
         }
     }
 
-    /// Starts a term. Each of `processes` may hold an allotment of each limit, and all of them spent what
-    /// `record` says, or the steady rate where it says nothing.
+    /// Starts a term. Each of `processes` may hold an allotment of each limit, and all of them
+    /// spent what `record` says, or the steady rate where it says nothing.
     pub(crate) fn take_over(
         &mut self,
         processes: &[EntryProcess],
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -34,8 +34,8 @@
     pub voters: Vec<NodeId>,
     /// Processes that receive the log but don't vote.
     pub learners: Vec<NodeId>,
-    /// Whether a lost voter is being replaced. Until that is over, a decision also needs a quorum of
-    /// the voters before.
+    /// Whether a lost voter is being replaced. Until that is over, a decision also needs a quorum
+    /// of the voters before.
     pub is_swapping: bool,
 }
 
--- a/components/gateway/src/accounts.rs
+++ b/components/gateway/src/accounts.rs
@@ -81,8 +81,8 @@
         self.account(account).drawing.clone()
     }
 
-    /// Returns the statement of a draw, for a request of `tokens` tokens that the allotment does not
-    /// cover.
+    /// Returns the statement of a draw, for a request of `tokens` tokens that the allotment does
+    /// not cover.
     pub fn draw(&mut self, account: &AccountId, tokens: u64, now: Instant) -> Statements {
         self.number += 1;
         let number = self.number;
@@ -96,8 +96,8 @@
         }
     }
 
-    /// Ends the draw of an account, and decides on its request. What the allotment still does not cover
-    /// is refused.
+    /// Ends the draw of an account, and decides on its request. What the allotment still does not
+    /// cover is refused.
     pub fn end_draw(
         &mut self,
         account: &AccountId,
--- a/components/gateway/src/token_limit.rs
+++ b/components/gateway/src/token_limit.rs
@@ -11,8 +11,8 @@
 use crate::request_log::RequestLog;
 use crate::{Account, Refusal};
 
-/// Takes the tokens of `call` from its account's limit. Waits for the leader if this entry's allotment
-/// of the limit does not cover them.
+/// Takes the tokens of `call` from its account's limit. Waits for the leader if this entry's
+/// allotment of the limit does not cover them.
 pub(crate) async fn take(
     core: &Core,
     call: &Call,
@@ -44,8 +44,8 @@
     lock(&core.accounts).put_back(&account.name, tokens, call.arrived);
 }
 
-/// Draws a larger allotment of the limit, unless another request has drawn enough in the meantime, and
-/// decides.
+/// Draws a larger allotment of the limit, unless another request has drawn enough in the meantime,
+/// and decides.
 async fn draw(core: &Core, account: &Account, rate: Rate, tokens: u64) -> Decision {
     let drawing = lock(&core.accounts).drawing(&account.name);
     let Ok(_drawing) = timeout(DRAW_TIMEOUT, drawing.lock()).await else {
--- a/components/limits/examples/schemes/main.rs
+++ b/components/limits/examples/schemes/main.rs
@@ -1,6 +1,6 @@
 //! Compares schemes that enforce a limit over ten entries: messages per second at the leader, and
-//! how far admissions exceed or fall short of the limit. Then plays the token limit of an account at
-//! up to 2,200 entries, beside faults.
+//! how far admissions exceed or fall short of the limit. Then plays the token limit of an account
+//! at up to 2,200 entries, beside faults.
 //!
 //! Run with `cargo run --release -p limits --example schemes`.
 
--- a/components/limits/src/division.rs
+++ b/components/limits/src/division.rs
@@ -9,8 +9,8 @@
 
 /// Fraction of the unspent limit that is divided evenly; the rest is for entries that ask for more.
 const EVEN_FRACTION: f64 = 0.75;
-/// Fraction of the limit below which less of what is unspent is divided evenly: even shares that are
-/// smaller than a request are of no use.
+/// Fraction of the limit below which less of what is unspent is divided evenly: even shares that
+/// are smaller than a request are of no use.
 const SCARCE_FRACTION: f64 = 0.5;
 /// Largest fraction of the unspent limit that an entry receives in addition to what it asks for.
 const MAX_EXTRA_FRACTION: f64 = 1.0 / 16.0;
@@ -26,10 +26,11 @@
 
 /// Division of one account's limit among the entries, by allotments.
 ///
-/// An allotment is what an entry may spend within any window, also while it does not reach the leader.
-/// The allotments add up to the limit at most, hence the entries together never spend more than the
-/// limit within a window, however many there are and however the load moves. An entry's allotment is
-/// what it spent recently and an even share of what nobody spent; entries that need more ask for it.
+/// An allotment is what an entry may spend within any window, also while it does not reach the
+/// leader. The allotments add up to the limit at most, hence the entries together never spend more
+/// than the limit within a window, however many there are and however the load moves. An entry's
+/// allotment is what it spent recently and an even share of what nobody spent; entries that need
+/// more ask for it.
 #[derive(Clone, Debug)]
 pub struct Division {
     window: Duration,
@@ -107,7 +108,8 @@
         }
     }
 
-    /// Returns the allotment of an entry that sent `statement`, or `None` if it has sent a later one.
+    /// Returns the allotment of an entry that sent `statement`, or `None` if it has sent a later
+    /// one.
     pub fn divide(
         &mut self,
         node: &NodeId,
@@ -169,7 +171,8 @@
     }
 
     /// Records that the process of an entry was replaced by a later one. The former one can have
-    /// spent its whole allotment; one that this leader has not heard of, an even share of what all spent.
+    /// spent its whole allotment; one that this leader has not heard of, an even share of what all
+    /// spent.
     fn replace(&mut self, node: &NodeId, entry: Entry, now: Instant) {
         self.subtract(entry);
         self.entries.swap_remove(node);
--- a/components/limits/src/holding.rs
+++ b/components/limits/src/holding.rs
@@ -17,8 +17,9 @@
 /// An entry's holding of the token limit of one account.
 ///
 /// The entry never spends more than its allotment within any window, whether or not it reaches the
-/// leader. The allotments of all entries add up to the limit, so all entries together keep it. While the
-/// leader answers, the entry also keeps to the pace that the leader observes at all entries.
+/// leader. The allotments of all entries add up to the limit, so all entries together keep it.
+/// While the leader answers, the entry also keeps to the pace that the leader observes at all
+/// entries.
 #[derive(Clone, Debug)]
 pub struct Holding {
     /// Tokens that this entry may spend within any window.
@@ -83,7 +84,8 @@
         }
     }
 
-    /// Returns the statement to send to the leader; `wanted` tokens are needed beyond the allotment.
+    /// Returns the statement to send to the leader; `wanted` tokens are needed beyond the
+    /// allotment.
     pub fn statement(&mut self, wanted: u64, now: Instant) -> Statement {
         self.since_statement = 0.0;
         Statement {
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -7,10 +7,10 @@
 //! - Batches: the leader keeps a [`Meter`] with a token [`Bucket`] for each account. An entry keeps
 //!   a [`Share`] for each account, a batch of units that was drawn from the bucket and that it
 //!   spends without asking. It draws again when the batch is spent or its lease has expired.
-//! - Allotments: the leader keeps a [`Division`] of each account's limit. An entry holds an allotment of it, a
-//!   [`Holding`], which it never exceeds within any window, and states regularly what it spent. The
-//!   leader divides the limit again with each [`Statement`], and also sends the [`Headroom`] that
-//!   all entries together have at their pace, from the statements it adds up in a
+//! - Allotments: the leader keeps a [`Division`] of each account's limit. An entry holds an
+//!   allotment of it, a [`Holding`], which it never exceeds within any window, and states regularly
+//!   what it spent. The leader divides the limit again with each [`Statement`], and also sends the
+//!   [`Headroom`] that all entries together have at their pace, from the statements it adds up in a
 //!   [`SlidingWindow`].
 
 mod accounts;
