entry: Let the engine of the tests keep its pace also when it closes early

What was seen: can_move_an_answer_whose_caller_disconnected failed now and then with 409, "no stream is kept that goes on after". Cause: the engine paused between tokens only in answers that it completes. In this test both engines close after 30 tokens, so all 60 were written within 10 ms; the entry had ended the whole answer before the caller disconnected, and rightly kept nothing. Evidence: a log of a failing run: the answer ended as answered 0.07 ms before the caller disconnected; in a run that passed 14 tokens were there by then. Ruled out: a first engine that hands on fewer than 30 tokens (the second was asked to go on after 30 in each of nine failures). Change: the pace holds for each behaviour of the engine. The test checks what it checked before.

--- a/components/entry/tests/path/fake.rs
+++ b/components/entry/tests/path/fake.rs
@@ -230,13 +230,17 @@
         .map_or(DEFAULT_TOKENS, |n| n as usize);
     let resumed = call["resume_tokens"].as_array().map_or(0, Vec::len);
     let request_id = call["request_id"].as_str().unwrap_or("").to_owned();
+    let pace = match behaviour {
+        Behaviour::Complete(pause) => pause,
+        _ => *state.pace.lock().unwrap(),
+    };
     for index in resumed..total {
+        thread::sleep(pace);
         if state.exported.lock().unwrap().contains(&request_id) {
             return None;
         }
         let mut sent_index = index;
         match &behaviour {
-            Behaviour::Complete(pause) => thread::sleep(*pause),
             Behaviour::CloseAfter(count) if index - resumed >= *count => return None,
             Behaviour::SilentAfter(count) if index - resumed >= *count => {
                 thread::sleep(Duration::from_secs(20));
