--- a/components/limits/src/decision.rs
+++ b/components/limits/src/decision.rs
@@ -7,7 +7,7 @@
 pub enum Decision {
     /// The request is within the limit and its units are taken.
     Admitted,
-    /// The entry must draw a batch from the leader and then decide again.
+    /// The entry must draw a batch, or a larger allotment, from the leader and then decide again.
     Draw,
     /// The request exceeds the limit.
     Refused {
