gateway: Log how an upstream marks the end of its answer

What operators saw: a request's line says 'answered' for an answer that was broken off, whether its connection ended or its framing did. The line now has the framing: length, chunks or connection; so has the line of an answer that failed. No logic changes.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -7,12 +7,13 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http::Response;
+use http::{Response, response};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Sleep;
 use tracing::{info, warn};
+use web::Framing;
 
 use crate::balancer::Outcome;
 use crate::call::Call;
@@ -49,11 +50,26 @@
 /// The upstream's answer that is currently read.
 struct Source {
     body: Incoming,
+    framing: Framing,
     ticket: Ticket,
     connection: Connection,
     reply: Reply,
 }
 
+impl Source {
+    fn new(answer: Answer) -> (response::Parts, Source) {
+        let (parts, body) = answer.response.into_parts();
+        let source = Source {
+            framing: Framing::of(&parts.headers, &body),
+            body,
+            ticket: answer.ticket,
+            connection: answer.connection,
+            reply: answer.reply,
+        };
+        (parts, source)
+    }
+}
+
 /// Result of an attempt to resume the answer at another upstream.
 struct Resumed {
     answer: Result<Answer, Refusal>,
@@ -67,16 +83,11 @@
     call: Arc<Call>,
     answer: Answer,
     mut attempts: Attempts,
-    request_log: RequestLog,
+    mut request_log: RequestLog,
 ) -> Response<web::Body> {
-    let Answer {
-        ticket,
-        connection,
-        response,
-        reply,
-    } = answer;
-    attempts.exclude(&ticket.choice().upstream);
-    let (mut parts, body) = response.into_parts();
+    let (mut parts, source) = Source::new(answer);
+    attempts.exclude(&source.ticket.choice().upstream);
+    request_log.set_framing(source.framing);
     dispatch::remove_connection_headers(&mut parts.headers);
     let is_event_stream = call.route.kind.is_stream() && parts.status.is_success();
     let is_resumable = is_event_stream && call.is_idempotent();
@@ -85,12 +96,7 @@
         status: parts.status.as_u16(),
         deadline: Box::pin(tokio::time::sleep_until(call.deadline.into())),
         events: is_resumable.then(EventBuffer::default),
-        state: State::Reading(Box::new(Source {
-            body,
-            ticket,
-            connection,
-            reply,
-        })),
+        state: State::Reading(Box::new(source)),
         attempts: Some(attempts),
         request_log: Some(request_log),
         usage_recorded: false,
@@ -155,11 +161,13 @@
         };
         source.ticket.finish(Outcome::Failed);
         let upstream = source.ticket.choice().upstream.clone();
+        let framing = source.framing;
         // Closing the connection stops the upstream before another one continues the answer.
         drop(source);
         warn!(
             request = %self.call.id,
             upstream = %upstream,
+            %framing,
             "answer: the upstream failed before the end: {detail}"
         );
         let Some(events) = &mut self.events else {
@@ -199,12 +207,11 @@
                     upstream = %upstream,
                     "answer: resumed at another upstream"
                 );
-                self.state = State::Reading(Box::new(Source {
-                    body: answer.response.into_body(),
-                    ticket: answer.ticket,
-                    connection: answer.connection,
-                    reply: answer.reply,
-                }));
+                let (_, source) = Source::new(answer);
+                if let Some(request_log) = &mut self.request_log {
+                    request_log.set_framing(source.framing);
+                }
+                self.state = State::Reading(Box::new(source));
                 Ok(())
             }
             Err(refusal) => {
--- a/components/gateway/src/request_log.rs
+++ b/components/gateway/src/request_log.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use config::ids::{AccountId, RequestId, UpstreamId};
 use tracing::info;
+use web::Framing;
 
 use crate::core::Core;
 
@@ -24,6 +25,8 @@
     /// Why the upstream was chosen, with the figures of the choice; `inputs` in the log.
     reason: CompactString,
     sends: u32,
+    /// Framing of the answer that is passed on; `None` before its head.
+    framing: Option<Framing>,
     first_event: Option<Duration>,
     /// Outcome and HTTP status. If none is set, the caller left, and the logged status is 0.
     outcome: Option<(CompactString, u16)>,
@@ -45,6 +48,7 @@
             upstream: UpstreamId::default(),
             reason: CompactString::default(),
             sends: 0,
+            framing: None,
             first_event: None,
             outcome: None,
         }
@@ -73,6 +77,10 @@
         self.sends += 1;
     }
 
+    pub(crate) fn set_framing(&mut self, framing: Framing) {
+        self.framing = Some(framing);
+    }
+
     pub(crate) fn record_first_event(&mut self) {
         self.first_event.get_or_insert(self.arrived.elapsed());
     }
@@ -98,6 +106,7 @@
             version = self.version,
             upstream = %self.upstream,
             sends = self.sends,
+            framing = self.framing.map(tracing::field::display),
             status,
             first_ms = self.first_event.map(|first| first.as_millis() as u64),
             total_ms = total.as_millis() as u64,
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -2,11 +2,13 @@
 //! completely, and a graceful stop that answers the requests already received.
 
 mod body;
+mod framing;
 mod listener;
 mod server;
 mod settings;
 
 pub use body::{Body, Collected, collect, empty, full};
+pub use framing::Framing;
 pub use listener::listen;
 pub use server::{Phase, Server};
 pub use settings::Settings;
