gateway: Never take the end of a connection for the end of a stream within an event

What callers saw: status 200, the engine's signature and a short body, framed as complete.

Cause: an answer with neither a length nor chunks ends with its connection, and the HTTP library reports that as a normal end, whatever the last bytes are. The relay passed on the unfinished event that it held, wrote the last chunk and logged the request as answered. The class is whether an answer is complete, taken from the end of its bytes alone.

Now a stream is complete only if it ends between two events, and, where its connection is its only end, after at least one event. Otherwise it is resumed if the route allows it, and broken off if not. Only complete events are passed on, of all streams. Another HTTP answer on the same connection is no event. A length of the first answer is not kept for a stream, since the rest from another upstream may be longer and the HTTP library would stop at the length. A connection that has ended is not put into the pool. The scanner of events reads each byte once; before, each piece of an unfinished event was searched from its start.

--- a/components/gateway/src/event_buffer.rs
+++ b/components/gateway/src/event_buffer.rs
@@ -1,37 +1,87 @@
-//! Splits the bytes of a stream into events, so that a stream can be resumed after the last
-//! complete event.
+//! Splits the bytes of a stream into events, so that only complete events are passed on and a
+//! stream can be resumed after the last one.
 
 use bytes::{Bytes, BytesMut};
+use quick_error::quick_error;
 
+/// Largest event, in bytes. The buffers of all streams of an entry stay within its memory.
+pub const MAX_EVENT_BYTES: usize = 64 * 1_024;
 /// Prefix of the line that holds an event's number.
 const ID_FIELD: &[u8] = b"id:";
+/// Start of the first line of an HTTP answer, which is no line of an event.
+const ANSWER_START: &[u8] = b"HTTP/1.";
+
+quick_error! {
+    /// Why bytes can't be the next event of a stream.
+    #[derive(Debug, PartialEq)]
+    pub enum EventError {
+        /// The event has more bytes than allowed.
+        TooLong(limit: usize) {
+            display("an event has more than {limit} bytes")
+        }
+    }
+}
 
 /// Buffers the bytes of a `text/event-stream` until an event is complete.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     partial: BytesMut,
+    scanner: Scanner,
     last_id: Option<u64>,
+    /// Whether another answer follows the stream on the same connection.
+    has_other_answer: bool,
 }
 
 impl EventBuffer {
     /// Appends bytes, and returns the events that are complete now.
-    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+    ///
+    /// # Errors
+    /// Returns an error if the incomplete event exceeds [`MAX_EVENT_BYTES`].
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
+        if self.has_other_answer {
+            return Ok(Bytes::new());
+        }
+        let before = self.partial.len();
+        let end = self.scanner.scan(bytes);
         self.partial.extend_from_slice(bytes);
-        let end = end_of_events(&self.partial);
-        let complete = self.partial.split_to(end).freeze();
+        let complete = match end {
+            Some(end) => self.partial.split_to(before + end).freeze(),
+            None => Bytes::new(),
+        };
+        let complete = self.without_other_answer(complete);
         self.last_id = last_id(&complete).or(self.last_id);
-        complete
+        match self.partial.len() {
+            0..=MAX_EVENT_BYTES => Ok(complete),
+            _ => Err(EventError::TooLong(MAX_EVENT_BYTES)),
+        }
     }
 
-    /// Appends the last bytes of a stream, and returns all buffered bytes.
-    pub fn finish(&mut self, bytes: &[u8]) -> Bytes {
-        self.partial.extend_from_slice(bytes);
-        self.partial.split().freeze()
+    /// Returns the events before the start of another answer, which follows on the same connection.
+    fn without_other_answer(&mut self, mut events: Bytes) -> Bytes {
+        let starts = events.windows(ANSWER_START.len()).enumerate();
+        let is_line_start = |at: usize| at == 0 || matches!(events[at - 1], b'\n' | b'\r');
+        let start = starts
+            .filter(|(at, bytes)| *bytes == ANSWER_START && is_line_start(*at))
+            .map(|(at, _)| at)
+            .next();
+        if let Some(start) = start {
+            self.has_other_answer = true;
+            events.truncate(start);
+        }
+        events
+    }
+
+    /// Reports whether bytes were received that are not a complete event: a part of one, or another
+    /// answer.
+    pub fn is_within_event(&self) -> bool {
+        !self.partial.is_empty() || self.has_other_answer
     }
 
     /// Discards an incomplete event, because the stream is resumed after the last complete one.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.has_other_answer = false;
+        self.scanner = Scanner::default();
     }
 
     /// Returns the number of the last complete event.
@@ -40,22 +90,72 @@
     }
 }
 
-/// Returns the length up to the end of the last complete event.
-fn end_of_events(bytes: &[u8]) -> usize {
-    let is_end = |at: &usize| {
-        let before = &bytes[..*at];
-        before.ends_with(b"\n\n") || before.ends_with(b"\n\r\n")
-    };
-    (1..=bytes.len()).rev().find(is_end).unwrap_or(0)
+/// Finds the ends of events. Each byte is read once, however the bytes are split.
+#[derive(Debug, Default)]
+struct Scanner {
+    line: Line,
+    /// Whether the current event has a line that is neither empty nor a comment.
+    has_field: bool,
+    /// Whether the last byte was a carriage return, which a line feed may follow.
+    after_return: bool,
+}
+
+/// What the current line has so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Line {
+    #[default]
+    Empty,
+    Comment,
+    Field,
+}
+
+impl Scanner {
+    /// Reads bytes, and returns the offset after the last one that ends an event, or that ends an
+    /// empty line or a comment between events.
+    fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        for (index, &byte) in bytes.iter().enumerate() {
+            let ends_line = match byte {
+                b'\n' => !self.after_return,
+                b'\r' => true,
+                _ => false,
+            };
+            match (byte, self.line) {
+                (b'\n' | b'\r', _) if ends_line => self.end_line(),
+                (b'\n', _) => {}
+                (b':', Line::Empty) => self.line = Line::Comment,
+                (_, Line::Empty) => self.line = Line::Field,
+                _ => {}
+            }
+            self.after_return = byte == b'\r';
+            if self.line == Line::Empty && !self.has_field {
+                end = Some(index + 1);
+            }
+        }
+        end
+    }
+
+    fn end_line(&mut self) {
+        self.has_field = match self.line {
+            Line::Empty => false,
+            Line::Comment => self.has_field,
+            Line::Field => true,
+        };
+        self.line = Line::Empty;
+    }
+}
+
+/// Splits bytes into lines, the last one first.
+fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    bytes.rsplit(|byte| matches!(byte, b'\n' | b'\r'))
 }
 
 /// Returns the number of the last event that has one.
 fn last_id(events: &[u8]) -> Option<u64> {
-    let lines = events.rsplit(|byte| *byte == b'\n');
     let id = |line: &[u8]| {
         let value = line.strip_prefix(ID_FIELD)?;
         let value = std::str::from_utf8(value).ok()?;
         value.trim().parse().ok()
     };
-    lines.into_iter().find_map(id)
+    lines(events).find_map(id)
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -37,7 +37,7 @@
 pub use accounts::Accounts;
 pub use balancer::Balancer;
 pub use call::{Call, Part, PartId, Prompt};
-pub use event_buffer::EventBuffer;
+pub use event_buffer::{EventBuffer, EventError, MAX_EVENT_BYTES};
 pub use metrics::Metrics;
 pub use pool::idle_limit;
 pub use protocol::{Head, Metadata, Protocol, Reply};
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,28 +1,31 @@
 //! Streams an upstream's answer to the caller.
 
+mod source;
+
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::Instant;
 
 use bytes::Bytes;
-use http::{Response, response};
+use http::{HeaderMap, Response, header};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::Sleep;
 use tracing::{info, warn};
 use web::Framing;
 
+use crate::EventBuffer;
 use crate::balancer::Outcome;
 use crate::call::Call;
-use crate::connection::Connection;
 use crate::core::{Core, lock};
 use crate::dispatch::{self, Answer, Attempts};
 use crate::request_log::RequestLog;
-use crate::ticket::Ticket;
-use crate::{EventBuffer, Refusal, Reply};
+use source::{Resumed, Source, resume};
+
+/// Content type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// Body of an answer that is read from an upstream. An interrupted event stream of an idempotent
 /// call is resumed at another upstream.
@@ -31,7 +34,7 @@
     call: Arc<Call>,
     status: u16,
     state: State,
-    /// Buffers incomplete events if the stream can be resumed at another upstream.
+    /// Incomplete event of a stream; `None` for a plain answer.
     events: Option<EventBuffer>,
     deadline: Pin<Box<Sleep>>,
     attempts: Option<Attempts>,
@@ -44,39 +47,11 @@
 enum State {
     Reading(Box<Source>),
     Resuming(Pin<Box<dyn Future<Output = Resumed> + Send>>),
+    /// The answer can't be completed; the caller's connection is closed for this reason.
+    Broken(String),
     Done,
 }
 
-/// The upstream's answer that is currently read.
-struct Source {
-    body: Incoming,
-    framing: Framing,
-    ticket: Ticket,
-    connection: Connection,
-    reply: Reply,
-}
-
-impl Source {
-    fn new(answer: Answer) -> (response::Parts, Source) {
-        let (parts, body) = answer.response.into_parts();
-        let source = Source {
-            framing: Framing::of(&parts.headers, &body),
-            body,
-            ticket: answer.ticket,
-            connection: answer.connection,
-            reply: answer.reply,
-        };
-        (parts, source)
-    }
-}
-
-/// Result of an attempt to resume the answer at another upstream.
-struct Resumed {
-    answer: Result<Answer, Refusal>,
-    attempts: Attempts,
-    request_log: RequestLog,
-}
-
 /// Returns the response to the caller for an upstream's answer.
 pub(crate) fn relay(
     core: &Arc<Core>,
@@ -89,13 +64,17 @@
     attempts.exclude(&source.ticket.choice().upstream);
     request_log.set_framing(source.framing);
     dispatch::remove_connection_headers(&mut parts.headers);
-    let is_event_stream = call.route.kind.is_stream() && parts.status.is_success();
-    let is_resumable = is_event_stream && call.is_idempotent();
+    let is_event_stream =
+        call.route.kind.is_stream() && parts.status.is_success() && may_be_events(&parts.headers);
+    if is_event_stream {
+        // A stream may be broken off where its length ends, or be resumed with another length.
+        parts.headers.remove(header::CONTENT_LENGTH);
+    }
     let relay = Relay {
         core: core.clone(),
         status: parts.status.as_u16(),
         deadline: Box::pin(tokio::time::sleep_until(call.deadline.into())),
-        events: is_resumable.then(EventBuffer::default),
+        events: is_event_stream.then(EventBuffer::default),
         state: State::Reading(Box::new(source)),
         attempts: Some(attempts),
         request_log: Some(request_log),
@@ -105,6 +84,12 @@
     Response::from_parts(parts, relay.boxed_unsync())
 }
 
+/// Reports whether the content type is that of event streams, or is not stated.
+fn may_be_events(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE);
+    content_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM))
+}
+
 impl Relay {
     /// Records that the answer has started; later calls have no effect.
     fn record_start(&mut self) {
@@ -129,7 +114,55 @@
         self.request_log = None;
     }
 
-    /// Handles the end of the upstream's body, and returns its connection to the pool.
+    /// Handles bytes of the upstream's answer, and returns those that can be passed on: the
+    /// complete events of a stream.
+    fn handle_data(&mut self, data: Bytes) -> Bytes {
+        self.record_start();
+        let State::Reading(source) = &mut self.state else {
+            return Bytes::new();
+        };
+        // A body of known length is not polled after its last frame.
+        let is_last = source.body.is_end_stream();
+        let passed = match &mut self.events {
+            Some(events) => events.push(&data).map_err(|error| error.to_string()),
+            None => Ok(data),
+        };
+        match passed {
+            Ok(passed) => {
+                source.has_events |= !passed.is_empty();
+                if is_last {
+                    self.handle_end();
+                }
+                passed
+            }
+            Err(detail) => {
+                self.handle_failure(&detail);
+                Bytes::new()
+            }
+        }
+    }
+
+    /// Handles the end of the upstream's body, which is not the end of the answer if it is within
+    /// an event, or if the connection ended before any event.
+    fn handle_end(&mut self) {
+        let State::Reading(source) = &self.state else {
+            return;
+        };
+        match &self.events {
+            Some(events) if events.is_within_event() => {
+                self.handle_failure("the stream ended within an event");
+            }
+            Some(_) if source.framing == Framing::Connection && !source.has_events => {
+                self.handle_failure("the connection ended before the first event");
+            }
+            _ => {
+                self.record_start();
+                self.finish_answer();
+            }
+        }
+    }
+
+    /// Finishes a complete answer, and returns its connection to the pool.
     fn finish_answer(&mut self) {
         let finished = std::mem::replace(&mut self.state, State::Done);
         if let State::Reading(source) = finished {
@@ -137,6 +170,7 @@
                 mut ticket,
                 connection,
                 reply,
+                framing,
                 ..
             } = *source;
             let outcome = match self.status {
@@ -147,17 +181,25 @@
             let choice = ticket.choice();
             let now = Instant::now();
             let max_connections = self.core.table.load().max_connections(&self.call.service);
-            lock(&self.core.pool).put(choice, connection, reply.keep_alive, max_connections, now);
+            if framing != Framing::Connection {
+                lock(&self.core.pool).put(
+                    choice,
+                    connection,
+                    reply.keep_alive,
+                    max_connections,
+                    now,
+                );
+            }
         }
         self.log_outcome("answered");
     }
 
     /// Handles a failure in the middle of the answer, and resumes it at another upstream if that is
     /// allowed.
-    fn handle_failure(&mut self, detail: &str) -> Result<(), io::Error> {
-        let failed = std::mem::replace(&mut self.state, State::Done);
+    fn handle_failure(&mut self, detail: &str) {
+        let failed = std::mem::replace(&mut self.state, State::Broken(detail.to_owned()));
         let State::Reading(mut source) = failed else {
-            return Err(io::Error::other("the answer has already ended"));
+            return;
         };
         source.ticket.finish(Outcome::Failed);
         let upstream = source.ticket.choice().upstream.clone();
@@ -170,14 +212,13 @@
             %framing,
             "answer: the upstream failed before the end: {detail}"
         );
-        let Some(events) = &mut self.events else {
-            self.log_outcome("broken");
-            return Err(io::Error::other(detail.to_owned()));
+        let Some(events) = self.events.as_mut().filter(|_| self.call.is_idempotent()) else {
+            return;
         };
         events.discard_partial();
         let (Some(attempts), Some(request_log)) = (self.attempts.take(), self.request_log.take())
         else {
-            return Err(io::Error::other("the answer has already ended"));
+            return;
         };
         let last = events.last_id().or(self.call.resume_after);
         self.state = State::Resuming(Box::pin(resume(
@@ -187,84 +228,50 @@
             attempts,
             request_log,
         )));
-        Ok(())
     }
 
     /// Continues with the answer of another upstream, or fails if there is none.
-    fn handle_resumed(&mut self, resumed: Resumed) -> Result<(), io::Error> {
+    fn handle_resumed(&mut self, resumed: Resumed) {
         let Resumed {
             answer,
             attempts,
-            request_log,
+            mut request_log,
         } = resumed;
-        self.attempts = Some(attempts);
-        self.request_log = Some(request_log);
-        match answer {
+        self.state = match answer {
             Ok(answer) => {
-                let upstream = &answer.ticket.choice().upstream;
                 info!(
                     request = %self.call.id,
-                    upstream = %upstream,
+                    upstream = %answer.ticket.choice().upstream,
                     "answer: resumed at another upstream"
                 );
                 let (_, source) = Source::new(answer);
-                if let Some(request_log) = &mut self.request_log {
-                    request_log.set_framing(source.framing);
-                }
-                self.state = State::Reading(Box::new(source));
-                Ok(())
+                request_log.set_framing(source.framing);
+                State::Reading(Box::new(source))
             }
-            Err(refusal) => {
-                self.state = State::Done;
-                self.log_outcome("broken");
-                Err(io::Error::other(refusal.to_string()))
-            }
-        }
-    }
-
-    /// Handles the last bytes of the answer, and returns all bytes still to be sent to the caller.
-    fn finish_stream(&mut self, data: &Bytes) -> Bytes {
-        let rest = match &mut self.events {
-            Some(events) => events.finish(data),
-            None => data.clone(),
+            Err(refusal) => State::Broken(refusal.to_string()),
         };
-        self.finish_answer();
-        rest
-    }
-
-    /// Returns the bytes that can be sent to the caller: only complete events if the stream can be
-    /// resumed.
-    fn take_complete_events(&mut self, data: Bytes) -> Bytes {
-        match &mut self.events {
-            Some(events) => events.push(&data),
-            None => data,
-        }
+        self.attempts = Some(attempts);
+        self.request_log = Some(request_log);
     }
-}
 
-/// Sends the request to another upstream, which continues after the event `last`.
-async fn resume(
-    core: Arc<Core>,
-    call: Arc<Call>,
-    last: Option<u64>,
-    mut attempts: Attempts,
-    mut request_log: RequestLog,
-) -> Resumed {
-    let answer = dispatch::dispatch(&core, &call, last, &mut attempts, &mut request_log).await;
-    let answer = answer.and_then(|answer| match answer.response.status().is_success() {
-        true => Ok(answer),
-        false => Err(Refusal::Lost(format!(
-            "status {}",
-            answer.response.status()
-        ))),
-    });
-    if let Ok(answer) = &answer {
-        attempts.exclude(&answer.ticket.choice().upstream);
-    }
-    Resumed {
-        answer,
-        attempts,
-        request_log,
+    /// Reads the upstream's answer until there are bytes for the caller or the state changes.
+    fn poll_source(&mut self, cx: &mut Context<'_>) -> Poll<Bytes> {
+        let State::Reading(source) = &mut self.state else {
+            return Poll::Ready(Bytes::new());
+        };
+        let frame = std::task::ready!(Pin::new(&mut source.body).poll_frame(cx));
+        Poll::Ready(match frame.map(|frame| frame.map(Frame::into_data)) {
+            Some(Ok(Ok(data))) => self.handle_data(data),
+            Some(Ok(Err(_trailers))) => Bytes::new(),
+            Some(Err(error)) => {
+                self.handle_failure(&error.to_string());
+                Bytes::new()
+            }
+            None => {
+                self.handle_end();
+                Bytes::new()
+            }
+        })
     }
 }
 
@@ -285,41 +292,20 @@
         loop {
             match &mut this.state {
                 State::Done => return Poll::Ready(None),
+                State::Broken(detail) => {
+                    let error = io::Error::other(std::mem::take(detail));
+                    this.state = State::Done;
+                    this.log_outcome("broken");
+                    return Poll::Ready(Some(Err(error)));
+                }
                 State::Resuming(resuming) => {
-                    let resumed = ready!(resuming.as_mut().poll(cx));
-                    if let Err(error) = this.handle_resumed(resumed) {
-                        return Poll::Ready(Some(Err(error)));
-                    }
+                    let resumed = std::task::ready!(resuming.as_mut().poll(cx));
+                    this.handle_resumed(resumed);
                 }
-                State::Reading(source) => {
-                    let frame = ready!(Pin::new(&mut source.body).poll_frame(cx));
-                    match frame.map(|frame| frame.map(Frame::into_data)) {
-                        Some(Ok(Ok(data))) => {
-                            // A body of known length is not polled after its last frame.
-                            let is_last = source.body.is_end_stream();
-                            this.record_start();
-                            let data = match is_last {
-                                true => this.finish_stream(&data),
-                                false => this.take_complete_events(data),
-                            };
-                            if !data.is_empty() {
-                                return Poll::Ready(Some(Ok(Frame::data(data))));
-                            }
-                        }
-                        Some(Ok(Err(_trailers))) => {}
-                        Some(Err(error)) => {
-                            if let Err(error) = this.handle_failure(&error.to_string()) {
-                                return Poll::Ready(Some(Err(error)));
-                            }
-                        }
-                        None => {
-                            this.record_start();
-                            let rest = this.finish_stream(&Bytes::new());
-                            return match rest.is_empty() {
-                                true => Poll::Ready(None),
-                                false => Poll::Ready(Some(Ok(Frame::data(rest)))),
-                            };
-                        }
+                State::Reading(_) => {
+                    let data = std::task::ready!(this.poll_source(cx));
+                    if !data.is_empty() {
+                        return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
                 }
             }
--- /dev/null
+++ b/components/gateway/src/relay/source.rs
@@ -0,0 +1,74 @@
+//! The upstream's answer that is read, and the attempt to continue it at another upstream.
+
+use std::sync::Arc;
+
+use http::response;
+use hyper::body::Incoming;
+use web::Framing;
+
+use crate::call::Call;
+use crate::connection::Connection;
+use crate::core::Core;
+use crate::dispatch::{self, Answer, Attempts};
+use crate::request_log::RequestLog;
+use crate::ticket::Ticket;
+use crate::{Refusal, Reply};
+
+/// The upstream's answer that is currently read.
+pub(super) struct Source {
+    pub(super) body: Incoming,
+    pub(super) framing: Framing,
+    pub(super) ticket: Ticket,
+    pub(super) connection: Connection,
+    pub(super) reply: Reply,
+    /// Whether a complete event was received.
+    pub(super) has_events: bool,
+}
+
+impl Source {
+    pub(super) fn new(answer: Answer) -> (response::Parts, Source) {
+        let (parts, body) = answer.response.into_parts();
+        let source = Source {
+            framing: Framing::of(&parts.headers, &body),
+            body,
+            ticket: answer.ticket,
+            connection: answer.connection,
+            reply: answer.reply,
+            has_events: false,
+        };
+        (parts, source)
+    }
+}
+
+/// Result of an attempt to resume the answer at another upstream.
+pub(super) struct Resumed {
+    pub(super) answer: Result<Answer, Refusal>,
+    pub(super) attempts: Attempts,
+    pub(super) request_log: RequestLog,
+}
+
+/// Sends the request to another upstream, which continues after the event `last`.
+pub(super) async fn resume(
+    core: Arc<Core>,
+    call: Arc<Call>,
+    last: Option<u64>,
+    mut attempts: Attempts,
+    mut request_log: RequestLog,
+) -> Resumed {
+    let answer = dispatch::dispatch(&core, &call, last, &mut attempts, &mut request_log).await;
+    let answer = answer.and_then(|answer| match answer.response.status().is_success() {
+        true => Ok(answer),
+        false => Err(Refusal::Lost(format!(
+            "status {}",
+            answer.response.status()
+        ))),
+    });
+    if let Ok(answer) = &answer {
+        attempts.exclude(&answer.ticket.choice().upstream);
+    }
+    Resumed {
+        answer,
+        attempts,
+        request_log,
+    }
+}
--- a/components/web/src/framing.rs
+++ b/components/web/src/framing.rs
@@ -41,7 +41,10 @@
 /// Reports whether `chunked` is the last transfer coding. After any other one, the body ends with
 /// its connection.
 fn is_chunked(headers: &HeaderMap) -> bool {
-    let last = headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    let last = headers
+        .get_all(header::TRANSFER_ENCODING)
+        .iter()
+        .next_back();
     let codings = last.and_then(|value| value.to_str().ok());
     let last = codings.and_then(|codings| codings.rsplit(',').next());
     last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
