web: Reset the connection of an HTTP/1.0 client whose response breaks off

What callers saw: a caller of HTTP/1.0 gets no chunks, and an answer that had been broken off ended with its connection like a complete one.

Now the error marks the connection, and it is closed with a reset. Only HTTP/1.0 needs it, since a missing last chunk or a length tells others.

Evidence: shows_callers_without_chunks_that_an_answer_was_broken_off failed before and passes.

--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 servers: listening sockets, limits on connections, request bodies that are read
 //! completely, and a graceful stop that answers the requests already received.
 
+mod abortable_stream;
 mod body;
 mod framing;
 mod listener;
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,6 +17,7 @@
 use tokio::time::sleep;
 use tracing::warn;
 
+use crate::abortable_stream::AbortableStream;
 use crate::{Body, Settings};
 
 /// Pause after the listener failed to accept a connection.
@@ -137,9 +138,19 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     prepare(&stream, settings);
+    let (stream, abort) = AbortableStream::new(stream);
     let service = service_fn(move |request| {
+        let version = request.version();
         let response = handler(request, peer);
-        async move { Ok::<_, Infallible>(response.await) }
+        let abort = abort.clone();
+        async move {
+            let response = response.await;
+            // Without chunks, only a reset tells the client that the response is incomplete.
+            Ok::<_, Infallible>(match version {
+                Version::HTTP_10 => response.map(|body| abort.on_error_of(body)),
+                _ => response,
+            })
+        }
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
