gateway: Bound the bytes and the time of an answer without end

What callers saw: one whose upstream began an event and never ended it was held for 63 s, up to the route's time, and so was the upstream.

Cause: an unfinished event was buffered without bound, and nothing but the deadline ended it; a head and a plain body without end alike.

Now an event ends within 64 KiB and 2 s of its first byte, or the stream counts as broken off there and is resumed if its route allows it. Callers wait longer than that for the next event. Time in which the caller does not read is not counted. A head ends within 64 KiB and 1 s of its first byte, a plain answer within 64 MiB and its deadline; a stated length beyond that is refused at its head.

--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -1,5 +1,7 @@
 //! One connection to an upstream.
 
+mod watched_stream;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,15 +17,24 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use watched_stream::{Arrival, WatchedStream};
+
 /// Longest wait for a connection. The kernel retransmits a lost packet only after a second, so that
 /// a new attempt is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after which the kernel closes a connection whose sent bytes are not acknowledged.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1_024;
+/// Longest time from the first byte of an answer's head to its last one.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// An HTTP/1.1 connection, which is closed when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Connection {
+    address: SocketAddr,
+    arrival: Arrival,
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
 }
@@ -40,14 +51,23 @@
             .await
             .map_err(|_| Error::Timeout(Step::Connect, peer(), CONNECT_TIMEOUT))?
             .map_err(|error| Error::Io(Step::Connect, peer(), error))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let arrival = Arrival::default();
+        let stream = WatchedStream::new(stream, arrival.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| Error::Other(Step::Connect, peer(), Box::new(error)))?;
         let task = tokio::spawn(async move {
             // The caller of `send` receives the error as well.
             let _ = connection.await;
         });
-        Ok(Connection { sender, task })
+        Ok(Connection {
+            address,
+            arrival,
+            sender,
+            task,
+        })
     }
 
     /// Reports whether a request can be sent.
@@ -56,11 +76,25 @@
     }
 
     /// Sends a request and returns the head of the answer.
+    ///
+    /// # Errors
+    /// Returns an error if the connection fails, or if a head has begun and does not end within
+    /// [`MAX_HEAD_BYTES`] and [`HEAD_TIMEOUT`].
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> hyper::Result<Response<Incoming>> {
-        self.sender.send_request(request).await
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>> {
+        let peer = Peer::Address(self.address);
+        self.arrival.expect();
+        let arrival = self.arrival.clone();
+        // The answer itself follows an informational one.
+        hyper::ext::on_informational(&mut request, move |_| arrival.expect());
+        tokio::select! {
+            response = self.sender.send_request(request) => {
+                response.map_err(|error| Error::Other(Step::Receive, peer, Box::new(error)))
+            }
+            () = self.arrival.timeout(HEAD_TIMEOUT) => Err(Error::Timeout(Step::Receive, peer, HEAD_TIMEOUT)),
+        }
     }
 }
 
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use config::ids::UpstreamId;
 use http::{HeaderMap, Request, Response, StatusCode, header};
+use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -15,6 +16,7 @@
 use crate::call::Call;
 use crate::connection::Connection;
 use crate::core::{Core, lock};
+use crate::relay::MAX_ANSWER_BYTES;
 use crate::request_log::RequestLog;
 use crate::ticket::Ticket;
 use crate::{Metadata, Refusal, Reply, admission, retries};
@@ -264,6 +266,12 @@
         ticket.finish(Outcome::Refused);
         return Err(Failure::NotRun);
     }
+    if !call.route.kind.is_stream() && body.size_hint().lower() > MAX_ANSWER_BYTES {
+        ticket.finish(Outcome::Failed);
+        return Err(Failure::Unknown(format!(
+            "the answer has more than {MAX_ANSWER_BYTES} bytes"
+        )));
+    }
     if !is_own || (status.is_success() && !reply.is_signed) {
         ticket.finish(Outcome::Failed);
         return Err(Failure::Unknown(format!(
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,5 +1,6 @@
 //! Streams an upstream's answer to the caller.
 
+mod bounds;
 mod source;
 
 use std::io;
@@ -16,12 +17,15 @@
 use tracing::{info, warn};
 use web::Framing;
 
+pub(crate) use bounds::MAX_ANSWER_BYTES;
+
 use crate::EventBuffer;
 use crate::balancer::Outcome;
 use crate::call::Call;
 use crate::core::{Core, lock};
 use crate::dispatch::{self, Answer, Attempts};
 use crate::request_log::RequestLog;
+use bounds::Bounds;
 use source::{Resumed, Source, resume};
 
 /// Content type of event streams.
@@ -36,6 +40,7 @@
     state: State,
     /// Incomplete event of a stream; `None` for a plain answer.
     events: Option<EventBuffer>,
+    bounds: Bounds,
     deadline: Pin<Box<Sleep>>,
     attempts: Option<Attempts>,
     request_log: Option<RequestLog>,
@@ -75,6 +80,7 @@
         status: parts.status.as_u16(),
         deadline: Box::pin(tokio::time::sleep_until(call.deadline.into())),
         events: is_event_stream.then(EventBuffer::default),
+        bounds: Bounds::default(),
         state: State::Reading(Box::new(source)),
         attempts: Some(attempts),
         request_log: Some(request_log),
@@ -125,11 +131,17 @@
         let is_last = source.body.is_end_stream();
         let passed = match &mut self.events {
             Some(events) => events.push(&data).map_err(|error| error.to_string()),
-            None => Ok(data),
+            None if self.bounds.count(data.len()) => Ok(data),
+            None => Err(format!("the answer has more than {MAX_ANSWER_BYTES} bytes")),
         };
         match passed {
             Ok(passed) => {
                 source.has_events |= !passed.is_empty();
+                let within = self
+                    .events
+                    .as_ref()
+                    .is_some_and(EventBuffer::is_within_event);
+                self.bounds.set_within_event(within);
                 if is_last {
                     self.handle_end();
                 }
@@ -201,6 +213,7 @@
         let State::Reading(mut source) = failed else {
             return;
         };
+        self.bounds.set_within_event(false);
         source.ticket.finish(Outcome::Failed);
         let upstream = source.ticket.choice().upstream.clone();
         let framing = source.framing;
@@ -259,7 +272,15 @@
         let State::Reading(source) = &mut self.state else {
             return Poll::Ready(Bytes::new());
         };
-        let frame = std::task::ready!(Pin::new(&mut source.body).poll_frame(cx));
+        let frame = match Pin::new(&mut source.body).poll_frame(cx) {
+            Poll::Ready(frame) => frame,
+            Poll::Pending => {
+                return self.bounds.poll_event_timeout(cx).map(|limit| {
+                    self.handle_failure(&format!("an event did not end within {limit:?}"));
+                    Bytes::new()
+                });
+            }
+        };
         Poll::Ready(match frame.map(|frame| frame.map(Frame::into_data)) {
             Some(Ok(Ok(data))) => self.handle_data(data),
             Some(Ok(Err(_trailers))) => Bytes::new(),
@@ -284,6 +305,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let this = self.get_mut();
+        this.bounds.resume();
         if this.deadline.as_mut().poll(cx).is_ready() && !matches!(this.state, State::Done) {
             this.state = State::Done;
             this.log_outcome("cut-at-deadline");
@@ -305,6 +327,7 @@
                 State::Reading(_) => {
                     let data = std::task::ready!(this.poll_source(cx));
                     if !data.is_empty() {
+                        this.bounds.pause();
                         return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
                 }
