entry: Count an answer after another transfer coding than chunked as without an end

What callers saw, in a test: half of the body of a plain service as the whole answer, status 200, outcome 'answered'.

Any Transfer-Encoding counted as chunks, but after another coding the body ends with its connection, and nothing tells a cut.

Now the framing decides that the gateway uses as well. The table of framings and ends of this interface stands beside it: plain calls that may be repeated or not, streamed answers, whole ones.

Evidence: the rows 'Coding' of plain answers gave 'a comp' with status 200 before; they now count as lost like those without length and chunks, as docs/design/requests.md says.

--- a/components/entry/src/dispatch/answer.rs
+++ b/components/entry/src/dispatch/answer.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Response, StatusCode, header};
+use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use quick_error::quick_error;
 use tokio::time::timeout;
+use web::Framing;
 
 /// A complete answer.
 #[derive(Clone, Debug)]
@@ -55,7 +56,7 @@
     frame_timeout: Duration,
 ) -> Result<Answer, AnswerError> {
     let (head, mut body) = response.into_parts();
-    if !is_bounded(&head.headers, &body) {
+    if Framing::of(&head.headers, &body) == Framing::Connection {
         return Err(AnswerError::Unbounded);
     }
     let mut collected = BytesMut::new();
@@ -82,8 +83,3 @@
 fn data(frame: &http_body::Frame<Bytes>) -> &[u8] {
     frame.data_ref().map_or(&[], Bytes::as_ref)
 }
-
-fn is_bounded(headers: &HeaderMap, body: &Incoming) -> bool {
-    let chunked = headers.contains_key(header::TRANSFER_ENCODING);
-    chunked || body.is_end_stream() || body.size_hint().exact().is_some()
-}
--- a/components/entry/tests/path/behaviour.rs
+++ b/components/entry/tests/path/behaviour.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::framing::{End, Framing};
+
 /// Behaviour of one call.
 #[derive(Clone, Debug)]
 pub(crate) enum Behaviour {
@@ -29,4 +31,6 @@
     NoAnswerAfter(Duration),
     /// Runs the call and answers without a length.
     Unbounded,
+    /// Runs the call, and frames and ends its answer in this way.
+    Framed(Framing, End),
 }
--- /dev/null
+++ b/components/entry/tests/path/completeness.rs
@@ -0,0 +1,191 @@
+//! Whether callers can tell complete answers from others, for each way in which an upstream can
+//! frame and end an answer.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use serde_json::json;
+
+use crate::behaviour::Behaviour;
+use crate::bench::{Bench, completion, expected};
+use crate::caller::Answer;
+use crate::fake::Fake;
+use crate::framing::{BODY, Close, End, Framing};
+
+const FRAMINGS: [Framing; 4] = [
+    Framing::Length,
+    Framing::Chunks,
+    Framing::Connection,
+    Framing::Coding,
+];
+/// Tokens of an answer of a model.
+const TOKENS: usize = 6;
+/// Benches that run at the same time, so that other tests keep their pace.
+const MAX_BENCHES: usize = 8;
+/// Longest time for which an upstream that sends bytes without end may hold a caller: the timeout
+/// of the services, with room for a slow machine.
+const MAX_HOLD: Duration = Duration::from_secs(12);
+
+/// Calls that are answered with one behaviour, and completely when they are repeated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Kind {
+    /// Plain, may be repeated.
+    Get,
+    /// Plain, may run once.
+    Post,
+    /// Streamed answer of a model.
+    Stream,
+    /// Answer of a model as one body.
+    Body,
+}
+
+struct Case {
+    kind: Kind,
+    framing: Framing,
+    end: End,
+}
+
+impl Case {
+    /// Makes the call, and describes what its caller gets.
+    fn describe(&self) -> String {
+        let Case { kind, framing, end } = self;
+        let bench = Bench::start();
+        let (fake, answer) = self.call(&bench);
+        let content = match kind {
+            Kind::Get | Kind::Post if answer.status == 200 => match answer.body.as_str() {
+                BODY => "the body".to_owned(),
+                repeated if repeated.ends_with("#2") => "the body".to_owned(),
+                part => format!("{part:?}"),
+            },
+            Kind::Post => format!("{}, {} calls", answer.outcome(), fake.calls("/jobs").len()),
+            Kind::Stream => {
+                let (ids, text) = answer.events();
+                let is_expected = text == expected("ticket", TOKENS);
+                let done = answer.is_done();
+                format!(
+                    "{} events, expected: {is_expected}, done: {done}",
+                    ids.len()
+                )
+            }
+            Kind::Body if answer.status == 200 => {
+                let text = answer.json()["choices"][0]["text"].clone();
+                format!("expected: {}", text == expected("ticket", TOKENS))
+            }
+            _ => answer.outcome().to_owned(),
+        };
+        let status = answer.status;
+        format!("{kind:?} {framing:?} {end:?}: {status}, {content}\n")
+    }
+
+    /// Makes the call at one upstream that is known by two names.
+    fn call(&self, bench: &Bench) -> (Fake, Answer) {
+        let (name, service) = match self.kind {
+            Kind::Get | Kind::Post => ("shop", "shop"),
+            Kind::Stream | Kind::Body => ("engine", "assistant"),
+        };
+        let fake = Fake::start(name);
+        for number in 1..=2 {
+            let name = format!("{name}-{number}");
+            let serving = json!({"state": "serving"});
+            bench.announce_as(&name, fake.address, service, 1, serving);
+        }
+        fake.script([Behaviour::Framed(self.framing, self.end)]);
+        let answer = match self.kind {
+            Kind::Get => bench.get("/services/shop/jobs"),
+            Kind::Post => bench.post("/services/shop/jobs", &[], "plate"),
+            Kind::Stream => bench.stream("ticket", TOKENS),
+            Kind::Body => bench.post("/v1/completions", &[], &completion("ticket", TOKENS, false)),
+        };
+        (fake, answer)
+    }
+}
+
+fn cases(kinds: &[Kind], ends: &[End]) -> Vec<Case> {
+    let mut cases = Vec::new();
+    for &kind in kinds {
+        for framing in FRAMINGS {
+            let case = |&end| Case { kind, framing, end };
+            cases.extend(ends.iter().map(case));
+        }
+    }
+    cases
+}
+
+/// Applies `f` to all cases, some at a time.
+fn map<T: Send>(cases: &[Case], f: impl Fn(&Case) -> T + Sync) -> Vec<T> {
+    let mut results = Vec::new();
+    for chunk in cases.chunks(MAX_BENCHES) {
+        let chunk: Vec<T> = thread::scope(|scope| {
+            let threads: Vec<_> = chunk.iter().map(|case| scope.spawn(|| f(case))).collect();
+            let joined = threads.into_iter().map(|thread| thread.join());
+            joined
+                .map(|result| result.expect("the case does not panic"))
+                .collect()
+        });
+        results.extend(chunk);
+    }
+    results
+}
+
+#[gtest]
+fn never_answers_with_a_plain_answer_that_was_broken_off() {
+    let ends = [
+        End::Whole,
+        End::MoreBytes,
+        End::Within(Close::Fin),
+        End::Within(Close::Reset),
+        End::Within(Close::Silence),
+    ];
+    let table = map(&cases(&[Kind::Get, Kind::Post], &ends), Case::describe);
+    insta::assert_snapshot!(table.concat());
+}
+
+#[gtest]
+fn never_answers_with_an_answer_of_a_model_that_was_broken_off() {
+    let ends = [
+        End::Whole,
+        End::MoreBytes,
+        End::Within(Close::Fin),
+        End::Within(Close::Reset),
+        End::Within(Close::Silence),
+        End::Between(Close::Fin),
+        End::Between(Close::Reset),
+        End::Between(Close::Silence),
+    ];
+    let table = map(&cases(&[Kind::Stream, Kind::Body], &ends), Case::describe);
+    insta::assert_snapshot!(table.concat());
+}
+
+#[gtest]
+fn never_holds_a_caller_for_bytes_without_end() {
+    let kinds = [Kind::Get, Kind::Post, Kind::Stream, Kind::Body];
+    let cases = cases(&kinds, &[End::Endless, End::Slow, End::EndlessHead]);
+    let held = map(&cases, |case| {
+        let bench = Bench::start();
+        let started = Instant::now();
+        let (_, answer) = case.call(&bench);
+        let is_repeated = case.kind != Kind::Post;
+        (answer.status == 200 && !is_repeated, started.elapsed())
+    });
+    for (case, (is_answered, elapsed)) in cases.iter().zip(held) {
+        let Case { kind, framing, end } = case;
+        expect_false!(is_answered, "{kind:?} {framing:?} {end:?}");
+        expect_that!(elapsed, lt(MAX_HOLD), "{kind:?} {framing:?} {end:?}");
+    }
+}
+
+#[gtest]
+fn never_waits_longer_for_the_end_of_an_event_than_for_its_start() {
+    let bench = Bench::start();
+    let case = Case {
+        kind: Kind::Stream,
+        framing: Framing::Chunks,
+        end: End::Slow,
+    };
+    let started = Instant::now();
+    let (_, answer) = case.call(&bench);
+    expect_eq!(answer.events().1, expected("ticket", TOKENS));
+    // The bench's limit for silence is 400 ms, its timeout of the service 8 s.
+    expect_that!(started.elapsed(), lt(Duration::from_secs(4)));
+}
--- a/components/entry/tests/path/fake.rs
+++ b/components/entry/tests/path/fake.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 
 use crate::behaviour::Behaviour;
+use crate::framing;
 use crate::reader;
 
 /// Tokens of an answer if the call sets no bound.
@@ -192,6 +193,7 @@
             stream.write_all(b"HTTP/1.1 200 X\r\n\r\nhalf").ok()?;
             None
         }
+        Behaviour::Framed(framing, end) => framing::plain(stream, framing, end),
         Behaviour::NoAnswer => None,
         Behaviour::SilentAfter(_) => {
             thread::sleep(Duration::from_secs(20));
@@ -215,6 +217,10 @@
             thread::sleep(pause);
             return None;
         }
+        Behaviour::Framed(framing, end) => {
+            let tokens = remaining_tokens(&request.json());
+            return framing::model(stream, framing, end, &tokens);
+        }
         _ => {}
     }
     stream
@@ -278,6 +284,18 @@
     stream.write_all(b"0\r\n\r\n").ok()
 }
 
+/// Returns the tokens of an answer that the call does not contain yet, with their indices.
+fn remaining_tokens(call: &Value) -> Vec<(usize, String)> {
+    let seed = seed(call);
+    let total = call["max_tokens"]
+        .as_u64()
+        .map_or(DEFAULT_TOKENS, |n| n as usize);
+    let resumed = call["resume_tokens"].as_array().map_or(0, Vec::len);
+    (resumed..total)
+        .map(|index| (index, token(&seed, index)))
+        .collect()
+}
+
 /// Returns the seed of the answer's tokens, which distinguishes the answers to different prompts.
 fn seed(call: &Value) -> String {
     let prompt = match &call["prompt"] {
--- a/components/entry/tests/path/main.rs
+++ b/components/entry/tests/path/main.rs
@@ -4,11 +4,13 @@
 mod bench;
 mod caller;
 mod fake;
+mod framing;
 mod handover;
 mod reader;
 
 mod admission;
 mod announcements;
+mod completeness;
 mod input;
 mod keyed;
 mod models;
