entry: Count the bytes of an unfinished event as silence of the engine

What callers saw, in a test: an engine that sent an event byte by byte, without end, held the caller to the service's timeout of 8 s, and no other engine went on.

Cause: each byte counted as a sign of life. Now only a complete event or comment does, so that upstream-silence bounds the time of an event; its bytes were bounded already (256 KiB).

Evidence: never_waits_longer_for_the_end_of_an_event_than_for_its_start took 8.04 s and gave nothing before; it passes.

--- a/components/entry/src/model/attempt.rs
+++ b/components/entry/src/model/attempt.rs
@@ -66,6 +66,7 @@
     cause: Option<Cause>,
     started: Instant,
     first_token: Option<Instant>,
+    /// When the last complete event or comment was received.
     pub(super) last_received: Instant,
     check_timer: Interval,
 }
@@ -249,7 +250,6 @@
             None => Some(failed(Cause::Closed, &"the stream ended without [DONE]")),
             Some(Err(error)) => Some(failed(Cause::Closed, &error)),
             Some(Ok(frame)) => {
-                attempt.last_received = Instant::now();
                 self.assembler
                     .push(frame.data_ref().map_or(&[], Bytes::as_ref));
                 self.process_steps(attempt)
@@ -261,17 +261,27 @@
         loop {
             match self.assembler.next_step() {
                 Ok(None) => return None,
-                Ok(Some(Step::Comment)) => {}
-                Ok(Some(Step::Token(index, _))) => self.record_first_token(attempt, index),
-                Ok(Some(Step::Finish(_, usage))) => {
-                    self.record_recomputed(attempt, usage.computed_tokens);
+                Ok(Some(step)) => {
+                    attempt.last_received = Instant::now();
+                    if let Some(end) = self.process_step(attempt, step) {
+                        return Some(end);
+                    }
                 }
-                Ok(Some(Step::Complete)) => return Some(End::Complete),
                 Err(fault) => return Some(failed(Cause::Fault, &describe(&fault))),
             }
         }
     }
 
+    fn process_step(&mut self, attempt: &mut Attempt, step: Step) -> Option<End> {
+        match step {
+            Step::Comment => {}
+            Step::Token(index, _) => self.record_first_token(attempt, index),
+            Step::Finish(_, usage) => self.record_recomputed(attempt, usage.computed_tokens),
+            Step::Complete => return Some(End::Complete),
+        }
+        None
+    }
+
     fn record_first_token(&mut self, attempt: &mut Attempt, index: usize) {
         if attempt.first_token.is_some() {
             return;
@@ -317,7 +327,7 @@
             return None;
         }
         self.cancel(attempt);
-        let detail = format_compact!("nothing came for {} ms", limit.as_millis());
+        let detail = format_compact!("no complete event came for {} ms", limit.as_millis());
         Some(AttemptError {
             cause: Cause::Silent,
             detail,
