control: Test that answers of engines and the cloud are complete before they are used

The other places where an answer is read: orders, readings and duties share one exchange. JSON ends by itself, so that a cut one is an error in each framing; nothing had to change. Bytes without end are bounded by 4 MiB and the call's timeout.

--- a/components/control/tests/orders/main.rs
+++ b/components/control/tests/orders/main.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 use stand_ins::engine::{self, Engine, Fencing};
 use state::order::{Action, Order, Setting};
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 use upstream::Served;
@@ -142,3 +142,60 @@
     assert_that!(outcome, matches_pattern!(Outcome::Accepted(_)));
     assert_that!(engine.models(), elements_are![eq(&served("2"))]);
 }
+
+/// Accepts one connection and sends `answer`, and `more` after it until the connection is closed.
+async fn answer_once(answer: &'static str, more: &'static [u8]) -> std::net::SocketAddr {
+    let listener = TcpListener::bind(any_port()).await.expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let _ = stream.read(&mut [0; 4_096]).await;
+        let mut sent = stream.write_all(answer.as_bytes()).await;
+        while sent.is_ok() && !more.is_empty() {
+            sent = stream.write_all(more).await;
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn never_take_an_answer_that_was_broken_off_for_a_complete_one() {
+    let answers = [
+        ("content-length: 9\r\n\r\n{\"a\":[1]}", true),
+        ("content-length: 9\r\n\r\n{\"a\":[1", false),
+        (
+            "transfer-encoding: chunked\r\n\r\n9\r\n{\"a\":[1]}\r\n0\r\n\r\n",
+            true,
+        ),
+        (
+            "transfer-encoding: chunked\r\n\r\n7\r\n{\"a\":[1\r\n",
+            false,
+        ),
+        ("connection: close\r\n\r\n{\"a\":[1]}", true),
+        ("connection: close\r\n\r\n{\"a\":[1", false),
+        (
+            "connection: close\r\n\r\n{\"a\":[1]}HTTP/1.1 200 X\r\n",
+            false,
+        ),
+    ];
+    for (answer, is_complete) in answers {
+        let answer = format!("HTTP/1.1 200 OK\r\n{answer}");
+        let address = answer_once(answer.leak(), b"").await;
+        let answer = exchange(&call(address, 1, "2"), || true).await;
+        match is_complete {
+            true => assert_that!(answer.expect("an answer").1, eq(&json!({"a": [1]}))),
+            false => assert_that!(answer.map(|(status, _)| status), err(anything())),
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn never_wait_for_the_end_of_bytes_without_end() {
+    for head in ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nx-more: "] {
+        let address = answer_once(head, &[b'x'; 64 * 1_024]).await;
+        let started = Instant::now();
+        let answer = exchange(&call(address, 1, "2"), || true).await;
+        assert_that!(answer.map(|(status, _)| status), err(anything()));
+        assert_that!(started.elapsed(), lt(Duration::from_secs(10)));
+    }
+}
