entry: Never take a cut answer of another entry for a complete one

What callers saw, in a test: a stream that another entry keeps, read until its connection ended within an event, was ended as complete.

Cause: the same class as the streams of upstreams. Both places that read another entry's answer took the end of the bytes for the end of the answer, and collected an answer without bound.

Now an answer that ends with its connection is not complete, since entries send chunks or a length; one without events is read with a bound of 16 MiB and of 5 s between two parts.

Evidence: never_passes_on_a_stream_of_another_entry_that_was_broken_off_as_complete; its rows 'Connection' and 'Coding' need the new check, without which the end mark is sent.

--- a/components/entry/src/handover.rs
+++ b/components/entry/src/handover.rs
@@ -19,7 +19,7 @@
 pub use record::Record;
 pub use successor::{NoSuccessor, Successor, TakeOver};
 
-pub(crate) use lookup::{answer_lookup, find, follow_request, verify_follow_request};
+pub(crate) use lookup::{answer_lookup, collect_kept, find, follow_request, verify_follow_request};
 pub(crate) use offer::Peers;
 pub(crate) use presence::{Presence, run};
 pub(crate) use store::Store;
--- a/components/entry/src/handover/lookup.rs
+++ b/components/entry/src/handover/lookup.rs
@@ -16,12 +16,14 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use upstream::SIGNATURE_HEADER;
+use web::Framing;
 
 use super::offer::rank_entries;
 use super::presence::{self, any_unavailable};
 use super::replay::Replay;
 use super::{PATH, Record, fingerprint};
 use crate::core::Core;
+use crate::dispatch::{Answer, AnswerError, collect};
 use crate::failure::{Failure, Kind};
 use crate::incoming::Incoming;
 use crate::reply::{Body, Reply};
@@ -32,6 +34,10 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Events that are queued for a slow caller.
 const CHANNEL_CAPACITY: usize = 32;
+/// Largest answer without events that is read from another entry, in bytes.
+const MAX_KEPT_BYTES: usize = 16 * 1_024 * 1_024;
+/// Longest time between two parts of such an answer, which is sent at once.
+const KEPT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Header with the fingerprint of the caller's path and body.
 const FINGERPRINT_HEADER: &str = "chervilloft-fingerprint";
 /// Header with the account on whose behalf another entry follows an answer.
@@ -185,6 +191,7 @@
 
 /// Relays the response of another entry to the caller.
 async fn relay_response<C: Control>(core: &Arc<Core<C>>, response: Response<Streamed>) -> Reply {
+    let framing = Framing::of(response.headers(), response.body());
     let (head, body) = response.into_parts();
     let kind = head.headers.get(header::CONTENT_TYPE);
     let kind = kind.and_then(|kind| kind.to_str().ok()).unwrap_or_default();
@@ -196,20 +203,31 @@
             let guard = core.drain.enter();
             core.runtime.spawn(async move {
                 let _guard = guard;
-                forward(body, sender).await;
+                forward(body, framing, sender).await;
             });
         }
-        _ => match body.collect().await {
-            Ok(body) => reply.body = Body::Full(body.to_bytes()),
-            Err(_) => reply.status = StatusCode::BAD_GATEWAY,
+        _ => match collect_kept(Response::from_parts(head, body)).await {
+            Ok(answer) => reply.body = Body::Full(answer.body),
+            Err(error) => {
+                tracing::warn!("request: the answer that another entry keeps is lost: {error}");
+                reply.status = StatusCode::BAD_GATEWAY;
+            }
         },
     }
     reply
 }
 
+/// Reads the body of an answer that another entry keeps.
+///
+/// # Errors
+/// If it is not known to be complete, is too large or stalls.
+pub(crate) async fn collect_kept(response: Response<Streamed>) -> Result<Answer, AnswerError> {
+    collect(response, MAX_KEPT_BYTES, KEPT_TIMEOUT).await
+}
+
 /// Forwards the bytes of a stream. An empty item marks its end; without it, the caller's connection
 /// is closed as incomplete.
-async fn forward(mut body: Streamed, sender: mpsc::Sender<Bytes>) {
+async fn forward(mut body: Streamed, framing: Framing, sender: mpsc::Sender<Bytes>) {
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return };
         let data = frame.into_data().unwrap_or_default();
@@ -217,7 +235,10 @@
             return;
         }
     }
-    let _ = sender.send(Bytes::new()).await;
+    // Entries send chunks; without them, the stream may have been cut.
+    if framing != Framing::Connection {
+        let _ = sender.send(Bytes::new()).await;
+    }
 }
 
 /// Returns a request to follow an answer at another entry, signed with the fleet's secret.
--- a/components/entry/src/model/follow.rs
+++ b/components/entry/src/model/follow.rs
@@ -6,6 +6,7 @@
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use web::Framing;
 
 use super::relay::Relay;
 use crate::drain::Phase;
@@ -46,7 +47,7 @@
             false => {
                 let status = response.status();
                 let body = tokio::select! {
-                    body = response.into_body().collect() => body.ok()?.to_bytes(),
+                    answer = handover::collect_kept(response) => answer.ok()?.body,
                     () = self.until_ending() => return None,
                 };
                 Some(RemoteAnswer::Full(Reply::json(status, body)))
@@ -59,6 +60,7 @@
             return None;
         }
         self.sink.send_head(&self.exchange.subject.request);
+        let framing = Framing::of(response.headers(), response.body());
         let mut body = response.into_body();
         loop {
             let frame = tokio::select! {
@@ -66,6 +68,8 @@
                 () = self.until_ending() => return None,
             };
             match frame {
+                // Entries send chunks; without them, the stream may have been cut.
+                None if framing == Framing::Connection => return None,
                 None => return Some(RemoteAnswer::Streamed),
                 Some(Err(_)) => return None,
                 Some(Ok(frame)) => {
--- a/components/entry/tests/path/completeness.rs
+++ b/components/entry/tests/path/completeness.rs
@@ -1,17 +1,21 @@
 //! Whether callers can tell complete answers from others, for each way in which an upstream can
 //! frame and end an answer.
 
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use entry::handover::ENTRIES;
+use fleet::{Control, Standalone};
 use googletest::prelude::*;
 use serde_json::json;
 
 use crate::behaviour::Behaviour;
-use crate::bench::{Bench, completion, expected};
+use crate::bench::{Bench, announcement, completion, expected, settings, text};
 use crate::caller::Answer;
 use crate::fake::Fake;
 use crate::framing::{BODY, Close, End, Framing};
+use crate::handover::SharedControl;
 
 const FRAMINGS: [Framing; 4] = [
     Framing::Length,
@@ -189,3 +193,31 @@
     // The bench's limit for silence is 400 ms, its timeout of the service 8 s.
     expect_that!(started.elapsed(), lt(Duration::from_secs(4)));
 }
+
+#[gtest]
+fn never_passes_on_a_stream_of_another_entry_that_was_broken_off_as_complete() {
+    let ends = [
+        End::Whole,
+        End::Within(Close::Fin),
+        End::Between(Close::Fin),
+    ];
+    let mut table = String::new();
+    for Case { framing, end, .. } in cases(&[Kind::Stream], &ends) {
+        let control = SharedControl(Arc::new(Standalone::new(text())));
+        let bench = Bench::start_with(settings(), control.clone());
+        let other = Fake::start("entry:other");
+        let serving = json!({"state": "serving"});
+        let announced = announcement(&other.name, other.address, ENTRIES, 1, serving);
+        control.announce(serde_json::from_value(announced).expect("the announcement is valid"));
+        other.script([Behaviour::Framed(framing, end)]);
+        let headers = [("idempotency-key", "k1"), ("last-event-id", "2")];
+        let body = completion("ticket", TOKENS, true);
+        let answer = bench.post("/v1/completions", &headers, &body);
+        let complete = answer.complete;
+        table += &format!(
+            "{framing:?} {end:?}: {}, complete: {complete}\n",
+            answer.status
+        );
+    }
+    insta::assert_snapshot!(table);
+}
--- a/components/entry/tests/path/fake.rs
+++ b/components/entry/tests/path/fake.rs
@@ -138,6 +138,11 @@
 fn answer(state: &State, path: &str, request: &Request, stream: &mut TcpStream) -> Option<()> {
     match path {
         "/v1/chat/completions" | "/v1/completions" => complete(state, path, request, stream),
+        "/v1/kept" if request.line.starts_with("HEAD") => {
+            let head = "HTTP/1.1 200 X\r\ncontent-length: 3\r\n\r\n";
+            stream.write_all(head.as_bytes()).ok()
+        }
+        "/v1/kept" => kept(state, stream),
         "/v1/kv/export" if state.allows_exports.load(Ordering::SeqCst) => {
             let request_id = request.json()["request_id"].as_str()?.to_owned();
             state.exported.lock().unwrap().push(request_id.clone());
@@ -160,6 +165,14 @@
     }
 }
 
+/// Answers as an entry that keeps a stream.
+fn kept(state: &State, stream: &mut TcpStream) -> Option<()> {
+    match next_behaviour(state) {
+        Behaviour::Framed(framing, end) => framing::kept(stream, framing, end),
+        _ => None,
+    }
+}
+
 fn reply(stream: &mut TcpStream, status: u16, body: &str) -> Option<()> {
     let length = body.len();
     let head = format!(
--- a/components/entry/tests/path/framing.rs
+++ b/components/entry/tests/path/framing.rs
@@ -104,6 +104,22 @@
     send(stream, framing, end, &sent, all.len())
 }
 
+/// Answers as an entry that keeps a stream, after its second event.
+pub(crate) fn kept(stream: &mut TcpStream, framing: Framing, end: End) -> Option<()> {
+    let event = "id: 3\ndata: {}\n\n";
+    let all = format!("{event}data: [DONE]\n\n");
+    let sent = match end {
+        End::Whole | End::MoreBytes => all.as_str(),
+        End::Within(_) => &event[..8],
+        _ => event,
+    };
+    write(
+        stream,
+        "HTTP/1.1 200 X\r\ncontent-type: text/event-stream\r\n",
+    )?;
+    send_body(stream, framing, end, sent, all.len())
+}
+
 fn event(event: &Value) -> String {
     format!("data: {event}\n\n")
 }
@@ -120,6 +136,17 @@
         write(stream, "x-more: ")?;
         return send_pieces(stream, PIECE_BYTES, Duration::ZERO);
     }
+    send_body(stream, framing, end, sent, length)
+}
+
+/// Sends the rest of the head, which marks the end of the body, and the body.
+fn send_body(
+    stream: &mut TcpStream,
+    framing: Framing,
+    end: End,
+    sent: &str,
+    length: usize,
+) -> Option<()> {
     let is_endless = matches!(end, End::Endless | End::Slow);
     let head = match framing {
         Framing::Length if is_endless => "content-length: 1000000000000\r\n\r\n".to_owned(),
