gateway: Log the software version of a request's upstream and the stream that it takes up

What operators saw: neither a request's line nor that of a resumption told at which version of an upstream's software it ran, nor that a request takes up an earlier stream.

A version that is no text makes an announcement invalid, as other fields do. No decision uses them yet.

--- a/components/control/examples/group/measure.rs
+++ b/components/control/examples/group/measure.rs
@@ -170,5 +170,6 @@
         lease_ms: 3_000,
         availability: Availability::Serving,
         fence: 0,
+        software: Default::default(),
     }
 }
--- a/components/control/tests/process/announcements.rs
+++ b/components/control/tests/process/announcements.rs
@@ -30,6 +30,7 @@
         lease_ms: 30_000,
         availability: Availability::Serving,
         fence: 0,
+        software: Default::default(),
     }
 }
 
--- a/components/entry/src/handover/presence.rs
+++ b/components/entry/src/handover/presence.rs
@@ -62,6 +62,7 @@
             lease_ms: LEASE_MS,
             availability,
             fence: 0,
+            software: Default::default(),
         });
     }
 }
--- a/components/gateway/src/balancer/choice.rs
+++ b/components/gateway/src/balancer/choice.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use ::upstream::Software;
 use compact_str::CompactString;
 use config::ids::{Incarnation, ServiceId, UpstreamId};
 
@@ -30,6 +31,8 @@
     pub upstream: UpstreamId,
     /// Incarnation of the upstream.
     pub incarnation: Incarnation,
+    /// Version of the upstream's software.
+    pub software: Software,
     /// Address of the upstream.
     pub address: SocketAddr,
     /// Engine from which the upstream may fetch parts of the prompt that it lacks.
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use ::upstream::{Availability, Route};
+use ::upstream::{Availability, Route, Software};
 use compact_str::format_compact;
 use config::ids::{DataCentreId, Incarnation, ServiceId, UpstreamId};
 use config::text::Service;
@@ -23,6 +23,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Upstream {
     pub(super) service: ServiceId,
+    pub(super) software: Software,
     pub(super) incarnation: Incarnation,
     pub(super) address: SocketAddr,
     pub(super) data_centre: DataCentreId,
@@ -54,6 +55,7 @@
         let announcement = &route.announcement;
         Upstream {
             service: announcement.service.clone(),
+            software: announcement.software.clone(),
             incarnation: announcement.incarnation,
             address: announcement.address,
             data_centre: announcement.data_centre.clone(),
@@ -79,6 +81,7 @@
             *self = Upstream::new(route);
         }
         let announcement = &route.announcement;
+        self.software = announcement.software.clone();
         self.availability = announcement.availability;
         self.expires = route.expires;
         self.address = announcement.address;
@@ -109,6 +112,7 @@
         Choice {
             upstream: name.clone(),
             incarnation: self.incarnation,
+            software: self.software.clone(),
             address: self.address,
             fetch_from: None,
             uncached_tokens: estimate.uncached_tokens,
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -61,6 +61,8 @@
     pub prompt: Option<Prompt>,
     /// Last event of an earlier answer that the caller has received.
     pub resume_after: Option<u64>,
+    /// Request that brought the first event of that answer.
+    pub resumes: Option<RequestId>,
     /// When the head of the request was read.
     pub arrived: Instant,
     /// Deadline set by the caller or the route, whichever is earlier.
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -129,7 +129,7 @@
                 return fallback(server_error, refusal);
             }
         }
-        request_log.record_dispatch(&ticket.choice().upstream, &ticket.choice().reason);
+        request_log.record_dispatch(ticket.choice());
         let is_last = attempts.sends + 1 >= call.route.attempts;
         let choice = ticket.choice().clone();
         let failure = match attempt(core, call, ticket, resume_after, is_last).await {
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -135,6 +135,9 @@
     if let Some(account) = &account {
         request_log.set_account(&account.name);
     }
+    if let Some(begun) = &head.resumes {
+        request_log.set_resumes(begun);
+    }
     let service = table::select_service(route, &head.id).ok_or(Refusal::NoRoute)?;
     let wait = head
         .wait
@@ -153,6 +156,7 @@
         account,
         prompt: head.prompt,
         resume_after: head.resume_after,
+        resumes: head.resumes,
         arrived,
         deadline: arrived + wait,
     };
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -45,6 +45,8 @@
     pub prompt: Option<Prompt>,
     /// Last event of an earlier answer that the caller has received.
     pub resume_after: Option<u64>,
+    /// Request that brought the first event of that answer.
+    pub resumes: Option<RequestId>,
 }
 
 /// Metadata that is sent to an upstream with the caller's headers.
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -255,6 +255,7 @@
                 info!(
                     request = %self.call.id,
                     upstream = %answer.ticket.choice().upstream,
+                    software = %answer.ticket.choice().software,
                     "answer: resumed at another upstream"
                 );
                 let (_, source) = Source::new(answer);
--- a/components/gateway/src/request_log.rs
+++ b/components/gateway/src/request_log.rs
@@ -6,8 +6,10 @@
 use compact_str::CompactString;
 use config::ids::{AccountId, RequestId, UpstreamId};
 use tracing::info;
+use upstream::Software;
 use web::Framing;
 
+use crate::balancer::Choice;
 use crate::core::Core;
 
 /// Record of one request, which is written to the log and the metrics when it is dropped.
@@ -22,6 +24,10 @@
     /// Version of the operators' text by which the request is routed.
     version: u64,
     upstream: UpstreamId,
+    /// Version of the upstream's software.
+    software: Software,
+    /// Request that began the stream which this one takes up.
+    resumes: RequestId,
     /// Why the upstream was chosen, with the figures of the choice; `inputs` in the log.
     reason: CompactString,
     sends: u32,
@@ -46,6 +52,8 @@
             tokens: 0,
             version: core.table.load().version(),
             upstream: UpstreamId::default(),
+            software: Software::default(),
+            resumes: RequestId::default(),
             reason: CompactString::default(),
             sends: 0,
             framing: None,
@@ -71,9 +79,14 @@
         self.tokens = tokens;
     }
 
-    pub(crate) fn record_dispatch(&mut self, upstream: &UpstreamId, reason: &CompactString) {
-        self.upstream = upstream.clone();
-        self.reason = reason.clone();
+    pub(crate) fn set_resumes(&mut self, begun: &RequestId) {
+        self.resumes = begun.clone();
+    }
+
+    pub(crate) fn record_dispatch(&mut self, choice: &Choice) {
+        self.upstream = choice.upstream.clone();
+        self.software = choice.software.clone();
+        self.reason = choice.reason.clone();
         self.sends += 1;
     }
 
@@ -105,6 +118,8 @@
             tokens = self.tokens,
             version = self.version,
             upstream = %self.upstream,
+            software = %self.software,
+            resumes = %self.resumes,
             sends = self.sends,
             framing = self.framing.map(tracing::field::display),
             status,
--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -36,6 +36,7 @@
         lease_ms: LEASE.as_millis() as u64,
         availability: Availability::Serving,
         fence: 0,
+        software: Default::default(),
     }
 }
 
@@ -171,6 +172,7 @@
         let announcement = &self.engines[upstream];
         let choice = Choice {
             upstream: upstream.into(),
+            software: Default::default(),
             incarnation: announcement.incarnation,
             address: announcement.address,
             fetch_from: None,
--- a/components/routing/tests/support/fleet.rs
+++ b/components/routing/tests/support/fleet.rs
@@ -58,6 +58,7 @@
         lease_ms: 3_000,
         availability: Availability::Serving,
         fence: 0,
+        software: Default::default(),
     }
 }
 
--- a/components/upstream/src/announcement.rs
+++ b/components/upstream/src/announcement.rs
@@ -10,6 +10,9 @@
 
 use crate::{Capacity, Load};
 
+/// Version of an upstream's software.
+pub type Software = CompactString;
+
 /// Body of `POST /v1/upstreams`, which is signed with the upstreams' secret.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -45,6 +48,10 @@
     /// Largest fencing number that it has received with an order.
     #[serde(default)]
     pub fence: u64,
+    /// Version of its software; empty if it states none. What two versions write of one stream does
+    /// not fit together.
+    #[serde(default)]
+    pub software: Software,
 }
 
 /// Whether an upstream accepts new work.
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod prompt;
 mod routes;
 
-pub use announcement::{Announcement, Availability, Role, Served};
+pub use announcement::{Announcement, Availability, Role, Served, Software};
 pub use capacity::Capacity;
 pub use load::Load;
 pub use routes::{Route, Routes};
--- a/experiments/src/fleet.rs
+++ b/experiments/src/fleet.rs
@@ -135,6 +135,7 @@
                 State::Starting | State::Draining => Availability::Leaving,
             },
             fence: 0,
+            software: Default::default(),
         }
     }
 }
--- a/stand_ins/src/engine/announce.rs
+++ b/stand_ins/src/engine/announce.rs
@@ -33,6 +33,7 @@
             lease_ms: settings.announce.lease.as_millis() as u64,
             availability: status.availability(Instant::now()),
             fence: status.fence,
+            software: settings.software.clone(),
         }
     }
 
--- a/stand_ins/src/engine/settings.rs
+++ b/stand_ins/src/engine/settings.rs
@@ -5,7 +5,7 @@
 
 use config::ids::{DataCentreId, ServiceId, UpstreamId};
 use config::text::Class;
-use upstream::{Capacity, Role, Served};
+use upstream::{Capacity, Role, Served, Software};
 
 pub use config::text::Fencing;
 
@@ -30,6 +30,8 @@
     pub role: Role,
     /// Initially loaded models.
     pub models: Vec<Served>,
+    /// Version of the software.
+    pub software: Software,
     /// Limits and rates, in simulated time.
     pub capacity: Capacity,
     /// Seconds of simulated time per second of real time.
@@ -90,6 +92,7 @@
             class: Class::Reclaimable,
             role: Role::Both,
             models: vec![model],
+            software: Software::default(),
             capacity: Capacity::default(),
             time_scale: 1.0,
             max_waiting: 1_000,
--- a/stand_ins/src/plain.rs
+++ b/stand_ins/src/plain.rs
@@ -133,6 +133,7 @@
             lease_ms: settings.announce.lease.as_millis() as u64,
             availability: *lock(&self.availability),
             fence: 0,
+            software: Default::default(),
         }
     }
 }
