gateway: Continue streams only at the software version that began them

Cause: the version of an upstream's software was not known to the system, so that the rest of a stream went to any upstream of its service; and nothing led from a caller's request to the one that began its stream, least of all after the entry that served it had died. The class is state of a request that outlives the process which has it.

Now an entry keeps an answer at the version of the upstream whose head it passed on. It records the version at three control processes, chosen by rendezvous hashing, before it passes on the first event, and waits 60 ms at most until two of them hold it. A caller who takes a stream up names the request that began it; the entry asks its own memory, then all control processes, and goes on only at that version. What is not known, and what serves no longer, is refused at once as not run.

--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -24,6 +24,7 @@
 use link::Identity;
 use state::{Change, Command, Output};
 use tokio::sync::watch;
+use upstream::Origins;
 use wire::{Answer, Body, Failure, Query, Request};
 
 use crate::announcements::Announcements;
@@ -44,6 +45,7 @@
     leadership: Mutex<Leadership>,
     meters: Mutex<Meters>,
     workload: Mutex<Workload>,
+    origins: Mutex<Origins>,
     parsed_text: Mutex<ParsedText>,
     pub(crate) stopped: watch::Sender<bool>,
 }
@@ -74,6 +76,7 @@
             }),
             meters: Mutex::default(),
             workload: Mutex::new(Workload::new(settings.limit_window)),
+            origins: Mutex::default(),
             parsed_text: Mutex::default(),
             identity,
             replica,
@@ -131,6 +134,9 @@
     }
 
     async fn route(&self, request: Request) -> Result<Answer, Failure> {
+        if let Some(answer) = self.answer_by_itself(&request.body) {
+            return Ok(answer);
+        }
         let status = self.replica.status();
         let query = match request.body {
             Body::Query(query) => Some(query),
@@ -152,6 +158,22 @@
         }
     }
 
+    /// Answers a request that needs no leader; returns `None` for others.
+    fn answer_by_itself(&self, body: &Body) -> Option<Answer> {
+        match body {
+            Body::RecordOrigin(origin) => {
+                self.origins().record(origin.clone(), Instant::now());
+                Some(Answer::Done)
+            }
+            Body::FindOrigin(key) => Some(Answer::Origin(self.origins().find(key).cloned())),
+            _ => None,
+        }
+    }
+
+    fn origins(&self) -> MutexGuard<'_, Origins> {
+        self.origins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Reports whether this process holds the leader's lease now.
     pub fn leads(&self) -> bool {
         let until = self.replica.status().leads_until;
@@ -202,6 +224,8 @@
         Body::Replace { .. } => "replace",
         Body::Report(_) => "report",
         Body::Balance(_) => "balance",
+        Body::RecordOrigin(_) => "record-origin",
+        Body::FindOrigin(_) => "find-origin",
         Body::Query(_) => "query",
     }
 }
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -92,6 +92,9 @@
                 });
                 Ok(Answer::Balances(balances.unwrap_or_default()))
             }
+            Body::RecordOrigin(_) | Body::FindOrigin(_) => {
+                Err(Failure::Refused("the leader is not needed for it".into()))
+            }
             Body::Query(Query::Source) => {
                 self.read_barrier().await?;
                 let state = self.machine.read();
--- a/components/entry/tests/path/completeness.rs
+++ b/components/entry/tests/path/completeness.rs
@@ -121,8 +121,9 @@
     let mut results = Vec::new();
     for chunk in cases.chunks(MAX_BENCHES) {
         let chunk: Vec<T> = thread::scope(|scope| {
-            let threads: Vec<_> = chunk.iter().map(|case| scope.spawn(|| f(case))).collect();
-            let joined = threads.into_iter().map(|thread| thread.join());
+            let threads: Vec<thread::ScopedJoinHandle<'_, T>> =
+                chunk.iter().map(|case| scope.spawn(|| f(case))).collect();
+            let joined = threads.into_iter().map(thread::ScopedJoinHandle::join);
             joined
                 .map(|result| result.expect("the case does not panic"))
                 .collect()
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -4,6 +4,7 @@
 mod announcements;
 mod confirm;
 mod links;
+mod origins;
 mod settings;
 
 pub use settings::Settings;
--- a/components/fleet/src/member/links.rs
+++ b/components/fleet/src/member/links.rs
@@ -13,7 +13,9 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 use tracing::{info, warn};
+use upstream::StreamKey;
 use wire::{Answer, Push, Request};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Shared;
 
@@ -56,6 +58,16 @@
         links.into_iter().map(|(_, link)| link.clone()).collect()
     }
 
+    /// Returns the open connections in the order in which the control processes hold the records of
+    /// a stream. It is the same at all entries, by rendezvous hashing.
+    pub(crate) fn holders(&self, key: &StreamKey) -> Vec<Connection> {
+        let connections = self.connections();
+        let open = connections.iter().filter(|(_, link)| link.is_open());
+        let mut holders: Vec<_> = open.collect();
+        holders.sort_by_cached_key(|(node, _)| xxh3_64_with_seed(node.as_bytes(), key.seed()));
+        holders.into_iter().map(|(_, link)| link.clone()).collect()
+    }
+
     pub(crate) fn set_leader(&self, leader: NodeId) {
         *self.leader() = Some(leader);
     }
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -163,6 +163,9 @@
                 && upstream.availability == Availability::Serving
                 && !upstream.superseded
                 && !criteria.excluded.contains(name)
+                && criteria
+                    .software
+                    .is_none_or(|software| *software == upstream.software)
         };
         let all: Vec<_> = self.upstreams.iter().filter(is_candidate).collect();
         let is_live = |upstream: &Upstream| now < upstream.expires;
--- a/components/gateway/src/balancer/choice.rs
+++ b/components/gateway/src/balancer/choice.rs
@@ -18,6 +18,8 @@
     pub prompt: Option<&'a Prompt>,
     /// Upstreams that must not be chosen because they were tried before.
     pub excluded: &'a [UpstreamId],
+    /// Software version at which a stream has to go on; `None` for any.
+    pub software: Option<&'a Software>,
     /// Time until the deadline.
     pub time_left: Duration,
     /// Longest expected time to the first event with which the request is sent.
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::ArcSwap;
 use fleet::Member;
+use upstream::Origins;
 
 use crate::demand::Demand;
 use crate::drain::Drain;
@@ -25,6 +26,8 @@
     pub(crate) retries: Mutex<Retries>,
     pub(crate) usage: Mutex<Usage>,
     pub(crate) demand: Mutex<Demand>,
+    /// Software versions of the streams that began at this entry.
+    pub(crate) origins: Mutex<Origins>,
     pub(crate) pool: Mutex<Pool>,
     pub(crate) readiness: Readiness,
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 use tracing::warn;
+use upstream::Software;
 
 use crate::balancer::{Choice, Criteria, Outcome, Shortage};
 use crate::call::Call;
@@ -61,6 +62,8 @@
 pub(crate) struct Attempts {
     /// Upstreams that were tried.
     excluded: Vec<UpstreamId>,
+    /// Software version at which the stream has to go on; `None` for any.
+    software: Option<Software>,
     /// Attempts that reached an upstream.
     sends: u32,
     connect_failures: u32,
@@ -69,6 +72,19 @@
 }
 
 impl Attempts {
+    /// Creates the state of a request that has to run at `software`, if that is set.
+    pub(crate) fn at(software: Option<Software>) -> Self {
+        Attempts {
+            software,
+            ..Attempts::default()
+        }
+    }
+
+    /// Restricts further attempts to the software version of the upstream that began the stream.
+    pub(crate) fn keep_to(&mut self, software: &Software) {
+        self.software.get_or_insert_with(|| software.clone());
+    }
+
     /// Excludes an upstream that has begun to run the request from further attempts.
     pub(crate) fn exclude(&mut self, upstream: &UpstreamId) {
         self.excluded.push(upstream.clone());
@@ -100,6 +116,7 @@
             service: &call.service,
             prompt: call.prompt.as_ref(),
             excluded: &attempts.excluded,
+            software: attempts.software.as_ref(),
             time_left: call.time_left(now),
             max_wait: match resume_after {
                 Some(_) => call.time_left(now),
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -10,7 +10,7 @@
 use crate::core::{Core, lock};
 use crate::dispatch::{self, Attempts};
 use crate::request_log::RequestLog;
-use crate::{Account, Head, Prompt, Refusal, Table, relay, retries, table, token_limit};
+use crate::{Account, Head, Prompt, Refusal, Table, origin, relay, retries, table, token_limit};
 
 /// Longest wait of a request for the first text after the start of the entry. A request that waits
 /// this long still meets most latency targets.
@@ -68,13 +68,17 @@
         Ok(call) => Arc::new(call),
         Err(refusal) => return refuse(request_log, &refusal),
     };
+    let software = match origin::find(&core, &call).await {
+        Ok(software) => software,
+        Err(refusal) => return refuse(request_log, &refusal),
+    };
     if let Err(refusal) = token_limit::take(&core, &call, &mut request_log).await {
         return refuse(request_log, &refusal);
     }
     let since_start = retries::elapsed(core.started, arrived);
     lock(&core.retries).record_request(&call.service, since_start);
     lock(&core.demand).add(&call.service, call.prompt.as_ref());
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts::at(software);
     match dispatch::dispatch(&core, &call, None, &mut attempts, &mut request_log).await {
         Ok(answer) => close_if_stopping(
             &core,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod event_buffer;
 mod exchange;
 mod metrics;
+mod origin;
 mod pool;
 mod protocol;
 mod readiness;
--- /dev/null
+++ b/components/gateway/src/origin.rs
@@ -0,0 +1,56 @@
+//! Keeps each stream at the software version that began it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tracing::warn;
+use upstream::{Origin, Software, StreamKey};
+
+use crate::Refusal;
+use crate::call::Call;
+use crate::core::{Core, lock};
+
+/// Longest time for which the first event waits until control processes hold the record.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(60);
+/// Longest wait for the answers of control processes about a stream.
+const FIND_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Records that `call` begins a stream at `software`, here and at control processes. After an
+/// error, only this entry continues the stream.
+pub(crate) async fn record(core: Arc<Core>, call: Arc<Call>, software: Software) {
+    let key = key(&call, &call.id);
+    let origin = Origin { key, software };
+    lock(&core.origins).record(origin.clone(), Instant::now());
+    if !core.member.record_origin(origin, RECORD_TIMEOUT).await {
+        warn!(
+            request = %call.id,
+            "origin: the record did not reach enough control processes within {RECORD_TIMEOUT:?}"
+        );
+    }
+}
+
+/// Returns the software version at which `call` has to go on; `None` if it begins a stream.
+///
+/// # Errors
+/// Returns a refusal if the call takes up a stream whose version is not known.
+pub(crate) async fn find(core: &Core, call: &Call) -> Result<Option<Software>, Refusal> {
+    let takes_up = call.is_idempotent() && call.route.kind.is_stream();
+    if !takes_up || call.resume_after.unwrap_or(0) == 0 {
+        return Ok(None);
+    }
+    let Some(begun) = &call.resumes else {
+        return Err(Refusal::UnknownOrigin);
+    };
+    let key = key(call, begun);
+    let own = lock(&core.origins).find(&key).cloned();
+    let software = match own {
+        Some(software) => Some(software),
+        None => core.member.find_origin(&key, FIND_TIMEOUT).await,
+    };
+    software.map(Some).ok_or(Refusal::UnknownOrigin)
+}
+
+fn key(call: &Call, begun: &str) -> StreamKey {
+    let account = call.account.as_ref();
+    StreamKey::new(account.map_or("", |account| account.name.as_str()), begun)
+}
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -49,6 +49,10 @@
         Overloaded(retry_after: Duration) {
             display("the upstreams can't serve it in time")
         }
+        /// The request takes up a stream, and the software version that began it is not known.
+        UnknownOrigin {
+            display("it is not known which version began the stream")
+        }
         /// Upstreams refused the request without running it, and no further attempt is allowed.
         Shed(retry_after: Duration) {
             display("upstreams refused it without running it")
@@ -100,6 +104,7 @@
             Refusal::OverLimit(_) => "over-limit",
             Refusal::NoUpstream(_) => "no-upstream",
             Refusal::Overloaded(_) => "overloaded",
+            Refusal::UnknownOrigin => "unknown-origin",
             Refusal::Shed(_) => "shed",
             Refusal::TooLate => "too-late",
             Refusal::Lost(_) => "lost",
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -19,12 +19,12 @@
 
 pub(crate) use bounds::MAX_ANSWER_BYTES;
 
-use crate::EventBuffer;
 use crate::balancer::Outcome;
 use crate::call::Call;
 use crate::core::{Core, lock};
 use crate::dispatch::{self, Answer, Attempts};
 use crate::request_log::RequestLog;
+use crate::{EventBuffer, origin};
 use bounds::Bounds;
 use source::{Resumed, Source, resume};
 
@@ -41,6 +41,8 @@
     /// Incomplete event of a stream; `None` for a plain answer.
     events: Option<EventBuffer>,
     bounds: Bounds,
+    /// Records the software version of the stream; no event is passed on before its end.
+    recording: Option<Recording>,
     deadline: Pin<Box<Sleep>>,
     attempts: Option<Attempts>,
     request_log: Option<RequestLog>,
@@ -48,6 +50,8 @@
     usage_recorded: bool,
 }
 
+type Recording = Pin<Box<dyn Future<Output = ()> + Send>>;
+
 /// State of a relayed answer.
 enum State {
     Reading(Box<Source>),
@@ -75,12 +79,23 @@
         // A stream may be broken off where its length ends, or be resumed with another length.
         parts.headers.remove(header::CONTENT_LENGTH);
     }
+    let may_be_taken_up = is_event_stream && call.is_idempotent();
+    let mut recording: Option<Recording> = None;
+    if may_be_taken_up {
+        let software = &source.ticket.choice().software;
+        attempts.keep_to(software);
+        if call.resume_after.unwrap_or(0) == 0 {
+            let record = origin::record(core.clone(), call.clone(), software.clone());
+            recording = Some(Box::pin(record));
+        }
+    }
     let relay = Relay {
         core: core.clone(),
         status: parts.status.as_u16(),
         deadline: Box::pin(tokio::time::sleep_until(call.deadline.into())),
         events: is_event_stream.then(EventBuffer::default),
         bounds: Bounds::default(),
+        recording,
         state: State::Reading(Box::new(source)),
         attempts: Some(attempts),
         request_log: Some(request_log),
@@ -312,6 +327,10 @@
             this.log_outcome("cut-at-deadline");
             return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
         }
+        if let Some(recording) = &mut this.recording {
+            std::task::ready!(recording.as_mut().poll(cx));
+            this.recording = None;
+        }
         loop {
             match &mut this.state {
                 State::Done => return Poll::Ready(None),
--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -9,7 +9,7 @@
 use gateway::balancer::{Balancer, Choice, Criteria, Outcome, Settings, Shortage};
 use gateway::{Part, Prompt};
 use indexmap::IndexMap;
-use upstream::{Announcement, Availability, Capacity, Load, Role, Routes};
+use upstream::{Announcement, Availability, Capacity, Load, Role, Routes, Software};
 use wire::Work;
 
 const SERVICE: &str = "model";
@@ -135,12 +135,24 @@
         entry: usize,
         shared: u64,
         max_wait: Duration,
+    ) -> Result<Choice, Shortage> {
+        self.choose_at(entry, shared, max_wait, None)
+    }
+
+    /// Chooses an engine of a software version, or any, within `max_wait`.
+    pub(crate) fn choose_at(
+        &mut self,
+        entry: usize,
+        shared: u64,
+        max_wait: Duration,
+        software: Option<&Software>,
     ) -> Result<Choice, Shortage> {
         self.sent += 1;
         let prompt = prompt(shared, self.sent);
         let criteria = Criteria {
             service: &SERVICE.into(),
             prompt: Some(&prompt),
+            software,
             excluded: &[],
             time_left: Duration::from_secs(15),
             max_wait,
--- a/components/gateway/tests/balancing/main.rs
+++ b/components/gateway/tests/balancing/main.rs
@@ -9,7 +9,7 @@
 use gateway::balancer::{Outcome, Shortage};
 use googletest::prelude::*;
 use indexmap::IndexMap;
-use upstream::Availability;
+use upstream::{Announcement, Availability, Software};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -181,3 +181,29 @@
     assert_that!(fleet.report(0), is_empty());
     assert_that!(prompt(1, 1).parts.len(), eq(2));
 }
+
+#[test]
+fn never_chooses_another_software_version_than_a_stream_began_at() {
+    let mut fleet = Fleet::new(4, 2);
+    for name in ["n8", "n9"] {
+        fleet.announce(&Announcement {
+            software: "v2".into(),
+            ..engine(name)
+        });
+    }
+    fleet.advance(ms(15_000));
+    let (old, new) = (Software::default(), Software::from("v2"));
+    let choose = |fleet: &mut Fleet, software: &Software| {
+        let choice = fleet.choose_at(0, 1, Duration::MAX, Some(software));
+        choice.map(|choice| choice.software)
+    };
+    for _ in 0..40 {
+        assert_that!(choose(&mut fleet, &new), ok(eq(&new)));
+        assert_that!(choose(&mut fleet, &old), ok(eq(&old)));
+    }
+    // All leases have expired, as at an entry that is cut off.
+    fleet.advance_without_announcements(ms(20_000));
+    assert_that!(choose(&mut fleet, &new), ok(eq(&new)));
+    let other = Software::from("v3");
+    assert_that!(choose(&mut fleet, &other), err(eq(&Shortage::NoUpstream)));
+}
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -6,12 +6,14 @@
 pub mod cache;
 mod capacity;
 mod load;
+mod origins;
 pub mod prompt;
 mod routes;
 
 pub use announcement::{Announcement, Availability, Role, Served, Software};
 pub use capacity::Capacity;
 pub use load::Load;
+pub use origins::{Origin, Origins, StreamKey};
 pub use routes::{Route, Routes};
 
 /// Header that carries the signature of an announcement's body.
--- a/components/wire/src/answer.rs
+++ b/components/wire/src/answer.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use state::claim::Verdict;
 use state::text::Outcome;
+use upstream::Software;
 
 use crate::{Balances, Overview};
 
@@ -30,7 +31,9 @@
     Balances(Balances),
     /// Answers `Query` with a JSON document, or with the text itself.
     Document(String),
-    /// Answers `Leave`.
+    /// Answers `FindOrigin`; `None` if the version is not known here.
+    Origin(Option<Software>),
+    /// Answers `Leave` and `RecordOrigin`.
     Done,
 }
 
--- a/components/wire/src/request.rs
+++ b/components/wire/src/request.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use state::claim::{Claim, Settlement};
 use state::text::{Replacement, Submission};
+use upstream::{Origin, StreamKey};
 
 use crate::{Report, Statements};
 
@@ -58,6 +59,12 @@
     Report(Report),
     /// An entry needs a larger allotment of the token limit of accounts, between two reports.
     Balance(Statements),
+    /// An entry records at which software version a stream began. Every control process answers
+    /// by itself.
+    RecordOrigin(Origin),
+    /// An entry asks at which software version a stream began. Every control process answers by
+    /// itself.
+    FindOrigin(StreamKey),
     /// An operator reads the leader's state.
     Query(Query),
 }
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -3,7 +3,9 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
-use wire::{Body, Envelope, Frame, MAX_FRAME_BYTES, Malformed, Push, Request, decode, encode};
+use wire::{
+    Answer, Body, Envelope, Frame, MAX_FRAME_BYTES, Malformed, Push, Request, decode, encode,
+};
 
 const SEED: u64 = 0x5eed_0002;
 
@@ -88,3 +90,33 @@
         assert_that!(decode(bytes), err(matches_pattern!(Malformed::Syntax(_))));
     }
 }
+
+#[test]
+fn encodes_the_record_of_a_stream_in_few_bytes() {
+    let origin = upstream::Origin {
+        key: upstream::StreamKey::new("press", "823a11edea8991b7"),
+        software: "v1.12.3".into(),
+    };
+    let call = |body| {
+        let request = Request {
+            node: "10.128.0.9".into(),
+            incarnation: 1_790_000_000_000,
+            forwarded: false,
+            body,
+        };
+        Envelope(1_000_000, 1_000_000, Frame::Call(1_000_000, request))
+    };
+    let key = origin.key;
+    let record = encode(&call(Body::RecordOrigin(origin))).map(|bytes| bytes.len());
+    let find = encode(&call(Body::FindOrigin(key))).map(|bytes| bytes.len());
+    let done = Envelope(
+        1_000_000,
+        1_000_000,
+        Frame::Answer(1_000_000, Ok(Answer::Done)),
+    );
+    let done = encode(&done).map(|bytes| bytes.len());
+    println!("record {record:?}, find {find:?}, done {done:?}");
+    assert_that!(record, ok(le(&160)));
+    assert_that!(find, ok(le(&140)));
+    assert_that!(done, ok(le(&32)));
+}
