entry: Continue streams only at the software version that began them

What callers saw, in a test: a stream of our own interface that went on at an engine of another version.

Now the answer keeps to the version of the engine that sent its first token, in moves, in transfers of state and at an entry that takes the request over. While none of that version serves, it waits as it does without any engine, to the service's timeout.

Evidence: moves_each_stream_only_to_the_software_version_that_began_it and never_continues_a_stream_at_another_software_version fail with the comparison removed.

--- a/components/entry/src/handover/record.rs
+++ b/components/entry/src/handover/record.rs
@@ -5,6 +5,7 @@
 use config::ids::{AccountId, RequestId, ServiceId, Version};
 use config::text::Priority;
 use serde::{Deserialize, Serialize};
+use upstream::Software;
 
 use crate::stream::Api;
 
@@ -38,6 +39,8 @@
     pub body: Bytes,
     /// Tokens received so far.
     pub tokens: Vec<CompactString>,
+    /// Software version of the engine that began the answer; `None` before its first token.
+    pub software: Option<Software>,
     /// How many of the tokens were passed to the caller's connection.
     pub emitted: usize,
 }
--- a/components/entry/src/model/attempt.rs
+++ b/components/entry/src/model/attempt.rs
@@ -287,6 +287,8 @@
             return;
         }
         attempt.first_token = Some(Instant::now());
+        self.software
+            .get_or_insert_with(|| attempt.choice.software.clone());
         let elapsed = attempt.started.elapsed();
         let request = self.route_request();
         self.core
--- a/components/entry/src/model/relay.rs
+++ b/components/entry/src/model/relay.rs
@@ -10,6 +10,7 @@
 use routing::{Choice, Request};
 use tokio::sync::watch;
 use tokio::time::timeout_at;
+use upstream::Software;
 
 use super::Call;
 use super::attempt::{AttemptError, End};
@@ -53,6 +54,8 @@
     pub(super) service: ServiceId,
     pub(super) admission: Admission,
     encoder: Encoder,
+    /// Software version of the engine that began the answer; `None` before its first token.
+    pub(super) software: Option<Software>,
     /// Tokens passed to the sink.
     pub(super) emitted: usize,
     last_sent: Instant,
@@ -108,6 +111,7 @@
             service,
             admission: parameters.admission,
             encoder,
+            software: None,
             emitted: 0,
             last_sent: now,
             version: parameters.config.version,
@@ -117,6 +121,11 @@
         }
     }
 
+    /// Continues an answer that was begun at a software version.
+    pub(super) fn at(self, software: Option<Software>) -> Self {
+        Relay { software, ..self }
+    }
+
     /// Sets the deadline for the complete answer.
     pub(super) fn with_deadline(self, deadline: Instant) -> Self {
         Relay { deadline, ..self }
@@ -164,6 +173,7 @@
             max_tokens: self.call.max_tokens.saturating_sub(generated),
             priority: self.admission.priority,
             exclude: &self.excluded,
+            software: self.software.as_ref(),
             resumed: self.exchange.lifecycle().may_have_run(),
             ..Request::default()
         }
@@ -330,6 +340,7 @@
             remaining_ms: u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX),
             body: self.call.body(&request, priority, &[], None),
             tokens: tokens.to_vec(),
+            software: self.software.clone(),
             emitted: self.emitted,
             request,
         }
--- a/components/entry/src/model/resume.rs
+++ b/components/entry/src/model/resume.rs
@@ -56,6 +56,7 @@
     };
     let deadline = Instant::now() + Duration::from_millis(record.remaining_ms);
     Relay::new(&core, parameters)
+        .at(record.software)
         .with_deadline(deadline)
         .run()
         .await;
--- a/components/entry/src/model/transfer.rs
+++ b/components/entry/src/model/transfer.rs
@@ -7,7 +7,7 @@
 use http::Method;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use routing::Choice;
+use routing::{Choice, Request};
 use serde::Deserialize;
 use tokio::time::timeout;
 
@@ -46,11 +46,11 @@
         if !self.excluded.contains(&source) {
             self.excluded.push(source);
         }
-        let target = self
-            .core
-            .router
-            .choose(&self.route_request(), Instant::now())
-            .ok()?;
+        let request = Request {
+            software: Some(&attempt.choice.software),
+            ..self.route_request()
+        };
+        let target = self.core.router.choose(&request, Instant::now()).ok()?;
         if time_left < MIN_TRANSFER_TIME {
             let handle = None;
             return Some(End::Transferred { target, handle });
--- a/components/entry/tests/path/bench.rs
+++ b/components/entry/tests/path/bench.rs
@@ -118,6 +118,17 @@
         fake
     }
 
+    /// Starts a fake engine of a software version and announces it.
+    pub(crate) fn engine_at(&self, name: &str, software: &str) -> Fake {
+        let fake = Fake::start(name);
+        let serving = json!({"state": "serving"});
+        let mut body = announcement(name, fake.address, "assistant", 1, serving);
+        body["software"] = software.into();
+        let answer = self.send_announcement(&body);
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        fake
+    }
+
     pub(crate) fn announce(&self, fake: &Fake, service: &str, sequence: u64, state: Value) {
         let answer = self.announce_as(&fake.name, fake.address, service, sequence, state);
         assert_eq!(answer.status, 200, "{}", answer.body);
@@ -131,7 +142,11 @@
         sequence: u64,
         state: Value,
     ) -> Answer {
-        let body = announcement(name, address, service, sequence, state).to_string();
+        self.send_announcement(&announcement(name, address, service, sequence, state))
+    }
+
+    fn send_announcement(&self, body: &Value) -> Answer {
+        let body = body.to_string();
         let signature = Secret::new(UPSTREAM_SECRET).sign(body.as_bytes());
         let headers = [("chervilloft-signature", signature.as_str())];
         call(self.address, "POST", "/v1/upstreams", &headers, &body)
--- a/components/entry/tests/path/moves.rs
+++ b/components/entry/tests/path/moves.rs
@@ -303,3 +303,48 @@
     });
     expect_that!(incomplete, is_empty());
 }
+
+#[gtest]
+fn moves_each_stream_only_to_the_software_version_that_began_it() {
+    let bench = Bench::start();
+    let versions = ["v1", "v2", "v1", "v2"];
+    let engines: Vec<Fake> = versions
+        .iter()
+        .enumerate()
+        .map(|(number, version)| bench.engine_at(&format!("engine-{number}"), version))
+        .collect();
+    for turn in 0..8 {
+        for engine in &engines {
+            engine.script([Behaviour::CloseAfter(5)]);
+        }
+        let prompt = format!("ticket{turn}");
+        let answer = bench.stream(&prompt, 12);
+        expect_eq!(answer.events().1, expected(&prompt, 12));
+        let calls = |engine: &Fake| {
+            let calls = engine.calls("/v1/completions").into_iter();
+            calls
+                .filter(|call| call.json()["prompt"] == json!(prompt))
+                .count()
+        };
+        let mut used: Vec<&str> = Vec::new();
+        for (engine, version) in engines.iter().zip(versions) {
+            used.extend(std::iter::repeat_n(version, calls(engine)));
+        }
+        expect_that!(used.len(), ge(2));
+        expect_that!(used, each(eq(&used[0])));
+    }
+}
+
+#[gtest]
+fn never_continues_a_stream_at_another_software_version() {
+    let bench = Bench::start();
+    let engines = ["v1", "v2"].map(|version| bench.engine_at(version, version));
+    for engine in &engines {
+        engine.script([Behaviour::CloseAfter(5), Behaviour::CloseAfter(1)]);
+    }
+    let answer = bench.stream("ticket", 12);
+    let calls = engines.map(|engine| engine.calls("/v1/completions").len());
+    expect_that!(calls, contains(eq(0)));
+    // The engine that began the stream serves on, so that it is tried again.
+    expect_eq!(answer.events().1, expected("ticket", 12));
+}
--- a/components/routing/src/candidate.rs
+++ b/components/routing/src/candidate.rs
@@ -6,7 +6,7 @@
 use config::ids::{DataCentreId, UpstreamId};
 use config::text::Class;
 use std::net::SocketAddr;
-use upstream::{Announcement, Capacity, Load, Role, Route};
+use upstream::{Announcement, Capacity, Load, Role, Route, Software};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::tracker::Tracker;
@@ -17,6 +17,7 @@
     pub(crate) upstream: UpstreamId,
     /// Hash of the upstream's id, for rendezvous hashing.
     pub(crate) hash: u64,
+    pub(crate) software: Software,
     pub(crate) address: SocketAddr,
     pub(crate) data_centre: DataCentreId,
     pub(crate) class: Class,
@@ -41,6 +42,7 @@
         Candidate {
             upstream: announcement.upstream.clone(),
             hash: xxh3_64(announcement.upstream.as_bytes()),
+            software: announcement.software.clone(),
             address: announcement.address,
             data_centre: announcement.data_centre.clone(),
             class: announcement.class,
@@ -59,4 +61,9 @@
     pub(crate) fn serves(&self, phase: Role) -> bool {
         self.role == Role::Both || self.role == phase
     }
+
+    /// Reports whether the upstream has the software version that a request needs, if any.
+    pub(crate) fn runs(&self, software: Option<&Software>) -> bool {
+        software.is_none_or(|software| *software == self.software)
+    }
 }
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 use config::ids::UpstreamId;
+use upstream::Software;
 
 use crate::Ticket;
 
@@ -13,6 +14,8 @@
 pub struct Choice {
     /// Chosen upstream.
     pub upstream: UpstreamId,
+    /// Version of the upstream's software.
+    pub software: Software,
     /// Address on which the upstream listens.
     pub address: SocketAddr,
     /// Expected time to the first token or byte.
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -2,8 +2,8 @@
 
 use config::ids::UpstreamId;
 use config::text::Priority;
-use upstream::Role;
 use upstream::blocks::BlockHash;
+use upstream::{Role, Software};
 
 /// A request to be routed.
 #[derive(Clone, Debug, Default)]
@@ -22,6 +22,8 @@
     pub priority: Priority,
     /// Upstreams that must not be chosen because they failed or are leaving.
     pub exclude: &'a [UpstreamId],
+    /// Software version at which an accepted stream has to go on; `None` for any.
+    pub software: Option<&'a Software>,
     /// Whether the request continues an accepted stream; such a request is never refused as
     /// overloaded.
     pub resumed: bool,
--- a/components/routing/src/router/selection.rs
+++ b/components/routing/src/router/selection.rs
@@ -157,7 +157,10 @@
 
     fn is_usable(&self, candidate: &Candidate) -> bool {
         let excluded = self.request.exclude.contains(&candidate.upstream);
-        self.now < candidate.expires && !excluded && candidate.serves(self.request.phase)
+        self.now < candidate.expires
+            && !excluded
+            && candidate.serves(self.request.phase)
+            && candidate.runs(self.request.software)
     }
 
     /// Returns the score of a candidate in seconds; the lowest score is the best.
@@ -189,6 +192,7 @@
         let uncached = self.request.prompt_tokens - estimate.cached_tokens;
         Choice {
             upstream: candidate.upstream.clone(),
+            software: candidate.software.clone(),
             address: candidate.address,
             expected_first_token: Duration::from_secs_f64(estimate.first_token()),
             cached_tokens: estimate.cached_tokens,
