control: Keep the records of streams' software versions over a restart of all processes

Cause: the records were in the memory of control processes only.

Now each control process appends them to two files in its data folder and reads these at its start. A thread writes every 100 ms and syncs once a second; nothing waits for it, and a full or stalled disk costs this protection only. Damaged records are left out by their checksum.

Evidence: outlast_a_restart_of_all_control_processes and are_left_out_when_they_are_damaged; the first finds nothing without the files.

--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -14,6 +14,7 @@
 mod node;
 pub mod operators;
 pub mod orders;
+mod origin_files;
 mod peers;
 mod process;
 pub mod replica;
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -24,11 +24,13 @@
 use link::Identity;
 use state::{Change, Command, Output};
 use tokio::sync::watch;
+use tracing::warn;
 use upstream::Origins;
 use wire::{Answer, Body, Failure, Query, Request};
 
 use crate::announcements::Announcements;
 use crate::leases::Leases;
+use crate::origin_files::OriginFiles;
 use crate::peers::Peers;
 use crate::replica::{Replica, Status};
 use crate::{Machine, Metrics, clock, documents};
@@ -46,6 +48,7 @@
     meters: Mutex<Meters>,
     workload: Mutex<Workload>,
     origins: Mutex<Origins>,
+    origin_files: Option<OriginFiles>,
     parsed_text: Mutex<ParsedText>,
     pub(crate) stopped: watch::Sender<bool>,
 }
@@ -68,6 +71,7 @@
             role: wire::Role::Control,
             secret: settings.secret.clone(),
         };
+        let (origin_files, origins) = open_origins(&settings);
         Arc::new(Node {
             leadership: Mutex::new(Leadership {
                 term: 0,
@@ -76,7 +80,8 @@
             }),
             meters: Mutex::default(),
             workload: Mutex::new(Workload::new(settings.limit_window)),
-            origins: Mutex::default(),
+            origins: Mutex::new(origins),
+            origin_files,
             parsed_text: Mutex::default(),
             identity,
             replica,
@@ -163,6 +168,9 @@
         match body {
             Body::RecordOrigin(origin) => {
                 self.origins().record(origin.clone(), Instant::now());
+                if let Some(files) = &self.origin_files {
+                    files.append(origin.clone());
+                }
                 Some(Answer::Done)
             }
             Body::FindOrigin(key) => Some(Answer::Origin(self.origins().find(key).cloned())),
@@ -213,6 +221,28 @@
     }
 }
 
+/// Opens the files with the software versions at which streams began, and returns their records.
+/// Without the files the process serves on.
+fn open_origins(settings: &Settings) -> (Option<OriginFiles>, Origins) {
+    let mut origins = Origins::default();
+    let opened = settings.origins_folder.as_deref().map(OriginFiles::open);
+    let files = match opened {
+        Some(Ok((files, records))) => {
+            let now = Instant::now();
+            for origin in records {
+                origins.record(origin, now);
+            }
+            Some(files)
+        }
+        Some(Err(error)) => {
+            warn!("origins: the files can't be used: {error}");
+            None
+        }
+        None => None,
+    };
+    (files, origins)
+}
+
 fn request_kind(body: &Body) -> &'static str {
     match body {
         Body::Confirm { .. } => "confirm",
--- a/components/control/src/node/settings.rs
+++ b/components/control/src/node/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a control process, including the fleet's secret.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use config::ids::{Incarnation, NodeId};
@@ -37,6 +38,9 @@
     pub leader_lease: Duration,
     /// Address of the cloud API; without it, no instances are started or stopped.
     pub cloud: Option<SocketAddr>,
+    /// Folder of the files with the software versions at which streams began; without it, the
+    /// records are lost with the process.
+    pub origins_folder: Option<PathBuf>,
     /// Time for which idempotency keys and recorded answers are kept.
     pub claim_retention: Duration,
 }
@@ -57,6 +61,7 @@
             freshness_lease: control.freshness_lease,
             leader_lease: control.election_timeout,
             cloud: control.cloud,
+            origins_folder: None,
             claim_retention: control.claim_retention,
         }
     }
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -19,6 +19,8 @@
 use crate::replica::{ConsensusReplica, Replica};
 use crate::{Machine, Node, Settings, announcements, clock, duties, external, node, orders, peers};
 
+/// Folder of the files with the software versions at which streams began, in the data folder.
+const ORIGINS_FOLDER: &str = "origins";
 /// Longest wait for a transfer of leadership on a planned stop.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for which answers are still sent on a planned stop.
@@ -256,6 +258,7 @@
         leader_lease: settings.control.election_timeout,
         cloud: settings.control.cloud,
         claim_retention: settings.control.claim_retention,
+        origins_folder: Some(settings.data_folder.join(ORIGINS_FOLDER)),
         ..defaults
     };
     let node = Node::new(own_settings, replica, machine);
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod control_group;
 mod group;
+mod origins;
 mod relay;
 mod replacements;
 mod silent_connections;
--- a/components/control/tests/process/single_control.rs
+++ b/components/control/tests/process/single_control.rs
@@ -42,13 +42,23 @@
     limit_window: Duration,
 ) -> Process<MemoryReplica> {
     let settings = Settings {
+        limit_window,
+        ..settings()
+    };
+    start(settings, machine).await
+}
+
+pub(crate) fn settings() -> Settings {
+    Settings {
         node: "control-1".into(),
         incarnation: 1,
         secret: Secret::new(SECRET),
         freshness_lease: Duration::from_secs(2),
-        limit_window,
         ..Settings::default()
-    };
+    }
+}
+
+pub(crate) async fn start(settings: Settings, machine: Machine) -> Process<MemoryReplica> {
     let replica = MemoryReplica::new("control-1".into(), machine.clone());
     let node: Arc<Node<MemoryReplica>> = Node::new(settings, replica, machine);
     let mut keys = Keys::default();
