gateway: Count the upstream that began an answer among the route's attempts

What callers saw, in a test: a stream that broke off at each upstream was sent to four of them on a route that allows two, and no resumption drew on the retry budget.

Cause: an attempt that was answered was not counted, so that each resumption began with none. With answers that break off at upstreams that live, resumptions are no longer as rare as deaths.

Now the answered attempt counts.

Evidence: never_resumes_a_stream_at_more_upstreams_than_the_route_allows failed before with 4 sends and passes with 2.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -85,9 +85,10 @@
         self.software.get_or_insert_with(|| software.clone());
     }
 
-    /// Excludes an upstream that has begun to run the request from further attempts.
-    pub(crate) fn exclude(&mut self, upstream: &UpstreamId) {
+    /// Counts the attempt at an upstream that answered, and excludes it from further ones.
+    pub(crate) fn record_answer(&mut self, upstream: &UpstreamId) {
         self.excluded.push(upstream.clone());
+        self.sends += 1;
     }
 }
 
@@ -112,6 +113,13 @@
                 attempts.unknown_outcome.take().unwrap_or(Refusal::TooLate),
             );
         }
+        if attempts.sends >= call.route.attempts {
+            let refusal = attempts.unknown_outcome.take();
+            return fallback(
+                server_error,
+                refusal.unwrap_or(Refusal::Shed(SHED_RETRY_AFTER)),
+            );
+        }
         let criteria = Criteria {
             service: &call.service,
             prompt: call.prompt.as_ref(),
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -70,7 +70,7 @@
     mut request_log: RequestLog,
 ) -> Response<web::Body> {
     let (mut parts, source) = Source::new(answer);
-    attempts.exclude(&source.ticket.choice().upstream);
+    attempts.record_answer(&source.ticket.choice().upstream);
     request_log.set_framing(source.framing);
     dispatch::remove_connection_headers(&mut parts.headers);
     let is_event_stream =
--- a/components/gateway/src/relay/source.rs
+++ b/components/gateway/src/relay/source.rs
@@ -64,7 +64,7 @@
         ))),
     });
     if let Ok(answer) = &answer {
-        attempts.exclude(&answer.ticket.choice().upstream);
+        attempts.record_answer(&answer.ticket.choice().upstream);
     }
     Resumed {
         answer,
