gateway: Continue streams of callers who name no request while one software version serves

Callers of a deployment without versions side by side name no request that began their stream.

Now such a stream goes on while all upstreams of its service that the entry knows, or knew in the last minute, have one version; beside a second version it is refused.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -23,9 +23,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use ::upstream::{Availability, Routes};
+use ::upstream::{Availability, Routes, Software};
 use config::Text;
-use config::ids::UpstreamId;
+use config::ids::{ServiceId, UpstreamId};
 use config::text::Kind;
 use indexmap::IndexMap;
 use wire::Work;
@@ -187,6 +187,17 @@
         }
     }
 
+    /// Returns the software version of a service if it has only one: among all its upstreams that
+    /// are known, also those that have left within [`Settings::retention_after_lease`].
+    pub fn only_software(&self, service: &ServiceId) -> Option<&Software> {
+        let upstreams = self.upstreams.values();
+        let mut versions = upstreams
+            .filter(|upstream| upstream.service == *service)
+            .map(|upstream| &upstream.software);
+        let first = versions.next()?;
+        versions.all(|version| version == first).then_some(first)
+    }
+
     /// Records that the first event of a request came `elapsed` after it was sent, and counts its
     /// prompt as computed.
     pub fn record_first_event(&mut self, choice: &Choice, elapsed: Duration, now: Instant) {
--- a/components/gateway/src/origin.rs
+++ b/components/gateway/src/origin.rs
@@ -38,18 +38,22 @@
     if !takes_up || call.resume_after.unwrap_or(0) == 0 {
         return Ok(None);
     }
-    let Some(begun) = &call.resumes else {
-        return Err(Refusal::UnknownOrigin);
-    };
-    let key = key(call, begun);
-    let own = lock(&core.origins).find(&key).cloned();
-    let software = match own {
-        Some(software) => Some(software),
-        None => core.member.find_origin(&key, FIND_TIMEOUT).await,
+    let software = match &call.resumes {
+        Some(begun) => find_record(core, &key(call, begun)).await,
+        // Callers that don't name the request know of one version only.
+        None => lock(&core.balancer).only_software(&call.service).cloned(),
     };
     software.map(Some).ok_or(Refusal::UnknownOrigin)
 }
 
+async fn find_record(core: &Core, key: &StreamKey) -> Option<Software> {
+    let own = lock(&core.origins).find(key).cloned();
+    match own {
+        Some(software) => Some(software),
+        None => core.member.find_origin(key, FIND_TIMEOUT).await,
+    }
+}
+
 fn key(call: &Call, begun: &str) -> StreamKey {
     let account = call.account.as_ref();
     StreamKey::new(account.map_or("", |account| account.name.as_str()), begun)
--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -162,6 +162,16 @@
         Ok(choice)
     }
 
+    /// Returns the only software version that an entry knows of the engines, if it is one.
+    pub(crate) fn only_software(&self, entry: usize) -> Option<&Software> {
+        self.entries[entry].only_software(&SERVICE.into())
+    }
+
+    /// Lets an engine announce itself no more.
+    pub(crate) fn forget(&mut self, engine: &str) {
+        self.engines.shift_remove(engine);
+    }
+
     pub(crate) fn send(&mut self, entry: usize, shared: u64) -> String {
         let choice = self.choose(entry, shared).expect("an engine takes work");
         choice.upstream.to_string()
--- a/components/gateway/tests/balancing/main.rs
+++ b/components/gateway/tests/balancing/main.rs
@@ -207,3 +207,21 @@
     let other = Software::from("v3");
     assert_that!(choose(&mut fleet, &other), err(eq(&Shortage::NoUpstream)));
 }
+
+#[test]
+fn knows_the_only_software_version_of_a_service_for_a_minute_after_the_last_other_one() {
+    let mut fleet = Fleet::new(4, 1);
+    fleet.advance(ms(15_000));
+    assert_that!(fleet.only_software(0), some(eq(&Software::default())));
+    let new = Announcement {
+        software: "v2".into(),
+        ..engine("n8")
+    };
+    fleet.announce(&new);
+    assert_that!(fleet.only_software(0), none());
+    fleet.forget("n8");
+    fleet.advance(ms(60_000));
+    assert_that!(fleet.only_software(0), none());
+    fleet.advance(ms(30_000));
+    assert_that!(fleet.only_software(0), some(eq(&Software::default())));
+}
