web: Observe connections in one place

Two wrappers of a TCP stream that passed everything on but one call are one: a stream with an observer of its reads and its end. No behaviour changes.

--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to an upstream.
 
-mod watched_stream;
+mod arrival;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,8 +16,9 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
+use web::ObservedStream;
 
-use watched_stream::{Arrival, WatchedStream};
+use arrival::Arrival;
 
 /// Longest wait for a connection. The kernel retransmits a lost packet only after a second, so that
 /// a new attempt is faster.
@@ -52,7 +53,7 @@
             .map_err(|_| Error::Timeout(Step::Connect, peer(), CONNECT_TIMEOUT))?
             .map_err(|error| Error::Io(Step::Connect, peer(), error))?;
         let arrival = Arrival::default();
-        let stream = WatchedStream::new(stream, arrival.clone());
+        let stream = ObservedStream::new(stream, arrival.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -1,15 +1,17 @@
 //! HTTP/1.1 servers: listening sockets, limits on connections, request bodies that are read
 //! completely, and a graceful stop that answers the requests already received.
 
-mod abortable_stream;
+mod abort;
 mod body;
 mod framing;
 mod listener;
+mod observed_stream;
 mod server;
 mod settings;
 
 pub use body::{Body, Collected, collect, empty, full};
 pub use framing::Framing;
 pub use listener::listen;
+pub use observed_stream::{ObservedStream, Observer};
 pub use server::{Phase, Server};
 pub use settings::Settings;
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -17,8 +17,8 @@
 use tokio::time::sleep;
 use tracing::warn;
 
-use crate::abortable_stream::AbortableStream;
-use crate::{Body, Settings};
+use crate::abort::Abort;
+use crate::{Body, ObservedStream, Settings};
 
 /// Pause after the listener failed to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -138,7 +138,8 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     prepare(&stream, settings);
-    let (stream, abort) = AbortableStream::new(stream);
+    let abort = Abort::default();
+    let stream = ObservedStream::new(stream, abort.clone());
     let service = service_fn(move |request| {
         let version = request.version();
         let response = handler(request, peer);
