gateway: Pass on complete events before one without end, and count no comment as an event

What callers would see: events that came in the same bytes as one of over 64 KiB were dropped though the stream was resumed after them, and a stream of comments alone that ended with its connection looked complete. Seen when reading the diff, no report.

Evidence: passes_on_complete_events_before_one_without_end failed before; never_counts_a_comment_as_an_event.

--- a/components/gateway/src/event_buffer.rs
+++ b/components/gateway/src/event_buffer.rs
@@ -51,20 +51,15 @@
         let complete = self.without_other_answer(complete);
         self.last_id = last_id(&complete).or(self.last_id);
         match self.partial.len() {
-            0..=MAX_EVENT_BYTES => Ok(complete),
-            _ => Err(EventError::TooLong(MAX_EVENT_BYTES)),
+            MAX_EVENT_BYTES.. if complete.is_empty() => Err(EventError::TooLong(MAX_EVENT_BYTES)),
+            // Complete events are passed on first; the next bytes meet the bound.
+            _ => Ok(complete),
         }
     }
 
     /// Returns the events before the start of another answer, which follows on the same connection.
     fn without_other_answer(&mut self, mut events: Bytes) -> Bytes {
-        let starts = events.windows(ANSWER_START.len()).enumerate();
-        let is_line_start = |at: usize| at == 0 || matches!(events[at - 1], b'\n' | b'\r');
-        let start = starts
-            .filter(|(at, bytes)| *bytes == ANSWER_START && is_line_start(*at))
-            .map(|(at, _)| at)
-            .next();
-        if let Some(start) = start {
+        if let Some(start) = answer_start(&events) {
             self.has_other_answer = true;
             events.truncate(start);
         }
@@ -77,6 +72,11 @@
         !self.partial.is_empty() || self.has_other_answer
     }
 
+    /// Reports whether a complete event was received since the start or the last discarded part.
+    pub fn has_events(&self) -> bool {
+        self.scanner.has_events
+    }
+
     /// Discards an incomplete event, because the stream is resumed after the last complete one.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
@@ -96,6 +96,8 @@
     line: Line,
     /// Whether the current event has a line that is neither empty nor a comment.
     has_field: bool,
+    /// Whether an event has ended.
+    has_events: bool,
     /// Whether the last byte was a carriage return, which a line feed may follow.
     after_return: bool,
 }
@@ -136,6 +138,7 @@
     }
 
     fn end_line(&mut self) {
+        self.has_events |= self.line == Line::Empty && self.has_field;
         self.has_field = match self.line {
             Line::Empty => false,
             Line::Comment => self.has_field,
@@ -145,9 +148,21 @@
     }
 }
 
-/// Splits bytes into lines, the last one first.
-fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
-    bytes.rsplit(|byte| matches!(byte, b'\n' | b'\r'))
+/// Splits bytes into lines.
+fn lines(bytes: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
+    bytes.split(|byte| matches!(byte, b'\n' | b'\r'))
+}
+
+/// Returns where a line is the first one of an HTTP answer.
+fn answer_start(events: &[u8]) -> Option<usize> {
+    let mut start = 0;
+    for line in lines(events) {
+        if line.starts_with(ANSWER_START) {
+            return Some(start);
+        }
+        start += line.len() + 1;
+    }
+    None
 }
 
 /// Returns the number of the last event that has one.
@@ -157,5 +172,5 @@
         let value = std::str::from_utf8(value).ok()?;
         value.trim().parse().ok()
     };
-    lines(events).find_map(id)
+    lines(events).rev().find_map(id)
 }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -151,7 +151,6 @@
         };
         match passed {
             Ok(passed) => {
-                source.has_events |= !passed.is_empty();
                 let within = self
                     .events
                     .as_ref()
@@ -179,7 +178,7 @@
             Some(events) if events.is_within_event() => {
                 self.handle_failure("the stream ended within an event");
             }
-            Some(_) if source.framing == Framing::Connection && !source.has_events => {
+            Some(events) if source.framing == Framing::Connection && !events.has_events() => {
                 self.handle_failure("the connection ended before the first event");
             }
             _ => {
--- a/components/gateway/src/relay/source.rs
+++ b/components/gateway/src/relay/source.rs
@@ -21,8 +21,6 @@
     pub(super) ticket: Ticket,
     pub(super) connection: Connection,
     pub(super) reply: Reply,
-    /// Whether a complete event was received.
-    pub(super) has_events: bool,
 }
 
 impl Source {
@@ -34,7 +32,6 @@
             ticket: answer.ticket,
             connection: answer.connection,
             reply: answer.reply,
-            has_events: false,
         };
         (parts, source)
     }
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -126,3 +126,25 @@
     assert_that!(events.is_within_event(), eq(true));
     assert_that!(events.last_id(), some(eq(1)));
 }
+
+#[test]
+fn passes_on_complete_events_before_one_without_end() {
+    let mut events = EventBuffer::default();
+    let endless = "x".repeat(MAX_EVENT_BYTES + 1);
+    let passed = push(&mut events, &format!("id: 1\ndata: a\n\ndata: {endless}"));
+    assert_that!(passed, eq("id: 1\ndata: a\n\n"));
+    assert_that!(events.last_id(), some(eq(1)));
+    assert_that!(events.push(b"x"), err(anything()));
+    assert_that!(events.last_id(), some(eq(1)));
+}
+
+#[test]
+fn never_counts_a_comment_as_an_event() {
+    let mut events = EventBuffer::default();
+    push(&mut events, ": keep-alive\n\n\n");
+    assert_that!(events.has_events(), eq(false));
+    push(&mut events, "data: a\n\n");
+    assert_that!(events.has_events(), eq(true));
+    events.discard_partial();
+    assert_that!(events.has_events(), eq(false));
+}
