gateway: Continue streams also where a new one would be refused as late

What callers would see: during a release few upstreams have the version of a stream that they take up, and it is refused as overloaded there, while new streams begin at the others. The second rule of docs/design/versions.md asks that they go on as often as new ones begin.

Cause: a stream that is taken up was held to the time to its first event like a new one, though that event has come. Now it may wait to its deadline, as a resumption within one answer does already.

Evidence: never_refuses_to_continue_a_stream_because_its_first_event_would_be_late failed before (1 s times the factor of its rank).

--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -15,12 +15,13 @@
 /// this entry does not know of yet.
 const MAX_WAIT_PER_TARGET: [f64; 3] = [1.5, 0.7, 0.5];
 
-/// Returns the longest expected time to the first event with which `call` is sent to an upstream;
-/// calls without a prompt have no limit.
-pub(crate) fn max_wait(call: &Call) -> Duration {
+/// Returns the longest expected time to the first event with which `call` is sent to an upstream.
+/// Calls without a prompt have no limit, and neither have those that take up a stream: its first
+/// event came earlier, and fewer upstreams may continue it than begin others.
+pub fn max_wait(call: &Call) -> Duration {
     match call.prompt {
-        Some(_) => max_wait_for_rank(call.route.target, call.rank()),
-        None => Duration::MAX,
+        Some(_) if !call.takes_up() => max_wait_for_rank(call.route.target, call.rank()),
+        _ => Duration::MAX,
     }
 }
 
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -82,6 +82,12 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Reports whether the request continues a stream whose first events its caller has received.
+    pub fn takes_up(&self) -> bool {
+        let continues = self.resume_after.is_some_and(|last| last > 0);
+        continues && self.route.kind.is_stream() && self.is_idempotent()
+    }
+
     /// Reports whether the request may be sent again after an upstream may have run it.
     pub fn is_idempotent(&self) -> bool {
         self.route.kind.is_idempotent()
--- a/components/gateway/src/origin.rs
+++ b/components/gateway/src/origin.rs
@@ -34,8 +34,7 @@
 /// # Errors
 /// Returns a refusal if the call takes up a stream whose version is not known.
 pub(crate) async fn find(core: &Core, call: &Call) -> Result<Option<Software>, Refusal> {
-    let takes_up = call.is_idempotent() && call.route.kind.is_stream();
-    if !takes_up || call.resume_after.unwrap_or(0) == 0 {
+    if !call.takes_up() {
         return Ok(None);
     }
     let software = match &call.resumes {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -84,7 +84,7 @@
     if may_be_taken_up {
         let software = &source.ticket.choice().software;
         attempts.keep_to(software);
-        if call.resume_after.unwrap_or(0) == 0 {
+        if !call.takes_up() {
             let record = origin::record(core.clone(), call.clone(), software.clone());
             recording = Some(Box::pin(record));
         }
--- /dev/null
+++ b/components/gateway/tests/admission.rs
@@ -0,0 +1,51 @@
+//! How long requests may wait for their first event.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use config::text::ingress::{Kind, Route};
+use gateway::{Call, Prompt, admission};
+use googletest::prelude::*;
+use http::{HeaderMap, Method, Uri};
+
+fn call(kind: Kind, resume_after: Option<u64>) -> Call {
+    let now = Instant::now();
+    Call {
+        id: "id-1".into(),
+        method: Method::POST,
+        uri: Uri::from_static("/a"),
+        headers: HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        route: Arc::new(Route {
+            name: "reports".into(),
+            host: "one.example".into(),
+            prefix: "/".into(),
+            splits: Default::default(),
+            kind,
+            timeout: Duration::from_secs(12),
+            target: Duration::from_secs(1),
+            gap: Duration::ZERO,
+            rank: 1,
+            attempts: 2,
+            public: true,
+        }),
+        version: 1,
+        service: "assistant".into(),
+        account: None,
+        prompt: Some(Prompt::default()),
+        resume_after,
+        resumes: None,
+        arrived: now,
+        deadline: now + Duration::from_secs(12),
+    }
+}
+
+#[test]
+fn never_refuses_to_continue_a_stream_because_its_first_event_would_be_late() {
+    let wait = |kind, resume_after| admission::max_wait(&call(kind, resume_after));
+    let new = wait(Kind::ResumableStream, None);
+    assert_that!(new, lt(Duration::from_secs(12)));
+    assert_that!(wait(Kind::ResumableStream, Some(3)), eq(Duration::MAX));
+    assert_that!(wait(Kind::ResumableStream, Some(0)), eq(new));
+    assert_that!(wait(Kind::Stream, Some(3)), eq(new));
+}
