entry: Answer a silent upstream of a call that may run once with one status

What callers saw, in a test: an upstream that falls silent within its answer gave 504 or 502, by chance; the outcome was 'unknown' in both.

Now both are timeouts: 504. Also wraps a line of the gateway's connection.

--- a/components/entry/src/dispatch/oneshot.rs
+++ b/components/entry/src/dispatch/oneshot.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::connection::Connection;
-use super::{Answer, Cutoff, TCP_USER_TIMEOUT, collect};
+use super::{Answer, AnswerError, Cutoff, TCP_USER_TIMEOUT, collect};
 
 /// Address, timeouts and limits of one call.
 #[derive(Clone, Copy, Debug)]
@@ -95,7 +95,10 @@
             .map_err(other(Step::Receive))?;
         collect(response, self.max_answer_bytes, self.answer_timeout)
             .await
-            .map_err(|error| Error::Protocol(Step::Receive, peer, error.to_string()))
+            .map_err(|error| match error {
+                AnswerError::Timeout(limit) => Error::Timeout(Step::Receive, peer, limit),
+                error => Error::Protocol(Step::Receive, peer, error.to_string()),
+            })
     }
 
     async fn connect(&self) -> Result<TcpStream, Error> {
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -94,7 +94,9 @@
             response = self.sender.send_request(request) => {
                 response.map_err(|error| Error::Other(Step::Receive, peer, Box::new(error)))
             }
-            () = self.arrival.timeout(HEAD_TIMEOUT) => Err(Error::Timeout(Step::Receive, peer, HEAD_TIMEOUT)),
+            () = self.arrival.timeout(HEAD_TIMEOUT) => {
+                Err(Error::Timeout(Step::Receive, peer, HEAD_TIMEOUT))
+            }
         }
     }
 }
