gateway: Log the parts of prompts whose attempts fail, and the refusals of the retry budget

Callers saw streams break at one upstream after the other, and requests refused as shed. From the logs it could not be read which parts of prompts the failed requests had in common, nor whether a refusal came from the retry budget: the hypotheses about both reports could not be told apart. Lines of failed attempts and answers now have the parts that other prompts may share, and a refused retry has a line with what the budget spent, allows and assumes; chervilloft_gateway_retries_total counts both decisions. Parts are also read from prompts that do not state their tokens. No decision changes.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -59,6 +59,8 @@
     pub account: Option<Arc<Account>>,
     /// Prompt of a generation; `None` for a plain call.
     pub prompt: Option<Prompt>,
+    /// Parts of the prompt that other prompts may share: all but the last one.
+    pub shared_parts: Vec<PartId>,
     /// Last event of an earlier answer that the caller has received.
     pub resume_after: Option<u64>,
     /// Request that brought the first event of that answer.
@@ -70,6 +72,12 @@
 }
 
 impl Call {
+    /// Returns the parts of the prompt that others may share, for the log.
+    pub(crate) fn shared_parts_text(&self) -> CompactString {
+        let ids = self.shared_parts.iter().map(|part| format!("{part:x}"));
+        ids.collect::<Vec<_>>().join(",").into()
+    }
+
     /// Returns the rank of the account if it has one, otherwise the rank of the route; 0 is the
     /// most urgent.
     pub fn rank(&self) -> u8 {
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::timeout;
-use tracing::warn;
+use tracing::{info, warn};
 use upstream::Software;
 
 use crate::balancer::{Choice, Criteria, Outcome, Shortage};
@@ -144,8 +144,7 @@
         };
         let mut ticket = Ticket::new(core, choice);
         if attempts.sends > 0 {
-            let since_start = retries::elapsed(core.started, now);
-            if !lock(&core.retries).take(&call.service, since_start) {
+            if !take_retry(core, call, now) {
                 ticket.finish(Outcome::Refused);
                 let refusal = attempts
                     .unknown_outcome
@@ -211,6 +210,19 @@
     }
 }
 
+/// Takes a retry of `call` from the budget, and returns whether it was granted.
+fn take_retry(core: &Core, call: &Call, now: Instant) -> bool {
+    let since_start = retries::elapsed(core.started, now);
+    let mut retries = lock(&core.retries);
+    let granted = retries.take(&call.service, since_start);
+    if !granted {
+        let budget = retries.budget(&call.service, since_start);
+        info!(request = %call.id, service = %call.service, "retry: refused, {budget}");
+    }
+    core.metrics.record_retry(&call.service, granted);
+    granted
+}
+
 /// Returns the last server error of an upstream if there was one, otherwise the refusal.
 fn fallback(server_error: Option<Box<Answer>>, refusal: Refusal) -> Result<Answer, Refusal> {
     server_error.map(|answer| *answer).ok_or(refusal)
@@ -244,6 +256,7 @@
     warn!(
         request = %call.id,
         upstream = %choice.upstream,
+        parts = %call.shared_parts_text(),
         inputs = %choice.reason,
         "attempt: {}: {detail}",
         failure_name(failure)
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -159,6 +159,7 @@
         version: table.version(),
         account,
         prompt: head.prompt,
+        shared_parts: head.shared_parts,
         resume_after: head.resume_after,
         resumes: head.resumes,
         arrived,
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -17,6 +17,7 @@
     registry: Registry,
     requests: IntCounterVec,
     attempts: IntCounterVec,
+    retries: IntCounterVec,
     limit_tokens: IntCounterVec,
     first_event: HistogramVec,
     total: HistogramVec,
@@ -62,6 +63,11 @@
                 "Requests sent to upstreams, by service and outcome.",
                 &["service", "outcome"],
             ),
+            retries: counters(
+                "chervilloft_gateway_retries_total",
+                "Retries asked of the shared budget, by service and decision.",
+                &["service", "decision"],
+            ),
             limit_tokens: counters(
                 "chervilloft_gateway_limit_tokens_total",
                 "Tokens of requests under a limit of their account, by account and decision.",
@@ -111,6 +117,15 @@
         self.attempts.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Counts a retry that was asked of the shared budget.
+    pub fn record_retry(&self, service: &str, granted: bool) {
+        let decision = match granted {
+            true => "granted",
+            false => "refused",
+        };
+        self.retries.with_label_values(&[service, decision]).inc();
+    }
+
     /// Counts the tokens of a request under a limit of its account.
     pub fn record_limit(&self, account: &str, decision: &str, tokens: u64) {
         self.limit_tokens
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -8,7 +8,7 @@
 use config::ids::{AccountId, RequestId, UpstreamId};
 use http::{HeaderMap, Response, request, response};
 
-use crate::{Prompt, Refusal};
+use crate::{PartId, Prompt, Refusal};
 
 /// Translates between the messages of a protocol and the types of this crate; it makes no
 /// decisions.
@@ -43,6 +43,9 @@
     pub wait: Option<Duration>,
     /// Prompt of a generation; `None` for a plain call.
     pub prompt: Option<Prompt>,
+    /// Parts of the prompt that other prompts may share, also if the numbers of tokens are not
+    /// stated.
+    pub shared_parts: Vec<PartId>,
     /// Last event of an earlier answer that the caller has received.
     pub resume_after: Option<u64>,
     /// Request that brought the first event of that answer.
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -236,6 +236,7 @@
         warn!(
             request = %self.call.id,
             upstream = %upstream,
+            parts = %self.call.shared_parts_text(),
             %framing,
             "answer: the upstream failed before the end: {detail}"
         );
--- a/components/gateway/src/retries.rs
+++ b/components/gateway/src/retries.rs
@@ -1,5 +1,6 @@
 //! Retry budget: one entry's share of the retries allowed to all entries.
 
+use std::fmt;
 use std::time::{Duration, Instant};
 
 use config::ids::ServiceId;
@@ -21,6 +22,31 @@
     services: IndexMap<ServiceId, Counts>,
 }
 
+/// State of one service's budget at this entry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    /// Retries within the window.
+    pub spent: u32,
+    /// Retries that the window allows.
+    pub allowed: f64,
+    /// Entries assumed to share the bound.
+    pub entries: u32,
+}
+
+impl fmt::Display for Budget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Budget {
+            spent,
+            allowed,
+            entries,
+        } = self;
+        write!(
+            f,
+            "{spent} of {allowed:.1} spent as one of {entries} entries"
+        )
+    }
+}
+
 #[derive(Debug, Default)]
 struct Counts {
     slices: [Slice; SLICES],
@@ -80,19 +106,28 @@
 
     /// Takes one retry from the budget of a service, and returns whether it was granted.
     pub fn take(&mut self, service: &ServiceId, since_start: Duration) -> bool {
-        let number = self.slice_number(since_start);
-        let slack = self.settings.slack / f64::from(self.entries);
-        let ratio = self.settings.ratio;
-        let counts = self.counts(service);
-        let (requests, retries) = counts.totals(number);
-        let allowed = (f64::from(requests) * ratio + slack) * USED_SHARE;
-        let granted = f64::from(retries) + 1.0 <= allowed;
+        let budget = self.budget(service, since_start);
+        let granted = f64::from(budget.spent) + 1.0 <= budget.allowed;
         if granted {
-            counts.slice(number).retries += 1;
+            let number = self.slice_number(since_start);
+            self.counts(service).slice(number).retries += 1;
         }
         granted
     }
 
+    /// Returns the state of a service's budget.
+    pub fn budget(&self, service: &ServiceId, since_start: Duration) -> Budget {
+        let number = self.slice_number(since_start);
+        let counts = self.services.get(service);
+        let (requests, spent) = counts.map_or((0, 0), |counts| counts.totals(number));
+        let slack = self.settings.slack / f64::from(self.entries);
+        Budget {
+            spent,
+            allowed: (f64::from(requests) * self.settings.ratio + slack) * USED_SHARE,
+            entries: self.entries,
+        }
+    }
+
     fn counts(&mut self, service: &ServiceId) -> &mut Counts {
         self.services.entry(service.clone()).or_default()
     }
--- a/components/gateway/tests/admission.rs
+++ b/components/gateway/tests/admission.rs
@@ -33,6 +33,7 @@
         service: "assistant".into(),
         account: None,
         prompt: Some(Prompt::default()),
+        shared_parts: Vec::new(),
         resume_after,
         resumes: None,
         arrived: now,
