gateway: Test that retries stay within the bound over slices, restarts and new leaders

Committed failing. Ten entries that take all they can are allowed 50 retries in 10 s. They get 60 across the edges of the slices, since a window of ten slices ends up to a second early; 60 if all of them restart in between, since a new process has spent nothing; and 98 while a new leader learns of the entries one after the other, since each of the first reports is answered with a small number of entries.

Also that an entry that shares the bound with fewer others uses more of it, but only a window later.

--- a/components/gateway/tests/retries.rs
+++ b/components/gateway/tests/retries.rs
@@ -69,3 +69,57 @@
         assert_that!(f64::from(granted), le(bound), "{entries} entries");
     }
 }
+
+/// Grants of `entries` entries that take all they can at each of `times`, in seconds since their
+/// processes started, as if they had started together.
+fn taken_at(retries: &mut [Retries], times: &[f64]) -> u32 {
+    let mut taken = 0;
+    for time in times {
+        let at = Duration::from_secs_f64(*time);
+        for entry in retries.iter_mut() {
+            while entry.take(&service(), at) {
+                taken += 1;
+            }
+        }
+    }
+    taken
+}
+
+fn fleet(entries: u32) -> Vec<Retries> {
+    let budget = || Retries::new(settings::Retries::default(), entries);
+    (0..entries).map(|_| budget()).collect()
+}
+
+#[test]
+fn keeps_the_retries_within_the_bound_across_the_edges_of_its_slices() {
+    let taken = taken_at(&mut fleet(ENTRIES), &[20.95, 29.0, 30.05, 30.9]);
+    assert_that!(f64::from(taken), le(50.0));
+}
+
+#[test]
+fn keeps_the_retries_within_the_bound_while_all_entries_restart() {
+    let before = taken_at(&mut fleet(ENTRIES), &[20.0]);
+    let after = taken_at(&mut fleet(ENTRIES), &[0.5, 4.0, 9.5]);
+    assert_that!(f64::from(before + after), le(50.0));
+}
+
+#[test]
+fn keeps_the_retries_within_the_bound_while_a_new_leader_learns_the_entries() {
+    let mut entries = fleet(ENTRIES);
+    let mut taken = taken_at(&mut entries, &[20.0]);
+    for (known, entry) in (1..).zip(entries.iter_mut()) {
+        entry.set_entries(known);
+        taken += taken_at(std::slice::from_mut(entry), &[20.5]);
+    }
+    assert_that!(f64::from(taken), le(50.0));
+}
+
+#[test]
+fn grants_retries_to_fewer_entries_once_the_others_are_gone_for_a_window() {
+    let mut retries = Retries::new(settings::Retries::default(), ENTRIES);
+    retries.set_entries(1);
+    let first = taken_at(std::slice::from_mut(&mut retries), &[20.0]);
+    retries.set_entries(1);
+    let second = taken_at(std::slice::from_mut(&mut retries), &[40.0]);
+    assert_that!(second, gt(first));
+}
