gateway: Keep the retries of all entries within the bound over restarts, new leaders and slices

Callers of a service whose upstreams failed caused 117 second arrivals in 10 s where 106 are allowed; every arrival beyond the bound meets upstreams that are in trouble already. But the budget's division did not hold in sum, for four reasons: its ten slices cover nine to ten seconds; a process that starts again had spent nothing; the leader counted the entries that reported lately, one of ten after it had changed; and an entry took a smaller number at once.

--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -73,11 +73,14 @@
                 let text = self.text().map(|(_, text)| text);
                 let process = (node, incarnation);
                 let now = Instant::now();
+                let (serving, replaced_ms) = self.serving_entries(&process.0);
                 let overview = self
                     .workload()
                     .record_report(process, report, text.as_deref(), now);
                 Ok(Answer::Overview(Overview {
                     now_ms: clock::monotonic_unix_ms(),
+                    entries: overview.entries.max(serving),
+                    replaced_ms,
                     ..overview
                 }))
             }
@@ -110,6 +113,18 @@
         }
     }
 
+    /// Returns how many entries serve, and the milliseconds since the process of `entry` replaced
+    /// another one.
+    fn serving_entries(&self, entry: &str) -> (u32, Option<u64>) {
+        let state = self.machine.read();
+        let members = state.members();
+        let replaced = members.get(entry).and_then(|member| member.replaced_at);
+        let age = |at| clock::unix_ms().saturating_sub(at);
+        let serving = members.iter().filter(|(_, member)| member.serves());
+        let serving = u32::try_from(serving.count()).unwrap_or(u32::MAX);
+        (serving, replaced.map(age))
+    }
+
     /// Returns the accounts' spending that an earlier leader recorded.
     fn recorded_spending(&self) -> SpendingRecord {
         let state = self.machine.read();
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -82,6 +82,7 @@
         self.entries.insert(process, report);
         Overview {
             now_ms: 0,
+            replaced_ms: None,
             entries: u32::try_from(self.live_reports(now).count()).unwrap_or(u32::MAX),
             balances: balances.unwrap_or_default(),
             work: self.total_work(now),
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -143,15 +143,13 @@
             }
         };
         let mut ticket = Ticket::new(core, choice);
-        if attempts.sends > 0 {
-            if !take_retry(core, call, now) {
-                ticket.finish(Outcome::Refused);
-                let refusal = attempts
-                    .unknown_outcome
-                    .take()
-                    .unwrap_or(Refusal::Shed(SHED_RETRY_AFTER));
-                return fallback(server_error, refusal);
-            }
+        if attempts.sends > 0 && !take_retry(core, call, now) {
+            ticket.finish(Outcome::Refused);
+            let refusal = attempts
+                .unknown_outcome
+                .take()
+                .unwrap_or(Refusal::Shed(SHED_RETRY_AFTER));
+            return fallback(server_error, refusal);
         }
         request_log.record_dispatch(ticket.choice());
         let is_last = attempts.sends + 1 >= call.route.attempts;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -44,7 +44,7 @@
 pub use protocol::{Head, Metadata, Protocol, Reply};
 pub use readiness::Readiness;
 pub use refusal::Refusal;
-pub use retries::{Budget, Retries};
+pub use retries::{Budget, Retries, Share};
 pub use server::{Gateway, run};
 pub use settings::Settings;
 pub use table::{Account, Table};
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -8,8 +8,8 @@
 use tracing::{info, warn};
 use wire::Report;
 
-use crate::Table;
 use crate::core::{Core, lock};
+use crate::{Share, Table, retries};
 
 /// Time between two checks of the view.
 const POLL_PERIOD: Duration = Duration::from_millis(40);
@@ -116,7 +116,11 @@
     let one_way = now.saturating_duration_since(sent_at) / 2;
     lock(&core.accounts).apply(number, &overview.balances, now);
     lock(&core.balancer).apply_work(&overview.work);
-    lock(&core.retries).set_entries(overview.entries);
+    let share = Share {
+        entries: overview.entries,
+        replaced: overview.replaced_ms.map(Duration::from_millis),
+    };
+    lock(&core.retries).update(share, retries::elapsed(core.started, now));
     lock(&core.pool).set_entries(overview.entries);
     let unix_ms = overview.now_ms + u64::try_from(one_way.as_millis()).unwrap_or(0);
     lock(&core.usage).set_clock(unix_ms, now);
--- a/components/state/src/members.rs
+++ b/components/state/src/members.rs
@@ -23,6 +23,16 @@
     pub incarnation: Incarnation,
     /// When the expiry of its lease was recorded; `None` while it serves.
     pub lost_at: Option<Millis>,
+    /// When an earlier process of the entry was lost, or this one replaced it.
+    #[serde(default)]
+    pub replaced_at: Option<Millis>,
+}
+
+impl Member {
+    /// Reports whether the process is not lost.
+    pub fn serves(&self) -> bool {
+        self.lost_at.is_none()
+    }
 }
 
 impl Members {
@@ -34,7 +44,7 @@
     /// Reports whether an entry's process has joined and is not lost.
     pub fn serves(&self, entry: &str, incarnation: Incarnation) -> bool {
         let member = self.members.get(entry);
-        member.is_some_and(|m| m.incarnation == incarnation && m.lost_at.is_none())
+        member.is_some_and(|m| m.incarnation == incarnation && m.serves())
     }
 
     /// Returns all entries, including lost ones.
@@ -42,13 +52,22 @@
         self.members.iter().map(|(entry, member)| (entry, *member))
     }
 
-    /// Registers a process of an entry, and returns the process that it replaces. A process older
+    /// Registers a process of an entry at the time `now`, and returns the process that it replaces. A process older
     /// than the registered one is ignored until that one is lost.
-    pub(crate) fn join(&mut self, entry: NodeId, incarnation: Incarnation) -> Option<Incarnation> {
+    pub(crate) fn join(
+        &mut self,
+        now: Millis,
+        entry: NodeId,
+        incarnation: Incarnation,
+    ) -> Option<Incarnation> {
         let known = self.members.get(&entry).copied();
         let member = Member {
             incarnation,
             lost_at: None,
+            replaced_at: known.and_then(|known| match known.incarnation == incarnation {
+                true => known.replaced_at,
+                false => known.lost_at.or(Some(now)),
+            }),
         };
         match known {
             Some(known) if known.incarnation > incarnation && known.lost_at.is_none() => None,
--- a/components/state/src/state.rs
+++ b/components/state/src/state.rs
@@ -122,7 +122,7 @@
                 Output::Settled(self.claims.settle(now, &holder, claim, settlement))
             }
             Change::Join { entry, incarnation } => {
-                if let Some(replaced) = self.members.join(entry.clone(), incarnation) {
+                if let Some(replaced) = self.members.join(now, entry.clone(), incarnation) {
                     self.claims.shorten_deadlines(now, &entry, replaced);
                 }
                 self.claims.restore_deadlines(&entry, incarnation);
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -77,8 +77,11 @@
 pub struct Overview {
     /// The leader's time, in milliseconds since the Unix epoch.
     pub now_ms: u64,
-    /// Number of entries that reported recently.
+    /// Number of entries that serve or reported recently.
     pub entries: u32,
+    /// Time since another process of the reporting entry was replaced or lost, in milliseconds.
+    #[serde(default)]
+    pub replaced_ms: Option<u64>,
     /// Answer to the statements of the report.
     pub balances: Balances,
     /// Work in progress of all entries, including the reporting one, by upstream.
