gateway: Refuse prompts with a part that crashes upstreams

Cause: nothing connected a crash with what was being answered. A stream that broke off was continued at the next upstream, up to the route's attempts, and callers who came back were new requests. The class is a request that kills its server, repeated by every layer that repeats.

Now entries report crashes (a connection that broke, and an upstream that refuses a new one) with the parts of the answers that had not begun well, and when answers began well with the parts that the leader asks about. The leader names the part that three crashes have in common and no answer began well with; verdicts are replicated. Entries refuse such prompts with status 400 before anything is sent or taken from a limit, and let three through in all as trials, at 15 s, 60 s and 240 s. Before a part is known, one prompt crashes two upstreams at most.

--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -79,7 +79,7 @@
                 leases: Leases::new(settings.freshness_lease),
             }),
             meters: Mutex::default(),
-            workload: Mutex::new(Workload::new(settings.limit_window)),
+            workload: Mutex::new(Workload::new(settings.limit_window, Instant::now())),
             origins: Mutex::new(origins),
             origin_files,
             parsed_text: Mutex::default(),
--- a/components/control/src/node/background.rs
+++ b/components/control/src/node/background.rs
@@ -78,6 +78,7 @@
             continue;
         }
         record_lost_entries(&node).await;
+        record_verdicts(&node).await;
         if last_recorded.elapsed() >= limits::RECORD_PERIOD - LEASE_CHECK_INTERVAL / 2 {
             last_recorded = Instant::now();
             observe_spending(&node, &mut exceeded);
@@ -160,3 +161,32 @@
         warn!("control: the spending of accounts is not recorded: {failure:?}");
     }
 }
+
+/// Records the parts of prompts in quarantine if they have changed. Trials are granted once they
+/// have been recorded, so that no later leader grants them again.
+async fn record_verdicts<R>(node: &Node<R>)
+where
+    R: Replica<Command = Command, Output = Output>,
+{
+    let now = Instant::now();
+    let changed = {
+        let mut workload = node.workload();
+        workload.evidence().begin_trials(now);
+        workload.evidence().take_changed(now)
+    };
+    let Some(verdicts) = changed else {
+        return;
+    };
+    let parts = verdicts.iter().map(|record| format!("{:x}", record.part));
+    let parts = parts.collect::<Vec<_>>().join(",");
+    match node.commit(Change::RecordVerdicts(verdicts)).await {
+        Ok(_) => {
+            info!("control: parts of prompts in quarantine: \"{parts}\"");
+            node.workload().evidence().open_trials();
+        }
+        Err(failure) => {
+            warn!("control: the parts of prompts in quarantine are not recorded: {failure:?}");
+            node.workload().evidence().keep_changed();
+        }
+    }
+}
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, NodeId, Version};
+use quarantine::Evidence;
 use state::claims::millis;
 use state::text::{Outcome, Replacement, Submission};
 use state::{Change, Command, Output, State};
@@ -152,6 +153,7 @@
                 .leases
                 .take_over(entries.into_iter(), Instant::now());
             self.take_over_limits();
+            self.take_over_verdicts(term);
             leadership.term = term;
             leadership.since = Instant::now();
             info!("control: became the leader of term {term}");
@@ -176,6 +178,13 @@
             .take_over(&processes, &record, &text, now);
     }
 
+    /// Keeps the parts of prompts in quarantine that an earlier leader recorded.
+    fn take_over_verdicts(&self, term: u64) {
+        let now = clock::monotonic_unix_ms();
+        let records = self.machine.read().verdicts().as_of(now);
+        *self.workload().evidence() = Evidence::new(term, &records, Instant::now());
+    }
+
     async fn confirm(
         &self,
         entry: NodeId,
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -10,6 +10,7 @@
 use config::ids::{AccountId, ServiceId, UpstreamId};
 use indexmap::IndexMap;
 use placement::autoscaler::Demand;
+use quarantine::Evidence;
 use state::usage::{Counts, Window};
 use wire::{DemandTotals, Overview, Report, Work};
 
@@ -28,6 +29,7 @@
 pub(crate) struct Workload {
     entries: IndexMap<EntryProcess, EntryReport>,
     limits: TokenLimits,
+    evidence: Evidence,
     /// Started requests by usage window, process and account.
     window_counts: IndexMap<Window, IndexMap<EntryProcess, Counts>>,
     rates: IndexMap<ServiceId, Rate>,
@@ -43,11 +45,12 @@
 }
 
 impl Workload {
-    /// Starts without reports; token limits apply over `limit_window`.
-    pub(crate) fn new(limit_window: Duration) -> Self {
+    /// Starts without reports at the time `now`; token limits apply over `limit_window`.
+    pub(crate) fn new(limit_window: Duration, now: Instant) -> Self {
         Workload {
             entries: IndexMap::new(),
             limits: TokenLimits::new(limit_window),
+            evidence: Evidence::new(0, &[], now),
             window_counts: IndexMap::new(),
             rates: IndexMap::new(),
         }
@@ -58,6 +61,11 @@
         &mut self.limits
     }
 
+    /// Returns the evidence about parts of prompts that crash upstreams.
+    pub(crate) fn evidence(&mut self) -> &mut Evidence {
+        &mut self.evidence
+    }
+
     /// Records a report, and returns the sums over all entries and the balances under the limits of
     /// `text`.
     pub(crate) fn record_report(
@@ -73,6 +81,7 @@
             self.limits
                 .balances(&process, &report.statements, text, now)
         });
+        let quarantine = self.evidence.record(&process, &report.quarantine, now);
         let report = EntryReport {
             at: now,
             work: report.work,
@@ -86,6 +95,7 @@
             entries: u32::try_from(self.live_reports(now).count()).unwrap_or(u32::MAX),
             balances: balances.unwrap_or_default(),
             work: self.total_work(now),
+            quarantine,
         }
     }
 
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod control_group;
 mod group;
 mod origins;
+mod quarantine;
 mod relay;
 mod replacements;
 mod silent_connections;
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -5,6 +5,8 @@
 
 use arc_swap::ArcSwap;
 use fleet::Member;
+use quarantine::Watch;
+use tokio::sync::Notify;
 use upstream::Origins;
 
 use crate::demand::Demand;
@@ -30,6 +32,10 @@
     pub(crate) origins: Mutex<Origins>,
     pub(crate) pool: Mutex<Pool>,
     pub(crate) readiness: Readiness,
+    /// Crashes of upstreams, and parts of prompts in quarantine.
+    pub(crate) watch: Mutex<Watch>,
+    /// Wakes the task that reports to the leader.
+    pub(crate) report_now: Notify,
 }
 
 /// Locks `mutex`, also if it is poisoned. The guard must not be held across an await.
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -20,7 +20,7 @@
 use crate::relay::MAX_ANSWER_BYTES;
 use crate::request_log::RequestLog;
 use crate::ticket::Ticket;
-use crate::{Metadata, Refusal, Reply, admission, retries};
+use crate::{Metadata, Refusal, Reply, admission, crash, retries};
 
 /// Number of failed connections after which a request is refused.
 const MAX_CONNECT_FAILURES: u32 = 3;
@@ -31,6 +31,8 @@
 /// Shortest time after which callers should retry if upstreams are overloaded or refused the
 /// request.
 const SHED_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Upstreams that one prompt may crash.
+const MAX_BROKEN: u32 = 2;
 /// Time to the head of an answer after which an idempotent call is retried at another upstream,
 /// relative to the latency target.
 const HEAD_TIMEOUT_PER_TARGET: f64 = 1.0;
@@ -49,7 +51,9 @@
     Unsent(String),
     /// The upstream refused the request without running it.
     NotRun,
-    /// The connection failed or the answer was invalid; the request may have run.
+    /// The connection failed before the head of an answer; the request may have run.
+    Broken(String),
+    /// The answer was invalid; the request may have run.
     Unknown(String),
     /// The request may have run, and no answer came in time.
     TimedOut,
@@ -67,6 +71,8 @@
     /// Attempts that reached an upstream.
     sends: u32,
     connect_failures: u32,
+    /// Upstreams whose connection broke off before the answer had begun well.
+    broken: u32,
     /// Refusal to return once an upstream may have run the request.
     unknown_outcome: Option<Refusal>,
 }
@@ -85,6 +91,16 @@
         self.software.get_or_insert_with(|| software.clone());
     }
 
+    /// Counts an answer that broke off before it had begun well.
+    pub(crate) fn record_broken(&mut self) {
+        self.broken += 1;
+    }
+
+    /// Reports whether the request may have crashed so many upstreams that it must not be sent again.
+    fn may_crash_more(&self, call: &Call) -> bool {
+        call.shared_parts.is_empty() || self.broken < MAX_BROKEN
+    }
+
     /// Counts the attempt at an upstream that answered, and excludes it from further ones.
     pub(crate) fn record_answer(&mut self, upstream: &UpstreamId) {
         self.excluded.push(upstream.clone());
@@ -120,6 +136,11 @@
                 refusal.unwrap_or(Refusal::Shed(SHED_RETRY_AFTER)),
             );
         }
+        if attempts.sends > 0
+            && let Some(refusal) = refusal_of_prompt(core, call, attempts)
+        {
+            return fallback(server_error, refusal);
+        }
         let criteria = Criteria {
             service: &call.service,
             prompt: call.prompt.as_ref(),
@@ -162,6 +183,7 @@
         log_failure(call, &choice, &failure);
         core.metrics
             .record_attempt(&call.service, failure_name(&failure));
+        attempts.broken += u32::from(matches!(failure, Failure::Broken(_)));
         match failure {
             Failure::Unsent(_) => {
                 attempts.connect_failures += 1;
@@ -183,7 +205,7 @@
                     );
                 }
             }
-            Failure::Unknown(detail) => {
+            Failure::Broken(detail) | Failure::Unknown(detail) => {
                 attempts.sends += 1;
                 attempts.unknown_outcome = Some(Refusal::Lost(detail));
                 if is_last || !call.is_idempotent() {
@@ -208,6 +230,19 @@
     }
 }
 
+/// Returns why a prompt that was sent before must not be sent again, if it must not.
+fn refusal_of_prompt(core: &Core, call: &Call, attempts: &mut Attempts) -> Option<Refusal> {
+    let quarantined = lock(&core.watch).quarantined(&call.shared_parts);
+    match quarantined {
+        Some(part) => Some(Refusal::Quarantined(part)),
+        None if attempts.may_crash_more(call) => None,
+        None => {
+            let refusal = attempts.unknown_outcome.take();
+            Some(refusal.unwrap_or(Refusal::Lost("two upstreams broke it off".into())))
+        }
+    }
+}
+
 /// Takes a retry of `call` from the budget, and returns whether it was granted.
 fn take_retry(core: &Core, call: &Call, now: Instant) -> bool {
     let since_start = retries::elapsed(core.started, now);
@@ -238,7 +273,7 @@
     match failure {
         Failure::Unsent(_) => "unsent",
         Failure::NotRun => "not-run",
-        Failure::Unknown(_) => "unclear",
+        Failure::Broken(_) | Failure::Unknown(_) => "unclear",
         Failure::TimedOut => "timed-out",
         Failure::ServerError(_) => "failed",
     }
@@ -246,7 +281,9 @@
 
 fn log_failure(call: &Call, choice: &Choice, failure: &Failure) {
     let detail = match failure {
-        Failure::Unsent(detail) | Failure::Unknown(detail) => detail.as_str(),
+        Failure::Unsent(detail) | Failure::Broken(detail) | Failure::Unknown(detail) => {
+            detail.as_str()
+        }
         Failure::NotRun => "refused without running the request",
         Failure::TimedOut => "no answer in time",
         Failure::ServerError(_) => "server error, retrying at another upstream",
@@ -284,7 +321,8 @@
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
             ticket.finish(Outcome::Failed);
-            return Err(Failure::Unknown(error.to_string()));
+            crash::check(core, call, &choice);
+            return Err(Failure::Broken(error.to_string()));
         }
         Err(_) => {
             ticket.finish(Outcome::Failed);
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -68,6 +68,10 @@
         Ok(call) => Arc::new(call),
         Err(refusal) => return refuse(request_log, &refusal),
     };
+    let quarantined = lock(&core.watch).refusal(&call.shared_parts, Instant::now());
+    if let Some(part) = quarantined {
+        return refuse(request_log, &Refusal::Quarantined(part));
+    }
     let software = match origin::find(&core, &call).await {
         Ok(software) => software,
         Err(refusal) => return refuse(request_log, &refusal),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod call;
 mod connection;
 mod core;
+mod crash;
 mod demand;
 mod dispatch;
 mod drain;
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use quarantine::PartId;
 use quick_error::quick_error;
 
 quick_error! {
@@ -53,6 +54,10 @@
         UnknownOrigin {
             display("it is not known which version began the stream")
         }
+        /// The prompt has a part that crashes upstreams.
+        Quarantined(part: PartId) {
+            display("the part {part:x} of the prompt crashes upstreams")
+        }
         /// Upstreams refused the request without running it, and no further attempt is allowed.
         Shed(retry_after: Duration) {
             display("upstreams refused it without running it")
@@ -105,6 +110,7 @@
             Refusal::NoUpstream(_) => "no-upstream",
             Refusal::Overloaded(_) => "overloaded",
             Refusal::UnknownOrigin => "unknown-origin",
+            Refusal::Quarantined(_) => "quarantined",
             Refusal::Shed(_) => "shed",
             Refusal::TooLate => "too-late",
             Refusal::Lost(_) => "lost",
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -24,7 +24,7 @@
 use crate::core::{Core, lock};
 use crate::dispatch::{self, Answer, Attempts};
 use crate::request_log::RequestLog;
-use crate::{EventBuffer, origin};
+use crate::{EventBuffer, crash, origin};
 use bounds::Bounds;
 use source::{Resumed, Source, resume};
 
@@ -127,6 +127,22 @@
         }
     }
 
+    /// Records that an answer with the parts of the prompt has begun well, if it has. An answer that
+    /// `is_complete` has, unless the end of its connection is its only end.
+    fn record_begun_well(&mut self, is_complete: bool) {
+        let State::Reading(source) = &mut self.state else {
+            return;
+        };
+        let is_complete = is_complete && source.framing != Framing::Connection;
+        let has_begun_well = is_complete || source.ticket.has_begun_well();
+        let parts = &self.call.shared_parts;
+        if !has_begun_well || source.begun_well || parts.is_empty() || self.status >= 300 {
+            return;
+        }
+        source.begun_well = true;
+        lock(&self.core.watch).record_begun_well(parts, Instant::now());
+    }
+
     /// Writes the log line of the request with `outcome`; later calls have no effect.
     fn log_outcome(&mut self, outcome: &str) {
         if let Some(request_log) = &mut self.request_log {
@@ -139,6 +155,7 @@
     /// complete events of a stream.
     fn handle_data(&mut self, data: Bytes) -> Bytes {
         self.record_start();
+        self.record_begun_well(false);
         let State::Reading(source) = &mut self.state else {
             return Bytes::new();
         };
@@ -190,6 +207,14 @@
 
     /// Finishes a complete answer, and returns its connection to the pool.
     fn finish_answer(&mut self) {
+        self.record_begun_well(true);
+        if let State::Reading(source) = &self.state
+            && source.framing == Framing::Connection
+            && !source.ticket.has_begun_well()
+        {
+            // A crash between two events ends such an answer in the same way.
+            crash::check(&self.core, &self.call, source.ticket.choice());
+        }
         let finished = std::mem::replace(&mut self.state, State::Done);
         if let State::Reading(source) = finished {
             let Source {
@@ -230,6 +255,12 @@
         self.bounds.set_within_event(false);
         source.ticket.finish(Outcome::Failed);
         let upstream = source.ticket.choice().upstream.clone();
+        if !source.ticket.has_begun_well() {
+            crash::check(&self.core, &self.call, source.ticket.choice());
+            if let Some(attempts) = &mut self.attempts {
+                attempts.record_broken();
+            }
+        }
         let framing = source.framing;
         // Closing the connection stops the upstream before another one continues the answer.
         drop(source);
--- a/components/gateway/src/relay/source.rs
+++ b/components/gateway/src/relay/source.rs
@@ -21,6 +21,8 @@
     pub(super) ticket: Ticket,
     pub(super) connection: Connection,
     pub(super) reply: Reply,
+    /// Whether it is recorded that the answer has begun well.
+    pub(super) begun_well: bool,
 }
 
 impl Source {
@@ -32,6 +34,7 @@
             ticket: answer.ticket,
             connection: answer.connection,
             reply: answer.reply,
+            begun_well: false,
         };
         (parts, source)
     }
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -9,6 +9,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use tracing::info;
 
@@ -116,6 +117,8 @@
         ..balancer::Settings::default()
     };
     Arc::new(Core {
+        watch: Mutex::default(),
+        report_now: Notify::new(),
         retries: Mutex::new(Retries::new(settings.retries, ASSUMED_ENTRIES)),
         usage: Mutex::new(Usage::new(settings.usage_window, unix_ms, now)),
         settings,
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fleet::{Control, View};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 use wire::Report;
 
@@ -72,12 +72,13 @@
             started: lock(&core.usage).report(),
             work: lock(&core.balancer).report(),
             demand: lock(&core.demand).report(),
+            quarantine: lock(&core.watch).report(Instant::now()),
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
         };
         if last.as_ref().is_some_and(is_recent) {
-            sleep(REPORT_PERIOD).await;
+            pause(&core).await;
             continue;
         }
         let sent_at = Instant::now();
@@ -97,16 +98,22 @@
             info!("gateway: reports to the leader succeed again");
         }
         is_reachable = succeeded;
-        sleep(REPORT_PERIOD).await;
+        pause(&core).await;
     }
 }
 
+/// Waits until the next report is due: for a report period, or until an upstream has crashed.
+async fn pause(core: &Core) {
+    let _ = timeout(REPORT_PERIOD, core.report_now.notified()).await;
+}
+
 /// Reports whether two reports differ in the number of their statements at most.
 fn is_same(report: &Report, other: &Report) -> bool {
     report.statements.accounts == other.statements.accounts
         && report.started == other.started
         && report.work == other.work
         && report.demand == other.demand
+        && report.quarantine == other.quarantine
 }
 
 /// Applies the leader's answer to the report whose statements have `number`, which was sent at
@@ -116,6 +123,10 @@
     let one_way = now.saturating_duration_since(sent_at) / 2;
     lock(&core.accounts).apply(number, &overview.balances, now);
     lock(&core.balancer).apply_work(&overview.work);
+    let parts = lock(&core.watch).apply(overview.quarantine.clone(), now);
+    for part in parts {
+        info!("gateway: the quarantine of the part {part:x} has changed");
+    }
     let share = Share {
         entries: overview.entries,
         replaced: overview.replaced_ms.map(Duration::from_millis),
--- a/components/gateway/src/ticket.rs
+++ b/components/gateway/src/ticket.rs
@@ -12,7 +12,8 @@
     core: Arc<Core>,
     choice: Choice,
     sent_at: Instant,
-    prompt_computed: bool,
+    /// When the first event came, or the first bytes of a plain answer.
+    first_event: Option<Instant>,
     finished: bool,
 }
 
@@ -23,7 +24,7 @@
             core: core.clone(),
             choice,
             sent_at: Instant::now(),
-            prompt_computed: false,
+            first_event: None,
             finished: false,
         }
     }
@@ -32,10 +33,17 @@
         &self.choice
     }
 
+    /// Reports whether the first event came long enough ago for the answer to have begun well.
+    pub(crate) fn has_begun_well(&self) -> bool {
+        self.first_event
+            .is_some_and(|first| first.elapsed() >= quarantine::BEGUN_WELL)
+    }
+
     /// Records the first event, or the first bytes of a plain answer.
     pub(crate) fn record_first_event(&mut self) {
-        if !std::mem::replace(&mut self.prompt_computed, true) {
+        if self.first_event.is_none() {
             let now = Instant::now();
+            self.first_event = Some(now);
             lock(&self.core.balancer).record_first_event(&self.choice, now - self.sent_at, now);
         }
     }
@@ -45,7 +53,7 @@
         if !std::mem::replace(&mut self.finished, true) {
             lock(&self.core.balancer).record_finish(
                 &self.choice,
-                self.prompt_computed,
+                self.first_event.is_some(),
                 outcome,
                 Instant::now(),
             );
--- /dev/null
+++ b/components/quarantine/src/notice.rs
@@ -0,0 +1,18 @@
+//! What the leader tells entries.
+
+use serde::{Deserialize, Serialize};
+
+use crate::PartId;
+
+/// The leader's answer to a [`Report`](crate::Report).
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Notice {
+    /// Number that grows with each part that comes under suspicion.
+    pub number: u64,
+    /// Parts of which the entry states when an answer last began well.
+    pub watched: Vec<PartId>,
+    /// Parts in quarantine.
+    pub quarantined: Vec<PartId>,
+    /// Parts in quarantine with which the entry lets one prompt through.
+    pub trials: Vec<PartId>,
+}
--- /dev/null
+++ b/components/quarantine/src/verdict.rs
@@ -0,0 +1,122 @@
+//! A part in quarantine, and the trials of it.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::PartId;
+
+/// Time from the verdict, or from the trial before, to each trial.
+pub const TRIAL_PAUSES: [Duration; 3] = [
+    Duration::from_secs(15),
+    Duration::from_secs(60),
+    Duration::from_secs(240),
+];
+/// Time after the last refused prompt for which a verdict stands.
+const IDLE_RETENTION: Duration = Duration::from_secs(600);
+/// Time after a refused prompt within which a trial is granted: there must be a prompt to try.
+const DEMAND_LIFETIME: Duration = Duration::from_secs(5);
+
+/// A verdict as it is replicated.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Record {
+    /// The part.
+    pub part: PartId,
+    /// Time since the verdict or the newest trial, in milliseconds.
+    pub age_ms: u64,
+    /// Trials so far.
+    pub trials: u32,
+}
+
+/// State of the newest trial.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Trial {
+    /// None is to be granted.
+    Closed,
+    /// It is being recorded.
+    Recorded,
+    /// The next entry that refuses such a prompt gets it.
+    Open,
+}
+
+/// A verdict at the leader.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Verdict {
+    /// When it fell, or when the newest trial began.
+    since: Instant,
+    trials: u32,
+    trial: Trial,
+    refused: Instant,
+}
+
+impl Verdict {
+    pub(crate) fn new(now: Instant) -> Self {
+        Verdict {
+            since: now,
+            trials: 0,
+            trial: Trial::Closed,
+            refused: now,
+        }
+    }
+
+    pub(crate) fn from_record(record: Record, now: Instant) -> Self {
+        let age = Duration::from_millis(record.age_ms);
+        Verdict {
+            since: now.checked_sub(age).unwrap_or(now),
+            trials: record.trials,
+            ..Verdict::new(now)
+        }
+    }
+
+    pub(crate) fn record(&self, part: PartId, now: Instant) -> Record {
+        let age = now.saturating_duration_since(self.since);
+        Record {
+            part,
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            trials: self.trials,
+        }
+    }
+
+    /// Reports whether an answer that began well at `at` shows that the part is sound.
+    pub(crate) fn is_lifted_by(&self, at: Instant) -> bool {
+        at > self.since
+    }
+
+    /// Reports whether no prompt with the part has come for a long time.
+    pub(crate) fn is_idle(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.refused) >= IDLE_RETENTION
+    }
+
+    /// Begins a trial if one is due, and reports whether it has.
+    pub(crate) fn begin_trial(&mut self, now: Instant) -> bool {
+        let Some(pause) = TRIAL_PAUSES.get(self.trials as usize) else {
+            return false;
+        };
+        let is_due = now >= self.since + *pause;
+        let has_demand = now.saturating_duration_since(self.refused) < DEMAND_LIFETIME;
+        if !is_due || !has_demand || self.trial != Trial::Closed {
+            return false;
+        }
+        self.trials += 1;
+        self.since = now;
+        self.trial = Trial::Recorded;
+        true
+    }
+
+    /// Allows the trial that has been recorded to be granted.
+    pub(crate) fn open_trial(&mut self) {
+        if self.trial == Trial::Recorded {
+            self.trial = Trial::Open;
+        }
+    }
+
+    /// Records that an entry refused a prompt with the part, and reports whether it gets the trial.
+    pub(crate) fn record_refusal(&mut self, now: Instant) -> bool {
+        self.refused = now;
+        let granted = self.trial == Trial::Open;
+        if granted {
+            self.trial = Trial::Closed;
+        }
+        granted
+    }
+}
--- /dev/null
+++ b/components/quarantine/src/watch.rs
@@ -0,0 +1,153 @@
+//! An entry's view of crashes and of the parts in quarantine.
+
+use std::time::{Duration, Instant};
+
+use config::ids::{Incarnation, UpstreamId};
+use indexmap::IndexMap;
+
+use crate::{Crash, Notice, PartId, Report};
+
+/// Time after the first event of an answer from which on it has begun well.
+pub const BEGUN_WELL: Duration = Duration::from_secs(1);
+/// Time for which a crash is reported.
+const CRASH_LIFETIME: Duration = Duration::from_secs(10);
+/// Time for which a refused part is reported.
+const REFUSAL_LIFETIME: Duration = Duration::from_secs(1);
+/// Time within which a trial has to begin.
+const TRIAL_LIFETIME: Duration = Duration::from_secs(10);
+/// Crashes that are kept at one time.
+const MAX_CRASHES: usize = 64;
+/// Suspects of one crash.
+const MAX_SUSPECTS: usize = 128;
+/// Parts of which it is remembered when an answer began well; twice as many at most.
+const MAX_PARTS: usize = 8_192;
+
+/// Crashes that an entry has seen, the parts with which answers began well, and the newest notice.
+#[derive(Debug, Default)]
+pub struct Watch {
+    crashes: IndexMap<(UpstreamId, Incarnation), Seen>,
+    /// When an answer last began well with a part; newer ones and older ones.
+    begun_well: [IndexMap<PartId, Instant>; 2],
+    notice: Notice,
+    /// Until when a prompt with a part may be let through.
+    trials: IndexMap<PartId, Instant>,
+    refused: IndexMap<PartId, Instant>,
+}
+
+#[derive(Debug)]
+struct Seen {
+    at: Instant,
+    suspects: IndexMap<PartId, u32>,
+}
+
+impl Watch {
+    /// Returns the part for which a prompt is refused, if there is one. A trial of the part is
+    /// used up.
+    pub fn refusal(&mut self, parts: &[PartId], now: Instant) -> Option<PartId> {
+        let part = self.quarantined(parts)?;
+        match self.trials.swap_remove(&part) {
+            Some(until) if now < until => None,
+            _ => {
+                self.refused.insert(part, now);
+                Some(part)
+            }
+        }
+    }
+
+    /// Returns the first part that is in quarantine.
+    pub fn quarantined(&self, parts: &[PartId]) -> Option<PartId> {
+        let quarantined = |part: &&PartId| self.notice.quarantined.contains(part);
+        parts.iter().find(quarantined).copied()
+    }
+
+    /// Records that an answer to a prompt with `parts` has begun well.
+    pub fn record_begun_well(&mut self, parts: &[PartId], now: Instant) {
+        for part in parts {
+            self.begun_well[0].insert(*part, now);
+        }
+        if self.begun_well[0].len() >= MAX_PARTS {
+            self.begun_well[1] = std::mem::take(&mut self.begun_well[0]);
+        }
+    }
+
+    /// Reports whether a crash has been recorded already.
+    pub fn knows_crash(&self, upstream: &UpstreamId, incarnation: Incarnation) -> bool {
+        self.crashes.contains_key(&(upstream.clone(), incarnation))
+    }
+
+    /// Records that an upstream crashed while an answer to a prompt with `parts` had not begun well.
+    pub fn record_crash(
+        &mut self,
+        upstream: &UpstreamId,
+        incarnation: Incarnation,
+        parts: &[PartId],
+        now: Instant,
+    ) {
+        self.drop_old(now);
+        let key = (upstream.clone(), incarnation);
+        if self.crashes.len() >= MAX_CRASHES && !self.crashes.contains_key(&key) {
+            self.crashes.shift_remove_index(0);
+        }
+        let seen = self.crashes.entry(key).or_insert_with(|| Seen {
+            at: now,
+            suspects: IndexMap::new(),
+        });
+        for (position, part) in (0..).zip(parts) {
+            if seen.suspects.len() < MAX_SUSPECTS {
+                seen.suspects.insert(*part, position);
+            }
+        }
+    }
+
+    /// Returns the statement for the next report to the leader.
+    pub fn report(&mut self, now: Instant) -> Report {
+        self.drop_old(now);
+        let begun_well = |part: &PartId| {
+            let at = self.begun_well.iter().find_map(|parts| parts.get(part))?;
+            Some((*part, age_ms(*at, now)))
+        };
+        let crash = |((upstream, incarnation), seen): (&(UpstreamId, Incarnation), &Seen)| Crash {
+            upstream: upstream.clone(),
+            incarnation: *incarnation,
+            age_ms: age_ms(seen.at, now),
+            suspects: seen
+                .suspects
+                .iter()
+                .map(|(part, at)| (*part, *at))
+                .collect(),
+        };
+        Report {
+            notice: self.notice.number,
+            crashes: self.crashes.iter().map(crash).collect(),
+            begun_well: self.notice.watched.iter().filter_map(begun_well).collect(),
+            refused: self.refused.keys().copied().collect(),
+        }
+    }
+
+    /// Applies the leader's answer to a report, and returns the parts that it puts into quarantine
+    /// or takes out.
+    pub fn apply(&mut self, notice: Notice, now: Instant) -> Vec<PartId> {
+        for part in &notice.trials {
+            self.trials.insert(*part, now + TRIAL_LIFETIME);
+        }
+        let before = std::mem::replace(&mut self.notice, notice);
+        let (old, new) = (&before.quarantined, &self.notice.quarantined);
+        let added = new.iter().filter(|part| !old.contains(part));
+        let removed = old.iter().filter(|part| !new.contains(part));
+        added.chain(removed).copied().collect()
+    }
+
+    fn drop_old(&mut self, now: Instant) {
+        let is_within = |at: Instant, limit| now.saturating_duration_since(at) < limit;
+        self.crashes
+            .retain(|_, seen| is_within(seen.at, CRASH_LIFETIME));
+        self.refused
+            .retain(|_, at| is_within(*at, REFUSAL_LIFETIME));
+        self.trials.retain(|_, until| now < *until);
+    }
+}
+
+fn age_ms(at: Instant, now: Instant) -> u64 {
+    let age = now.saturating_duration_since(at);
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -17,6 +17,7 @@
 mod state;
 pub mod text;
 pub mod usage;
+pub mod verdicts;
 
 pub use command::{Change, Command};
 pub use error::Error;
--- a/components/state/src/state.rs
+++ b/components/state/src/state.rs
@@ -9,6 +9,7 @@
 use crate::spending::Spending;
 use crate::text::Texts;
 use crate::usage::Windows;
+use crate::verdicts::Verdicts;
 use crate::{Change, Command, Error, Millis, Output, Position};
 
 /// Version of the snapshot format.
@@ -28,6 +29,8 @@
     windows: Windows,
     #[serde(default)]
     spending: Spending,
+    #[serde(default)]
+    verdicts: Verdicts,
 }
 
 impl State {
@@ -76,6 +79,11 @@
         &self.spending
     }
 
+    /// Returns the newest record of the parts in quarantine.
+    pub fn verdicts(&self) -> &Verdicts {
+        &self.verdicts
+    }
+
     /// Applies the command at `position`; skips it if it was applied before.
     pub fn apply(&mut self, position: Position, command: Command) -> Output {
         if position.index <= self.applied.index {
@@ -154,6 +162,11 @@
                 self.spending.record(at, accounts);
                 Output::Done
             }
+            Change::RecordVerdicts(verdicts) => {
+                // As with spending, ages are relative to the sender's time.
+                self.verdicts.record(at, verdicts);
+                Output::Done
+            }
             Change::Tick => Output::Done,
         }
     }
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -20,6 +20,9 @@
     /// Demand admitted since the process started, by service.
     #[serde(rename = "offered")]
     pub demand: Vec<(ServiceId, DemandTotals)>,
+    /// Crashes of upstreams, and what is known of the parts of prompts.
+    #[serde(default)]
+    pub quarantine: quarantine::Report,
 }
 
 /// Totals of what callers requested of a service.
@@ -87,4 +90,7 @@
     /// Work in progress of all entries, including the reporting one, by upstream.
     #[serde(rename = "held")]
     pub work: Vec<(UpstreamId, Work)>,
+    /// Parts of prompts under suspicion and in quarantine.
+    #[serde(default)]
+    pub quarantine: quarantine::Notice,
 }
