gateway: Give no tokens back for a quarantined prompt that may have run

A prompt whose part comes into quarantine between two of its attempts was refused as one that has not run: its tokens went back to the account's limit, though an upstream may have begun it. Found by reading; the refusal now says whether it may have run, and is listed in the test of which statuses promise that a request has not run.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -234,7 +234,10 @@
 fn refusal_of_prompt(core: &Core, call: &Call, attempts: &mut Attempts) -> Option<Refusal> {
     let quarantined = lock(&core.watch).quarantined(&call.shared_parts);
     match quarantined {
-        Some(part) => Some(Refusal::Quarantined(part)),
+        Some(part) => {
+            let may_have_run = attempts.unknown_outcome.is_some() || attempts.broken > 0;
+            Some(Refusal::Quarantined(part, may_have_run))
+        }
         None if attempts.may_crash_more(call) => None,
         None => {
             let refusal = attempts.unknown_outcome.take();
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -70,7 +70,7 @@
     };
     let quarantined = lock(&core.watch).refusal(&call.shared_parts, Instant::now());
     if let Some(part) = quarantined {
-        return refuse(request_log, &Refusal::Quarantined(part));
+        return refuse(request_log, &Refusal::Quarantined(part, false));
     }
     let software = match origin::find(&core, &call).await {
         Ok(software) => software,
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -54,8 +54,8 @@
         UnknownOrigin {
             display("it is not known which version began the stream")
         }
-        /// The prompt has a part that crashes upstreams.
-        Quarantined(part: PartId) {
+        /// The prompt has a part that crashes upstreams, and may have crashed one already.
+        Quarantined(part: PartId, may_have_run: bool) {
             display("the part {part:x} of the prompt crashes upstreams")
         }
         /// Upstreams refused the request without running it, and no further attempt is allowed.
@@ -80,7 +80,10 @@
 impl Refusal {
     /// Reports whether the request has not run and will not run later.
     pub fn is_not_run(&self) -> bool {
-        !matches!(self, Refusal::Lost(_) | Refusal::TimedOut)
+        !matches!(
+            self,
+            Refusal::Lost(_) | Refusal::TimedOut | Refusal::Quarantined(_, true)
+        )
     }
 
     /// Returns the time after which the caller should retry, if it should.
@@ -110,7 +113,7 @@
             Refusal::NoUpstream(_) => "no-upstream",
             Refusal::Overloaded(_) => "overloaded",
             Refusal::UnknownOrigin => "unknown-origin",
-            Refusal::Quarantined(_) => "quarantined",
+            Refusal::Quarantined(_, _) => "quarantined",
             Refusal::Shed(_) => "shed",
             Refusal::TooLate => "too-late",
             Refusal::Lost(_) => "lost",
