gateway: Log the limits that upstreams name

An upstream that had named a limit got as many requests as before, and no line of any process mentioned it. The header is now read and each change logged at each entry; an answer without it, to a request that was sent after the limit was named, ends it. Nothing keeps the limit yet.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -13,6 +13,7 @@
 mod estimate;
 mod health;
 mod home;
+mod limit;
 mod prefixes;
 mod settings;
 mod upstream;
@@ -227,6 +228,19 @@
         }
     }
 
+    /// Records the limit that an upstream named in its answer to a request that was sent at
+    /// `sent_at`, or that it named none. Reports whether the limit has changed.
+    pub fn record_limit(
+        &mut self,
+        choice: &Choice,
+        limit: Option<f64>,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
+        let upstream = self.upstream_of(choice);
+        upstream.is_some_and(|upstream| upstream.limit.record(limit, sent_at, now))
+    }
+
     /// Returns this entry's work by upstream, for a report to the leader.
     pub fn report(&mut self) -> Vec<(UpstreamId, Work)> {
         let mut work = Vec::new();
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -14,6 +14,7 @@
 use super::estimate::Estimate;
 use super::health::Health;
 use super::is_engine;
+use super::limit::Limit;
 use super::prefixes::Prefixes;
 
 /// Weight of the newest call in the average duration of plain calls.
@@ -48,6 +49,7 @@
     pub(super) call_ms: Option<f64>,
     pub(super) prefixes: Prefixes,
     pub(super) health: Health,
+    pub(super) limit: Limit,
 }
 
 impl Upstream {
@@ -72,6 +74,7 @@
             call_ms: None,
             prefixes: Prefixes::default(),
             health: Health::default(),
+            limit: Limit::default(),
         }
     }
 
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -339,6 +339,9 @@
     }
     let status = parts.status;
     let is_own = reply.id.as_ref() == Some(&call.id);
+    if reply.limit.is_some() || is_own {
+        record_limit(core, &choice, reply.limit, ticket.sent_at());
+    }
     if reply.not_run || reply.other_upstream {
         ticket.finish(Outcome::Refused);
         return Err(Failure::NotRun);
@@ -371,6 +374,17 @@
     }
 }
 
+/// Records the limit that an answer names, or that it names none.
+fn record_limit(core: &Core, choice: &Choice, limit: Option<f64>, sent_at: Instant) {
+    let now = Instant::now();
+    let is_change = lock(&core.balancer).record_limit(choice, limit, sent_at, now);
+    match limit {
+        _ if !is_change => {}
+        Some(rate) => info!(upstream = %choice.upstream, rate, "limit: named by the upstream"),
+        None => info!(upstream = %choice.upstream, "limit: no longer named by the upstream"),
+    }
+}
+
 /// Reports whether a call that was answered with `status` should be retried at another upstream.
 fn should_retry(call: &Call, status: StatusCode) -> bool {
     call.is_idempotent() && status.is_server_error()
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -82,6 +82,8 @@
     pub is_signed: bool,
     /// Running and waiting requests at the upstream.
     pub load: Option<(u32, u32)>,
+    /// Requests a second that the upstream takes from all entries together; `None` for no limit.
+    pub limit: Option<f64>,
     /// Time for which the upstream keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
--- a/components/gateway/src/ticket.rs
+++ b/components/gateway/src/ticket.rs
@@ -33,6 +33,10 @@
         &self.choice
     }
 
+    pub(crate) fn sent_at(&self) -> Instant {
+        self.sent_at
+    }
+
     /// Reports whether the first event came long enough ago for the answer to have begun well.
     pub(crate) fn has_begun_well(&self) -> bool {
         self.first_event
