gateway: Keep the limits that upstreams name, over all entries together

An upstream in need named in its answers how many requests a second it takes from all entries, and got as many as before: 13 in 4 s in the users' record, where 11 are allowed at a limit of 1 a second. Cause: nothing read the header. The class is a bound on a sum that no process sees; a bound at each entry would have been wrong by the number of entries.

Entries now tell the leader what upstreams say, and learn with the answers to their reports what others heard. Under a limit they send only with a permit of the leader's bucket, one for each request, valid for a second; retries, continued streams and fetched parts need one as any first request does. They draw permits only if no other upstream may take the request, and refuse at once if there are none; one permit a second is given out unasked, so that the end of a limit is noticed.

Reports are boxed in the enum of requests, which they made large.

--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -254,6 +254,7 @@
         Body::Replace { .. } => "replace",
         Body::Report(_) => "report",
         Body::Balance(_) => "balance",
+        Body::DrawPermits { .. } => "draw-permits",
         Body::RecordOrigin(_) => "record-origin",
         Body::FindOrigin(_) => "find-origin",
         Body::Query(_) => "query",
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, NodeId, Version};
+use limits::Permits;
 use quarantine::Evidence;
 use state::claims::millis;
 use state::text::{Outcome, Replacement, Submission};
@@ -75,9 +76,9 @@
                 let process = (node, incarnation);
                 let now = Instant::now();
                 let (serving, replaced_ms) = self.serving_entries(&process.0);
-                let overview = self
-                    .workload()
-                    .record_report(process, report, text.as_deref(), now);
+                let overview =
+                    self.workload()
+                        .record_report(process, *report, text.as_deref(), now);
                 Ok(Answer::Overview(Overview {
                     now_ms: clock::monotonic_unix_ms(),
                     entries: overview.entries.max(serving),
@@ -96,6 +97,13 @@
                 });
                 Ok(Answer::Balances(balances.unwrap_or_default()))
             }
+            Body::DrawPermits { wanted, count } => {
+                let (serving, _) = self.serving_entries(&node);
+                let now = Instant::now();
+                let mut workload = self.workload();
+                let drawn = workload.permits().draw(&wanted, count, serving, now);
+                Ok(Answer::Permits(drawn))
+            }
             Body::RecordOrigin(_) | Body::FindOrigin(_) => {
                 Err(Failure::Refused("the leader is not needed for it".into()))
             }
@@ -153,7 +161,7 @@
                 .leases
                 .take_over(entries.into_iter(), Instant::now());
             self.take_over_limits();
-            self.take_over_verdicts(term);
+            self.take_over_reports(term);
             leadership.term = term;
             leadership.since = Instant::now();
             info!("control: became the leader of term {term}");
@@ -178,11 +186,14 @@
             .take_over(&processes, &record, &text, now);
     }
 
-    /// Keeps the parts of prompts in quarantine that an earlier leader recorded.
-    fn take_over_verdicts(&self, term: u64) {
+    /// Keeps the parts of prompts in quarantine that an earlier leader recorded, and starts without
+    /// the limits that upstreams named, which the entries will state.
+    fn take_over_reports(&self, term: u64) {
         let now = clock::monotonic_unix_ms();
         let records = self.machine.read().verdicts().as_of(now);
-        *self.workload().evidence() = Evidence::new(term, &records, Instant::now());
+        let mut workload = self.workload();
+        *workload.evidence() = Evidence::new(term, &records, Instant::now());
+        *workload.permits() = Permits::new(term);
     }
 
     async fn confirm(
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -9,10 +9,11 @@
 use config::Text;
 use config::ids::{AccountId, ServiceId, UpstreamId};
 use indexmap::IndexMap;
+use limits::Permits;
 use placement::autoscaler::Demand;
 use quarantine::Evidence;
 use state::usage::{Counts, Window};
-use wire::{DemandTotals, Overview, Report, Work};
+use wire::{DemandTotals, Limits, Overview, Report, Work};
 
 use super::rate::Rate;
 use super::token_limits::{EntryProcess, TokenLimits};
@@ -30,6 +31,7 @@
     entries: IndexMap<EntryProcess, EntryReport>,
     limits: TokenLimits,
     evidence: Evidence,
+    permits: Permits,
     /// Started requests by usage window, process and account.
     window_counts: IndexMap<Window, IndexMap<EntryProcess, Counts>>,
     rates: IndexMap<ServiceId, Rate>,
@@ -51,6 +53,7 @@
             entries: IndexMap::new(),
             limits: TokenLimits::new(limit_window),
             evidence: Evidence::new(0, &[], now),
+            permits: Permits::new(0),
             window_counts: IndexMap::new(),
             rates: IndexMap::new(),
         }
@@ -66,6 +69,11 @@
         &mut self.evidence
     }
 
+    /// Returns the limits that upstreams named.
+    pub(crate) fn permits(&mut self) -> &mut Permits {
+        &mut self.permits
+    }
+
     /// Records a report, and returns the sums over all entries and the balances under the limits of
     /// `text`.
     pub(crate) fn record_report(
@@ -82,6 +90,8 @@
                 .balances(&process, &report.statements, text, now)
         });
         let quarantine = self.evidence.record(&process, &report.quarantine, now);
+        let limits = self.record_limits(&report.limits, now);
+        let permits = self.permits.offer(now);
         let report = EntryReport {
             at: now,
             work: report.work,
@@ -96,9 +106,22 @@
             balances: balances.unwrap_or_default(),
             work: self.total_work(now),
             quarantine,
+            limits,
+            permits,
         }
     }
 
+    /// Records the limits that an entry heard of, and returns all of them unless the entry has the
+    /// newest ones.
+    fn record_limits(&mut self, limits: &Limits, now: Instant) -> Option<Limits> {
+        self.permits.record(&limits.namings, now);
+        let number = self.permits.number();
+        (number != limits.number).then(|| Limits {
+            number,
+            namings: self.permits.namings(now),
+        })
+    }
+
     /// Returns the number of requests that each account started in a usage window, as reported so
     /// far.
     pub(crate) fn counts(&self, window: Window) -> Counts {
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -16,7 +16,7 @@
 use config::ids::{NodeId, UpstreamId};
 use errors::{Error, Peer, Result, Step};
 use indexmap::IndexSet;
-use limits::{Draw, Grant};
+use limits::{Draw, Drawn, Grant, Process};
 use link::Identity;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
@@ -126,7 +126,7 @@
     /// # Errors
     /// If the leader does not answer within `limit`.
     pub async fn report(&self, report: Report, limit: Duration) -> Result<Overview> {
-        let request = self.shared.request(Body::Report(report));
+        let request = self.shared.request(Body::Report(Box::new(report)));
         match self.shared.links.call(request, limit).await? {
             Answer::Overview(overview) => Ok(overview),
             _ => Err(unexpected_answer()),
@@ -145,6 +145,23 @@
         }
     }
 
+    /// Draws permits for requests to one of the upstreams `wanted`.
+    ///
+    /// # Errors
+    /// If the leader does not answer within `limit`.
+    pub async fn draw_permits(
+        &self,
+        wanted: Vec<Process>,
+        count: u32,
+        limit: Duration,
+    ) -> Result<Drawn> {
+        let request = self.shared.request(Body::DrawPermits { wanted, count });
+        match self.shared.links.call(request, limit).await? {
+            Answer::Permits(drawn) => Ok(drawn),
+            _ => Err(unexpected_answer()),
+        }
+    }
+
     /// Sends the settlement until the control group has committed it.
     async fn settle_with_retries(&self, claim: &Claim, settlement: &Settlement) -> Result<()> {
         loop {
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -29,6 +29,7 @@
 use config::ids::{ServiceId, UpstreamId};
 use config::text::Kind;
 use indexmap::IndexMap;
+use limits::{Permit, Process};
 use wire::Work;
 
 use crate::call::PartId;
@@ -150,23 +151,18 @@
                 && now < upstream.expires
                 && !upstream.superseded
                 && !upstream.health.is_ejected(now)
+                && !upstream.limit.is_named()
         });
         home::fetch_source(criteria, chosen, reachable).map(|upstream| upstream.address)
     }
 
     /// Returns the upstreams to which the request may be sent: serving upstreams of the service
-    /// with a valid lease that are not ejected. If there are none, ejected upstreams are included.
+    /// with a valid lease that are not ejected and, if they name a limit, a permit. If there are none, ejected upstreams are included.
     /// If all leases have expired as well, every upstream last known to be serving is included, so
     /// that an entry without contact to the control group continues to serve.
     fn usable(&self, criteria: &Criteria<'_>, now: Instant) -> Vec<(&UpstreamId, &Upstream)> {
         let is_candidate = |(name, upstream): &(&UpstreamId, &Upstream)| {
-            upstream.service == *criteria.service
-                && upstream.availability == Availability::Serving
-                && !upstream.superseded
-                && !criteria.excluded.contains(name)
-                && criteria
-                    .software
-                    .is_none_or(|software| *software == upstream.software)
+            is_candidate(name, upstream, criteria) && upstream.limit.allows(now)
         };
         let all: Vec<_> = self.upstreams.iter().filter(is_candidate).collect();
         let is_live = |upstream: &Upstream| now < upstream.expires;
@@ -241,6 +237,48 @@
         upstream.is_some_and(|upstream| upstream.limit.record(limit, sent_at, now))
     }
 
+    /// Returns the upstreams that could take a request if there were a permit under their limit.
+    pub fn limited(&self, criteria: &Criteria<'_>, now: Instant) -> Vec<Process> {
+        let limited = self.upstreams.iter().filter(|(name, upstream)| {
+            is_candidate(name, upstream, criteria)
+                && now < upstream.expires
+                && !upstream.limit.allows(now)
+        });
+        limited
+            .map(|(name, upstream)| (name.clone(), upstream.incarnation))
+            .collect()
+    }
+
+    /// Returns what upstreams said about their limits, and when.
+    pub fn limits(&self) -> impl Iterator<Item = (Process, Option<f64>, Instant)> {
+        self.upstreams.iter().filter_map(|(name, upstream)| {
+            let (rate, said) = upstream.limit.naming()?;
+            Some(((name.clone(), upstream.incarnation), rate, said))
+        })
+    }
+
+    /// Records what an upstream said to another entry at `said`.
+    pub fn learn_limit(&mut self, process: &Process, rate: Option<f64>, said: Instant) {
+        if let Some(upstream) = self.process(process) {
+            upstream.limit.learn(rate, said);
+        }
+    }
+
+    /// Adds permits for an upstream that names a limit. They are valid until `until`.
+    pub fn add_permits(&mut self, permit: &Permit, until: Instant) {
+        if let Some(upstream) = self.process(&permit.process) {
+            upstream.limit.add_permits(permit.count, until);
+        }
+    }
+
+    /// Begins to keep a part of each limit without permits if `entries` is set, the number of
+    /// entries, because the leader does not answer; ends it otherwise.
+    pub fn fall_back(&mut self, entries: Option<u32>, now: Instant) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.limit.fall_back(entries, now);
+        }
+    }
+
     /// Returns this entry's work by upstream, for a report to the leader.
     pub fn report(&mut self) -> Vec<(UpstreamId, Work)> {
         let mut work = Vec::new();
@@ -283,6 +321,12 @@
             .is_some_and(|upstream| upstream.prefixes.has_part(part))
     }
 
+    /// Returns the upstream if its current process is `process`.
+    fn process(&mut self, (name, incarnation): &Process) -> Option<&mut Upstream> {
+        let upstream = self.upstreams.get_mut(name)?;
+        (upstream.incarnation == *incarnation).then_some(upstream)
+    }
+
     /// Returns the upstream of a choice, or `None` if it has been removed or restarted since.
     fn upstream_of(&mut self, choice: &Choice) -> Option<&mut Upstream> {
         let upstream = self.upstreams.get_mut(&choice.upstream)?;
@@ -290,6 +334,17 @@
     }
 }
 
+/// Reports whether an upstream may take a request, whatever its lease, health and limit.
+fn is_candidate(name: &UpstreamId, upstream: &Upstream, criteria: &Criteria<'_>) -> bool {
+    upstream.service == *criteria.service
+        && upstream.availability == Availability::Serving
+        && !upstream.superseded
+        && !criteria.excluded.contains(name)
+        && criteria
+            .software
+            .is_none_or(|software| *software == upstream.software)
+}
+
 /// Reports whether the upstreams of a service of this kind are engines.
 pub(super) fn is_engine(kind: Kind) -> bool {
     kind == Kind::Model
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -101,6 +101,7 @@
         home: Option<&str>,
         now: Instant,
     ) -> Choice {
+        self.limit.take(now);
         self.own_work.requests += 1;
         self.own_work.prefill_tokens += estimate.uncached_tokens;
         if let Some(prompt) = criteria.prompt.filter(|_| self.is_engine) {
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -11,6 +11,7 @@
 
 use crate::demand::Demand;
 use crate::drain::Drain;
+use crate::permits::Permits;
 use crate::pool::Pool;
 use crate::{Accounts, Balancer, Metrics, Protocol, Readiness, Retries, Settings, Table, Usage};
 
@@ -34,6 +35,8 @@
     pub(crate) readiness: Readiness,
     /// Crashes of upstreams, and parts of prompts in quarantine.
     pub(crate) watch: Mutex<Watch>,
+    /// Draws under the limits that upstreams name.
+    pub(crate) permits: Mutex<Permits>,
     /// Wakes the task that reports to the leader.
     pub(crate) report_now: Notify,
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -20,7 +20,7 @@
 use crate::relay::MAX_ANSWER_BYTES;
 use crate::request_log::RequestLog;
 use crate::ticket::Ticket;
-use crate::{Metadata, Refusal, Reply, admission, crash, retries};
+use crate::{Metadata, Refusal, Reply, admission, crash, permits, retries};
 
 /// Number of failed connections after which a request is refused.
 const MAX_CONNECT_FAILURES: u32 = 3;
@@ -31,6 +31,8 @@
 /// Shortest time after which callers should retry if upstreams are overloaded or refused the
 /// request.
 const SHED_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Permits that are drawn for one attempt. Another request may use up one that was drawn.
+const MAX_DRAWS: u32 = 2;
 /// Upstreams that one prompt may crash.
 const MAX_BROKEN: u32 = 2;
 /// Time to the head of an answer after which an idempotent call is retried at another upstream,
@@ -152,8 +154,7 @@
                 None => admission::max_wait(call),
             },
         };
-        let chosen = lock(&core.balancer).choose(&criteria, now);
-        let choice = match chosen {
+        let choice = match choose(core, call, &criteria).await {
             Ok(choice) => choice,
             Err(shortage) => {
                 let refusal = attempts
@@ -163,6 +164,7 @@
                 return fallback(server_error, refusal);
             }
         };
+        let now = Instant::now();
         let mut ticket = Ticket::new(core, choice);
         if attempts.sends > 0 && !take_retry(core, call, now) {
             ticket.finish(Outcome::Refused);
@@ -230,6 +232,32 @@
     }
 }
 
+/// Chooses an upstream. If none may take the request without it, draws a permit under the limit of
+/// one that names a limit.
+async fn choose(core: &Core, call: &Call, criteria: &Criteria<'_>) -> Result<Choice, Shortage> {
+    for _ in 0..MAX_DRAWS {
+        let now = Instant::now();
+        let (chosen, limited) = {
+            let mut balancer = lock(&core.balancer);
+            let chosen = balancer.choose(criteria, now);
+            let limited = balancer.limited(criteria, now);
+            (chosen, limited)
+        };
+        let shortage = match chosen {
+            Ok(choice) => return Ok(choice),
+            Err(shortage) if limited.is_empty() => return Err(shortage),
+            Err(shortage) => shortage,
+        };
+        if let Err(wait) = permits::draw(core, &call.service, limited).await {
+            return Err(match shortage {
+                Shortage::NoUpstream => Shortage::Overloaded(wait),
+                Shortage::Overloaded(excess) => Shortage::Overloaded(excess.min(wait)),
+            });
+        }
+    }
+    lock(&core.balancer).choose(criteria, Instant::now())
+}
+
 /// Returns why a prompt that was sent before must not be sent again, if it must not.
 fn refusal_of_prompt(core: &Core, call: &Call, attempts: &mut Attempts) -> Option<Refusal> {
     let quarantined = lock(&core.watch).quarantined(&call.shared_parts);
@@ -378,6 +406,9 @@
 fn record_limit(core: &Core, choice: &Choice, limit: Option<f64>, sent_at: Instant) {
     let now = Instant::now();
     let is_change = lock(&core.balancer).record_limit(choice, limit, sent_at, now);
+    if is_change {
+        core.report_now.notify_one();
+    }
     match limit {
         _ if !is_change => {}
         Some(rate) => info!(upstream = %choice.upstream, rate, "limit: named by the upstream"),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod exchange;
 mod metrics;
 mod origin;
+mod permits;
 mod pool;
 mod protocol;
 mod readiness;
--- a/components/gateway/src/retries.rs
+++ b/components/gateway/src/retries.rs
@@ -158,6 +158,11 @@
         self.slack_from.get_or_insert(since_start + remaining);
     }
 
+    /// Returns the number of entries that share the bound.
+    pub fn entries(&self) -> u32 {
+        self.entries.largest()
+    }
+
     /// Counts a caller's request at the time `since_start` after the start of the process.
     pub fn record_request(&mut self, service: &ServiceId, since_start: Duration) {
         let number = self.slice_number(since_start);
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -118,6 +118,7 @@
     };
     Arc::new(Core {
         watch: Mutex::default(),
+        permits: Mutex::default(),
         report_now: Notify::new(),
         retries: Mutex::new(Retries::new(settings.retries, ASSUMED_ENTRIES)),
         usage: Mutex::new(Usage::new(settings.usage_window, unix_ms, now)),
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -4,9 +4,10 @@
 use std::time::{Duration, Instant};
 
 use fleet::{Control, View};
+use limits::{Naming, PERMIT_LIFETIME, Process};
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
-use wire::Report;
+use wire::{Limits, Report};
 
 use crate::core::{Core, lock};
 use crate::{Share, Table, retries};
@@ -62,17 +63,20 @@
 pub(crate) async fn report(core: Arc<Core>) {
     let mut last: Option<(Report, Instant)> = None;
     let mut is_reachable = true;
+    let mut told = Limits::default();
     while !core.readiness.wait(REPORT_PERIOD).await {}
     loop {
         let limited = core.table.load();
         let statements =
             lock(&core.accounts).statements(limited.limited_accounts(), Instant::now());
+        let limits = changed_limits(&core, &told, Instant::now());
         let report = Report {
             statements,
             started: lock(&core.usage).report(),
             work: lock(&core.balancer).report(),
             demand: lock(&core.demand).report(),
             quarantine: lock(&core.watch).report(Instant::now()),
+            limits,
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
@@ -87,13 +91,18 @@
         let reported = core.member.report(report, REPORT_TIMEOUT).await;
         let succeeded = reported.is_ok();
         match reported {
-            Ok(overview) => apply_overview(&core, number, &overview, sent_at),
+            Ok(overview) => {
+                apply_overview(&core, number, &overview, sent_at);
+                told = overview.limits.unwrap_or(told);
+            }
             Err(error) if is_reachable => warn!("gateway: report to the leader failed: {error}"),
             Err(_) => {}
         }
         if !succeeded {
             lock(&core.accounts).record_silence();
         }
+        let entries = (!succeeded).then(|| lock(&core.retries).entries());
+        lock(&core.balancer).fall_back(entries, Instant::now());
         if succeeded && !is_reachable {
             info!("gateway: reports to the leader succeed again");
         }
@@ -107,6 +116,40 @@
     let _ = timeout(REPORT_PERIOD, core.report_now.notified()).await;
 }
 
+/// Returns what upstreams said about their limits where it differs from what the leader has `told`.
+fn changed_limits(core: &Core, told: &Limits, now: Instant) -> Limits {
+    let known = |process: &Process| {
+        let mut namings = told.namings.iter();
+        namings.find(|naming| naming.process == *process)?.rate
+    };
+    let balancer = lock(&core.balancer);
+    let changed = balancer.limits().filter_map(|(process, rate, said)| {
+        let age = now.saturating_duration_since(said);
+        (known(&process) != rate).then(|| Naming {
+            process,
+            rate,
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        })
+    });
+    Limits {
+        number: told.number,
+        namings: changed.collect(),
+    }
+}
+
+/// Applies the limits and the permits of the leader's answer to a report that was sent at `sent_at`.
+fn apply_limits(core: &Core, overview: &wire::Overview, sent_at: Instant, now: Instant) {
+    let mut balancer = lock(&core.balancer);
+    for naming in overview.limits.iter().flat_map(|limits| &limits.namings) {
+        let age = Duration::from_millis(naming.age_ms);
+        let said = now.checked_sub(age).unwrap_or(now);
+        balancer.learn_limit(&naming.process, naming.rate, said);
+    }
+    for permit in &overview.permits {
+        balancer.add_permits(permit, sent_at + PERMIT_LIFETIME);
+    }
+}
+
 /// Reports whether two reports differ in the number of their statements at most.
 fn is_same(report: &Report, other: &Report) -> bool {
     report.statements.accounts == other.statements.accounts
@@ -114,6 +157,7 @@
         && report.work == other.work
         && report.demand == other.demand
         && report.quarantine == other.quarantine
+        && report.limits == other.limits
 }
 
 /// Applies the leader's answer to the report whose statements have `number`, which was sent at
@@ -127,6 +171,7 @@
     for part in parts {
         info!("gateway: the quarantine of the part {part:x} has changed");
     }
+    apply_limits(core, overview, sent_at, now);
     let share = Share {
         entries: overview.entries,
         replaced: overview.replaced_ms.map(Duration::from_millis),
--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -9,6 +9,7 @@
 use gateway::balancer::{Balancer, Choice, Criteria, Outcome, Settings, Shortage};
 use gateway::{Part, Prompt};
 use indexmap::IndexMap;
+use limits::Permit;
 use upstream::{Announcement, Availability, Capacity, Load, Role, Routes, Software};
 use wire::Work;
 
@@ -162,6 +163,32 @@
         Ok(choice)
     }
 
+    /// Lets all entries know the limit that an engine names.
+    pub(crate) fn name_limit(&mut self, engine: &str, rate: Option<f64>) {
+        let process = (engine.into(), 1);
+        for entry in &mut self.entries {
+            entry.learn_limit(&process, rate, self.now);
+        }
+    }
+
+    /// Gives an entry permits for an engine, which are valid for a second.
+    pub(crate) fn permit(&mut self, entry: usize, engine: &str, count: u32) {
+        let permit = Permit {
+            process: (engine.into(), 1),
+            count,
+        };
+        let until = self.now + Duration::from_secs(1);
+        self.entries[entry].add_permits(&permit, until);
+    }
+
+    /// Lets the entries keep to their part of the limits, as without an answer of the leader.
+    pub(crate) fn cut_off(&mut self) {
+        let count = u32::try_from(self.entries.len()).expect("there are few entries");
+        for entry in &mut self.entries {
+            entry.fall_back(Some(count), self.now);
+        }
+    }
+
     /// Returns the only software version that an entry knows of the engines, if it is one.
     pub(crate) fn only_software(&self, entry: usize) -> Option<&Software> {
         self.entries[entry].only_software(&SERVICE.into())
--- a/components/gateway/tests/balancing/main.rs
+++ b/components/gateway/tests/balancing/main.rs
@@ -1,6 +1,7 @@
 //! The choice of upstreams, simulated without a network.
 
 mod fleet;
+mod limits;
 mod overload;
 
 use std::time::Duration;
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -1,8 +1,8 @@
-//! Rate limits of client accounts, enforced over all entries together.
+//! Rate limits of client accounts and of upstreams, enforced over all entries together.
 //!
 //! The crate opens no sockets and reads no clock: the caller passes the current time to each call.
 //!
-//! Limits are shared among entries in two ways:
+//! Limits are shared among entries in three ways:
 //!
 //! - Batches: the leader keeps a [`Meter`] with a token [`Bucket`] for each account. An entry keeps
 //!   a [`Share`] for each account, a batch of units that was drawn from the bucket and that it
@@ -12,6 +12,8 @@
 //!   what it spent. The leader divides the limit again with each [`Statement`], and also sends the
 //!   [`Headroom`] that all entries together have at their pace, from the statements it adds up in a
 //!   [`SlidingWindow`].
+//! - Permits: limits that upstreams name are kept by [`Permits`] of the leader for single requests,
+//!   which expire soon.
 
 mod accounts;
 mod bucket;
@@ -21,6 +23,7 @@
 mod grant;
 mod holding;
 mod meter;
+mod permits;
 mod policy;
 mod rate;
 mod report;
@@ -36,6 +39,7 @@
 pub use grant::Grant;
 pub use holding::Holding;
 pub use meter::Meter;
+pub use permits::{Drawn, Naming, PERMIT_LIFETIME, Permit, Permits, Process};
 pub use policy::Policy;
 pub use rate::{Rate, token_rate};
 pub use report::Report;
--- a/components/wire/src/answer.rs
+++ b/components/wire/src/answer.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 use config::ids::{NodeId, Version};
-use limits::Grant;
+use limits::{Drawn, Grant};
 use serde::{Deserialize, Serialize};
 use state::claim::Verdict;
 use state::text::Outcome;
@@ -29,6 +29,8 @@
     Overview(Overview),
     /// Answers `Balance`.
     Balances(Balances),
+    /// Answers `DrawPermits`.
+    Permits(Drawn),
     /// Answers `Query` with a JSON document, or with the text itself.
     Document(String),
     /// Answers `FindOrigin`; `None` if the version is not known here.
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -1,7 +1,7 @@
 //! Reports of entries on their work, and the leader's sums over all entries.
 
 use config::ids::{AccountId, ServiceId, UpstreamId};
-use limits::Statement;
+use limits::{Naming, Permit, Statement};
 use serde::{Deserialize, Serialize};
 use state::usage::Window;
 
@@ -23,6 +23,9 @@
     /// Crashes of upstreams, and what is known of the parts of prompts.
     #[serde(default)]
     pub quarantine: quarantine::Report,
+    /// Limits that upstreams named and that differ from what the leader has told.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 /// Totals of what callers requested of a service.
@@ -93,4 +96,19 @@
     /// Parts of prompts under suspicion and in quarantine.
     #[serde(default)]
     pub quarantine: quarantine::Notice,
+    /// Limits that upstreams named; `None` if the entry has the newest ones.
+    #[serde(default)]
+    pub limits: Option<Limits>,
+    /// Permits that nobody has drawn.
+    #[serde(default)]
+    pub permits: Vec<Permit>,
+}
+
+/// Limits that upstreams named in their answers.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Limits {
+    /// Number of the newest change of the leader's that is known.
+    pub number: u64,
+    /// What the upstreams said.
+    pub namings: Vec<Naming>,
 }
--- a/components/wire/src/request.rs
+++ b/components/wire/src/request.rs
@@ -1,7 +1,7 @@
 //! Requests that expect an answer.
 
 use config::ids::{Incarnation, NodeId, Version};
-use limits::Draw;
+use limits::{Draw, Process};
 use serde::{Deserialize, Serialize};
 use state::claim::{Claim, Settlement};
 use state::text::{Replacement, Submission};
@@ -56,9 +56,16 @@
         wait_ms: u64,
     },
     /// An entry reports its work, and requests the sums over all entries.
-    Report(Report),
+    Report(Box<Report>),
     /// An entry needs a larger allotment of the token limit of accounts, between two reports.
     Balance(Statements),
+    /// An entry needs permits for requests to one of the upstreams.
+    DrawPermits {
+        /// Upstreams that name a limit and that may take the request.
+        wanted: Vec<Process>,
+        /// Requests that the entry expects within a quarter of a second.
+        count: u32,
+    },
     /// An entry records at which software version a stream began. Every control process answers
     /// by itself.
     RecordOrigin(Origin),
