gateway: Eject an upstream that accepts no connection at once

Each entry needed two failures to pass over an upstream, and each of its requests made that find. A refused connection proves that the process is gone, so one is enough; the ejection ends as before after 0.5 s, or with the announcement of the next process.

The new test fails before: the same upstream is chosen again.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -52,8 +52,10 @@
     Answered,
     /// The upstream refused the request without running it.
     Refused,
-    /// The upstream failed: no connection, no answer, or an invalid answer.
+    /// The upstream failed: no answer, or an invalid one.
     Failed,
+    /// The upstream accepted no connection.
+    Unreachable,
 }
 
 impl Balancer {
--- a/components/gateway/src/balancer/health.rs
+++ b/components/gateway/src/balancer/health.rs
@@ -36,6 +36,12 @@
         self.failure_rate *= 1.0 - NEWEST_WEIGHT;
     }
 
+    /// Ejects the upstream at once: no further request has to find out that it is gone.
+    pub(super) fn record_unreachable(&mut self, now: Instant) {
+        self.consecutive_failures = self.consecutive_failures.max(EJECTION_THRESHOLD - 1);
+        self.record_failure(now);
+    }
+
     pub(super) fn record_failure(&mut self, now: Instant) {
         self.consecutive_failures += 1;
         self.failure_rate += (1.0 - self.failure_rate) * NEWEST_WEIGHT;
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -154,6 +154,7 @@
             Outcome::Answered => self.health.record_success(),
             Outcome::Refused => {}
             Outcome::Failed => self.health.record_failure(now),
+            Outcome::Unreachable => self.health.record_unreachable(now),
         }
     }
 
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -341,7 +341,7 @@
     let mut connection = match connect(core, call, &choice).await {
         Ok(connection) => connection,
         Err(detail) => {
-            ticket.finish(Outcome::Failed);
+            ticket.finish(Outcome::Unreachable);
             return Err(Failure::Unsent(detail));
         }
     };
--- a/components/gateway/tests/balancing/main.rs
+++ b/components/gateway/tests/balancing/main.rs
@@ -226,3 +226,18 @@
     fleet.advance(ms(30_000));
     assert_that!(fleet.only_software(0), some(eq(&Software::default())));
 }
+
+#[test]
+fn ejects_an_upstream_that_accepts_no_connection_at_once() {
+    let mut fleet = Fleet::new(2, 1);
+    let choice = fleet.choose(0, 1).expect("there are engines");
+    fleet.finish(0, &choice, Outcome::Unreachable);
+    let first = choice.upstream.to_string();
+    for part in 1..20 {
+        assert_that!(fleet.send(0, part), not(eq(&first)));
+        fleet.finish_all();
+    }
+    fleet.advance(ms(5_000));
+    let mut later = (1..50).map(|part| fleet.send(0, part));
+    assert_that!(later.any(|name| name == first), eq(true));
+}
