gateway: Split sending a request, and remove hop-by-hop headers in one place

The headers that concern one connection were removed by the same code in entry and gateway; it is in web now. For plain calls of our own interface, proxy-connection is no longer forwarded; nothing else changes.

--- a/components/entry/src/plain/call.rs
+++ b/components/entry/src/plain/call.rs
@@ -17,20 +17,8 @@
 
 /// Header by which a plain service declares that it did not run a call that it answers with 503.
 const NOT_RUN_HEADER: &str = "chervilloft-not-run";
-/// Headers that are not forwarded: they apply to one connection only, or carry credentials for a
-/// proxy.
-const STRIPPED_HEADERS: [HeaderName; 10] = [
-    header::CONNECTION,
-    header::TRANSFER_ENCODING,
-    header::TE,
-    header::TRAILER,
-    header::UPGRADE,
-    header::PROXY_AUTHORIZATION,
-    header::PROXY_AUTHENTICATE,
-    header::CONTENT_LENGTH,
-    header::EXPECT,
-    header::HOST,
-];
+/// Headers that are not forwarded beside those of one connection; they are set anew.
+const STRIPPED_HEADERS: [HeaderName; 3] = [header::CONTENT_LENGTH, header::EXPECT, header::HOST];
 
 /// A call of a plain service.
 #[derive(Clone, Debug)]
@@ -129,20 +117,10 @@
 
 /// Returns the headers that are forwarded beyond one connection.
 fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
     let mut forwarded = headers.clone();
+    web::remove_connection_headers(&mut forwarded);
     for name in STRIPPED_HEADERS {
         forwarded.remove(name);
     }
-    forwarded.remove("keep-alive");
-    for name in named {
-        forwarded.remove(name.as_str());
-    }
     forwarded
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -1,26 +1,23 @@
 //! Sends a request to upstreams one after the other until one answers.
 
+mod attempt;
+mod attempts;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use config::ids::UpstreamId;
-use http::{HeaderMap, Request, Response, StatusCode, header};
-use http_body::Body;
-use http_body_util::Full;
-use hyper::body::Incoming;
-use tokio::time::timeout;
-use tracing::{info, warn};
-use upstream::Software;
+use tracing::info;
+
+pub(crate) use attempt::Answer;
+pub(crate) use attempts::Attempts;
 
 use crate::balancer::{Choice, Criteria, Outcome, Shortage};
 use crate::call::Call;
-use crate::connection::Connection;
 use crate::core::{Core, lock};
-use crate::relay::MAX_ANSWER_BYTES;
 use crate::request_log::RequestLog;
 use crate::ticket::Ticket;
-use crate::{Metadata, Refusal, Reply, admission, crash, permits, retries};
+use crate::{Refusal, admission, permits, retries};
+use attempt::{Failure, attempt};
 
 /// Number of failed connections after which a request is refused.
 const MAX_CONNECT_FAILURES: u32 = 3;
@@ -33,82 +30,6 @@
 const SHED_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Permits that are drawn for one attempt. Another request may use up one that was drawn.
 const MAX_DRAWS: u32 = 2;
-/// Upstreams that one prompt may crash.
-const MAX_BROKEN: u32 = 2;
-/// Time to the head of an answer after which an idempotent call is retried at another upstream,
-/// relative to the latency target.
-const HEAD_TIMEOUT_PER_TARGET: f64 = 1.0;
-
-/// An upstream's answer whose head has been received.
-pub(crate) struct Answer {
-    pub(crate) ticket: Ticket,
-    pub(crate) connection: Connection,
-    pub(crate) response: Response<Incoming>,
-    pub(crate) reply: Reply,
-}
-
-/// Reason for which an attempt failed.
-enum Failure {
-    /// No connection could be opened, and nothing was sent.
-    Unsent(String),
-    /// The upstream refused the request without running it.
-    NotRun,
-    /// The connection failed before the head of an answer; the request may have run.
-    Broken(String),
-    /// The answer was invalid; the request may have run.
-    Unknown(String),
-    /// The request may have run, and no answer came in time.
-    TimedOut,
-    /// The upstream answered with a server error, and another attempt is allowed.
-    ServerError(Box<Answer>),
-}
-
-/// Attempts of one request so far.
-#[derive(Default)]
-pub(crate) struct Attempts {
-    /// Upstreams that were tried.
-    excluded: Vec<UpstreamId>,
-    /// Software version at which the stream has to go on; `None` for any.
-    software: Option<Software>,
-    /// Attempts that reached an upstream.
-    sends: u32,
-    connect_failures: u32,
-    /// Upstreams whose connection broke off before the answer had begun well.
-    broken: u32,
-    /// Refusal to return once an upstream may have run the request.
-    unknown_outcome: Option<Refusal>,
-}
-
-impl Attempts {
-    /// Creates the state of a request that has to run at `software`, if that is set.
-    pub(crate) fn at(software: Option<Software>) -> Self {
-        Attempts {
-            software,
-            ..Attempts::default()
-        }
-    }
-
-    /// Restricts further attempts to the software version of the upstream that began the stream.
-    pub(crate) fn keep_to(&mut self, software: &Software) {
-        self.software.get_or_insert_with(|| software.clone());
-    }
-
-    /// Counts an answer that broke off before it had begun well.
-    pub(crate) fn record_broken(&mut self) {
-        self.broken += 1;
-    }
-
-    /// Reports whether the request may have crashed so many upstreams that it must not be sent again.
-    fn may_crash_more(&self, call: &Call) -> bool {
-        call.shared_parts.is_empty() || self.broken < MAX_BROKEN
-    }
-
-    /// Counts the attempt at an upstream that answered, and excludes it from further ones.
-    pub(crate) fn record_answer(&mut self, upstream: &UpstreamId) {
-        self.excluded.push(upstream.clone());
-        self.sends += 1;
-    }
-}
 
 /// Sends a request to upstreams until one answers. `resume_after` is the last event received of an
 /// earlier run.
@@ -182,9 +103,8 @@
             Err(failure) => failure,
         };
         attempts.excluded.push(choice.upstream.clone());
-        log_failure(call, &choice, &failure);
-        core.metrics
-            .record_attempt(&call.service, failure_name(&failure));
+        failure.log(call, &choice);
+        core.metrics.record_attempt(&call.service, failure.name());
         attempts.broken += u32::from(matches!(failure, Failure::Broken(_)));
         match failure {
             Failure::Unsent(_) => {
@@ -299,198 +219,3 @@
         Shortage::Overloaded(excess) => Refusal::Overloaded(excess.max(SHED_RETRY_AFTER)),
     }
 }
-
-fn failure_name(failure: &Failure) -> &'static str {
-    match failure {
-        Failure::Unsent(_) => "unsent",
-        Failure::NotRun => "not-run",
-        Failure::Broken(_) | Failure::Unknown(_) => "unclear",
-        Failure::TimedOut => "timed-out",
-        Failure::ServerError(_) => "failed",
-    }
-}
-
-fn log_failure(call: &Call, choice: &Choice, failure: &Failure) {
-    let detail = match failure {
-        Failure::Unsent(detail) | Failure::Broken(detail) | Failure::Unknown(detail) => {
-            detail.as_str()
-        }
-        Failure::NotRun => "refused without running the request",
-        Failure::TimedOut => "no answer in time",
-        Failure::ServerError(_) => "server error, retrying at another upstream",
-    };
-    warn!(
-        request = %call.id,
-        upstream = %choice.upstream,
-        parts = %call.shared_parts_text(),
-        inputs = %choice.reason,
-        "attempt: {}: {detail}",
-        failure_name(failure)
-    );
-}
-
-/// Sends a request to one upstream and returns the head of its answer.
-async fn attempt(
-    core: &Arc<Core>,
-    call: &Call,
-    mut ticket: Ticket,
-    resume_after: Option<u64>,
-    is_last: bool,
-) -> Result<Answer, Failure> {
-    let choice = ticket.choice().clone();
-    let mut connection = match connect(core, call, &choice).await {
-        Ok(connection) => connection,
-        Err(detail) => {
-            ticket.finish(Outcome::Unreachable);
-            return Err(Failure::Unsent(detail));
-        }
-    };
-    let time_left = call.time_left(Instant::now());
-    let request = build_request(core, call, &choice, time_left, resume_after);
-    let wait = head_timeout(call, &choice, time_left, is_last);
-    let response = match timeout(wait, connection.send(request)).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => {
-            ticket.finish(Outcome::Failed);
-            crash::check(core, call, &choice);
-            return Err(Failure::Broken(error.to_string()));
-        }
-        Err(_) => {
-            ticket.finish(Outcome::Failed);
-            return Err(Failure::TimedOut);
-        }
-    };
-    let (parts, body) = response.into_parts();
-    let reply = core.protocol.decode_reply(&parts);
-    if let Some((running, waiting)) = reply.load {
-        lock(&core.balancer).record_load(&choice, running, waiting, Instant::now());
-    }
-    let status = parts.status;
-    let is_own = reply.id.as_ref() == Some(&call.id);
-    if reply.limit.is_some() || is_own {
-        record_limit(core, &choice, reply.limit, ticket.sent_at());
-    }
-    if reply.not_run || reply.other_upstream {
-        ticket.finish(Outcome::Refused);
-        return Err(Failure::NotRun);
-    }
-    if !call.route.kind.is_stream() && body.size_hint().lower() > MAX_ANSWER_BYTES {
-        ticket.finish(Outcome::Failed);
-        return Err(Failure::Unknown(format!(
-            "the answer has more than {MAX_ANSWER_BYTES} bytes"
-        )));
-    }
-    if !is_own || (status.is_success() && !reply.is_signed) {
-        ticket.finish(Outcome::Failed);
-        return Err(Failure::Unknown(format!(
-            "answer {status} is not one to this request"
-        )));
-    }
-    let answer = Answer {
-        ticket,
-        connection,
-        response: Response::from_parts(parts, body),
-        reply,
-    };
-    match should_retry(call, status) && !is_last {
-        true => {
-            let mut answer = Box::new(answer);
-            answer.ticket.record_first_event();
-            Err(Failure::ServerError(answer))
-        }
-        false => Ok(answer),
-    }
-}
-
-/// Records the limit that an answer names, or that it names none.
-fn record_limit(core: &Core, choice: &Choice, limit: Option<f64>, sent_at: Instant) {
-    let now = Instant::now();
-    let is_change = lock(&core.balancer).record_limit(choice, limit, sent_at, now);
-    if is_change {
-        core.report_now.notify_one();
-    }
-    match limit {
-        _ if !is_change => {}
-        Some(rate) => info!(upstream = %choice.upstream, rate, "limit: named by the upstream"),
-        None => info!(upstream = %choice.upstream, "limit: no longer named by the upstream"),
-    }
-}
-
-/// Reports whether a call that was answered with `status` should be retried at another upstream.
-fn should_retry(call: &Call, status: StatusCode) -> bool {
-    call.is_idempotent() && status.is_server_error()
-}
-
-/// Returns how long to wait for the head of an answer: until the deadline, or less if an idempotent
-/// call can be retried.
-fn head_timeout(call: &Call, choice: &Choice, time_left: Duration, is_last: bool) -> Duration {
-    let target = call.route.target.mul_f64(HEAD_TIMEOUT_PER_TARGET);
-    match call.is_idempotent() && !is_last {
-        true => target.max(choice.expected_first_event * 3).min(time_left),
-        false => time_left,
-    }
-}
-
-/// Takes an idle connection from the pool, or opens one. A request that must not run twice gets a
-/// new one, since an idle connection may be closed while the request is sent.
-async fn connect(core: &Arc<Core>, call: &Call, choice: &Choice) -> Result<Connection, String> {
-    let idle = match call.is_idempotent() {
-        true => lock(&core.pool).take(choice, Instant::now()),
-        false => None,
-    };
-    match idle {
-        Some(connection) => Ok(connection),
-        None => Connection::open(choice.address)
-            .await
-            .map_err(|error| error.to_string()),
-    }
-}
-
-fn build_request(
-    core: &Core,
-    call: &Call,
-    choice: &Choice,
-    time_left: Duration,
-    resume_after: Option<u64>,
-) -> Request<Full<Bytes>> {
-    let metadata = Metadata {
-        upstream: &choice.upstream,
-        time_left,
-        account: call.account.as_ref().map(|account| &account.name),
-        rank: call.prompt.as_ref().map(|_| call.rank()),
-        fetch_from: choice.fetch_from,
-        resume_after: resume_after.or(call.resume_after),
-    };
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.method_mut() = call.method.clone();
-    *request.uri_mut() = call.uri.clone();
-    *request.headers_mut() = core.protocol.encode_headers(&call.headers, &metadata);
-    request
-}
-
-/// Removes the hop-by-hop headers.
-pub(crate) fn remove_connection_headers(headers: &mut HeaderMap) {
-    let listed: Vec<_> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in listed {
-        headers.remove(name.as_str());
-    }
-    for name in [
-        header::CONNECTION,
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-    ] {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-    headers.remove("proxy-connection");
-}
--- /dev/null
+++ b/components/gateway/src/dispatch/attempt.rs
@@ -0,0 +1,220 @@
+//! One attempt: sends a request to one upstream, and reads the head of its answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body::Body;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+use tracing::{info, warn};
+
+use crate::balancer::{Choice, Outcome};
+use crate::call::Call;
+use crate::connection::Connection;
+use crate::core::{Core, lock};
+use crate::relay::MAX_ANSWER_BYTES;
+use crate::ticket::Ticket;
+use crate::{Metadata, Reply, crash};
+
+/// Time to the head of an answer after which an idempotent call is retried at another upstream,
+/// relative to the latency target.
+const HEAD_TIMEOUT_PER_TARGET: f64 = 1.0;
+
+/// An upstream's answer whose head has been received.
+pub(crate) struct Answer {
+    pub(crate) ticket: Ticket,
+    pub(crate) connection: Connection,
+    pub(crate) response: Response<Incoming>,
+    pub(crate) reply: Reply,
+}
+
+/// Reason for which an attempt failed.
+pub(super) enum Failure {
+    /// No connection could be opened, and nothing was sent.
+    Unsent(String),
+    /// The upstream refused the request without running it.
+    NotRun,
+    /// The connection failed before the head of an answer; the request may have run.
+    Broken(String),
+    /// The answer was invalid; the request may have run.
+    Unknown(String),
+    /// The request may have run, and no answer came in time.
+    TimedOut,
+    /// The upstream answered with a server error, and another attempt is allowed.
+    ServerError(Box<Answer>),
+}
+
+impl Failure {
+    /// Returns the name for logs and metrics.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Failure::Unsent(_) => "unsent",
+            Failure::NotRun => "not-run",
+            Failure::Broken(_) | Failure::Unknown(_) => "unclear",
+            Failure::TimedOut => "timed-out",
+            Failure::ServerError(_) => "failed",
+        }
+    }
+
+    /// Logs the failure of an attempt at the upstream of `choice`.
+    pub(super) fn log(&self, call: &Call, choice: &Choice) {
+        let detail = match self {
+            Failure::Unsent(detail) | Failure::Broken(detail) | Failure::Unknown(detail) => {
+                detail.as_str()
+            }
+            Failure::NotRun => "refused without running the request",
+            Failure::TimedOut => "no answer in time",
+            Failure::ServerError(_) => "server error, retrying at another upstream",
+        };
+        warn!(
+            request = %call.id,
+            upstream = %choice.upstream,
+            parts = %call.shared_parts_text(),
+            inputs = %choice.reason,
+            "attempt: {}: {detail}",
+            self.name()
+        );
+    }
+}
+
+/// Sends a request to one upstream and returns the head of its answer.
+pub(super) async fn attempt(
+    core: &Arc<Core>,
+    call: &Call,
+    mut ticket: Ticket,
+    resume_after: Option<u64>,
+    is_last: bool,
+) -> Result<Answer, Failure> {
+    let choice = ticket.choice().clone();
+    let mut connection = match connect(core, call, &choice).await {
+        Ok(connection) => connection,
+        Err(detail) => {
+            ticket.finish(Outcome::Unreachable);
+            return Err(Failure::Unsent(detail));
+        }
+    };
+    let time_left = call.time_left(Instant::now());
+    let request = build_request(core, call, &choice, time_left, resume_after);
+    let wait = head_timeout(call, &choice, time_left, is_last);
+    let response = match timeout(wait, connection.send(request)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) => {
+            ticket.finish(Outcome::Failed);
+            crash::check(core, call, &choice);
+            return Err(Failure::Broken(error.to_string()));
+        }
+        Err(_) => {
+            ticket.finish(Outcome::Failed);
+            return Err(Failure::TimedOut);
+        }
+    };
+    let (parts, body) = response.into_parts();
+    let reply = core.protocol.decode_reply(&parts);
+    if let Some((running, waiting)) = reply.load {
+        lock(&core.balancer).record_load(&choice, running, waiting, Instant::now());
+    }
+    let status = parts.status;
+    let is_own = reply.id.as_ref() == Some(&call.id);
+    if reply.limit.is_some() || is_own {
+        record_limit(core, &choice, reply.limit, ticket.sent_at());
+    }
+    if reply.not_run || reply.other_upstream {
+        ticket.finish(Outcome::Refused);
+        return Err(Failure::NotRun);
+    }
+    if !call.route.kind.is_stream() && body.size_hint().lower() > MAX_ANSWER_BYTES {
+        ticket.finish(Outcome::Failed);
+        return Err(Failure::Unknown(format!(
+            "the answer has more than {MAX_ANSWER_BYTES} bytes"
+        )));
+    }
+    if !is_own || (status.is_success() && !reply.is_signed) {
+        ticket.finish(Outcome::Failed);
+        return Err(Failure::Unknown(format!(
+            "answer {status} is not one to this request"
+        )));
+    }
+    let answer = Answer {
+        ticket,
+        connection,
+        response: Response::from_parts(parts, body),
+        reply,
+    };
+    match should_retry(call, status) && !is_last {
+        true => {
+            let mut answer = Box::new(answer);
+            answer.ticket.record_first_event();
+            Err(Failure::ServerError(answer))
+        }
+        false => Ok(answer),
+    }
+}
+
+/// Records the limit that an answer names, or that it names none.
+fn record_limit(core: &Core, choice: &Choice, limit: Option<f64>, sent_at: Instant) {
+    let now = Instant::now();
+    let is_change = lock(&core.balancer).record_limit(choice, limit, sent_at, now);
+    if is_change {
+        core.report_now.notify_one();
+    }
+    match limit {
+        _ if !is_change => {}
+        Some(rate) => info!(upstream = %choice.upstream, rate, "limit: named by the upstream"),
+        None => info!(upstream = %choice.upstream, "limit: no longer named by the upstream"),
+    }
+}
+
+/// Reports whether a call that was answered with `status` should be retried at another upstream.
+fn should_retry(call: &Call, status: StatusCode) -> bool {
+    call.is_idempotent() && status.is_server_error()
+}
+
+/// Returns how long to wait for the head of an answer: until the deadline, or less if an idempotent
+/// call can be retried.
+fn head_timeout(call: &Call, choice: &Choice, time_left: Duration, is_last: bool) -> Duration {
+    let target = call.route.target.mul_f64(HEAD_TIMEOUT_PER_TARGET);
+    match call.is_idempotent() && !is_last {
+        true => target.max(choice.expected_first_event * 3).min(time_left),
+        false => time_left,
+    }
+}
+
+/// Takes an idle connection from the pool, or opens one. A request that must not run twice gets a
+/// new one, since an idle connection may be closed while the request is sent.
+async fn connect(core: &Arc<Core>, call: &Call, choice: &Choice) -> Result<Connection, String> {
+    let idle = match call.is_idempotent() {
+        true => lock(&core.pool).take(choice, Instant::now()),
+        false => None,
+    };
+    match idle {
+        Some(connection) => Ok(connection),
+        None => Connection::open(choice.address)
+            .await
+            .map_err(|error| error.to_string()),
+    }
+}
+
+fn build_request(
+    core: &Core,
+    call: &Call,
+    choice: &Choice,
+    time_left: Duration,
+    resume_after: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let metadata = Metadata {
+        upstream: &choice.upstream,
+        time_left,
+        account: call.account.as_ref().map(|account| &account.name),
+        rank: call.prompt.as_ref().map(|_| call.rank()),
+        fetch_from: choice.fetch_from,
+        resume_after: resume_after.or(call.resume_after),
+    };
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = core.protocol.encode_headers(&call.headers, &metadata);
+    request
+}
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -151,7 +151,7 @@
         .wait
         .map_or(route.timeout, |wait| wait.min(route.timeout));
     let mut headers = parts.headers;
-    dispatch::remove_connection_headers(&mut headers);
+    web::remove_connection_headers(&mut headers);
     let call = Call {
         id: head.id,
         method: parts.method,
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -22,7 +22,7 @@
 use crate::balancer::Outcome;
 use crate::call::Call;
 use crate::core::{Core, lock};
-use crate::dispatch::{self, Answer, Attempts};
+use crate::dispatch::{Answer, Attempts};
 use crate::request_log::RequestLog;
 use crate::{EventBuffer, crash, origin};
 use bounds::Bounds;
@@ -72,7 +72,7 @@
     let (mut parts, source) = Source::new(answer);
     attempts.record_answer(&source.ticket.choice().upstream);
     request_log.set_framing(source.framing);
-    dispatch::remove_connection_headers(&mut parts.headers);
+    web::remove_connection_headers(&mut parts.headers);
     let is_event_stream =
         call.route.kind.is_stream() && parts.status.is_success() && may_be_events(&parts.headers);
     if is_event_stream {
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -4,6 +4,7 @@
 mod abort;
 mod body;
 mod framing;
+mod headers;
 mod listener;
 mod observed_stream;
 mod server;
@@ -11,6 +12,7 @@
 
 pub use body::{Body, Collected, collect, empty, full};
 pub use framing::Framing;
+pub use headers::remove_connection_headers;
 pub use listener::listen;
 pub use observed_stream::{ObservedStream, Observer};
 pub use server::{Phase, Server};
