gateway: Count no answer as begun well by data that waited for this process

An entry that is frozen for a second after the first event of an answer reads the rest on waking, and then the end of the connection: the answer looked as if it had gone on for a second, which acquits the part that crashed its upstream and would lift the verdict. Data must now go on to arrive for 0.1 s more. Found by reading; no test, as none can freeze an entry within its process.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -133,14 +133,15 @@
         let State::Reading(source) = &mut self.state else {
             return;
         };
+        let now = Instant::now();
         let is_complete = is_complete && source.framing != Framing::Connection;
-        let has_begun_well = is_complete || source.ticket.has_begun_well();
+        let has_begun_well = is_complete || source.goes_on(now);
         let parts = &self.call.shared_parts;
         if !has_begun_well || source.begun_well || parts.is_empty() || self.status >= 300 {
             return;
         }
         source.begun_well = true;
-        lock(&self.core.watch).record_begun_well(parts, Instant::now());
+        lock(&self.core.watch).record_begun_well(parts, now);
     }
 
     /// Writes the log line of the request with `outcome`; later calls have no effect.
@@ -210,7 +211,7 @@
         self.record_begun_well(true);
         if let State::Reading(source) = &self.state
             && source.framing == Framing::Connection
-            && !source.ticket.has_begun_well()
+            && !source.begun_well
         {
             // A crash between two events ends such an answer in the same way.
             crash::check(&self.core, &self.call, source.ticket.choice());
@@ -255,7 +256,7 @@
         self.bounds.set_within_event(false);
         source.ticket.finish(Outcome::Failed);
         let upstream = source.ticket.choice().upstream.clone();
-        if !source.ticket.has_begun_well() {
+        if !source.begun_well {
             crash::check(&self.core, &self.call, source.ticket.choice());
             if let Some(attempts) = &mut self.attempts {
                 attempts.record_broken();
--- a/components/gateway/src/relay/source.rs
+++ b/components/gateway/src/relay/source.rs
@@ -1,6 +1,7 @@
 //! The upstream's answer that is read, and the attempt to continue it at another upstream.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use http::response;
 use hyper::body::Incoming;
@@ -14,6 +15,9 @@
 use crate::ticket::Ticket;
 use crate::{Refusal, Reply};
 
+/// Time for which data goes on to arrive before an answer counts as begun well.
+const MIN_CONFIRMATION: Duration = Duration::from_millis(100);
+
 /// The upstream's answer that is currently read.
 pub(super) struct Source {
     pub(super) body: Incoming,
@@ -21,6 +25,8 @@
     pub(super) ticket: Ticket,
     pub(super) connection: Connection,
     pub(super) reply: Reply,
+    /// When the first data came with which the answer may have begun well.
+    lasts_since: Option<Instant>,
     /// Whether it is recorded that the answer has begun well.
     pub(super) begun_well: bool,
 }
@@ -34,10 +40,21 @@
             ticket: answer.ticket,
             connection: answer.connection,
             reply: answer.reply,
+            lasts_since: None,
             begun_well: false,
         };
         (parts, source)
     }
+
+    /// Reports whether data that arrives now shows that the answer has begun well. After a pause of
+    /// this process data may arrive late that was sent before a crash, all of it at once.
+    pub(super) fn goes_on(&mut self, now: Instant) -> bool {
+        if !self.ticket.has_begun_well() {
+            return false;
+        }
+        let since = *self.lasts_since.get_or_insert(now);
+        now.saturating_duration_since(since) >= MIN_CONFIRMATION
+    }
 }
 
 /// Result of an attempt to resume the answer at another upstream.
