--- a/tests/mixes.rs
+++ b/tests/mixes.rs
@@ -46,7 +46,12 @@
             "{report}\n{}",
             trial.fleet.logs()
         );
-        expect_that!(report.complete, eq(report.sent), "{report}\n{}", trial.fleet.logs());
+        expect_that!(
+            report.complete,
+            eq(report.sent),
+            "{report}\n{}",
+            trial.fleet.logs()
+        );
         expect_that!(report.sent, gt(100));
     }
 }
