--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -23,4 +23,4 @@
 pub use memory_replica::MemoryReplica;
 pub use metrics::Metrics;
 pub use node::{Node, Settings};
-pub use process::{ExternalApi, Process, Sockets, run, start_group};
+pub use process::{ExternalApi, Process, Sockets, run, start_group, start_group_with_parser};
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -235,7 +235,10 @@
 }
 
 /// Like [`start_group`], with a parser of the operators' text in place of the default.
-fn start_group_with_parser(
+///
+/// # Errors
+/// If the data folder or a socket can't be used.
+pub fn start_group_with_parser(
     settings: &ConfigSettings,
     keys: Keys,
     sockets: Sockets,
