Log how large a text is, how long entries took to receive it, and how many lack it when it is acknowledged

The incident's logs could not tell whether the text, its parsing or the log took the time, nor for how many entries an acknowledgement held. Two lines per text now say so, one at the leader and one at each entry.

--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -294,16 +294,27 @@
     }
 
     async fn replace(&self, replacement: Replacement, wait: Duration) -> Result<Answer, Failure> {
+        let began = Instant::now();
         self.check_text(&replacement.source)?;
         let new_version = replacement.version;
+        let bytes = replacement.source.len();
         let outcome = match self.commit(Change::Replace(replacement)).await? {
             Output::Submitted(outcome) => outcome,
             output => return Err(unexpected_output(&output)),
         };
         if let Outcome::Accepted { version } = outcome {
             self.peers.announce_version(version);
+            let committed = began.elapsed();
             // The text is committed whether or not it is in force at all entries in time.
-            let _ = self.wait_in_force(version, wait).await;
+            let waited = self.wait_in_force(version, wait).await;
+            info!(
+                version,
+                bytes,
+                committed_ms = committed.as_millis(),
+                elapsed_ms = began.elapsed().as_millis(),
+                "control: text {version} waited for entries, without it: {}",
+                waited.map_or("unknown".to_owned(), |missing| missing.len().to_string())
+            );
         }
         Ok(Answer::Submitted(self.submission_result(
             outcome,
--- a/components/fleet/src/member/confirm.rs
+++ b/components/fleet/src/member/confirm.rs
@@ -55,6 +55,8 @@
 }
 
 fn apply(shared: &Shared, sent_at: Instant, lease: FreshnessLease) {
+    let received_ms = sent_at.elapsed().as_millis();
+    let bytes = lease.source.as_ref().map_or(0, String::len);
     let parsed = lease
         .source
         .as_deref()
@@ -76,7 +78,14 @@
         (replaced, freshness.expires_at())
     };
     let config = text.filter(|_| replaced).map(|text| {
-        info!("fleet: text {} is in force", lease.version);
+        info!(
+            version = lease.version,
+            bytes,
+            received_ms,
+            elapsed_ms = sent_at.elapsed().as_millis(),
+            "fleet: text {} is in force",
+            lease.version
+        );
         Arc::new(Config {
             version: lease.version,
             text,
