Send texts apart from leases, in parts, as what changed since the one before

What callers saw: a text with 1,400 routes more was acknowledged after 1.1 s and not in force at most of 76 entries for many seconds; entries served versions two older, control processes were ended for their memory, and the next text waited 19 s.

Cause: the leader put the whole text, half a megabyte, into each answer that grants a lease. 76 copies fill its link of 100 Mbit/s for three seconds, and heartbeats of the replicated log, leases and reports wait behind them. The leader loses its quorum (400 ms), connections time out, and each timeout begins the text anew by way of another process. The leaders used 2 to 13% of a core of the 32% they have: parsing is not it.

Change: a lease names the version only. An entry fetches the text from any control process that has applied it, spread by rendezvous hashing, the leader last, in parts of 16 KB that it asks for one after the other, so that one part at most is under way for each entry. What was received counts at the next process too. The text is encoded relative to the one that the entry holds (crate patch, Zstandard with a prefix): 468 KB are 24 KB, and a change of ten routes is 104 bytes. Entries parse on a thread of their own. An entry of an earlier release still gets the text with the lease.

--- a/components/control/src/documents.rs
+++ b/components/control/src/documents.rs
@@ -39,7 +39,7 @@
             "version": revision.version,
             "operator": revision.operator,
             "at_ms": revision.at,
-            "source": revision.source,
+            "source": &*revision.source,
         }),
         None => json!({ "version": 0, "source": "" }),
     }
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -7,6 +7,7 @@
 mod parsed_text;
 mod rate;
 mod settings;
+mod text_parts;
 mod token_limits;
 pub(crate) mod workload;
 
@@ -22,6 +23,7 @@
 
 use errors::Step;
 use link::Identity;
+use patch::Archive;
 use state::{Change, Command, Output};
 use tokio::sync::watch;
 use tracing::warn;
@@ -50,6 +52,7 @@
     origins: Mutex<Origins>,
     origin_files: Option<OriginFiles>,
     parsed_text: Mutex<ParsedText>,
+    archive: Mutex<Archive>,
     pub(crate) stopped: watch::Sender<bool>,
 }
 
@@ -83,6 +86,7 @@
             origins: Mutex::new(origins),
             origin_files,
             parsed_text: Mutex::default(),
+            archive: Mutex::default(),
             identity,
             replica,
             machine,
@@ -142,6 +146,9 @@
         if let Some(answer) = self.answer_by_itself(&request.body) {
             return Ok(answer);
         }
+        if let Body::FetchText(range) = request.body {
+            return self.text_part(range).await;
+        }
         let status = self.replica.status();
         let query = match request.body {
             Body::Query(query) => Some(query),
@@ -246,6 +253,7 @@
 fn request_kind(body: &Body) -> &'static str {
     match body {
         Body::Confirm { .. } => "confirm",
+        Body::FetchText(_) => "fetch-text",
         Body::Leave => "leave",
         Body::Claim(_) => "claim",
         Body::Settle(..) => "settle",
--- a/components/control/src/node/background.rs
+++ b/components/control/src/node/background.rs
@@ -49,6 +49,7 @@
             announced_draining = draining;
         }
         if newest > announced_version {
+            node.keep_newest_text();
             node.peers.announce_version(newest);
             announced_version = newest;
         }
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -30,7 +30,9 @@
         self.take_over().await?;
         let (node, incarnation) = (request.node, request.incarnation);
         match request.body {
-            Body::Confirm { version } => self.confirm(node, incarnation, version).await,
+            Body::Confirm { version, fetches } => {
+                self.confirm(node, incarnation, version, fetches).await
+            }
             Body::Leave => self.leave(node, incarnation).await,
             Body::Claim(claim) => {
                 let change = Change::Claim {
@@ -104,14 +106,14 @@
                 let drawn = workload.permits().draw(&wanted, count, serving, now);
                 Ok(Answer::Permits(drawn))
             }
-            Body::RecordOrigin(_) | Body::FindOrigin(_) => {
+            Body::RecordOrigin(_) | Body::FindOrigin(_) | Body::FetchText(_) => {
                 Err(Failure::Refused("the leader is not needed for it".into()))
             }
             Body::Query(Query::Source) => {
                 self.read_barrier().await?;
                 let state = self.machine.read();
                 let newest = state.texts().revision(state.texts().newest());
-                let source = newest.map(|revision| revision.source.clone());
+                let source = newest.map(|revision| revision.source.to_string());
                 Ok(Answer::Document(source.unwrap_or_default()))
             }
             Body::Query(query) => {
@@ -201,6 +203,7 @@
         entry: NodeId,
         incarnation: Incarnation,
         entry_version: Version,
+        fetches: bool,
     ) -> Result<Answer, Failure> {
         let term = self.replica.status().term;
         self.join(&entry, incarnation).await?;
@@ -215,8 +218,11 @@
             let revision = state
                 .texts()
                 .revision(version)
-                .filter(|_| version > entry_version);
-            (version, revision.map(|revision| revision.source.clone()))
+                .filter(|_| version > entry_version && !fetches);
+            (
+                version,
+                revision.map(|revision| revision.source.to_string()),
+            )
         };
         match self.replica.status().term {
             now if now == term && self.leads() => Ok(Answer::FreshnessLease(FreshnessLease {
@@ -360,7 +366,7 @@
         let state = self.machine.read();
         let texts = state.texts();
         let newest = texts.newest();
-        let source = |version| texts.revision(version).map(|r| r.source.as_str());
+        let source = |version| texts.revision(version).map(|r| &*r.source);
         let difference = match outcome {
             Outcome::Conflict { .. } if base == 0 => source(newest).map(|n| (n, "")),
             Outcome::Conflict { .. } => source(newest).zip(source(base)),
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -3,6 +3,7 @@
 
 mod announcements;
 mod confirm;
+mod fetch;
 mod links;
 mod origins;
 mod settings;
@@ -13,7 +14,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use config::ids::{NodeId, UpstreamId};
+use config::ids::{NodeId, UpstreamId, Version};
 use errors::{Error, Peer, Result, Step};
 use indexmap::IndexSet;
 use limits::{Draw, Drawn, Grant, Process};
@@ -55,6 +56,8 @@
     pub(crate) queue: announcements::Queue,
     /// Upstreams that get no new work, regardless of their announced availability.
     pub(crate) draining: Mutex<IndexSet<UpstreamId>>,
+    /// The text in force as it was submitted, with its version.
+    pub(crate) source: Mutex<(Version, Arc<str>)>,
     /// Wakes the task that renews the freshness lease.
     pub(crate) confirm_now: Notify,
     /// Control processes of the group, according to the newest message of one of them.
@@ -83,6 +86,7 @@
             directory: Mutex::default(),
             queue: announcements::Queue::default(),
             draining: Mutex::default(),
+            source: Mutex::new((0, "".into())),
             confirm_now: Notify::new(),
             group: Mutex::default(),
             linked: Mutex::default(),
--- a/components/fleet/src/member/confirm.rs
+++ b/components/fleet/src/member/confirm.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use config::Text;
+use config::ids::Version;
+use tokio::task::spawn_blocking;
 use tokio::time::{sleep, timeout};
 use tracing::{error, info, warn};
 use wire::{Answer, Body, FreshnessLease};
@@ -22,75 +25,117 @@
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut stopped = shared.stopped.subscribe();
     while !*stopped.borrow_and_update() {
-        let reached = confirm(&shared).await;
-        set_reachable(&shared, reached);
-        sleep(MIN_INTERVAL).await;
-        let interval = if reached {
-            CONFIRM_INTERVAL
-        } else {
-            RETRY_INTERVAL
+        let interval = match confirm(&shared).await {
+            Confirmed::Applied => CONFIRM_INTERVAL,
+            Confirmed::NotFetched | Confirmed::Unreached => RETRY_INTERVAL,
         };
+        sleep(MIN_INTERVAL).await;
         let _ = timeout(interval, shared.confirm_now.notified()).await;
     }
 }
 
-/// Requests a freshness lease, and reports whether a leader answered.
-async fn confirm(shared: &Shared) -> bool {
+/// Result of a request for a lease.
+enum Confirmed {
+    /// A leader answered, and its answer was applied.
+    Applied,
+    /// A leader named a text that could not be fetched.
+    NotFetched,
+    /// No leader answered.
+    Unreached,
+}
+
+/// Requests a freshness lease.
+async fn confirm(shared: &Arc<Shared>) -> Confirmed {
     let sent_at = Instant::now();
     let version = shared.freshness().version();
-    let request = shared.request(Body::Confirm { version });
+    let request = shared.request(Body::Confirm {
+        version,
+        fetches: true,
+    });
     match shared.links.call(request, CONFIRM_TIMEOUT).await {
         Ok(Answer::FreshnessLease(lease)) => {
-            apply(shared, sent_at, lease);
-            true
+            set_reachable(shared, true);
+            apply(shared, sent_at, lease).await
+        }
+        Ok(_) => {
+            set_reachable(shared, false);
+            Confirmed::Unreached
         }
-        Ok(_) => false,
         Err(error) => {
             if shared.view.load().control_reachable {
                 warn!("fleet: the control group does not answer: {error}");
             }
-            false
+            set_reachable(shared, false);
+            Confirmed::Unreached
         }
     }
 }
 
-fn apply(shared: &Shared, sent_at: Instant, lease: FreshnessLease) {
-    let received_ms = sent_at.elapsed().as_millis();
-    let bytes = lease.source.as_ref().map_or(0, String::len);
-    let parsed = lease
-        .source
-        .as_deref()
-        .map(shared.settings.parser)
-        .transpose();
-    let text = match parsed {
-        Ok(text) => text,
-        Err(reason) => {
-            error!("fleet: text {} can't be parsed: {reason}", lease.version);
-            return;
-        }
-    };
+/// Applies a lease. If it names a newer text, fetches that and puts it in force.
+async fn apply(shared: &Arc<Shared>, sent_at: Instant, lease: FreshnessLease) -> Confirmed {
     shared.links.set_leader(lease.leader);
     let duration = Duration::from_millis(lease.lease_ms);
-    let (replaced, expires_at) = {
+    let version = lease.version;
+    if version <= shared.freshness().version() {
+        let expires_at = {
+            let mut freshness = shared.freshness();
+            freshness.apply_confirmation(sent_at, version, false, duration);
+            freshness.expires_at()
+        };
+        update_view(shared, None, expires_at);
+        return Confirmed::Applied;
+    }
+    let source = match lease.source {
+        // A control process of an earlier release sends the text with the lease.
+        Some(source) => source.into(),
+        None => match shared.fetch_text(version).await {
+            Ok(source) => source,
+            Err(_) => return Confirmed::NotFetched,
+        },
+    };
+    let Some(text) = parse(shared, version, source).await else {
+        return Confirmed::Applied;
+    };
+    let expires_at = {
         let mut freshness = shared.freshness();
-        let replaced =
-            freshness.apply_confirmation(sent_at, lease.version, text.is_some(), duration);
-        (replaced, freshness.expires_at())
+        freshness.apply_confirmation(sent_at, version, true, duration);
+        freshness.expires_at()
     };
-    let config = text.filter(|_| replaced).map(|text| {
-        info!(
-            version = lease.version,
-            bytes,
-            received_ms,
-            elapsed_ms = sent_at.elapsed().as_millis(),
-            "fleet: text {} is in force",
-            lease.version
-        );
-        Arc::new(Config {
-            version: lease.version,
-            text,
-        })
-    });
+    info!(
+        version,
+        elapsed_ms = sent_at.elapsed().as_millis(),
+        "fleet: text {version} is in force"
+    );
+    update_view(shared, Some(Arc::new(Config { version, text })), expires_at);
+    // The leader waits for a request that confirms that the text is in force here.
+    shared.confirm_now.notify_one();
+    Confirmed::Applied
+}
+
+/// Parses a text, and keeps its source as the base of later ones.
+async fn parse(shared: &Arc<Shared>, version: Version, source: Arc<str>) -> Option<Text> {
+    let parser = shared.settings.parser;
+    let to_parse = source.clone();
+    // A large text takes a while on a small instance, which goes on serving meanwhile.
+    let parsed = spawn_blocking(move || parser(&to_parse)).await;
+    match parsed {
+        Ok(Ok(text)) => {
+            *shared.source() = (version, source);
+            Some(text)
+        }
+        Ok(Err(reason)) => {
+            error!("fleet: text {version} can't be parsed: {reason}");
+            None
+        }
+        Err(failed) => {
+            error!("fleet: the parser of text {version} failed: {failed}");
+            None
+        }
+    }
+}
+
+/// Updates the end of the lease, and the text if there is a newer one.
+fn update_view(shared: &Shared, config: Option<Arc<Config>>, expires_at: Option<Instant>) {
     if *shared.stopped.borrow() {
         return;
     }
@@ -99,10 +144,6 @@
         fresh_until: expires_at,
         ..(**view).clone()
     });
-    if replaced {
-        // The leader waits for a request that confirms that the text is in force here.
-        shared.confirm_now.notify_one();
-    }
 }
 
 fn set_reachable(shared: &Shared, reachable: bool) {
--- a/components/fleet/src/member/links.rs
+++ b/components/fleet/src/member/links.rs
@@ -15,7 +15,7 @@
 use tracing::{info, warn};
 use upstream::StreamKey;
 use wire::{Answer, Push, Request};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::Shared;
 
@@ -61,11 +61,28 @@
     /// Returns the open connections in the order in which the control processes hold the records of
     /// a stream. It is the same at all entries, by rendezvous hashing.
     pub(crate) fn holders(&self, key: &StreamKey) -> Vec<Connection> {
+        self.ordered(|node| xxh3_64_with_seed(node.as_bytes(), key.seed()))
+    }
+
+    /// Returns the open connections in the order in which this entry fetches texts over them: by
+    /// rendezvous hashing, so that entries spread over the control processes, and the leader last,
+    /// as it has other work to do.
+    pub(crate) fn text_sources(&self, entry: &NodeId) -> Vec<Connection> {
+        let leader = self.leader().clone();
+        let seed = xxh3_64(entry.as_bytes());
+        self.ordered(|node| {
+            let is_leader = Some(node) == leader.as_ref();
+            (is_leader, xxh3_64_with_seed(node.as_bytes(), seed))
+        })
+    }
+
+    /// Returns the open connections, ordered by a key of the control process.
+    fn ordered<K: Ord>(&self, key: impl Fn(&NodeId) -> K) -> Vec<Connection> {
         let connections = self.connections();
         let open = connections.iter().filter(|(_, link)| link.is_open());
-        let mut holders: Vec<_> = open.collect();
-        holders.sort_by_cached_key(|(node, _)| xxh3_64_with_seed(node.as_bytes(), key.seed()));
-        holders.into_iter().map(|(_, link)| link.clone()).collect()
+        let mut ordered: Vec<_> = open.collect();
+        ordered.sort_by_cached_key(|(node, _)| key(node));
+        ordered.into_iter().map(|(_, link)| link.clone()).collect()
     }
 
     pub(crate) fn set_leader(&self, leader: NodeId) {
--- a/components/state/src/text/texts.rs
+++ b/components/state/src/text/texts.rs
@@ -1,5 +1,7 @@
 //! Versions of the operators' text.
 
+use std::sync::Arc;
+
 use compact_str::CompactString;
 use config::ids::Version;
 use indexmap::IndexMap;
@@ -37,7 +39,7 @@
     /// When it was committed.
     pub at: Millis,
     /// The text, in the operators' language.
-    pub source: String,
+    pub source: Arc<str>,
 }
 
 /// A submission that was seen, and its outcome.
@@ -86,7 +88,7 @@
         let newest = self.revisions.get(&self.newest);
         match newest {
             _ if replacement.source.len() > MAX_REPLACEMENT_BYTES => Outcome::TooLarge,
-            Some(newest) if newest.version == version && newest.source == replacement.source => {
+            Some(newest) if newest.version == version && *newest.source == *replacement.source => {
                 Outcome::Accepted { version }
             }
             Some(newest) if newest.version >= version => Outcome::Superseded {
@@ -100,7 +102,7 @@
                     version,
                     operator: replacement.operator,
                     at: now,
-                    source: replacement.source,
+                    source: replacement.source.into(),
                 });
                 Outcome::Accepted { version }
             }
@@ -126,7 +128,7 @@
             version,
             operator: submission.operator,
             at: now,
-            source: submission.source,
+            source: submission.source.into(),
         });
     }
 
--- a/components/state/tests/texts.rs
+++ b/components/state/tests/texts.rs
@@ -78,7 +78,7 @@
     }
     assert_that!(state.texts().revision(2), none());
     assert_that!(state.texts().revision(3).is_some(), eq(true));
-    let newest = state.texts().revision(count).map(|r| r.source.as_str());
+    let newest = state.texts().revision(count).map(|r| &*r.source);
     assert_that!(newest, some(eq("text 33")));
 }
 
@@ -112,6 +112,6 @@
     let bytes = state.snapshot().expect("a state can be encoded");
     let state = State::restore(&bytes).expect("a snapshot can be decoded");
     assert_that!(state.texts().newest(), eq(9));
-    let source = state.texts().revision(9).map(|r| r.source.as_str());
+    let source = state.texts().revision(9).map(|r| &*r.source);
     assert_that!(source, some(eq("nine")));
 }
--- a/components/wire/src/answer.rs
+++ b/components/wire/src/answer.rs
@@ -33,6 +33,8 @@
     Permits(Drawn),
     /// Answers `Query` with a JSON document, or with the text itself.
     Document(String),
+    /// Answers `FetchText`.
+    TextPart(patch::Part),
     /// Answers `FindOrigin`; `None` if the version is not known here.
     Origin(Option<Software>),
     /// Answers `Leave` and `RecordOrigin`.
@@ -46,7 +48,7 @@
     pub version: Version,
     /// Duration of the lease, in milliseconds from when the entry sent the request.
     pub lease_ms: u64,
-    /// The newest text, if the entry has an older one in force.
+    /// The newest text, if the entry has an older one in force and does not fetch it.
     pub source: Option<String>,
     /// The leader that granted the lease.
     pub leader: NodeId,
--- a/components/wire/src/request.rs
+++ b/components/wire/src/request.rs
@@ -31,7 +31,14 @@
         /// Version that the entry has in force; 0 for none.
         #[serde(rename = "holds")]
         version: Version,
+        /// Whether the entry fetches newer texts with [`Body::FetchText`]. Otherwise the lease
+        /// carries them.
+        #[serde(default)]
+        fetches: bool,
     },
+    /// An entry fetches a part of a text. Every control process that has applied the text answers
+    /// by itself.
+    FetchText(patch::Range),
     /// An entry stops for good and gives up its lease.
     Leave,
     /// An entry requests the exclusive right to run a call.
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -23,7 +23,10 @@
         node: "entry-1".into(),
         incarnation: 1_700_000_000_000,
         forwarded: false,
-        body: Body::Confirm { version: 7 },
+        body: Body::Confirm {
+            version: 7,
+            fetches: true,
+        },
     };
     Envelope(3, 2, Frame::Call(1, request))
 }
