control: Test what the acknowledgement of a text promises

An entry that takes 0.7 s to parse a text still serves the one before when the text is acknowledged, after 300 ms. A second one passes: an entry that is gone does not keep a text from being acknowledged.

--- a/components/control/tests/process/replacements.rs
+++ b/components/control/tests/process/replacements.rs
@@ -7,6 +7,7 @@
 use config::settings::Peer;
 use control::Machine;
 use control::external::{Operation, Reply};
+use fleet::Control;
 use googletest::prelude::*;
 use limits::Statement;
 use link::{Identity, Incoming};
@@ -18,7 +19,8 @@
 use wire::{DemandTotals, Push, Report, Role, Statements, Work};
 
 use crate::single_control::{
-    SECRET, any_port, control, control_with, fresh_version, member, text, wait_until,
+    SECRET, any_port, control, control_with, fresh_version, member, member_with_parser, text,
+    wait_until,
 };
 
 /// Longest wait for an answer that is due at once.
@@ -171,6 +173,46 @@
     assert_that!(balances[0].1.allotment, le(10_000));
 }
 
+/// Time that an entry with a slow parser takes for a text.
+const PARSE_TIME: Duration = Duration::from_millis(700);
+
+fn parse_slowly(source: &str) -> Result<config::Text, String> {
+    std::thread::sleep(PARSE_TIME);
+    config::Text::parse(source)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn acknowledges_a_text_only_once_all_entries_in_contact_have_it_in_force() {
+    let process = control().await;
+    let slow = member_with_parser("entry-1", process.peer_address, parse_slowly);
+    let fast = member("entry-2", process.peer_address);
+    let first = process.node.execute(replacement(3, "three")).await;
+    assert_that!(first, eq(&Reply::Replaced { newest: 3 }));
+    for member in [&slow, &fast] {
+        wait_until(member, |view| fresh_version(view) == Some(3)).await;
+    }
+    let second = process.node.execute(replacement(5, "five")).await;
+    assert_that!(second, eq(&Reply::Replaced { newest: 5 }));
+    for member in [&slow, &fast] {
+        assert_that!(fresh_version(&member.view().load()), some(eq(5)));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn acknowledges_a_text_although_an_entry_is_gone() {
+    let process = control().await;
+    let gone = member("entry-1", process.peer_address);
+    let first = process.node.execute(replacement(3, "three")).await;
+    assert_that!(first, eq(&Reply::Replaced { newest: 3 }));
+    wait_until(&gone, |view| fresh_version(view) == Some(3)).await;
+    gone.stop();
+    let began = Instant::now();
+    let second = process.node.execute(replacement(5, "five")).await;
+    assert_that!(second, eq(&Reply::Replaced { newest: 5 }));
+    // Operators count an acknowledgement as late after four seconds.
+    assert_that!(began.elapsed(), lt(Duration::from_secs(4)));
+}
+
 /// Returns the report of an entry that spent `total` tokens and holds no allotment of the limit.
 fn report(number: u64, total: u64) -> Report {
     let statement = Statement {
--- a/components/control/tests/process/single_control.rs
+++ b/components/control/tests/process/single_control.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use config::Text;
 use config::keys::{Keys, Secret};
 use config::settings::Peer;
+use config::text::Parser;
 use control::client::{Client, Submission};
 use control::{Machine, MemoryReplica, Node, Process, Settings, Sockets};
 use fleet::{Control, Member, View};
@@ -68,8 +70,13 @@
 }
 
 pub(crate) fn member(name: &str, control: SocketAddr) -> Member {
+    member_with_parser(name, control, Text::parse)
+}
+
+pub(crate) fn member_with_parser(name: &str, control: SocketAddr, parser: Parser) -> Member {
     Member::start(fleet::Settings {
         node: name.into(),
+        parser,
         incarnation: 1,
         peers: vec![Peer {
             node: "control-1".into(),
