control: Acknowledge a text once all entries in contact have it in force

What callers saw: requests answered by a text that had been replaced, more than 2.5 s after the acknowledgement of the newer one.

Cause: the acknowledgement waited 300 ms, whichever entries still lacked the text, and promised nothing about them.

Change: it waits until each entry that asked for a lease within the last 1.2 s has the text in force, two seconds at most. Entries that are cut off, frozen or gone are not waited for. An operator who turns to another process meanwhile waits there: a text that is sent again is not a new one.

--- a/components/control/src/external/server.rs
+++ b/components/control/src/external/server.rs
@@ -19,9 +19,9 @@
 
 /// Timeout of receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
-/// Longest wait for a text to be in force at all entries before it is acknowledged. The text is
-/// durable before the wait.
-const IN_FORCE_WAIT: Duration = Duration::from_millis(300);
+/// Longest wait for a text to be in force at all entries in contact before it is acknowledged. The
+/// text is durable before the wait. An operator who turns to another process meanwhile waits there.
+const IN_FORCE_WAIT: Duration = Duration::from_secs(2);
 
 /// Serves `address` on the current runtime.
 ///
--- a/components/control/src/leases.rs
+++ b/components/control/src/leases.rs
@@ -24,6 +24,8 @@
     pub version: Version,
     /// Time until which the entry may serve under that version.
     pub expires_at: Instant,
+    /// When the entry was last heard of.
+    pub heard_at: Instant,
 }
 
 impl Leases {
@@ -45,6 +47,7 @@
         let lease = Lease {
             version: 0,
             expires_at,
+            heard_at: now,
         };
         self.leases = entries.map(|process| (process, lease)).collect();
     }
@@ -63,18 +66,31 @@
         let lease = self.leases.entry(process).or_insert(Lease {
             version,
             expires_at,
+            heard_at: now,
         });
+        lease.heard_at = now;
         lease.version = lease.version.max(version);
         lease.expires_at = lease.expires_at.max(expires_at);
     }
 
     /// Returns the entries that may still serve under a version older than `version`.
     pub fn missing(&self, version: Version, now: Instant) -> Vec<NodeId> {
-        self.leases
-            .iter()
-            .filter(|(_, lease)| now < lease.expires_at && lease.version < version)
-            .map(|((entry, _), _)| entry.clone())
-            .collect()
+        self.missing_in_contact(version, self.duration, now)
+    }
+
+    /// Returns the entries that may still serve under a version older than `version` and that were
+    /// heard of within `contact`.
+    pub fn missing_in_contact(
+        &self,
+        version: Version,
+        contact: Duration,
+        now: Instant,
+    ) -> Vec<NodeId> {
+        let is_missing = |lease: &Lease| {
+            now < lease.expires_at && now < lease.heard_at + contact && lease.version < version
+        };
+        let missing = self.leases.iter().filter(|(_, lease)| is_missing(lease));
+        missing.map(|((entry, _), _)| entry.clone()).collect()
     }
 
     /// Returns the entries whose lease has expired.
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -23,6 +23,18 @@
 /// Longest wait of a submission for its version to be in force everywhere. A replacement waits as
 /// long as its request says.
 const MAX_IN_FORCE_WAIT: Duration = Duration::from_secs(30);
+/// Time after its last request within which an entry is in contact. Entries ask for a lease each
+/// half second.
+const ENTRY_CONTACT: Duration = Duration::from_millis(1_200);
+
+/// Entries that the acknowledgement of a text waits for.
+#[derive(Clone, Copy)]
+enum Entries {
+    /// All that may serve, whether or not they are in contact.
+    WithLease,
+    /// Those in contact.
+    InContact,
+}
 
 impl<R: Replica<Command = Command, Output = Output>> Node<R> {
     /// Answers a request as the leader.
@@ -281,7 +293,7 @@
         let missing = match outcome {
             Outcome::Accepted { version } => {
                 self.peers.announce_version(version);
-                self.wait_in_force(version, wait.min(MAX_IN_FORCE_WAIT))
+                self.wait_in_force(version, Entries::WithLease, wait.min(MAX_IN_FORCE_WAIT))
                     .await?
             }
             _ => Vec::new(),
@@ -299,6 +311,8 @@
             .map_err(|reason| Failure::Refused(reason.into()))
     }
 
+    /// Commits a text, and waits until it is in force at all entries in contact. Entries that are
+    /// cut off are not waited for: they may go on with an older text.
     async fn replace(&self, replacement: Replacement, wait: Duration) -> Result<Answer, Failure> {
         let began = Instant::now();
         self.check_text(&replacement.source)?;
@@ -312,7 +326,7 @@
             self.peers.announce_version(version);
             let committed = began.elapsed();
             // The text is committed whether or not it is in force at all entries in time.
-            let waited = self.wait_in_force(version, wait).await;
+            let waited = self.wait_in_force(version, Entries::InContact, wait).await;
             info!(
                 version,
                 bytes,
@@ -329,11 +343,12 @@
         )))
     }
 
-    /// Waits until no entry can serve under a version older than `version`, and returns the entries
-    /// that still can when the wait is over.
+    /// Waits until none of `entries` can serve under a version older than `version`, and returns
+    /// those that still can when the wait is over.
     async fn wait_in_force(
         &self,
         version: Version,
+        entries: Entries,
         wait: Duration,
     ) -> Result<Vec<NodeId>, Failure> {
         let deadline = Instant::now() + wait;
@@ -341,7 +356,13 @@
             // Leadership may have been lost and regained: another leader may have granted leases.
             let term = self.take_over().await?;
             let now = Instant::now();
-            let missing = self.leadership().leases.missing(version, now);
+            let missing = {
+                let leases = &self.leadership().leases;
+                match entries {
+                    Entries::WithLease => leases.missing(version, now),
+                    Entries::InContact => leases.missing_in_contact(version, ENTRY_CONTACT, now),
+                }
+            };
             match missing {
                 missing if missing.is_empty() || now >= deadline => {
                     self.read_barrier().await?;
