Replicate a large text as what it changes

A text of 64 KB or more was sent whole to each other control process, in one message before which heartbeats wait, and again each time an operator sent it again: half a megabyte takes 40 ms of a link of 100 Mbit/s, four megabytes (the limit) a third of a second for each of them, about the election timeout.

It is now an edit: a patch of the newest text, with that text's version. If another text is committed first, the edit has no effect and is made again. A text that is in force, or older than the one in force, is answered without an entry of the log.

Control processes of earlier releases can't apply an edit: all of them have to be replaced before a text of that size is submitted.

--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -1,12 +1,13 @@
 //! Requests that the leader answers.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, NodeId, Version};
 use limits::Permits;
 use quarantine::Evidence;
 use state::claims::millis;
-use state::text::{Outcome, Replacement, Submission};
+use state::text::{Edit, Outcome, Replacement, Submission};
 use state::{Change, Command, Output, State};
 use tokio::time::sleep;
 use tracing::info;
@@ -26,6 +27,9 @@
 /// Time after its last request within which an entry is in contact. Entries ask for a lease each
 /// half second.
 const ENTRY_CONTACT: Duration = Duration::from_millis(1_200);
+/// Smallest text that is committed as what it changes. Control processes of earlier releases can't
+/// apply such a change.
+const MIN_EDIT_BYTES: usize = 64 * 1_024;
 
 /// Entries that the acknowledgement of a text waits for.
 #[derive(Clone, Copy)]
@@ -318,10 +322,7 @@
         self.check_text(&replacement.source)?;
         let new_version = replacement.version;
         let bytes = replacement.source.len();
-        let outcome = match self.commit(Change::Replace(replacement)).await? {
-            Output::Submitted(outcome) => outcome,
-            output => return Err(unexpected_output(&output)),
-        };
+        let outcome = self.commit_replacement(replacement).await?;
         if let Outcome::Accepted { version } = outcome {
             self.peers.announce_version(version);
             let committed = began.elapsed();
@@ -343,6 +344,30 @@
         )))
     }
 
+    /// Commits a text, a large one as what it changes.
+    async fn commit_replacement(&self, replacement: Replacement) -> Result<Outcome, Failure> {
+        self.read_barrier().await?;
+        loop {
+            let change = {
+                let state = self.machine.read();
+                let texts = state.texts();
+                if let Some(outcome) = texts.outcome_without_change(&replacement) {
+                    return Ok(outcome);
+                }
+                let newest = texts.revision(texts.newest());
+                let base = newest.map_or((0, "".into()), |r| (r.version, r.source.clone()));
+                drop(state);
+                change(&replacement, &base)?
+            };
+            match self.commit(change).await? {
+                // Another text was committed meanwhile: the next edit is relative to that one.
+                Output::Submitted(Outcome::Conflict { .. }) => {}
+                Output::Submitted(outcome) => return Ok(outcome),
+                output => return Err(unexpected_output(&output)),
+            }
+        }
+    }
+
     /// Waits until none of `entries` can serve under a version older than `version`, and returns
     /// those that still can when the wait is over.
     async fn wait_in_force(
@@ -408,6 +433,17 @@
     }
 }
 
+/// Returns the change that puts a text in force, if the text `base` is still the newest then.
+fn change(replacement: &Replacement, base: &(Version, Arc<str>)) -> Result<Change, Failure> {
+    if replacement.source.len() < MIN_EDIT_BYTES {
+        return Ok(Change::Replace(replacement.clone()));
+    }
+    let (version, text) = base;
+    Edit::new(replacement, (*version, text))
+        .map(Change::Edit)
+        .map_err(|fault| Failure::Refused(fault.to_string().into()))
+}
+
 /// Returns the entries that may hold a lease of an earlier leader: those that are serving, and
 /// those that were recorded as lost at most `lease_ms` ago: a lease may have been granted while the
 /// loss was being committed.
--- a/components/state/src/command.rs
+++ b/components/state/src/command.rs
@@ -8,7 +8,7 @@
 use crate::ledger::Usage;
 use crate::order::Order;
 use crate::spending::Slices;
-use crate::text::{Replacement, Submission};
+use crate::text::{Edit, Replacement, Submission};
 use crate::usage::{Counts, Window};
 
 /// A change of the replicated state, with the time at which the leader proposed it.
@@ -27,6 +27,8 @@
     Submit(Submission),
     /// Replaces the operators' text by one that has a higher version.
     Replace(Replacement),
+    /// Does the same with a patch of the newest text, if that has not changed meanwhile.
+    Edit(Edit),
     /// Claims the right to run a call once.
     Claim {
         /// Entry that claims it.
--- a/components/state/src/state.rs
+++ b/components/state/src/state.rs
@@ -148,6 +148,7 @@
             }
             Change::Order(order) => Output::Fence(self.orders.record(now, position, order)),
             Change::Replace(replacement) => Output::Submitted(self.texts.replace(now, replacement)),
+            Change::Edit(edit) => Output::Submitted(self.texts.edit(now, edit)),
             Change::TakeDuties { .. } => Output::Fence(position.fence()),
             Change::CloseWindow { window, counts } => {
                 self.windows.close(window, counts);
--- a/components/state/src/text/texts.rs
+++ b/components/state/src/text/texts.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_128;
 
-use super::{Outcome, Replacement, Submission, SubmissionId};
+use super::{Edit, Outcome, Replacement, Submission, SubmissionId};
 use crate::Millis;
 
 /// Largest text of a [`Submission`], in bytes.
@@ -84,28 +84,57 @@
     /// Puts a text in force if its version is higher than that of the newest one. The newest
     /// one is accepted again if it is sent again unchanged.
     pub(crate) fn replace(&mut self, now: Millis, replacement: Replacement) -> Outcome {
+        if let Some(outcome) = self.outcome_without_change(&replacement) {
+            return outcome;
+        }
+        let version = replacement.version;
+        // Operators who number their texts compare them themselves, so earlier revisions are not
+        // needed.
+        self.revisions.clear();
+        self.insert(Revision {
+            version,
+            operator: replacement.operator,
+            at: now,
+            source: replacement.source.into(),
+        });
+        Outcome::Accepted { version }
+    }
+
+    /// Returns the outcome of a replacement that would change nothing; `None` for others.
+    pub fn outcome_without_change(&self, replacement: &Replacement) -> Option<Outcome> {
         let version = replacement.version;
-        let newest = self.revisions.get(&self.newest);
-        match newest {
-            _ if replacement.source.len() > MAX_REPLACEMENT_BYTES => Outcome::TooLarge,
+        match self.revisions.get(&self.newest) {
+            _ if replacement.source.len() > MAX_REPLACEMENT_BYTES => Some(Outcome::TooLarge),
             Some(newest) if newest.version == version && *newest.source == *replacement.source => {
-                Outcome::Accepted { version }
+                Some(Outcome::Accepted { version })
             }
-            Some(newest) if newest.version >= version => Outcome::Superseded {
+            Some(newest) if newest.version >= version => Some(Outcome::Superseded {
                 newest: newest.version,
-            },
-            _ => {
-                // Operators who number their texts compare them themselves, so earlier revisions
-                // are not needed.
-                self.revisions.clear();
-                self.insert(Revision {
-                    version,
-                    operator: replacement.operator,
-                    at: now,
-                    source: replacement.source.into(),
-                });
-                Outcome::Accepted { version }
-            }
+            }),
+            _ => None,
+        }
+    }
+
+    /// Applies an edit if its base is the newest text.
+    pub(crate) fn edit(&mut self, now: Millis, edit: Edit) -> Outcome {
+        let newest = self.newest;
+        let base = self.revisions.get(&newest);
+        let base = base.map_or("", |revision| &revision.source);
+        let source = match edit.base {
+            base if base != newest => return Outcome::Conflict { newest },
+            _ => patch::decode(base, &edit.patch, MAX_REPLACEMENT_BYTES),
+        };
+        match source {
+            Ok(source) => self.replace(
+                now,
+                Replacement {
+                    version: edit.version,
+                    operator: edit.operator,
+                    source,
+                },
+            ),
+            // The leader encoded it relative to the same text, so that only its size can be wrong.
+            Err(_) => Outcome::TooLarge,
         }
     }
 
--- a/components/state/tests/texts.rs
+++ b/components/state/tests/texts.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use state::text::{
-    MAX_REVISIONS, MAX_SUBMISSIONS, MAX_TEXT_BYTES, Outcome, Replacement, Submission,
+    Edit, MAX_REVISIONS, MAX_SUBMISSIONS, MAX_TEXT_BYTES, Outcome, Replacement, Submission,
 };
 use state::{Change, Command, Output, Position, State};
 
@@ -115,3 +115,65 @@
     let source = state.texts().revision(9).map(|r| &*r.source);
     assert_that!(source, some(eq("nine")));
 }
+
+fn edit(state: &mut State, edit: Edit) -> Outcome {
+    let index = state.applied().index + 1;
+    let command = Command {
+        at: index,
+        change: Change::Edit(edit),
+    };
+    match state.apply(Position { term: 1, index }, command) {
+        Output::Submitted(outcome) => outcome,
+        output => panic!("{output:?} is not an outcome"),
+    }
+}
+
+fn replacement(version: u64, source: &str) -> Replacement {
+    Replacement {
+        version,
+        operator: "ana".into(),
+        source: source.to_owned(),
+    }
+}
+
+#[test]
+fn applies_an_edit_to_the_text_that_it_was_made_for_only() {
+    let mut state = State::default();
+    let make = |version, source: &str, base| {
+        Edit::new(&replacement(version, source), base).expect("the text can be encoded")
+    };
+    let accepted = |version| Outcome::Accepted { version };
+    let first = make(5, "five", (0, ""));
+    assert_that!(edit(&mut state, first.clone()), eq(accepted(5)));
+    let second = make(9, "five and four", (5, "five"));
+    let concurrent = make(8, "five and three", (5, "five"));
+    assert_that!(edit(&mut state, second), eq(accepted(9)));
+    let conflict = Outcome::Conflict { newest: 9 };
+    assert_that!(edit(&mut state, concurrent), eq(conflict));
+    assert_that!(edit(&mut state, first), eq(conflict));
+    let older = make(7, "seven", (9, "five and four"));
+    assert_that!(
+        edit(&mut state, older),
+        eq(Outcome::Superseded { newest: 9 })
+    );
+    let source = state.texts().revision(9).map(|r| &*r.source);
+    assert_that!(source, some(eq("five and four")));
+}
+
+#[test]
+fn tells_replacements_that_would_change_nothing() {
+    let mut state = State::default();
+    replace(&mut state, 5, "five");
+    let outcome = |version, source| {
+        let replacement = replacement(version, source);
+        state.texts().outcome_without_change(&replacement)
+    };
+    let superseded = Outcome::Superseded { newest: 5 };
+    assert_that!(
+        outcome(5, "five"),
+        some(eq(Outcome::Accepted { version: 5 }))
+    );
+    assert_that!(outcome(5, "other"), some(eq(superseded)));
+    assert_that!(outcome(4, "four"), some(eq(superseded)));
+    assert_that!(outcome(6, "five"), none());
+}
