control: Parse a large text on a thread of its own, once, and without a lock on the state

The leader parsed a submitted text on the thread that answers entries, and again for the limits of accounts while it held the lock of the state, for which the replicated log waits. It is parsed once now, on a thread of its own, and kept.

--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -287,7 +287,8 @@
 
     async fn submit(&self, submission: Submission, wait: Duration) -> Result<Answer, Failure> {
         let base = submission.base;
-        self.check_text(&submission.source)?;
+        self.parse_submitted(submission.source.as_str().into())
+            .await?;
         let id = submission.id.clone();
         let outcome = match self.commit(Change::Submit(submission)).await? {
             Output::Submitted(outcome) => outcome,
@@ -307,23 +308,18 @@
         ))
     }
 
-    /// Returns an error for a text that can't be put in force.
-    fn check_text(&self, source: &str) -> Result<(), Failure> {
-        let parsed = (self.settings.parser)(source);
-        parsed
-            .map(|_| ())
-            .map_err(|reason| Failure::Refused(reason.into()))
-    }
-
     /// Commits a text, and waits until it is in force at all entries in contact. Entries that are
     /// cut off are not waited for: they may go on with an older text.
     async fn replace(&self, replacement: Replacement, wait: Duration) -> Result<Answer, Failure> {
         let began = Instant::now();
-        self.check_text(&replacement.source)?;
+        let text = self
+            .parse_submitted(replacement.source.as_str().into())
+            .await?;
         let new_version = replacement.version;
         let bytes = replacement.source.len();
         let outcome = self.commit_replacement(replacement).await?;
         if let Outcome::Accepted { version } = outcome {
+            self.keep_parsed(version, text.into());
             self.peers.announce_version(version);
             let committed = began.elapsed();
             // The text is committed whether or not it is in force at all entries in time.
