control: Forward a large text as what it changes, and read the newest text at any process

What a process forwarded to the leader for an operator was the whole text, in one message before which the answers to the leader's heartbeats wait, again at each of the operator's tries; a read brought the whole text back the same way. An edit is forwarded now, and the whole text only if the leader has another one. A read passes a barrier of the replicated log at the process that was asked, which then answers from its own state.

An acknowledgement also waits where the text was overtaken by a newer one, and is not given if the leadership is lost meanwhile: the operator's next try waits at the new leader. What concerns replacements has a file of its own.

--- a/components/control/src/external/server.rs
+++ b/components/control/src/external/server.rs
@@ -11,7 +11,7 @@
 use state::text::Outcome;
 use state::{Command, Output};
 use tracing::{info, warn};
-use wire::{Answer, Body, Failure, Query};
+use wire::{Answer, Failure};
 
 use super::{Operation, Protocol, Reply};
 use crate::Node;
@@ -95,21 +95,15 @@
             }
             Operation::Replace(replacement) => {
                 let version = replacement.version;
-                let body = Body::Replace {
-                    replacement,
-                    wait_ms: state::claims::millis(IN_FORCE_WAIT),
-                };
-                let reply = replace_reply(self.handle(self.local_request(body)).await);
+                let submitted = self.submit_replacement(replacement, IN_FORCE_WAIT).await;
+                let reply = replace_reply(submitted);
                 info!(version, "control: text {version} submitted: {reply:?}");
                 reply
             }
-            Operation::Read => match self
-                .handle(self.local_request(Body::Query(Query::Source)))
-                .await
-            {
-                Ok(Answer::Document(source)) if source.is_empty() => Reply::NoText,
-                Ok(Answer::Document(source)) => Reply::Text(source),
-                answer => unavailable_reply(answer),
+            Operation::Read => match self.read_newest_text().await {
+                Ok(Some(source)) => Reply::Text(source.to_string()),
+                Ok(None) => Reply::NoText,
+                Err(failure) => unavailable_reply(failure),
             },
         }
     }
@@ -122,15 +116,15 @@
             Outcome::Superseded { newest } => Reply::Replaced { newest },
             outcome => Reply::Invalid(format!("the text was not taken: {outcome:?}")),
         },
+        Ok(_) => Reply::Unavailable("the answer is of another kind".to_owned()),
         Err(Failure::Refused(reason)) => Reply::Invalid(reason.into()),
-        answer => unavailable_reply(answer),
+        Err(failure) => unavailable_reply(failure),
     }
 }
 
-fn unavailable_reply(answer: std::result::Result<Answer, Failure>) -> Reply {
-    match answer {
-        Err(Failure::NoLeader) => Reply::Unavailable("no leader is known".to_owned()),
-        Err(Failure::Uncertain(text) | Failure::Refused(text)) => Reply::Unavailable(text.into()),
-        Ok(_) => Reply::Unavailable("the answer is of another kind".to_owned()),
+fn unavailable_reply(failure: Failure) -> Reply {
+    match failure {
+        Failure::NoLeader => Reply::Unavailable("no leader is known".to_owned()),
+        Failure::Uncertain(text) | Failure::Refused(text) => Reply::Unavailable(text.into()),
     }
 }
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -6,6 +6,7 @@
 mod meters;
 mod parsed_text;
 mod rate;
+mod replacement;
 mod settings;
 mod text_parts;
 mod token_limits;
@@ -260,6 +261,7 @@
         Body::Draw(_) => "draw",
         Body::Submit { .. } => "submit",
         Body::Replace { .. } => "replace",
+        Body::Edit { .. } => "edit",
         Body::Report(_) => "report",
         Body::Balance(_) => "balance",
         Body::DrawPermits { .. } => "draw-permits",
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -1,44 +1,26 @@
 //! Requests that the leader answers.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, NodeId, Version};
 use limits::Permits;
 use quarantine::Evidence;
 use state::claims::millis;
-use state::text::{Edit, Outcome, Replacement, Submission};
+use state::text::{Outcome, Submission};
 use state::{Change, Command, Output, State};
-use tokio::time::sleep;
 use tracing::info;
 use wire::{Answer, Body, Failure, FreshnessLease, Overview, Query, Request, Submitted};
 
 use super::Node;
+use super::replacement::Entries;
 use super::token_limits::SpendingRecord;
 use crate::leases::CLOCK_DRIFT_MARGIN;
 use crate::replica::Replica;
 use crate::{clock, difference};
 
-/// Time between two checks for entries that miss a version.
-const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Longest wait of a submission for its version to be in force everywhere. A replacement waits as
 /// long as its request says.
 const MAX_IN_FORCE_WAIT: Duration = Duration::from_secs(30);
-/// Time after its last request within which an entry is in contact. Entries ask for a lease each
-/// half second.
-const ENTRY_CONTACT: Duration = Duration::from_millis(1_200);
-/// Smallest text that is committed as what it changes. Control processes of earlier releases can't
-/// apply such a change.
-const MIN_EDIT_BYTES: usize = 64 * 1_024;
-
-/// Entries that the acknowledgement of a text waits for.
-#[derive(Clone, Copy)]
-enum Entries {
-    /// All that may serve, whether or not they are in contact.
-    WithLease,
-    /// Those in contact.
-    InContact,
-}
 
 impl<R: Replica<Command = Command, Output = Output>> Node<R> {
     /// Answers a request as the leader.
@@ -89,6 +71,7 @@
                 self.replace(replacement, Duration::from_millis(wait_ms))
                     .await
             }
+            Body::Edit { edit, wait_ms } => self.edit(edit, Duration::from_millis(wait_ms)).await,
             Body::Report(report) => {
                 let text = self.text().map(|(_, text)| text);
                 let process = (node, incarnation);
@@ -308,98 +291,7 @@
         ))
     }
 
-    /// Commits a text, and waits until it is in force at all entries in contact. Entries that are
-    /// cut off are not waited for: they may go on with an older text.
-    async fn replace(&self, replacement: Replacement, wait: Duration) -> Result<Answer, Failure> {
-        let began = Instant::now();
-        let text = self
-            .parse_submitted(replacement.source.as_str().into())
-            .await?;
-        let new_version = replacement.version;
-        let bytes = replacement.source.len();
-        let outcome = self.commit_replacement(replacement).await?;
-        if let Outcome::Accepted { version } = outcome {
-            self.keep_parsed(version, text.into());
-            self.peers.announce_version(version);
-            let committed = began.elapsed();
-            // The text is committed whether or not it is in force at all entries in time.
-            let waited = self.wait_in_force(version, Entries::InContact, wait).await;
-            info!(
-                version,
-                bytes,
-                committed_ms = committed.as_millis(),
-                elapsed_ms = began.elapsed().as_millis(),
-                "control: text {version} waited for entries, without it: {}",
-                waited.map_or("unknown".to_owned(), |missing| missing.len().to_string())
-            );
-        }
-        Ok(Answer::Submitted(self.submission_result(
-            outcome,
-            new_version,
-            Vec::new(),
-        )))
-    }
-
-    /// Commits a text, a large one as what it changes.
-    async fn commit_replacement(&self, replacement: Replacement) -> Result<Outcome, Failure> {
-        self.read_barrier().await?;
-        loop {
-            let change = {
-                let state = self.machine.read();
-                let texts = state.texts();
-                if let Some(outcome) = texts.outcome_without_change(&replacement) {
-                    return Ok(outcome);
-                }
-                let newest = texts.revision(texts.newest());
-                let base = newest.map_or((0, "".into()), |r| (r.version, r.source.clone()));
-                drop(state);
-                change(&replacement, &base)?
-            };
-            match self.commit(change).await? {
-                // Another text was committed meanwhile: the next edit is relative to that one.
-                Output::Submitted(Outcome::Conflict { .. }) => {}
-                Output::Submitted(outcome) => return Ok(outcome),
-                output => return Err(unexpected_output(&output)),
-            }
-        }
-    }
-
-    /// Waits until none of `entries` can serve under a version older than `version`, and returns
-    /// those that still can when the wait is over.
-    async fn wait_in_force(
-        &self,
-        version: Version,
-        entries: Entries,
-        wait: Duration,
-    ) -> Result<Vec<NodeId>, Failure> {
-        let deadline = Instant::now() + wait;
-        loop {
-            // Leadership may have been lost and regained: another leader may have granted leases.
-            let term = self.take_over().await?;
-            let now = Instant::now();
-            let missing = {
-                let leases = &self.leadership().leases;
-                match entries {
-                    Entries::WithLease => leases.missing(version, now),
-                    Entries::InContact => leases.missing_in_contact(version, ENTRY_CONTACT, now),
-                }
-            };
-            match missing {
-                missing if missing.is_empty() || now >= deadline => {
-                    self.read_barrier().await?;
-                    return match self.replica.status().term == term && self.leads() {
-                        true => Ok(missing),
-                        false => Err(Failure::Uncertain(
-                            "the leader changed before the text was in force everywhere".into(),
-                        )),
-                    };
-                }
-                _ => sleep(POLL_INTERVAL).await,
-            }
-        }
-    }
-
-    fn submission_result(
+    pub(super) fn submission_result(
         &self,
         outcome: Outcome,
         base: Version,
@@ -429,17 +321,6 @@
     }
 }
 
-/// Returns the change that puts a text in force, if the text `base` is still the newest then.
-fn change(replacement: &Replacement, base: &(Version, Arc<str>)) -> Result<Change, Failure> {
-    if replacement.source.len() < MIN_EDIT_BYTES {
-        return Ok(Change::Replace(replacement.clone()));
-    }
-    let (version, text) = base;
-    Edit::new(replacement, (*version, text))
-        .map(Change::Edit)
-        .map_err(|fault| Failure::Refused(fault.to_string().into()))
-}
-
 /// Returns the entries that may hold a lease of an earlier leader: those that are serving, and
 /// those that were recorded as lost at most `lease_ms` ago: a lease may have been granted while the
 /// loss was being committed.
@@ -453,6 +334,6 @@
         .collect()
 }
 
-fn unexpected_output(output: &Output) -> Failure {
+pub(super) fn unexpected_output(output: &Output) -> Failure {
     Failure::Uncertain(format!("the state machine answered {output:?}").into())
 }
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -128,9 +128,9 @@
             return Err(Failure::NoLeader);
         };
         let limit = match request.body {
-            Body::Submit { wait_ms, .. } | Body::Replace { wait_ms, .. } => {
-                Duration::from_millis(wait_ms) + SUBMIT_MARGIN
-            }
+            Body::Submit { wait_ms, .. }
+            | Body::Replace { wait_ms, .. }
+            | Body::Edit { wait_ms, .. } => Duration::from_millis(wait_ms) + SUBMIT_MARGIN,
             _ => FORWARD_TIMEOUT,
         };
         let request = Request {
@@ -384,7 +384,10 @@
     let hello = connection.hello();
     match (hello.role, &request.body) {
         (Role::Control, _) => true,
-        (Role::Entry, Body::Submit { .. } | Body::Replace { .. } | Body::Query(_)) => false,
+        (
+            Role::Entry,
+            Body::Submit { .. } | Body::Replace { .. } | Body::Edit { .. } | Body::Query(_),
+        ) => false,
         (Role::Entry, _) => {
             request.node == hello.node
                 && request.incarnation == hello.incarnation
--- a/components/control/tests/large_texts/text.rs
+++ b/components/control/tests/large_texts/text.rs
@@ -87,10 +87,11 @@
         (0..length).map(letter).collect()
     };
     format!(
-        "\"name\":\"r-{}\",\"host\":\"{}.example\",\"path_prefix\":\"/{}/\",\
-         \"route_kind\":\"stream\",\"target_latency_ms\":1200,\"priority\":0,\
-         \"split\":[{{\"service\":\"huvo11a\",\"weight\":90}},{{\"service\":\"wuno96b\",\"weight\":10}}],\
-         \"max_attempts\":2,\"public\":false,\"sticky\":true,\"resumable\":true,\"target_gap_ms\":800",
+        "\"name\":\"r-{}\",\"host\":\"{}.example\",\"prefix-of-the-path\":\"/{}/\",\
+         \"kind\":\"resumable-stream\",\"target-ms\":1200,\"longest-gap-ms\":800,\"rank\":0,\
+         \"splits\":[{{\"service\":\"reviews-2026\",\"weight\":90}},\
+         {{\"service\":\"reviews-2027\",\"weight\":10}}],\
+         \"attempts-at-most\":2,\"public\":false,\"keeps-to-home-engine\":true",
         name(7),
         name(6),
         name(8)
--- a/components/wire/src/request.rs
+++ b/components/wire/src/request.rs
@@ -4,7 +4,7 @@
 use limits::{Draw, Process};
 use serde::{Deserialize, Serialize};
 use state::claim::{Claim, Settlement};
-use state::text::{Replacement, Submission};
+use state::text::{Edit, Replacement, Submission};
 use upstream::{Origin, StreamKey};
 
 use crate::{Report, Statements};
@@ -62,6 +62,14 @@
         /// Longest wait, in milliseconds.
         wait_ms: u64,
     },
+    /// Like `Replace`, with a patch of the text that the sender knows as the newest. The outcome is
+    /// a conflict if the leader has another one.
+    Edit {
+        /// The text.
+        edit: Edit,
+        /// Longest wait, in milliseconds.
+        wait_ms: u64,
+    },
     /// An entry reports its work, and requests the sums over all entries.
     Report(Box<Report>),
     /// An entry needs a larger allotment of the token limit of accounts, between two reports.
