--- a/components/consensus/tests/suite/main.rs
+++ b/components/consensus/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod growth;
 mod guards;
 mod leases;
+mod message_sizes;
 #[path = "../../../storage/tests/suite/memory.rs"]
 mod memory;
 mod repairs;
