--- a/components/consensus/tests/suite/main.rs
+++ b/components/consensus/tests/suite/main.rs
@@ -7,9 +7,9 @@
 mod growth;
 mod guards;
 mod leases;
-mod message_sizes;
 #[path = "../../../storage/tests/suite/memory.rs"]
 mod memory;
+mod message_sizes;
 mod repairs;
 mod scenarios;
 mod server;
