Quarantine a request that crashes whatever runs it

What callers saw: one request, repeated with the same path, caller and body at any entry, ended upstreams again and again; a service with four of them served nobody for seconds at a time.

Cause: the quarantine knew shared parts of prompts only. Plain calls have none, and those of a prompt are acquitted by the sound prompts that share them. A crash under a plain call was not even looked for, and no entry could tell that two requests are the same.

Change: each request has a fingerprint, a 64-bit hash of method, host, path, account and body. It is weighed like a part, by itself: three crashes that it is suspect in and no answer with it begun well after, at whichever entries. Entries report crashes and hear of verdicts with the reports that they send anyway; verdicts are replicated. Entries are asked only for requests that came at two crashes, so that bystanders cost nothing. Two trials, after 60 and 300 s. Such a request gets 400 at once. Bounded: 16,384 fingerprints for ten minutes at most of use, 64 crashes at an entry, 256 for 60 s at the leader.

Log lines name the fingerprint of an attempt that failed, and each crash that was seen.

--- a/components/control/src/node/background.rs
+++ b/components/control/src/node/background.rs
@@ -5,6 +5,7 @@
 
 use config::ids::{AccountId, UpstreamId};
 use indexmap::IndexSet;
+use quarantine::{Kind, Record};
 use state::{Change, Command, Output, State};
 use tokio::time::sleep;
 use tracing::{info, warn};
@@ -12,6 +13,7 @@
 
 use super::Node;
 use super::token_limits::Spent;
+use super::workload::Workload;
 use crate::replica::Replica;
 
 /// Time between two reads of the state for changes that entries are notified of.
@@ -163,31 +165,44 @@
     }
 }
 
-/// Records the parts of prompts in quarantine if they have changed. Trials are granted once they
-/// have been recorded, so that no later leader grants them again.
+/// Records what is in quarantine if it has changed. Trials are granted once they have been recorded,
+/// so that no later leader grants them again.
 async fn record_verdicts<R>(node: &Node<R>)
 where
     R: Replica<Command = Command, Output = Output>,
 {
-    let now = Instant::now();
-    let changed = {
-        let mut workload = node.workload();
-        workload.evidence().begin_trials(now);
-        workload.evidence().take_changed(now)
-    };
-    let Some(verdicts) = changed else {
+    let Some(verdicts) = changed_verdicts(&mut node.workload(), Instant::now()) else {
         return;
     };
-    let parts = verdicts.iter().map(|record| format!("{:x}", record.part));
-    let parts = parts.collect::<Vec<_>>().join(",");
+    let subjects = verdicts.iter().map(|record| match record.kind {
+        Kind::Part => format!("part {:x}", record.subject),
+        Kind::Request => format!("request {:x}", record.subject),
+    });
+    let subjects = subjects.collect::<Vec<_>>().join(", ");
     match node.commit(Change::RecordVerdicts(verdicts)).await {
         Ok(_) => {
-            info!("control: parts of prompts in quarantine: \"{parts}\"");
-            node.workload().evidence().open_trials();
+            info!("control: in quarantine: \"{subjects}\"");
+            for evidence in node.workload().evidence() {
+                evidence.open_trials();
+            }
         }
         Err(failure) => {
-            warn!("control: the parts of prompts in quarantine are not recorded: {failure:?}");
-            node.workload().evidence().keep_changed();
+            warn!("control: what is in quarantine is not recorded: {failure:?}");
+            for evidence in node.workload().evidence() {
+                evidence.keep_changed();
+            }
         }
     }
 }
+
+/// Returns all verdicts if any of them has changed.
+fn changed_verdicts(workload: &mut Workload, now: Instant) -> Option<Vec<Record>> {
+    let mut is_changed = false;
+    let mut verdicts = Vec::new();
+    for evidence in workload.evidence() {
+        evidence.begin_trials(now);
+        is_changed |= evidence.take_changed();
+        verdicts.extend(evidence.records(now));
+    }
+    is_changed.then_some(verdicts)
+}
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -3,8 +3,6 @@
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, NodeId, Version};
-use limits::Permits;
-use quarantine::Evidence;
 use state::claims::millis;
 use state::text::{Outcome, Submission};
 use state::{Change, Command, Output, State};
@@ -80,12 +78,12 @@
                 let overview =
                     self.workload()
                         .record_report(process, *report, text.as_deref(), now);
-                Ok(Answer::Overview(Overview {
+                Ok(Answer::Overview(Box::new(Overview {
                     now_ms: clock::monotonic_unix_ms(),
                     entries: overview.entries.max(serving),
                     replaced_ms,
                     ..overview
-                }))
+                })))
             }
             Body::Balance(statements) => {
                 let process = (node, incarnation);
@@ -187,14 +185,11 @@
             .take_over(&processes, &record, &text, now);
     }
 
-    /// Keeps the parts of prompts in quarantine that an earlier leader recorded, and starts without
-    /// the limits that upstreams named, which the entries will state.
+    /// Keeps the quarantine that an earlier leader recorded.
     fn take_over_reports(&self, term: u64) {
         let now = clock::monotonic_unix_ms();
-        let records = self.machine.read().verdicts().as_of(now);
-        let mut workload = self.workload();
-        *workload.evidence() = Evidence::new(term, &records, Instant::now());
-        *workload.permits() = Permits::new(term);
+        let verdicts = self.machine.read().verdicts().as_of(now);
+        self.workload().take_over(term, &verdicts, Instant::now());
     }
 
     async fn confirm(
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use limits::Permits;
 use placement::autoscaler::Demand;
-use quarantine::Evidence;
+use quarantine::{Evidence, Kind, Record};
 use state::usage::{Counts, Window};
 use wire::{DemandTotals, Limits, Overview, Report, Work};
 
@@ -30,7 +30,10 @@
 pub(crate) struct Workload {
     entries: IndexMap<EntryProcess, EntryReport>,
     limits: TokenLimits,
-    evidence: Evidence,
+    /// Evidence about parts of prompts that crash upstreams.
+    parts: Evidence,
+    /// Evidence about requests that crash upstreams.
+    requests: Evidence,
     permits: Permits,
     /// Started requests by usage window, process and account.
     window_counts: IndexMap<Window, IndexMap<EntryProcess, Counts>>,
@@ -52,7 +55,8 @@
         Workload {
             entries: IndexMap::new(),
             limits: TokenLimits::new(limit_window),
-            evidence: Evidence::new(0, &[], now),
+            parts: Evidence::new(Kind::Part, 0, &[], now),
+            requests: Evidence::new(Kind::Request, 0, &[], now),
             permits: Permits::new(0),
             window_counts: IndexMap::new(),
             rates: IndexMap::new(),
@@ -64,9 +68,17 @@
         &mut self.limits
     }
 
-    /// Returns the evidence about parts of prompts that crash upstreams.
-    pub(crate) fn evidence(&mut self) -> &mut Evidence {
-        &mut self.evidence
+    /// Returns the evidence about each kind of subject that crashes upstreams.
+    pub(crate) fn evidence(&mut self) -> [&mut Evidence; 2] {
+        [&mut self.parts, &mut self.requests]
+    }
+
+    /// Starts a term with the verdicts that earlier leaders recorded, and without the limits that
+    /// upstreams named, which the entries will state.
+    pub(crate) fn take_over(&mut self, term: u64, verdicts: &[Record], now: Instant) {
+        self.parts = Evidence::new(Kind::Part, term, verdicts, now);
+        self.requests = Evidence::new(Kind::Request, term, verdicts, now);
+        self.permits = Permits::new(term);
     }
 
     /// Returns the limits that upstreams named.
@@ -89,7 +101,8 @@
             self.limits
                 .balances(&process, &report.statements, text, now)
         });
-        let quarantine = self.evidence.record(&process, &report.quarantine, now);
+        let quarantine = self.parts.record(&process, &report.quarantine, now);
+        let requests = self.requests.record(&process, &report.requests, now);
         let limits = self.record_limits(&report.limits, now);
         let permits = self.permits.offer(now);
         let report = EntryReport {
@@ -106,6 +119,7 @@
             balances: balances.unwrap_or_default(),
             work: self.total_work(now),
             quarantine,
+            requests,
             limits,
             permits,
         }
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -132,7 +132,7 @@
     pub async fn report(&self, report: Report, limit: Duration) -> Result<Overview> {
         let request = self.shared.request(Body::Report(Box::new(report)));
         match self.shared.links.call(request, limit).await? {
-            Answer::Overview(overview) => Ok(overview),
+            Answer::Overview(overview) => Ok(*overview),
             _ => Err(unexpected_answer()),
         }
     }
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -7,7 +7,10 @@
 use compact_str::CompactString;
 use config::ids::{RequestId, ServiceId};
 use config::text::ingress::Route;
+use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Uri};
+use quarantine::Fingerprint;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::Account;
 
@@ -61,6 +64,8 @@
     pub prompt: Option<Prompt>,
     /// Parts of the prompt that other prompts may share: all but the last one.
     pub shared_parts: Vec<PartId>,
+    /// Fingerprint, which stays the same when the request is sent again.
+    pub fingerprint: Fingerprint,
     /// Last event of an earlier answer that the caller has received.
     pub resume_after: Option<u64>,
     /// Request that brought the first event of that answer.
@@ -71,6 +76,27 @@
     pub deadline: Instant,
 }
 
+/// Returns the fingerprint of a request: a hash of what stays the same when it is sent again, at any
+/// entry. Headers are no part of it, since identifiers and deadlines are new each time.
+pub(crate) fn fingerprint(
+    method: &Method,
+    host: &str,
+    uri: &Uri,
+    caller: Option<&str>,
+    body: &[u8],
+) -> Fingerprint {
+    let path = uri
+        .path_and_query()
+        .map_or(uri.path(), PathAndQuery::as_str);
+    let mut hash = Xxh3::new();
+    for field in [method.as_str(), host, path, caller.unwrap_or_default()] {
+        hash.update(&(field.len() as u64).to_le_bytes());
+        hash.update(field.as_bytes());
+    }
+    hash.update(body);
+    hash.digest()
+}
+
 impl Call {
     /// Returns the parts of the prompt that others may share, for the log.
     pub(crate) fn shared_parts_text(&self) -> CompactString {
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -5,7 +5,6 @@
 
 use arc_swap::ArcSwap;
 use fleet::Member;
-use quarantine::Watch;
 use tokio::sync::Notify;
 use upstream::Origins;
 
@@ -13,6 +12,7 @@
 use crate::drain::Drain;
 use crate::permits::Permits;
 use crate::pool::Pool;
+use crate::quarantine::Quarantine;
 use crate::{Accounts, Balancer, Metrics, Protocol, Readiness, Retries, Settings, Table, Usage};
 
 /// State shared by the tasks of one entry.
@@ -33,8 +33,8 @@
     pub(crate) origins: Mutex<Origins>,
     pub(crate) pool: Mutex<Pool>,
     pub(crate) readiness: Readiness,
-    /// Crashes of upstreams, and parts of prompts in quarantine.
-    pub(crate) watch: Mutex<Watch>,
+    /// Crashes of upstreams, and what is in quarantine.
+    pub(crate) quarantine: Mutex<Quarantine>,
     /// Draws under the limits that upstreams name.
     pub(crate) permits: Mutex<Permits>,
     /// Wakes the task that reports to the leader.
--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use quarantine::PartId;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use tracing::warn;
@@ -22,31 +21,35 @@
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Checks whether the upstream of `choice` has crashed, and records the shared parts of `call`, whose
-/// answer had not begun well.
-pub(crate) fn check(core: &Arc<Core>, call: &Call, choice: &Choice) {
-    if call.shared_parts.is_empty() || lock(&core.balancer).is_leaving(choice) {
+/// Checks whether the upstream of `choice` has crashed, and records `call`, whose answer had not
+/// begun well.
+pub(crate) fn check(core: &Arc<Core>, call: &Arc<Call>, choice: &Choice) {
+    if lock(&core.balancer).is_leaving(choice) {
         return;
     }
-    let (core, choice) = (core.clone(), choice.clone());
-    let parts = call.shared_parts.clone();
+    let (core, call, choice) = (core.clone(), call.clone(), choice.clone());
     let broke_at = Instant::now();
-    let is_known = lock(&core.watch).knows_crash(&choice.upstream, choice.incarnation);
+    let is_known = lock(&core.quarantine).knows_crash(&choice);
     if is_known {
-        record(&core, &choice, &parts, broke_at);
+        record(&core, &choice, &call, broke_at);
         return;
     }
     tokio::spawn(async move {
         if refuses_connections(&choice).await {
-            warn!(upstream = %choice.upstream, "crash: the upstream refuses connections");
-            record(&core, &choice, &parts, broke_at);
+            warn!(
+                request = %call.id,
+                upstream = %choice.upstream,
+                fingerprint = %format_args!("{:x}", call.fingerprint),
+                parts = %call.shared_parts_text(),
+                "crash: the upstream refuses connections"
+            );
+            record(&core, &choice, &call, broke_at);
         }
     });
 }
 
-fn record(core: &Core, choice: &Choice, parts: &[PartId], broke_at: Instant) {
-    let mut watch = lock(&core.watch);
-    watch.record_crash(&choice.upstream, choice.incarnation, parts, broke_at);
+fn record(core: &Core, choice: &Choice, call: &Call, broke_at: Instant) {
+    lock(&core.quarantine).record_crash(choice, call, broke_at);
     core.report_now.notify_one();
 }
 
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -38,7 +38,7 @@
 /// Returns a [`Refusal`] if no upstream answers before the deadline or within the allowed attempts.
 pub(crate) async fn dispatch(
     core: &Arc<Core>,
-    call: &Call,
+    call: &Arc<Call>,
     resume_after: Option<u64>,
     attempts: &mut Attempts,
     request_log: &mut RequestLog,
@@ -60,7 +60,7 @@
             );
         }
         if attempts.sends > 0
-            && let Some(refusal) = refusal_of_prompt(core, call, attempts)
+            && let Some(refusal) = refusal_to_repeat(core, call, attempts)
         {
             return fallback(server_error, refusal);
         }
@@ -178,13 +178,13 @@
     lock(&core.balancer).choose(criteria, Instant::now())
 }
 
-/// Returns why a prompt that was sent before must not be sent again, if it must not.
-fn refusal_of_prompt(core: &Core, call: &Call, attempts: &mut Attempts) -> Option<Refusal> {
-    let quarantined = lock(&core.watch).quarantined(&call.shared_parts);
+/// Returns why a request that was sent before must not be sent again, if it must not.
+fn refusal_to_repeat(core: &Core, call: &Call, attempts: &mut Attempts) -> Option<Refusal> {
+    let quarantined = lock(&core.quarantine).subject(call);
     match quarantined {
-        Some(part) => {
+        Some(subject) => {
             let may_have_run = attempts.unknown_outcome.is_some() || attempts.broken > 0;
-            Some(Refusal::Quarantined(part, may_have_run))
+            Some(Refusal::Quarantined(subject, may_have_run))
         }
         None if attempts.may_crash_more(call) => None,
         None => {
--- a/components/gateway/src/dispatch/attempt.rs
+++ b/components/gateway/src/dispatch/attempt.rs
@@ -72,6 +72,7 @@
         warn!(
             request = %call.id,
             upstream = %choice.upstream,
+            fingerprint = %format_args!("{:x}", call.fingerprint),
             parts = %call.shared_parts_text(),
             inputs = %choice.reason,
             "attempt: {}: {detail}",
@@ -83,7 +84,7 @@
 /// Sends a request to one upstream and returns the head of its answer.
 pub(super) async fn attempt(
     core: &Arc<Core>,
-    call: &Call,
+    call: &Arc<Call>,
     mut ticket: Ticket,
     resume_after: Option<u64>,
     is_last: bool,
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
 use http::{HeaderValue, Request, Response, header, request};
 use hyper::body::Incoming;
 
-use crate::call::Call;
+use crate::call::{self, Call};
 use crate::core::{Core, lock};
 use crate::dispatch::{self, Attempts};
 use crate::request_log::RequestLog;
@@ -68,9 +69,9 @@
         Ok(call) => Arc::new(call),
         Err(refusal) => return refuse(request_log, &refusal),
     };
-    let quarantined = lock(&core.watch).refusal(&call.shared_parts, Instant::now());
-    if let Some(part) = quarantined {
-        return refuse(request_log, &Refusal::Quarantined(part, false));
+    let quarantined = lock(&core.quarantine).refusal(&call, Instant::now());
+    if let Some(subject) = quarantined {
+        return refuse(request_log, &Refusal::Quarantined(subject, false));
     }
     let software = match origin::find(&core, &call).await {
         Ok(software) => software,
@@ -134,9 +135,10 @@
         return Err(Refusal::Stopping);
     }
     let host = parts.headers.get(header::HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let host = host.and_then(|host| host.to_str().ok());
+    let host: CompactString = host.unwrap_or_default().into();
     let route = table
-        .route(host, parts.uri.path())
+        .route(&host, parts.uri.path())
         .ok_or(Refusal::NoRoute)?;
     request_log.set_route(&route.name, table.version());
     let account = find_account(&table, &head, route.public)?;
@@ -152,7 +154,9 @@
         .map_or(route.timeout, |wait| wait.min(route.timeout));
     let mut headers = parts.headers;
     web::remove_connection_headers(&mut headers);
+    let caller = account.as_ref().map(|account| account.name.as_str());
     let call = Call {
+        fingerprint: call::fingerprint(&parts.method, &host, &parts.uri, caller, &body),
         id: head.id,
         method: parts.method,
         uri: parts.uri,
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use quarantine::PartId;
 use quick_error::quick_error;
 
+use crate::Subject;
+
 quick_error! {
     /// Reason for which the gateway answers a request itself. It determines whether the request may
     /// have run. The texts are sent to callers.
@@ -54,9 +55,9 @@
         UnknownOrigin {
             display("it is not known which version began the stream")
         }
-        /// The prompt has a part that crashes upstreams, and may have crashed one already.
-        Quarantined(part: PartId, may_have_run: bool) {
-            display("the part {part:x} of the prompt crashes upstreams")
+        /// The request, or a part of its prompt, crashes upstreams, and may have crashed one already.
+        Quarantined(subject: Subject, may_have_run: bool) {
+            display("it crashes upstreams: {}", subject.name())
         }
         /// Upstreams refused the request without running it, and no further attempt is allowed.
         Shed(retry_after: Duration) {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -127,7 +127,7 @@
         }
     }
 
-    /// Records that an answer with the parts of the prompt has begun well, if it has. An answer that
+    /// Records that the answer to the request has begun well, if it has. An answer that
     /// `is_complete` has, unless the end of its connection is its only end.
     fn record_begun_well(&mut self, is_complete: bool) {
         let State::Reading(source) = &mut self.state else {
@@ -136,12 +136,11 @@
         let now = Instant::now();
         let is_complete = is_complete && source.framing != Framing::Connection;
         let has_begun_well = is_complete || source.goes_on(now);
-        let parts = &self.call.shared_parts;
-        if !has_begun_well || source.begun_well || parts.is_empty() || self.status >= 300 {
+        if !has_begun_well || source.begun_well || self.status >= 300 {
             return;
         }
         source.begun_well = true;
-        lock(&self.core.watch).record_begun_well(parts, now);
+        lock(&self.core.quarantine).record_begun_well(&self.call, now);
     }
 
     /// Writes the log line of the request with `outcome`; later calls have no effect.
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -117,7 +117,7 @@
         ..balancer::Settings::default()
     };
     Arc::new(Core {
-        watch: Mutex::default(),
+        quarantine: Mutex::default(),
         permits: Mutex::default(),
         report_now: Notify::new(),
         retries: Mutex::new(Retries::new(settings.retries, ASSUMED_ENTRIES)),
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -70,12 +70,14 @@
         let statements =
             lock(&core.accounts).statements(limited.limited_accounts(), Instant::now());
         let limits = changed_limits(&core, &told, Instant::now());
+        let (quarantine, requests) = lock(&core.quarantine).report(Instant::now());
         let report = Report {
             statements,
             started: lock(&core.usage).report(),
             work: lock(&core.balancer).report(),
             demand: lock(&core.demand).report(),
-            quarantine: lock(&core.watch).report(Instant::now()),
+            quarantine,
+            requests,
             limits,
         };
         let is_recent = |(last, at): &(Report, Instant)| {
@@ -157,6 +159,7 @@
         && report.work == other.work
         && report.demand == other.demand
         && report.quarantine == other.quarantine
+        && report.requests == other.requests
         && report.limits == other.limits
 }
 
@@ -167,9 +170,10 @@
     let one_way = now.saturating_duration_since(sent_at) / 2;
     lock(&core.accounts).apply(number, &overview.balances, now);
     lock(&core.balancer).apply_work(&overview.work);
-    let parts = lock(&core.watch).apply(overview.quarantine.clone(), now);
-    for part in parts {
-        info!("gateway: the quarantine of the part {part:x} has changed");
+    let (parts, requests) = (overview.quarantine.clone(), overview.requests.clone());
+    let changed = lock(&core.quarantine).apply(parts, requests, now);
+    for subject in changed {
+        info!("gateway: the quarantine of {} has changed", subject.name());
     }
     apply_limits(core, overview, sent_at, now);
     let share = Share {
--- a/components/gateway/tests/admission.rs
+++ b/components/gateway/tests/admission.rs
@@ -33,6 +33,7 @@
         service: "assistant".into(),
         account: None,
         prompt: Some(Prompt::default()),
+        fingerprint: 0,
         shared_parts: Vec::new(),
         resume_after,
         resumes: None,
--- a/components/quarantine/src/crash.rs
+++ b/components/quarantine/src/crash.rs
@@ -3,7 +3,7 @@
 use config::ids::{Incarnation, UpstreamId};
 use serde::{Deserialize, Serialize};
 
-use crate::PartId;
+use crate::SubjectId;
 
 /// A process of an upstream that crashed.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -14,7 +14,7 @@
     pub incarnation: Incarnation,
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
-    /// Shared parts of the prompts that were being answered and had not begun well, each with its
+    /// Shared subjects of the prompts that were being answered and had not begun well, each with its
     /// position in the prompt.
-    pub suspects: Vec<(PartId, u32)>,
+    pub suspects: Vec<(SubjectId, u32)>,
 }
--- a/components/quarantine/src/evidence.rs
+++ b/components/quarantine/src/evidence.rs
@@ -1,25 +1,15 @@
-//! The evidence of all entries about parts of prompts, at the leader.
+//! The evidence of all entries about the subjects of one kind, at the leader.
 
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, NodeId, UpstreamId};
 use indexmap::IndexMap;
 
+use crate::kind::Threshold;
 use crate::verdict::Verdict;
-use crate::{Notice, PartId, Record, Report};
+use crate::{Kind, Notice, Record, Report, SubjectId};
 
-/// Crashes after which a part is put into quarantine, and the least time from the first of them to
-/// the last.
-const UNKNOWN_PART: Threshold = Threshold {
-    crashes: 3,
-    span: Duration::from_millis(300),
-};
-/// The same for a part with which an answer has begun well before.
-const KNOWN_PART: Threshold = Threshold {
-    crashes: 5,
-    span: Duration::from_secs(2),
-};
-/// Longest wait for what the entries know of a part under suspicion.
+/// Longest wait for what the entries know of a subject under suspicion.
 const MAX_ANSWER_WAIT: Duration = Duration::from_millis(1_200);
 /// Time after its last report for which an entry is waited for.
 const ENTRY_LIFETIME: Duration = Duration::from_secs(2);
@@ -30,20 +20,15 @@
 /// Parts under suspicion at one time.
 const MAX_SUSPICIONS: usize = 512;
 
-#[derive(Clone, Copy)]
-struct Threshold {
-    crashes: usize,
-    span: Duration,
-}
-
-/// What entries have reported, and the parts in quarantine.
+/// What entries have reported, and the subjects in quarantine.
 #[derive(Debug)]
 pub struct Evidence {
+    kind: Kind,
     /// When the term started. Entries may not have reported to this leader yet.
     since: Instant,
     crashes: IndexMap<(UpstreamId, Incarnation), Crash>,
-    suspicions: IndexMap<PartId, Suspicion>,
-    verdicts: IndexMap<PartId, Verdict>,
+    suspicions: IndexMap<SubjectId, Suspicion>,
+    verdicts: IndexMap<SubjectId, Verdict>,
     /// Number of the notice that each entry has applied, and the time of its report.
     entries: IndexMap<(NodeId, Incarnation), (u64, Instant)>,
     /// Number of the newest notice.
@@ -55,24 +40,24 @@
 #[derive(Debug)]
 struct Crash {
     at: Instant,
-    /// Positions of the parts in their prompts.
-    suspects: IndexMap<PartId, u32>,
+    /// Positions of the subjects in their prompts.
+    suspects: IndexMap<SubjectId, u32>,
 }
 
-/// A part that was being answered when an upstream crashed.
+/// A subject that was being answered when an upstream crashed.
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
     since: Instant,
-    /// Notice that asks the entries about the part.
+    /// Notice that asks the entries about the subject.
     notice: u64,
     begun_well: Option<Instant>,
 }
 
-/// Crashes that count against a part.
+/// Crashes that count against a subject.
 #[derive(Clone, Copy, Debug)]
 struct Charge {
-    part: PartId,
-    /// Whether an answer with the part has begun well before.
+    subject: SubjectId,
+    /// Whether an answer with the subject has begun well before.
     is_known: bool,
     position: u32,
     crashes: usize,
@@ -81,15 +66,17 @@
 }
 
 impl Evidence {
-    /// Starts a term with the verdicts that earlier leaders recorded. Notices of a later term have
-    /// higher numbers.
-    pub fn new(term: u64, records: &[Record], now: Instant) -> Self {
-        let verdict = |record: &Record| (record.part, Verdict::from_record(*record, now));
+    /// Starts a term with the verdicts that earlier leaders recorded, of which those on other kinds
+    /// are left out. Notices of a later term have higher numbers.
+    pub fn new(kind: Kind, term: u64, records: &[Record], now: Instant) -> Self {
+        let records = records.iter().filter(|record| record.kind == kind);
+        let verdict = |record: &Record| (record.subject, Verdict::from_record(*record, now));
         Evidence {
+            kind,
             since: now,
             crashes: IndexMap::new(),
             suspicions: IndexMap::new(),
-            verdicts: records.iter().map(verdict).collect(),
+            verdicts: records.map(verdict).collect(),
             entries: IndexMap::new(),
             number: term << 32,
             changed: false,
@@ -108,16 +95,16 @@
         for crash in &report.crashes {
             self.add_crash(crash, now);
         }
-        for (part, age_ms) in &report.begun_well {
-            self.acquit(*part, before(now, *age_ms));
+        for (subject, age_ms) in &report.begun_well {
+            self.acquit(*subject, before(now, *age_ms));
         }
         self.judge(now);
         let mut trials = Vec::new();
-        for part in &report.refused {
-            if let Some(verdict) = self.verdicts.get_mut(part)
+        for subject in &report.refused {
+            if let Some(verdict) = self.verdicts.get_mut(subject)
                 && verdict.record_refusal(now)
             {
-                trials.push(*part);
+                trials.push(*subject);
             }
         }
         let watched = self.suspicions.keys().chain(self.verdicts.keys());
@@ -137,11 +124,16 @@
         }
     }
 
-    /// Returns the verdicts if they have changed since the last call.
-    pub fn take_changed(&mut self, now: Instant) -> Option<Vec<Record>> {
+    /// Reports whether the verdicts have changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Returns the verdicts as they are replicated.
+    pub fn records(&self, now: Instant) -> Vec<Record> {
         let verdicts = self.verdicts.iter();
-        let records = verdicts.map(|(part, verdict)| verdict.record(*part, now));
-        std::mem::take(&mut self.changed).then(|| records.collect())
+        let records = verdicts.map(|(subject, verdict)| verdict.record(*subject, now));
+        records.collect()
     }
 
     /// Grants the trials that were begun, after they have been recorded.
@@ -169,9 +161,15 @@
         });
         known.at = known.at.min(at);
         known.suspects.extend(crash.suspects.iter().copied());
-        for (part, _) in &crash.suspects {
-            let is_known = self.suspicions.contains_key(part) || self.verdicts.contains_key(part);
-            if is_known || self.suspicions.len() >= MAX_SUSPICIONS {
+        for (subject, _) in &crash.suspects {
+            let is_known =
+                self.suspicions.contains_key(subject) || self.verdicts.contains_key(subject);
+            let crashes = self.crashes.values();
+            let crashes = crashes.filter(|crash| crash.suspects.contains_key(subject));
+            if is_known
+                || crashes.count() < self.kind.suspicious_crashes()
+                || self.suspicions.len() >= MAX_SUSPICIONS
+            {
                 continue;
             }
             self.number += 1;
@@ -180,83 +178,83 @@
                 notice: self.number,
                 begun_well: None,
             };
-            self.suspicions.insert(*part, suspicion);
+            self.suspicions.insert(*subject, suspicion);
         }
     }
 
-    /// Records that an answer with `part` began well at `at`.
-    fn acquit(&mut self, part: PartId, at: Instant) {
-        if let Some(suspicion) = self.suspicions.get_mut(&part) {
+    /// Records that an answer with `subject` began well at `at`.
+    fn acquit(&mut self, subject: SubjectId, at: Instant) {
+        if let Some(suspicion) = self.suspicions.get_mut(&subject) {
             suspicion.begun_well = suspicion.begun_well.max(Some(at));
         }
         if self
             .verdicts
-            .get(&part)
+            .get(&subject)
             .is_some_and(|verdict| verdict.is_lifted_by(at))
         {
-            self.verdicts.shift_remove(&part);
+            self.verdicts.shift_remove(&subject);
             self.crashes.values_mut().for_each(|crash| {
-                crash.suspects.shift_remove(&part);
+                crash.suspects.shift_remove(&subject);
             });
             self.changed = true;
         }
     }
 
-    /// Puts parts into quarantine against which there is enough evidence.
+    /// Puts subjects into quarantine against which there is enough evidence.
     fn judge(&mut self, now: Instant) {
-        while let Some(part) = self.guilty(now) {
-            self.suspicions.shift_remove(&part);
-            self.verdicts.insert(part, Verdict::new(now));
+        while let Some(subject) = self.guilty(now) {
+            self.suspicions.shift_remove(&subject);
+            self.verdicts.insert(subject, Verdict::new(self.kind, now));
             self.changed = true;
         }
     }
 
-    /// Returns a part to put into quarantine.
-    fn guilty(&self, now: Instant) -> Option<PartId> {
+    /// Returns a subject to put into quarantine.
+    fn guilty(&self, now: Instant) -> Option<SubjectId> {
         let charges = self.charges();
         let (known, unknown): (Vec<Charge>, Vec<Charge>) =
             charges.into_iter().partition(|charge| charge.is_known);
-        self.most_charged(&unknown, UNKNOWN_PART, now)
-            .or_else(|| self.most_charged(&known, KNOWN_PART, now))
+        self.most_charged(&unknown, self.kind.threshold(false), now)
+            .or_else(|| self.most_charged(&known, self.kind.threshold(true), now))
     }
 
-    /// Returns the part with the most crashes if they reach the threshold. Among parts with the same
+    /// Returns the subject with the most crashes if they reach the threshold. Among subjects with the same
     /// number it is the last in its prompt, which fewest prompts share, after one more crash.
     fn most_charged(
         &self,
         charges: &[Charge],
         threshold: Threshold,
         now: Instant,
-    ) -> Option<PartId> {
+    ) -> Option<SubjectId> {
         let most = charges.iter().map(|charge| charge.crashes).max()?;
         let top = charges.iter().filter(|charge| charge.crashes == most);
         let is_tie = top.clone().count() > 1;
         let charge = top.max_by_key(|charge| charge.position)?;
-        let suspicion = self.suspicions.get(&charge.part)?;
+        let suspicion = self.suspicions.get(&charge.subject)?;
         let span = charge.last.saturating_duration_since(charge.first);
         let is_enough = charge.crashes >= threshold.crashes + usize::from(is_tie);
         (is_enough && span >= threshold.span && self.is_answered(suspicion, now))
-            .then_some(charge.part)
+            .then_some(charge.subject)
     }
 
-    /// Returns the crashes against each part under suspicion: those after an answer with it last
-    /// began well, and without a part that is in quarantine.
+    /// Returns the crashes against each subject under suspicion: those after an answer with it last
+    /// began well, and without a subject that is in quarantine.
     fn charges(&self) -> Vec<Charge> {
-        let mut charges: IndexMap<PartId, Charge> = IndexMap::new();
+        let mut charges: IndexMap<SubjectId, Charge> = IndexMap::new();
         let is_explained = |crash: &&Crash| {
             let mut suspects = crash.suspects.keys();
-            suspects.any(|part| self.verdicts.contains_key(part))
+            suspects.any(|subject| self.verdicts.contains_key(subject))
         };
         for crash in self.crashes.values().filter(|crash| !is_explained(crash)) {
-            for (part, position) in &crash.suspects {
-                let Some(suspicion) = self.suspicions.get(part) else {
+            for (subject, position) in &crash.suspects {
+                let Some(suspicion) = self.suspicions.get(subject) else {
                     continue;
                 };
                 if suspicion.begun_well.is_some_and(|at| at >= crash.at) {
                     continue;
                 }
-                let charge = charges.entry(*part).or_insert(Charge {
-                    part: *part,
+                let charge = charges.entry(*subject).or_insert(Charge {
+                    subject: *subject,
                     is_known: suspicion.begun_well.is_some(),
                     position: 0,
                     crashes: 0,
@@ -272,7 +270,7 @@
         charges.into_values().collect()
     }
 
-    /// Reports whether all entries have said what they know of a part, or had time enough.
+    /// Reports whether all entries have said what they know of a subject, or had time enough.
     fn is_answered(&self, suspicion: &Suspicion, now: Instant) -> bool {
         let elapsed = |since: Instant| now.saturating_duration_since(since);
         let is_live = |at: Instant| elapsed(at) < ENTRY_LIFETIME;
--- a/components/quarantine/src/notice.rs
+++ b/components/quarantine/src/notice.rs
@@ -2,17 +2,17 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::PartId;
+use crate::SubjectId;
 
 /// The leader's answer to a [`Report`](crate::Report).
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Notice {
-    /// Number that grows with each part that comes under suspicion.
+    /// Number that grows with each subject that comes under suspicion.
     pub number: u64,
     /// Parts of which the entry states when an answer last began well.
-    pub watched: Vec<PartId>,
+    pub watched: Vec<SubjectId>,
     /// Parts in quarantine.
-    pub quarantined: Vec<PartId>,
+    pub quarantined: Vec<SubjectId>,
     /// Parts in quarantine with which the entry lets one prompt through.
-    pub trials: Vec<PartId>,
+    pub trials: Vec<SubjectId>,
 }
--- a/components/quarantine/src/verdict.rs
+++ b/components/quarantine/src/verdict.rs
@@ -1,17 +1,11 @@
-//! A part in quarantine, and the trials of it.
+//! A subject in quarantine, and the trials of it.
 
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use crate::PartId;
+use crate::{Kind, SubjectId};
 
-/// Time from the verdict, or from the trial before, to each trial.
-pub const TRIAL_PAUSES: [Duration; 3] = [
-    Duration::from_secs(15),
-    Duration::from_secs(60),
-    Duration::from_secs(240),
-];
 /// Time after the last refused prompt for which a verdict stands.
 const IDLE_RETENTION: Duration = Duration::from_secs(600);
 /// Time after a refused prompt within which a trial is granted: there must be a prompt to try.
@@ -20,8 +14,12 @@
 /// A verdict as it is replicated.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Record {
-    /// The part.
-    pub part: PartId,
+    /// Kind of the subject.
+    #[serde(default)]
+    pub kind: Kind,
+    /// The subject.
+    #[serde(rename = "part")]
+    pub subject: SubjectId,
     /// Time since the verdict or the newest trial, in milliseconds.
     pub age_ms: u64,
     /// Trials so far.
@@ -42,6 +40,7 @@
 /// A verdict at the leader.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Verdict {
+    kind: Kind,
     /// When it fell, or when the newest trial began.
     since: Instant,
     trials: u32,
@@ -50,8 +49,9 @@
 }
 
 impl Verdict {
-    pub(crate) fn new(now: Instant) -> Self {
+    pub(crate) fn new(kind: Kind, now: Instant) -> Self {
         Verdict {
+            kind,
             since: now,
             trials: 0,
             trial: Trial::Closed,
@@ -64,32 +64,33 @@
         Verdict {
             since: now.checked_sub(age).unwrap_or(now),
             trials: record.trials,
-            ..Verdict::new(now)
+            ..Verdict::new(record.kind, now)
         }
     }
 
-    pub(crate) fn record(&self, part: PartId, now: Instant) -> Record {
+    pub(crate) fn record(&self, subject: SubjectId, now: Instant) -> Record {
         let age = now.saturating_duration_since(self.since);
         Record {
-            part,
+            kind: self.kind,
+            subject,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             trials: self.trials,
         }
     }
 
-    /// Reports whether an answer that began well at `at` shows that the part is sound.
+    /// Reports whether an answer that began well at `at` shows that the subject is sound.
     pub(crate) fn is_lifted_by(&self, at: Instant) -> bool {
         at > self.since
     }
 
-    /// Reports whether no prompt with the part has come for a long time.
+    /// Reports whether no prompt with the subject has come for a long time.
     pub(crate) fn is_idle(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.refused) >= IDLE_RETENTION
     }
 
     /// Begins a trial if one is due, and reports whether it has.
     pub(crate) fn begin_trial(&mut self, now: Instant) -> bool {
-        let Some(pause) = TRIAL_PAUSES.get(self.trials as usize) else {
+        let Some(pause) = self.kind.trial_pauses().get(self.trials as usize) else {
             return false;
         };
         let is_due = now >= self.since + *pause;
@@ -110,7 +111,7 @@
         }
     }
 
-    /// Records that an entry refused a prompt with the part, and reports whether it gets the trial.
+    /// Records that an entry refused a prompt with the subject, and reports whether it gets the trial.
     pub(crate) fn record_refusal(&mut self, now: Instant) -> bool {
         self.refused = now;
         let granted = self.trial == Trial::Open;
--- a/components/quarantine/src/watch.rs
+++ b/components/quarantine/src/watch.rs
@@ -1,17 +1,17 @@
-//! An entry's view of crashes and of the parts in quarantine.
+//! An entry's view of crashes and of the subjects of one kind in quarantine.
 
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, UpstreamId};
 use indexmap::IndexMap;
 
-use crate::{Crash, Notice, PartId, Report};
+use crate::{Crash, Notice, Report, SubjectId};
 
 /// Time after the first event of an answer from which on it has begun well.
 pub const BEGUN_WELL: Duration = Duration::from_secs(1);
 /// Time for which a crash is reported.
 const CRASH_LIFETIME: Duration = Duration::from_secs(10);
-/// Time for which a refused part is reported.
+/// Time for which a refused subject is reported.
 const REFUSAL_LIFETIME: Duration = Duration::from_secs(1);
 /// Time within which a trial has to begin.
 const TRIAL_LIFETIME: Duration = Duration::from_secs(10);
@@ -20,52 +20,52 @@
 /// Suspects of one crash.
 const MAX_SUSPECTS: usize = 128;
 /// Parts of which it is remembered when an answer began well; twice as many at most.
-const MAX_PARTS: usize = 8_192;
+const MAX_SUBJECTS: usize = 8_192;
 
-/// Crashes that an entry has seen, the parts with which answers began well, and the newest notice.
+/// Crashes that an entry has seen, the subjects with which answers began well, and the newest notice.
 #[derive(Debug, Default)]
 pub struct Watch {
     crashes: IndexMap<(UpstreamId, Incarnation), Seen>,
-    /// When an answer last began well with a part; newer ones and older ones.
-    begun_well: [IndexMap<PartId, Instant>; 2],
+    /// When an answer last began well with a subject; newer ones and older ones.
+    begun_well: [IndexMap<SubjectId, Instant>; 2],
     notice: Notice,
-    /// Until when a prompt with a part may be let through.
-    trials: IndexMap<PartId, Instant>,
-    refused: IndexMap<PartId, Instant>,
+    /// Until when a prompt with a subject may be let through.
+    trials: IndexMap<SubjectId, Instant>,
+    refused: IndexMap<SubjectId, Instant>,
 }
 
 #[derive(Debug)]
 struct Seen {
     at: Instant,
-    suspects: IndexMap<PartId, u32>,
+    suspects: IndexMap<SubjectId, u32>,
 }
 
 impl Watch {
-    /// Returns the part for which a prompt is refused, if there is one. A trial of the part is
+    /// Returns the subject for which a prompt is refused, if there is one. A trial of the subject is
     /// used up.
-    pub fn refusal(&mut self, parts: &[PartId], now: Instant) -> Option<PartId> {
-        let part = self.quarantined(parts)?;
-        match self.trials.swap_remove(&part) {
+    pub fn refusal(&mut self, subjects: &[SubjectId], now: Instant) -> Option<SubjectId> {
+        let subject = self.quarantined(subjects)?;
+        match self.trials.swap_remove(&subject) {
             Some(until) if now < until => None,
             _ => {
-                self.refused.insert(part, now);
-                Some(part)
+                self.refused.insert(subject, now);
+                Some(subject)
             }
         }
     }
 
-    /// Returns the first part that is in quarantine.
-    pub fn quarantined(&self, parts: &[PartId]) -> Option<PartId> {
-        let quarantined = |part: &&PartId| self.notice.quarantined.contains(part);
-        parts.iter().find(quarantined).copied()
+    /// Returns the first subject that is in quarantine.
+    pub fn quarantined(&self, subjects: &[SubjectId]) -> Option<SubjectId> {
+        let quarantined = |subject: &&SubjectId| self.notice.quarantined.contains(subject);
+        subjects.iter().find(quarantined).copied()
     }
 
-    /// Records that an answer to a prompt with `parts` has begun well.
-    pub fn record_begun_well(&mut self, parts: &[PartId], now: Instant) {
-        for part in parts {
-            self.begun_well[0].insert(*part, now);
+    /// Records that an answer to a prompt with `subjects` has begun well.
+    pub fn record_begun_well(&mut self, subjects: &[SubjectId], now: Instant) {
+        for subject in subjects {
+            self.begun_well[0].insert(*subject, now);
         }
-        if self.begun_well[0].len() >= MAX_PARTS {
+        if self.begun_well[0].len() >= MAX_SUBJECTS {
             self.begun_well[1] = std::mem::take(&mut self.begun_well[0]);
         }
     }
@@ -75,12 +75,12 @@
         self.crashes.contains_key(&(upstream.clone(), incarnation))
     }
 
-    /// Records that an upstream crashed while an answer to a prompt with `parts` had not begun well.
+    /// Records that an upstream crashed while an answer to a prompt with `subjects` had not begun well.
     pub fn record_crash(
         &mut self,
         upstream: &UpstreamId,
         incarnation: Incarnation,
-        parts: &[PartId],
+        subjects: &[SubjectId],
         now: Instant,
     ) {
         self.drop_old(now);
@@ -92,9 +92,9 @@
             at: now,
             suspects: IndexMap::new(),
         });
-        for (position, part) in (0..).zip(parts) {
+        for (position, subject) in (0..).zip(subjects) {
             if seen.suspects.len() < MAX_SUSPECTS {
-                seen.suspects.insert(*part, position);
+                seen.suspects.insert(*subject, position);
             }
         }
     }
@@ -102,9 +102,12 @@
     /// Returns the statement for the next report to the leader.
     pub fn report(&mut self, now: Instant) -> Report {
         self.drop_old(now);
-        let begun_well = |part: &PartId| {
-            let at = self.begun_well.iter().find_map(|parts| parts.get(part))?;
-            Some((*part, age_ms(*at, now)))
+        let begun_well = |subject: &SubjectId| {
+            let at = self
+                .begun_well
+                .iter()
+                .find_map(|subjects| subjects.get(subject))?;
+            Some((*subject, age_ms(*at, now)))
         };
         let crash = |((upstream, incarnation), seen): (&(UpstreamId, Incarnation), &Seen)| Crash {
             upstream: upstream.clone(),
@@ -113,7 +116,7 @@
             suspects: seen
                 .suspects
                 .iter()
-                .map(|(part, at)| (*part, *at))
+                .map(|(subject, at)| (*subject, *at))
                 .collect(),
         };
         Report {
@@ -124,16 +127,16 @@
         }
     }
 
-    /// Applies the leader's answer to a report, and returns the parts that it puts into quarantine
+    /// Applies the leader's answer to a report, and returns the subjects that it puts into quarantine
     /// or takes out.
-    pub fn apply(&mut self, notice: Notice, now: Instant) -> Vec<PartId> {
-        for part in &notice.trials {
-            self.trials.insert(*part, now + TRIAL_LIFETIME);
+    pub fn apply(&mut self, notice: Notice, now: Instant) -> Vec<SubjectId> {
+        for subject in &notice.trials {
+            self.trials.insert(*subject, now + TRIAL_LIFETIME);
         }
         let before = std::mem::replace(&mut self.notice, notice);
         let (old, new) = (&before.quarantined, &self.notice.quarantined);
-        let added = new.iter().filter(|part| !old.contains(part));
-        let removed = old.iter().filter(|part| !new.contains(part));
+        let added = new.iter().filter(|subject| !old.contains(subject));
+        let removed = old.iter().filter(|subject| !new.contains(subject));
         added.chain(removed).copied().collect()
     }
 
--- a/components/quarantine/tests/evidence.rs
+++ b/components/quarantine/tests/evidence.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use quarantine::{Crash, Evidence, Notice, PartId, Report, TRIAL_PAUSES, Watch};
+use quarantine::{Crash, Evidence, Kind, Notice, PartId, Report, Watch};
 
 /// Part that all prompts begin with.
 const COMMON: PartId = 1;
@@ -21,9 +21,13 @@
 
 impl Fleet {
     fn new(entries: usize) -> Fleet {
+        Fleet::of_kind(Kind::Part, entries)
+    }
+
+    fn of_kind(kind: Kind, entries: usize) -> Fleet {
         let now = Instant::now() + Duration::from_secs(3_600);
         Fleet {
-            evidence: Evidence::new(TERM, &[], now),
+            evidence: Evidence::new(kind, TERM, &[], now),
             entries: (0..entries).map(|_| Watch::default()).collect(),
             now,
             crashes: 0,
@@ -96,7 +100,7 @@
     /// Records the verdicts, as the control group does twice a second.
     fn keep_record(&mut self) {
         self.evidence.begin_trials(self.now);
-        if self.evidence.take_changed(self.now).is_some() {
+        if self.evidence.take_changed() {
             self.evidence.open_trials();
         }
     }
@@ -260,14 +264,14 @@
         }
         fleet.report();
     }
-    assert_that!(sent, eq(TRIAL_PAUSES.len()));
+    assert_that!(sent, eq(Kind::Part.trial_pauses().len()));
 }
 
 #[test]
 fn grants_no_trial_before_it_is_recorded() {
     let mut fleet = Fleet::new(1);
     fleet.condemn_bad_part();
-    fleet.pass(TRIAL_PAUSES[0]);
+    fleet.pass(Kind::Part.trial_pauses()[0]);
     fleet.entries[0].refusal(&[BAD], fleet.now);
     fleet.report();
     fleet.evidence.begin_trials(fleet.now);
@@ -292,9 +296,10 @@
 fn keeps_verdicts_and_trials_at_a_new_leader() {
     let mut fleet = Fleet::new(9);
     fleet.condemn_bad_part();
-    let records = fleet.evidence.take_changed(fleet.now);
-    let records = records.expect("the verdict is to be recorded");
-    fleet.evidence = Evidence::new(TERM + 1, &records, fleet.now);
+    let is_to_be_recorded = fleet.evidence.take_changed();
+    assert_that!(is_to_be_recorded, eq(true));
+    let records = fleet.evidence.records(fleet.now);
+    fleet.evidence = Evidence::new(Kind::Part, TERM + 1, &records, fleet.now);
     fleet.entries[3] = Watch::default();
     fleet.report();
     assert_that!(fleet.quarantined(), eq(&vec![BAD]));
@@ -335,3 +340,63 @@
     let suspects = crashes.iter().map(|crash: &Crash| crash.suspects.len());
     assert_that!(suspects.sum::<usize>(), le(64 * 128));
 }
+
+/// Fingerprint of a request that crashes upstreams.
+const CRASHING: PartId = 50;
+
+#[test]
+fn names_a_request_after_three_crashes_however_close_to_each_other() {
+    let mut fleet = Fleet::of_kind(Kind::Request, 4);
+    for entry in 0..3 {
+        fleet.crash(&[(entry, &[CRASHING]), (3, &[entry as PartId])]);
+    }
+    fleet.pass(Duration::from_millis(1_500));
+    assert_that!(fleet.quarantined(), eq(&vec![CRASHING]));
+}
+
+#[test]
+fn asks_entries_for_no_request_that_upstreams_ran_at_one_crash_only() {
+    let mut fleet = Fleet::of_kind(Kind::Request, 2);
+    for crash in 0..20 {
+        let bystanders: Vec<PartId> = (0..60).map(|number| 1_000 + crash * 60 + number).collect();
+        fleet.crash(&[(0, &bystanders)]);
+        fleet.pass(Duration::from_millis(250));
+        assert_that!(fleet.report_of(0).watched, is_empty());
+    }
+    assert_that!(fleet.quarantined(), is_empty());
+}
+
+#[test]
+fn names_no_request_that_is_answered_between_the_crashes() {
+    let mut fleet = Fleet::of_kind(Kind::Request, 3);
+    for _ in 0..8 {
+        fleet.crash(&[(0, &[COMMON])]);
+        fleet.pass(Duration::from_millis(250));
+        fleet.begin_well(&[COMMON]);
+        fleet.pass(Duration::from_millis(250));
+    }
+    assert_that!(fleet.quarantined(), is_empty());
+}
+
+#[test]
+fn lets_a_request_through_twice_at_most_after_its_verdict() {
+    let mut fleet = Fleet::of_kind(Kind::Request, 2);
+    for _ in 0..3 {
+        fleet.crash(&[(0, &[CRASHING])]);
+        fleet.pass(Duration::from_millis(500));
+    }
+    fleet.pass(Duration::from_secs(1));
+    assert_that!(fleet.quarantined(), eq(&vec![CRASHING]));
+    let mut sent = 0;
+    for _ in 0..2_000 {
+        fleet.now += Duration::from_millis(500);
+        fleet.keep_record();
+        let now = fleet.now;
+        if fleet.entries[0].refusal(&[CRASHING], now).is_none() {
+            sent += 1;
+            fleet.crash(&[(0, &[CRASHING])]);
+        }
+        fleet.report();
+    }
+    assert_that!(sent, eq(2));
+}
--- a/components/state/src/command.rs
+++ b/components/state/src/command.rs
@@ -90,7 +90,7 @@
     /// Records what the accounts that used much of their limit spent within the last window.
     #[serde(rename = "Spend")]
     RecordSpending(Slices),
-    /// Records the parts of prompts that are in quarantine.
+    /// Records the parts of prompts and the requests that are in quarantine.
     RecordVerdicts(Vec<quarantine::Record>),
     /// Advances the time of the state without any other change.
     Tick,
--- a/components/state/src/verdicts.rs
+++ b/components/state/src/verdicts.rs
@@ -1,11 +1,11 @@
-//! Parts of prompts in quarantine, recorded so that a new leader keeps them there.
+//! Parts of prompts and requests in quarantine, recorded so that a new leader keeps them there.
 
 use quarantine::Record;
 use serde::{Deserialize, Serialize};
 
 use crate::Millis;
 
-/// The newest record of the parts in quarantine.
+/// The newest record of what is in quarantine.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Verdicts {
     at: Millis,
--- a/components/wire/src/answer.rs
+++ b/components/wire/src/answer.rs
@@ -26,7 +26,7 @@
     /// Answers `Submit` and `Replace`.
     Submitted(Submitted),
     /// Answers `Report`.
-    Overview(Overview),
+    Overview(Box<Overview>),
     /// Answers `Balance`.
     Balances(Balances),
     /// Answers `DrawPermits`.
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -23,6 +23,9 @@
     /// Crashes of upstreams, and what is known of the parts of prompts.
     #[serde(default)]
     pub quarantine: quarantine::Report,
+    /// The same for requests, by their fingerprints.
+    #[serde(default)]
+    pub requests: quarantine::Report,
     /// Limits that upstreams named and that differ from what the leader has told.
     #[serde(default)]
     pub limits: Limits,
@@ -96,6 +99,9 @@
     /// Parts of prompts under suspicion and in quarantine.
     #[serde(default)]
     pub quarantine: quarantine::Notice,
+    /// Requests under suspicion and in quarantine, by their fingerprints.
+    #[serde(default)]
+    pub requests: quarantine::Notice,
     /// Limits that upstreams named; `None` if the entry has the newest ones.
     #[serde(default)]
     pub limits: Option<Limits>,
