gateway: Send nothing more to an upstream that says in an answer that it leaves

An entry that passes on such an answer sends the process nothing more, whether or not it is in touch with the control group: no first attempt, no retry, no resumed stream, and nothing over a pooled connection. A process that has restarted starts anew. If no other upstream is left, callers are refused at once. A connection that such an upstream breaks off is not taken for a crash.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -24,7 +24,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use ::upstream::{Availability, Routes, Software};
+use ::upstream::{Routes, Software};
 use config::Text;
 use config::ids::{ServiceId, UpstreamId};
 use config::text::Kind;
@@ -226,6 +226,13 @@
         }
     }
 
+    /// Records that an upstream said in an answer that it is leaving; it gets no more requests until
+    /// it has restarted. Reports whether that was not known.
+    pub fn record_leaving(&mut self, choice: &Choice) -> bool {
+        let upstream = self.upstream_of(choice);
+        upstream.is_some_and(|upstream| !std::mem::replace(&mut upstream.said_leaving, true))
+    }
+
     /// Records the limit that an upstream named in its answer to a request that was sent at
     /// `sent_at`, or that it named none. Reports whether the limit has changed.
     pub fn record_limit(
@@ -309,10 +316,10 @@
         }
     }
 
-    /// Reports whether the upstream of a choice has announced that it is leaving or reclaimed.
+    /// Reports whether the upstream of a choice has said that it is leaving or reclaimed.
     pub fn is_leaving(&self, choice: &Choice) -> bool {
         let upstream = self.upstreams.get(&choice.upstream);
-        upstream.is_some_and(|u| u.availability != Availability::Serving)
+        upstream.is_some_and(Upstream::is_leaving)
     }
 
     /// Reports whether this entry expects `upstream` to have `part` in its cache, for tests and
@@ -339,7 +346,7 @@
 /// Reports whether an upstream may take a request, whatever its lease, health and limit.
 fn is_candidate(name: &UpstreamId, upstream: &Upstream, criteria: &Criteria<'_>) -> bool {
     upstream.service == *criteria.service
-        && upstream.availability == Availability::Serving
+        && !upstream.is_leaving()
         && !upstream.superseded
         && !criteria.excluded.contains(name)
         && criteria
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -50,6 +50,8 @@
     pub(super) prefixes: Prefixes,
     pub(super) health: Health,
     pub(super) limit: Limit,
+    /// Whether an answer said that the process is leaving.
+    pub(super) said_leaving: bool,
 }
 
 impl Upstream {
@@ -75,6 +77,7 @@
             prefixes: Prefixes::default(),
             health: Health::default(),
             limit: Limit::default(),
+            said_leaving: false,
         }
     }
 
@@ -92,6 +95,11 @@
         self.is_engine = service.is_some_and(|service| is_engine(service.kind));
     }
 
+    /// Reports whether the process is leaving, by its announcements or its answers.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.said_leaving || self.availability != Availability::Serving
+    }
+
     /// Counts a request as sent, and returns the choice.
     pub(super) fn record_dispatch(
         &mut self,
--- a/components/gateway/src/dispatch/attempt.rs
+++ b/components/gateway/src/dispatch/attempt.rs
@@ -114,14 +114,9 @@
     };
     let (parts, body) = response.into_parts();
     let reply = core.protocol.decode_reply(&parts);
-    if let Some((running, waiting)) = reply.load {
-        lock(&core.balancer).record_load(&choice, running, waiting, Instant::now());
-    }
     let status = parts.status;
     let is_own = reply.id.as_ref() == Some(&call.id);
-    if reply.limit.is_some() || is_own {
-        record_limit(core, &choice, reply.limit, ticket.sent_at());
-    }
+    record_reply(core, &choice, &reply, is_own, ticket.sent_at());
     if reply.not_run || reply.other_upstream {
         ticket.finish(Outcome::Refused);
         return Err(Failure::NotRun);
@@ -154,6 +149,20 @@
     }
 }
 
+/// Records what an answer, which `is_own` if it is one to this request, says of its upstream.
+fn record_reply(core: &Core, choice: &Choice, reply: &Reply, is_own: bool, sent_at: Instant) {
+    if let Some((running, waiting)) = reply.load {
+        lock(&core.balancer).record_load(choice, running, waiting, Instant::now());
+    }
+    // A process that took over the address speaks for itself only.
+    if reply.leaving && !reply.other_upstream && lock(&core.balancer).record_leaving(choice) {
+        info!(upstream = %choice.upstream, "leaving: said by the upstream in an answer");
+    }
+    if reply.limit.is_some() || is_own {
+        record_limit(core, choice, reply.limit, sent_at);
+    }
+}
+
 /// Records the limit that an answer names, or that it names none.
 fn record_limit(core: &Core, choice: &Choice, limit: Option<f64>, sent_at: Instant) {
     let now = Instant::now();
