gateway: Send nothing to an upstream for the time that it named with a refusal

An entry now passes over such an upstream until its pause ends. If all that could take a request have paused, the caller is refused at once, with the end of the first pause as the time to come back.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -127,7 +127,9 @@
         let by_score = |a: &(UpstreamId, Estimate), b: &(UpstreamId, Estimate)| {
             a.1.score.total_cmp(&b.1.score)
         };
-        let (name, estimate) = scored.min_by(by_score).ok_or(Shortage::NoUpstream)?;
+        let Some((name, estimate)) = scored.min_by(by_score) else {
+            return Err(self.shortage(criteria, now));
+        };
         let limit = criteria.time_left.min(criteria.max_wait);
         if estimate.first_event > limit {
             return Err(Shortage::Overloaded(estimate.first_event - limit));
@@ -140,6 +142,17 @@
         })
     }
 
+    /// Returns why no upstream is usable: all that could take the request have paused, or there is
+    /// none.
+    fn shortage(&self, criteria: &Criteria<'_>, now: Instant) -> Shortage {
+        let candidates = self.upstreams.iter();
+        let candidates = candidates.filter(|(name, u)| is_candidate(name, u, criteria));
+        let pauses = candidates.filter_map(|(_, upstream)| upstream.pause(now));
+        pauses
+            .min()
+            .map_or(Shortage::NoUpstream, Shortage::Overloaded)
+    }
+
     /// Returns the engine from which the chosen one may fetch parts that it lacks.
     fn fetch_source(
         &self,
@@ -159,12 +172,15 @@
     }
 
     /// Returns the upstreams to which the request may be sent: serving upstreams of the service
-    /// with a valid lease that are not ejected and, if they name a limit, a permit. If there are none, ejected upstreams are included.
+    /// with a valid lease that are not ejected, have not paused and, if they name a limit, a
+    /// permit. If there are none, ejected upstreams are included.
     /// If all leases have expired as well, every upstream last known to be serving is included, so
     /// that an entry without contact to the control group continues to serve.
     fn usable(&self, criteria: &Criteria<'_>, now: Instant) -> Vec<(&UpstreamId, &Upstream)> {
         let is_candidate = |(name, upstream): &(&UpstreamId, &Upstream)| {
-            is_candidate(name, upstream, criteria) && upstream.limit.allows(now)
+            is_candidate(name, upstream, criteria)
+                && upstream.pause(now).is_none()
+                && upstream.limit.allows(now)
         };
         let all: Vec<_> = self.upstreams.iter().filter(is_candidate).collect();
         let is_live = |upstream: &Upstream| now < upstream.expires;
@@ -226,6 +242,13 @@
         }
     }
 
+    /// Records that an upstream said in an answer that it takes no requests for the time `pause`.
+    pub fn record_pause(&mut self, choice: &Choice, pause: Duration, now: Instant) {
+        if let Some(upstream) = self.upstream_of(choice) {
+            upstream.record_pause(pause, now);
+        }
+    }
+
     /// Records that an upstream said in an answer that it is leaving; it gets no more requests until
     /// it has restarted. Reports whether that was not known.
     pub fn record_leaving(&mut self, choice: &Choice) -> bool {
@@ -251,6 +274,7 @@
         let limited = self.upstreams.iter().filter(|(name, upstream)| {
             is_candidate(name, upstream, criteria)
                 && now < upstream.expires
+                && upstream.pause(now).is_none()
                 && !upstream.limit.allows(now)
         });
         limited
--- a/components/gateway/src/balancer/choice.rs
+++ b/components/gateway/src/balancer/choice.rs
@@ -52,6 +52,7 @@
 pub enum Shortage {
     /// No upstream of the service takes work.
     NoUpstream,
-    /// The best upstream exceeds the accepted time to the first event by this duration.
+    /// The best upstream exceeds the accepted time to the first event by this duration, or all have
+    /// paused, and the first pause ends after it.
     Overloaded(Duration),
 }
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -52,6 +52,8 @@
     pub(super) limit: Limit,
     /// Whether an answer said that the process is leaving.
     pub(super) said_leaving: bool,
+    /// Until when the process takes no requests, as it said in an answer.
+    paused_until: Option<Instant>,
 }
 
 impl Upstream {
@@ -78,6 +80,7 @@
             health: Health::default(),
             limit: Limit::default(),
             said_leaving: false,
+            paused_until: None,
         }
     }
 
@@ -100,6 +103,18 @@
         self.said_leaving || self.availability != Availability::Serving
     }
 
+    /// Records that the process takes no requests for the time `pause`.
+    pub(super) fn record_pause(&mut self, pause: Duration, now: Instant) {
+        let until = now.checked_add(pause);
+        self.paused_until = self.paused_until.max(until);
+    }
+
+    /// Returns how long the process still takes no requests.
+    pub(super) fn pause(&self, now: Instant) -> Option<Duration> {
+        let left = self.paused_until?.checked_duration_since(now);
+        left.filter(|left| !left.is_zero())
+    }
+
     /// Counts a request as sent, and returns the choice.
     pub(super) fn record_dispatch(
         &mut self,
--- a/components/gateway/src/dispatch/attempt.rs
+++ b/components/gateway/src/dispatch/attempt.rs
@@ -158,6 +158,10 @@
     if reply.leaving && !reply.other_upstream && lock(&core.balancer).record_leaving(choice) {
         info!(upstream = %choice.upstream, "leaving: said by the upstream in an answer");
     }
+    if let Some(pause) = reply.pause.filter(|_| !reply.other_upstream) {
+        info!(upstream = %choice.upstream, "pause: the upstream takes no requests for {pause:?}");
+        lock(&core.balancer).record_pause(choice, pause, Instant::now());
+    }
     if reply.limit.is_some() || is_own {
         record_limit(core, choice, reply.limit, sent_at);
     }
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -84,6 +84,8 @@
     pub load: Option<(u32, u32)>,
     /// Requests a second that the upstream takes from all entries together; `None` for no limit.
     pub limit: Option<f64>,
+    /// Time for which the upstream takes no requests.
+    pub pause: Option<Duration>,
     /// Whether the upstream is leaving.
     pub leaving: bool,
     /// Time for which the upstream keeps an idle connection open.
