gateway: Take an upstream for crashed once another process has taken its place

A crash was known only by refused connections.

A connection that broke while its upstream still accepts others is kept for 6 s. If another process announces itself under the upstream's name or at its address within that time, though the upstream had not said that it leaves, it has crashed when the connection broke. The connections kept are bounded.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -346,6 +346,16 @@
         upstream.is_some_and(Upstream::is_leaving)
     }
 
+    /// Reports whether another process has taken the place of the one of a choice, by its name or
+    /// its address, though that had not said that it leaves.
+    pub fn is_replaced(&self, choice: &Choice) -> bool {
+        match self.upstreams.get(&choice.upstream) {
+            Some(upstream) if upstream.incarnation > choice.incarnation => true,
+            Some(upstream) => upstream.superseded && !upstream.is_leaving(),
+            None => false,
+        }
+    }
+
     /// Reports whether this entry expects `upstream` to have `part` in its cache, for tests and
     /// logs.
     pub fn has_part(&self, upstream: &str, part: PartId) -> bool {
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 use upstream::Origins;
 
+use crate::crash::Broken;
 use crate::demand::Demand;
 use crate::drain::Drain;
 use crate::permits::Permits;
@@ -35,6 +36,8 @@
     pub(crate) readiness: Readiness,
     /// Crashes of upstreams, and what is in quarantine.
     pub(crate) quarantine: Mutex<Quarantine>,
+    /// Connections to upstreams that may have crashed.
+    pub(crate) broken: Mutex<Broken>,
     /// Draws under the limits that upstreams name.
     pub(crate) permits: Mutex<Permits>,
     /// Wakes the task that reports to the leader.
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -118,6 +118,7 @@
     };
     Arc::new(Core {
         quarantine: Mutex::default(),
+        broken: Mutex::default(),
         permits: Mutex::default(),
         report_now: Notify::new(),
         retries: Mutex::new(Retries::new(settings.retries, ASSUMED_ENTRIES)),
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -10,7 +10,7 @@
 use wire::{Limits, Report};
 
 use crate::core::{Core, lock};
-use crate::{Share, Table, retries};
+use crate::{Share, Table, crash, retries};
 
 /// Time between two checks of the view.
 const POLL_PERIOD: Duration = Duration::from_millis(40);
@@ -55,7 +55,9 @@
     }
     let same_routes = previous.is_some_and(|previous| Arc::ptr_eq(&previous.routes, &view.routes));
     if is_new || !same_routes {
-        lock(&core.balancer).update(&config.text, &view.routes, Instant::now());
+        let now = Instant::now();
+        lock(&core.balancer).update(&config.text, &view.routes, now);
+        crash::check_replaced(core, now);
     }
 }
 
