--- a/components/patch/src/archive.rs
+++ b/components/patch/src/archive.rs
@@ -15,6 +15,8 @@
 const MAX_TEXT_BYTES: usize = 8 * 1_024 * 1_024;
 /// Encodings that are kept at one time.
 const MAX_ENCODINGS: usize = 16;
+/// Bytes of all encodings that are kept; the newest one is kept whatever its size.
+const MAX_ENCODED_BYTES: usize = 8 * 1_024 * 1_024;
 
 /// The newest texts, and their encodings for those who fetch them.
 #[derive(Debug, Default)]
@@ -37,7 +39,7 @@
             return;
         }
         self.texts.insert(version, text.clone());
-        while self.texts.len() > MAX_TEXTS || (self.texts.len() > 1 && self.is_too_large()) {
+        while self.has_too_many_texts() {
             self.texts.shift_remove_index(0);
         }
     }
@@ -85,15 +87,21 @@
             hash: xxh3_64(&bytes),
             bytes,
         };
-        while self.encodings.len() >= MAX_ENCODINGS {
+        self.encodings.insert(versions, encoding.clone());
+        while self.has_too_many_encodings() {
             self.encodings.shift_remove_index(0);
         }
-        self.encodings.insert(versions, encoding.clone());
         Ok(encoding)
     }
 
-    fn is_too_large(&self) -> bool {
+    fn has_too_many_texts(&self) -> bool {
         let bytes: usize = self.texts.values().map(|text| text.len()).sum();
-        bytes > MAX_TEXT_BYTES
+        self.texts.len() > MAX_TEXTS || (self.texts.len() > 1 && bytes > MAX_TEXT_BYTES)
+    }
+
+    fn has_too_many_encodings(&self) -> bool {
+        let bytes: usize = self.encodings.values().map(|e| e.bytes.len()).sum();
+        let count = self.encodings.len();
+        count > MAX_ENCODINGS || (count > 1 && bytes > MAX_ENCODED_BYTES)
     }
 }
