--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -14,6 +14,7 @@
 mod health;
 mod home;
 mod limit;
+mod limits;
 mod prefixes;
 mod settings;
 mod upstream;
@@ -24,12 +25,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use ::limits::Process;
 use ::upstream::{Routes, Software};
 use config::Text;
 use config::ids::{ServiceId, UpstreamId};
 use config::text::Kind;
 use indexmap::IndexMap;
-use limits::{Permit, Process};
 use wire::Work;
 
 use crate::call::PartId;
@@ -256,62 +257,6 @@
         upstream.is_some_and(|upstream| !std::mem::replace(&mut upstream.said_leaving, true))
     }
 
-    /// Records the limit that an upstream named in its answer to a request that was sent at
-    /// `sent_at`, or that it named none. Reports whether the limit has changed.
-    pub fn record_limit(
-        &mut self,
-        choice: &Choice,
-        limit: Option<f64>,
-        sent_at: Instant,
-        now: Instant,
-    ) -> bool {
-        let upstream = self.upstream_of(choice);
-        upstream.is_some_and(|upstream| upstream.limit.record(limit, sent_at, now))
-    }
-
-    /// Returns the upstreams that could take a request if there were a permit under their limit.
-    pub fn limited(&self, criteria: &Criteria<'_>, now: Instant) -> Vec<Process> {
-        let limited = self.upstreams.iter().filter(|(name, upstream)| {
-            is_candidate(name, upstream, criteria)
-                && now < upstream.expires
-                && upstream.pause(now).is_none()
-                && !upstream.limit.allows(now)
-        });
-        limited
-            .map(|(name, upstream)| (name.clone(), upstream.incarnation))
-            .collect()
-    }
-
-    /// Returns what upstreams said about their limits, and when.
-    pub fn limits(&self) -> impl Iterator<Item = (Process, Option<f64>, Instant)> {
-        self.upstreams.iter().filter_map(|(name, upstream)| {
-            let (rate, said) = upstream.limit.naming()?;
-            Some(((name.clone(), upstream.incarnation), rate, said))
-        })
-    }
-
-    /// Records what an upstream said to another entry at `said`.
-    pub fn learn_limit(&mut self, process: &Process, rate: Option<f64>, said: Instant) {
-        if let Some(upstream) = self.process(process) {
-            upstream.limit.learn(rate, said);
-        }
-    }
-
-    /// Adds permits for an upstream that names a limit. They are valid until `until`.
-    pub fn add_permits(&mut self, permit: &Permit, until: Instant) {
-        if let Some(upstream) = self.process(&permit.process) {
-            upstream.limit.add_permits(permit.count, until);
-        }
-    }
-
-    /// Begins to keep a part of each limit without permits if `entries` is set, the number of
-    /// entries, because the leader does not answer; ends it otherwise.
-    pub fn fall_back(&mut self, entries: Option<u32>, now: Instant) {
-        for upstream in self.upstreams.values_mut() {
-            upstream.limit.fall_back(entries, now);
-        }
-    }
-
     /// Returns this entry's work by upstream, for a report to the leader.
     pub fn report(&mut self) -> Vec<(UpstreamId, Work)> {
         let mut work = Vec::new();
--- /dev/null
+++ b/components/quarantine/tests/evidence/main.rs
@@ -0,0 +1,5 @@
+//! Verdicts from the reports of several entries.
+
+mod fleet;
+mod parts;
+mod requests;
