gateway: Pass over an upstream that has just refused a request

What callers saw: with one of four upstreams refusing everything at once, 39 to 41% of plain calls and 89% of streams were served, although three others had room all the time.

Cause: an upstream that refuses is the least loaded one, so each request went there first; its retry elsewhere came from the budget, which was soon spent.

If all have just refused, they are asked as before. A request that the retry budget kept back counts as not sent, no longer as refused by its upstream.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -51,6 +51,8 @@
 pub enum Outcome {
     /// The upstream answered, or the caller disconnected.
     Answered,
+    /// The request was not sent.
+    Unsent,
     /// The upstream refused the request without running it.
     Refused,
     /// The upstream failed: no answer, or an invalid one.
@@ -173,8 +175,8 @@
     }
 
     /// Returns the upstreams to which the request may be sent: serving upstreams of the service
-    /// with a valid lease that are not ejected, have not paused and, if they name a limit, a
-    /// permit. If there are none, ejected upstreams are included.
+    /// with a valid lease that are not passed over, have not paused and, if they name a limit, have
+    /// a permit. If there are none, those that are passed over are included.
     /// If all leases have expired as well, every upstream last known to be serving is included, so
     /// that an entry without contact to the control group continues to serve.
     fn usable(&self, criteria: &Criteria<'_>, now: Instant) -> Vec<(&UpstreamId, &Upstream)> {
@@ -185,7 +187,7 @@
         };
         let all: Vec<_> = self.upstreams.iter().filter(is_candidate).collect();
         let is_live = |upstream: &Upstream| now < upstream.expires;
-        let is_healthy = |upstream: &Upstream| !upstream.health.is_ejected(now);
+        let is_healthy = |upstream: &Upstream| !upstream.health.is_passed_over(now);
         let healthy: Vec<_> = all
             .iter()
             .copied()
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -175,7 +175,8 @@
         }
         match outcome {
             Outcome::Answered => self.health.record_success(),
-            Outcome::Refused => {}
+            Outcome::Unsent => {}
+            Outcome::Refused => self.health.record_refusal(now),
             Outcome::Failed => self.health.record_failure(now),
             Outcome::Unreachable => self.health.record_unreachable(now),
         }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -88,7 +88,7 @@
         let now = Instant::now();
         let mut ticket = Ticket::new(core, choice);
         if attempts.sends > 0 && !take_retry(core, call, now) {
-            ticket.finish(Outcome::Refused);
+            ticket.finish(Outcome::Unsent);
             let refusal = attempts
                 .unknown_outcome
                 .take()
