control: Count any request of an entry as contact, so that a text waits for entries that are slow to take it

An entry that fetches or parses a text for more than 1.2 s asks for no lease meanwhile. It counted as out of contact, and the text was acknowledged although the entry, which goes on reporting, served the one before. Any request to the leader counts now.

The test of an entry that takes 1.6 s to parse and reports each 250 ms failed before, and passes.

--- a/components/control/src/leases.rs
+++ b/components/control/src/leases.rs
@@ -73,6 +73,13 @@
         lease.expires_at = lease.expires_at.max(expires_at);
     }
 
+    /// Records that an entry was heard of, if it has a lease.
+    pub fn hear(&mut self, entry: &NodeId, incarnation: Incarnation, now: Instant) {
+        if let Some(lease) = self.leases.get_mut(&(entry.clone(), incarnation)) {
+            lease.heard_at = now;
+        }
+    }
+
     /// Returns the entries that may still serve under a version older than `version`.
     pub fn missing(&self, version: Version, now: Instant) -> Vec<NodeId> {
         self.missing_in_contact(version, self.duration, now)
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -25,6 +25,9 @@
     pub(super) async fn answer_as_leader(&self, request: Request) -> Result<Answer, Failure> {
         self.take_over().await?;
         let (node, incarnation) = (request.node, request.incarnation);
+        self.leadership()
+            .leases
+            .hear(&node, incarnation, Instant::now());
         match request.body {
             Body::Confirm { version, fetches } => {
                 self.confirm(node, incarnation, version, fetches).await
--- a/components/control/src/node/replacement.rs
+++ b/components/control/src/node/replacement.rs
@@ -18,7 +18,7 @@
 /// Time between two checks for entries that miss a version.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time after its last request within which an entry is in contact. Entries ask for a lease each
-/// half second.
+/// half second, and report each second at least, also while they fetch a text.
 const ENTRY_CONTACT: Duration = Duration::from_millis(1_200);
 /// Smallest text that is committed as what it changes. Control processes of earlier releases can't
 /// apply such a change.
--- a/components/control/tests/process/replacements.rs
+++ b/components/control/tests/process/replacements.rs
@@ -5,9 +5,9 @@
 
 use config::keys::Secret;
 use config::settings::Peer;
-use control::Machine;
 use control::external::{Operation, Reply};
-use fleet::Control;
+use control::{Machine, MemoryReplica, Process};
+use fleet::{Control, Member};
 use googletest::prelude::*;
 use limits::Statement;
 use link::{Identity, Incoming};
@@ -173,11 +173,14 @@
     assert_that!(balances[0].1.allotment, le(10_000));
 }
 
-/// Time that an entry with a slow parser takes for a text.
-const PARSE_TIME: Duration = Duration::from_millis(700);
-
 fn parse_slowly(source: &str) -> Result<config::Text, String> {
-    std::thread::sleep(PARSE_TIME);
+    std::thread::sleep(Duration::from_millis(700));
+    config::Text::parse(source)
+}
+
+/// Takes longer than an entry counts as in contact by its requests for a lease alone.
+fn parse_very_slowly(source: &str) -> Result<config::Text, String> {
+    std::thread::sleep(Duration::from_millis(1_600));
     config::Text::parse(source)
 }
 
@@ -185,6 +188,24 @@
 async fn acknowledges_a_text_only_once_all_entries_in_contact_have_it_in_force() {
     let process = control().await;
     let slow = member_with_parser("entry-1", process.peer_address, parse_slowly);
+    check_in_force_when_acknowledged(&process, slow).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn acknowledges_a_text_only_once_an_entry_that_goes_on_reporting_has_it_in_force() {
+    let process = control().await;
+    let slow = member_with_parser("entry-1", process.peer_address, parse_very_slowly);
+    let reporting = slow.clone();
+    tokio::spawn(async move {
+        loop {
+            let _ = reporting.report(Report::default(), ANSWER_TIMEOUT).await;
+            sleep(Duration::from_millis(250)).await;
+        }
+    });
+    check_in_force_when_acknowledged(&process, slow).await;
+}
+
+async fn check_in_force_when_acknowledged(process: &Process<MemoryReplica>, slow: Member) {
     let fast = member("entry-2", process.peer_address);
     let first = process.node.execute(replacement(3, "three")).await;
     assert_that!(first, eq(&Reply::Replaced { newest: 3 }));
