--- a/components/patch/tests/patch.rs
+++ b/components/patch/tests/patch.rs
@@ -72,7 +72,10 @@
     }
 
     #[test]
-    fn never_panics_on_any_bytes(base in ".{0,40}", bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+    fn never_panics_on_any_bytes(
+        base in ".{0,40}",
+        bytes in proptest::collection::vec(any::<u8>(), 0..200),
+    ) {
         let _ = decode(&base, &bytes, MAX_BYTES);
     }
 }
--- a/components/quarantine/src/crash.rs
+++ b/components/quarantine/src/crash.rs
@@ -14,7 +14,7 @@
     pub incarnation: Incarnation,
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
-    /// Shared subjects of the prompts that were being answered and had not begun well, each with its
-    /// position in the prompt.
+    /// Subjects of the requests that were being answered and had not begun well, each with its
+    /// position among those of its request.
     pub suspects: Vec<(SubjectId, u32)>,
 }
--- a/components/quarantine/src/evidence.rs
+++ b/components/quarantine/src/evidence.rs
@@ -40,7 +40,7 @@
 #[derive(Debug)]
 struct Crash {
     at: Instant,
-    /// Positions of the subjects in their prompts.
+    /// Positions of the subjects among those of their requests.
     suspects: IndexMap<SubjectId, u32>,
 }
 
@@ -218,8 +218,9 @@
             .or_else(|| self.most_charged(&known, self.kind.threshold(true), now))
     }
 
-    /// Returns the subject with the most crashes if they reach the threshold. Among subjects with the same
-    /// number it is the last in its prompt, which fewest prompts share, after one more crash.
+    /// Returns the subject with the most crashes if they reach the threshold. Among subjects with
+    /// the same number it is the last of its request, which fewest requests share, after one more
+    /// crash.
     fn most_charged(
         &self,
         charges: &[Charge],
--- a/components/quarantine/src/notice.rs
+++ b/components/quarantine/src/notice.rs
@@ -13,6 +13,6 @@
     pub watched: Vec<SubjectId>,
     /// Parts in quarantine.
     pub quarantined: Vec<SubjectId>,
-    /// Parts in quarantine with which the entry lets one prompt through.
+    /// Subjects in quarantine with which the entry lets one request through.
     pub trials: Vec<SubjectId>,
 }
--- a/components/quarantine/src/report.rs
+++ b/components/quarantine/src/report.rs
@@ -13,6 +13,6 @@
     pub crashes: Vec<Crash>,
     /// Watched subjects with which an answer began well, and how long ago, in milliseconds.
     pub begun_well: Vec<(SubjectId, u64)>,
-    /// Parts of prompts that were refused lately.
+    /// Subjects of requests that were refused lately.
     pub refused: Vec<SubjectId>,
 }
--- a/components/quarantine/src/verdict.rs
+++ b/components/quarantine/src/verdict.rs
@@ -6,9 +6,9 @@
 
 use crate::{Kind, SubjectId};
 
-/// Time after the last refused prompt for which a verdict stands.
+/// Time after the last refused request for which a verdict stands.
 const IDLE_RETENTION: Duration = Duration::from_secs(600);
-/// Time after a refused prompt within which a trial is granted: there must be a prompt to try.
+/// Time after a refused request within which a trial is granted: there must be a request to try.
 const DEMAND_LIFETIME: Duration = Duration::from_secs(5);
 
 /// A verdict as it is replicated.
@@ -17,7 +17,7 @@
     /// Kind of the subject.
     #[serde(default)]
     pub kind: Kind,
-    /// The subject.
+    /// The subject; recorded under the name of the first kind, as earlier releases did.
     #[serde(rename = "part")]
     pub subject: SubjectId,
     /// Time since the verdict or the newest trial, in milliseconds.
@@ -33,7 +33,7 @@
     Closed,
     /// It is being recorded.
     Recorded,
-    /// The next entry that refuses such a prompt gets it.
+    /// The next entry that refuses such a request gets it.
     Open,
 }
 
@@ -83,7 +83,7 @@
         at > self.since
     }
 
-    /// Reports whether no prompt with the subject has come for a long time.
+    /// Reports whether no request with the subject has come for a long time.
     pub(crate) fn is_idle(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.refused) >= IDLE_RETENTION
     }
@@ -111,7 +111,8 @@
         }
     }
 
-    /// Records that an entry refused a prompt with the subject, and reports whether it gets the trial.
+    /// Records that an entry refused a request with the subject, and reports whether it gets the
+    /// trial.
     pub(crate) fn record_refusal(&mut self, now: Instant) -> bool {
         self.refused = now;
         let granted = self.trial == Trial::Open;
--- a/components/quarantine/src/watch.rs
+++ b/components/quarantine/src/watch.rs
@@ -19,17 +19,18 @@
 const MAX_CRASHES: usize = 64;
 /// Suspects of one crash.
 const MAX_SUSPECTS: usize = 128;
-/// Parts of which it is remembered when an answer began well; twice as many at most.
+/// Subjects of which it is remembered when an answer began well; twice as many at most.
 const MAX_SUBJECTS: usize = 8_192;
 
-/// Crashes that an entry has seen, the subjects with which answers began well, and the newest notice.
+/// Crashes that an entry has seen, the subjects with which answers began well, and the newest
+/// notice.
 #[derive(Debug, Default)]
 pub struct Watch {
     crashes: IndexMap<(UpstreamId, Incarnation), Seen>,
     /// When an answer last began well with a subject; newer ones and older ones.
     begun_well: [IndexMap<SubjectId, Instant>; 2],
     notice: Notice,
-    /// Until when a prompt with a subject may be let through.
+    /// Until when a request with a subject may be let through.
     trials: IndexMap<SubjectId, Instant>,
     refused: IndexMap<SubjectId, Instant>,
 }
@@ -41,8 +42,8 @@
 }
 
 impl Watch {
-    /// Returns the subject for which a prompt is refused, if there is one. A trial of the subject is
-    /// used up.
+    /// Returns the subject for which a request is refused, if there is one. A trial of the subject
+    /// is used up.
     pub fn refusal(&mut self, subjects: &[SubjectId], now: Instant) -> Option<SubjectId> {
         let subject = self.quarantined(subjects)?;
         match self.trials.swap_remove(&subject) {
@@ -60,7 +61,7 @@
         subjects.iter().find(quarantined).copied()
     }
 
-    /// Records that an answer to a prompt with `subjects` has begun well.
+    /// Records that an answer to a request with `subjects` has begun well.
     pub fn record_begun_well(&mut self, subjects: &[SubjectId], now: Instant) {
         for subject in subjects {
             self.begun_well[0].insert(*subject, now);
@@ -75,7 +76,8 @@
         self.crashes.contains_key(&(upstream.clone(), incarnation))
     }
 
-    /// Records that an upstream crashed while an answer to a prompt with `subjects` had not begun well.
+    /// Records that an upstream crashed while an answer to a request with `subjects` had not begun
+    /// well.
     pub fn record_crash(
         &mut self,
         upstream: &UpstreamId,
