--- a/tests/reclaims.rs
+++ b/tests/reclaims.rs
@@ -8,6 +8,7 @@
 use googletest::prelude::*;
 use stand_ins::engine::{self, Engine, Record};
 use stand_ins::load::Report;
+use stand_ins::plain::Plain;
 use stand_ins::relay::{Mode, Relay, Scope};
 use trials::text::DATA_CENTRES;
 use trials::upstreams::{
@@ -26,6 +27,20 @@
         .expect("the fleet starts")
 }
 
+/// Starts the fleet, a plain service and engines in all data centres, and returns once a call that
+/// is numbered by `seed` was answered.
+async fn start_all(engine_count: usize, seed: u64) -> (Fleet, Plain, Vec<Engine>) {
+    let fleet = start_standalone().await;
+    let jobs = start_plain(&fleet, "jobs-1", DATA_CENTRES[1])
+        .await
+        .unwrap();
+    let engines = start_engines(&fleet, engine_count, &DATA_CENTRES)
+        .await
+        .unwrap();
+    wait_until_reachable(&fleet, &chat(seed, 2)).await;
+    (fleet, jobs, engines)
+}
+
 /// Starts `count` streams with random lengths from `seed`, and waits until engines run them.
 async fn start_streams(fleet: &Fleet, engines: &[Engine], seed: u64, count: u64) -> Workload {
     let mut rng = Rng::new(seed);
@@ -83,14 +98,7 @@
 
 /// Reclaims all engines of one data centre with notice while `stream_count` streams run.
 async fn reclaim_data_centre(seed: u64, engine_count: usize, stream_count: u64) {
-    let fleet = start_standalone().await;
-    let _jobs = start_plain(&fleet, "jobs-1", DATA_CENTRES[1])
-        .await
-        .unwrap();
-    let engines = start_engines(&fleet, engine_count, &DATA_CENTRES)
-        .await
-        .unwrap();
-    wait_until_reachable(&fleet, &chat(seed, 2)).await;
+    let (fleet, _jobs, engines) = start_all(engine_count, seed).await;
     let workload = start_streams(&fleet, &engines, seed, stream_count).await;
     let mut rng = Rng::new(seed);
     for engine in engines_in(&engines, DATA_CENTRES[0]) {
@@ -114,12 +122,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn can_keep_every_stream_when_its_next_engine_is_reclaimed_too() {
     for seed in SEEDS {
-        let fleet = start_standalone().await;
-        let _jobs = start_plain(&fleet, "jobs-1", DATA_CENTRES[1])
-            .await
-            .unwrap();
-        let engines = start_engines(&fleet, 4, &DATA_CENTRES).await.unwrap();
-        wait_until_reachable(&fleet, &chat(seed, 2)).await;
+        let (fleet, _jobs, engines) = start_all(4, seed).await;
         let workload = start_streams(&fleet, &engines, seed, 24).await;
         let mut rng = Rng::new(seed);
         for engine in &engines[..3] {
@@ -135,12 +138,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn can_keep_every_stream_when_engines_die_without_notice() {
     for seed in SEEDS {
-        let fleet = start_standalone().await;
-        let _jobs = start_plain(&fleet, "jobs-1", DATA_CENTRES[1])
-            .await
-            .unwrap();
-        let engines = start_engines(&fleet, 4, &DATA_CENTRES).await.unwrap();
-        wait_until_reachable(&fleet, &chat(seed, 2)).await;
+        let (fleet, _jobs, engines) = start_all(4, seed).await;
         let workload = start_streams(&fleet, &engines, seed, 24).await;
         for engine in engines_in(&engines, DATA_CENTRES[0]) {
             engine.update_switches(|switches| switches.ignore_notice = true);
@@ -154,12 +152,7 @@
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn can_keep_every_stream_when_an_engine_dies_while_it_exports() {
-    let fleet = start_standalone().await;
-    let _jobs = start_plain(&fleet, "jobs-1", DATA_CENTRES[1])
-        .await
-        .unwrap();
-    let engines = start_engines(&fleet, 4, &DATA_CENTRES).await.unwrap();
-    wait_until_reachable(&fleet, &chat(1, 2)).await;
+    let (fleet, _jobs, engines) = start_all(4, 1).await;
     let workload = start_streams(&fleet, &engines, 21, 24).await;
     engines[0].update_switches(|switches| switches.die_on_export = true);
     engines[1].update_switches(|switches| switches.refuse_import = true);
@@ -171,12 +164,7 @@
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn can_finish_streams_that_engines_end_too_early() {
-    let fleet = start_standalone().await;
-    let _jobs = start_plain(&fleet, "jobs-1", DATA_CENTRES[1])
-        .await
-        .unwrap();
-    let engines = start_engines(&fleet, 4, &DATA_CENTRES).await.unwrap();
-    wait_until_reachable(&fleet, &chat(1, 2)).await;
+    let (fleet, _jobs, engines) = start_all(4, 1).await;
     engines[0].update_switches(|switches| switches.close_after = Some(5));
     engines[1].update_switches(|switches| switches.drop_done = true);
     engines[2].update_switches(|switches| switches.silent_after = Some(7));
@@ -189,12 +177,7 @@
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn can_keep_every_stream_when_engines_freeze() {
-    let fleet = start_standalone().await;
-    let _jobs = start_plain(&fleet, "jobs-1", DATA_CENTRES[1])
-        .await
-        .unwrap();
-    let engines = start_engines(&fleet, 3, &DATA_CENTRES).await.unwrap();
-    wait_until_reachable(&fleet, &chat(1, 2)).await;
+    let (fleet, _jobs, engines) = start_all(3, 1).await;
     let workload = start_streams(&fleet, &engines, 22, 12).await;
     engines[0].lifecycle().freeze();
     let report = workload.report(&engines, &[]).await;
@@ -235,12 +218,7 @@
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn can_keep_every_stream_while_no_engine_serves_for_a_time() {
-    let fleet = start_standalone().await;
-    let _jobs = start_plain(&fleet, "jobs-1", DATA_CENTRES[1])
-        .await
-        .unwrap();
-    let mut engines = start_engines(&fleet, 2, &DATA_CENTRES).await.unwrap();
-    wait_until_reachable(&fleet, &chat(1, 2)).await;
+    let (fleet, _jobs, mut engines) = start_all(2, 1).await;
     let workload = start_streams(&fleet, &engines, 25, 12).await;
     for engine in &engines {
         engine.reclaim(Duration::from_millis(600));
@@ -283,12 +261,7 @@
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn sends_no_new_request_to_a_reclaimed_engine() {
-    let fleet = start_standalone().await;
-    let _jobs = start_plain(&fleet, "jobs-1", DATA_CENTRES[1])
-        .await
-        .unwrap();
-    let engines = start_engines(&fleet, 3, &DATA_CENTRES).await.unwrap();
-    wait_until_reachable(&fleet, &chat(1, 2)).await;
+    let (fleet, _jobs, engines) = start_all(3, 1).await;
     let caller = Arc::new(fleet.caller());
     let mut workload = Workload::default();
     engines[0].reclaim(Duration::from_secs(5));
