--- a/components/quarantine/src/watch.rs
+++ b/components/quarantine/src/watch.rs
@@ -21,6 +21,8 @@
 const MAX_SUSPECTS: usize = 128;
 /// Subjects of which it is remembered when an answer began well; twice as many at most.
 const MAX_SUBJECTS: usize = 8_192;
+/// Time for which it is remembered when an answer began well; twice as long at most.
+const BEGUN_WELL_RETENTION: Duration = Duration::from_secs(600);
 
 /// Crashes that an entry has seen, the subjects with which answers began well, and the newest
 /// notice.
@@ -29,6 +31,8 @@
     crashes: IndexMap<(UpstreamId, Incarnation), Seen>,
     /// When an answer last began well with a subject; newer ones and older ones.
     begun_well: [IndexMap<SubjectId, Instant>; 2],
+    /// When the newer ones began to be collected.
+    collected_since: Option<Instant>,
     notice: Notice,
     /// Until when a request with a subject may be let through.
     trials: IndexMap<SubjectId, Instant>,
@@ -63,12 +67,15 @@
 
     /// Records that an answer to a request with `subjects` has begun well.
     pub fn record_begun_well(&mut self, subjects: &[SubjectId], now: Instant) {
+        let since = *self.collected_since.get_or_insert(now);
+        let is_old = now.saturating_duration_since(since) >= BEGUN_WELL_RETENTION;
+        if is_old || self.begun_well[0].len() >= MAX_SUBJECTS {
+            self.begun_well[1] = std::mem::take(&mut self.begun_well[0]);
+            self.collected_since = Some(now);
+        }
         for subject in subjects {
             self.begun_well[0].insert(*subject, now);
         }
-        if self.begun_well[0].len() >= MAX_SUBJECTS {
-            self.begun_well[1] = std::mem::take(&mut self.begun_well[0]);
-        }
     }
 
     /// Reports whether a crash has been recorded already.
--- a/components/quarantine/tests/evidence/requests.rs
+++ b/components/quarantine/tests/evidence/requests.rs
@@ -66,3 +66,19 @@
     }
     assert_that!(sent, eq(2));
 }
+
+#[test]
+fn forgets_that_a_request_was_answered_after_some_time() {
+    let mut fleet = Fleet::of_kind(Kind::Request, 1);
+    fleet.begin_well(&[CRASHING]);
+    fleet.now += Duration::from_secs(601);
+    fleet.begin_well(&[COMMON]);
+    fleet.now += Duration::from_secs(601);
+    fleet.begin_well(&[COMMON]);
+    // Three crashes are enough again, as for a request that no one has seen.
+    for _ in 0..3 {
+        fleet.crash(&[(0, &[CRASHING])]);
+    }
+    fleet.pass(Duration::from_millis(1_500));
+    assert_that!(fleet.quarantined(), eq(&vec![CRASHING]));
+}
