--- a/components/control/src/node/replacement.rs
+++ b/components/control/src/node/replacement.rs
@@ -81,24 +81,28 @@
         Ok((version > 0).then_some(source))
     }
 
-    /// Puts an edit in force as the leader, if it was made for the newest text.
+    /// Puts an edit in force as the leader, if it was made for the newest text. The outcome is a
+    /// conflict otherwise.
     pub(super) async fn edit(&self, edit: Edit, wait: Duration) -> Result<Answer, Failure> {
         self.read_barrier().await?;
         let (newest, base) = self.newest_text();
-        if edit.base != newest {
-            let outcome = Outcome::Conflict { newest };
+        let source = match edit.base {
+            base_version if base_version != newest => None,
+            _ => patch::decode(&base, &edit.patch, MAX_REPLACEMENT_BYTES).ok(),
+        };
+        let Some(source) = source else {
+            // The sender then sends the whole text.
             return Ok(Answer::Submitted(Submitted {
-                outcome,
+                outcome: Outcome::Conflict { newest },
                 newest,
                 missing: Vec::new(),
                 difference: None,
             }));
-        }
-        let source = patch::decode(&base, &edit.patch, MAX_REPLACEMENT_BYTES);
+        };
         let replacement = Replacement {
             version: edit.version,
             operator: edit.operator,
-            source: source.map_err(|fault| Failure::Refused(fault.to_string().into()))?,
+            source,
         };
         self.replace(replacement, wait).await
     }
@@ -203,5 +207,5 @@
 fn edit_of(replacement: &Replacement, base: &(Version, Arc<str>)) -> Result<Edit, Failure> {
     let (version, text) = base;
     Edit::new(replacement, (*version, text))
-        .map_err(|fault| Failure::Refused(fault.to_string().into()))
+        .map_err(|fault| Failure::Uncertain(fault.to_string().into()))
 }
