--- a/components/state/tests/texts.rs
+++ b/components/state/tests/texts.rs
@@ -6,22 +6,24 @@
 };
 use state::{Change, Command, Output, Position, State};
 
-fn submit(state: &mut State, id: &str, base: u64, source: &str) -> Outcome {
+/// Applies a change as the next entry of the log, and returns the outcome.
+fn apply(state: &mut State, change: Change) -> Outcome {
     let index = state.applied().index + 1;
+    let command = Command { at: index, change };
+    match state.apply(Position { term: 1, index }, command) {
+        Output::Submitted(outcome) => outcome,
+        output => panic!("{output:?} is not an outcome"),
+    }
+}
+
+fn submit(state: &mut State, id: &str, base: u64, source: &str) -> Outcome {
     let submission = Submission {
         id: id.into(),
         base,
         operator: "ana".into(),
         source: source.to_owned(),
     };
-    let command = Command {
-        at: index,
-        change: Change::Submit(submission),
-    };
-    match state.apply(Position { term: 1, index }, command) {
-        Output::Submitted(outcome) => outcome,
-        output => panic!("{output:?} is not an outcome"),
-    }
+    apply(state, Change::Submit(submission))
 }
 
 #[test]
@@ -82,23 +84,18 @@
     assert_that!(newest, some(eq("text 33")));
 }
 
-fn replace(state: &mut State, version: u64, source: &str) -> Outcome {
-    let index = state.applied().index + 1;
-    let replacement = Replacement {
+fn replacement(version: u64, source: &str) -> Replacement {
+    Replacement {
         version,
         operator: "ana".into(),
         source: source.to_owned(),
-    };
-    let command = Command {
-        at: index,
-        change: Change::Replace(replacement),
-    };
-    match state.apply(Position { term: 1, index }, command) {
-        Output::Submitted(outcome) => outcome,
-        output => panic!("{output:?} is not an outcome"),
     }
 }
 
+fn replace(state: &mut State, version: u64, source: &str) -> Outcome {
+    apply(state, Change::Replace(replacement(version, source)))
+}
+
 #[test]
 fn keeps_the_text_with_the_highest_version_in_any_order() {
     let mut state = State::default();
@@ -117,23 +114,7 @@
 }
 
 fn edit(state: &mut State, edit: Edit) -> Outcome {
-    let index = state.applied().index + 1;
-    let command = Command {
-        at: index,
-        change: Change::Edit(edit),
-    };
-    match state.apply(Position { term: 1, index }, command) {
-        Output::Submitted(outcome) => outcome,
-        output => panic!("{output:?} is not an outcome"),
-    }
-}
-
-fn replacement(version: u64, source: &str) -> Replacement {
-    Replacement {
-        version,
-        operator: "ana".into(),
-        source: source.to_owned(),
-    }
+    apply(state, Change::Edit(edit))
 }
 
 #[test]
