--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 use web::ObservedStream;
 
+use crate::Network;
 use arrival::Arrival;
 
 /// Longest wait for a connection. The kernel retransmits a lost packet only after a second, so that
@@ -46,9 +47,9 @@
     /// # Errors
     /// Returns an error if the upstream does not accept the connection within [`CONNECT_TIMEOUT`],
     /// or if the process can't open a socket.
-    pub(crate) async fn open(address: SocketAddr) -> Result<Connection> {
+    pub(crate) async fn open(network: &dyn Network, address: SocketAddr) -> Result<Connection> {
         let peer = || Peer::Address(address);
-        let stream = timeout(CONNECT_TIMEOUT, dial(address))
+        let stream = timeout(CONNECT_TIMEOUT, dial(network, address))
             .await
             .map_err(|_| Error::Timeout(Step::Connect, peer(), CONNECT_TIMEOUT))?
             .map_err(|error| Error::Io(Step::Connect, peer(), error))?;
@@ -101,8 +102,8 @@
     }
 }
 
-async fn dial(address: SocketAddr) -> std::io::Result<TcpStream> {
-    let stream = TcpStream::connect(address).await?;
+async fn dial(network: &dyn Network, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let stream = network.connect(address).await?;
     let socket = SockRef::from(&stream);
     socket.set_tcp_nodelay(true)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use tracing::warn;
 
@@ -87,7 +86,7 @@
     }
     let core = core.clone();
     tokio::spawn(async move {
-        match refuses_connections(&broken.choice).await {
+        match refuses_connections(&core, &broken.choice).await {
             true => {
                 broken.log("the upstream refuses connections");
                 record(&core, &broken);
@@ -128,10 +127,15 @@
     core.report_now.notify_one();
 }
 
-async fn refuses_connections(choice: &Choice) -> bool {
+async fn refuses_connections(core: &Core, choice: &Choice) -> bool {
     for pause in PAUSES {
         sleep(pause).await;
-        match timeout(CONNECT_TIMEOUT, TcpStream::connect(choice.address)).await {
+        match timeout(
+            CONNECT_TIMEOUT,
+            core.settings.network.connect(choice.address),
+        )
+        .await
+        {
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => return true,
             _ => {}
         }
--- a/components/gateway/src/dispatch/attempt.rs
+++ b/components/gateway/src/dispatch/attempt.rs
@@ -205,7 +205,7 @@
     };
     match idle {
         Some(connection) => Ok(connection),
-        None => Connection::open(choice.address)
+        None => Connection::open(&*core.settings.network, choice.address)
             .await
             .map_err(|error| error.to_string()),
     }
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -1,11 +1,14 @@
 //! Settings of the request path.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use config::ids::{DataCentreId, NodeId};
 use config::settings::Retries;
 
+use crate::Network;
+
 /// Settings of one entry's gateway.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -30,4 +33,6 @@
     pub drain_timeout: Duration,
     /// Maximum number of open connections from callers.
     pub max_connections: usize,
+    /// Opens connections to upstreams.
+    pub network: Arc<dyn Network>,
 }
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -61,6 +61,7 @@
         balancer_lag: entry.balancer_lag,
         drain_timeout: entry.drain_timeout,
         max_connections: entry.max_connections,
+        network: Arc::new(gateway::Tcp),
     };
     let result = gateway::run(
         gateway_settings,
