gateway: Forward requests to another entry while upstreams are out of reach

Callers of an entry that had lost its connections to all upstreams got 503 after 5 to 14 ms, as long as the cut lasted. An entry had no way to an upstream but its own connections, and could not tell its own cut from a failure of the upstreams.

Entries now state to the leader which services are out of their reach: three of a service's upstreams in a row, or all, accept no connection. An upstream that accepts and stays silent is within reach. The leader names entries that reach them, six at most to each. The entry keeps what belongs to its caller (admission, tokens, usage, retries, attempts, resuming), and asks another one for a single attempt; that one chooses the upstream, keeps to limits and pauses, and never forwards again. An entry that is cut off itself says so at once.

--- a/components/config/src/settings/entry.rs
+++ b/components/config/src/settings/entry.rs
@@ -16,6 +16,9 @@
     pub listen: Option<SocketAddr>,
     /// Address of the listener for the load balancer's readiness checks.
     pub ready: Option<SocketAddr>,
+    /// Address of the listener for requests that other entries forward; without it, this entry
+    /// takes none.
+    pub forwarding: Option<SocketAddr>,
     /// Limits on retries of requests.
     pub retries: Retries,
     /// File with the operators' text to serve without control processes, for trials on one machine.
@@ -59,6 +62,7 @@
             port: 8_080,
             listen: None,
             ready: None,
+            forwarding: None,
             retries: Retries::default(),
             standalone_text: None,
             max_body_bytes: 4 * 1_024 * 1_024,
--- a/components/config/src/text/ingress/route.rs
+++ b/components/config/src/text/ingress/route.rs
@@ -43,6 +43,14 @@
     pub public: bool,
 }
 
+impl Route {
+    /// Reports whether requests on the route may go to `service`.
+    pub fn may_select(&self, service: &str) -> bool {
+        let mut splits = self.splits.iter();
+        splits.any(|split| split.service == service && split.weight > 0)
+    }
+}
+
 /// A service of a route and its share of the requests.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -4,6 +4,7 @@
 //! It is not replicated: each entry reports totals, so that a new leader has the whole workload
 //! after one report of each entry.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use config::Text;
@@ -13,7 +14,8 @@
 use placement::autoscaler::Demand;
 use quarantine::{Evidence, Kind, Record};
 use state::usage::{Counts, Window};
-use wire::{DemandTotals, Limits, Overview, Report, Work};
+use wire::{DemandTotals, Forwarder, Limits, Overview, Report, Work};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::rate::Rate;
 use super::token_limits::{EntryProcess, TokenLimits};
@@ -22,6 +24,9 @@
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 /// Time after an entry's last report for which its totals are kept.
 const ENTRY_RETENTION: Duration = Duration::from_secs(60);
+/// Most entries that an entry is told of to which it may forward requests. Entries are told of
+/// different ones, so that what one cut off forwards is spread.
+const MAX_FORWARDERS: usize = 6;
 /// Maximum number of usage windows whose counts are kept.
 const MAX_WINDOWS: usize = 16;
 
@@ -47,6 +52,8 @@
     at: Instant,
     work: Vec<(UpstreamId, Work)>,
     demand: IndexMap<ServiceId, DemandTotals>,
+    forwarding: Option<SocketAddr>,
+    out_of_reach: Vec<ServiceId>,
 }
 
 impl Workload {
@@ -109,7 +116,10 @@
             at: now,
             work: report.work,
             demand: report.demand.into_iter().collect(),
+            forwarding: report.forwarding,
+            out_of_reach: report.out_of_reach,
         };
+        let forwarders = self.forwarders(&process, &report.out_of_reach, now);
         self.add_demand(&process, &report.demand, now);
         self.entries.insert(process, report);
         Overview {
@@ -122,9 +132,39 @@
             requests,
             limits,
             permits,
+            forwarders,
         }
     }
 
+    /// Returns entries to which `process` may forward requests: if it does not reach some services,
+    /// those that reach these, otherwise those that reach all.
+    fn forwarders(
+        &self,
+        (node, _): &EntryProcess,
+        out_of_reach: &[ServiceId],
+        now: Instant,
+    ) -> Vec<Forwarder> {
+        let count = self.entries.len();
+        let first = xxh3_64(node.as_bytes()) as usize % count.max(1);
+        let reaches = |report: &EntryReport| match out_of_reach {
+            [] => report.out_of_reach.is_empty(),
+            _ => out_of_reach
+                .iter()
+                .all(|service| !report.out_of_reach.contains(service)),
+        };
+        let from_first = (first..count).chain(0..first);
+        let entries = from_first.filter_map(|index| self.entries.get_index(index));
+        let forwarders = entries.filter_map(|((other, _), report)| {
+            let is_live = now.saturating_duration_since(report.at) < REPORT_LIFETIME;
+            let usable = other != node && is_live && reaches(report);
+            Some(Forwarder {
+                node: other.clone(),
+                address: report.forwarding.filter(|_| usable)?,
+            })
+        });
+        forwarders.take(MAX_FORWARDERS).collect()
+    }
+
     /// Records the limits that an entry heard of, and returns all of them unless the entry has the
     /// newest ones.
     fn record_limits(&mut self, limits: &Limits, now: Instant) -> Option<Limits> {
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -125,6 +125,16 @@
         })
     }
 
+    /// Signs a message to another process of the fleet.
+    pub fn sign(&self, message: &[u8]) -> String {
+        self.shared.identity.secret.sign(message)
+    }
+
+    /// Reports whether a process of the fleet signed `message`.
+    pub fn verify(&self, message: &[u8], signature: &str) -> bool {
+        self.shared.identity.secret.verify(message, signature)
+    }
+
     /// Reports this entry's work to the leader, and returns the overview of all entries.
     ///
     /// # Errors
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -30,7 +30,7 @@
 use config::Text;
 use config::ids::{ServiceId, UpstreamId};
 use config::text::Kind;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use wire::Work;
 
 use crate::call::PartId;
@@ -86,6 +86,42 @@
         self.mark_superseded();
     }
 
+    /// Returns the upstreams of a service that serve and have a valid lease.
+    pub fn serving(&self, service: &str, now: Instant) -> Vec<(UpstreamId, SocketAddr)> {
+        let serving = self.upstreams.iter().filter(|(_, upstream)| {
+            upstream.service == service
+                && now < upstream.expires
+                && !upstream.superseded
+                && !upstream.is_leaving()
+        });
+        serving
+            .map(|(name, upstream)| (name.clone(), upstream.address))
+            .collect()
+    }
+
+    /// Returns the upstreams of a service that have said that they are leaving.
+    pub fn leaving(&self, service: &str) -> Vec<UpstreamId> {
+        let leaving = self
+            .upstreams
+            .iter()
+            .filter(|(_, upstream)| upstream.service == service && upstream.said_leaving);
+        leaving.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Returns the services that have upstreams.
+    pub fn services(&self) -> IndexSet<ServiceId> {
+        let upstreams = self.upstreams.values();
+        upstreams.map(|upstream| upstream.service.clone()).collect()
+    }
+
+    /// Ends the ejections of a service's upstreams, which were not at fault.
+    pub fn end_ejections(&mut self, service: &str) {
+        let upstreams = self.upstreams.values_mut();
+        for upstream in upstreams.filter(|upstream| upstream.service == service) {
+            upstream.health.end_ejection();
+        }
+    }
+
     /// Returns the number of known upstreams.
     pub fn len(&self) -> usize {
         self.upstreams.len()
--- a/components/gateway/src/balancer/health.rs
+++ b/components/gateway/src/balancer/health.rs
@@ -44,6 +44,12 @@
         self.is_ejected(now) || self.passed_over_until.is_some_and(|until| now < until)
     }
 
+    /// Ends an ejection.
+    pub(super) fn end_ejection(&mut self) {
+        self.consecutive_failures = 0;
+        self.ejected_until = None;
+    }
+
     pub(super) fn record_success(&mut self) {
         self.consecutive_failures = 0;
         self.ejected_until = None;
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -5,14 +5,14 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use config::ids::{RequestId, ServiceId};
+use config::ids::{NodeId, RequestId, ServiceId};
 use config::text::ingress::Route;
 use http::uri::PathAndQuery;
-use http::{HeaderMap, Method, Uri};
+use http::{HeaderMap, Method, Uri, header, request};
 use quarantine::Fingerprint;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::Account;
+use crate::{Account, Head};
 
 /// Identifier of a part of a prompt.
 pub type PartId = u64;
@@ -70,15 +70,29 @@
     pub resume_after: Option<u64>,
     /// Request that brought the first event of that answer.
     pub resumes: Option<RequestId>,
+    /// Entry that took the request from its caller; `None` if this one did.
+    pub forwarded_by: Option<NodeId>,
     /// When the head of the request was read.
     pub arrived: Instant,
     /// Deadline set by the caller or the route, whichever is earlier.
     pub deadline: Instant,
 }
 
+/// What was found out about a request when it was admitted.
+pub(crate) struct Admission {
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: ServiceId,
+    pub(crate) account: Option<Arc<Account>>,
+    /// Version of the text that contains the route.
+    pub(crate) version: u64,
+    pub(crate) forwarded_by: Option<NodeId>,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+}
+
 /// Returns the fingerprint of a request: a hash of what stays the same when it is sent again, at any
 /// entry. Headers are no part of it, since identifiers and deadlines are new each time.
-pub(crate) fn fingerprint(
+fn fingerprint(
     method: &Method,
     host: &str,
     uri: &Uri,
@@ -98,6 +112,40 @@
 }
 
 impl Call {
+    /// Creates the call of an admitted request.
+    pub(crate) fn new(
+        admission: Admission,
+        head: Head,
+        parts: request::Parts,
+        body: Bytes,
+    ) -> Call {
+        let mut headers = parts.headers;
+        web::remove_connection_headers(&mut headers);
+        let host = headers.get(header::HOST);
+        let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+        let caller = admission.account.as_ref();
+        let caller = caller.map(|account| account.name.as_str());
+        Call {
+            fingerprint: fingerprint(&parts.method, host, &parts.uri, caller, &body),
+            id: head.id,
+            method: parts.method,
+            uri: parts.uri,
+            headers,
+            body,
+            service: admission.service,
+            route: admission.route,
+            version: admission.version,
+            account: admission.account,
+            prompt: head.prompt,
+            shared_parts: head.shared_parts,
+            resume_after: head.resume_after,
+            resumes: head.resumes,
+            forwarded_by: admission.forwarded_by,
+            arrived: admission.arrived,
+            deadline: admission.deadline,
+        }
+    }
+
     /// Returns the parts of the prompt that others may share, for the log.
     pub(crate) fn shared_parts_text(&self) -> CompactString {
         let ids = self.shared_parts.iter().map(|part| format!("{part:x}"));
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -11,9 +11,11 @@
 use crate::crash::Broken;
 use crate::demand::Demand;
 use crate::drain::Drain;
+use crate::forward::Forwarders;
 use crate::permits::Permits;
 use crate::pool::Pool;
 use crate::quarantine::Quarantine;
+use crate::reach::Reach;
 use crate::{Accounts, Balancer, Metrics, Protocol, Readiness, Retries, Settings, Table, Usage};
 
 /// State shared by the tasks of one entry.
@@ -38,6 +40,10 @@
     pub(crate) quarantine: Mutex<Quarantine>,
     /// Connections to upstreams that may have crashed.
     pub(crate) broken: Mutex<Broken>,
+    /// Services whose upstreams are out of this entry's reach.
+    pub(crate) reach: Mutex<Reach>,
+    /// Entries to which requests for them may be forwarded.
+    pub(crate) forwarders: Mutex<Forwarders>,
     /// Draws under the limits that upstreams name.
     pub(crate) permits: Mutex<Permits>,
     /// Wakes the task that reports to the leader.
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -2,13 +2,15 @@
 
 mod attempt;
 mod attempts;
+mod through;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tracing::info;
+use wire::Forwarder;
 
-pub(crate) use attempt::Answer;
+pub(crate) use attempt::{Answer, Failure, attempt, check, head_timeout};
 pub(crate) use attempts::Attempts;
 
 use crate::balancer::{Choice, Criteria, Outcome, Shortage};
@@ -17,10 +19,11 @@
 use crate::request_log::RequestLog;
 use crate::ticket::Ticket;
 use crate::{Refusal, admission, permits, retries};
-use attempt::{Failure, attempt};
 
-/// Number of failed connections after which a request is refused.
-const MAX_CONNECT_FAILURES: u32 = 3;
+/// Number of failed connections after which a request goes through another entry, or is refused.
+pub(crate) const MAX_CONNECT_FAILURES: u32 = 3;
+/// The same while the service is out of reach and no other entry takes the request.
+const MAX_CONNECT_FAILURES_OUT_OF_REACH: u32 = 1;
 /// Shortest time to the deadline with which a request is sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 /// Time after which callers should retry if no upstream takes work.
@@ -31,6 +34,25 @@
 /// Permits that are drawn for one attempt. Another request may use up one that was drawn.
 const MAX_DRAWS: u32 = 2;
 
+/// Why an attempt brought no answer.
+enum Failed {
+    /// No attempt may follow.
+    Refused(Refusal),
+    /// Another entry did not take the request, and nothing was sent.
+    NotTaken,
+    /// It failed at an upstream, or on the way there.
+    Sent(Failure),
+}
+
+/// How a request gets to an upstream.
+enum Way {
+    Direct,
+    /// Through another entry.
+    Through(Forwarder),
+    /// There is none.
+    Closed,
+}
+
 /// Sends a request to upstreams until one answers. `resume_after` is the last event received of an
 /// earlier run.
 ///
@@ -45,116 +67,118 @@
 ) -> Result<Answer, Refusal> {
     let mut server_error = None;
     loop {
-        let now = Instant::now();
-        if call.time_left(now) < MIN_TIME_LEFT {
-            return fallback(
-                server_error,
-                attempts.unknown_outcome.take().unwrap_or(Refusal::TooLate),
-            );
-        }
-        if attempts.sends >= call.route.attempts {
-            let refusal = attempts.unknown_outcome.take();
-            return fallback(
-                server_error,
-                refusal.unwrap_or(Refusal::Shed(SHED_RETRY_AFTER)),
-            );
-        }
-        if attempts.sends > 0
-            && let Some(refusal) = refusal_to_repeat(core, call, attempts)
-        {
+        if let Some(refusal) = refusal_before_attempt(core, call, attempts) {
             return fallback(server_error, refusal);
         }
-        let criteria = Criteria {
-            service: &call.service,
-            prompt: call.prompt.as_ref(),
-            excluded: &attempts.excluded,
-            software: attempts.software.as_ref(),
-            time_left: call.time_left(now),
-            max_wait: match resume_after {
-                Some(_) => call.time_left(now),
-                None => admission::max_wait(call),
-            },
-        };
-        let choice = match choose(core, call, &criteria).await {
-            Ok(choice) => choice,
-            Err(shortage) => {
-                let refusal = attempts
-                    .unknown_outcome
-                    .take()
-                    .unwrap_or(refusal(shortage, attempts));
-                return fallback(server_error, refusal);
+        let tried = match way(core, call, attempts) {
+            Way::Direct => direct(core, call, resume_after, attempts, request_log).await,
+            Way::Through(other) => {
+                through::attempt(core, call, &other, resume_after, attempts, request_log).await
+            }
+            Way::Closed => {
+                let refusal = Refusal::NoUpstream(NO_UPSTREAM_RETRY_AFTER);
+                Err(Failed::Refused(attempts.truthful(refusal)))
             }
         };
-        let now = Instant::now();
-        let mut ticket = Ticket::new(core, choice);
-        if attempts.sends > 0 && !take_retry(core, call, now) {
-            ticket.finish(Outcome::Unsent);
-            let refusal = attempts
-                .unknown_outcome
-                .take()
-                .unwrap_or(Refusal::Shed(SHED_RETRY_AFTER));
-            return fallback(server_error, refusal);
-        }
-        request_log.record_dispatch(ticket.choice());
-        let is_last = attempts.sends + 1 >= call.route.attempts;
-        let choice = ticket.choice().clone();
-        let failure = match attempt(core, call, ticket, resume_after, is_last).await {
+        let failure = match tried {
             Ok(answer) => return Ok(answer),
-            Err(failure) => failure,
+            Err(Failed::Refused(refusal)) => return fallback(server_error, refusal),
+            Err(Failed::NotTaken) => continue,
+            Err(Failed::Sent(failure)) => failure,
         };
-        attempts.excluded.push(choice.upstream.clone());
-        failure.log(call, &choice);
         core.metrics.record_attempt(&call.service, failure.name());
-        attempts.broken += u32::from(matches!(failure, Failure::Broken(_)));
+        let is_last = attempts.is_last(call);
+        attempts.record_failure(&failure);
         match failure {
-            Failure::Unsent(_) => {
-                attempts.connect_failures += 1;
-                if attempts.connect_failures >= MAX_CONNECT_FAILURES {
-                    let refusal = Refusal::NoUpstream(NO_UPSTREAM_RETRY_AFTER);
-                    return fallback(
-                        server_error,
-                        attempts.unknown_outcome.take().unwrap_or(refusal),
-                    );
-                }
-            }
-            Failure::NotRun => {
-                attempts.sends += 1;
-                if is_last {
-                    let refusal = Refusal::Shed(SHED_RETRY_AFTER);
-                    return fallback(
-                        server_error,
-                        attempts.unknown_outcome.take().unwrap_or(refusal),
-                    );
-                }
-            }
-            Failure::Broken(detail) | Failure::Unknown(detail) => {
-                attempts.sends += 1;
-                attempts.unknown_outcome = Some(Refusal::Lost(detail));
-                if is_last || !call.is_idempotent() {
-                    return fallback(
-                        server_error,
-                        attempts.unknown_outcome.take().unwrap_or(Refusal::TimedOut),
-                    );
-                }
-            }
-            Failure::TimedOut => {
-                attempts.sends += 1;
-                attempts.unknown_outcome = Some(Refusal::TimedOut);
-                if is_last || !call.is_idempotent() {
-                    return fallback(server_error, Refusal::TimedOut);
-                }
-            }
-            Failure::ServerError(answer) => {
-                attempts.sends += 1;
-                server_error = Some(answer);
+            Failure::ServerError(answer) => server_error = Some(answer),
+            Failure::NotRun if is_last => return fallback(server_error, attempts.shed()),
+            Failure::Unsent(_) | Failure::NotRun => {}
+            _ if is_last || !call.is_idempotent() => {
+                let refusal = attempts.unknown_outcome.take();
+                return fallback(server_error, refusal.unwrap_or(Refusal::TimedOut));
             }
+            _ => {}
         }
     }
 }
 
+/// Returns the refusal of a request for which no further attempt is allowed.
+fn refusal_before_attempt(core: &Core, call: &Call, attempts: &mut Attempts) -> Option<Refusal> {
+    if call.time_left(Instant::now()) < MIN_TIME_LEFT {
+        return Some(attempts.truthful(Refusal::TooLate));
+    }
+    if attempts.sends >= call.route.attempts {
+        return Some(attempts.shed());
+    }
+    match attempts.sends {
+        0 => None,
+        _ => refusal_to_repeat(core, call, attempts),
+    }
+}
+
+/// Returns how the request gets to an upstream.
+fn way(core: &Core, call: &Call, attempts: &Attempts) -> Way {
+    let is_lost = lock(&core.reach).is_lost(&call.service);
+    let failures = attempts.connect_failures;
+    let limit = match is_lost {
+        true => MAX_CONNECT_FAILURES_OUT_OF_REACH,
+        false => MAX_CONNECT_FAILURES,
+    };
+    let forwarder = match is_lost || failures >= limit {
+        true => through::next(core, attempts),
+        false => None,
+    };
+    match forwarder {
+        Some(forwarder) => Way::Through(forwarder),
+        None if failures < limit => Way::Direct,
+        None => Way::Closed,
+    }
+}
+
+/// Sends a request to an upstream that this entry chooses.
+async fn direct(
+    core: &Arc<Core>,
+    call: &Arc<Call>,
+    resume_after: Option<u64>,
+    attempts: &mut Attempts,
+    request_log: &mut RequestLog,
+) -> Result<Answer, Failed> {
+    let time_left = call.time_left(Instant::now());
+    let criteria = Criteria {
+        service: &call.service,
+        prompt: call.prompt.as_ref(),
+        excluded: &attempts.excluded,
+        software: attempts.software.as_ref(),
+        time_left,
+        max_wait: match resume_after {
+            Some(_) => time_left,
+            None => admission::max_wait(call),
+        },
+    };
+    let chosen = choose(core, call, &criteria).await;
+    let choice = chosen.map_err(|shortage| Failed::Refused(refusal(shortage, attempts)))?;
+    let mut ticket = Ticket::new(core, choice.clone());
+    if retry_refused(core, call, attempts, Instant::now()) {
+        ticket.finish(Outcome::Unsent);
+        return Err(Failed::Refused(attempts.shed()));
+    }
+    request_log.record_dispatch(&choice);
+    let is_last = attempts.is_last(call);
+    let sent = attempt(core, call, ticket, resume_after, is_last).await;
+    sent.map_err(|failure| {
+        attempts.excluded.push(choice.upstream.clone());
+        failure.log(call, &choice);
+        Failed::Sent(failure)
+    })
+}
+
 /// Chooses an upstream. If none may take the request without it, draws a permit under the limit of
 /// one that names a limit.
-async fn choose(core: &Core, call: &Call, criteria: &Criteria<'_>) -> Result<Choice, Shortage> {
+pub(crate) async fn choose(
+    core: &Core,
+    call: &Call,
+    criteria: &Criteria<'_>,
+) -> Result<Choice, Shortage> {
     for _ in 0..MAX_DRAWS {
         let now = Instant::now();
         let (chosen, limited) = {
@@ -187,24 +211,26 @@
             Some(Refusal::Quarantined(subject, may_have_run))
         }
         None if attempts.may_crash_more(call) => None,
-        None => {
-            let refusal = attempts.unknown_outcome.take();
-            Some(refusal.unwrap_or(Refusal::Lost("two upstreams broke it off".into())))
-        }
+        None => Some(attempts.truthful(Refusal::Lost("two upstreams broke it off".into()))),
     }
 }
 
-/// Takes a retry of `call` from the budget, and returns whether it was granted.
-fn take_retry(core: &Core, call: &Call, now: Instant) -> bool {
+/// Takes a retry of `call` from the budget if its next attempt needs one, and reports whether it was
+/// refused. One that was taken for an attempt that was not made holds for the next one.
+fn retry_refused(core: &Core, call: &Call, attempts: &mut Attempts, now: Instant) -> bool {
+    if attempts.sends == 0 || attempts.holds_retry {
+        return false;
+    }
     let since_start = retries::elapsed(core.started, now);
     let mut retries = lock(&core.retries);
-    let granted = retries.take(&call.service, since_start);
-    if !granted {
+    attempts.holds_retry = retries.take(&call.service, since_start);
+    if !attempts.holds_retry {
         let budget = retries.budget(&call.service, since_start);
         info!(request = %call.id, service = %call.service, "retry: refused, {budget}");
     }
-    core.metrics.record_retry(&call.service, granted);
-    granted
+    core.metrics
+        .record_retry(&call.service, attempts.holds_retry);
+    !attempts.holds_retry
 }
 
 /// Returns the last server error of an upstream if there was one, otherwise the refusal.
@@ -212,10 +238,12 @@
     server_error.map(|answer| *answer).ok_or(refusal)
 }
 
-fn refusal(shortage: Shortage, attempts: &Attempts) -> Refusal {
-    match shortage {
+/// Returns the refusal of a request for which no upstream was found.
+fn refusal(shortage: Shortage, attempts: &mut Attempts) -> Refusal {
+    let refusal = match shortage {
         Shortage::NoUpstream if attempts.sends > 0 => Refusal::Shed(SHED_RETRY_AFTER),
         Shortage::NoUpstream => Refusal::NoUpstream(NO_UPSTREAM_RETRY_AFTER),
         Shortage::Overloaded(excess) => Refusal::Overloaded(excess.max(SHED_RETRY_AFTER)),
-    }
+    };
+    attempts.truthful(refusal)
 }
--- a/components/gateway/src/dispatch/attempt.rs
+++ b/components/gateway/src/dispatch/attempt.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use config::ids::NodeId;
+use http::{Request, Response, StatusCode, response};
 use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -17,7 +18,7 @@
 use crate::core::{Core, lock};
 use crate::relay::MAX_ANSWER_BYTES;
 use crate::ticket::Ticket;
-use crate::{Metadata, Reply, crash};
+use crate::{Metadata, Reply, crash, reach};
 
 /// Time to the head of an answer after which an idempotent call is retried at another upstream,
 /// relative to the latency target.
@@ -29,10 +30,12 @@
     pub(crate) connection: Connection,
     pub(crate) response: Response<Incoming>,
     pub(crate) reply: Reply,
+    /// Entry that chose the upstream and passes the answer on; `None` for this one.
+    pub(crate) via: Option<NodeId>,
 }
 
 /// Reason for which an attempt failed.
-pub(super) enum Failure {
+pub(crate) enum Failure {
     /// No connection could be opened, and nothing was sent.
     Unsent(String),
     /// The upstream refused the request without running it.
@@ -49,7 +52,7 @@
 
 impl Failure {
     /// Returns the name for logs and metrics.
-    pub(super) fn name(&self) -> &'static str {
+    pub(crate) fn name(&self) -> &'static str {
         match self {
             Failure::Unsent(_) => "unsent",
             Failure::NotRun => "not-run",
@@ -60,7 +63,7 @@
     }
 
     /// Logs the failure of an attempt at the upstream of `choice`.
-    pub(super) fn log(&self, call: &Call, choice: &Choice) {
+    pub(crate) fn log(&self, call: &Call, choice: &Choice) {
         let detail = match self {
             Failure::Unsent(detail) | Failure::Broken(detail) | Failure::Unknown(detail) => {
                 detail.as_str()
@@ -82,7 +85,7 @@
 }
 
 /// Sends a request to one upstream and returns the head of its answer.
-pub(super) async fn attempt(
+pub(crate) async fn attempt(
     core: &Arc<Core>,
     call: &Arc<Call>,
     mut ticket: Ticket,
@@ -99,7 +102,10 @@
     };
     let time_left = call.time_left(Instant::now());
     let request = build_request(core, call, &choice, time_left, resume_after);
-    let wait = head_timeout(call, &choice, time_left, is_last);
+    let wait = match call.is_idempotent() && !is_last {
+        true => head_timeout(call, Some(&choice)).min(time_left),
+        false => time_left,
+    };
     let response = match timeout(wait, connection.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
@@ -109,6 +115,7 @@
         }
         Err(_) => {
             ticket.finish(Outcome::Failed);
+            reach::check(core, &call.service, &choice.upstream, choice.address);
             return Err(Failure::TimedOut);
         }
     };
@@ -117,27 +124,19 @@
     let status = parts.status;
     let is_own = reply.id.as_ref() == Some(&call.id);
     record_reply(core, &choice, &reply, is_own, ticket.sent_at());
-    if reply.not_run || reply.other_upstream {
-        ticket.finish(Outcome::Refused);
-        return Err(Failure::NotRun);
-    }
-    if !call.route.kind.is_stream() && body.size_hint().lower() > MAX_ANSWER_BYTES {
-        ticket.finish(Outcome::Failed);
-        return Err(Failure::Unknown(format!(
-            "the answer has more than {MAX_ANSWER_BYTES} bytes"
-        )));
-    }
-    if !is_own || (status.is_success() && !reply.is_signed) {
-        ticket.finish(Outcome::Failed);
-        return Err(Failure::Unknown(format!(
-            "answer {status} is not one to this request"
-        )));
+    if let Err(failure) = check(call, &parts, &body, &reply) {
+        ticket.finish(match failure {
+            Failure::NotRun => Outcome::Refused,
+            _ => Outcome::Failed,
+        });
+        return Err(failure);
     }
     let answer = Answer {
         ticket,
         connection,
         response: Response::from_parts(parts, body),
         reply,
+        via: None,
     };
     match should_retry(call, status) && !is_last {
         true => {
@@ -149,6 +148,32 @@
     }
 }
 
+/// Checks that an answer is one to this request and that the upstream has run it.
+///
+/// # Errors
+/// Returns the failure that the answer is.
+pub(crate) fn check(
+    call: &Call,
+    parts: &response::Parts,
+    body: &Incoming,
+    reply: &Reply,
+) -> Result<(), Failure> {
+    let status = parts.status;
+    let is_own = reply.id.as_ref() == Some(&call.id);
+    if reply.not_run || reply.other_upstream {
+        return Err(Failure::NotRun);
+    }
+    if !call.route.kind.is_stream() && body.size_hint().lower() > MAX_ANSWER_BYTES {
+        let detail = format!("the answer has more than {MAX_ANSWER_BYTES} bytes");
+        return Err(Failure::Unknown(detail));
+    }
+    if !is_own || (status.is_success() && !reply.is_signed) {
+        let detail = format!("answer {status} is not one to this request");
+        return Err(Failure::Unknown(detail));
+    }
+    Ok(())
+}
+
 /// Records what an answer, which `is_own` if it is one to this request, says of its upstream.
 fn record_reply(core: &Core, choice: &Choice, reply: &Reply, is_own: bool, sent_at: Instant) {
     if let Some((running, waiting)) = reply.load {
@@ -186,14 +211,11 @@
     call.is_idempotent() && status.is_server_error()
 }
 
-/// Returns how long to wait for the head of an answer: until the deadline, or less if an idempotent
-/// call can be retried.
-fn head_timeout(call: &Call, choice: &Choice, time_left: Duration, is_last: bool) -> Duration {
+/// Returns how long to wait for the head of an answer of an idempotent call that can be retried,
+/// from the upstream of `choice` if it is known.
+pub(crate) fn head_timeout(call: &Call, choice: Option<&Choice>) -> Duration {
     let target = call.route.target.mul_f64(HEAD_TIMEOUT_PER_TARGET);
-    match call.is_idempotent() && !is_last {
-        true => target.max(choice.expected_first_event * 3).min(time_left),
-        false => time_left,
-    }
+    choice.map_or(target, |choice| target.max(choice.expected_first_event * 3))
 }
 
 /// Takes an idle connection from the pool, or opens one. A request that must not run twice gets a
@@ -203,12 +225,12 @@
         true => lock(&core.pool).take(choice, Instant::now()),
         false => None,
     };
-    match idle {
-        Some(connection) => Ok(connection),
-        None => Connection::open(&*core.settings.network, choice.address)
-            .await
-            .map_err(|error| error.to_string()),
+    if let Some(connection) = idle {
+        return Ok(connection);
     }
+    let opened = Connection::open(&*core.settings.network, choice.address).await;
+    reach::record(core, &call.service, &choice.upstream, opened.is_ok());
+    opened.map_err(|error| error.to_string())
 }
 
 fn build_request(
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use compact_str::CompactString;
 use http::{HeaderValue, Request, Response, header, request};
 use hyper::body::Incoming;
 
-use crate::call::{self, Call};
+use crate::call::{Admission, Call};
 use crate::core::{Core, lock};
 use crate::dispatch::{self, Attempts};
 use crate::request_log::RequestLog;
@@ -129,16 +128,13 @@
     arrived: Instant,
 ) -> Result<Call, Refusal> {
     let table = core.table.load();
-    let expected = expected_time(head.prompt.as_ref());
-    let limit = core.settings.drain_timeout;
-    if !core.drain.can_finish(expected, limit, arrived) {
+    if !can_finish(core, head.prompt.as_ref(), arrived) {
         return Err(Refusal::Stopping);
     }
     let host = parts.headers.get(header::HOST);
-    let host = host.and_then(|host| host.to_str().ok());
-    let host: CompactString = host.unwrap_or_default().into();
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     let route = table
-        .route(&host, parts.uri.path())
+        .route(host, parts.uri.path())
         .ok_or(Refusal::NoRoute)?;
     request_log.set_route(&route.name, table.version());
     let account = find_account(&table, &head, route.public)?;
@@ -152,28 +148,22 @@
     let wait = head
         .wait
         .map_or(route.timeout, |wait| wait.min(route.timeout));
-    let mut headers = parts.headers;
-    web::remove_connection_headers(&mut headers);
-    let caller = account.as_ref().map(|account| account.name.as_str());
-    let call = Call {
-        fingerprint: call::fingerprint(&parts.method, &host, &parts.uri, caller, &body),
-        id: head.id,
-        method: parts.method,
-        uri: parts.uri,
-        headers,
-        body,
-        service: service.clone(),
+    let admission = Admission {
         route: route.clone(),
-        version: table.version(),
+        service: service.clone(),
         account,
-        prompt: head.prompt,
-        shared_parts: head.shared_parts,
-        resume_after: head.resume_after,
-        resumes: head.resumes,
+        version: table.version(),
+        forwarded_by: None,
         arrived,
         deadline: arrived + wait,
     };
-    Ok(call)
+    Ok(Call::new(admission, head, parts, body))
+}
+
+/// Reports whether a request can finish before the process ends, if it is stopping.
+pub(crate) fn can_finish(core: &Core, prompt: Option<&Prompt>, arrived: Instant) -> bool {
+    let limit = core.settings.drain_timeout;
+    core.drain.can_finish(expected_time(prompt), limit, arrived)
 }
 
 /// Returns the time within which most requests of this kind finish.
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     attempts: IntCounterVec,
     retries: IntCounterVec,
     limit_tokens: IntCounterVec,
+    forwarded: IntCounterVec,
     first_event: HistogramVec,
     total: HistogramVec,
     /// Version of the text in force.
@@ -73,6 +74,11 @@
                 "Tokens of requests under a limit of their account, by account and decision.",
                 &["account", "decision"],
             ),
+            forwarded: counters(
+                "chervilloft_gateway_forwarded_total",
+                "Attempts asked of other entries, by service and whether an upstream answered.",
+                &["service", "outcome"],
+            ),
             first_event: histograms(
                 "chervilloft_gateway_first_seconds",
                 "Time to the first event, or to the head of a whole answer.",
@@ -117,6 +123,15 @@
         self.attempts.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Counts an attempt that was asked of another entry.
+    pub fn record_forwarded(&self, service: &str, answered: bool) {
+        let outcome = match answered {
+            true => "answered",
+            false => "failed",
+        };
+        self.forwarded.with_label_values(&[service, outcome]).inc();
+    }
+
     /// Counts a retry that was asked of the shared budget.
     pub fn record_retry(&self, service: &str, granted: bool) {
         let decision = match granted {
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Closes the idle connections to upstreams of which `is_gone` holds.
+    pub(crate) fn remove_upstreams(&mut self, is_gone: impl Fn(&UpstreamId) -> bool) {
+        self.idle.retain(|(upstream, _), _| !is_gone(upstream));
+    }
+
     /// Closes the connections whose idle time has expired.
     pub(crate) fn remove_expired(&mut self, now: Instant) {
         for idle in self.idle.values_mut() {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -84,7 +84,8 @@
     if may_be_taken_up {
         let software = &source.ticket.choice().software;
         attempts.keep_to(software);
-        if !call.takes_up() {
+        // The entry that took the request keeps the record.
+        if !call.takes_up() && call.forwarded_by.is_none() {
             let record = origin::record(core.clone(), call.clone(), software.clone());
             recording = Some(Box::pin(record));
         }
@@ -99,7 +100,8 @@
         state: State::Reading(Box::new(source)),
         attempts: Some(attempts),
         request_log: Some(request_log),
-        usage_recorded: false,
+        // Counted by the entry that took the request.
+        usage_recorded: call.forwarded_by.is_some(),
         call,
     };
     Response::from_parts(parts, relay.boxed_unsync())
@@ -136,7 +138,8 @@
         let now = Instant::now();
         let is_complete = is_complete && source.framing != Framing::Connection;
         let has_begun_well = is_complete || source.goes_on(now);
-        if !has_begun_well || source.begun_well || self.status >= 300 {
+        let is_known = source.begun_well || source.via.is_some();
+        if !has_begun_well || is_known || self.status >= 300 {
             return;
         }
         source.begun_well = true;
@@ -210,6 +213,7 @@
         self.record_begun_well(true);
         if let State::Reading(source) = &self.state
             && source.framing == Framing::Connection
+            && source.via.is_none()
             && !source.begun_well
         {
             // A crash between two events ends such an answer in the same way.
@@ -222,6 +226,7 @@
                 connection,
                 reply,
                 framing,
+                via,
                 ..
             } = *source;
             let outcome = match self.status {
@@ -232,7 +237,7 @@
             let choice = ticket.choice();
             let now = Instant::now();
             let max_connections = self.core.table.load().max_connections(&self.call.service);
-            if framing != Framing::Connection {
+            if framing != Framing::Connection && via.is_none() {
                 lock(&self.core.pool).put(
                     choice,
                     connection,
@@ -256,7 +261,9 @@
         source.ticket.finish(Outcome::Failed);
         let upstream = source.ticket.choice().upstream.clone();
         if !source.begun_well {
-            crash::check(&self.core, &self.call, source.ticket.choice());
+            if source.via.is_none() {
+                crash::check(&self.core, &self.call, source.ticket.choice());
+            }
             if let Some(attempts) = &mut self.attempts {
                 attempts.record_broken();
             }
@@ -271,7 +278,9 @@
             %framing,
             "answer: the upstream failed before the end: {detail}"
         );
-        let Some(events) = self.events.as_mut().filter(|_| self.call.is_idempotent()) else {
+        // The entry that took the request counts the attempts, and resumes the stream.
+        let may_resume = self.call.is_idempotent() && self.call.forwarded_by.is_none();
+        let Some(events) = self.events.as_mut().filter(|_| may_resume) else {
             return;
         };
         events.discard_partial();
--- a/components/gateway/src/relay/source.rs
+++ b/components/gateway/src/relay/source.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use config::ids::NodeId;
 use http::response;
 use hyper::body::Incoming;
 use web::Framing;
@@ -25,6 +26,8 @@
     pub(super) ticket: Ticket,
     pub(super) connection: Connection,
     pub(super) reply: Reply,
+    /// Entry that passes the answer on; `None` if the upstream sends it.
+    pub(super) via: Option<NodeId>,
     /// When the first data came with which the answer may have begun well.
     lasts_since: Option<Instant>,
     /// Whether it is recorded that the answer has begun well.
@@ -40,6 +43,7 @@
             ticket: answer.ticket,
             connection: answer.connection,
             reply: answer.reply,
+            via: answer.via,
             lasts_since: None,
             begun_well: false,
         };
--- a/components/gateway/src/request_log.rs
+++ b/components/gateway/src/request_log.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use config::ids::{AccountId, RequestId, UpstreamId};
+use config::ids::{AccountId, NodeId, RequestId, UpstreamId};
 use tracing::info;
 use upstream::Software;
 use web::Framing;
@@ -31,6 +31,10 @@
     /// Why the upstream was chosen, with the figures of the choice; `inputs` in the log.
     reason: CompactString,
     sends: u32,
+    /// Entry through which the request went last.
+    via: Option<NodeId>,
+    /// Entry that took the request from its caller, if this one makes an attempt for it.
+    forwarded_by: Option<NodeId>,
     /// Framing of the answer that is passed on; `None` before its head.
     framing: Option<Framing>,
     first_event: Option<Duration>,
@@ -56,6 +60,8 @@
             resumes: RequestId::default(),
             reason: CompactString::default(),
             sends: 0,
+            via: None,
+            forwarded_by: None,
             framing: None,
             first_event: None,
             outcome: None,
@@ -90,6 +96,14 @@
         self.sends += 1;
     }
 
+    pub(crate) fn set_via(&mut self, entry: &NodeId) {
+        self.via = Some(entry.clone());
+    }
+
+    pub(crate) fn set_forwarded_by(&mut self, entry: &NodeId) {
+        self.forwarded_by = Some(entry.clone());
+    }
+
     pub(crate) fn set_framing(&mut self, framing: Framing) {
         self.framing = Some(framing);
     }
@@ -108,9 +122,10 @@
         self.core.drain.leave();
         let total = self.arrived.elapsed();
         let (outcome, status) = self.outcome.take().unwrap_or(("caller-left".into(), 0));
-        self.core
-            .metrics
-            .record_request(&self.route, &outcome, self.first_event, total);
+        if self.forwarded_by.is_none() {
+            let metrics = &self.core.metrics;
+            metrics.record_request(&self.route, &outcome, self.first_event, total);
+        }
         info!(
             request = %self.id,
             route = %self.route,
@@ -121,6 +136,8 @@
             software = %self.software,
             resumes = %self.resumes,
             sends = self.sends,
+            via = self.via.as_deref(),
+            forwarded_by = self.forwarded_by.as_deref(),
             framing = self.framing.map(tracing::field::display),
             status,
             first_ms = self.first_event.map(|first| first.as_millis() as u64),
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -19,7 +19,7 @@
 use crate::pool::Pool;
 use crate::{
     Accounts, Balancer, Metrics, Protocol, Readiness, Retries, Settings, Table, Usage, exchange,
-    sync,
+    forward, reach, sync,
 };
 
 /// Number of entries assumed to share the retry budget until the leader has answered the first
@@ -50,6 +50,7 @@
         let servers = listen(&core)?;
         tokio::spawn(sync::watch_view(core.clone()));
         tokio::spawn(sync::report(core.clone()));
+        tokio::spawn(reach::run(core.clone()));
         info!(
             "gateway: listens on {} for callers and on {} for readiness",
             core.settings.listen, core.settings.ready
@@ -101,6 +102,8 @@
 /// Servers of the gateway; the readiness and metrics listeners run until the process ends.
 struct Servers {
     callers: web::Server,
+    /// Takes requests that other entries forward.
+    forwarded: Option<web::Server>,
     _ready: web::Server,
     _metrics: Option<web::Server>,
 }
@@ -120,6 +123,8 @@
         quarantine: Mutex::default(),
         broken: Mutex::default(),
         permits: Mutex::default(),
+        reach: Mutex::default(),
+        forwarders: Mutex::default(),
         report_now: Notify::new(),
         retries: Mutex::new(Retries::new(settings.retries, ASSUMED_ENTRIES)),
         usage: Mutex::new(Usage::new(settings.usage_window, unix_ms, now)),
@@ -161,7 +166,17 @@
             serve,
         ))
     };
+    let forwarded = |address| {
+        let core = core.clone();
+        let serve = move |request, _| forward::serve(core.clone(), request);
+        Ok::<_, Error>(web::Server::start(
+            web::listen(address)?,
+            web_settings,
+            serve,
+        ))
+    };
     Ok(Servers {
+        forwarded: core.settings.forwarding.map(forwarded).transpose()?,
         callers: web::Server::start(web::listen(core.settings.listen)?, web_settings, exchange),
         _ready: web::Server::start(web::listen(core.settings.ready)?, web_settings, ready),
         _metrics: core.settings.metrics.map(metrics).transpose()?,
@@ -201,11 +216,13 @@
             // Callers whose connections are closed open new ones, which the load balancer sends to
             // other entries.
             servers.callers.retire();
+            servers.forwarded.iter().for_each(web::Server::retire);
             is_retired = true;
         }
         sleep(STOP_POLL).await;
     }
     servers.callers.stop();
+    servers.forwarded.iter().for_each(web::Server::stop);
     sleep(CLOSE_DELAY).await;
     info!(
         "gateway: stopped, {} requests in progress",
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -22,6 +22,8 @@
     pub ready: SocketAddr,
     /// Address of the listener for metrics; `None` for no listener.
     pub metrics: Option<SocketAddr>,
+    /// Address of the listener for requests that other entries forward; `None` to take none.
+    pub forwarding: Option<SocketAddr>,
     /// Bounds on retries.
     pub retries: Retries,
     /// Length of the windows in which requests are counted; 0 disables the counts.
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -81,6 +81,8 @@
             quarantine,
             requests,
             limits,
+            forwarding: core.settings.forwarding,
+            out_of_reach: lock(&core.reach).lost(),
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
@@ -163,6 +165,7 @@
         && report.quarantine == other.quarantine
         && report.requests == other.requests
         && report.limits == other.limits
+        && report.out_of_reach == other.out_of_reach
 }
 
 /// Applies the leader's answer to the report whose statements have `number`, which was sent at
@@ -184,6 +187,7 @@
     };
     lock(&core.retries).update(share, retries::elapsed(core.started, now));
     lock(&core.pool).set_entries(overview.entries);
+    lock(&core.forwarders).set(overview.forwarders.clone());
     let unix_ms = overview.now_ms + u64::try_from(one_way.as_millis()).unwrap_or(0);
     lock(&core.usage).set_clock(unix_ms, now);
 }
--- a/components/gateway/src/table.rs
+++ b/components/gateway/src/table.rs
@@ -104,6 +104,11 @@
             .find(|route| path.starts_with(route.prefix.as_str()))
     }
 
+    /// Returns the account `name`, if it has a key.
+    pub(crate) fn account_named(&self, name: &str) -> Option<&Arc<Account>> {
+        self.accounts.values().find(|account| account.name == name)
+    }
+
     /// Returns the account that a key belongs to.
     pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
         self.accounts.get(key)
--- a/components/gateway/src/ticket.rs
+++ b/components/gateway/src/ticket.rs
@@ -29,6 +29,13 @@
         }
     }
 
+    /// Creates the ticket of a request that another entry has counted.
+    pub(crate) fn uncounted(core: &Arc<Core>, choice: Choice) -> Self {
+        let mut ticket = Ticket::new(core, choice);
+        ticket.finished = true;
+        ticket
+    }
+
     pub(crate) fn choice(&self) -> &Choice {
         &self.choice
     }
@@ -48,7 +55,9 @@
         if self.first_event.is_none() {
             let now = Instant::now();
             self.first_event = Some(now);
-            lock(&self.core.balancer).record_first_event(&self.choice, now - self.sent_at, now);
+            if !self.finished {
+                lock(&self.core.balancer).record_first_event(&self.choice, now - self.sent_at, now);
+            }
         }
     }
 
--- a/components/gateway/tests/admission.rs
+++ b/components/gateway/tests/admission.rs
@@ -37,6 +37,7 @@
         shared_parts: Vec::new(),
         resume_after,
         resumes: None,
+        forwarded_by: None,
         arrived: now,
         deadline: now + Duration::from_secs(12),
     }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -23,5 +23,7 @@
 pub use hello::{Hello, PROTOCOL_VERSION, Role};
 pub use malformed::Malformed;
 pub use push::Push;
-pub use report::{Balance, Balances, DemandTotals, Limits, Overview, Report, Statements, Work};
+pub use report::{
+    Balance, Balances, DemandTotals, Forwarder, Limits, Overview, Report, Statements, Work,
+};
 pub use request::{Body, Query, Request};
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -1,6 +1,8 @@
 //! Reports of entries on their work, and the leader's sums over all entries.
 
-use config::ids::{AccountId, ServiceId, UpstreamId};
+use std::net::SocketAddr;
+
+use config::ids::{AccountId, NodeId, ServiceId, UpstreamId};
 use limits::{Naming, Permit, Statement};
 use serde::{Deserialize, Serialize};
 use state::usage::Window;
@@ -29,6 +31,12 @@
     /// Limits that upstreams named and that differ from what the leader has told.
     #[serde(default)]
     pub limits: Limits,
+    /// Address at which the entry takes requests that others forward; `None` if it takes none.
+    #[serde(default)]
+    pub forwarding: Option<SocketAddr>,
+    /// Services of which the entry reaches no upstream.
+    #[serde(default)]
+    pub out_of_reach: Vec<ServiceId>,
 }
 
 /// Totals of what callers requested of a service.
@@ -108,6 +116,19 @@
     /// Permits that nobody has drawn.
     #[serde(default)]
     pub permits: Vec<Permit>,
+    /// Entries to which the reporting one may forward requests: they reach the upstreams that it
+    /// does not.
+    #[serde(default)]
+    pub forwarders: Vec<Forwarder>,
+}
+
+/// An entry that takes requests of others and sends them to upstreams.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Forwarder {
+    /// Name of the entry.
+    pub node: NodeId,
+    /// Address at which it takes them.
+    pub address: SocketAddr,
 }
 
 /// Limits that upstreams named in their answers.
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -56,6 +56,7 @@
             .ready
             .unwrap_or(SocketAddr::new(settings.address, entry.port + 1)),
         metrics: settings.metrics,
+        forwarding: entry.forwarding,
         retries: entry.retries,
         usage_window: settings.control.usage.window,
         balancer_lag: entry.balancer_lag,
