gateway: Don't take a cut of this entry for crashes of upstreams

When an entry's connections were reset and new ones refused, its search for crashes took each of them for a crash. A request that was on several of them went into quarantine at all entries, and its callers got 400.

--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -2,7 +2,8 @@
 //!
 //! An upstream whose connection broke has crashed if it refuses new connections at once. Something
 //! else may accept connections in its place, as a supervisor does; then it has crashed if another
-//! process takes its place soon, without the upstream having said that it leaves.
+//! process takes its place soon, without the upstream having said that it leaves. An entry that is
+//! cut off from all upstreams can't tell.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use crate::balancer::Choice;
 use crate::call::Call;
 use crate::core::{Core, lock};
+use crate::reach;
 
 /// Pauses before the attempts to connect with an upstream whose connection broke. One that crashes
 /// may still accept connections for a moment.
@@ -24,6 +26,8 @@
 ];
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time within which other upstreams refuse connections as well if this entry is cut off.
+const CUT_OFF_TIME: Duration = Duration::from_millis(60);
 /// Time within which another process takes the place of an upstream that crashed.
 const RESTART_TIME: Duration = Duration::from_secs(6);
 /// Broken connections that are kept at one time, in case their upstream is replaced.
@@ -87,6 +91,9 @@
     let core = core.clone();
     tokio::spawn(async move {
         match refuses_connections(&core, &broken.choice).await {
+            true if is_cut_off(&core, &broken).await => {
+                broken.log("not known, as this entry reaches no upstream");
+            }
             true => {
                 broken.log("the upstream refuses connections");
                 record(&core, &broken);
@@ -127,6 +134,17 @@
     core.report_now.notify_one();
 }
 
+/// Reports whether this entry reaches no upstream of any service, and not only none of that of a
+/// broken connection, whose upstreams may all have crashed.
+async fn is_cut_off(core: &Arc<Core>, broken: &Connection) -> bool {
+    let Connection { choice, call, .. } = broken;
+    reach::record(core, &call.service, &choice.upstream, false);
+    sleep(CUT_OFF_TIME).await;
+    let services = lock(&core.balancer).services();
+    let reach = lock(&core.reach);
+    services.iter().all(|service| reach.is_lost(service))
+}
+
 async fn refuses_connections(core: &Core, choice: &Choice) -> bool {
     for pause in PAUSES {
         sleep(pause).await;
