gateway: Bound the refusals of brittle upstreams over all entries

Each upstream now has as many places as it bears refusals, divided among the entries. So the bound holds whatever the room is, and no entry asks another one first. An entry without a place forwards its requests.

--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -8,9 +8,9 @@
 use std::time::{Duration, Instant};
 
 use config::Text;
-use config::ids::{AccountId, ServiceId, UpstreamId};
-use indexmap::IndexMap;
-use limits::Permits;
+use config::ids::{AccountId, NodeId, ServiceId, UpstreamId};
+use indexmap::{IndexMap, IndexSet};
+use limits::{Permits, Refusals};
 use placement::autoscaler::Demand;
 use quarantine::{Evidence, Kind, Record};
 use state::usage::{Counts, Window};
@@ -40,6 +40,8 @@
     /// Evidence about requests that crash upstreams.
     requests: Evidence,
     permits: Permits,
+    /// What the upstreams of a service said about the refusals that they bear, and when.
+    refusals: IndexMap<ServiceId, (Option<u32>, Instant)>,
     /// Started requests by usage window, process and account.
     window_counts: IndexMap<Window, IndexMap<EntryProcess, Counts>>,
     rates: IndexMap<ServiceId, Rate>,
@@ -65,6 +67,7 @@
             parts: Evidence::new(Kind::Part, 0, &[], now),
             requests: Evidence::new(Kind::Request, 0, &[], now),
             permits: Permits::new(0),
+            refusals: IndexMap::new(),
             window_counts: IndexMap::new(),
             rates: IndexMap::new(),
         }
@@ -86,6 +89,7 @@
         self.parts = Evidence::new(Kind::Part, term, verdicts, now);
         self.requests = Evidence::new(Kind::Request, term, verdicts, now);
         self.permits = Permits::new(term);
+        self.refusals.clear();
     }
 
     /// Returns the limits that upstreams named.
@@ -112,6 +116,7 @@
         let requests = self.requests.record(&process, &report.requests, now);
         let limits = self.record_limits(&report.limits, now);
         let permits = self.permits.offer(now);
+        self.record_refusals(&report.refusals, now);
         let report = EntryReport {
             at: now,
             work: report.work,
@@ -121,6 +126,7 @@
         };
         let forwarders = self.forwarders(&process, &report.out_of_reach, now);
         self.add_demand(&process, &report.demand, now);
+        let node = process.0.clone();
         self.entries.insert(process, report);
         Overview {
             now_ms: 0,
@@ -132,10 +138,53 @@
             requests,
             limits,
             permits,
+            refusals: self.refusals(now),
+            position: self.position(&node, now),
             forwarders,
         }
     }
 
+    /// Records what upstreams said about refusals. Of two statements the later one counts.
+    fn record_refusals(&mut self, statements: &[Refusals], now: Instant) {
+        for statement in statements {
+            let age = Duration::from_millis(statement.age_ms);
+            let said = now.checked_sub(age).unwrap_or(now);
+            let known = self.refusals.get(&statement.service);
+            if known.is_none_or(|(_, known)| *known < said) {
+                let service = statement.service.clone();
+                self.refusals.insert(service, (statement.bearable, said));
+            }
+        }
+    }
+
+    fn refusals(&self, now: Instant) -> Vec<Refusals> {
+        let statements = self.refusals.iter().map(|(service, (bearable, said))| {
+            let age = now.saturating_duration_since(*said);
+            Refusals {
+                service: service.clone(),
+                bearable: *bearable,
+                age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            }
+        });
+        statements.collect()
+    }
+
+    /// Returns the position of an entry among those that reported, and their number, while upstreams
+    /// bear few refusals.
+    fn position(&self, node: &NodeId, now: Instant) -> Option<(u32, u32)> {
+        self.refusals.values().find_map(|(bearable, _)| *bearable)?;
+        let live = self
+            .entries
+            .iter()
+            .filter(|(_, report)| now.saturating_duration_since(report.at) < REPORT_LIFETIME);
+        let nodes: IndexSet<&NodeId> = live.map(|((node, _), _)| node).collect();
+        let before = nodes.iter().filter(|other| **other < node).count();
+        Some((
+            u32::try_from(before).ok()?,
+            u32::try_from(nodes.len()).ok()?,
+        ))
+    }
+
     /// Returns entries to which `process` may forward requests: if it does not reach some services,
     /// those that reach these, otherwise those that reach all.
     fn forwarders(
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -9,6 +9,7 @@
 //! as reported by the leader, which is some hundred milliseconds old, plus the work that this entry
 //! has added since its last report.
 
+mod brittle;
 mod choice;
 mod estimate;
 mod health;
@@ -19,6 +20,7 @@
 mod settings;
 mod upstream;
 
+pub use brittle::Position;
 pub use choice::{Choice, Criteria, Shortage};
 pub use settings::Settings;
 
@@ -34,6 +36,7 @@
 use wire::Work;
 
 use crate::call::PartId;
+use brittle::Brittle;
 use estimate::{Affinity, Estimate};
 use upstream::Upstream;
 
@@ -42,6 +45,7 @@
 pub struct Balancer {
     settings: Settings,
     upstreams: IndexMap<UpstreamId, Upstream>,
+    brittle: Brittle,
     /// Number of choices so far.
     choices: u64,
 }
@@ -181,15 +185,14 @@
         })
     }
 
-    /// Returns why no upstream is usable: all that could take the request have paused, or there is
-    /// none.
+    /// Returns why no upstream is usable: all that could take the request have paused, this entry has no
+    /// place at a brittle one, or there is none.
     fn shortage(&self, criteria: &Criteria<'_>, now: Instant) -> Shortage {
         let candidates = self.upstreams.iter();
         let candidates = candidates.filter(|(name, u)| is_candidate(name, u, criteria));
         let pauses = candidates.filter_map(|(_, upstream)| upstream.pause(now));
-        pauses
-            .min()
-            .map_or(Shortage::NoUpstream, Shortage::Overloaded)
+        let wait = pauses.min().or_else(|| self.brittle_wait(criteria, now));
+        wait.map_or(Shortage::NoUpstream, Shortage::Overloaded)
     }
 
     /// Returns the engine from which the chosen one may fetch parts that it lacks.
@@ -220,6 +223,7 @@
             is_candidate(name, upstream, criteria)
                 && upstream.pause(now).is_none()
                 && upstream.limit.allows(now)
+                && self.brittle.allows(name, upstream, now)
         };
         let all: Vec<_> = self.upstreams.iter().filter(is_candidate).collect();
         let is_live = |upstream: &Upstream| now < upstream.expires;
--- a/components/gateway/src/balancer/choice.rs
+++ b/components/gateway/src/balancer/choice.rs
@@ -39,6 +39,8 @@
     pub address: SocketAddr,
     /// Engine from which the upstream may fetch parts of the prompt that it lacks.
     pub fetch_from: Option<SocketAddr>,
+    /// Whether the upstream is known to have taken the request.
+    pub is_taken: bool,
     /// Tokens of the prompt that the upstream has to compute.
     pub uncached_tokens: u32,
     /// Expected time to the first event.
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -10,6 +10,7 @@
 use wire::Work;
 
 use super::Outcome;
+use super::brittle::Places;
 use super::choice::{Choice, Criteria};
 use super::estimate::Estimate;
 use super::health::Health;
@@ -50,6 +51,8 @@
     pub(super) prefixes: Prefixes,
     pub(super) health: Health,
     pub(super) limit: Limit,
+    /// This entry's requests of which it is not known whether the upstream took them.
+    pub(super) places: Places,
     /// Whether an answer said that the process is leaving.
     pub(super) said_leaving: bool,
     /// Until when the process takes no requests, as it said in an answer.
@@ -79,6 +82,7 @@
             prefixes: Prefixes::default(),
             health: Health::default(),
             limit: Limit::default(),
+            places: Places::default(),
             said_leaving: false,
             paused_until: None,
         }
@@ -125,6 +129,7 @@
         now: Instant,
     ) -> Choice {
         self.limit.take(now);
+        self.places.take(now);
         self.own_work.requests += 1;
         self.own_work.prefill_tokens += estimate.uncached_tokens;
         if let Some(prompt) = criteria.prompt.filter(|_| self.is_engine) {
@@ -142,6 +147,7 @@
             software: self.software.clone(),
             address: self.address,
             fetch_from: None,
+            is_taken: false,
             uncached_tokens: estimate.uncached_tokens,
             expected_first_event: estimate.first_event,
             reason: format_compact!(
@@ -170,6 +176,11 @@
         now: Instant,
     ) {
         self.own_work.requests = self.own_work.requests.saturating_sub(1);
+        match (choice.is_taken, outcome) {
+            (true, _) => {}
+            (false, Outcome::Unsent | Outcome::Unreachable) => self.places.release(),
+            (false, _) => self.places.spend(self.own_work.requests, now),
+        }
         if !prompt_computed {
             self.release_prefill(choice);
         }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -124,7 +124,8 @@
         true => MAX_CONNECT_FAILURES_OUT_OF_REACH,
         false => MAX_CONNECT_FAILURES,
     };
-    let forwarder = match is_lost || failures >= limit {
+    let has_no_place = lock(&core.balancer).has_no_place(&call.service, Instant::now());
+    let forwarder = match is_lost || has_no_place || failures >= limit {
         true => through::next(core, attempts),
         false => None,
     };
--- a/components/gateway/src/dispatch/attempt.rs
+++ b/components/gateway/src/dispatch/attempt.rs
@@ -131,6 +131,7 @@
         });
         return Err(failure);
     }
+    ticket.record_taken();
     let answer = Answer {
         ticket,
         connection,
@@ -187,11 +188,30 @@
         info!(upstream = %choice.upstream, "pause: the upstream takes no requests for {pause:?}");
         lock(&core.balancer).record_pause(choice, pause, Instant::now());
     }
+    if reply.brittle.is_some() || is_own {
+        record_brittle(core, choice, reply.brittle, sent_at);
+    }
     if reply.limit.is_some() || is_own {
         record_limit(core, choice, reply.limit, sent_at);
     }
 }
 
+/// Records how many refusals the upstream bears according to its answer.
+fn record_brittle(core: &Core, choice: &Choice, refusals: Option<u32>, sent_at: Instant) {
+    let now = Instant::now();
+    let is_change = lock(&core.balancer).record_brittle(choice, refusals, sent_at, now);
+    if !is_change {
+        return;
+    }
+    core.report_now.notify_one();
+    match refusals {
+        Some(refusals) => {
+            info!(upstream = %choice.upstream, refusals, "brittle: said by the upstream");
+        }
+        None => info!(upstream = %choice.upstream, "brittle: no longer said by the upstream"),
+    }
+}
+
 /// Records the limit that an answer names, or that it names none.
 fn record_limit(core: &Core, choice: &Choice, limit: Option<f64>, sent_at: Instant) {
     let now = Instant::now();
--- a/components/gateway/src/forward/client.rs
+++ b/components/gateway/src/forward/client.rs
@@ -137,6 +137,7 @@
         software: served.software,
         address: SocketAddr::new(address.ip(), address.port()),
         fetch_from: None,
+        is_taken: true,
         uncached_tokens: 0,
         expected_first_event: Duration::ZERO,
         reason: compact_str::format_compact!("chosen by entry {node}"),
--- a/components/gateway/src/forward/server.rs
+++ b/components/gateway/src/forward/server.rs
@@ -110,6 +110,9 @@
     attempt: &Attempt,
     request_log: &mut RequestLog,
 ) -> Result<Answer, Failure> {
+    if lock(&core.balancer).has_no_place(&call.service, Instant::now()) {
+        return Err(unable("this entry has no place at a brittle upstream"));
+    }
     let mut excluded = attempt.excluded.clone();
     for _ in 0..dispatch::MAX_CONNECT_FAILURES {
         if lock(&core.reach).is_lost(&call.service) {
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -84,6 +84,9 @@
     pub load: Option<(u32, u32)>,
     /// Requests a second that the upstream takes from all entries together; `None` for no limit.
     pub limit: Option<f64>,
+    /// Requests that the upstream can refuse within a second for want of room before it falls; `None`
+    /// if it is not brittle.
+    pub brittle: Option<u32>,
     /// Time for which the upstream takes no requests.
     pub pause: Option<Duration>,
     /// Whether the upstream is leaving.
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use config::ids::ServiceId;
 use fleet::{Control, View};
-use limits::{Naming, PERMIT_LIFETIME, Process};
+use limits::{Naming, PERMIT_LIFETIME, Process, Refusals};
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 use wire::{Limits, Report};
 
+use crate::balancer::Position;
 use crate::core::{Core, lock};
 use crate::{Share, Table, crash, retries};
 
@@ -66,12 +68,14 @@
     let mut last: Option<(Report, Instant)> = None;
     let mut is_reachable = true;
     let mut told = Limits::default();
+    let mut told_refusals = Vec::new();
     while !core.readiness.wait(REPORT_PERIOD).await {}
     loop {
         let limited = core.table.load();
         let statements =
             lock(&core.accounts).statements(limited.limited_accounts(), Instant::now());
         let limits = changed_limits(&core, &told, Instant::now());
+        let refusals = changed_refusals(&core, &told_refusals, Instant::now());
         let (quarantine, requests) = lock(&core.quarantine).report(Instant::now());
         let report = Report {
             statements,
@@ -81,6 +85,7 @@
             quarantine,
             requests,
             limits,
+            refusals,
             forwarding: core.settings.forwarding,
             out_of_reach: lock(&core.reach).lost(),
         };
@@ -100,6 +105,7 @@
             Ok(overview) => {
                 apply_overview(&core, number, &overview, sent_at);
                 told = overview.limits.unwrap_or(told);
+                told_refusals = overview.refusals;
             }
             Err(error) if is_reachable => warn!("gateway: report to the leader failed: {error}"),
             Err(_) => {}
@@ -143,6 +149,18 @@
     }
 }
 
+/// Returns what upstreams said about the refusals that they bear where it differs from what the
+/// leader has `told`.
+fn changed_refusals(core: &Core, told: &[Refusals], now: Instant) -> Vec<Refusals> {
+    let known = |service: &ServiceId| {
+        let mut told = told.iter();
+        told.find(|told| told.service == *service)?.bearable
+    };
+    let mut statements = lock(&core.balancer).brittle(now);
+    statements.retain(|statement| known(&statement.service) != statement.bearable);
+    statements
+}
+
 /// Applies the limits and the permits of the leader's answer to a report that was sent at `sent_at`.
 fn apply_limits(core: &Core, overview: &wire::Overview, sent_at: Instant, now: Instant) {
     let mut balancer = lock(&core.balancer);
@@ -151,6 +169,10 @@
         let said = now.checked_sub(age).unwrap_or(now);
         balancer.learn_limit(&naming.process, naming.rate, said);
     }
+    let position = overview
+        .position
+        .map(|(index, count)| Position { index, count });
+    balancer.learn_brittle(&overview.refusals, position, now);
     for permit in &overview.permits {
         balancer.add_permits(permit, sent_at + PERMIT_LIFETIME);
     }
@@ -165,6 +187,7 @@
         && report.quarantine == other.quarantine
         && report.requests == other.requests
         && report.limits == other.limits
+        && report.refusals == other.refusals
         && report.out_of_reach == other.out_of_reach
 }
 
--- a/components/gateway/src/ticket.rs
+++ b/components/gateway/src/ticket.rs
@@ -44,6 +44,13 @@
         self.sent_at
     }
 
+    /// Records that the upstream took the request.
+    pub(crate) fn record_taken(&mut self) {
+        if !std::mem::replace(&mut self.choice.is_taken, true) {
+            lock(&self.core.balancer).record_taken(&self.choice);
+        }
+    }
+
     /// Reports whether the first event came long enough ago for the answer to have begun well.
     pub(crate) fn has_begun_well(&self) -> bool {
         self.first_event
--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -220,6 +220,7 @@
     pub(crate) fn fail(&mut self, entry: usize, upstream: &str) {
         let announcement = &self.engines[upstream];
         let choice = Choice {
+            is_taken: false,
             upstream: upstream.into(),
             software: Default::default(),
             incarnation: announcement.incarnation,
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -12,6 +12,7 @@
 //!   what it spent. The leader divides the limit again with each [`Statement`], and also sends the
 //!   [`Headroom`] that all entries together have at their pace, from the statements it adds up in a
 //!   [`SlidingWindow`].
+//! - [`Refusals`]: what upstreams that fall after too many refusals say about themselves.
 //! - Permits: limits that upstreams name are kept by [`Permits`] of the leader for single requests,
 //!   which expire soon.
 
@@ -26,6 +27,7 @@
 mod permits;
 mod policy;
 mod rate;
+mod refusals;
 mod report;
 mod share;
 mod sliding_window;
@@ -42,6 +44,7 @@
 pub use permits::{Drawn, Naming, PERMIT_LIFETIME, Permit, Permits, Process};
 pub use policy::Policy;
 pub use rate::{Rate, token_rate};
+pub use refusals::Refusals;
 pub use report::Report;
 pub use share::Share;
 pub use sliding_window::{RECORD_PERIOD, SlidingWindow};
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use config::ids::{AccountId, NodeId, ServiceId, UpstreamId};
-use limits::{Naming, Permit, Statement};
+use limits::{Naming, Permit, Refusals, Statement};
 use serde::{Deserialize, Serialize};
 use state::usage::Window;
 
@@ -31,6 +31,10 @@
     /// Limits that upstreams named and that differ from what the leader has told.
     #[serde(default)]
     pub limits: Limits,
+    /// What upstreams said about the refusals that they bear, where it differs from what the leader
+    /// has told.
+    #[serde(default)]
+    pub refusals: Vec<Refusals>,
     /// Address at which the entry takes requests that others forward; `None` if it takes none.
     #[serde(default)]
     pub forwarding: Option<SocketAddr>,
@@ -116,6 +120,13 @@
     /// Permits that nobody has drawn.
     #[serde(default)]
     pub permits: Vec<Permit>,
+    /// What upstreams said about the refusals that they bear.
+    #[serde(default)]
+    pub refusals: Vec<Refusals>,
+    /// Position of the reporting entry among all, from 0, and their number; set while upstreams bear
+    /// few refusals.
+    #[serde(default)]
+    pub position: Option<(u32, u32)>,
     /// Entries to which the reporting one may forward requests: they reach the upstreams that it
     /// does not.
     #[serde(default)]
