gateway: Check once more that an upstream takes requests before one is sent

A request whose connection took long to open reached an upstream that had named a pause, or said that it leaves, in the meantime: that was checked when the upstream was chosen. The test, which failed (2 requests in place of 1, on calls that run once and streams), passes: the request is withdrawn, goes to another upstream or is refused with the time to come back, and counts neither as sent nor as a failed connection. The users' record is not reproduced by it; the window was 150 ms, within the half second that they bear.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -327,6 +327,14 @@
         }
     }
 
+    /// Reports whether the upstream of a choice still takes requests: it has neither paused since nor
+    /// said that it is leaving.
+    pub fn takes_requests(&self, choice: &Choice, now: Instant) -> bool {
+        let upstream = self.upstreams.get(&choice.upstream);
+        let current = upstream.filter(|upstream| upstream.incarnation == choice.incarnation);
+        current.is_none_or(|upstream| !upstream.is_leaving() && upstream.pause(now).is_none())
+    }
+
     /// Reports whether the upstream of a choice has said that it is leaving or reclaimed.
     pub fn is_leaving(&self, choice: &Choice) -> bool {
         let upstream = self.upstreams.get(&choice.upstream);
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -92,7 +92,7 @@
         match failure {
             Failure::ServerError(answer) => server_error = Some(answer),
             Failure::NotRun if is_last => return fallback(server_error, attempts.shed()),
-            Failure::Unsent(_) | Failure::NotRun => {}
+            Failure::Unsent(_) | Failure::Withdrawn | Failure::NotRun => {}
             _ if is_last || !call.is_idempotent() => {
                 let refusal = attempts.unknown_outcome.take();
                 return fallback(server_error, refusal.unwrap_or(Refusal::TimedOut));
--- a/components/gateway/src/dispatch/attempt.rs
+++ b/components/gateway/src/dispatch/attempt.rs
@@ -38,6 +38,9 @@
 pub(crate) enum Failure {
     /// No connection could be opened, and nothing was sent.
     Unsent(String),
+    /// While the connection was opened, the upstream said that it takes no requests for now or is
+    /// leaving, and nothing was sent.
+    Withdrawn,
     /// The upstream refused the request without running it.
     NotRun,
     /// The connection failed before the head of an answer; the request may have run.
@@ -55,6 +58,7 @@
     pub(crate) fn name(&self) -> &'static str {
         match self {
             Failure::Unsent(_) => "unsent",
+            Failure::Withdrawn => "withdrawn",
             Failure::NotRun => "not-run",
             Failure::Broken(_) | Failure::Unknown(_) => "unclear",
             Failure::TimedOut => "timed-out",
@@ -68,6 +72,7 @@
             Failure::Unsent(detail) | Failure::Broken(detail) | Failure::Unknown(detail) => {
                 detail.as_str()
             }
+            Failure::Withdrawn => "the upstream takes no requests since it was chosen",
             Failure::NotRun => "refused without running the request",
             Failure::TimedOut => "no answer in time",
             Failure::ServerError(_) => "server error, retrying at another upstream",
@@ -100,7 +105,12 @@
             return Err(Failure::Unsent(detail));
         }
     };
-    let time_left = call.time_left(Instant::now());
+    let now = Instant::now();
+    if !lock(&core.balancer).takes_requests(&choice, now) {
+        ticket.finish(Outcome::Unsent);
+        return Err(Failure::Withdrawn);
+    }
+    let time_left = call.time_left(now);
     let request = build_request(core, call, &choice, time_left, resume_after);
     let wait = match call.is_idempotent() && !is_last {
         true => head_timeout(call, Some(&choice)).min(time_left),
--- a/components/gateway/src/dispatch/attempts.rs
+++ b/components/gateway/src/dispatch/attempts.rs
@@ -83,6 +83,7 @@
             }
             Failure::Unknown(detail) => self.unknown_outcome = Some(Refusal::Lost(detail.clone())),
             Failure::TimedOut => self.unknown_outcome = Some(Refusal::TimedOut),
+            Failure::Withdrawn => return,
             Failure::NotRun | Failure::ServerError(_) => {}
         }
         self.sends += 1;
--- a/components/gateway/src/forward/server.rs
+++ b/components/gateway/src/forward/server.rs
@@ -143,7 +143,9 @@
         };
         failure.log(call, &choice);
         let reason = match failure {
-            dispatch::Failure::Unsent(_) | dispatch::Failure::ServerError(_) => {
+            dispatch::Failure::Unsent(_)
+            | dispatch::Failure::Withdrawn
+            | dispatch::Failure::ServerError(_) => {
                 excluded.push(choice.upstream);
                 continue;
             }
