--- a/components/gateway/src/dispatch/through.rs
+++ b/components/gateway/src/dispatch/through.rs
@@ -12,8 +12,8 @@
 use crate::forward;
 use crate::request_log::RequestLog;
 
-/// Entries that are asked for an attempt before the request is refused.
-const MAX_FORWARDERS_TRIED: usize = 3;
+/// Entries that are asked for an attempt before the request is refused: as many as the leader names.
+const MAX_FORWARDERS_TRIED: usize = 6;
 
 /// Returns the entry that is to be asked next; `None` if enough were, or none is known.
 pub(super) fn next(core: &Core, attempts: &Attempts) -> Option<Forwarder> {
