origin: Take no version for the only one soon after a start

A caller that took up a stream without naming the request that began it was served at the only software version that the entry knew. Such a caller is now refused as not run until the entry has run for twice the timeout of the route. Callers that name the request are served as before.

--- a/components/gateway/src/origin.rs
+++ b/components/gateway/src/origin.rs
@@ -12,6 +12,9 @@
 
 /// Longest time for which the first event waits until control processes hold the record.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(60);
+/// Longest time from the beginning of a stream until it is taken up last, relative to the timeout of
+/// its route. Callers may take it up several times, each time within the timeout.
+const LIFETIME_PER_TIMEOUT: u32 = 2;
 /// Longest wait for the answers of control processes about a stream.
 const FIND_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -40,11 +43,20 @@
     let software = match &call.resumes {
         Some(begun) => find_record(core, &key(call, begun)).await,
         // Callers that don't name the request know of one version only.
-        None => lock(&core.balancer).only_software(&call.service).cloned(),
+        None if knows_all_versions(core, call) => {
+            lock(&core.balancer).only_software(&call.service).cloned()
+        }
+        None => None,
     };
     software.map(Some).ok_or(Refusal::UnknownOrigin)
 }
 
+/// Reports whether this entry has known all upstreams for as long as a stream of the route may go
+/// on. After a start it does not know those that have left before.
+fn knows_all_versions(core: &Core, call: &Call) -> bool {
+    core.started.elapsed() >= call.route.timeout * LIFETIME_PER_TIMEOUT
+}
+
 async fn find_record(core: &Core, key: &StreamKey) -> Option<Software> {
     let own = lock(&core.origins).find(key).cloned();
     match own {
