gateway: Split the balancer's and the attempts' files, and find the criteria of a choice in one place

The criteria for an upstream stood twice since requests are forwarded. An answer through another entry no longer passes on a header of ours that an upstream may have set.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -17,6 +17,7 @@
 mod limit;
 mod limits;
 mod prefixes;
+mod serving;
 mod settings;
 mod upstream;
 
@@ -32,7 +33,7 @@
 use config::Text;
 use config::ids::{ServiceId, UpstreamId};
 use config::text::Kind;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use wire::Work;
 
 use crate::call::PartId;
@@ -90,42 +91,6 @@
         self.mark_superseded();
     }
 
-    /// Returns the upstreams of a service that serve and have a valid lease.
-    pub fn serving(&self, service: &str, now: Instant) -> Vec<(UpstreamId, SocketAddr)> {
-        let serving = self.upstreams.iter().filter(|(_, upstream)| {
-            upstream.service == service
-                && now < upstream.expires
-                && !upstream.superseded
-                && !upstream.is_leaving()
-        });
-        serving
-            .map(|(name, upstream)| (name.clone(), upstream.address))
-            .collect()
-    }
-
-    /// Returns the upstreams of a service that have said that they are leaving.
-    pub fn leaving(&self, service: &str) -> Vec<UpstreamId> {
-        let leaving = self
-            .upstreams
-            .iter()
-            .filter(|(_, upstream)| upstream.service == service && upstream.said_leaving);
-        leaving.map(|(name, _)| name.clone()).collect()
-    }
-
-    /// Returns the services that have upstreams.
-    pub fn services(&self) -> IndexSet<ServiceId> {
-        let upstreams = self.upstreams.values();
-        upstreams.map(|upstream| upstream.service.clone()).collect()
-    }
-
-    /// Ends the ejections of a service's upstreams, which were not at fault.
-    pub fn end_ejections(&mut self, service: &str) {
-        let upstreams = self.upstreams.values_mut();
-        for upstream in upstreams.filter(|upstream| upstream.service == service) {
-            upstream.health.end_ejection();
-        }
-    }
-
     /// Returns the number of known upstreams.
     pub fn len(&self) -> usize {
         self.upstreams.len()
@@ -327,14 +292,6 @@
         }
     }
 
-    /// Reports whether the upstream of a choice still takes requests: it has neither paused since nor
-    /// said that it is leaving.
-    pub fn takes_requests(&self, choice: &Choice, now: Instant) -> bool {
-        let upstream = self.upstreams.get(&choice.upstream);
-        let current = upstream.filter(|upstream| upstream.incarnation == choice.incarnation);
-        current.is_none_or(|upstream| !upstream.is_leaving() && upstream.pause(now).is_none())
-    }
-
     /// Reports whether the upstream of a choice has said that it is leaving or reclaimed.
     pub fn is_leaving(&self, choice: &Choice) -> bool {
         let upstream = self.upstreams.get(&choice.upstream);
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -2,12 +2,15 @@
 
 mod attempt;
 mod attempts;
+mod reply;
 mod through;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use config::ids::UpstreamId;
 use tracing::info;
+use upstream::Software;
 use wire::Forwarder;
 
 pub(crate) use attempt::{Answer, Failure, attempt, check, head_timeout};
@@ -144,18 +147,8 @@
     attempts: &mut Attempts,
     request_log: &mut RequestLog,
 ) -> Result<Answer, Failed> {
-    let time_left = call.time_left(Instant::now());
-    let criteria = Criteria {
-        service: &call.service,
-        prompt: call.prompt.as_ref(),
-        excluded: &attempts.excluded,
-        software: attempts.software.as_ref(),
-        time_left,
-        max_wait: match resume_after {
-            Some(_) => time_left,
-            None => admission::max_wait(call),
-        },
-    };
+    let software = attempts.software.as_ref();
+    let criteria = criteria(call, &attempts.excluded, software, resume_after);
     let chosen = choose(core, call, &criteria).await;
     let choice = chosen.map_err(|shortage| Failed::Refused(refusal(shortage, attempts)))?;
     let mut ticket = Ticket::new(core, choice.clone());
@@ -173,6 +166,28 @@
     })
 }
 
+/// Returns the criteria for the upstream of a call, which goes on after the event `resume_after` if
+/// that is set.
+pub(crate) fn criteria<'a>(
+    call: &'a Call,
+    excluded: &'a [UpstreamId],
+    software: Option<&'a Software>,
+    resume_after: Option<u64>,
+) -> Criteria<'a> {
+    let time_left = call.time_left(Instant::now());
+    Criteria {
+        service: &call.service,
+        prompt: call.prompt.as_ref(),
+        excluded,
+        software,
+        time_left,
+        max_wait: match resume_after {
+            Some(_) => time_left,
+            None => admission::max_wait(call),
+        },
+    }
+}
+
 /// Chooses an upstream. If none may take the request without it, draws a permit under the limit of
 /// one that names a limit.
 pub(crate) async fn choose(
--- a/components/gateway/src/forward/client.rs
+++ b/components/gateway/src/forward/client.rs
@@ -1,6 +1,5 @@
 //! The entry that forwards a request.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -128,14 +127,14 @@
     }
 }
 
-/// Returns the other entry's choice as far as it is known here.
+/// Returns the choice of the other entry, with that entry's address and without estimates.
 fn choice(served: Served, forwarder: &Forwarder) -> Choice {
     let Forwarder { node, address } = forwarder;
     Choice {
         upstream: served.upstream,
         incarnation: served.incarnation,
         software: served.software,
-        address: SocketAddr::new(address.ip(), address.port()),
+        address: *address,
         fetch_from: None,
         is_taken: true,
         uncached_tokens: 0,
@@ -144,8 +143,8 @@
     }
 }
 
-/// Returns the message that asks for an attempt at `call`.
 impl Attempt {
+    /// Creates the message that asks for the first attempt at `call`.
     pub(crate) fn new(core: &Core, call: &Call, now: Instant) -> Attempt {
         let time_left = call.time_left(now).as_millis();
         Attempt {
--- a/components/gateway/src/forward/server.rs
+++ b/components/gateway/src/forward/server.rs
@@ -9,13 +9,13 @@
 use upstream::SIGNATURE_HEADER;
 
 use super::message::{self, Attempt, Failure, Reason, Served};
-use crate::balancer::{Choice, Criteria, Shortage};
+use crate::balancer::{Choice, Shortage};
 use crate::call::{Admission, Call};
 use crate::core::{Core, lock};
 use crate::dispatch::{self, Answer, Attempts};
 use crate::request_log::RequestLog;
 use crate::ticket::Ticket;
-use crate::{admission, exchange, relay};
+use crate::{exchange, relay};
 
 /// Answers a request that another entry forwards.
 pub(crate) async fn serve(core: Arc<Core>, request: Request<Incoming>) -> Response<web::Body> {
@@ -43,7 +43,10 @@
             let served = message::encode(&served(answer.ticket.choice()));
             let attempts = Attempts::at(attempt.software);
             let mut answer = relay::relay(&core, call, answer, attempts, request_log);
-            answer.headers_mut().insert(message::SERVED, served);
+            let headers = answer.headers_mut();
+            // An upstream may have set it.
+            headers.remove(message::FAILURE);
+            headers.insert(message::SERVED, served);
             answer
         }
         Err(failure) => refuse(request_log, failure),
@@ -118,18 +121,8 @@
         if lock(&core.reach).is_lost(&call.service) {
             return Err(unable("this entry reaches no upstream either"));
         }
-        let time_left = call.time_left(Instant::now());
-        let criteria = Criteria {
-            service: &call.service,
-            prompt: call.prompt.as_ref(),
-            excluded: &excluded,
-            software: attempt.software.as_ref(),
-            time_left,
-            max_wait: match attempt.resume_after {
-                Some(_) => time_left,
-                None => admission::max_wait(call),
-            },
-        };
+        let software = attempt.software.as_ref();
+        let criteria = dispatch::criteria(call, &excluded, software, attempt.resume_after);
         let choice = dispatch::choose(core, call, &criteria)
             .await
             .map_err(shortage)?;
