--- a/components/gateway/src/reach/probe.rs
+++ b/components/gateway/src/reach/probe.rs
@@ -57,20 +57,21 @@
 fn lose(core: &Arc<Core>, service: &ServiceId) {
     warn!(%service, "reach: no upstream accepts connections from this entry");
     let now = Instant::now();
-    let (services, lost) = {
+    let (services, upstreams) = {
         let balancer = lock(&core.balancer);
-        let names = balancer.serving(service, now);
-        (balancer.services(), names)
+        (balancer.services(), balancer.serving(service, now))
     };
-    // Connections that are open may hang.
-    lock(&core.pool).remove_upstreams(|name| lost.iter().any(|(lost, _)| lost == name));
+    // Idle connections may hang.
+    let is_lost = |name: &UpstreamId| upstreams.iter().any(|(upstream, _)| upstream == name);
+    lock(&core.pool).remove_upstreams(is_lost);
     core.report_now.notify_one();
     // What cut off one service may have cut off others, which nobody may request now.
     for other in services.iter().filter(|other| *other != service) {
-        let known = lock(&core.balancer).serving(other, now);
-        let others = known.into_iter().take(CHECKED);
-        let is_lost = lock(&core.reach).is_lost(other);
-        for (name, address) in others.filter(|_| !is_lost) {
+        if lock(&core.reach).is_lost(other) {
+            continue;
+        }
+        let serving = lock(&core.balancer).serving(other, now);
+        for (name, address) in serving.into_iter().take(CHECKED) {
             check(core, other, &name, address);
         }
     }
@@ -93,7 +94,9 @@
             match serving.get(turn % serving.len().max(1)) {
                 Some((name, address)) => check(&core, &service, name, *address),
                 // Other entries know of no upstream either.
-                None => _ = lock(&core.reach).record_success(&service),
+                None => {
+                    lock(&core.reach).record_success(&service);
+                }
             }
         }
     }
