--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -29,6 +29,7 @@
         ("{{listen.ready}}", "10.1.0.14:8224"),
         ("{{listen.control}}", "10.1.0.14:8229"),
         ("{{internal_ports.0}}", "7600"),
+        ("{{internal_ports.1}}", "7615"),
         ("{{bounds.grace_s}}", "8"),
         ("{{bounds.lease_ms}}", "3000"),
         ("{{bounds.quota_window_s}}", "8"),
@@ -52,6 +53,9 @@
         assert_that!(findings, is_empty(), "{template}");
         let settings = settings.expect("there are no findings");
         assert_that!(settings.controls().len(), eq(3));
+        let forwarding = settings.entry.forwarding.map(|address| address.to_string());
+        let expected = (template == "deploy/entry.toml").then(|| "10.1.0.14:7615".to_owned());
+        assert_that!(forwarding, eq(&expected));
     }
 }
 
