--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -24,12 +24,8 @@
 /// Longest wait for a connection. The kernel retransmits a lost packet only after a second, so that
 /// a new attempt is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time after which the kernel closes a connection whose sent bytes or keep-alive probes are not
-/// acknowledged, whatever the number of probes. A sound upstream may be silent for a second or two.
+/// Time after which the kernel closes a connection whose sent bytes are not acknowledged.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time without data after which the kernel sends the first probe, and between two of them. An
-/// upstream that is cut off in the middle of a stream shows in no other way.
-const KEEP_ALIVE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1_024;
@@ -111,10 +107,6 @@
     let socket = SockRef::from(&stream);
     socket.set_tcp_nodelay(true)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    let keep_alive = TcpKeepalive::new()
-        .with_time(KEEP_ALIVE_PERIOD)
-        .with_interval(KEEP_ALIVE_PERIOD);
-    socket.set_tcp_keepalive(&keep_alive)?;
     Ok(stream)
 }
 
