forward: Log a message that a header can't hold

The comment said that JSON escapes all characters that a header can't have; it leaves DEL. The fallback to an empty message, which the other entry takes for an unclear outcome, was silent. Only the log line is new. Run: clippy; no test sends such a text.

--- a/components/gateway/src/forward/message.rs
+++ b/components/gateway/src/forward/message.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use tracing::warn;
 use upstream::Software;
 
 /// Header with the [`Attempt`] that the other entry is asked to make, in JSON.
@@ -86,11 +87,14 @@
     TimedOut,
 }
 
-/// Encodes a message as the value of a header.
+/// Encodes a message as the value of a header. One that a header can't hold, as with a DEL in the
+/// text of an error, becomes an empty one, which the other entry takes for an unclear outcome.
 pub(super) fn encode<T: Serialize>(message: &T) -> HeaderValue {
     let json = serde_json::to_vec(message).unwrap_or_default();
-    // JSON escapes control characters, the only ones that a header can't have.
-    HeaderValue::from_bytes(&json).unwrap_or(HeaderValue::from_static("{}"))
+    HeaderValue::from_bytes(&json).unwrap_or_else(|error| {
+        warn!("forward: a message can't be encoded: {error}");
+        HeaderValue::from_static("{}")
+    })
 }
 
 /// Decodes the message of a header; `None` if there is none or it can't be read.
