--- /dev/null
+++ b/components/control/tests/releases/main.rs
@@ -0,0 +1,194 @@
+//! Processes of this release beside one of an older release.
+
+mod older_process;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use config::Settings;
+use config::keys::{Keys, Secret};
+use config::settings::{Control as ControlSettings, Peer};
+use config::text::Text;
+use control::external::{Operation, Reply};
+use control::replica::{ConsensusReplica, Replica};
+use control::{Machine, Process, Sockets, start_group_with_parser};
+use fleet::{Control, Member};
+use googletest::prelude::*;
+use older_process::OlderProcess;
+use state::text::Replacement;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+const SECRET: &str = "fleet-secret";
+const TIMEOUT: Duration = Duration::from_secs(60);
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Bytes of a text that is larger than those that are committed whole among processes of this
+/// release.
+const LARGE_TEXT_BYTES: usize = 200 * 1_024;
+/// Longest wait of the operator.
+const IN_FORCE_WAIT: Duration = Duration::from_secs(2);
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn parse(_source: &str) -> std::result::Result<Text, String> {
+    Ok(Text::default())
+}
+
+async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < deadline, "timeout: {what}");
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+fn large_text(version: u64) -> Replacement {
+    Replacement {
+        version,
+        operator: "ana".into(),
+        source: format!("{version} {}", "route ".repeat(LARGE_TEXT_BYTES / 6)),
+    }
+}
+
+/// Two control processes of this release, and a spare of the older one.
+struct Group {
+    processes: Vec<Process<ConsensusReplica<Machine>>>,
+    older: std::sync::Arc<OlderProcess>,
+    _folder: TempDir,
+}
+
+impl Group {
+    async fn start() -> Group {
+        let folder = TempDir::new().expect("a folder can be made");
+        let sockets: Vec<Sockets> = (0..2)
+            .map(|_| Sockets::bind(any_port(), any_port()).expect("loopback can be listened on"))
+            .collect();
+        let listener = TcpListener::bind(any_port()).await.expect("a free port");
+        let mut addresses: Vec<SocketAddr> = sockets
+            .iter()
+            .map(|sockets| sockets.addresses().expect("they have addresses").0)
+            .collect();
+        addresses.push(listener.local_addr().expect("it has an address"));
+        let peer = |(index, address): (usize, &SocketAddr)| Peer {
+            node: format!("control-{index}").into(),
+            address: *address,
+            operators: *address,
+        };
+        let peers: Vec<Peer> = addresses.iter().enumerate().map(peer).collect();
+        let control = ControlSettings {
+            heartbeat: Duration::from_millis(60),
+            election_timeout: Duration::from_millis(400),
+            ..ControlSettings::default()
+        };
+        let consensus = consensus::Settings {
+            heartbeat: control.heartbeat,
+            election_timeout: control.election_timeout,
+            ..consensus::Settings::default()
+        };
+        let older = OlderProcess::start_spare(
+            "control-2",
+            SECRET,
+            listener,
+            &peers,
+            &folder.path().join("2"),
+            consensus,
+        );
+        let start = |(index, sockets): (usize, Sockets)| {
+            let settings = Settings {
+                node: peers[index].node.clone(),
+                data_folder: folder.path().join(format!("{index}")),
+                control_peers: peers.clone(),
+                control: control.clone(),
+                ..Settings::default()
+            };
+            let keys = Keys {
+                fleet: Secret::new(SECRET),
+                ..Keys::default()
+            };
+            let started = start_group_with_parser(&settings, keys, sockets, Some(parse));
+            started.expect("the process starts").0
+        };
+        let processes = sockets.into_iter().enumerate().map(start).collect();
+        Group {
+            processes,
+            older,
+            _folder: folder,
+        }
+    }
+
+    async fn leader(&self) -> &Process<ConsensusReplica<Machine>> {
+        let mut leader = None;
+        wait_until("a leader", || {
+            leader = self.processes.iter().position(|p| p.node.leads());
+            leader.is_some()
+        })
+        .await;
+        &self.processes[leader.expect("there is a leader")]
+    }
+
+    /// Submits a text until it is acknowledged.
+    async fn submit(&self, replacement: &Replacement) {
+        let deadline = Instant::now() + TIMEOUT;
+        loop {
+            let leader = self.leader().await;
+            let operation = Operation::Replace(replacement.clone());
+            match leader.node.execute(operation).await {
+                Reply::Replaced { .. } => return,
+                reply => assert!(Instant::now() < deadline, "{reply:?}"),
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn writes_no_log_entry_that_a_learner_of_an_older_release_can_t_read() {
+    let group = Group::start().await;
+    let leader = group.leader().await;
+    wait_until("the older process as a learner", || {
+        !leader.node.replica().status().learners.is_empty()
+    })
+    .await;
+    for version in [3, 4, 5] {
+        group.submit(&large_text(version)).await;
+    }
+    wait_until(
+        "the text at the older process, or what it can't read",
+        || group.older.version() == 5 || !group.older.unreadable.list().is_empty(),
+    )
+    .await;
+    assert_that!(group.older.unreadable.list(), is_empty());
+    assert_that!(group.older.version(), eq(5));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sends_no_request_that_a_control_process_of_an_older_release_can_t_read() {
+    let text = (7, "seven".to_owned());
+    let (older, address) = OlderProcess::start_leader("control-0", SECRET, text).await;
+    let member = Member::start(fleet::Settings {
+        node: "entry-1".into(),
+        incarnation: 1,
+        peers: vec![Peer {
+            node: "control-0".into(),
+            address,
+            operators: address,
+        }],
+        parser: parse,
+        secret: Secret::new(SECRET),
+        ..fleet::Settings::default()
+    });
+    let version = || {
+        let view = member.view().load();
+        view.config.as_ref().map_or(0, |config| config.version)
+    };
+    wait_until("the text at the entry", || version() == 7).await;
+    let drawn = member.draw_permits(Vec::new(), 1, IN_FORCE_WAIT).await;
+    assert_that!(drawn.map(|_| ()), err(anything()));
+    sleep(IN_FORCE_WAIT).await;
+    assert_that!(older.unreadable.list(), is_empty());
+    assert_that!(older.connections(), eq(1));
+    assert_that!(member.view().load().control_reachable, eq(true));
+}
