Say of each process and connection which build it is, and when the group has no leader

The logs could not tell builds that run side by side from a fleet of one build, nor a group without a quorum from an entry that is cut off. Each process now logs its build (version and commit) and its level, which stands for the forms it can read. Both ends of a connection between processes declare them in headers of the opening handshake: releases that know no such headers ignore them (tungstenite takes any further header on both sides). New connections are logged with the other end's build and level. A control process logs once when it has known no leader for 2 s, with the voters that it reaches, and when there is one again; the metrics chervilloft_control_has_leader and chervilloft_build_info say the same. No logic changes.

--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod duration;
 pub mod ids;
 pub mod keys;
+pub mod release;
 pub mod settings;
 pub mod text;
 
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the control process.
 
+use config::release;
 use prometheus::{Encoder, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
 
 /// Counters and gauges of one control process.
@@ -12,6 +13,8 @@
     pub version: IntGauge,
     /// 1 while this process is the leader, 0 otherwise.
     pub leads: IntGauge,
+    /// 1 while the group has a leader as far as this process knows, 0 otherwise.
+    pub has_leader: IntGauge,
     /// Claims in the replicated state.
     pub claims: IntGauge,
     /// Claims whose outcome is unknown.
@@ -40,6 +43,13 @@
         registry
             .register(Box::new(account_spent.clone()))
             .expect("metric registered once");
+        let opts = Opts::new("chervilloft_build_info", "This build; always 1.");
+        let build = IntGaugeVec::new(opts, &["build", "level"]).expect("valid metric");
+        registry
+            .register(Box::new(build.clone()))
+            .expect("metric registered once");
+        let level = release::OWN.to_string();
+        build.with_label_values(&[release::build(), &level]).set(1);
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help).expect("valid metric");
             registry
@@ -51,6 +61,10 @@
             requests,
             version: gauge("chervilloft_control_version", "Version of the newest text."),
             leads: gauge("chervilloft_control_leads", "1 while this process leads."),
+            has_leader: gauge(
+                "chervilloft_control_has_leader",
+                "1 while the group has a leader.",
+            ),
             claims: gauge("chervilloft_control_claims", "Claims that are kept."),
             unknowns: gauge(
                 "chervilloft_control_unknown_claims",
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -5,6 +5,7 @@
 mod leader;
 mod meters;
 mod parsed_text;
+mod quorum;
 mod rate;
 mod replacement;
 mod settings;
@@ -13,6 +14,7 @@
 pub(crate) mod workload;
 
 pub(crate) use background::{draining, notify_entries, run_leader_tasks};
+pub(crate) use quorum::watch_quorum;
 pub use settings::Settings;
 
 use meters::Meters;
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -89,6 +89,11 @@
         outgoing.or_else(find_incoming)
     }
 
+    /// Reports whether a connection to a control process is open.
+    pub(crate) fn is_connected(&self, node: &NodeId) -> bool {
+        self.connection_to(node).is_some()
+    }
+
     /// Notifies all connected entries that a newer version is committed.
     pub(crate) fn announce_version(&self, version: Version) {
         self.push_to_entries(&Push::Newest(version));
@@ -212,7 +217,11 @@
 {
     let number = node.peers.next_number.fetch_add(1, Ordering::Relaxed);
     let name = connection.hello().node.clone();
-    info!("control: \"{name}\" connected");
+    info!(
+        build = connection.build(),
+        level = connection.level(),
+        "control: \"{name}\" connected"
+    );
     node.peers.incoming().insert(number, connection.clone());
     if connection.hello().role == Role::Entry {
         let draining = crate::node::draining(&node.machine.read());
@@ -287,7 +296,12 @@
     while !*node.stopped.borrow() && node.needs_connection(&peer.node) {
         let opened = link::dial(peer.address, &node.identity, node.settings.link).await;
         if let Ok((connection, messages)) = opened {
-            info!("control: connected to control \"{}\"", peer.node);
+            info!(
+                build = connection.build(),
+                level = connection.level(),
+                "control: connected to control \"{}\"",
+                peer.node
+            );
             node.peers
                 .outgoing()
                 .insert(peer.node.clone(), connection.clone());
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -111,6 +111,7 @@
         tokio::spawn(announcements::run(node.clone()));
         tokio::spawn(node::notify_entries(node.clone()));
         tokio::spawn(node::run_leader_tasks(node.clone()));
+        tokio::spawn(node::watch_quorum(node.clone()));
         let operators_note = operators_address.map_or(String::new(), |address| {
             format!(" and on {address} for operators")
         });
--- a/components/fleet/src/member/links.rs
+++ b/components/fleet/src/member/links.rs
@@ -217,7 +217,12 @@
     while !*shared.stopped.borrow() && shared.is_peer(&peer.node) {
         match link::dial(peer.address, &shared.identity, shared.links.settings).await {
             Ok((connection, messages)) => {
-                info!("fleet: connected to control \"{}\"", peer.node);
+                info!(
+                    build = connection.build(),
+                    level = connection.level(),
+                    "fleet: connected to control \"{}\"",
+                    peer.node
+                );
                 failed = false;
                 receive(&shared, &peer, connection, messages).await;
             }
--- a/components/link/src/connection.rs
+++ b/components/link/src/connection.rs
@@ -6,20 +6,29 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use config::release::Level;
 use errors::{Error, Peer, Result, Step};
 use futures_util::StreamExt;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
+use tokio_tungstenite::tungstenite::client::IntoClientRequest;
+use tokio_tungstenite::tungstenite::handshake::server::{
+    Callback, ErrorResponse, Request as HttpRequest, Response as HttpResponse,
+};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
-use tokio_tungstenite::{accept_async_with_config, client_async_with_config};
+use tokio_tungstenite::{accept_hdr_async_with_config, client_async_with_config};
 use wire::{Answer, CallId, Failure, Frame, Hello, MAX_FRAME_BYTES, Push, Request};
 
 use crate::calls::Calls;
+use crate::declaration::Declaration;
 use crate::handshake::{self, Side, Socket};
 use crate::send_times::SendTimes;
 use crate::{Identity, Settings, Traffic, reader, socket, writer};
 
+/// Address in the opening handshake.
+const URL: &str = "ws://chervilloft/link";
+
 /// A message from the other end, with an upper bound on its age.
 #[derive(Debug)]
 pub enum Incoming {
@@ -33,6 +42,7 @@
 #[derive(Clone, Debug)]
 pub struct Connection {
     hello: Arc<Hello>,
+    declaration: Arc<Declaration>,
     peer: Peer,
     queue: mpsc::Sender<Frame>,
     calls: Arc<Calls>,
@@ -105,13 +115,20 @@
     socket::set_options(&stream, settings.tcp_user_timeout)
         .map_err(|error| Error::Io(Step::Connect, peer.clone(), error))?;
     let limit = settings.handshake_timeout;
-    let (socket, hello) = timeout(limit, upgrade(stream, side, &peer, identity))
+    let (socket, hello, declaration) = timeout(limit, upgrade(stream, side, &peer, identity))
         .await
         .map_err(|_| Error::Timeout(Step::Authenticate, peer.clone(), limit))??;
     let mut send_times = SendTimes::new(started);
     send_times.record(1, started);
     send_times.record(2, started);
-    Ok(start(socket, hello, peer, settings, send_times))
+    Ok(start(
+        socket,
+        hello,
+        declaration,
+        peer,
+        settings,
+        send_times,
+    ))
 }
 
 async fn upgrade(
@@ -119,31 +136,51 @@
     side: Side,
     peer: &Peer,
     identity: &Identity,
-) -> Result<(Socket, Hello)> {
+) -> Result<(Socket, Hello, Declaration)> {
     let config = WebSocketConfig::default()
         .read_buffer_size(8 * 1_024)
         .write_buffer_size(0)
         .max_message_size(Some(MAX_FRAME_BYTES))
         .max_frame_size(Some(MAX_FRAME_BYTES));
     let connect_error = |error| Error::Other(Step::Connect, peer.clone(), Box::new(error));
-    let mut socket = match side {
+    let (mut socket, declaration) = match side {
         Side::Dialer => {
-            client_async_with_config("ws://chervilloft/link", stream, Some(config))
-                .await
-                .map_err(connect_error)?
-                .0
+            let mut request = URL.into_client_request().map_err(connect_error)?;
+            Declaration::own().write(request.headers_mut());
+            let opened = client_async_with_config(request, stream, Some(config)).await;
+            let (socket, response) = opened.map_err(connect_error)?;
+            (socket, Declaration::read(response.headers()))
+        }
+        Side::Acceptor => {
+            let mut declaration = Declaration::read(&Default::default());
+            let exchange = Exchange(&mut declaration);
+            let opened = accept_hdr_async_with_config(stream, exchange, Some(config)).await;
+            (opened.map_err(connect_error)?, declaration)
         }
-        Side::Acceptor => accept_async_with_config(stream, Some(config))
-            .await
-            .map_err(connect_error)?,
     };
     let hello = handshake::run(&mut socket, side, identity, peer).await?;
-    Ok((socket, hello))
+    Ok((socket, hello, declaration))
+}
+
+/// Reads the dialer's declaration, and answers with this process's own.
+struct Exchange<'a>(&'a mut Declaration);
+
+impl Callback for Exchange<'_> {
+    fn on_request(
+        self,
+        request: &HttpRequest,
+        mut response: HttpResponse,
+    ) -> std::result::Result<HttpResponse, ErrorResponse> {
+        *self.0 = Declaration::read(request.headers());
+        Declaration::own().write(response.headers_mut());
+        Ok(response)
+    }
 }
 
 fn start(
     socket: Socket,
     hello: Hello,
+    declaration: Declaration,
     peer: Peer,
     settings: Settings,
     send_times: SendTimes,
@@ -164,6 +201,7 @@
     tokio::spawn(reader::run(stream, incoming, shared.clone()));
     let connection = Connection {
         hello: Arc::new(hello),
+        declaration: Arc::new(declaration),
         peer,
         queue,
         calls: shared.calls,
@@ -179,6 +217,16 @@
         &self.hello
     }
 
+    /// Returns what the other end can read.
+    pub fn level(&self) -> Level {
+        self.declaration.level
+    }
+
+    /// Returns the name of the other end's build.
+    pub fn build(&self) -> &str {
+        &self.declaration.build
+    }
+
     /// Returns the address of the other end.
     pub fn peer(&self) -> &Peer {
         &self.peer
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod connection;
+mod declaration;
 mod handshake;
 mod identity;
 mod reader;
--- a/components/logging/src/lib.rs
+++ b/components/logging/src/lib.rs
@@ -4,8 +4,10 @@
 
 use std::io::stdout;
 
+use config::release;
 use config::settings::{Format, Log};
 use errors::{Error, Peer, Result, Step};
+use tracing::info;
 use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
@@ -28,6 +30,12 @@
         .buffered_lines_limit(BUFFER_CAPACITY)
         .finish(stdout());
     install(settings.format, filter, writer)?;
+    info!(
+        build = release::build(),
+        level = release::OWN,
+        "start: this process is of build {}",
+        release::build()
+    );
     Ok(Guard(guard))
 }
 
