Send and write only what the other end and the whole group can read

What callers saw: with builds side by side, a change that was confirmed but not in force at entries whose connections end, and no service where a quorum's processes end.

Cause: a form was written or sent as soon as the sender knew it (log entries Edit and RecordVerdicts, requests FetchText, Edit and DrawPermits); a receiver that did not know it ended its process or the connection. Nothing told what a member can read.

Change: each request and each log entry has a level. A connection takes only requests of the level that its other end declared in the opening handshake, or has shown since: a leader before the declaration that leaves texts to be fetched. Texts are written whole, and what is in quarantine stays in memory, until all members in the group and all control processes in contact can read the shorter form; entries of the log are held back from a receiver that can't read them.

--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -68,6 +68,8 @@
     applied_bytes: usize,
     snapshotting: bool,
     stalled: bool,
+    /// Whether this node votes and stores the log but never leads.
+    passive: bool,
     founding: Founding,
 }
 
@@ -113,6 +115,7 @@
             applied_bytes: 0,
             snapshotting: false,
             stalled: false,
+            passive: false,
             founding: Founding::default(),
             settings,
         };
@@ -177,6 +180,21 @@
         self.step_down("the disk is full");
     }
 
+    /// Sets whether this node only votes and stores the log, as one that can't apply its entries; it
+    /// then gives up its leadership and is not elected.
+    pub fn set_passive(&mut self, now: Duration, passive: bool) {
+        self.advance(now);
+        self.passive = passive;
+        if passive {
+            self.step_down("entries of the log can't be applied");
+        }
+    }
+
+    /// Takes a snapshot with the next entries that are applied.
+    pub fn snapshot_soon(&mut self) {
+        self.applied_bytes = self.applied_bytes.max(self.settings.snapshot_bytes);
+    }
+
     /// Returns the actions that arose since the last call, in order.
     pub fn actions(&mut self) -> Vec<Action> {
         if matches!(&self.role, Role::Leader(leader) if leader.round_due) {
--- a/components/consensus/src/node/election.rs
+++ b/components/consensus/src/node/election.rs
@@ -16,7 +16,7 @@
         self.leader = None;
         self.restart_election_timer();
         self.poll_peers();
-        match self.membership().is_voter(&self.me) {
+        match self.membership().is_voter(&self.me) && !self.passive {
             true if self.guards.pre_vote => self.begin_pre_vote(),
             true => self.campaign(false),
             false => self.role = Role::Follower,
--- a/components/consensus/src/node/transfer.rs
+++ b/components/consensus/src/node/transfer.rs
@@ -77,7 +77,7 @@
 
     pub(super) fn on_timeout_now(&mut self, from: &Member) {
         let is_from_leader = self.leader.as_ref() == Some(from);
-        if is_from_leader && self.membership().is_voter(&self.me) {
+        if is_from_leader && !self.passive && self.membership().is_voter(&self.me) {
             self.campaign(true);
         }
     }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod origin_files;
 mod peers;
 mod process;
+mod readable;
 pub mod replica;
 
 pub use machine::Machine;
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -24,6 +24,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use config::release::Level;
 use errors::Step;
 use link::Identity;
 use patch::Archive;
@@ -198,6 +199,17 @@
         until.is_some_and(|until| Instant::now() < until)
     }
 
+    /// Reports whether all members of the group, and the control processes in contact that are not
+    /// yet members, can read a level.
+    pub(crate) fn group_reads(&self, level: Level) -> bool {
+        let status = self.replica.status();
+        let members = status.voters.iter().chain(&status.learners);
+        let mut others = members.filter(|node| **node != self.settings.node);
+        let in_contact = self.peers.lowest_level();
+        others.all(|node| self.peers.level_of(node) >= level)
+            && in_contact.is_none_or(|lowest| lowest >= level)
+    }
+
     /// Commits a change with the current time, and returns the result of applying it.
     pub(crate) async fn commit(&self, change: Change) -> Result<Output, Failure> {
         let command = Command {
--- a/components/control/src/node/background.rs
+++ b/components/control/src/node/background.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use config::ids::{AccountId, UpstreamId};
+use config::release;
 use indexmap::IndexSet;
 use quarantine::{Kind, Record};
 use state::{Change, Command, Output, State};
@@ -165,12 +166,15 @@
     }
 }
 
-/// Records what is in quarantine if it has changed. Trials are granted once they have been recorded,
+/// Records what is in quarantine if it has changed, once the whole group can read that. Trials are granted once they have been recorded,
 /// so that no later leader grants them again.
 async fn record_verdicts<R>(node: &Node<R>)
 where
     R: Replica<Command = Command, Output = Output>,
 {
+    if !node.group_reads(release::PERMITS) {
+        return;
+    }
     let Some(verdicts) = changed_verdicts(&mut node.workload(), Instant::now()) else {
         return;
     };
--- a/components/control/src/node/replacement.rs
+++ b/components/control/src/node/replacement.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use config::ids::{NodeId, Version};
+use config::release;
 use state::claims::millis;
 use state::text::{Edit, MAX_REPLACEMENT_BYTES, Outcome, Replacement};
 use state::{Change, Command, Output};
@@ -20,8 +21,7 @@
 /// Time after its last request within which an entry is in contact. Entries ask for a lease each
 /// half second, and report each second at least, also while they fetch a text.
 const ENTRY_CONTACT: Duration = Duration::from_millis(1_200);
-/// Smallest text that is committed as what it changes. Control processes of earlier releases can't
-/// apply such a change.
+/// Smallest text that is committed as what it changes, once the whole group can read that.
 const MIN_EDIT_BYTES: usize = 64 * 1_024;
 
 /// Entries that the acknowledgement of a text waits for.
@@ -45,7 +45,7 @@
         wait: Duration,
     ) -> Result<Answer, Failure> {
         let wait_ms = millis(wait);
-        if !self.leads() && replacement.source.len() >= MIN_EDIT_BYTES {
+        if replacement.source.len() >= MIN_EDIT_BYTES && self.forwards_edits() {
             let edit = edit_of(&replacement, &self.newest_text())?;
             let body = Body::Edit { edit, wait_ms };
             match self.handle(self.local_request(body)).await? {
@@ -64,6 +64,13 @@
         self.handle(self.local_request(body)).await
     }
 
+    /// Reports whether this process forwards texts to a leader that can read edits.
+    fn forwards_edits(&self) -> bool {
+        let leader = self.replica.status().leader;
+        let level = leader.map(|leader| self.peers.level_of(&leader));
+        !self.leads() && level.is_some_and(|level| level >= release::EDITS)
+    }
+
     /// Returns the newest text with its version; an empty one of version 0 if there is none.
     fn newest_text(&self) -> (Version, Arc<str>) {
         let state = self.machine.read();
@@ -155,8 +162,10 @@
                 return Ok(outcome);
             }
             let change = match replacement.source.len() {
-                bytes if bytes < MIN_EDIT_BYTES => Change::Replace(replacement.clone()),
-                _ => Change::Edit(edit_of(&replacement, &self.newest_text())?),
+                bytes if bytes >= MIN_EDIT_BYTES && self.group_reads(release::EDITS) => {
+                    Change::Edit(edit_of(&replacement, &self.newest_text())?)
+                }
+                _ => Change::Replace(replacement.clone()),
             };
             match self.commit(change).await? {
                 // Another text was committed meanwhile: the next edit is relative to that one.
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use config::ids::{NodeId, Version};
+use config::release::{self, Level};
 use config::settings::Peer;
 use consensus::Message;
 use errors::Step;
@@ -18,8 +19,8 @@
 use tracing::{info, warn};
 use wire::{Answer, Body, Failure, Push, Request, Role};
 
-use crate::Node;
 use crate::replica::Replica;
+use crate::{Node, readable};
 
 /// Time between two checks of the group's members.
 const GROUP_POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -89,6 +90,18 @@
         outgoing.or_else(find_incoming)
     }
 
+    /// Returns what a control process can read; that of the oldest releases without a connection.
+    pub(crate) fn level_of(&self, node: &NodeId) -> Level {
+        let connection = self.connection_to(node);
+        connection.map_or(release::UNDECLARED, |connection| connection.level())
+    }
+
+    /// Returns what all control processes in contact can read; `None` without any.
+    pub(crate) fn lowest_level(&self) -> Option<Level> {
+        let connections = self.control_connections();
+        connections.iter().map(Connection::level).min()
+    }
+
     /// Reports whether a connection to a control process is open.
     pub(crate) fn is_connected(&self, node: &NodeId) -> bool {
         self.connection_to(node).is_some()
@@ -108,11 +121,14 @@
         }
     }
 
-    /// Sends a message of the replica to its receiver. Without a connection it is dropped.
-    pub(crate) fn send_replica_message(&self, from: &NodeId, message: &Message) {
+    /// Sends a message of the replica to its receiver, without log entries that the receiver can't
+    /// read. Without a connection it is dropped.
+    pub(crate) fn send_replica_message(&self, from: &NodeId, message: Message) {
         let connection = self.connection_to(&message.to);
+        let level = connection.as_ref().map_or(0, Connection::level);
+        let message = readable::message(message, level);
         let mut bytes = Vec::new();
-        match (connection, ciborium::into_writer(message, &mut bytes)) {
+        match (connection, ciborium::into_writer(&message, &mut bytes)) {
             (Some(connection), Ok(())) => connection.push(Push::Log {
                 from: from.clone(),
                 message: bytes.into(),
@@ -142,8 +158,22 @@
             forwarded: true,
             ..request
         };
+        let (fetches, held) = match request.body {
+            Body::Confirm { version, fetches } => (fetches, version),
+            _ => (false, 0),
+        };
         match connection.call(request, limit).await {
-            Ok(answer) => Ok(answer),
+            Ok(answer) => {
+                if let Answer::FreshnessLease(lease) = &answer
+                    && fetches
+                    && lease.version > held
+                    && lease.source.is_none()
+                {
+                    // A leader that declares nothing, and leaves texts to be fetched.
+                    connection.raise_level(release::EDITS);
+                }
+                Ok(answer)
+            }
             Err(error) if error.step() == Step::Route => Err(Failure::NoLeader),
             Err(errors::Error::Invalid(_, _, reason)) => Err(Failure::Refused(reason.into())),
             Err(error) => Err(Failure::Uncertain(error.to_string().into())),
@@ -365,13 +395,11 @@
             "control: refused a replica message from \"{}\": it names another sender",
             hello.node
         ),
-        Err(error) => {
-            warn!(
-                "control: closed the connection to \"{}\": invalid replica message: {error}",
-                hello.node
-            );
-            connection.close();
-        }
+        // A release that knows further messages may have sent it; messages may be lost.
+        Err(error) => warn!(
+            "control: dropped a replica message of \"{}\" that can't be read: {error}",
+            hello.node
+        ),
     }
 }
 
@@ -384,7 +412,7 @@
     loop {
         tokio::select! {
             message = outgoing.recv() => match message {
-                Some(message) => node.peers.send_replica_message(&node.settings.node, &message),
+                Some(message) => node.peers.send_replica_message(&node.settings.node, message),
                 None => return,
             },
             _ = stopped.wait_for(|stopped| *stopped) => return,
--- a/components/control/src/replica/consensus_replica.rs
+++ b/components/control/src/replica/consensus_replica.rs
@@ -10,7 +10,7 @@
 use errors::{Error, Peer, Result, Step};
 use storage::{Disk, Folder, Store};
 use tokio::sync::{mpsc, oneshot, watch};
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 use super::driver::Driver;
 use super::input::Input;
@@ -74,8 +74,16 @@
             warn!("replica: removed {bytes} bytes of an incomplete write at the end of the log");
         }
         info!("replica: starting as {me}");
+        let mut is_unreadable = false;
         if let Some(meta) = &recovery.initial_state.snapshot {
-            machine.restore(&store.load_snapshot(meta.position.index)?)?;
+            let restored = machine.restore(&store.load_snapshot(meta.position.index)?);
+            if let Err(cause) = restored {
+                is_unreadable = true;
+                error!(
+                    "replica: the snapshot can't be read: {cause}; this process votes and stores \
+                     the log until it gets one that it can read"
+                );
+            }
         }
         let (inputs, input_receiver) = channel();
         let (jobs, job_receiver) = channel();
@@ -110,6 +118,7 @@
             // Random, so that a late answer to a barrier of an earlier run passes none of this run.
             next_read: rand::random(),
             disk_is_full: false,
+            is_unreadable,
         };
         let storage = spawn("storage", move || worker.run())?;
         spawn("replica", move || {
--- a/components/control/src/replica/driver.rs
+++ b/components/control/src/replica/driver.rs
@@ -4,11 +4,12 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::{Duration, Instant};
 
+use config::release;
 use consensus::ids::ReadId;
 use consensus::{Action, Entry, Event, Message, Node, Outcome, Payload, Position, SnapshotMeta};
 use errors::{Error, Peer, Result, Step};
 use tokio::sync::{mpsc, oneshot, watch};
-use tracing::{debug, info, warn};
+use tracing::{debug, error, info, warn};
 
 use super::Status;
 use super::input::Input;
@@ -34,15 +35,21 @@
     pub(super) next_read: ReadId,
     /// Whether the last write failed because the disk is full.
     pub(super) disk_is_full: bool,
+    /// Whether the log or a snapshot holds what this release can't read. The replica then votes and
+    /// stores the log, and applies nothing until it receives a snapshot that it can read.
+    pub(super) is_unreadable: bool,
 }
 
 impl<M: StateMachine> Driver<M> {
     /// Runs until it is stopped.
     ///
     /// # Errors
-    /// Fails when the data folder can't be used any more or an entry can't be applied; the process
-    /// must end then.
+    /// Fails when the data folder can't be used any more; the process must end then.
     pub(super) fn run(mut self) -> Result<()> {
+        if self.is_unreadable {
+            let now = self.now();
+            self.node.set_passive(now, true);
+        }
         loop {
             match self.inputs.recv_timeout(self.tick_interval) {
                 Ok(input) => {
@@ -152,10 +159,12 @@
         match action {
             Action::Send(message) => self.send(message),
             Action::Write(write) => self.submit(Job::Write(write))?,
-            Action::Apply(entries) => entries
-                .into_iter()
-                .try_for_each(|entry| self.apply(entry))?,
+            Action::Apply(entries) => entries.into_iter().for_each(|entry| self.apply(entry)),
             Action::Restore(meta) => self.restore(&meta)?,
+            Action::Snapshot(_) if self.is_unreadable => {
+                let now = self.now();
+                self.node.on_snapshot_saved(now, None);
+            }
             Action::Snapshot(meta) => self.submit(Job::Snapshot(meta, self.machine.snapshot()?))?,
             Action::ReadChunk {
                 to,
@@ -198,20 +207,40 @@
         })
     }
 
-    fn apply(&mut self, entry: Entry) -> Result<()> {
+    fn apply(&mut self, entry: Entry) {
         let position = entry.position();
         let Payload::Command(bytes) = entry.payload else {
-            return Ok(());
+            return;
+        };
+        if self.is_unreadable {
+            return;
+        }
+        let command: M::Command = match ciborium::from_reader(bytes.as_ref()) {
+            Ok(command) => command,
+            Err(cause) => {
+                let index = position.index;
+                return self.stop_applying(&format!("log entry {index} can't be read: {cause}"));
+            }
         };
-        let command = ciborium::from_reader(bytes.as_ref()).map_err(|cause| {
-            let reason = format!("log entry {} is no valid command: {cause}", position.index);
-            Error::Invalid(Step::Decode, Peer::Local, reason)
-        })?;
+        if M::level(&command) > release::UNDECLARED {
+            // A process that is put back to an older release then starts after this entry.
+            self.node.snapshot_soon();
+        }
         let output = self.machine.apply(position, command);
         if let Some(reply) = self.proposals.remove(&(position.index, position.term)) {
             let _ = reply.send(Ok(output));
         }
-        Ok(())
+    }
+
+    /// Goes on without applying entries, so that a later release does not end this process.
+    fn stop_applying(&mut self, reason: &str) {
+        self.is_unreadable = true;
+        let now = self.now();
+        self.node.set_passive(now, true);
+        error!(
+            "replica: {reason}; this process votes and stores the log until it gets a snapshot \
+             that it can read"
+        );
     }
 
     /// Loads a received snapshot. Blocks until the storage thread has read it, as no entry may be
@@ -224,7 +253,17 @@
             "replica: restoring a snapshot up to entry {}",
             meta.position.index
         );
-        self.machine.restore(&bytes)
+        match self.machine.restore(&bytes) {
+            Ok(()) if self.is_unreadable => {
+                self.is_unreadable = false;
+                let now = self.now();
+                self.node.set_passive(now, false);
+                info!("replica: applies entries again");
+            }
+            Ok(()) => {}
+            Err(cause) => self.stop_applying(&format!("a snapshot can't be read: {cause}")),
+        }
+        Ok(())
     }
 
     fn settle(&mut self, position: Position, outcome: Outcome) {
@@ -249,7 +288,8 @@
         if let Some(reply) = self.reads.remove(&id) {
             let reason = String::from("no leader confirmed the read barrier");
             let error = Error::Protocol(Step::Commit, Peer::Local, reason);
-            let _ = reply.send(if passed { Ok(()) } else { Err(error) });
+            let is_current = passed && !self.is_unreadable;
+            let _ = reply.send(if is_current { Ok(()) } else { Err(error) });
         }
     }
 
--- a/components/control/src/replica/state_machine.rs
+++ b/components/control/src/replica/state_machine.rs
@@ -1,5 +1,6 @@
 //! Interface between the replicated log and the state that it replicates.
 
+use config::release::{self, Level};
 use errors::Result;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -15,6 +16,11 @@
     /// and the arguments.
     fn apply(&mut self, position: consensus::Position, command: Self::Command) -> Self::Output;
 
+    /// Returns the lowest level of a process that can read a command.
+    fn level(_command: &Self::Command) -> Level {
+        release::UNDECLARED
+    }
+
     /// Encodes the whole state.
     ///
     /// # Errors
@@ -40,6 +46,10 @@
         crate::Machine::apply(self, position, command)
     }
 
+    fn level(command: &state::Command) -> Level {
+        command.change.level()
+    }
+
     fn snapshot(&self) -> Result<Vec<u8>> {
         crate::Machine::snapshot(self)
     }
--- a/components/control/tests/releases/main.rs
+++ b/components/control/tests/releases/main.rs
@@ -1,10 +1,13 @@
 //! Processes of this release beside one of an older release.
 
 mod older_process;
+mod raw;
+mod unreadable_log;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use ciborium::Value;
 use config::Settings;
 use config::keys::{Keys, Secret};
 use config::settings::{Control as ControlSettings, Peer};
@@ -15,10 +18,13 @@
 use fleet::{Control, Member};
 use googletest::prelude::*;
 use older_process::OlderProcess;
+use raw::{Raw, Side};
 use state::text::Replacement;
 use tempfile::TempDir;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
+use tokio_tungstenite::client_async;
+use wire::{Answer, Body, Envelope, Failure, Frame, Request, Role};
 
 const SECRET: &str = "fleet-secret";
 const TIMEOUT: Duration = Duration::from_secs(60);
@@ -164,11 +170,9 @@
     assert_that!(group.older.version(), eq(5));
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn sends_no_request_that_a_control_process_of_an_older_release_can_t_read() {
-    let text = (7, "seven".to_owned());
-    let (older, address) = OlderProcess::start_leader("control-0", SECRET, text).await;
-    let member = Member::start(fleet::Settings {
+/// Starts an entry that knows one control process.
+fn member(address: SocketAddr) -> Member {
+    Member::start(fleet::Settings {
         node: "entry-1".into(),
         incarnation: 1,
         peers: vec![Peer {
@@ -179,12 +183,20 @@
         parser: parse,
         secret: Secret::new(SECRET),
         ..fleet::Settings::default()
-    });
-    let version = || {
-        let view = member.view().load();
-        view.config.as_ref().map_or(0, |config| config.version)
-    };
-    wait_until("the text at the entry", || version() == 7).await;
+    })
+}
+
+fn version_in_force(member: &Member) -> u64 {
+    let view = member.view().load();
+    view.config.as_ref().map_or(0, |config| config.version)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sends_no_request_that_a_control_process_of_an_older_release_can_t_read() {
+    let text = (7, "seven".to_owned());
+    let (older, address) = OlderProcess::start_leader("control-0", SECRET, text, false).await;
+    let member = member(address);
+    wait_until("the text at the entry", || version_in_force(&member) == 7).await;
     let drawn = member.draw_permits(Vec::new(), 1, IN_FORCE_WAIT).await;
     assert_that!(drawn.map(|_| ()), err(anything()));
     sleep(IN_FORCE_WAIT).await;
@@ -192,3 +204,65 @@
     assert_that!(older.connections(), eq(1));
     assert_that!(member.view().load().control_reachable, eq(true));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn fetches_a_text_from_a_leader_that_declares_nothing_but_leaves_texts_to_be_fetched() {
+    let text = (7, "seven ".repeat(LARGE_TEXT_BYTES / 6));
+    let (older, address) = OlderProcess::start_leader("control-0", SECRET, text, true).await;
+    let member = member(address);
+    wait_until("the text at the entry", || version_in_force(&member) == 7).await;
+    assert_that!(older.unreadable.list(), is_empty());
+    assert_that!(older.connections(), eq(1));
+}
+
+/// Returns a request of a later release, in its frame.
+fn later_request() -> Value {
+    let text = |text: &str| Value::Text(text.to_owned());
+    let request = vec![
+        (text("node"), text("entry-9")),
+        (text("incarnation"), 1.into()),
+        (text("forwarded"), false.into()),
+        (
+            text("body"),
+            Value::Map(vec![(text("LaterRequest"), 5.into())]),
+        ),
+    ];
+    let call = Value::Array(vec![41.into(), Value::Map(request)]);
+    Value::Map(vec![(text("c"), call)])
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_a_request_of_a_later_release_and_keeps_the_connection() {
+    let group = Group::start().await;
+    let address = group.leader().await.peer_address;
+    let stream = TcpStream::connect(address).await.expect("it listens");
+    let (socket, _) = client_async("ws://chervilloft/link", stream)
+        .await
+        .expect("the upgrade is accepted");
+    let secret = Secret::new(SECRET);
+    let opened = Raw::open(socket, Side::Dialer, "entry-9", Role::Entry, &secret).await;
+    let mut raw = opened.expect("the handshake is accepted");
+    let later_push = vec![(Value::from("p"), Value::from("LaterPush"))];
+    raw.send_value(Value::Map(later_push)).await;
+    raw.send_value(later_request()).await;
+    let known = Request {
+        node: "entry-9".into(),
+        incarnation: 1,
+        forwarded: false,
+        body: Body::FindOrigin(upstream::StreamKey::new("shop", "id-1")),
+    };
+    raw.send(Frame::Call(42, known)).await;
+    let mut answers = Vec::new();
+    while answers.len() < 2 {
+        let bytes = raw.receive().await.expect("the connection stays open");
+        if let Ok(Envelope(_, _, Frame::Answer(id, answer))) = wire::decode(&bytes) {
+            answers.push((id, answer));
+        }
+    }
+    answers.sort_by_key(|(id, _)| *id);
+    assert_that!(
+        answers[0],
+        (eq(&41), err(matches_pattern!(Failure::Refused(_))))
+    );
+    assert_that!(answers[1], (eq(&42), ok(eq(&Answer::Origin(None)))));
+}
--- a/components/control/tests/releases/older_process.rs
+++ b/components/control/tests/releases/older_process.rs
@@ -11,15 +11,13 @@
 use config::settings::Peer;
 use consensus::Message as ReplicaMessage;
 use control::replica::{ConsensusReplica, Settings, StateMachine};
-use futures_util::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
-use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, accept_async, client_async};
-use wire::{
-    Answer, Body, Envelope, Failure, Frame, FreshnessLease, Hello, PROTOCOL_VERSION, Push, Role,
-};
+use wire::{Answer, Body, Envelope, Failure, Frame, FreshnessLease, Push, Role};
+
+use crate::raw::{Raw, Side};
 
 /// Changes of the state that the release knows.
 const KNOWN_CHANGES: [&str; 13] = [
@@ -41,6 +39,8 @@
     "FindOrigin",
     "Query",
 ];
+/// Requests that release 03db03f knows as well.
+const REQUESTS_SINCE_03DB03F: [&str; 3] = ["DrawPermits", "FetchText", "Edit"];
 /// Time without other frames after which a heartbeat is sent.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Delay before a connection is opened again.
@@ -119,6 +119,8 @@
     secret: Secret,
     /// Text that it grants leases for as the leader, with its version.
     text: (u64, String),
+    /// Whether it leaves the text to be fetched, as releases since 03db03f do.
+    leaves_texts: bool,
     replica: Option<ConsensusReplica<OlderState>>,
     outgoing: tokio::sync::broadcast::Sender<ReplicaMessage>,
     version: Arc<Mutex<u64>>,
@@ -132,8 +134,12 @@
         node: &str,
         secret: &str,
         text: (u64, String),
+        leaves_texts: bool,
     ) -> (Arc<OlderProcess>, SocketAddr) {
-        let process = Arc::new(OlderProcess::new(node, secret, text));
+        let process = Arc::new(OlderProcess {
+            leaves_texts,
+            ..OlderProcess::new(node, secret, text)
+        });
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
         let listener = listener.expect("loopback can be listened on");
         let address = listener.local_addr().expect("the listener has an address");
@@ -188,6 +194,7 @@
             node: node.into(),
             secret: Secret::new(secret),
             text,
+            leaves_texts: false,
             replica: None,
             outgoing: tokio::sync::broadcast::channel(1_024).0,
             version: Arc::default(),
@@ -214,7 +221,7 @@
             let process = self.clone();
             tokio::spawn(async move {
                 if let Ok(socket) = accept_async(stream).await {
-                    process.serve(socket, false).await;
+                    process.serve(socket, Side::Acceptor).await;
                 }
             });
         }
@@ -225,60 +232,31 @@
             if let Ok(stream) = TcpStream::connect(address).await
                 && let Ok((socket, _)) = client_async("ws://chervilloft/link", stream).await
             {
-                self.serve(socket, true).await;
+                self.serve(socket, Side::Dialer).await;
             }
             sleep(REDIAL_DELAY).await;
         }
     }
 
     /// Serves a connection until the other end closes it, or sends what can't be read.
-    async fn serve(&self, mut socket: WebSocketStream<TcpStream>, dialed: bool) -> Option<()> {
-        let own = Hello {
-            protocol: PROTOCOL_VERSION,
-            node: self.node.clone(),
-            incarnation: 1,
-            role: Role::Control,
-            nonce: [u8::from(dialed); 16],
-        };
-        send(&mut socket, 1, 0, Frame::Hello(own.clone())).await?;
-        let Frame::Hello(other) = receive(&mut socket).await?.2 else {
-            return None;
-        };
-        let label: &[u8] = if dialed { b"dialer" } else { b"acceptor" };
-        let (first, second) = if dialed {
-            (&own, &other)
-        } else {
-            (&other, &own)
-        };
-        let mut transcript = label.to_vec();
-        for hello in [first, second] {
-            let frame = Envelope(0, 0, Frame::Hello(hello.clone()));
-            transcript.extend(wire::encode(&frame).expect("a hello can be encoded"));
-        }
-        let proof = self.secret.sign(&transcript);
-        send(&mut socket, 2, 1, Frame::Proof(proof)).await?;
-        receive(&mut socket).await?;
+    async fn serve(&self, socket: WebSocketStream<TcpStream>, side: Side) -> Option<()> {
+        let mut raw = Raw::open(socket, side, &self.node, Role::Control, &self.secret).await?;
         *self
             .connections
             .lock()
             .unwrap_or_else(PoisonError::into_inner) += 1;
         let mut outgoing = self.outgoing.subscribe();
-        let (mut number, mut echo) = (2, 2);
         loop {
             let frame = tokio::select! {
-                message = socket.next() => {
-                    let Some(Ok(Message::Binary(bytes))) = message else {
-                        return None;
-                    };
-                    let envelope = self.read(&bytes)?;
-                    echo = envelope.0;
+                bytes = raw.receive() => {
+                    let envelope = self.read(&bytes?)?;
                     match self.answer(envelope.2) {
                         Some(frame) => frame,
                         None => continue,
                     }
                 }
                 message = timeout(HEARTBEAT_INTERVAL, outgoing.recv()) => match message {
-                    Ok(Ok(message)) if message.to != other.node => continue,
+                    Ok(Ok(message)) if message.to != raw.other.node => continue,
                     Ok(Ok(message)) => {
                         let mut bytes = Vec::new();
                         ciborium::into_writer(&message, &mut bytes).expect("it can be encoded");
@@ -290,8 +268,7 @@
                     _ => Frame::Heartbeat,
                 }
             };
-            number += 1;
-            send(&mut socket, number, echo, frame).await?;
+            raw.send(frame).await?;
         }
     }
 
@@ -302,7 +279,9 @@
         let request = field(frame, "c").and_then(|call| call.as_array()?.get(1).cloned());
         if let Some(request) = request {
             let name = field(&request, "body").map(variant).unwrap_or_default();
-            if !KNOWN_REQUESTS.contains(&name.as_str()) {
+            let is_known = KNOWN_REQUESTS.contains(&name.as_str())
+                || self.leaves_texts && REQUESTS_SINCE_03DB03F.contains(&name.as_str());
+            if !is_known {
                 self.unreadable.record(format!("request {name}"));
                 return None;
             }
@@ -319,10 +298,16 @@
                         Ok(Answer::FreshnessLease(FreshnessLease {
                             version: *version,
                             lease_ms: 3_000,
-                            source: (held < *version).then(|| text.clone()),
+                            source: (held < *version && !self.leaves_texts).then(|| text.clone()),
                             leader: self.node.clone(),
                         }))
                     }
+                    Body::FetchText(range) => {
+                        let mut archive = patch::Archive::default();
+                        archive.add(*version, &text.as_str().into());
+                        let part = archive.part(range).expect("the range is valid");
+                        Ok(Answer::TextPart(part.expect("the text is kept")))
+                    }
                     _ => Err(Failure::NoLeader),
                 };
                 Some(Frame::Answer(id, answer))
@@ -338,20 +323,3 @@
         }
     }
 }
-
-async fn send(
-    socket: &mut WebSocketStream<TcpStream>,
-    number: u64,
-    echo: u64,
-    frame: Frame,
-) -> Option<()> {
-    let bytes = wire::encode(&Envelope(number, echo, frame)).ok()?;
-    socket.send(Message::binary(bytes)).await.ok()
-}
-
-async fn receive(socket: &mut WebSocketStream<TcpStream>) -> Option<Envelope> {
-    match socket.next().await {
-        Some(Ok(Message::Binary(bytes))) => wire::decode(&bytes).ok(),
-        _ => None,
-    }
-}
--- a/components/fleet/src/member/confirm.rs
+++ b/components/fleet/src/member/confirm.rs
@@ -5,6 +5,7 @@
 
 use config::Text;
 use config::ids::Version;
+use config::release;
 use tokio::task::spawn_blocking;
 use tokio::time::{sleep, timeout};
 use tracing::{error, info, warn};
@@ -73,7 +74,8 @@
 
 /// Applies a lease. If it names a newer text, fetches that and puts it in force.
 async fn apply(shared: &Arc<Shared>, sent_at: Instant, lease: FreshnessLease) -> Confirmed {
-    shared.links.set_leader(lease.leader);
+    let leader = lease.leader;
+    shared.links.set_leader(leader.clone());
     let duration = Duration::from_millis(lease.lease_ms);
     let version = lease.version;
     if version <= shared.freshness().version() {
@@ -88,10 +90,14 @@
     let source = match lease.source {
         // A control process of an earlier release sends the text with the lease.
         Some(source) => source.into(),
-        None => match shared.fetch_text(version).await {
-            Ok(source) => source,
-            Err(_) => return Confirmed::NotFetched,
-        },
+        None => {
+            // Releases before the declaration that answer so can be asked for the text.
+            shared.links.raise_level_of(&leader, release::EDITS);
+            match shared.fetch_text(version).await {
+                Ok(source) => source,
+                Err(_) => return Confirmed::NotFetched,
+            }
+        }
     };
     let Some(text) = parse(shared, version, source).await else {
         return Confirmed::Applied;
--- a/components/fleet/src/member/links.rs
+++ b/components/fleet/src/member/links.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use config::ids::NodeId;
+use config::release::{self, Level};
 use config::settings::Peer;
 use errors::{Error, Result, Step};
 use indexmap::{IndexMap, IndexSet};
@@ -64,16 +65,25 @@
         self.ordered(|node| xxh3_64_with_seed(node.as_bytes(), key.seed()))
     }
 
+    /// Records that the leader, which may declare nothing, has shown that it can read a level.
+    pub(crate) fn raise_level_of(&self, node: &NodeId, level: Level) {
+        if let Some(link) = self.connections().get(node) {
+            link.raise_level(level);
+        }
+    }
+
     /// Returns the open connections in the order in which this entry fetches texts over them: by
     /// rendezvous hashing, so that entries spread over the control processes, and the leader last,
     /// as it has other work to do.
     pub(crate) fn text_sources(&self, entry: &NodeId) -> Vec<Connection> {
         let leader = self.leader().clone();
         let seed = xxh3_64(entry.as_bytes());
-        self.ordered(|node| {
+        let mut sources = self.ordered(|node| {
             let is_leader = Some(node) == leader.as_ref();
             (is_leader, xxh3_64_with_seed(node.as_bytes(), seed))
-        })
+        });
+        sources.retain(|link| link.level() >= release::EDITS);
+        sources
     }
 
     /// Returns the open connections, ordered by a key of the control process.
--- a/components/link/src/connection.rs
+++ b/components/link/src/connection.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -42,7 +42,9 @@
 #[derive(Clone, Debug)]
 pub struct Connection {
     hello: Arc<Hello>,
-    declaration: Arc<Declaration>,
+    build: compact_str::CompactString,
+    /// What the other end declared, or has shown since.
+    level: Arc<AtomicU32>,
     peer: Peer,
     queue: mpsc::Sender<Frame>,
     calls: Arc<Calls>,
@@ -198,10 +200,16 @@
     let (incoming, messages) = mpsc::channel(settings.queue_capacity);
     let (sink, stream) = socket.split();
     tokio::spawn(writer::run(sink, frames, shared.clone()));
-    tokio::spawn(reader::run(stream, incoming, shared.clone()));
+    tokio::spawn(reader::run(
+        stream,
+        incoming,
+        queue.downgrade(),
+        shared.clone(),
+    ));
     let connection = Connection {
         hello: Arc::new(hello),
-        declaration: Arc::new(declaration),
+        build: declaration.build,
+        level: Arc::new(AtomicU32::new(declaration.level)),
         peer,
         queue,
         calls: shared.calls,
@@ -219,12 +227,17 @@
 
     /// Returns what the other end can read.
     pub fn level(&self) -> Level {
-        self.declaration.level
+        self.level.load(Ordering::Relaxed)
+    }
+
+    /// Records that the other end, which may declare nothing, has shown that it can read a level.
+    pub fn raise_level(&self, level: Level) {
+        self.level.fetch_max(level, Ordering::Relaxed);
     }
 
     /// Returns the name of the other end's build.
     pub fn build(&self) -> &str {
-        &self.declaration.build
+        &self.build
     }
 
     /// Returns the address of the other end.
@@ -278,8 +291,17 @@
     /// Sends a request and waits for its answer.
     ///
     /// # Errors
-    /// If the other end fails or does not answer within `limit`; the request may have taken effect.
+    /// If the other end can't read the request, which is then not sent, fails, or does not answer
+    /// within `limit`; the request may have taken effect unless the error's step is `Route`.
     pub async fn call(&self, request: Request, limit: Duration) -> Result<Answer> {
+        let (needed, level) = (request.body.level(), self.level());
+        if level < needed {
+            return Err(Error::Protocol(
+                Step::Route,
+                self.peer.clone(),
+                format!("the other end reads level {level}, the request needs {needed}"),
+            ));
+        }
         let (id, reply) = self.calls.begin();
         self.enqueue(Frame::Call(id, request));
         let reply = tokio::select! {
--- a/components/state/src/command.rs
+++ b/components/state/src/command.rs
@@ -1,6 +1,7 @@
 //! Commands, which are the entries of the replicated log.
 
 use config::ids::{Incarnation, NodeId};
+use config::release::{self, Level};
 use serde::{Deserialize, Serialize};
 
 use crate::Millis;
@@ -95,3 +96,26 @@
     /// Advances the time of the state without any other change.
     Tick,
 }
+
+impl Change {
+    /// Returns the lowest level of a process that can read the change.
+    pub fn level(&self) -> Level {
+        match self {
+            Change::Edit(_) => release::EDITS,
+            Change::RecordVerdicts(_) => release::PERMITS,
+            Change::Submit(_)
+            | Change::Replace(_)
+            | Change::Claim { .. }
+            | Change::Settle { .. }
+            | Change::Join { .. }
+            | Change::Lost { .. }
+            | Change::AddUsage(_)
+            | Change::Order(_)
+            | Change::TakeDuties { .. }
+            | Change::CloseWindow { .. }
+            | Change::MarkReported(_)
+            | Change::RecordSpending(_)
+            | Change::Tick => release::UNDECLARED,
+        }
+    }
+}
--- a/components/wire/src/codec.rs
+++ b/components/wire/src/codec.rs
@@ -5,7 +5,7 @@
 /// Largest encoded envelope, in bytes.
 pub const MAX_FRAME_BYTES: usize = 5 * 1_024 * 1_024;
 /// Greatest nesting depth of CBOR items.
-const MAX_DEPTH: usize = 32;
+pub(crate) const MAX_DEPTH: usize = 32;
 
 /// Encodes an envelope.
 ///
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -14,6 +14,7 @@
 mod push;
 mod report;
 mod request;
+mod unknown;
 
 pub use answer::{Answer, Failure, FreshnessLease, Submitted};
 pub use codec::{MAX_FRAME_BYTES, decode, encode};
@@ -27,3 +28,4 @@
     Balance, Balances, DemandTotals, Forwarder, Limits, Overview, Report, Statements, Work,
 };
 pub use request::{Body, Query, Request};
+pub use unknown::{Kind as UnknownKind, Unknown};
--- a/components/wire/src/request.rs
+++ b/components/wire/src/request.rs
@@ -1,6 +1,7 @@
 //! Requests that expect an answer.
 
 use config::ids::{Incarnation, NodeId, Version};
+use config::release::{self, Level};
 use limits::{Draw, Process};
 use serde::{Deserialize, Serialize};
 use state::claim::{Claim, Settlement};
@@ -11,7 +12,6 @@
 
 /// A request, on behalf of one process of an entry or of an operator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
 pub struct Request {
     /// Entry or control process that makes the request, also if another process forwards it.
     pub node: NodeId,
@@ -91,6 +91,28 @@
     Query(Query),
 }
 
+impl Body {
+    /// Returns the lowest level of a process that can read the request.
+    pub fn level(&self) -> Level {
+        match self {
+            Body::FetchText(_) | Body::Edit { .. } => release::EDITS,
+            Body::DrawPermits { .. } => release::PERMITS,
+            Body::Confirm { .. }
+            | Body::Leave
+            | Body::Claim(_)
+            | Body::Settle(..)
+            | Body::Draw(_)
+            | Body::Submit { .. }
+            | Body::Replace { .. }
+            | Body::Report(_)
+            | Body::Balance(_)
+            | Body::RecordOrigin(_)
+            | Body::FindOrigin(_)
+            | Body::Query(_) => release::UNDECLARED,
+        }
+    }
+}
+
 /// A document that operators read.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Query {
