Run two control processes in each data centre, those without a disk forward only

Cause: eight instances with a disk, but one control process in each of four data centres, so that the group stayed at three voters: five need five processes. With two of three disks lost the quorum is gone for good.

Change: two control processes in each data centre. Where both instances have a disk the group grows to five voters, as the settings asked for all along. A process on an instance without a disk ("forwards-only", set by the template where there is no data folder) keeps no log and has no vote: it takes announcements, texts and reads, passes them on to the members of the group that one of them has told it, refuses to keep records of streams, and answers those that found a group so that they do not wait for it. It never forwards to another of its kind.

--- a/components/config/src/settings/control.rs
+++ b/components/config/src/settings/control.rs
@@ -29,6 +29,9 @@
     pub operators_port: u16,
     /// Whether this process joins as a spare, which becomes a voter when it replaces a lost one.
     pub spare: bool,
+    /// Whether this process, on an instance without a disk, keeps no log and has no vote, and
+    /// forwards all requests.
+    pub forwards_only: bool,
     /// Interval of the leader's heartbeats.
     #[serde(with = "crate::duration")]
     pub heartbeat: Duration,
@@ -62,6 +65,7 @@
             limit_window: Duration::from_secs(8),
             usage: Usage::default(),
             spare: false,
+            forwards_only: false,
             heartbeat: Duration::from_millis(150),
             election_timeout: Duration::from_millis(750),
             voters: 0,
--- a/components/control/src/announcements.rs
+++ b/components/control/src/announcements.rs
@@ -175,7 +175,8 @@
                     .filter_map(|u| directory.full_delta(u, now));
                 from.push(Push::Upstreams(announcements.collect()));
             }
-            Push::Group(_) | Push::Newest(_) | Push::Draining(_) | Push::Log { .. } => {}
+            Push::Group(group) => self.replica.learn_group(group),
+            Push::Newest(_) | Push::Draining(_) | Push::Log { .. } => {}
         }
     }
 
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -24,4 +24,6 @@
 pub use memory_replica::MemoryReplica;
 pub use metrics::Metrics;
 pub use node::{Node, Settings};
-pub use process::{ExternalApi, Process, Sockets, run, start_group, start_group_with_parser};
+pub use process::{
+    ExternalApi, Process, Sockets, run, start_forwarding, start_group, start_group_with_parser,
+};
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -147,10 +147,13 @@
     }
 
     async fn route(&self, request: Request) -> Result<Answer, Failure> {
-        if let Some(answer) = self.answer_by_itself(&request.body) {
+        let keeps_state = !self.replica.forwards_only();
+        if keeps_state && let Some(answer) = self.answer_by_itself(&request.body) {
             return Ok(answer);
         }
-        if let Body::FetchText(range) = request.body {
+        if let Body::FetchText(range) = request.body
+            && keeps_state
+        {
             return self.text_part(range).await;
         }
         let status = self.replica.status();
@@ -159,6 +162,7 @@
             _ => None,
         };
         let answer = match status.leader {
+            _ if !keeps_state => self.peers.forward_to_group(&self.group(), request).await,
             _ if self.leads() => self.answer_as_leader(request).await,
             Some(ref leader) if !request.forwarded && *leader != self.settings.node => {
                 self.peers.forward(leader, request).await
--- a/components/control/src/node/replacement.rs
+++ b/components/control/src/node/replacement.rs
@@ -10,7 +10,7 @@
 use state::{Change, Command, Output};
 use tokio::time::sleep;
 use tracing::info;
-use wire::{Answer, Body, Failure, Submitted};
+use wire::{Answer, Body, Failure, Query, Submitted};
 
 use super::Node;
 use super::leader::unexpected_output;
@@ -83,6 +83,14 @@
     /// # Errors
     /// If no leader confirms that it is the newest.
     pub(crate) async fn read_newest_text(&self) -> Result<Option<Arc<str>>, Failure> {
+        if self.replica.forwards_only() {
+            let request = self.local_request(Body::Query(Query::Source));
+            return match self.handle(request).await? {
+                Answer::Document(source) if source.is_empty() => Ok(None),
+                Answer::Document(source) => Ok(Some(source.into())),
+                _ => Err(Failure::Uncertain("the answer is of another kind".into())),
+            };
+        }
         self.read_barrier().await?;
         let (version, source) = self.newest_text();
         Ok((version > 0).then_some(source))
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -148,12 +148,7 @@
         let Some(connection) = connection else {
             return Err(Failure::NoLeader);
         };
-        let limit = match request.body {
-            Body::Submit { wait_ms, .. }
-            | Body::Replace { wait_ms, .. }
-            | Body::Edit { wait_ms, .. } => Duration::from_millis(wait_ms) + SUBMIT_MARGIN,
-            _ => FORWARD_TIMEOUT,
-        };
+        let limit = forward_limit(&request.body);
         let request = Request {
             forwarded: true,
             ..request
@@ -180,6 +175,46 @@
         }
     }
 
+    /// Forwards a request to one member of the group after the other until one of them, or the leader
+    /// to which it passes the request on, answers. It is never forwarded to another process that
+    /// forwards only.
+    pub(crate) async fn forward_to_group(
+        &self,
+        group: &[NodeId],
+        request: Request,
+    ) -> Result<Answer, Failure> {
+        if request.forwarded {
+            return Err(Failure::NoLeader);
+        }
+        let limit = forward_limit(&request.body);
+        // Releases before the declaration don't tell the group, and none of them forwards only.
+        let is_member = |connection: &Connection| {
+            group.contains(&connection.hello().node) || connection.level() < release::DECLARED
+        };
+        let connections = self.control_connections();
+        for connection in connections.into_iter().filter(is_member) {
+            match connection.call(request.clone(), limit).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) if error.step() == Step::Route => {}
+                Err(errors::Error::Invalid(_, _, reason)) => {
+                    return Err(Failure::Refused(reason.into()));
+                }
+                Err(error) => return Err(Failure::Uncertain(error.to_string().into())),
+            }
+        }
+        Err(Failure::NoLeader)
+    }
+
+    /// Tells control processes that are not in the group who is.
+    fn push_to_outsiders(&self, group: &[NodeId]) {
+        for connection in self.incoming().values() {
+            let hello = connection.hello();
+            if hello.role == Role::Control && !group.contains(&hello.node) {
+                connection.push(Push::Group(group.to_vec()));
+            }
+        }
+    }
+
     pub(crate) fn close(&self) {
         let outgoing = self.outgoing();
         let incoming = self.incoming();
@@ -189,6 +224,16 @@
     }
 }
 
+/// Returns the longest wait for the answer to a request that is forwarded.
+fn forward_limit(body: &Body) -> Duration {
+    match body {
+        Body::Submit { wait_ms, .. }
+        | Body::Replace { wait_ms, .. }
+        | Body::Edit { wait_ms, .. } => Duration::from_millis(*wait_ms) + SUBMIT_MARGIN,
+        _ => FORWARD_TIMEOUT,
+    }
+}
+
 /// Accepts connections until the process stops.
 pub(crate) async fn listen<R>(node: Arc<Node<R>>, listener: TcpListener)
 where
@@ -257,6 +302,8 @@
         let draining = crate::node::draining(&node.machine.read());
         connection.push(Push::Draining(draining));
         connection.push(Push::Group(node.group()));
+    } else if !node.replica.forwards_only() {
+        node.peers.push_to_outsiders(&node.group());
     }
     serve(&node, &connection, messages).await;
     node.peers.incoming().swap_remove(&number);
@@ -279,6 +326,9 @@
         }
         info!("control: group members: {}", group.join(", "));
         node.peers.push_to_entries(&Push::Group(group.clone()));
+        if !node.replica.forwards_only() {
+            node.peers.push_to_outsiders(&group);
+        }
         for peer in group.iter().filter_map(|name| node.peer(name)) {
             if node.peers.register_dialer(&peer.node) {
                 tokio::spawn(keep_connection(node.clone(), peer));
@@ -290,7 +340,7 @@
 
 impl<R: Replica<Command = Command, Output = Output>> Node<R> {
     /// Returns the voters and learners of the group, sorted.
-    fn group(&self) -> Vec<NodeId> {
+    pub(crate) fn group(&self) -> Vec<NodeId> {
         let status = self.replica.status();
         let mut group = [status.voters, status.learners].concat();
         group.sort_unstable();
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -9,14 +9,14 @@
 use errors::{Error, Peer, Result, Step};
 use state::{Command, Output};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 use tracing::{error, info};
 
 use crate::external::Protocol;
 use crate::operators::{self, Handle};
-use crate::replica::{ConsensusReplica, Replica};
+use crate::replica::{ConsensusReplica, ForwardingReplica, Replica};
 use crate::{Machine, Node, Settings, announcements, clock, duties, external, node, orders, peers};
 
 /// Folder of the files with the software versions at which streams began, in the data folder.
@@ -111,7 +111,9 @@
         tokio::spawn(announcements::run(node.clone()));
         tokio::spawn(node::notify_entries(node.clone()));
         tokio::spawn(node::run_leader_tasks(node.clone()));
-        tokio::spawn(node::watch_quorum(node.clone()));
+        if !node.replica.forwards_only() {
+            tokio::spawn(node::watch_quorum(node.clone()));
+        }
         let operators_note = operators_address.map_or(String::new(), |address| {
             format!(" and on {address} for operators")
         });
@@ -171,29 +173,56 @@
     external: Option<ExternalApi>,
 ) -> Result<()> {
     let wrap = |error| Error::Io(Step::Load, Peer::Local, error);
-    let mut terminate = signal(SignalKind::terminate()).map_err(wrap)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(wrap)?;
-    let mut reload = signal(SignalKind::hangup()).map_err(wrap)?;
+    let signals = Signals {
+        terminate: signal(SignalKind::terminate()).map_err(wrap)?,
+        interrupt: signal(SignalKind::interrupt()).map_err(wrap)?,
+        reload: signal(SignalKind::hangup()).map_err(wrap)?,
+    };
     let peers = SocketAddr::new(settings.address, settings.control.peer_port);
     let operators = SocketAddr::new(settings.address, settings.control.operators_port);
     let sockets = Sockets::bind_some(peers, external.is_none().then_some(operators))?;
     let parser = external.as_ref().map(|external| external.protocol.parser());
-    let (process, mut failure) = start_group_with_parser(&settings, keys, sockets, parser)?;
+    if settings.control.forwards_only {
+        let process = start_forwarding(&settings, keys, sockets, parser)?;
+        let (_never_fails, failure) = oneshot::channel();
+        return serve(process, external, failure, signals).await;
+    }
+    let (process, failure) = start_group_with_parser(&settings, keys, sockets, parser)?;
+    serve(process, external, failure, signals).await
+}
+
+/// Signals that the process handles.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+/// Serves until a signal ends the process, or its replica ends.
+async fn serve<R>(
+    process: Process<R>,
+    external: Option<ExternalApi>,
+    mut failure: oneshot::Receiver<Error>,
+    mut signals: Signals,
+) -> Result<()>
+where
+    R: Replica<Command = Command, Output = Output>,
+{
     let server = match external {
         Some(external) => Some(serve_external(&process.node, external)?),
         None => None,
     };
     loop {
         tokio::select! {
-            _ = terminate.recv() => {
+            _ = signals.terminate.recv() => {
                 info!("control: received SIGTERM, stopping");
                 break;
             }
-            _ = interrupt.recv() => {
+            _ = signals.interrupt.recv() => {
                 info!("control: received SIGINT, stopping");
                 break;
             }
-            _ = reload.recv() => info!(
+            _ = signals.reload.recv() => info!(
                 "control: received SIGHUP, settings take effect at the next start"
             ),
             Ok(failed) = &mut failure => {
@@ -248,8 +277,37 @@
     let machine = Machine::default();
     let (outgoing, messages) = mpsc::channel(MESSAGE_QUEUE_LENGTH);
     let (replica, failure) = ConsensusReplica::start(settings.into(), machine.clone(), outgoing)?;
-    let defaults = Settings::default();
     let own_settings = Settings {
+        origins_folder: Some(settings.data_folder.join(ORIGINS_FOLDER)),
+        ..own_settings(settings, &keys, parser)
+    };
+    let node = Node::new(own_settings, replica, machine);
+    tokio::spawn(peers::send_replica_messages(node.clone(), messages));
+    let process = Process::start(node, keys, sockets)?;
+    Ok((process, failure))
+}
+
+/// Starts a process that keeps no log and forwards all requests to the group.
+///
+/// # Errors
+/// If a socket can't be used.
+pub fn start_forwarding(
+    settings: &ConfigSettings,
+    keys: Keys,
+    sockets: Sockets,
+    parser: Option<Parser>,
+) -> Result<Process<ForwardingReplica>> {
+    let (outgoing, messages) = mpsc::channel(MESSAGE_QUEUE_LENGTH);
+    let replica = ForwardingReplica::new(settings.node.clone(), outgoing);
+    let own_settings = own_settings(settings, &keys, parser);
+    let node = Node::new(own_settings, replica, Machine::default());
+    tokio::spawn(peers::send_replica_messages(node.clone(), messages));
+    Process::start(node, keys, sockets)
+}
+
+fn own_settings(settings: &ConfigSettings, keys: &Keys, parser: Option<Parser>) -> Settings {
+    let defaults = Settings::default();
+    Settings {
         node: settings.node.clone(),
         incarnation: clock::unix_ms(),
         peers: settings.controls(),
@@ -262,11 +320,6 @@
         leader_lease: settings.control.election_timeout,
         cloud: settings.control.cloud,
         claim_retention: settings.control.claim_retention,
-        origins_folder: Some(settings.data_folder.join(ORIGINS_FOLDER)),
         ..defaults
-    };
-    let node = Node::new(own_settings, replica, machine);
-    tokio::spawn(peers::send_replica_messages(node.clone(), messages));
-    let process = Process::start(node, keys, sockets)?;
-    Ok((process, failure))
+    }
 }
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -2,6 +2,7 @@
 
 mod consensus_replica;
 mod driver;
+mod forwarding;
 mod input;
 mod job;
 mod settings;
@@ -9,6 +10,7 @@
 mod storage_worker;
 
 pub use consensus_replica::ConsensusReplica;
+pub use forwarding::ForwardingReplica;
 pub use settings::Settings;
 pub use state_machine::StateMachine;
 
@@ -64,4 +66,12 @@
 
     /// Returns the current status.
     fn status(&self) -> Status;
+
+    /// Reports whether this process keeps no log, and forwards all requests.
+    fn forwards_only(&self) -> bool {
+        false
+    }
+
+    /// Learns the members of the group from one of them.
+    fn learn_group(&self, _group: Vec<NodeId>) {}
 }
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod control_group;
 mod forwarders;
+mod forwarding;
 mod group;
 mod origins;
 mod quarantine;
--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -10,8 +10,8 @@
     std::fs::read_to_string(path).expect("the file exists")
 }
 
-/// Replaces the placeholders of a template with the values of one machine.
-fn render(template: &str) -> String {
+/// Replaces the placeholders of a template with the values of one machine, which has a disk or not.
+fn render(template: &str, has_disk: bool) -> String {
     let seeds = "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}";
     let cloud = "{{#cloud.address}}cloud = \"{{.}}\"{{/cloud.address}}";
     let values = [
@@ -23,7 +23,18 @@
         ("{{node_name}}", "edge-north-1"),
         ("{{zone}}", "north"),
         ("{{ip}}", "10.1.0.14"),
-        ("{{data_dir}}", "/data/control"),
+        (
+            "{{#data_dir}}data-folder = \"{{.}}\"{{/data_dir}}",
+            if has_disk {
+                "data-folder = \"/data/control\""
+            } else {
+                ""
+            },
+        ),
+        (
+            "{{^data_dir}}forwards-only = true{{/data_dir}}",
+            if has_disk { "" } else { "forwards-only = true" },
+        ),
         ("{{bootstrap}}", "true"),
         ("{{listen.front}}", "10.1.0.14:8221"),
         ("{{listen.ready}}", "10.1.0.14:8224"),
@@ -46,7 +57,7 @@
 #[test]
 fn renders_settings_that_pass_the_check() {
     for template in ["deploy/entry.toml", "deploy/control.toml"] {
-        let rendered = render(&read(template));
+        let rendered = render(&read(template), true);
         assert_that!(rendered, not(contains_substring("{{")), "{template}");
         let (settings, findings) = check::settings(template, &rendered);
         let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
@@ -61,7 +72,7 @@
 
 #[test]
 fn finds_control_processes_at_the_ip_addresses_of_the_seeds() {
-    let rendered = render(&read("deploy/control.toml"));
+    let rendered = render(&read("deploy/control.toml"), true);
     let (settings, _) = check::settings("control.toml", &rendered);
     let controls = settings.expect("the settings are right").controls();
     let names: Vec<String> = controls.iter().map(|peer| peer.node.to_string()).collect();
@@ -71,3 +82,14 @@
         eq("10.2.0.4:7600".parse().expect("an address"))
     );
 }
+
+#[test]
+fn lets_a_control_process_without_a_disk_only_forward() {
+    for has_disk in [true, false] {
+        let rendered = render(&read("deploy/control.toml"), has_disk);
+        let (settings, findings) = check::settings("control.toml", &rendered);
+        assert_that!(findings.len(), eq(0), "{rendered}");
+        let control = settings.expect("there are no findings").control;
+        assert_that!(control.forwards_only, eq(!has_disk));
+    }
+}
