Bound numbers from outside before they are added to a time

A number that comes from outside was added to a time as it came.

Change: config::duration::bounded and bounded_millis hold such numbers within a year, and nothing else is read from outside without them; a keep-alive timeout counts for an hour at most; a duration of more than a year in settings and texts is out of range. Addresses with port 0 are refused when they are announced, on the platform and in our own interface; ports out of range and deep nesting were before.

--- a/components/config/src/duration.rs
+++ b/components/config/src/duration.rs
@@ -24,11 +24,28 @@
     };
     match number.parse::<f64>() {
         Ok(value) => Duration::try_from_secs_f64(value * seconds_per_unit)
-            .map_err(|_| format!("\"{text}\" is out of range")),
+            .ok()
+            .filter(|duration| *duration <= LONGEST)
+            .ok_or_else(|| format!("\"{text}\" is out of range")),
         Err(_) => Err(format!("\"{text}\" is not a duration such as \"1.2s\"")),
     }
 }
 
+/// Longest time that is told from a longer one, so that it can be added to any other.
+pub const LONGEST: Duration = Duration::from_secs(365 * 24 * 3_600);
+
+/// Returns a number of seconds that comes from outside as a duration: 0 for one that is negative or
+/// not a number, [`LONGEST`] for one that is larger.
+pub fn bounded(seconds: f64) -> Duration {
+    let seconds = seconds.max(0.0).min(LONGEST.as_secs_f64());
+    Duration::from_secs_f64(seconds)
+}
+
+/// Returns a number of milliseconds that comes from outside as a duration of at most [`LONGEST`].
+pub fn bounded_millis(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds).min(LONGEST)
+}
+
 /// Formats a duration in seconds or milliseconds, so that [`parse`] returns it again. Fractions of
 /// a millisecond are dropped.
 pub fn format(duration: Duration) -> String {
--- a/components/config/tests/duration.rs
+++ b/components/config/tests/duration.rs
@@ -26,7 +26,22 @@
         "5 parsecs",
         "-1s",
         "99999999999999999999999d",
+        "400d",
+        "100000000000000d",
     ] {
         expect_that!(duration::parse(text), err(anything()), "{text}");
     }
 }
+
+#[gtest]
+fn bounds_numbers_from_outside() {
+    let now = std::time::Instant::now();
+    for seconds in [f64::INFINITY, f64::MAX, 1e300, 1e12] {
+        expect_that!(duration::bounded(seconds), eq(duration::LONGEST));
+    }
+    for seconds in [f64::NAN, f64::NEG_INFINITY, -1.0, -0.0] {
+        expect_that!(duration::bounded(seconds), eq(Duration::ZERO), "{seconds}");
+    }
+    let longest = duration::bounded_millis(u64::MAX);
+    expect_that!(now.checked_add(longest * 3), some(anything()));
+}
--- a/components/entry/src/announce.rs
+++ b/components/entry/src/announce.rs
@@ -64,6 +64,10 @@
         let message = format_compact!("field \"lease_ms\" must be 1 to {MAX_LEASE_MS}");
         return Err(Failure::new(Kind::Invalid, message));
     }
+    if announcement.address.port() == 0 {
+        let message = format_compact!("field \"address\" has no port");
+        return Err(Failure::new(Kind::Invalid, message));
+    }
     let order = |a: &Announcement| (a.incarnation, a.sequence);
     let routes = core.control.view().load().routes.clone();
     let known = routes
--- a/components/gateway/src/balancer/estimate.rs
+++ b/components/gateway/src/balancer/estimate.rs
@@ -1,5 +1,6 @@
 //! Estimates the time to the first event at an upstream, and scores it.
 
+use config::duration::bounded;
 use std::time::{Duration, Instant};
 
 use super::choice::Criteria;
@@ -160,5 +161,5 @@
 }
 
 fn millis(ms: f64) -> Duration {
-    Duration::from_secs_f64((ms / 1_000.0).max(0.0))
+    bounded(ms / 1_000.0)
 }
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -10,6 +10,8 @@
 
 /// Time for which an idle connection is reused if its upstream states no keep-alive timeout.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time for which an idle connection is reused, whatever its upstream states.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3_600);
 /// Time before the upstream's keep-alive timeout at which a connection is no longer reused, so that
 /// no request is sent while the upstream closes the connection.
 const CLOSE_MARGIN: Duration = Duration::from_millis(700);
@@ -76,6 +78,7 @@
         let limit = idle_limit(max_connections, self.entries.unwrap_or(ASSUMED_ENTRIES));
         let usable =
             keep_alive.map_or(IDLE_TIMEOUT, |timeout| timeout.saturating_sub(CLOSE_MARGIN));
+        let usable = usable.min(MAX_IDLE_TIME);
         if usable.is_zero() {
             return;
         }
--- a/components/limits/src/permits.rs
+++ b/components/limits/src/permits.rs
@@ -1,5 +1,6 @@
 //! The limits that upstreams name, and permits for single requests under them, at the leader.
 
+use config::duration::bounded;
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, UpstreamId};
@@ -233,7 +234,7 @@
 
 /// Returns what a bucket holds, as time at the limit `rate`.
 fn burst(rate: f64) -> Duration {
-    BURST + Duration::from_secs_f64(SPARE_PERMITS / rate)
+    BURST + bounded(SPARE_PERMITS / rate)
 }
 
 /// Returns the time after which a refused entry may draw again, in milliseconds. `rates` is the sum
--- a/components/limits/tests/permits.rs
+++ b/components/limits/tests/permits.rs
@@ -163,3 +163,12 @@
     });
     assert_that!(pauses, eq([250, 2_500, 4_000, 4_000]));
 }
+
+#[test]
+fn bears_a_limit_that_allows_a_request_in_more_than_a_lifetime() {
+    for rate in [1e-300, f64::MIN_POSITIVE, 1e-12, 0.0] {
+        let now = Instant::now();
+        let given = draw_all(&mut limited(rate, now), now);
+        assert_that!(given.len(), le(2), "{rate}");
+    }
+}
--- a/components/routing/src/router/selection.rs
+++ b/components/routing/src/router/selection.rs
@@ -1,5 +1,6 @@
 //! The selection of one upstream among the candidates of a request.
 
+use config::duration::bounded;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -130,7 +131,7 @@
         }
         let times = scored.iter().map(|s| s.estimate.pessimistic_first_token());
         let earliest = times.fold(f64::INFINITY, f64::min);
-        let backlog = Duration::from_secs_f64((earliest - self.group.first_token_target).max(0.0));
+        let backlog = bounded(earliest - self.group.first_token_target);
         Err(Refusal::Overloaded {
             retry_after: backlog.max(MIN_RETRY_AFTER),
         })
@@ -194,7 +195,7 @@
             upstream: candidate.upstream.clone(),
             software: candidate.software.clone(),
             address: candidate.address,
-            expected_first_token: Duration::from_secs_f64(estimate.first_token()),
+            expected_first_token: bounded(estimate.first_token()),
             cached_tokens: estimate.cached_tokens,
             considered,
             reason: reason(best, home),
