Take an earlier refusal written once more for no answer to this request

Cause: a refusal was recognised before the identifier of its answer was compared, so that any refusal on the connection counted as one of this request; and what such an answer says of load, pause, leaving, limits and brittleness was recorded as news.

Change: an answer that names another request is an unclear one, in attempts of this entry and in those that another entry makes for it, and nothing that it says of its upstream is recorded. Answers without an identifier are taken as before. In our own interface an answer of a plain service that names another request leaves the outcome unknown; engines name none, so that nothing changes for them.

--- a/components/entry/src/plain/call.rs
+++ b/components/entry/src/plain/call.rs
@@ -86,6 +86,13 @@
         && flag.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"true"))
 }
 
+/// Reports whether an answer names another request: an earlier one, whose answer is written once
+/// more.
+pub(super) fn is_stray(answer: &Answer, request: &str) -> bool {
+    let named = answer.headers.get(reply::REQUEST_ID);
+    named.is_some_and(|named| named.as_bytes() != request.as_bytes())
+}
+
 /// Converts an upstream's answer into the reply to the caller.
 pub(super) fn reply(answer: Answer) -> Reply {
     let mut headers = end_to_end_headers(&answer.headers);
--- a/components/entry/src/plain/hedge.rs
+++ b/components/entry/src/plain/hedge.rs
@@ -8,7 +8,7 @@
 use routing::Choice;
 use tokio::time::sleep;
 
-use super::call::{Call, is_rejection, reply};
+use super::call::{Call, is_rejection, is_stray, reply};
 use super::serve::{MAX_ANSWER_BYTES, RETRY_AFTER, Session, is_safe};
 use crate::core::Core;
 use crate::dispatch::{Answer, Client, collect};
@@ -65,6 +65,9 @@
             () = tokio::time::sleep_until(deadline) => return Err(timed_out(session)),
         };
         match event {
+            Ok(answer) if is_stray(&answer, &session.call.request) => {
+                last_failure = Some(upstream_failure("the upstream answered another request"));
+            }
             Ok(answer) if !is_rejection(&answer) => {
                 session.exchange.apply(Event::Accepted);
                 session.exchange.apply(Event::Completed);
--- a/components/entry/src/plain/serve.rs
+++ b/components/entry/src/plain/serve.rs
@@ -12,7 +12,7 @@
 use routing::{Choice, Request};
 use tokio::sync::oneshot;
 
-use super::call::{Call, is_rejection, reply};
+use super::call::{Call, is_rejection, is_stray, reply};
 use super::{hedge, keyed};
 use crate::admit::{self, Admission};
 use crate::core::Core;
@@ -198,6 +198,11 @@
             let request = self.call.request(choice.address)?;
             self.exchange.apply(Event::Dispatched);
             match self.dispatch(&choice, request, dispatch_deadline).await {
+                Ok(answer) if is_stray(&answer, &self.call.request) => {
+                    let message = "the call was sent and its answer is lost; it may have run: the \
+                                   upstream answered another request";
+                    return Err(Failure::new(Kind::Upstream, message));
+                }
                 Ok(answer) if is_rejection(&answer) => {
                     self.exchange.apply(Event::Rejected);
                     let message = "the upstream refused the call and did not run it";
--- a/components/entry/tests/path/behaviour.rs
+++ b/components/entry/tests/path/behaviour.rs
@@ -21,6 +21,8 @@
     NoDone,
     /// Refuses the call with an answer that is defined as not run.
     Reject,
+    /// Runs the call, and writes an earlier refusal once more in place of its answer.
+    StaleReject,
     /// Answers with this status.
     Status(u16),
     /// Runs the call and closes within the body.
--- a/components/entry/tests/path/fake.rs
+++ b/components/entry/tests/path/fake.rs
@@ -196,6 +196,11 @@
     let count = state.executions.fetch_add(1, Ordering::SeqCst) + 1;
     let body = format!("{} #{count}", request.line);
     match behaviour {
+        Behaviour::StaleReject => {
+            let head = "HTTP/1.1 503 X\r\nchervilloft-not-run: true\r\n\
+                        chervilloft-request-id: earlier\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(head.as_bytes()).ok()
+        }
         Behaviour::Status(status) => reply(stream, status, &body),
         Behaviour::HalfBody => {
             let head = "HTTP/1.1 200 X\r\ncontent-length: 1000\r\n\r\nhalf";
--- a/components/entry/tests/path/plain.rs
+++ b/components/entry/tests/path/plain.rs
@@ -77,6 +77,22 @@
     expect_eq!(shop.executions(), 0);
 }
 
+#[gtest]
+fn never_takes_an_earlier_refusal_for_one_of_another_call() {
+    let bench = Bench::start();
+    let shop = bench.upstream("shop-1", "shop");
+    for method in ["POST", "GET"] {
+        shop.script(std::iter::repeat_n(Behaviour::StaleReject, 3));
+        let answer = match method {
+            "POST" => bench.post("/services/shop/exposures", &[], "plate"),
+            _ => bench.get("/services/shop/jobs"),
+        };
+        expect_eq!(answer.outcome(), "unknown", "{method}");
+        shop.script([]);
+    }
+    expect_ge!(shop.executions(), 2);
+}
+
 #[gtest]
 fn can_reach_another_upstream_when_one_refuses_connections() {
     let bench = Bench::start();
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -15,6 +15,7 @@
 
 pub(crate) use attempt::{Answer, Failure, attempt, check, head_timeout};
 pub(crate) use attempts::Attempts;
+pub(crate) use reply::is_stray;
 
 use crate::balancer::{Choice, Criteria, Outcome, Shortage};
 use crate::call::Call;
--- a/components/gateway/src/dispatch/attempt.rs
+++ b/components/gateway/src/dispatch/attempt.rs
@@ -133,8 +133,7 @@
     let (parts, body) = response.into_parts();
     let reply = core.protocol.decode_reply(&parts);
     let status = parts.status;
-    let is_own = reply.id.as_ref() == Some(&call.id);
-    reply::record(core, &choice, &reply, is_own, ticket.sent_at());
+    reply::record(core, call, &choice, &reply, ticket.sent_at());
     if let Err(failure) = check(call, &parts, &body, &reply) {
         ticket.finish(match failure {
             Failure::NotRun => Outcome::Refused,
@@ -172,6 +171,9 @@
 ) -> Result<(), Failure> {
     let status = parts.status;
     let is_own = reply.id.as_ref() == Some(&call.id);
+    if reply::is_stray(reply, call) {
+        return Err(Failure::Unknown("an answer to another request".to_owned()));
+    }
     if reply.not_run || reply.other_upstream {
         return Err(Failure::NotRun);
     }
--- a/components/gateway/src/dispatch/reply.rs
+++ b/components/gateway/src/dispatch/reply.rs
@@ -6,10 +6,21 @@
 
 use crate::Reply;
 use crate::balancer::Choice;
+use crate::call::Call;
 use crate::core::{Core, lock};
 
-/// Records what an answer, which `is_own` if it is one to this request, says of its upstream.
-pub(super) fn record(core: &Core, choice: &Choice, reply: &Reply, is_own: bool, sent_at: Instant) {
+/// Reports whether an answer names another request: one that was sent earlier, or once more.
+pub(crate) fn is_stray(reply: &Reply, call: &Call) -> bool {
+    reply.id.as_ref().is_some_and(|id| *id != call.id)
+}
+
+/// Records what an answer says of its upstream, unless it is one to another request: what that says
+/// may be long over.
+pub(super) fn record(core: &Core, call: &Call, choice: &Choice, reply: &Reply, sent_at: Instant) {
+    if is_stray(reply, call) {
+        return;
+    }
+    let is_own = reply.id.is_some();
     if let Some((running, waiting)) = reply.load {
         lock(&core.balancer).record_load(choice, running, waiting, Instant::now());
     }
--- a/components/gateway/src/forward/client.rs
+++ b/components/gateway/src/forward/client.rs
@@ -95,7 +95,7 @@
     };
     let choice = choice(served);
     let reply = core.protocol.decode_reply(&parts);
-    if reply.leaving {
+    if reply.leaving && !dispatch::is_stray(&reply, call) {
         lock(&core.balancer).record_leaving(&choice);
     }
     let checked = dispatch::check(call, &parts, &body, &reply);
