Resume a stream only with its own next event

What callers saw: a stream broke off, the next upstream answered with an error text as a success, and callers found the text in the middle of their stream, which ended as complete ("...piece 3, OUCH"). Cause: of the answer that resumes a stream only the status was looked at.

Change: an upstream that answers the resumption with something else than an event stream is passed over, within the attempts of the route; the first numbered event after a resumption must be the one that is due: the next number, or a higher one where the stream has left numbers out before. Otherwise nothing of that answer is passed on, the stream is resumed elsewhere, or broken off if no attempt is left. Answers 4xx and 5xx broke it off before and do so now.

--- a/components/gateway/src/event_buffer.rs
+++ b/components/gateway/src/event_buffer.rs
@@ -19,24 +19,46 @@
         TooLong(limit: usize) {
             display("an event has more than {limit} bytes")
         }
+        /// A resumed stream begins with another event than the one that is due.
+        NotDue(id: u64, last: u64) {
+            display("the stream goes on with event {id} after event {last}")
+        }
     }
 }
 
 /// Buffers the bytes of a `text/event-stream` until an event is complete.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventBuffer {
     partial: BytesMut,
     scanner: Scanner,
     last_id: Option<u64>,
+    /// Whether each number so far was one more than the one before.
+    is_gapless: bool,
+    /// Whether the next numbered event is the first one since the stream was resumed.
+    is_resumed: bool,
     /// Whether another answer follows the stream on the same connection.
     has_other_answer: bool,
 }
 
+impl Default for EventBuffer {
+    fn default() -> Self {
+        EventBuffer {
+            partial: BytesMut::new(),
+            scanner: Scanner::default(),
+            last_id: None,
+            is_gapless: true,
+            is_resumed: false,
+            has_other_answer: false,
+        }
+    }
+}
+
 impl EventBuffer {
     /// Appends bytes, and returns the events that are complete now.
     ///
     /// # Errors
-    /// Returns an error if the incomplete event exceeds [`MAX_EVENT_BYTES`].
+    /// Returns an error if the incomplete event exceeds [`MAX_EVENT_BYTES`], or if a resumed stream
+    /// does not go on after the last event.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
         if self.has_other_answer {
             return Ok(Bytes::new());
@@ -49,7 +71,7 @@
             None => Bytes::new(),
         };
         let complete = self.without_other_answer(complete);
-        self.last_id = last_id(&complete).or(self.last_id);
+        self.follow(&complete)?;
         match self.partial.len() {
             MAX_EVENT_BYTES.. if complete.is_empty() => Err(EventError::TooLong(MAX_EVENT_BYTES)),
             // Complete events are passed on first; the next bytes meet the bound.
@@ -57,6 +79,21 @@
         }
     }
 
+    /// Follows the numbers of complete events.
+    fn follow(&mut self, complete: &[u8]) -> Result<(), EventError> {
+        for id in ids(complete) {
+            let last = self.last_id.unwrap_or(0);
+            let is_next = id == last.saturating_add(1);
+            let is_due = is_next || !self.is_gapless && id > last;
+            if std::mem::take(&mut self.is_resumed) && !is_due {
+                return Err(EventError::NotDue(id, last));
+            }
+            self.is_gapless &= is_next || self.last_id.is_none();
+            self.last_id = Some(id);
+        }
+        Ok(())
+    }
+
     /// Returns the events before the start of another answer, which follows on the same connection.
     fn without_other_answer(&mut self, mut events: Bytes) -> Bytes {
         if let Some(start) = answer_start(&events) {
@@ -81,6 +118,7 @@
     pub fn discard_partial(&mut self) {
         self.partial.clear();
         self.has_other_answer = false;
+        self.is_resumed = self.last_id.is_some();
         self.scanner = Scanner::default();
     }
 
@@ -149,7 +187,7 @@
 }
 
 /// Splits bytes into lines.
-fn lines(bytes: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
+fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
     bytes.split(|byte| matches!(byte, b'\n' | b'\r'))
 }
 
@@ -165,12 +203,11 @@
     None
 }
 
-/// Returns the number of the last event that has one.
-fn last_id(events: &[u8]) -> Option<u64> {
-    let id = |line: &[u8]| {
+/// Returns the numbers of the events that have one.
+fn ids(events: &[u8]) -> impl Iterator<Item = u64> {
+    lines(events).filter_map(|line| {
         let value = line.strip_prefix(ID_FIELD)?;
         let value = std::str::from_utf8(value).ok()?;
         value.trim().parse().ok()
-    };
-    lines(events).rev().find_map(id)
+    })
 }
--- a/components/gateway/src/relay/source.rs
+++ b/components/gateway/src/relay/source.rs
@@ -6,8 +6,11 @@
 use config::ids::NodeId;
 use http::response;
 use hyper::body::Incoming;
+use tracing::warn;
 use web::Framing;
 
+use super::may_be_events;
+use crate::balancer::Outcome;
 use crate::call::Call;
 use crate::connection::Connection;
 use crate::core::Core;
@@ -68,7 +71,8 @@
     pub(super) request_log: RequestLog,
 }
 
-/// Sends the request to another upstream, which continues after the event `last`.
+/// Sends the request to another upstream, which continues after the event `last`. One that answers
+/// with something else than an event stream is passed over.
 pub(super) async fn resume(
     core: Arc<Core>,
     call: Arc<Call>,
@@ -76,17 +80,27 @@
     mut attempts: Attempts,
     mut request_log: RequestLog,
 ) -> Resumed {
-    let answer = dispatch::dispatch(&core, &call, last, &mut attempts, &mut request_log).await;
-    let answer = answer.and_then(|answer| match answer.response.status().is_success() {
-        true => Ok(answer),
-        false => Err(Refusal::Lost(format!(
-            "status {}",
-            answer.response.status()
-        ))),
-    });
-    if let Ok(answer) = &answer {
+    let answer = loop {
+        let sent = dispatch::dispatch(&core, &call, last, &mut attempts, &mut request_log).await;
+        let mut answer = match sent {
+            Ok(answer) => answer,
+            Err(refusal) => break Err(refusal),
+        };
         attempts.record_answer(&answer.ticket.choice().upstream);
-    }
+        let status = answer.response.status();
+        match status.is_success() {
+            true if may_be_events(answer.response.headers()) => break Ok(answer),
+            true => {
+                warn!(
+                    request = %call.id,
+                    upstream = %answer.ticket.choice().upstream,
+                    "answer: not resumed: the upstream answered with no event stream"
+                );
+                answer.ticket.finish(Outcome::Failed);
+            }
+            false => break Err(Refusal::Lost(format!("status {status}"))),
+        }
+    };
     Resumed {
         answer,
         attempts,
