Send whole texts to a few entries of older releases at a time

What callers saw: while instances are replaced, a leader of this release answers entries of releases before, which fetch no texts, with the whole text in their lease: the former fault (docs/incidents/large-text.md), by the leader of a release that had mended it, as it answered all of them at the same moment. Read in the code; a fleet of a grown size was not run with two builds.

Change: eight such texts are under way at a time, each counted for as long as a link of 10 Mbit/s takes for it, and one to a process, however many control processes it asks. A request waits up to 800 ms for its turn; entries of those releases ask again after a second. Entries that fetch texts are not concerned.

--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -11,6 +11,7 @@
 mod settings;
 mod text_parts;
 mod token_limits;
+mod whole_texts;
 pub(crate) mod workload;
 
 pub(crate) use background::{draining, notify_entries, run_leader_tasks};
@@ -19,6 +20,7 @@
 
 use meters::Meters;
 use parsed_text::ParsedText;
+use whole_texts::WholeTexts;
 use workload::Workload;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -57,6 +59,7 @@
     origin_files: Option<OriginFiles>,
     parsed_text: Mutex<ParsedText>,
     archive: Mutex<Archive>,
+    whole_texts: Mutex<WholeTexts>,
     pub(crate) stopped: watch::Sender<bool>,
 }
 
@@ -91,6 +94,7 @@
             origin_files,
             parsed_text: Mutex::default(),
             archive: Mutex::default(),
+            whole_texts: Mutex::default(),
             identity,
             replica,
             machine,
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -1,17 +1,19 @@
 //! Requests that the leader answers.
 
+use std::sync::PoisonError;
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, NodeId, Version};
 use state::claims::millis;
 use state::text::{Outcome, Submission};
 use state::{Change, Command, Output, State};
+use tokio::time::sleep;
 use tracing::info;
 use wire::{Answer, Body, Failure, FreshnessLease, Overview, Query, Request, Submitted};
 
-use super::Node;
 use super::replacement::Entries;
 use super::token_limits::SpendingRecord;
+use super::{Node, whole_texts};
 use crate::leases::CLOCK_DRIFT_MARGIN;
 use crate::replica::Replica;
 use crate::{clock, difference};
@@ -20,6 +22,9 @@
 /// long as its request says.
 const MAX_IN_FORCE_WAIT: Duration = Duration::from_secs(30);
 
+/// Time between two checks whether a whole text may be sent.
+const TURN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 impl<R: Replica<Command = Command, Output = Output>> Node<R> {
     /// Answers a request as the leader.
     pub(super) async fn answer_as_leader(&self, request: Request) -> Result<Answer, Failure> {
@@ -221,6 +226,9 @@
                 revision.map(|revision| revision.source.to_string()),
             )
         };
+        if let Some(source) = &source {
+            self.wait_to_send(&entry, incarnation, source.len()).await?;
+        }
         match self.replica.status().term {
             now if now == term && self.leads() => Ok(Answer::FreshnessLease(FreshnessLease {
                 version,
@@ -232,6 +240,38 @@
         }
     }
 
+    /// Waits until a text of `bytes` may be sent with the lease of an entry that fetches none.
+    async fn wait_to_send(
+        &self,
+        entry: &NodeId,
+        incarnation: Incarnation,
+        bytes: usize,
+    ) -> Result<(), Failure> {
+        if bytes < whole_texts::MIN_BYTES {
+            return Ok(());
+        }
+        let deadline = Instant::now() + whole_texts::MAX_WAIT;
+        loop {
+            let process = (entry.clone(), incarnation);
+            let now = Instant::now();
+            let may_send = {
+                let mut texts = self
+                    .whole_texts
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner);
+                texts.begin(process, bytes, now)
+            };
+            match may_send {
+                true => return Ok(()),
+                false if now >= deadline => {
+                    let reason = "the text is sent to other entries first";
+                    return Err(Failure::Uncertain(reason.into()));
+                }
+                false => sleep(TURN_POLL_INTERVAL).await,
+            }
+        }
+    }
+
     async fn join(&self, entry: &NodeId, incarnation: Incarnation) -> Result<(), Failure> {
         let serves = || self.machine.read().members().serves(entry, incarnation);
         if serves() {
--- a/components/control/tests/releases/main.rs
+++ b/components/control/tests/releases/main.rs
@@ -215,6 +215,61 @@
     assert_that!(older.connections(), eq(1));
 }
 
+/// Asks for a lease as an entry of a release that fetches no texts, and returns the time until it got
+/// one with the text.
+async fn time_to_text(address: SocketAddr, number: usize) -> Duration {
+    let name = format!("entry-{number}");
+    let stream = TcpStream::connect(address).await.expect("it listens");
+    let (socket, _) = client_async("ws://chervilloft/link", stream)
+        .await
+        .expect("the upgrade is accepted");
+    let secret = Secret::new(SECRET);
+    let opened = Raw::open(socket, Side::Dialer, &name, Role::Entry, &secret).await;
+    let mut raw = opened.expect("the handshake is accepted");
+    let began = Instant::now();
+    loop {
+        let request = Request {
+            node: name.as_str().into(),
+            incarnation: 1,
+            forwarded: false,
+            body: Body::Confirm {
+                version: 0,
+                fetches: false,
+            },
+        };
+        raw.send(Frame::Call(1, request)).await;
+        loop {
+            let bytes = raw.receive().await.expect("the connection stays open");
+            match wire::decode(&bytes).map(|envelope| envelope.2) {
+                Ok(Frame::Answer(_, Ok(Answer::FreshnessLease(lease)))) => {
+                    assert!(lease.source.is_some(), "the lease carries the text");
+                    return began.elapsed();
+                }
+                Ok(Frame::Answer(_, Err(_))) => break,
+                _ => raw.send(Frame::Heartbeat).await.expect("it is open"),
+            }
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sends_whole_texts_to_a_few_older_entries_at_a_time() {
+    let group = Group::start().await;
+    group.submit(&large_text(3)).await;
+    let address = group.leader().await.peer_address;
+    let entries = (0..24).map(|number| tokio::spawn(time_to_text(address, number)));
+    let entries: Vec<_> = entries.collect();
+    let mut times = Vec::new();
+    for entry in entries {
+        times.push(entry.await.expect("the entry gets the text"));
+    }
+    times.sort();
+    // Eight copies of 200 KB take 164 ms of a link of 10 Mbit/s each.
+    assert_that!(times[8], ge(Duration::from_millis(150)), "{times:?}");
+    assert_that!(times[16], ge(Duration::from_millis(300)), "{times:?}");
+    assert_that!(times[23], le(Duration::from_secs(20)), "{times:?}");
+}
+
 /// Returns a request of a later release, in its frame.
 fn later_request() -> Value {
     let text = |text: &str| Value::Text(text.to_owned());
--- a/components/control/tests/releases/older_process.rs
+++ b/components/control/tests/releases/older_process.rs
@@ -20,12 +20,12 @@
 use crate::raw::{Raw, Side};
 
 /// Changes of the state that the release knows.
-const KNOWN_CHANGES: [&str; 13] = [
+pub(crate) const KNOWN_CHANGES: [&str; 13] = [
     "Submit", "Replace", "Claim", "Settle", "Join", "Lost", "Use", "Order", "Take", "Close",
     "Reported", "Spend", "Tick",
 ];
 /// Requests that the release knows.
-const KNOWN_REQUESTS: [&str; 12] = [
+pub(crate) const KNOWN_REQUESTS: [&str; 12] = [
     "Confirm",
     "Leave",
     "Claim",
