Lead a process to its group through one that only forwards, and grow a group of any size

Now that processes without a disk serve the control listener, a process that comes back with an empty disk may be told seeds of which none is a member of the group: it asked only these, and would never have joined. And a group founded by fewer than three seeds with a disk would have kept that size until five processes were there.

Change: a process that only forwards tells every control process that connects who is in the group; one without a group connects to those it was told of and asks them to be added. A founder keeps to the seeds in its settings, so that no second group is founded. A group grows to the highest odd number of voters, up to that in the settings, for which enough live processes hold the log: from one founder to three to five.

--- a/components/consensus/src/node/change.rs
+++ b/components/consensus/src/node/change.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::ids::Index;
+use crate::ids::{Index, NodeId};
 use crate::{Body, Event, Member, Membership, Message, Payload, Refusal};
 
 use super::Node;
@@ -76,6 +76,19 @@
         }
     }
 
+    /// Learns of further processes that a node without a group asks to be added. A node that may found
+    /// a group keeps to those in its settings.
+    pub fn learn_peers(&mut self, peers: Vec<NodeId>) {
+        if !self.settings.spare || self.hard_state.group.is_some() {
+            return;
+        }
+        for peer in peers {
+            if !self.settings.peers.contains(&peer) {
+                self.settings.peers.push(peer);
+            }
+        }
+    }
+
     /// Asks all processes to add this node to their group. A node without a group also asks
     /// whether they belong to one.
     pub(super) fn poll_peers(&mut self) {
--- a/components/consensus/src/node/repair.rs
+++ b/components/consensus/src/node/repair.rs
@@ -51,40 +51,38 @@
         let lost = self.lost_voter(&membership);
         let spare = self.ready_spare(&membership, lost.as_ref());
         let count = membership.voters.len();
-        match (lost, spare) {
-            (None, Some(spare)) if self.can_grow(&membership) => {
-                let next = membership
-                    .with_voter(&spare)
-                    .with_target(self.settings.voters);
+        let growth = self.growth_target(&membership);
+        match (lost, spare, growth) {
+            (None, Some(spare), Some(target)) => {
+                let next = membership.with_voter(&spare).with_target(target);
                 let _ = self.change_membership(self.now, next);
             }
-            (_, Some(spare)) if count < membership.target => {
+            (_, Some(spare), _) if count < membership.target => {
                 let _ = self.change_membership(self.now, membership.with_voter(&spare));
             }
-            (Some(lost), _) if count > membership.target => {
+            (Some(lost), ..) if count > membership.target => {
                 let _ = self.change_membership(self.now, membership.without(&lost));
             }
-            (Some(lost), Some(spare)) => self.begin_swap(&membership, lost, spare),
-            (Some(lost), None) => self.warn_of_lost_voter(lost),
-            (None, _) if count > membership.target => self.demote_newest(&membership),
-            (None, _) => {}
+            (Some(lost), Some(spare), _) => self.begin_swap(&membership, lost, spare),
+            (Some(lost), None, _) => self.warn_of_lost_voter(lost),
+            (None, ..) if count > membership.target => self.demote_newest(&membership),
+            (None, ..) => {}
         }
     }
 
-    /// Returns whether there are enough live spares, each of a process that does not vote yet, to
-    /// grow to the number of voters in the settings. With fewer, the group keeps its size, as an
+    /// Returns the number of voters to which the group can grow: the highest odd one up to that in the
+    /// settings for which there are enough live spares, each of a process that does not vote yet. An
     /// even number of voters tolerates no more losses.
-    fn can_grow(&self, membership: &Membership) -> bool {
+    fn growth_target(&self, membership: &Membership) -> Option<usize> {
         let count = membership.voters.len();
-        let goal = self.settings.voters;
-        if count != membership.target || count >= goal {
-            return false;
-        }
         let is_new = |learner: &&Member| {
             let mut voters = membership.voters.iter();
             self.is_ready_spare(learner) && voters.all(|voter| voter.node != learner.node)
         };
-        count + membership.learners.iter().filter(is_new).count() >= goal
+        let available = count + membership.learners.iter().filter(is_new).count();
+        let goal = available.min(self.settings.voters);
+        let goal = goal.saturating_sub(usize::from(goal.is_multiple_of(2)));
+        (count == membership.target && goal > count).then_some(goal)
     }
 
     /// Returns a voter that did not answer for too long, or whose process has a new data folder.
--- a/components/consensus/tests/suite/growth.rs
+++ b/components/consensus/tests/suite/growth.rs
@@ -98,3 +98,19 @@
     expect_that!(world.committed(), gt(committed));
     expect_that!(world.violations, is_empty());
 }
+
+#[gtest]
+fn can_grow_from_one_founder_in_steps_of_two() {
+    for (spares, expected) in [(1, 1), (2, 3), (3, 3), (4, 5)] {
+        let settings = Settings {
+            voters: 5,
+            ..group(1, spares, 3).settings
+        };
+        let mut world = World::new(settings, 1, spares, 3);
+        world.commit(50);
+        expect_true!(wait_for_voters(&mut world, expected), "{spares} spares");
+        world.run(20 * SECOND);
+        expect_that!(voters(&mut world), len(eq(expected)), "{spares} spares");
+        expect_that!(world.violations, is_empty());
+    }
+}
--- a/components/control/src/memory_replica.rs
+++ b/components/control/src/memory_replica.rs
@@ -100,6 +100,7 @@
             voters: vec![self.node.clone()],
             learners: Vec::new(),
             is_swapping: false,
+            told_group: Vec::new(),
         }
     }
 }
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -205,11 +205,11 @@
         Err(Failure::NoLeader)
     }
 
-    /// Tells control processes that are not in the group who is.
-    fn push_to_outsiders(&self, group: &[NodeId]) {
+    /// Tells control processes who is in the group, `all` of them or those that are not.
+    fn push_group(&self, group: &[NodeId], all: bool) {
         for connection in self.incoming().values() {
             let hello = connection.hello();
-            if hello.role == Role::Control && !group.contains(&hello.node) {
+            if hello.role == Role::Control && (all || !group.contains(&hello.node)) {
                 connection.push(Push::Group(group.to_vec()));
             }
         }
@@ -302,8 +302,8 @@
         let draining = crate::node::draining(&node.machine.read());
         connection.push(Push::Draining(draining));
         connection.push(Push::Group(node.group()));
-    } else if !node.replica.forwards_only() {
-        node.peers.push_to_outsiders(&node.group());
+    } else {
+        node.tell_group();
     }
     serve(&node, &connection, messages).await;
     node.peers.incoming().swap_remove(&number);
@@ -326,9 +326,7 @@
         }
         info!("control: group members: {}", group.join(", "));
         node.peers.push_to_entries(&Push::Group(group.clone()));
-        if !node.replica.forwards_only() {
-            node.peers.push_to_outsiders(&group);
-        }
+        node.tell_group();
         for peer in group.iter().filter_map(|name| node.peer(name)) {
             if node.peers.register_dialer(&peer.node) {
                 tokio::spawn(keep_connection(node.clone(), peer));
@@ -339,15 +337,25 @@
 }
 
 impl<R: Replica<Command = Command, Output = Output>> Node<R> {
-    /// Returns the voters and learners of the group, sorted.
+    /// Returns the voters and learners of the group, sorted, or those that another process named.
     pub(crate) fn group(&self) -> Vec<NodeId> {
         let status = self.replica.status();
-        let mut group = [status.voters, status.learners].concat();
+        let mut group = [status.voters, status.learners, status.told_group].concat();
         group.sort_unstable();
         group.dedup();
         group
     }
 
+    /// Tells control processes outside the group who is in it. A process that forwards only tells all,
+    /// as it may be the only one that a member without its disk is told of.
+    fn tell_group(&self) {
+        let group = self.group();
+        if !group.is_empty() {
+            let all = self.replica.forwards_only();
+            self.peers.push_group(&group, all);
+        }
+    }
+
     /// Returns the addresses of a control process that is named by its IP address.
     fn peer(&self, name: &NodeId) -> Option<Peer> {
         let port = self.settings.peer_port?;
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -39,6 +39,8 @@
     /// Whether a lost voter is being replaced. Until that is over, a decision also needs a quorum
     /// of the voters before.
     pub is_swapping: bool,
+    /// Members of a group, as another process named them; empty once this process belongs to one.
+    pub told_group: Vec<NodeId>,
 }
 
 /// Interface of a replicated state machine to the control process.
--- a/components/control/src/replica/consensus_replica.rs
+++ b/components/control/src/replica/consensus_replica.rs
@@ -6,6 +6,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use config::ids::NodeId;
 use consensus::{Member, Message, Node};
 use errors::{Error, Peer, Result, Step};
 use storage::{Disk, Folder, Store};
@@ -119,6 +120,7 @@
             next_read: rand::random(),
             disk_is_full: false,
             is_unreadable,
+            told_group: Vec::new(),
         };
         let storage = spawn("storage", move || worker.run())?;
         spawn("replica", move || {
@@ -210,6 +212,10 @@
     fn status(&self) -> Status {
         self.status.borrow().clone()
     }
+
+    fn learn_group(&self, group: Vec<NodeId>) {
+        let _ = self.inputs.send(Input::Group(group));
+    }
 }
 
 impl<M: StateMachine> Drop for ConsensusReplica<M> {
--- a/components/control/src/replica/driver.rs
+++ b/components/control/src/replica/driver.rs
@@ -4,6 +4,7 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::{Duration, Instant};
 
+use config::ids::NodeId;
 use config::release;
 use consensus::ids::ReadId;
 use consensus::{Action, Entry, Event, Message, Node, Outcome, Payload, Position, SnapshotMeta};
@@ -38,6 +39,8 @@
     /// Whether the log or a snapshot holds what this release can't read. The replica then votes and
     /// stores the log, and applies nothing until it receives a snapshot that it can read.
     pub(super) is_unreadable: bool,
+    /// Members of a group, as another process named them.
+    pub(super) told_group: Vec<NodeId>,
 }
 
 impl<M: StateMachine> Driver<M> {
@@ -106,6 +109,10 @@
                 let started = self.node.transfer_leadership(now);
                 let _ = reply.send(started.map_err(|refusal| refusal_error(&refusal)));
             }
+            Input::Group(group) => {
+                self.node.learn_peers(group.clone());
+                self.told_group = group;
+            }
             Input::WriteSynced(sequence) => {
                 if std::mem::take(&mut self.disk_is_full) {
                     info!("replica: the disk accepts writes again");
@@ -308,6 +315,10 @@
             voters: names(&membership.voters),
             learners: names(&membership.learners),
             is_swapping: membership.is_swapping(),
+            told_group: match self.node.group() {
+                Some(_) => Vec::new(),
+                None => self.told_group.clone(),
+            },
         });
     }
 
--- a/components/control/src/replica/forwarding.rs
+++ b/components/control/src/replica/forwarding.rs
@@ -79,10 +79,9 @@
         let _ = self.outgoing.try_send(reply);
     }
 
-    /// Returns the members of the group as learners: which of them vote is not known here.
     fn status(&self) -> Status {
         Status {
-            learners: self.group().clone(),
+            told_group: self.group().clone(),
             ..Status::default()
         }
     }
--- a/components/control/src/replica/input.rs
+++ b/components/control/src/replica/input.rs
@@ -1,6 +1,7 @@
 //! Inputs of the driver thread.
 
 use bytes::Bytes;
+use config::ids::NodeId;
 use consensus::ids::{Index, Sequence};
 use consensus::{Member, Message, SnapshotMeta};
 use errors::{Error, Result};
@@ -17,6 +18,8 @@
     ReadBarrier(oneshot::Sender<Result<()>>),
     /// A request to transfer leadership, and the sender for the result of starting it.
     TransferLeadership(oneshot::Sender<Result<()>>),
+    /// Members of a group, as another process names them.
+    Group(Vec<NodeId>),
     /// All writes up to a sequence number are synced.
     WriteSynced(Sequence),
     /// A write failed because the disk is full; it is retried.
--- a/components/control/tests/process/forwarding.rs
+++ b/components/control/tests/process/forwarding.rs
@@ -1,14 +1,17 @@
 //! A control process without a disk beside a group of three.
 
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use config::Settings;
 use config::keys::{Keys, Secret};
+use config::settings::Control;
 use control::external::{Operation, Reply};
 use control::replica::{ForwardingReplica, Replica};
-use control::{Process, Sockets, start_forwarding};
+use control::{Process, Sockets, start_forwarding, start_group};
 use googletest::prelude::*;
 use state::text::Replacement;
+use tempfile::TempDir;
 use tokio::time::{Instant, sleep};
 
 use crate::control_group::ControlGroup;
@@ -80,5 +83,59 @@
     let status = leader.node.replica().status();
     assert_that!(status.voters.len(), eq(3));
     assert_that!(status.learners, is_empty());
-    assert_that!(process.node.replica().status().learners.len(), eq(3));
+    assert_that!(process.node.replica().status().told_group.len(), eq(3));
+}
+
+/// Settings of a process that is named by its address and told one seed.
+fn seeded(address: Ipv4Addr, port: u16, seed: Ipv4Addr, folder: &TempDir) -> Settings {
+    Settings {
+        node: address.to_string().into(),
+        address: address.into(),
+        data_folder: folder.path().join(address.to_string()),
+        seeds: vec![SocketAddr::from((seed, port))],
+        control: Control {
+            peer_port: port,
+            founds: address == seed,
+            heartbeat: Duration::from_millis(60),
+            election_timeout: Duration::from_millis(400),
+            ..Control::default()
+        },
+        ..Settings::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leads_a_process_that_is_told_no_other_seed_to_the_group() {
+    let last = (std::process::id() % 200 + 20) as u8;
+    let [founder, forwarder, joining] = [1, 2, 3].map(|host| Ipv4Addr::new(127, 21, last, host));
+    let folder = TempDir::new().expect("a folder can be made");
+    let port = stand_ins::ports::find_free(founder.into(), 1).expect("a port is free")[0];
+    let keys = || Keys {
+        fleet: Secret::new(SECRET),
+        ..Keys::default()
+    };
+    let sockets = |address: Ipv4Addr| {
+        let peers = SocketAddr::from((address, port));
+        Sockets::bind(peers, SocketAddr::from((address, 0))).expect("loopback can be listened on")
+    };
+    let start = |address, seed| {
+        let settings = seeded(address, port, seed, &folder);
+        start_group(&settings, keys(), sockets(address)).expect("the process starts")
+    };
+    let (first, _failure) = start(founder, founder);
+    let settings = seeded(forwarder, port, founder, &folder);
+    let forwards = start_forwarding(&settings, keys(), sockets(forwarder), None);
+    let _forwards = forwards.expect("the process starts");
+    let (_second, _failure) = start(joining, forwarder);
+    let deadline = Instant::now() + TIMEOUT;
+    let name = joining.to_string();
+    loop {
+        let status = first.node.replica().status();
+        let mut members = status.learners.iter().chain(&status.voters);
+        if members.any(|member| *member == name) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "{status:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
 }
