--- a/components/control/tests/releases/main.rs
+++ b/components/control/tests/releases/main.rs
@@ -1,7 +1,9 @@
 //! Processes of this release beside one of an older release.
 
+mod forms;
 mod older_process;
 mod raw;
+mod samples;
 mod unreadable_log;
 
 use std::net::{Ipv4Addr, SocketAddr};
