--- a/components/control/tests/releases/forms.rs
+++ b/components/control/tests/releases/forms.rs
@@ -76,7 +76,7 @@
                 version: 9,
                 operator: "ana".into(),
                 base: 8,
-                patch: patch::encode("eight", "nine").expect("it is small").into(),
+                patch: patch::encode("eight", "nine").expect("it is small"),
             }),
         ),
     ]
@@ -132,7 +132,7 @@
                     version: 9,
                     operator: "ana".into(),
                     base: 8,
-                    patch: patch::encode("eight", "nine").expect("it is small").into(),
+                    patch: patch::encode("eight", "nine").expect("it is small"),
                 },
                 wait_ms: 5,
             },
