control: Move forwarding and the group's members out of the file of connections

Code is moved only: requests that are forwarded, and who is told of the group's members, have files of their own.

--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -1,6 +1,10 @@
 //! Connections with entries and with the other control processes.
 
-use std::net::SocketAddr;
+mod forward;
+mod group;
+
+pub(crate) use group::follow_group;
+
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -9,7 +13,6 @@
 use config::release::{self, Level};
 use config::settings::Peer;
 use consensus::Message;
-use errors::Step;
 use indexmap::{IndexMap, IndexSet};
 use link::{Connection, Incoming};
 use state::{Command, Output};
@@ -17,19 +20,13 @@
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::sleep;
 use tracing::{info, warn};
-use wire::{Answer, Body, Failure, Push, Request, Role};
+use wire::{Body, Failure, Push, Request, Role};
 
 use crate::replica::Replica;
 use crate::{Node, readable};
 
-/// Time between two checks of the group's members.
-const GROUP_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Delay before a connection is opened again.
 const REDIAL_DELAY: Duration = Duration::from_millis(100);
-/// Timeout of a request that is forwarded to the leader.
-const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time added to an operator's wait when a submission is forwarded to the leader.
-const SUBMIT_MARGIN: Duration = Duration::from_secs(3);
 /// Maximum number of connections in their handshake at one time.
 const MAX_HANDSHAKES: usize = 256;
 /// Delay after the listener failed to accept a connection.
@@ -138,75 +135,8 @@
         }
     }
 
-    /// Forwards a request to the leader.
-    pub(crate) async fn forward(
-        &self,
-        leader: &NodeId,
-        request: Request,
-    ) -> Result<Answer, Failure> {
-        let connection = self.connection_to(leader);
-        let Some(connection) = connection else {
-            return Err(Failure::NoLeader);
-        };
-        let limit = forward_limit(&request.body);
-        let request = Request {
-            forwarded: true,
-            ..request
-        };
-        let (fetches, held) = match request.body {
-            Body::Confirm { version, fetches } => (fetches, version),
-            _ => (false, 0),
-        };
-        match connection.call(request, limit).await {
-            Ok(answer) => {
-                if let Answer::FreshnessLease(lease) = &answer
-                    && fetches
-                    && lease.version > held
-                    && lease.source.is_none()
-                {
-                    // A leader that declares nothing, and leaves texts to be fetched.
-                    connection.raise_level(release::EDITS);
-                }
-                Ok(answer)
-            }
-            Err(error) if error.step() == Step::Route => Err(Failure::NoLeader),
-            Err(errors::Error::Invalid(_, _, reason)) => Err(Failure::Refused(reason.into())),
-            Err(error) => Err(Failure::Uncertain(error.to_string().into())),
-        }
-    }
-
-    /// Forwards a request to one member of the group after the other until one of them, or the leader
-    /// to which it passes the request on, answers. It is never forwarded to another process that
-    /// forwards only.
-    pub(crate) async fn forward_to_group(
-        &self,
-        group: &[NodeId],
-        request: Request,
-    ) -> Result<Answer, Failure> {
-        if request.forwarded {
-            return Err(Failure::NoLeader);
-        }
-        let limit = forward_limit(&request.body);
-        // Releases before the declaration don't tell the group, and none of them forwards only.
-        let is_member = |connection: &Connection| {
-            group.contains(&connection.hello().node) || connection.level() < release::DECLARED
-        };
-        let connections = self.control_connections();
-        for connection in connections.into_iter().filter(is_member) {
-            match connection.call(request.clone(), limit).await {
-                Ok(answer) => return Ok(answer),
-                Err(error) if error.step() == Step::Route => {}
-                Err(errors::Error::Invalid(_, _, reason)) => {
-                    return Err(Failure::Refused(reason.into()));
-                }
-                Err(error) => return Err(Failure::Uncertain(error.to_string().into())),
-            }
-        }
-        Err(Failure::NoLeader)
-    }
-
     /// Tells control processes who is in the group, `all` of them or those that are not.
-    fn push_group(&self, group: &[NodeId], all: bool) {
+    pub(super) fn push_group(&self, group: &[NodeId], all: bool) {
         for connection in self.incoming().values() {
             let hello = connection.hello();
             if hello.role == Role::Control && (all || !group.contains(&hello.node)) {
@@ -224,16 +154,6 @@
     }
 }
 
-/// Returns the longest wait for the answer to a request that is forwarded.
-fn forward_limit(body: &Body) -> Duration {
-    match body {
-        Body::Submit { wait_ms, .. }
-        | Body::Replace { wait_ms, .. }
-        | Body::Edit { wait_ms, .. } => Duration::from_millis(*wait_ms) + SUBMIT_MARGIN,
-        _ => FORWARD_TIMEOUT,
-    }
-}
-
 /// Accepts connections until the process stops.
 pub(crate) async fn listen<R>(node: Arc<Node<R>>, listener: TcpListener)
 where
@@ -311,69 +231,6 @@
     info!("control: \"{name}\" disconnected");
 }
 
-/// Opens connections to control processes that join the group, if they are named by their IP
-/// addresses, and notifies the entries of the group's members.
-pub(crate) async fn follow_group<R>(node: Arc<Node<R>>)
-where
-    R: Replica<Command = Command, Output = Output>,
-{
-    let mut known_group = Vec::new();
-    while !*node.stopped.borrow() {
-        sleep(GROUP_POLL_INTERVAL).await;
-        let group = node.group();
-        if group == known_group {
-            continue;
-        }
-        info!("control: group members: {}", group.join(", "));
-        node.peers.push_to_entries(&Push::Group(group.clone()));
-        node.tell_group();
-        for peer in group.iter().filter_map(|name| node.peer(name)) {
-            if node.peers.register_dialer(&peer.node) {
-                tokio::spawn(keep_connection(node.clone(), peer));
-            }
-        }
-        known_group = group;
-    }
-}
-
-impl<R: Replica<Command = Command, Output = Output>> Node<R> {
-    /// Returns the voters and learners of the group, sorted, or those that another process named.
-    pub(crate) fn group(&self) -> Vec<NodeId> {
-        let status = self.replica.status();
-        let mut group = [status.voters, status.learners, status.told_group].concat();
-        group.sort_unstable();
-        group.dedup();
-        group
-    }
-
-    /// Tells control processes outside the group who is in it. A process that forwards only tells all,
-    /// as it may be the only one that a member without its disk is told of.
-    fn tell_group(&self) {
-        let group = self.group();
-        if !group.is_empty() {
-            let all = self.replica.forwards_only();
-            self.peers.push_group(&group, all);
-        }
-    }
-
-    /// Returns the addresses of a control process that is named by its IP address.
-    fn peer(&self, name: &NodeId) -> Option<Peer> {
-        let port = self.settings.peer_port?;
-        let address = SocketAddr::new(name.parse().ok()?, port);
-        Some(Peer {
-            node: name.clone(),
-            address,
-            operators: address,
-        })
-    }
-
-    /// Reports whether a connection to a control process has to be kept open.
-    fn needs_connection(&self, node: &NodeId) -> bool {
-        let mut listed = self.settings.peers.iter();
-        listed.any(|other| other.node == *node) || self.group().contains(node)
-    }
-}
-
 /// Keeps a connection to another control process open until this process stops or the other is
 /// neither listed in the settings nor in the group.
 pub(crate) async fn keep_connection<R>(node: Arc<Node<R>>, peer: Peer)
