control: Let no learner that is gone keep newer forms from the group, and ask further members

Voters count whether or not they are in contact, as they are replaced when they are lost; learners count while they are in contact, and one that comes back is sent only what it can read. And a process that forwards only gave up at the first member that broke off a text or a read, both of which may be asked of another member.

--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -207,12 +207,11 @@
         until.is_some_and(|until| Instant::now() < until)
     }
 
-    /// Reports whether all members of the group, and the control processes in contact that are not
-    /// yet members, can read a level.
+    /// Reports whether all voters, and all other control processes in contact, can read a level. A
+    /// learner that is gone stays listed; one that comes back is sent only what it can read.
     pub(crate) fn group_reads(&self, level: Level) -> bool {
-        let status = self.replica.status();
-        let members = status.voters.iter().chain(&status.learners);
-        let mut others = members.filter(|node| **node != self.settings.node);
+        let voters = self.replica.status().voters;
+        let mut others = voters.iter().filter(|node| **node != self.settings.node);
         let in_contact = self.peers.lowest_level();
         others.all(|node| self.peers.level_of(node) >= level)
             && in_contact.is_none_or(|lowest| lowest >= level)
--- a/components/control/src/peers/forward.rs
+++ b/components/control/src/peers/forward.rs
@@ -69,18 +69,30 @@
         let is_member = |connection: &Connection| {
             group.contains(&connection.hello().node) || connection.level() < release::DECLARED
         };
-        let connections = self.control_connections();
-        for connection in connections.into_iter().filter(is_member) {
+        // Another member may be asked whether or not such a request has taken effect.
+        let may_repeat = matches!(
+            request.body,
+            Body::Replace { .. } | Body::Query(_) | Body::Confirm { .. }
+        );
+        let mut connections = self.control_connections();
+        connections.retain(|connection| connection.is_open() && is_member(connection));
+        let mut failure = Failure::NoLeader;
+        for connection in connections {
             match connection.call(request.clone(), limit).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) if error.step() == Step::Route => {}
                 Err(errors::Error::Invalid(_, _, reason)) => {
                     return Err(Failure::Refused(reason.into()));
                 }
-                Err(error) => return Err(Failure::Uncertain(error.to_string().into())),
+                Err(error) => {
+                    failure = Failure::Uncertain(error.to_string().into());
+                    if !may_repeat {
+                        break;
+                    }
+                }
             }
         }
-        Err(Failure::NoLeader)
+        Err(failure)
     }
 }
 
