Order and choose engines by what they were seen to do

Operators paid for engines that had nothing to do, or got too few: the numbers followed the whole prompts, cached or not, and the longest possible answers, by constants that fit the engines of two users. Entries now send samples of complete answers to the leader, at most 128 a report period for all of them; the leader fits a model for each service and returns it; entries estimate waits by it, and give it to a new leader. The autoscaler takes the fewest engines that serve the measured load, and those for twice that load, in place of five constants; it keeps the largest sizing of the last 12 s in place of one instance less each 12 s, and what there is until the sizing is known for 4 s. The arrival rate of a new leader began at nothing and was told as a tenth for seconds; it is now taken over the time that was observed. A process that did not report for 2 s adds no jump. Order lines say load, parameters and number of samples.

--- a/components/control/src/duties/scaling.rs
+++ b/components/control/src/duties/scaling.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use compact_str::{CompactString, format_compact};
+use config::Text;
 use config::ids::ServiceId;
 use config::text::Scaling;
 use indexmap::IndexMap;
@@ -13,6 +15,7 @@
 
 use super::Duties;
 use crate::external::Fence;
+use crate::node::workload::Needed;
 use crate::replica::Replica;
 
 /// HTTP status with which the cloud refuses an order for a slot without capacity.
@@ -27,7 +30,8 @@
         let live = self.node.upstreams();
         for (name, service) in &text.services {
             if let Some(scaling) = &service.scaling {
-                self.scale_service(term, fence, name, scaling, &live).await;
+                self.scale_service(term, fence, name, scaling, &text, &live)
+                    .await;
             }
         }
     }
@@ -38,14 +42,23 @@
         fence: &Fence,
         name: &ServiceId,
         scaling: &Scaling,
+        text: &Text,
         live: &[Announcement],
     ) {
         let announced: Vec<_> = live.iter().filter(|a| a.service == *name).collect();
-        let demand = self.node.workload().rate(name, Instant::now());
         let supply = supply(&announced);
+        let now = Instant::now();
+        let serving = supply.values().map(|supply| supply.serving).sum();
+        let batch = announced.iter().map(|a| a.capacity.batch).max();
+        let needed = self
+            .node
+            .workload()
+            .needed(name, text, serving, batch.unwrap_or(1), now);
+        let basis = needed.as_ref().map_or_else(unknown_basis, basis);
+        let sizing = needed.map(|needed| needed.sizing);
         let autoscaler = self.autoscalers.entry(name.clone()).or_default();
-        for order in autoscaler.plan(scaling, &supply, demand, Instant::now()) {
-            self.send_order(term, fence, name, &order).await;
+        for order in autoscaler.plan(scaling, &supply, sizing, now) {
+            self.send_order(term, fence, name, &order, &basis).await;
         }
     }
 
@@ -55,6 +68,7 @@
         fence: &Fence,
         name: &ServiceId,
         order: &autoscaler::Order,
+        basis: &str,
     ) {
         let autoscaler::Order {
             slot,
@@ -75,7 +89,7 @@
                 autoscaler.record_order(order, Instant::now());
                 info!(
                     order = number,
-                    "placement: ordered {count} instances of {name} in {slot}: {reason}"
+                    "placement: ordered {count} instances of {name} in {slot}: {reason}; {basis}"
                 );
             }
             Ok(NO_CAPACITY_STATUS) => {
@@ -102,6 +116,25 @@
     }
 }
 
+/// Says from what the number of instances follows, for the log.
+fn basis(needed: &Needed) -> CompactString {
+    let Needed { load, model, .. } = needed;
+    format_compact!(
+        "{:.1} requests per second of {:.0} prompt tokens and {:.0} events, {:.4} ms per token, \
+         {:.1} ms per event, from {} samples",
+        load.requests_per_second,
+        model.tokens,
+        model.events,
+        model.prefill_ms_per_token,
+        model.event_ms,
+        model.samples,
+    )
+}
+
+fn unknown_basis() -> CompactString {
+    "what an instance serves is not known yet".into()
+}
+
 fn supply(upstreams: &[&Announcement]) -> IndexMap<Slot, Supply> {
     let mut supply: IndexMap<Slot, Supply> = IndexMap::new();
     for announcement in upstreams {
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -5,6 +5,7 @@
 mod leader;
 mod meters;
 mod parsed_text;
+mod performance;
 mod quorum;
 mod rate;
 mod replacement;
--- a/components/control/src/node/rate.rs
+++ b/components/control/src/node/rate.rs
@@ -1,53 +1,47 @@
-//! Demand for a service, per second.
+//! Requests of callers for a service, per second.
 
 use std::time::{Duration, Instant};
 
-use placement::autoscaler::Demand;
-use wire::DemandTotals;
-
 /// Time constant of the decay: after it, an arrival counts for 1/e of its weight.
 const TIME_CONSTANT: Duration = Duration::from_secs(3);
+/// Shortest time over which the rate is taken, since one report says nothing of the time before it.
+const MIN_TIME: Duration = Duration::from_millis(500);
 
-/// An exponentially decaying average of the arrival rate.
+/// An exponentially decaying average of the arrival rate since a start.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Rate {
-    sums: Demand,
+    sum: f64,
+    started: Instant,
     at: Instant,
 }
 
 impl Rate {
     pub(super) fn new(now: Instant) -> Self {
         Rate {
-            sums: Demand::default(),
+            sum: 0.0,
+            started: now,
             at: now,
         }
     }
 
-    /// Adds the rise of a total from `before` to `after`.
-    pub(super) fn add(&mut self, before: DemandTotals, after: DemandTotals, now: Instant) {
-        let rise = |before: u64, after: u64| after.saturating_sub(before) as f64;
-        self.sums = self.decayed_sums(now);
+    /// Adds `count` requests.
+    pub(super) fn add(&mut self, count: u64, now: Instant) {
+        self.sum = self.decayed_sum(now) + count as f64;
         self.at = now;
-        self.sums.requests += rise(before.requests, after.requests);
-        self.sums.input_tokens += rise(before.input_tokens, after.input_tokens);
-        self.sums.output_tokens += rise(before.output_tokens, after.output_tokens);
     }
 
-    /// Returns the rate per second.
-    pub(super) fn per_second(&self, now: Instant) -> Demand {
-        scale(self.decayed_sums(now), 1.0 / TIME_CONSTANT.as_secs_f64())
+    /// Returns the rate per second. What came before the start is unknown and not taken as zero.
+    pub(super) fn per_second(&self, now: Instant) -> f64 {
+        let observed = now.saturating_duration_since(self.started).max(MIN_TIME);
+        let weight = 1.0 - decay(observed);
+        self.decayed_sum(now) / (TIME_CONSTANT.as_secs_f64() * weight)
     }
 
-    fn decayed_sums(&self, now: Instant) -> Demand {
-        let passed = now.saturating_duration_since(self.at).as_secs_f64();
-        scale(self.sums, (-passed / TIME_CONSTANT.as_secs_f64()).exp())
+    fn decayed_sum(&self, now: Instant) -> f64 {
+        self.sum * decay(now.saturating_duration_since(self.at))
     }
 }
 
-fn scale(demand: Demand, factor: f64) -> Demand {
-    Demand {
-        requests: demand.requests * factor,
-        input_tokens: demand.input_tokens * factor,
-        output_tokens: demand.output_tokens * factor,
-    }
+fn decay(passed: Duration) -> f64 {
+    (-passed.as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp()
 }
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -11,12 +11,13 @@
 use config::ids::{AccountId, NodeId, ServiceId, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
 use limits::{Permits, Refusals};
-use placement::autoscaler::Demand;
+use performance::{Load, Model, Sizing};
 use quarantine::{Evidence, Kind, Record};
 use state::usage::{Counts, Window};
 use wire::{DemandTotals, Forwarder, Limits, Overview, Report, Work};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::performance::{Performance, objective};
 use super::rate::Rate;
 use super::token_limits::{EntryProcess, TokenLimits};
 
@@ -45,6 +46,15 @@
     /// Started requests by usage window, process and account.
     window_counts: IndexMap<Window, IndexMap<EntryProcess, Counts>>,
     rates: IndexMap<ServiceId, Rate>,
+    performance: Performance,
+}
+
+/// The number of instances that a service needs, and from what it follows.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Needed {
+    pub(crate) sizing: Sizing,
+    pub(crate) load: Load,
+    pub(crate) model: Model,
 }
 
 /// Last report of one entry.
@@ -70,6 +80,7 @@
             refusals: IndexMap::new(),
             window_counts: IndexMap::new(),
             rates: IndexMap::new(),
+            performance: Performance::default(),
         }
     }
 
@@ -90,6 +101,7 @@
         self.requests = Evidence::new(Kind::Request, term, verdicts, now);
         self.permits = Permits::new(term);
         self.refusals.clear();
+        self.rates.clear();
     }
 
     /// Returns the limits that upstreams named.
@@ -117,6 +129,9 @@
         let limits = self.record_limits(&report.limits, now);
         let permits = self.permits.offer(now);
         self.record_refusals(&report.refusals, now);
+        self.performance
+            .record(&report.samples, &report.models, now);
+        let models = text.map(|text| self.performance.models(text, now));
         let report = EntryReport {
             at: now,
             work: report.work,
@@ -141,6 +156,7 @@
             refusals: self.refusals(now),
             position: self.position(&node, now),
             forwarders,
+            models: models.unwrap_or_default(),
         }
     }
 
@@ -236,11 +252,27 @@
         counts
     }
 
-    /// Returns the demand for a service, per second.
-    pub(crate) fn rate(&self, service: &str, now: Instant) -> Demand {
-        self.rates
-            .get(service)
-            .map_or(Demand::default(), |rate| rate.per_second(now))
+    /// Returns the instances that a service needs, of which `instances` serve now that run `batch`
+    /// requests each at the same time; `None` until enough is known of them.
+    pub(crate) fn needed(
+        &mut self,
+        service: &str,
+        text: &Text,
+        instances: u32,
+        batch: u32,
+        now: Instant,
+    ) -> Option<Needed> {
+        let load = Load {
+            requests_per_second: self.rates.get(service)?.per_second(now),
+            instances,
+        };
+        let model = self.performance.model(service, text, now)?;
+        let sizing = Sizing::new(&model, load, &objective(text, service, batch)?);
+        Some(Needed {
+            sizing,
+            load,
+            model,
+        })
     }
 
     fn add_demand(
@@ -249,14 +281,17 @@
         demand: &IndexMap<ServiceId, DemandTotals>,
         now: Instant,
     ) {
+        // What came before a process's first report, or while none arrived, may be old, so that it
+        // adds nothing to the rate.
         let before = self.entries.get(process);
+        let before =
+            before.filter(|report| now.saturating_duration_since(report.at) < REPORT_LIFETIME);
         for (service, total) in demand {
-            // The total of a process's first report may be old, so it adds nothing to the rate.
             let known =
                 before.map(|report| report.demand.get(service).copied().unwrap_or_default());
             let known = known.unwrap_or(*total);
             let rate = self.rates.entry(service.clone()).or_insert(Rate::new(now));
-            rate.add(known, *total, now);
+            rate.add(total.requests.saturating_sub(known.requests), now);
         }
     }
 
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -17,12 +17,14 @@
 mod limit;
 mod limits;
 mod prefixes;
+mod rates;
 mod serving;
 mod settings;
 mod upstream;
 
 pub use brittle::Position;
 pub use choice::{Choice, Criteria, Shortage};
+pub use rates::Rates;
 pub use settings::Settings;
 
 use std::net::SocketAddr;
@@ -34,6 +36,7 @@
 use config::ids::{ServiceId, UpstreamId};
 use config::text::Kind;
 use indexmap::IndexMap;
+use performance::Model;
 use wire::Work;
 
 use crate::call::PartId;
@@ -47,6 +50,8 @@
     settings: Settings,
     upstreams: IndexMap<UpstreamId, Upstream>,
     brittle: Brittle,
+    /// What the engines of each service do, as far as the leader has learned it.
+    models: IndexMap<ServiceId, Model>,
     /// Number of choices so far.
     choices: u64,
 }
@@ -123,13 +128,15 @@
         self.choices = self.choices.wrapping_add(1);
         let usable = self.usable(criteria, now);
         let home = home::select(criteria, &usable, now);
+        let rates = self.rates(criteria.service);
         let scored = usable.into_iter().map(|(name, upstream)| {
             let affinity = match &home {
                 Some(home) if home == name => Affinity::Home,
                 Some(_) => Affinity::Away,
                 None => Affinity::Any,
             };
-            let estimate = Estimate::new(upstream, criteria, affinity, &self.settings, now);
+            let estimate =
+                Estimate::new(upstream, criteria, affinity, (&self.settings, &rates), now);
             (name.clone(), estimate)
         });
         let by_score = |a: &(UpstreamId, Estimate), b: &(UpstreamId, Estimate)| {
@@ -150,6 +157,27 @@
         })
     }
 
+    /// Returns the rates of a service's engines.
+    fn rates(&self, service: &ServiceId) -> Rates {
+        let model = self.models.get(service);
+        model.map_or(self.settings.unknown_rates, Rates::from)
+    }
+
+    /// Applies the models that the leader told. Those that it did not tell still hold.
+    pub fn apply_models(&mut self, models: &[(ServiceId, Model)]) {
+        self.models.extend(models.iter().cloned());
+    }
+
+    /// Returns the models of services of which the leader has told none.
+    pub fn models_beyond(&self, told: &[(ServiceId, Model)]) -> Vec<(ServiceId, Model)> {
+        let is_untold = |service: &ServiceId| told.iter().all(|(other, _)| other != service);
+        let models = self.models.iter();
+        let untold = models.filter(|(service, _)| is_untold(service));
+        untold
+            .map(|(service, model)| (service.clone(), *model))
+            .collect()
+    }
+
     /// Returns why no upstream is usable: all that could take the request have paused, this entry has no
     /// place at a brittle one, or there is none.
     fn shortage(&self, criteria: &Criteria<'_>, now: Instant) -> Shortage {
--- a/components/gateway/src/balancer/choice.rs
+++ b/components/gateway/src/balancer/choice.rs
@@ -43,6 +43,10 @@
     pub is_taken: bool,
     /// Tokens of the prompt that the upstream has to compute.
     pub uncached_tokens: u32,
+    /// Tokens of earlier requests that the upstream has to compute first.
+    pub queued_tokens: u32,
+    /// Other requests in flight at the upstream, of all entries.
+    pub in_flight: u32,
     /// Expected time to the first event.
     pub expected_first_event: Duration,
     /// Why the upstream was chosen, for the log.
--- a/components/gateway/src/balancer/estimate.rs
+++ b/components/gateway/src/balancer/estimate.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::choice::Criteria;
+use super::rates::Rates;
 use super::settings::Settings;
 use super::upstream::Upstream;
 use crate::Prompt;
@@ -42,7 +43,7 @@
         upstream: &Upstream,
         criteria: &Criteria<'_>,
         affinity: Affinity,
-        settings: &Settings,
+        (settings, rates): (&Settings, &Rates),
         now: Instant,
     ) -> Self {
         let in_flight = in_flight(upstream, now);
@@ -55,7 +56,7 @@
         match criteria.prompt.filter(|_| upstream.is_engine) {
             Some(prompt) => {
                 let tokens = Tokens::new(upstream, prompt, affinity, settings);
-                let cost = engine_cost(upstream, &tokens, in_flight, settings);
+                let cost = engine_cost(upstream, &tokens, in_flight, settings, rates);
                 let bonus = if affinity == Affinity::Home {
                     settings.home_bonus_ms
                 } else {
@@ -94,20 +95,19 @@
     tokens: &Tokens,
     in_flight: u32,
     settings: &Settings,
+    rates: &Rates,
 ) -> EngineCost {
     let batch = f64::from(upstream.slots.max(1));
     let in_flight = f64::from(in_flight);
-    let queued_tokens =
-        f64::from(upstream.own_work.prefill_tokens + upstream.other_work.prefill_tokens);
-    let queue = queued_tokens / settings.prefill_tokens_per_ms;
-    let prefill = f64::from(tokens.computed) / settings.prefill_tokens_per_ms;
-    let slot_wait = (in_flight + 1.0 - batch).max(0.0) / batch * settings.slot_time_ms;
+    let queue = f64::from(upstream.queued_tokens()) * rates.prefill_ms_per_token;
+    let prefill = f64::from(tokens.computed) * rates.prefill_ms_per_token;
+    let slot_wait = (in_flight + 1.0 - batch).max(0.0) / batch * rates.slot_time_ms;
     let fetch = if tokens.fetched > 0 {
         settings.fetch_ms
     } else {
         0.0
     };
-    let first_event = queue + prefill + slot_wait + fetch;
+    let first_event = rates.first_event_ms + queue + prefill + slot_wait + fetch;
     let fetch_cost = f64::from(tokens.fetched) * settings.fetch_ms_per_token;
     EngineCost {
         first_event,
--- a/components/gateway/src/balancer/settings.rs
+++ b/components/gateway/src/balancer/settings.rs
@@ -4,15 +4,15 @@
 
 use config::ids::DataCentreId;
 
+use super::rates::Rates;
+
 /// Rates and weights by which upstreams are scored.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Data centre of the entry.
     pub data_centre: DataCentreId,
-    /// Prompt tokens that an engine computes per millisecond.
-    pub prefill_tokens_per_ms: f64,
-    /// Time for which a request occupies a slot of an engine's batch, in milliseconds.
-    pub slot_time_ms: f64,
+    /// Rates of engines of which nothing was learned yet.
+    pub unknown_rates: Rates,
     /// Duration of a call to a plain service before one was measured, in milliseconds.
     pub plain_call_ms: f64,
     /// Weight of the time for which computing a prompt delays other requests at the engine.
@@ -38,8 +38,7 @@
     fn default() -> Self {
         Settings {
             data_centre: DataCentreId::default(),
-            prefill_tokens_per_ms: 50.0,
-            slot_time_ms: 1_500.0,
+            unknown_rates: Rates::default(),
             plain_call_ms: 20.0,
             prefill_weight: 1.0,
             batch_delay_ms: 2.0,
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -119,6 +119,11 @@
         left.filter(|left| !left.is_zero())
     }
 
+    /// Returns the prompt tokens that it still has to compute, for requests of all entries.
+    pub(super) fn queued_tokens(&self) -> u32 {
+        self.own_work.prefill_tokens + self.other_work.prefill_tokens
+    }
+
     /// Counts a request as sent, and returns the choice.
     pub(super) fn record_dispatch(
         &mut self,
@@ -128,6 +133,7 @@
         home: Option<&str>,
         now: Instant,
     ) -> Choice {
+        let queued_tokens = self.queued_tokens();
         self.limit.take(now);
         self.places.take(now);
         self.own_work.requests += 1;
@@ -149,6 +155,8 @@
             fetch_from: None,
             is_taken: false,
             uncached_tokens: estimate.uncached_tokens,
+            queued_tokens,
+            in_flight: estimate.in_flight,
             expected_first_event: estimate.first_event,
             reason: format_compact!(
                 "{affinity}, {} in flight, {} tokens to compute, \
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -16,6 +16,7 @@
 use crate::pool::Pool;
 use crate::quarantine::Quarantine;
 use crate::reach::Reach;
+use crate::samples::Samples;
 use crate::{Accounts, Balancer, Metrics, Protocol, Readiness, Retries, Settings, Table, Usage};
 
 /// State shared by the tasks of one entry.
@@ -32,6 +33,8 @@
     pub(crate) retries: Mutex<Retries>,
     pub(crate) usage: Mutex<Usage>,
     pub(crate) demand: Mutex<Demand>,
+    /// Samples of complete answers since the last report.
+    pub(crate) samples: Mutex<Samples>,
     /// Software versions of the streams that began at this entry.
     pub(crate) origins: Mutex<Origins>,
     pub(crate) pool: Mutex<Pool>,
--- a/components/gateway/src/forward/client.rs
+++ b/components/gateway/src/forward/client.rs
@@ -138,6 +138,8 @@
         fetch_from: None,
         is_taken: true,
         uncached_tokens: 0,
+        queued_tokens: 0,
+        in_flight: 0,
         expected_first_event: Duration::ZERO,
         reason: compact_str::format_compact!("chosen by entry {node}"),
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod relay;
 mod request_log;
 mod retries;
+mod samples;
 mod server;
 mod settings;
 mod sync;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -45,6 +45,8 @@
     deadline: Pin<Box<Sleep>>,
     attempts: Option<Attempts>,
     request_log: Option<RequestLog>,
+    /// Whether events came from another upstream before.
+    is_resumed: bool,
     /// Whether the request was added to the usage of its account.
     usage_recorded: bool,
 }
@@ -95,6 +97,7 @@
         deadline: Box::pin(tokio::time::sleep_until(call.deadline.into())),
         events: is_event_stream.then(EventBuffer::default),
         bounds: Bounds::default(),
+        is_resumed: call.resume_after.is_some(),
         recording,
         state: State::Reading(Box::new(source)),
         attempts: Some(attempts),
@@ -207,9 +210,24 @@
         }
     }
 
+    /// Records the times of a complete answer by one upstream.
+    fn record_end(&self) {
+        let State::Reading(source) = &self.state else {
+            return;
+        };
+        if self.is_resumed || self.status >= 300 {
+            return;
+        }
+        let events = self.events.as_ref().map_or(Some(1), EventBuffer::last_id);
+        source
+            .ticket
+            .record_end(&self.call.service, events.unwrap_or(1));
+    }
+
     /// Finishes a complete answer, and returns its connection to the pool.
     fn finish_answer(&mut self) {
         self.record_begun_well(true);
+        self.record_end();
         if let State::Reading(source) = &self.state
             && source.framing == Framing::Connection
             && source.via.is_none()
@@ -312,6 +330,7 @@
                     software = %answer.ticket.choice().software,
                     "answer: resumed at another upstream"
                 );
+                self.is_resumed = true;
                 let (_, source) = Source::new(answer);
                 request_log.set_framing(source.framing);
                 State::Reading(Box::new(source))
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -138,6 +138,7 @@
         balancer: Mutex::new(Balancer::new(balancer_settings)),
         accounts: Mutex::new(Accounts::default()),
         demand: Mutex::default(),
+        samples: Mutex::default(),
         origins: Mutex::default(),
         pool: Mutex::new(Pool::default()),
         readiness: Readiness::default(),
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -69,6 +69,7 @@
     let mut is_reachable = true;
     let mut told = Limits::default();
     let mut told_refusals = Vec::new();
+    let mut told_models = Vec::new();
     while !core.readiness.wait(REPORT_PERIOD).await {}
     loop {
         let limited = core.table.load();
@@ -77,6 +78,7 @@
         let limits = changed_limits(&core, &told, Instant::now());
         let refusals = changed_refusals(&core, &told_refusals, Instant::now());
         let (quarantine, requests) = lock(&core.quarantine).report(Instant::now());
+        let models = lock(&core.balancer).models_beyond(&told_models);
         let report = Report {
             statements,
             started: lock(&core.usage).report(),
@@ -88,6 +90,8 @@
             refusals,
             forwarding: core.settings.forwarding,
             out_of_reach: lock(&core.reach).lost(),
+            samples: lock(&core.samples).take(),
+            models,
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
@@ -106,6 +110,7 @@
                 apply_overview(&core, number, &overview, sent_at);
                 told = overview.limits.unwrap_or(told);
                 told_refusals = overview.refusals;
+                told_models = overview.models;
             }
             Err(error) if is_reachable => warn!("gateway: report to the leader failed: {error}"),
             Err(_) => {}
@@ -189,6 +194,7 @@
         && report.limits == other.limits
         && report.refusals == other.refusals
         && report.out_of_reach == other.out_of_reach
+        && report.samples.is_empty()
 }
 
 /// Applies the leader's answer to the report whose statements have `number`, which was sent at
@@ -198,6 +204,7 @@
     let one_way = now.saturating_duration_since(sent_at) / 2;
     lock(&core.accounts).apply(number, &overview.balances, now);
     lock(&core.balancer).apply_work(&overview.work);
+    lock(&core.balancer).apply_models(&overview.models);
     let (parts, requests) = (overview.quarantine.clone(), overview.requests.clone());
     let changed = lock(&core.quarantine).apply(parts, requests, now);
     for subject in changed {
--- a/components/gateway/src/ticket.rs
+++ b/components/gateway/src/ticket.rs
@@ -3,8 +3,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use config::ids::ServiceId;
+
 use crate::balancer::{Choice, Outcome};
 use crate::core::{Core, lock};
+use crate::samples;
 
 /// Counts a request as in flight at its upstream until the ticket is finished or dropped. It is
 /// dropped if the caller disconnects.
@@ -68,6 +71,16 @@
         }
     }
 
+    /// Records that all `events` events of the answer came, for the leader to learn from.
+    pub(crate) fn record_end(&self, service: &ServiceId, events: u64) {
+        let Some(first) = self.first_event.filter(|_| !self.finished) else {
+            return;
+        };
+        let entries = lock(&self.core.retries).entries();
+        let sample = samples::sample(&self.choice, first - self.sent_at, first.elapsed(), events);
+        lock(&self.core.samples).add(service, sample, entries);
+    }
+
     /// Counts the request as no longer at its upstream.
     pub(crate) fn finish(&mut self, outcome: Outcome) {
         if !std::mem::replace(&mut self.finished, true) {
--- a/components/performance/src/learner.rs
+++ b/components/performance/src/learner.rs
@@ -62,6 +62,9 @@
 
     fn fit(&self, batch: u32) -> Option<Model> {
         let samples = || self.samples.iter().map(|(_, sample)| sample);
+        if samples().all(|sample| sample.own_tokens == 0) {
+            return self.fit_calls();
+        }
         let first_event = first_event_line(samples(), batch)?;
         let event = event_line(samples())?;
         let tokens = || samples().map(|sample| f64::from(sample.own_tokens));
@@ -82,6 +85,20 @@
     }
 }
 
+impl Learner {
+    /// Learns how long calls without a prompt take.
+    fn fit_calls(&self) -> Option<Model> {
+        let calls = || self.samples.iter().map(|(_, sample)| sample);
+        let duration_ms = mean(calls().map(|call| f64::from(call.first_event_ms)));
+        (self.samples.len() >= MIN_SAMPLES).then_some(Model {
+            samples: u32::try_from(self.samples.len()).unwrap_or(u32::MAX),
+            first_event_ms: duration_ms,
+            duration_ms,
+            ..Model::default()
+        })
+    }
+}
+
 /// Fits the time to the first event over the tokens to compute. Only requests are taken that found
 /// a free place in the batch and no more tokens ahead than they brought: what is queued is known
 /// late, so that it says little where it is most of the time.
--- a/components/performance/src/sizing.rs
+++ b/components/performance/src/sizing.rs
@@ -20,9 +20,10 @@
 /// Ratio of the pauses of a busy engine to those of one at rest that is accepted where the latter
 /// are hardly in time, or late.
 const MIN_PAUSE_RATIO: f64 = 2.0;
-/// Load for which there is room without a further engine, relative to the present one. The load
-/// swings, and another engine serves only after its boot time.
-const HEADROOM: f64 = 1.3;
+/// Load for which there is room without a further engine, relative to the present one. Another engine
+/// serves only after its boot time, and until then a burst, and the prompts of engines that are
+/// lost, are served by the others.
+const HEADROOM: f64 = 2.0;
 /// Most engines that are considered.
 const MAX_COUNT: u32 = 4_096;
 
@@ -65,6 +66,14 @@
             comfortable: engine.fewest(raised, objective),
         }
     }
+
+    /// Returns the larger number of each.
+    pub fn max(self, other: Sizing) -> Sizing {
+        Sizing {
+            sufficient: self.sufficient.max(other.sufficient),
+            comfortable: self.comfortable.max(other.comfortable),
+        }
+    }
 }
 
 /// An engine and the average request.
--- a/components/placement/src/autoscaler.rs
+++ b/components/placement/src/autoscaler.rs
@@ -1,12 +1,16 @@
 //! Plans how many instances of a service run in each data centre and class, for clouds that take
 //! orders by count. The module uses no clock: callers pass the current time.
 //!
-//! The counts follow the demand of callers per second and not the number of waiting requests. More
-//! requests wait while instances are lost, so that counts based on them would grow without bound.
+//! The counts follow the sizing of the service, which depends on the requests per second and on what
+//! an instance was seen to do, and not on the number of waiting requests. More requests wait while
+//! instances are lost, so that counts based on them would grow without bound. While the sizing is not
+//! known, the service keeps as many instances as it has.
+//!
 //! The planned counts are the cheapest with which enough instances remain when the cloud takes back
-//! the reclaimable instances of some data centres. Counts grow at once and shrink after a delay,
-//! and instances are kept until those that replace them serve. A slot whose instances were taken
-//! back, or that the cloud has sold out, is excluded for a while.
+//! the reclaimable instances of some data centres. They are large enough for each sizing of the last
+//! seconds, so that they grow at once and shrink after a delay. Instances are kept until those that
+//! replace them serve. A slot whose instances were taken back, or that the cloud has sold out, is
+//! excluded for a while.
 //!
 //! Reclaims come in waves: the remaining instances must survive the loss of as many further data
 //! centres as were lost recently. Some instances leave without announcing that they are reclaimed,
@@ -15,11 +19,13 @@
 
 mod allocation;
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use compact_str::{CompactString, format_compact};
 use config::text::{Class, Scaling};
 use indexmap::{IndexMap, IndexSet};
+use performance::Sizing;
 
 use crate::Slot;
 use allocation::{Allocation, Need, Offer};
@@ -30,22 +36,12 @@
 /// Settings of an [`Autoscaler`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// Prompt tokens per second that one instance computes in time, for prompts that share prefixes
-    /// to the usual extent.
-    pub input_tokens_per_second: f64,
-    /// Number of instances that serve the requests well, relative to the number that is just
-    /// sufficient.
-    pub target_ratio: f64,
-    /// Time for which a request is in progress, apart from the time for its answer tokens.
-    pub base_duration: Duration,
-    /// Time that each answer token adds to [`Settings::base_duration`].
-    pub duration_per_token: Duration,
-    /// Requests in progress that one instance serves well within the latency target.
-    pub requests_per_instance: f64,
     /// Minimum number of instances that must remain after a loss of data centres.
     pub min_survivors: u32,
     /// Time for which fewer instances must be sufficient before fewer are ordered.
     pub scale_down_delay: Duration,
+    /// Time for which the sizing must be known before fewer instances are ordered than there were.
+    pub learning_time: Duration,
     /// Time for which a slot is excluded after its instances were taken back.
     pub reclaim_backoff: Duration,
     /// Time for which a slot is excluded after the cloud had none to sell.
@@ -57,13 +53,9 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            input_tokens_per_second: 36_000.0,
-            target_ratio: 2.4,
-            base_duration: Duration::from_millis(300),
-            duration_per_token: Duration::from_millis(9),
-            requests_per_instance: 20.0,
             min_survivors: 3,
             scale_down_delay: Duration::from_secs(12),
+            learning_time: Duration::from_secs(4),
             reclaim_backoff: Duration::from_secs(6),
             refusal_backoff: Duration::from_secs(2),
             reclaim_window: Duration::from_secs(12),
@@ -80,17 +72,6 @@
     pub reclaimed: u32,
 }
 
-/// The demand of callers for one service, per second.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Demand {
-    /// Number of requests.
-    pub requests: f64,
-    /// Number of prompt tokens.
-    pub input_tokens: f64,
-    /// Maximum number of answer tokens.
-    pub output_tokens: f64,
-}
-
 /// An order of a number of instances in one slot.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
@@ -106,9 +87,11 @@
 #[derive(Debug, Default)]
 pub struct Autoscaler {
     settings: Settings,
-    /// Instances that must remain after a loss of data centres.
-    capacity: u32,
-    surplus_since: Option<Instant>,
+    /// Sizings within the last [`Settings::scale_down_delay`].
+    recent: VecDeque<(Instant, Sizing)>,
+    /// What holds until the sizing has been known for [`Settings::learning_time`].
+    initial: Option<Sizing>,
+    known_since: Option<Instant>,
     /// When the exclusion of each slot ends.
     excluded: IndexMap<Slot, Instant>,
     /// The last accepted order of each slot.
@@ -148,26 +131,23 @@
         self.accepted.insert(order.slot.clone(), acceptance);
     }
 
-    /// Returns the orders that bring the counts to those needed now.
+    /// Returns the orders that bring the counts to those needed now. `sizing` is `None` while it is
+    /// not known.
     pub fn plan(
         &mut self,
         scaling: &Scaling,
         supply: &IndexMap<Slot, Supply>,
-        demand: Demand,
+        sizing: Option<Sizing>,
         now: Instant,
     ) -> Vec<Order> {
         self.record_reclaims(supply, now);
-        if self.capacity == 0 {
-            // The serving instances were sufficient for the recent load.
-            let serving: u32 = supply.values().map(|supply| supply.serving).sum();
-            self.capacity = (f64::from(serving) / self.settings.target_ratio).ceil() as u32;
-        }
-        let capacity = self.update_capacity(demand, now);
+        let serving = supply.values().map(|supply| supply.serving).sum();
+        let needed = self.update_sizing(sizing, serving, now);
         let offers = self.offers(scaling, supply, now);
         let need = Need {
             losses: self.losses(now),
-            survivors: capacity,
-            target: (f64::from(capacity) * self.settings.target_ratio).ceil() as u32,
+            survivors: needed.sufficient,
+            target: needed.comfortable,
         };
         let allocation = Allocation::new(&offers, need, scaling);
         let mut orders = Vec::new();
@@ -179,12 +159,12 @@
                     slot: slot.clone(),
                     count,
                     reason: format_compact!(
-                        "{} in total, {capacity} must remain after the loss of {} data centres; \
-                         {:.1} requests and {:.0} prompt tokens per second; {serving} serve here",
+                        "{} in total, {} must remain after the loss of {} data centres, {} are \
+                         comfortable; {serving} serve here",
                         allocation.total(),
+                        need.survivors,
                         need.losses,
-                        demand.requests,
-                        demand.input_tokens,
+                        need.target,
                     ),
                 });
             }
@@ -251,31 +231,33 @@
         *end = until.max(*end);
     }
 
-    /// Updates and returns the number of instances that must remain after a loss of data centres.
-    /// It grows at once and shrinks by one after each delay.
-    fn update_capacity(&mut self, demand: Demand, now: Instant) -> u32 {
-        let settings = &self.settings;
-        let by_tokens = demand.input_tokens / settings.input_tokens_per_second;
-        let in_progress = demand.requests * settings.base_duration.as_secs_f64()
-            + demand.output_tokens * settings.duration_per_token.as_secs_f64();
-        let by_requests = in_progress / settings.requests_per_instance;
-        let needed = by_requests.max(by_tokens).ceil() as u32;
-        let needed = needed.max(self.settings.min_survivors);
-        let since = self.surplus_since.unwrap_or(now);
-        let due = now.saturating_duration_since(since) >= self.settings.scale_down_delay;
-        match self.capacity {
-            current if current < needed => {
-                self.capacity = needed;
-                self.surplus_since = None;
-            }
-            current if current == needed => self.surplus_since = None,
-            _ if due && self.surplus_since.is_some() => {
-                self.capacity -= 1;
-                self.surplus_since = Some(now);
-            }
-            _ => self.surplus_since = Some(since),
+    /// Records a sizing, and returns the largest recent one.
+    fn update_sizing(&mut self, sizing: Option<Sizing>, serving: u32, now: Instant) -> Sizing {
+        if let Some(sizing) = sizing {
+            self.known_since.get_or_insert(now);
+            self.recent.push_back((now, sizing));
+        }
+        let delay = self.settings.scale_down_delay;
+        self.recent
+            .retain(|(at, _)| now.saturating_duration_since(*at) <= delay);
+        let learned = self.known_since.is_some_and(|since| {
+            now.saturating_duration_since(since) >= self.settings.learning_time
+        });
+        // The instances that serve at first are taken as comfortable.
+        let initial = *self.initial.get_or_insert(Sizing {
+            sufficient: serving.div_ceil(2),
+            comfortable: serving,
+        });
+        let initial = match learned && !self.recent.is_empty() {
+            true => Sizing::default(),
+            false => initial,
+        };
+        let recent = self.recent.iter().map(|(_, sizing)| *sizing);
+        let largest = recent.fold(initial, Sizing::max);
+        Sizing {
+            sufficient: largest.sufficient.max(self.settings.min_survivors),
+            ..largest
         }
-        self.capacity
     }
 
     /// Returns the offers of all slots.
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -4,6 +4,7 @@
 
 use config::ids::{AccountId, NodeId, ServiceId, UpstreamId};
 use limits::{Naming, Permit, Refusals, Statement};
+use performance::{Model, Sample};
 use serde::{Deserialize, Serialize};
 use state::usage::Window;
 
@@ -41,6 +42,12 @@
     /// Services of which the entry reaches no upstream.
     #[serde(default)]
     pub out_of_reach: Vec<ServiceId>,
+    /// Samples of complete answers since the last report.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub samples: Vec<(ServiceId, Vec<Sample>)>,
+    /// Models that the entry has and the leader has not told.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub models: Vec<(ServiceId, Model)>,
 }
 
 /// Totals of what callers requested of a service.
@@ -131,6 +138,9 @@
     /// does not.
     #[serde(default)]
     pub forwarders: Vec<Forwarder>,
+    /// What the upstreams of each service do, as far as it is known.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub models: Vec<(ServiceId, Model)>,
 }
 
 /// An entry that takes requests of others and sends them to upstreams.
