gateway: Send a long prompt to an engine at rest although it will be late

Callers with long prompts were refused again and again while engines stood idle: the prompt alone takes longer than the bound on the wait, so that no engine ever took it. A request may now wait for others for a quarter of the bound whatever its own prompt takes. Two tests; the first one fails without the change.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -145,7 +145,7 @@
         let Some((name, estimate)) = scored.min_by(by_score) else {
             return Err(self.shortage(criteria, now));
         };
-        let limit = criteria.time_left.min(criteria.max_wait);
+        let limit = criteria.limit(estimate.at_rest);
         if estimate.first_event > limit {
             return Err(Shortage::Overloaded(estimate.first_event - limit));
         }
--- a/components/gateway/src/balancer/choice.rs
+++ b/components/gateway/src/balancer/choice.rs
@@ -5,6 +5,7 @@
 
 use ::upstream::Software;
 use compact_str::CompactString;
+use config::duration::bounded;
 use config::ids::{Incarnation, ServiceId, UpstreamId};
 
 use crate::Prompt;
@@ -22,10 +23,26 @@
     pub software: Option<&'a Software>,
     /// Time until the deadline.
     pub time_left: Duration,
-    /// Longest expected time to the first event with which the request is sent.
+    /// Longest expected time to the first event with which the request is sent, unless its own prompt
+    /// takes most of that time.
     pub max_wait: Duration,
 }
 
+/// Share of [`Criteria::max_wait`] that a request may wait for others however long its own prompt
+/// takes. Refused by all, a long prompt would never be answered, and on an engine that has little
+/// else to do it delays nobody.
+const MIN_QUEUE_SHARE: f64 = 0.25;
+
+impl Criteria<'_> {
+    /// Returns the longest expected time to the first event with which the request is sent to an
+    /// upstream on which it would be `at_rest` without other requests.
+    pub(super) fn limit(&self, at_rest: Duration) -> Duration {
+        let queue = bounded(self.max_wait.as_secs_f64() * MIN_QUEUE_SHARE);
+        let with_queue = at_rest.saturating_add(queue);
+        self.time_left.min(self.max_wait.max(with_queue))
+    }
+}
+
 /// The chosen upstream and the reason for it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
--- a/components/gateway/src/balancer/estimate.rs
+++ b/components/gateway/src/balancer/estimate.rs
@@ -30,6 +30,8 @@
 pub(super) struct Estimate {
     /// Expected time to the first event.
     pub(super) first_event: Duration,
+    /// What it would be if the upstream had no other request.
+    pub(super) at_rest: Duration,
     /// Tokens of the prompt that the upstream has to compute.
     pub(super) uncached_tokens: u32,
     /// Requests in flight at the upstream, of all entries.
@@ -64,6 +66,7 @@
                 };
                 Estimate {
                     first_event: millis(cost.first_event + remote_delay),
+                    at_rest: millis(cost.at_rest + remote_delay),
                     uncached_tokens: tokens.computed,
                     in_flight,
                     score: cost.score + remote_delay + penalty - bonus,
@@ -75,6 +78,7 @@
                 let first_event = time * (1.0 + queue) + remote_delay;
                 Estimate {
                     first_event: millis(first_event),
+                    at_rest: millis(time + remote_delay),
                     uncached_tokens: 0,
                     in_flight,
                     score: first_event + penalty,
@@ -87,6 +91,7 @@
 /// Expected costs at one engine, in milliseconds.
 struct EngineCost {
     first_event: f64,
+    at_rest: f64,
     score: f64,
 }
 
@@ -107,10 +112,12 @@
     } else {
         0.0
     };
-    let first_event = rates.first_event_ms + queue + prefill + slot_wait + fetch;
+    let at_rest = rates.first_event_ms + prefill + fetch;
+    let first_event = at_rest + queue + slot_wait;
     let fetch_cost = f64::from(tokens.fetched) * settings.fetch_ms_per_token;
     EngineCost {
         first_event,
+        at_rest,
         score: first_event
             + prefill * settings.prefill_weight
             + in_flight * settings.batch_delay_ms
--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -10,6 +10,7 @@
 use gateway::{Part, Prompt};
 use indexmap::IndexMap;
 use limits::Permit;
+use performance::Model;
 use upstream::{Announcement, Availability, Capacity, Load, Role, Routes, Software};
 use wire::Work;
 
@@ -140,6 +141,40 @@
         self.choose_at(entry, shared, max_wait, None)
     }
 
+    /// Chooses an engine for a request with `own_tokens` to compute, within `max_wait`.
+    pub(crate) fn choose_for(
+        &mut self,
+        entry: usize,
+        own_tokens: u32,
+        max_wait: Duration,
+    ) -> Result<Choice, Shortage> {
+        self.sent += 1;
+        let mut prompt = prompt(1, self.sent);
+        prompt.input_tokens = own_tokens;
+        prompt.parts = vec![Part {
+            id: self.sent,
+            tokens: own_tokens,
+        }];
+        let criteria = Criteria {
+            service: &SERVICE.into(),
+            prompt: Some(&prompt),
+            software: None,
+            excluded: &[],
+            time_left: Duration::from_secs(15),
+            max_wait,
+        };
+        let choice = self.entries[entry].choose(&criteria, self.now)?;
+        self.open.push((entry, choice.clone()));
+        Ok(choice)
+    }
+
+    /// Lets all entries know what the engines do.
+    pub(crate) fn tell(&mut self, model: Model) {
+        for entry in &mut self.entries {
+            entry.apply_models(&[(SERVICE.into(), model)]);
+        }
+    }
+
     /// Chooses an engine of a software version, or any, within `max_wait`.
     pub(crate) fn choose_at(
         &mut self,
--- a/components/gateway/tests/balancing/overload.rs
+++ b/components/gateway/tests/balancing/overload.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use gateway::admission;
-use gateway::balancer::{Choice, Rates, Settings};
+use gateway::balancer::{Choice, Rates, Settings, Shortage};
 use googletest::prelude::*;
 use indexmap::IndexMap;
+use performance::Model;
 
 use super::ms;
 use crate::fleet::Fleet;
@@ -105,6 +106,47 @@
     assert_that!(bounded.refused, le(requests / 2), "{bounded:?}");
 }
 
+/// Engines of which nothing is known compute 50 tokens per millisecond; they are 2 ms away.
+#[test]
+fn sends_a_long_prompt_to_an_engine_at_rest_although_it_will_be_late() {
+    let max_wait = admission::max_wait_for_rank(TARGET, 1);
+    let mut fleet = Fleet::new(1, 1);
+    fleet.advance(ms(15_000));
+    let first = fleet.choose_for(0, 60_000, max_wait);
+    assert_that!(
+        first.map(|choice| choice.expected_first_event),
+        ok(eq(ms(1_202)))
+    );
+    // Behind the first one, the second would begin 2.4 s after it was sent.
+    let second = fleet.choose_for(0, 60_000, max_wait);
+    assert_that!(
+        second,
+        err(matches_pattern!(Shortage::Overloaded(gt(&ms(900)))))
+    );
+}
+
+#[test]
+fn estimates_the_time_to_the_first_event_by_what_the_engines_were_seen_to_do() {
+    let max_wait = admission::max_wait_for_rank(TARGET, 1);
+    let admitted = |prefill_ms_per_token| {
+        let mut fleet = Fleet::new(1, 1);
+        fleet.advance(ms(15_000));
+        fleet.tell(Model {
+            first_event_ms: 40.0,
+            prefill_ms_per_token,
+            duration_ms: 500.0,
+            ..Model::default()
+        });
+        let admitted = (0..200).take_while(|_| fleet.choose_for(0, 4_000, max_wait).is_ok());
+        admitted.count()
+    };
+    // As many as are computed one after the other within 840 ms, less 42 ms at rest.
+    assert_that!(
+        [admitted(0.05), admitted(0.02), admitted(0.01)],
+        eq([3, 9, 19])
+    );
+}
+
 #[test]
 fn allows_longer_waits_for_more_urgent_ranks() {
     let bounds: Vec<Duration> = (0..4)
