placement: Keep engines for caches that are lost, and assume little at first

Now a sizing also says how many engines compute all prompts while nothing is cached: as many are comfortable at least, and the survivors of a wave are sized for the share of caches that went. The assumed prefill rate counts for 64 samples at first and for none from 256 on.

--- a/components/control/src/duties/scaling.rs
+++ b/components/control/src/duties/scaling.rs
@@ -8,7 +8,7 @@
 use config::text::Scaling;
 use indexmap::IndexMap;
 use placement::Slot;
-use placement::autoscaler::{self, Supply};
+use placement::autoscaler::{self, Forecast, Supply};
 use state::{Command, Output};
 use tracing::{info, warn};
 use upstream::{Announcement, Availability};
@@ -54,10 +54,13 @@
             .node
             .workload()
             .needed(name, text, serving, batch.unwrap_or(1), now);
-        let basis = needed.as_ref().map_or_else(unknown_basis, basis);
-        let sizing = needed.map(|needed| needed.sizing);
+        let basis = needed.as_ref().map(basis).unwrap_or_default();
+        let forecast = needed.map_or(Forecast::default(), |needed| Forecast {
+            sizing: needed.sizing,
+            is_learned: needed.model.is_learned(),
+        });
         let autoscaler = self.autoscalers.entry(name.clone()).or_default();
-        for order in autoscaler.plan(scaling, &supply, sizing, now) {
+        for order in autoscaler.plan(scaling, &supply, forecast, now) {
             self.send_order(term, fence, name, &order, &basis).await;
         }
     }
@@ -131,10 +134,6 @@
     )
 }
 
-fn unknown_basis() -> CompactString {
-    "what an instance serves is not known yet".into()
-}
-
 fn supply(upstreams: &[&Announcement]) -> IndexMap<Slot, Supply> {
     let mut supply: IndexMap<Slot, Supply> = IndexMap::new();
     for announcement in upstreams {
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -18,7 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::performance::{Performance, objective};
-use super::rate::Rate;
+use super::rate::{Demand, Rate};
 use super::token_limits::{EntryProcess, TokenLimits};
 
 /// Time after an entry's last report for which its work is counted.
@@ -49,6 +49,15 @@
     performance: Performance,
 }
 
+/// Returns what is assumed of a service's upstreams under a demand while nothing is learned.
+fn assumed(demand: Demand) -> Model {
+    let per_request = 1.0 / demand.requests.max(f64::MIN_POSITIVE);
+    Model::assumed(
+        demand.input_tokens * per_request,
+        demand.output_tokens * per_request,
+    )
+}
+
 /// The number of instances that a service needs, and from what it follows.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Needed {
@@ -253,7 +262,8 @@
     }
 
     /// Returns the instances that a service needs, of which `instances` serve now that run `batch`
-    /// requests each at the same time; `None` until enough is known of them.
+    /// requests each at the same time; `None` without any demand or route. Until enough is known of
+    /// them, the usual is assumed.
     pub(crate) fn needed(
         &mut self,
         service: &str,
@@ -262,11 +272,14 @@
         batch: u32,
         now: Instant,
     ) -> Option<Needed> {
+        let demand = self.rates.get(service)?.per_second(now);
         let load = Load {
-            requests_per_second: self.rates.get(service)?.per_second(now),
+            requests_per_second: demand.requests,
+            prompt_tokens_per_second: demand.input_tokens,
             instances,
         };
-        let model = self.performance.model(service, text, now)?;
+        let learned = self.performance.model(service, text, now);
+        let model = learned.unwrap_or_else(|| assumed(demand));
         let sizing = Sizing::new(&model, load, &objective(text, service, batch)?);
         Some(Needed {
             sizing,
@@ -291,7 +304,7 @@
                 before.map(|report| report.demand.get(service).copied().unwrap_or_default());
             let known = known.unwrap_or(*total);
             let rate = self.rates.entry(service.clone()).or_insert(Rate::new(now));
-            rate.add(total.requests.saturating_sub(known.requests), now);
+            rate.add(known, *total, now);
         }
     }
 
--- a/components/gateway/src/balancer/rates.rs
+++ b/components/gateway/src/balancer/rates.rs
@@ -15,11 +15,7 @@
 
 impl Default for Rates {
     fn default() -> Self {
-        Rates {
-            first_event_ms: 0.0,
-            prefill_ms_per_token: 0.02,
-            slot_time_ms: 1_500.0,
-        }
+        Rates::from(&Model::assumed(0.0, 0.0))
     }
 }
 
--- a/components/performance/src/learner.rs
+++ b/components/performance/src/learner.rs
@@ -8,17 +8,22 @@
 use crate::{Model, Sample};
 
 /// Number of samples of each kind without which nothing is learned.
-pub const MIN_SAMPLES: usize = 64;
+pub const MIN_SAMPLES: usize = 32;
 /// Number of newest samples that are kept.
 const MAX_SAMPLES: usize = 1_024;
 /// Age at which a sample is dropped. Software, prompts and caches change within a day.
 const MAX_AGE: Duration = Duration::from_secs(30);
 /// Time between two fits.
 const FIT_INTERVAL: Duration = Duration::from_secs(1);
+/// Samples that the assumed prefill rate counts for at first. Caches are cold at a start, so that the
+/// first answers are slower than later ones.
+const ASSUMPTION_WEIGHT: f64 = 64.0;
+/// Samples from which on the assumed rate no longer counts.
+const ASSUMPTION_END: f64 = 256.0;
 /// Quantile of the times to the first event that is taken as that without unknown requests ahead.
 const FIRST_EVENT_QUANTILE: f64 = 0.2;
 /// Fewest events from which the time between two events is learned.
-const MIN_EVENTS: u32 = 4;
+const MIN_EVENTS: u32 = 3;
 
 /// The newest samples of one service, and the model fitted to them.
 #[derive(Clone, Debug, Default)]
@@ -73,7 +78,7 @@
         Some(Model {
             samples: u32::try_from(self.samples.len()).unwrap_or(u32::MAX),
             first_event_ms: first_event.base.max(0.0),
-            prefill_ms_per_token: first_event.slope,
+            prefill_ms_per_token: self.weighted(first_event.slope),
             event_ms: (event.base + event.slope).max(0.0),
             event_ms_per_request: event.slope,
             tokens: mean(tokens()),
@@ -86,6 +91,14 @@
 }
 
 impl Learner {
+    /// Returns the prefill time per token between the assumed one and that of the samples.
+    fn weighted(&self, ms_per_token: f64) -> f64 {
+        let assumed = Model::assumed(0.0, 0.0).prefill_ms_per_token;
+        let samples = self.samples.len() as f64;
+        let weight = ASSUMPTION_WEIGHT * (1.0 - samples / ASSUMPTION_END).max(0.0);
+        (assumed * weight + ms_per_token * samples) / (weight + samples)
+    }
+
     /// Learns how long calls without a prompt take.
     fn fit_calls(&self) -> Option<Model> {
         let calls = || self.samples.iter().map(|(_, sample)| sample);
@@ -99,16 +112,19 @@
     }
 }
 
-/// Fits the time to the first event over the tokens to compute. Only requests are taken that found
-/// a free place in the batch and no more tokens ahead than they brought: what is queued is known
-/// late, so that it says little where it is most of the time.
+/// Fits the time to the first event over the tokens to compute. Requests are preferred that found
+/// no more tokens ahead than they brought: what is queued is known late, so that it says little where
+/// it is most of the time. Where there are too few of them, the engines are overloaded, and the
+/// others say at least that.
 fn first_event_line<'a>(samples: impl Iterator<Item = &'a Sample>, batch: u32) -> Option<Line> {
-    let counts =
-        |sample: &&Sample| sample.in_flight < batch && sample.queued_tokens <= sample.own_tokens;
-    let points: Vec<(f64, f64)> = samples
-        .filter(counts)
-        .map(|sample| (sample.tokens(), f64::from(sample.first_event_ms)))
-        .collect();
+    let (short, long): (Vec<&Sample>, Vec<&Sample>) = samples
+        .filter(|sample| sample.in_flight < batch)
+        .partition(|sample| sample.queued_tokens <= sample.own_tokens);
+    let point = |sample: &Sample| (sample.tokens(), f64::from(sample.first_event_ms));
+    let mut points: Vec<(f64, f64)> = short.into_iter().map(point).collect();
+    if points.len() < MIN_SAMPLES {
+        points.extend(long.into_iter().map(point));
+    }
     if points.len() < MIN_SAMPLES {
         return None;
     }
--- a/components/performance/src/sizing.rs
+++ b/components/performance/src/sizing.rs
@@ -32,6 +32,8 @@
 pub struct Load {
     /// Requests of callers per second.
     pub requests_per_second: f64,
+    /// Tokens of their prompts per second, cached or not.
+    pub prompt_tokens_per_second: f64,
     /// Engines that served them while the model was learned.
     pub instances: u32,
 }
@@ -52,7 +54,9 @@
 pub struct Sizing {
     /// Fewest engines with which the load is served in time.
     pub sufficient: u32,
-    /// Engines with which a usual rise of the load is served in time as well.
+    /// Fewest engines that compute all prompts while none of them is cached.
+    pub cold: u32,
+    /// Engines with which a usual rise of the load is served in time as well; not less than the others.
     pub comfortable: u32,
 }
 
@@ -61,21 +65,38 @@
     pub fn new(model: &Model, load: Load, objective: &Objective) -> Self {
         let engine = Engine::new(model, load);
         let raised = load.requests_per_second * HEADROOM;
+        let cold = cold_count(model, load);
         Sizing {
             sufficient: engine.fewest(load.requests_per_second, objective),
-            comfortable: engine.fewest(raised, objective),
+            cold,
+            comfortable: engine.fewest(raised, objective).max(cold),
         }
     }
 
+    /// Returns the fewest engines with which the load is served in time when the share `lost` of all
+    /// caches is lost, between 0 and 1.
+    pub fn sufficient_without(&self, lost: f64) -> u32 {
+        let further = self.cold.saturating_sub(self.sufficient);
+        self.sufficient + (f64::from(further) * lost.clamp(0.0, 1.0)).ceil() as u32
+    }
+
     /// Returns the larger number of each.
     pub fn max(self, other: Sizing) -> Sizing {
         Sizing {
             sufficient: self.sufficient.max(other.sufficient),
+            cold: self.cold.max(other.cold),
             comfortable: self.comfortable.max(other.comfortable),
         }
     }
 }
 
+/// Returns the engines that compute the prompts of `load` while none of them is cached.
+fn cold_count(model: &Model, load: Load) -> u32 {
+    let tokens_per_ms = load.prompt_tokens_per_second / 1_000.0;
+    let busy = tokens_per_ms * model.prefill_ms_per_token;
+    (busy / MAX_PREFILL_SHARE).ceil().min(f64::from(MAX_COUNT)) as u32
+}
+
 /// An engine and the average request.
 struct Engine<'a> {
     model: &'a Model,
--- a/components/performance/tests/performance/main.rs
+++ b/components/performance/tests/performance/main.rs
@@ -157,6 +157,7 @@
             let model = model(&kind, &traffic, engines, 1);
             let load = Load {
                 requests_per_second: traffic.requests_per_second,
+                prompt_tokens_per_second: 0.0,
                 instances: engines,
             };
             let sizing = Sizing::new(&model, load, &objective(&kind));
@@ -246,6 +247,7 @@
     };
     let load = Load {
         requests_per_second: 10.0,
+        prompt_tokens_per_second: 0.0,
         instances: 20,
     };
     let objective = objective(&Kind::default());
@@ -268,6 +270,7 @@
     let model = learn(&[call; 200], &kind).expect("there are samples");
     let load = Load {
         requests_per_second: 400.0,
+        prompt_tokens_per_second: 0.0,
         instances: 10,
     };
     let sizing = Sizing::new(&model, load, &objective(&kind));
@@ -275,7 +278,35 @@
         sizing,
         eq(Sizing {
             sufficient: 4,
-            comfortable: 8
+            cold: 0,
+            comfortable: 8,
         })
     );
 }
+
+/// Each prompt token takes 0.02 ms, so that 200,000 in a second keep four engines busy.
+#[test]
+fn counts_engines_for_prompts_that_are_no_longer_cached_as_comfortable() {
+    let model = Model {
+        prefill_ms_per_token: 0.02,
+        event_ms: 5.0,
+        tokens: 500.0,
+        tokens_squared: 500.0 * 500.0,
+        tokens_p95: 500.0,
+        events: 10.0,
+        ..Model::default()
+    };
+    let sizing = |prompt_tokens_per_second| {
+        let load = Load {
+            requests_per_second: 20.0,
+            prompt_tokens_per_second,
+            instances: 5,
+        };
+        Sizing::new(&model, load, &objective(&Kind::default()))
+    };
+    assert_that!(sizing(10_000.0).comfortable, eq(1));
+    assert_that!(sizing(200_000.0).comfortable, eq(5));
+    assert_that!(sizing(200_000.0).sufficient, eq(1));
+    let without = [0.0, 0.25, 0.5, 1.0].map(|lost| sizing(200_000.0).sufficient_without(lost));
+    assert_that!(without, eq([1, 2, 3, 5]));
+}
--- a/components/placement/src/autoscaler.rs
+++ b/components/placement/src/autoscaler.rs
@@ -3,8 +3,8 @@
 //!
 //! The counts follow the sizing of the service, which depends on the requests per second and on what
 //! an instance was seen to do, and not on the number of waiting requests. More requests wait while
-//! instances are lost, so that counts based on them would grow without bound. While the sizing is not
-//! known, the service keeps as many instances as it has.
+//! instances are lost, so that counts based on them would grow without bound. While the sizing is
+//! assumed and not learned, the service keeps as many instances as it has, or gets more.
 //!
 //! The planned counts are the cheapest with which enough instances remain when the cloud takes back
 //! the reclaimable instances of some data centres. They are large enough for each sizing of the last
@@ -40,7 +40,7 @@
     pub min_survivors: u32,
     /// Time for which fewer instances must be sufficient before fewer are ordered.
     pub scale_down_delay: Duration,
-    /// Time for which the sizing must be known before fewer instances are ordered than there were.
+    /// Time since the sizing was learned first before fewer instances are ordered than there were.
     pub learning_time: Duration,
     /// Time for which a slot is excluded after its instances were taken back.
     pub reclaim_backoff: Duration,
@@ -72,6 +72,15 @@
     pub reclaimed: u32,
 }
 
+/// What a service is expected to need.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Forecast {
+    /// Numbers of instances; 0 without any demand.
+    pub sizing: Sizing,
+    /// Whether it follows from what the instances were seen to do, and not from assumptions.
+    pub is_learned: bool,
+}
+
 /// An order of a number of instances in one slot.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
@@ -89,9 +98,11 @@
     settings: Settings,
     /// Sizings within the last [`Settings::scale_down_delay`].
     recent: VecDeque<(Instant, Sizing)>,
-    /// What holds until the sizing has been known for [`Settings::learning_time`].
-    initial: Option<Sizing>,
-    known_since: Option<Instant>,
+    /// What is needed at least until the sizing was learned for [`Settings::learning_time`].
+    initial: Sizing,
+    learned_since: Option<Instant>,
+    /// When there was demand first.
+    demand_since: Option<Instant>,
     /// When the exclusion of each slot ends.
     excluded: IndexMap<Slot, Instant>,
     /// The last accepted order of each slot.
@@ -131,22 +142,23 @@
         self.accepted.insert(order.slot.clone(), acceptance);
     }
 
-    /// Returns the orders that bring the counts to those needed now. `sizing` is `None` while it is
-    /// not known.
+    /// Returns the orders that bring the counts to those needed now.
     pub fn plan(
         &mut self,
         scaling: &Scaling,
         supply: &IndexMap<Slot, Supply>,
-        sizing: Option<Sizing>,
+        forecast: Forecast,
         now: Instant,
     ) -> Vec<Order> {
         self.record_reclaims(supply, now);
         let serving = supply.values().map(|supply| supply.serving).sum();
-        let needed = self.update_sizing(sizing, serving, now);
+        let needed = self.update_sizing(forecast, serving, now);
         let offers = self.offers(scaling, supply, now);
+        let losses = self.losses(now);
+        let lost = losses as f64 / scaling.prices.len().max(1) as f64;
         let need = Need {
-            losses: self.losses(now),
-            survivors: needed.sufficient,
+            losses,
+            survivors: needed.sufficient_without(lost),
             target: needed.comfortable,
         };
         let allocation = Allocation::new(&offers, need, scaling);
@@ -231,35 +243,48 @@
         *end = until.max(*end);
     }
 
-    /// Records a sizing, and returns the largest recent one.
-    fn update_sizing(&mut self, sizing: Option<Sizing>, serving: u32, now: Instant) -> Sizing {
-        if let Some(sizing) = sizing {
-            self.known_since.get_or_insert(now);
-            self.recent.push_back((now, sizing));
-        }
+    /// Records a forecast, and returns the largest recent sizing.
+    fn update_sizing(&mut self, forecast: Forecast, serving: u32, now: Instant) -> Sizing {
+        let age = |at: Instant| now.saturating_duration_since(at);
         let delay = self.settings.scale_down_delay;
-        self.recent
-            .retain(|(at, _)| now.saturating_duration_since(*at) <= delay);
-        let learned = self.known_since.is_some_and(|since| {
-            now.saturating_duration_since(since) >= self.settings.learning_time
-        });
-        // The instances that serve at first are taken as comfortable.
-        let initial = *self.initial.get_or_insert(Sizing {
-            sufficient: serving.div_ceil(2),
-            comfortable: serving,
-        });
-        let initial = match learned && !self.recent.is_empty() {
-            true => Sizing::default(),
-            false => initial,
+        self.recent.retain(|(at, _)| age(*at) <= delay);
+        if forecast.is_learned {
+            self.learned_since.get_or_insert(now);
+            self.recent.push_back((now, forecast.sizing));
+        }
+        if forecast.sizing != Sizing::default() {
+            self.demand_since.get_or_insert(now);
+        }
+        let learning_time = self.settings.learning_time;
+        let is_past = |since: Option<Instant>| since.is_some_and(|at| age(at) >= learning_time);
+        let initial = self.update_initial(serving);
+        let least = match forecast.is_learned {
+            true if is_past(self.learned_since) => Sizing::default(),
+            // What is assumed counts only if nothing is learned for long.
+            false if is_past(self.demand_since) => initial.max(forecast.sizing),
+            _ => initial,
         };
         let recent = self.recent.iter().map(|(_, sizing)| *sizing);
-        let largest = recent.fold(initial, Sizing::max);
+        let largest = recent.fold(least, Sizing::max);
         Sizing {
             sufficient: largest.sufficient.max(self.settings.min_survivors),
             ..largest
         }
     }
 
+    /// Returns what is needed at least while nothing is learned: the instances that served at first
+    /// are taken as comfortable.
+    fn update_initial(&mut self, serving: u32) -> Sizing {
+        if self.initial == Sizing::default() {
+            self.initial = Sizing {
+                sufficient: serving.div_ceil(2),
+                comfortable: serving,
+                ..Sizing::default()
+            };
+        }
+        self.initial
+    }
+
     /// Returns the offers of all slots.
     fn offers(
         &self,
--- a/components/placement/tests/autoscaler.rs
+++ b/components/placement/tests/autoscaler.rs
@@ -7,13 +7,14 @@
 use indexmap::IndexMap;
 use performance::Sizing;
 use placement::Slot;
-use placement::autoscaler::{Autoscaler, Supply};
+use placement::autoscaler::{Autoscaler, Forecast, Supply};
 
 const DATA_CENTRES: [(&str, f64); 4] = [("a", 1.0), ("b", 0.8), ("c", 1.25), ("d", 0.9)];
 
 /// Sizing at the usual load.
 const USUAL: Sizing = Sizing {
     sufficient: 5,
+    cold: 0,
     comfortable: 12,
 };
 
@@ -68,7 +69,15 @@
     /// Advances the time by half a second, the interval of the leader's rounds, and carries out the
     /// orders.
     fn step(&mut self, sizing: impl Into<Option<Sizing>>) {
-        let sizing = sizing.into();
+        let learned = sizing.into();
+        self.step_by(Forecast {
+            sizing: learned.unwrap_or_default(),
+            is_learned: learned.is_some(),
+        });
+    }
+
+    /// The same by a forecast.
+    fn step_by(&mut self, forecast: Forecast) {
         self.now += Duration::from_millis(500);
         let now = self.now;
         let (started, starting): (Vec<_>, Vec<_>) =
@@ -77,7 +86,10 @@
         for (_, slot, count) in started {
             self.supply.entry(slot).or_default().serving = count;
         }
-        for order in self.autoscaler.plan(&scaling(), &self.supply, sizing, now) {
+        for order in self
+            .autoscaler
+            .plan(&scaling(), &self.supply, forecast, now)
+        {
             let serving = self.serving(&order.slot);
             let is_more = order.count > serving;
             if is_more && self.sold_out && order.slot.class == Class::Reclaimable {
@@ -245,6 +257,7 @@
     let before = cloud.total();
     let burst = Sizing {
         sufficient: 9,
+        cold: 0,
         comfortable: 22,
     };
     cloud.run(6, burst);
@@ -284,6 +297,7 @@
     cloud.run(10, None);
     let small = Sizing {
         sufficient: 3,
+        cold: 0,
         comfortable: 4,
     };
     cloud.run(2, small);
@@ -292,6 +306,26 @@
     assert_that!(cloud.total(), eq(4));
 }
 
+/// The first instances are too few, and no answer came from which anything could be learned.
+#[test]
+fn orders_what_is_assumed_to_be_needed_if_nothing_is_learned() {
+    let mut cloud = Cloud::new();
+    let assumed = Forecast {
+        sizing: Sizing {
+            sufficient: 10,
+            cold: 0,
+            comfortable: 20,
+        },
+        is_learned: false,
+    };
+    (0..6).for_each(|_| cloud.step_by(assumed));
+    assert_that!(cloud.total(), le(18));
+    (0..30).for_each(|_| cloud.step_by(assumed));
+    assert_that!(cloud.total(), ge(20));
+    cloud.run(20, USUAL);
+    assert_that!(cloud.total(), le(13));
+}
+
 #[test]
 fn keeps_the_instances_of_the_last_peak_when_the_sizing_is_lost() {
     let mut cloud = Cloud::new();
@@ -300,3 +334,22 @@
     cloud.run(5, None);
     assert_that!(cloud.total(), ge(before));
 }
+
+/// The engines that remain have to compute the prompts that were cached by those that are lost.
+#[test]
+fn keeps_more_instances_the_more_caches_are_lost() {
+    let mut cloud = Cloud::new();
+    let sizing = Sizing {
+        sufficient: 4,
+        cold: 8,
+        comfortable: 8,
+    };
+    cloud.run(20, sizing);
+    cloud.sold_out = true;
+    for (lost, remaining) in [("a", 5), ("b", 6), ("c", 7), ("d", 8)] {
+        cloud.reclaim(lost);
+        cloud.run(6, sizing);
+        let on_demand = cloud.count(Class::OnDemand);
+        assert_that!(cloud.total(), ge(remaining), "without {lost}: {on_demand}");
+    }
+}
