--- a/components/control/tests/process/forwarding.rs
+++ b/components/control/tests/process/forwarding.rs
@@ -10,12 +10,11 @@
 use control::replica::{ForwardingReplica, Replica};
 use control::{Process, Sockets, start_forwarding, start_group};
 use googletest::prelude::*;
-use state::text::Replacement;
 use tempfile::TempDir;
 use tokio::time::{Instant, sleep};
 
 use crate::control_group::ControlGroup;
-use crate::single_control::{SECRET, any_port, fresh_version, text, wait_until};
+use crate::single_control::{SECRET, any_port, fresh_version, replacement, text, wait_until};
 
 const TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -45,14 +44,6 @@
     }
 }
 
-fn replacement(version: u64, name: &str) -> Operation {
-    Operation::Replace(Replacement {
-        version,
-        operator: "ana".into(),
-        source: text(name),
-    })
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn forwards_texts_and_reads_also_after_the_loss_of_the_leader() {
     let mut group = ControlGroup::start();
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -7,6 +7,7 @@
 mod forwarders;
 mod forwarding;
 mod group;
+mod models;
 mod origins;
 mod quarantine;
 mod relay;
--- a/components/control/tests/process/replacements.rs
+++ b/components/control/tests/process/replacements.rs
@@ -19,21 +19,13 @@
 use wire::{DemandTotals, Push, Report, Role, Statements, Work};
 
 use crate::single_control::{
-    SECRET, any_port, control, control_with, fresh_version, member, member_with_parser, text,
-    wait_until,
+    SECRET, any_port, control, control_with, fresh_version, member, member_with_parser,
+    replacement, text, wait_until,
 };
 
 /// Longest wait for an answer that is due at once.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
 
-fn replacement(version: u64, name: &str) -> Operation {
-    Operation::Replace(Replacement {
-        version,
-        operator: "ana".into(),
-        source: text(name),
-    })
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn keeps_the_text_with_the_highest_version() {
     let process = control().await;
--- a/components/control/tests/process/single_control.rs
+++ b/components/control/tests/process/single_control.rs
@@ -9,8 +9,10 @@
 use config::settings::Peer;
 use config::text::Parser;
 use control::client::{Client, Submission};
+use control::external::Operation;
 use control::{Machine, MemoryReplica, Node, Process, Settings, Sockets};
 use fleet::{Control, Member, View};
+use state::text::Replacement;
 use tokio::time::sleep;
 
 pub(crate) const SECRET: &str = "fleet-secret";
@@ -33,6 +35,15 @@
     )
 }
 
+/// Returns the operators' text `name` as a replacement.
+pub(crate) fn replacement(version: u64, name: &str) -> Operation {
+    Operation::Replace(Replacement {
+        version,
+        operator: "ana".into(),
+        source: text(name),
+    })
+}
+
 pub(crate) async fn control() -> Process<MemoryReplica> {
     control_with(Machine::default(), Settings::default().limit_window).await
 }
