gateway: Take no version for the only one while out of contact

Reported by operators of similar systems, and possible here: an entry that was cut off or stood still during a release continued streams of the new version at the former one, if their callers did not name the request that began them. It looked only at how long it had run. Now the control processes must have vouched for what it knows for two seconds without a pause of half a second; else it refuses at once as not run. The test with an entry that is cut off got 200 before, and gets 503. A cut shorter than the lease (3 s) is not told; no frozen process was run.

--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -17,7 +17,9 @@
 use crate::quarantine::Quarantine;
 use crate::reach::Reach;
 use crate::samples::Samples;
-use crate::{Accounts, Balancer, Metrics, Protocol, Readiness, Retries, Settings, Table, Usage};
+use crate::{
+    Accounts, Balancer, Contact, Metrics, Protocol, Readiness, Retries, Settings, Table, Usage,
+};
 
 /// State shared by the tasks of one entry.
 pub(crate) struct Core {
@@ -33,6 +35,8 @@
     pub(crate) retries: Mutex<Retries>,
     pub(crate) usage: Mutex<Usage>,
     pub(crate) demand: Mutex<Demand>,
+    /// Whether this entry knows all upstreams that others know.
+    pub(crate) contact: Mutex<Contact>,
     /// Samples of complete answers since the last report.
     pub(crate) samples: Mutex<Samples>,
     /// Software versions of the streams that began at this entry.
--- a/components/gateway/src/origin.rs
+++ b/components/gateway/src/origin.rs
@@ -52,9 +52,11 @@
 }
 
 /// Reports whether this entry has known all upstreams for as long as a stream of the route may go
-/// on. After a start it does not know those that have left before.
+/// on. After a start it does not know those that have left before, and out of contact not those that
+/// have joined.
 fn knows_all_versions(core: &Core, call: &Call) -> bool {
-    core.started.elapsed() >= call.route.timeout * LIFETIME_PER_TIMEOUT
+    let is_settled = lock(&core.contact).is_settled(Instant::now());
+    is_settled && core.started.elapsed() >= call.route.timeout * LIFETIME_PER_TIMEOUT
 }
 
 async fn find_record(core: &Core, key: &StreamKey) -> Option<Software> {
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -139,6 +139,7 @@
         accounts: Mutex::new(Accounts::default()),
         demand: Mutex::default(),
         samples: Mutex::default(),
+        contact: Mutex::default(),
         origins: Mutex::default(),
         pool: Mutex::new(Pool::default()),
         readiness: Readiness::default(),
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -35,7 +35,10 @@
             update(&core, previous.as_deref(), &view);
             previous = Some(view);
         }
-        lock(&core.pool).remove_expired(Instant::now());
+        let now = Instant::now();
+        let is_fresh = core.member.view().load().fresh_config(now).is_some();
+        lock(&core.contact).record(is_fresh, now);
+        lock(&core.pool).remove_expired(now);
         sleep(POLL_PERIOD).await;
     }
 }
