--- a/components/entry/src/model/attempt.rs
+++ b/components/entry/src/model/attempt.rs
@@ -1,10 +1,11 @@
 //! One attempt to serve a call: a dispatch to one engine and the answer that it streams.
 
+mod end;
+
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use errors::{Error, Step as ErrorStep};
 use fleet::Control;
 use http::{Method, Request, Response, StatusCode};
 use http_body::Frame;
@@ -14,6 +15,9 @@
 use serde::Deserialize;
 use tokio::time::{Interval, MissedTickBehavior, interval};
 
+pub(super) use end::{AttemptError, End};
+use end::{attempt_error, cause_of, describe, failed};
+
 use super::reclaim::{self, Progress};
 use super::relay::Relay;
 use crate::cause::Cause;
@@ -22,7 +26,7 @@
 use crate::failure::Failure;
 use crate::lifecycle::Event;
 use crate::reply::Reply;
-use crate::stream::{Fault, Step};
+use crate::stream::Step;
 
 /// Tokens that are queued for a slow caller before reading from the engine pauses.
 const MAX_BACKLOG: usize = 128;
@@ -35,27 +39,6 @@
 /// Timeout for a call that cancels a request.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How an attempt ended.
-pub(super) enum End {
-    /// The answer is complete.
-    Complete,
-    /// The engine answered with a client error, which is returned to the caller.
-    ClientError(Reply),
-    /// The attempt failed.
-    Failed(AttemptError),
-    /// The answer continues at the target, with imported state if there is a handle.
-    Transferred {
-        target: Choice,
-        handle: Option<CompactString>,
-    },
-}
-
-/// Why an attempt failed.
-pub(super) struct AttemptError {
-    pub(super) cause: Cause,
-    pub(super) detail: CompactString,
-}
-
 /// State of one attempt.
 pub(super) struct Attempt {
     pub(super) id: CompactString,
@@ -372,31 +355,3 @@
         Some(end)
     }
 }
-
-fn cause_of(error: &Error) -> Cause {
-    match error.step() {
-        ErrorStep::Connect => Cause::Unreachable,
-        _ => Cause::Closed,
-    }
-}
-
-fn failed(cause: Cause, detail: &impl std::fmt::Display) -> End {
-    End::Failed(attempt_error(cause, detail))
-}
-
-fn attempt_error(cause: Cause, detail: &impl std::fmt::Display) -> AttemptError {
-    let detail = format_compact!("{detail}");
-    AttemptError { cause, detail }
-}
-
-fn describe(fault: &Fault) -> CompactString {
-    match fault {
-        Fault::Malformed(error) => format_compact!("an event is malformed: {error}"),
-        Fault::WrongIndex { expected, received } => match received {
-            Some(received) => format_compact!("token {received} came in place of {expected}"),
-            None => format_compact!("token {expected} came without its index"),
-        },
-        Fault::Reported(error) => format_compact!("the engine reported {error}"),
-        Fault::Unexpected(item) => format_compact!("the stream holds {item}"),
-    }
-}
--- a/components/entry/src/model/relay.rs
+++ b/components/entry/src/model/relay.rs
@@ -1,5 +1,7 @@
 //! Relays one answer from one or several upstreams to the caller, each token exactly once.
 
+mod finish;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,7 +11,6 @@
 use fleet::{Config, Control};
 use routing::{Choice, Request};
 use tokio::sync::watch;
-use tokio::time::timeout_at;
 use upstream::Software;
 
 use super::Call;
@@ -24,14 +25,12 @@
 use crate::handover::Record;
 use crate::lifecycle::Event;
 use crate::reply::Reply;
-use crate::stream::{Assembler, DONE, Encoder, KEEP_ALIVE, Usage};
+use crate::stream::{Assembler, Encoder, KEEP_ALIVE};
 
 /// Largest number of attempts of one request.
 const MAX_ATTEMPTS: u32 = 16;
 /// Pause before the router is asked again for an upstream for a request that may have run.
 const CHOOSE_PAUSE: Duration = Duration::from_millis(50);
-/// Timeout for writing a complete answer into a buffer after its caller disconnected.
-const DETACHED_FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 /// Suggested pause before a failed request is retried.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -345,49 +344,6 @@
             request,
         }
     }
-
-    async fn finish(mut self) {
-        self.exchange.apply(Event::Completed);
-        self.exchange.release();
-        let reason = self.assembler.finish_reason().unwrap_or("stop").to_owned();
-        let usage = Usage {
-            completion_tokens: self.assembler.tokens().len() as u64,
-            ..self.assembler.usage().unwrap_or_default()
-        };
-        if self.sink.is_closed() {
-            // Without a key the answer can't be delivered; it is logged as answered.
-            let _ = self.detach_caller();
-        }
-        if !self.sink.is_streaming() {
-            let body = self.encoder.full(self.assembler.tokens(), &reason, usage);
-            let reply = Reply::json(http::StatusCode::OK, body);
-            return self.sink.answer(&mut self.exchange, reply, "answered");
-        }
-        let mut flushed = timeout_at(self.deadline.into(), self.flush(&reason, usage)).await;
-        if !matches!(flushed, Ok(Ok(()))) && self.detach_caller().is_ok() {
-            let until = Instant::now() + DETACHED_FLUSH_TIMEOUT;
-            flushed = timeout_at(until.into(), self.flush(&reason, usage)).await;
-        }
-        let why = match flushed {
-            Ok(Ok(())) => "answered",
-            Ok(Err(_)) => "answered, but the caller disconnected",
-            Err(_) => "answered, but the caller reads too slowly",
-        };
-        self.exchange.end_stream(why);
-    }
-
-    async fn flush(&mut self, reason: &str, usage: Usage) -> Result<(), SendError> {
-        self.sink.send_head(&self.exchange.subject.request);
-        let tokens = self.assembler.tokens();
-        for (index, token) in tokens.iter().enumerate().skip(self.emitted) {
-            self.sink.send(self.encoder.token(index, token)).await?;
-            self.core.metrics.relayed_tokens.inc();
-        }
-        let last = self.encoder.finish(tokens.len(), reason, usage);
-        self.sink.send(last).await?;
-        self.sink.send(DONE.into()).await?;
-        self.sink.end().await
-    }
 }
 
 fn upstream_failure(error: &AttemptError) -> Failure {
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -12,6 +12,8 @@
 mod brittle;
 mod choice;
 mod estimate;
+mod exchange;
+mod feedback;
 mod health;
 mod home;
 mod limit;
@@ -28,7 +30,7 @@
 pub use settings::Settings;
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use ::limits::Process;
 use ::upstream::{Routes, Software};
@@ -163,21 +165,6 @@
         model.map_or(self.settings.unknown_rates, Rates::from)
     }
 
-    /// Applies the models that the leader told. Those that it did not tell still hold.
-    pub fn apply_models(&mut self, models: &[(ServiceId, Model)]) {
-        self.models.extend(models.iter().cloned());
-    }
-
-    /// Returns the models of services of which the leader has told none.
-    pub fn models_beyond(&self, told: &[(ServiceId, Model)]) -> Vec<(ServiceId, Model)> {
-        let is_untold = |service: &ServiceId| told.iter().all(|(other, _)| other != service);
-        let models = self.models.iter();
-        let untold = models.filter(|(service, _)| is_untold(service));
-        untold
-            .map(|(service, model)| (service.clone(), *model))
-            .collect()
-    }
-
     /// Returns why no upstream is usable: all that could take the request have paused, this entry has no
     /// place at a brittle one, or there is none.
     fn shortage(&self, criteria: &Criteria<'_>, now: Instant) -> Shortage {
@@ -249,77 +236,6 @@
         versions.all(|version| version == first).then_some(first)
     }
 
-    /// Records that the first event of a request came `elapsed` after it was sent, and counts its
-    /// prompt as computed.
-    pub fn record_first_event(&mut self, choice: &Choice, elapsed: Duration, now: Instant) {
-        if let Some(upstream) = self.upstream_of(choice) {
-            upstream.record_first_event(choice, elapsed, now);
-        }
-    }
-
-    /// Counts a request as no longer at its upstream. `prompt_computed` is whether its first event
-    /// was recorded.
-    pub fn record_finish(
-        &mut self,
-        choice: &Choice,
-        prompt_computed: bool,
-        outcome: Outcome,
-        now: Instant,
-    ) {
-        if let Some(upstream) = self.upstream_of(choice) {
-            upstream.record_finish(choice, prompt_computed, outcome, now);
-        }
-    }
-
-    /// Records the running and waiting requests that an upstream reported in an answer.
-    pub fn record_load(&mut self, choice: &Choice, running: u32, waiting: u32, now: Instant) {
-        if let Some(upstream) = self.upstream_of(choice) {
-            upstream.reported_load = Some((running + waiting, now));
-        }
-    }
-
-    /// Records that an upstream said in an answer that it takes no requests for the time `pause`.
-    pub fn record_pause(&mut self, choice: &Choice, pause: Duration, now: Instant) {
-        if let Some(upstream) = self.upstream_of(choice) {
-            upstream.record_pause(pause, now);
-        }
-    }
-
-    /// Records that an upstream said in an answer that it is leaving; it gets no more requests until
-    /// it has restarted. Reports whether that was not known.
-    pub fn record_leaving(&mut self, choice: &Choice) -> bool {
-        let upstream = self.upstream_of(choice);
-        upstream.is_some_and(|upstream| !std::mem::replace(&mut upstream.said_leaving, true))
-    }
-
-    /// Returns this entry's work by upstream, for a report to the leader.
-    pub fn report(&mut self) -> Vec<(UpstreamId, Work)> {
-        let mut work = Vec::new();
-        for (name, upstream) in &mut self.upstreams {
-            upstream.reported_work = upstream.own_work;
-            if upstream.own_work != Work::default() {
-                work.push((name.clone(), upstream.own_work));
-            }
-        }
-        work
-    }
-
-    /// Applies the work of all entries, which includes this entry's last report.
-    pub fn apply_work(&mut self, work: &[(UpstreamId, Work)]) {
-        for upstream in self.upstreams.values_mut() {
-            upstream.other_work = Work::default();
-        }
-        for (name, all) in work {
-            if let Some(upstream) = self.upstreams.get_mut(name) {
-                let reported = upstream.reported_work;
-                upstream.other_work = Work {
-                    requests: all.requests.saturating_sub(reported.requests),
-                    prefill_tokens: all.prefill_tokens.saturating_sub(reported.prefill_tokens),
-                };
-            }
-        }
-    }
-
     /// Reports whether the upstream of a choice has said that it is leaving or reclaimed.
     pub fn is_leaving(&self, choice: &Choice) -> bool {
         let upstream = self.upstreams.get(&choice.upstream);
--- /dev/null
+++ b/components/gateway/src/balancer/feedback.rs
@@ -0,0 +1,50 @@
+//! What the answers to requests say of their upstreams.
+
+use std::time::{Duration, Instant};
+
+use super::{Balancer, Choice, Outcome};
+
+impl Balancer {
+    /// Records that the first event of a request came `elapsed` after it was sent, and counts its
+    /// prompt as computed.
+    pub fn record_first_event(&mut self, choice: &Choice, elapsed: Duration, now: Instant) {
+        if let Some(upstream) = self.upstream_of(choice) {
+            upstream.record_first_event(choice, elapsed, now);
+        }
+    }
+
+    /// Counts a request as no longer at its upstream. `prompt_computed` is whether its first event
+    /// was recorded.
+    pub fn record_finish(
+        &mut self,
+        choice: &Choice,
+        prompt_computed: bool,
+        outcome: Outcome,
+        now: Instant,
+    ) {
+        if let Some(upstream) = self.upstream_of(choice) {
+            upstream.record_finish(choice, prompt_computed, outcome, now);
+        }
+    }
+
+    /// Records the running and waiting requests that an upstream reported in an answer.
+    pub fn record_load(&mut self, choice: &Choice, running: u32, waiting: u32, now: Instant) {
+        if let Some(upstream) = self.upstream_of(choice) {
+            upstream.reported_load = Some((running + waiting, now));
+        }
+    }
+
+    /// Records that an upstream said in an answer that it takes no requests for the time `pause`.
+    pub fn record_pause(&mut self, choice: &Choice, pause: Duration, now: Instant) {
+        if let Some(upstream) = self.upstream_of(choice) {
+            upstream.record_pause(pause, now);
+        }
+    }
+
+    /// Records that an upstream said in an answer that it is leaving; it gets no more requests until
+    /// it has restarted. Reports whether that was not known.
+    pub fn record_leaving(&mut self, choice: &Choice) -> bool {
+        let upstream = self.upstream_of(choice);
+        upstream.is_some_and(|upstream| !std::mem::replace(&mut upstream.said_leaving, true))
+    }
+}
--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -149,23 +149,16 @@
         max_wait: Duration,
     ) -> Result<Choice, Shortage> {
         self.sent += 1;
-        let mut prompt = prompt(1, self.sent);
-        prompt.input_tokens = own_tokens;
-        prompt.parts = vec![Part {
+        let own = Part {
             id: self.sent,
             tokens: own_tokens,
-        }];
-        let criteria = Criteria {
-            service: &SERVICE.into(),
-            prompt: Some(&prompt),
-            software: None,
-            excluded: &[],
-            time_left: Duration::from_secs(15),
-            max_wait,
         };
-        let choice = self.entries[entry].choose(&criteria, self.now)?;
-        self.open.push((entry, choice.clone()));
-        Ok(choice)
+        let prompt = Prompt {
+            input_tokens: own_tokens,
+            parts: vec![own],
+            ..prompt(1, self.sent)
+        };
+        self.choose_prompt(entry, &prompt, max_wait, None)
     }
 
     /// Lets all entries know what the engines do.
@@ -185,9 +178,19 @@
     ) -> Result<Choice, Shortage> {
         self.sent += 1;
         let prompt = prompt(shared, self.sent);
+        self.choose_prompt(entry, &prompt, max_wait, software)
+    }
+
+    fn choose_prompt(
+        &mut self,
+        entry: usize,
+        prompt: &Prompt,
+        max_wait: Duration,
+        software: Option<&Software>,
+    ) -> Result<Choice, Shortage> {
         let criteria = Criteria {
             service: &SERVICE.into(),
-            prompt: Some(&prompt),
+            prompt: Some(prompt),
             software,
             excluded: &[],
             time_left: Duration::from_secs(15),
