--- a/components/performance/src/learner.rs
+++ b/components/performance/src/learner.rs
@@ -17,9 +17,9 @@
 const FIT_INTERVAL: Duration = Duration::from_secs(1);
 /// Samples that the assumed prefill rate counts for at first. Caches are cold at a start, so that the
 /// first answers are slower than later ones.
-const ASSUMPTION_WEIGHT: f64 = 64.0;
+const ASSUMPTION_WEIGHT: f64 = 256.0;
 /// Samples from which on the assumed rate no longer counts.
-const ASSUMPTION_END: f64 = 256.0;
+const ASSUMPTION_END: f64 = 1_024.0;
 /// Quantile of the times to the first event that is taken as that without unknown requests ahead.
 const FIRST_EVENT_QUANTILE: f64 = 0.2;
 /// Fewest events from which the time between two events is learned.
