--- a/tests/deploy/main.rs
+++ b/tests/deploy/main.rs
@@ -49,6 +49,7 @@
 /// Returns the settings that a template gives with these fields.
 fn settings(path: &str, fields: &Value) -> Settings {
     let rendered = template::render(&read(path), fields);
+    assert_that!(rendered, not(contains_substring("{{")), "{path}");
     let (settings, findings) = check::settings(path, &rendered);
     let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
     assert_that!(findings, is_empty(), "{rendered}");
--- a/tests/deploy/template.rs
+++ b/tests/deploy/template.rs
@@ -25,7 +25,7 @@
 }
 
 impl<'a> Scope<'a> {
-    /// Returns the value at a dotted path; `None` if there is none.
+    /// Returns the value at a dotted path; `None` if it is null. Panics if no field has that name.
     fn value(&self, path: &str) -> Option<&'a Value> {
         if path == "." {
             return Some(self.entry);
@@ -37,7 +37,8 @@
             })
         };
         let found = find(self.entry).or_else(|| find(self.root));
-        found.filter(|value| !value.is_null())
+        let value = found.unwrap_or_else(|| panic!("the platform has no field {path}"));
+        (!value.is_null()).then_some(value)
     }
 }
 
