tests: Wait until the log's thread has written the lines that are checked

A thread of its own writes the log, and the caller has the whole answer before that thread has written the last line. The same holds for serves_the_newest_text_after_restarts_that_missed_300_changes, listed as failed once: the entry is ready before the line about its text is in the file.

--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -264,11 +264,17 @@
     }
     trial.fleet.controls[control].restart().unwrap();
     trial.fleet.wait_until_answering(control).await;
+    let before = trial.fleet.versions_in_force(2).len();
     trial.fleet.entries[2].restart().unwrap();
     trial.fleet.wait_until_ready(2).await;
+    // The entry is ready before the log's thread has written which text is in force.
+    wait_until("the first text of the restarted entry", || async {
+        trial.fleet.versions_in_force(2).len() > before
+    })
+    .await;
     expect_that!(
-        trial.fleet.versions_in_force(2).last(),
-        some(eq(&(CHANGES + 1)))
+        trial.fleet.versions_in_force(2)[before..],
+        elements_are![eq(&(CHANGES + 1))]
     );
     let mut workload = Workload::default();
     trial.generate_load(&mut workload, 47, 10).await;
