gateway: Choose among a prompt's home and a few substitutes, and distrust old work

Cause: what an entry knows of the others' work is up to half a second old, so that 200 entries take the same engine for the least loaded one until the next exchange, and all send there what their busy homes can't take. Now the engine is chosen among the home and three substitutes by rendezvous hashing, and among four times as many each time none of them is expected to begin in time. Substitutes differ from prompt to prompt, so that no engine is the best one for all, and few engines get the same shared parts. A prompt of one part only has a home by that part. When the leader does not answer for a second, the last known work of the others said for as long as that lasted which engines are busy.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -129,22 +129,8 @@
     pub fn choose(&mut self, criteria: &Criteria<'_>, now: Instant) -> Result<Choice, Shortage> {
         self.choices = self.choices.wrapping_add(1);
         let usable = self.usable(criteria, now);
-        let home = home::select(criteria, &usable, now);
-        let rates = self.rates(criteria.service);
-        let scored = usable.into_iter().map(|(name, upstream)| {
-            let affinity = match &home {
-                Some(home) if home == name => Affinity::Home,
-                Some(_) => Affinity::Away,
-                None => Affinity::Any,
-            };
-            let estimate =
-                Estimate::new(upstream, criteria, affinity, (&self.settings, &rates), now);
-            (name.clone(), estimate)
-        });
-        let by_score = |a: &(UpstreamId, Estimate), b: &(UpstreamId, Estimate)| {
-            a.1.score.total_cmp(&b.1.score)
-        };
-        let Some((name, estimate)) = scored.min_by(by_score) else {
+        let (home, best) = self.best(&usable, criteria, now);
+        let Some((name, estimate)) = best else {
             return Err(self.shortage(criteria, now));
         };
         let limit = criteria.limit(estimate.at_rest);
@@ -159,6 +145,52 @@
         })
     }
 
+    /// Returns the home of a prompt, and the upstream with the lowest score: among the home and its
+    /// substitutes if one of them is expected to begin the request in time, otherwise among more of them.
+    fn best(
+        &self,
+        usable: &[(&UpstreamId, &Upstream)],
+        criteria: &Criteria<'_>,
+        now: Instant,
+    ) -> (Option<UpstreamId>, Option<(UpstreamId, Estimate)>) {
+        let Some(ranked) = home::ranked(criteria, usable, now) else {
+            return (None, self.lowest(usable, None, criteria, now));
+        };
+        let home = ranked.first().map(|(name, _)| *name);
+        let lowest = |size| self.lowest(&ranked[..size], home, criteria, now);
+        let is_in_time = |best: &Option<(UpstreamId, Estimate)>| {
+            let estimate = best.as_ref().map(|(_, estimate)| estimate);
+            estimate.is_some_and(|best| best.first_event <= criteria.limit(best.at_rest))
+        };
+        let mut groups = home::groups(ranked.len()).map(lowest);
+        let best = groups.find(is_in_time);
+        let best = best.unwrap_or_else(|| lowest(ranked.len()));
+        (home.cloned(), best)
+    }
+
+    /// Returns the upstream with the lowest score, and what is expected of it.
+    fn lowest(
+        &self,
+        upstreams: &[(&UpstreamId, &Upstream)],
+        home: Option<&UpstreamId>,
+        criteria: &Criteria<'_>,
+        now: Instant,
+    ) -> Option<(UpstreamId, Estimate)> {
+        let rates = self.rates(criteria.service);
+        let estimated = upstreams.iter().map(|(name, upstream)| {
+            let affinity = match home {
+                Some(home) if home == *name => Affinity::Home,
+                Some(_) => Affinity::Away,
+                None => Affinity::Any,
+            };
+            let by = (&self.settings, &rates);
+            let estimate = Estimate::new(upstream, criteria, affinity, by, now);
+            (*name, estimate)
+        });
+        let lowest = estimated.min_by(|a, b| a.1.score.total_cmp(&b.1.score));
+        lowest.map(|(name, estimate)| (name.clone(), estimate))
+    }
+
     /// Returns the rates of a service's engines.
     fn rates(&self, service: &ServiceId) -> Rates {
         let model = self.models.get(service);
--- a/components/gateway/src/balancer/exchange.rs
+++ b/components/gateway/src/balancer/exchange.rs
@@ -5,6 +5,7 @@
 use wire::Work;
 
 use super::Balancer;
+use super::upstream::Upstream;
 
 impl Balancer {
     /// Returns this entry's work by upstream, for a report to the leader.
@@ -35,6 +36,21 @@
         }
     }
 
+    /// Spreads the work of the other entries evenly over the upstreams of each service, once it is too
+    /// old to tell which of them are busy. Their number is still a measure of the load.
+    pub fn even_out_work(&mut self) {
+        for service in self.services() {
+            let upstreams = self.upstreams.values_mut();
+            let mut upstreams: Vec<&mut Upstream> = upstreams
+                .filter(|upstream| upstream.service == service)
+                .collect();
+            let average = average(upstreams.iter().map(|upstream| upstream.other_work));
+            for upstream in &mut upstreams {
+                upstream.other_work = average;
+            }
+        }
+    }
+
     /// Applies the models that the leader told. Those that it did not tell still hold.
     pub fn apply_models(&mut self, models: &[(ServiceId, Model)]) {
         self.models.extend(models.iter().cloned());
@@ -50,3 +66,15 @@
             .collect()
     }
 }
+
+fn average(work: impl ExactSizeIterator<Item = Work>) -> Work {
+    let count = u32::try_from(work.len()).unwrap_or(u32::MAX).max(1);
+    let sum = work.fold(Work::default(), |sum, work| Work {
+        requests: sum.requests.saturating_add(work.requests),
+        prefill_tokens: sum.prefill_tokens.saturating_add(work.prefill_tokens),
+    });
+    Work {
+        requests: sum.requests / count,
+        prefill_tokens: sum.prefill_tokens / count,
+    }
+}
--- a/components/gateway/src/balancer/home.rs
+++ b/components/gateway/src/balancer/home.rs
@@ -1,5 +1,13 @@
-//! The home of a prompt: the engine to which all entries send prompts with the same shared parts.
+//! The home of a prompt: the engine to which all entries send prompts with the same shared parts, and
+//! the few engines that take its place while it is busy.
+//!
+//! The latter answer the load of many entries. All of them know the same engine as the least loaded
+//! one until the next exchange of their work, so that it would get what all of them send in that time.
+//! Substitutes differ from prompt to prompt, and as they stay the same for each prompt, its shared
+//! parts are computed or fetched at few engines.
 
+use std::cmp::Reverse;
+use std::iter::{once, successors};
 use std::time::{Duration, Instant};
 
 use config::ids::UpstreamId;
@@ -14,26 +22,41 @@
 /// shared parts of each prompt once, so that taking all of them at once would overload it.
 const RAMP_UP_TIME: Duration = Duration::from_secs(10);
 
-/// Returns the part that determines the home: the last shared part.
+/// Engines among which a prompt's engine is chosen first: the home and its substitutes.
+const FIRST_GROUP: usize = 4;
+/// Ratio of the size of a group to that of the one before it.
+const GROUP_GROWTH: usize = 4;
+
+/// Returns the part that determines the home: the last shared part, or the only part.
 fn key(prompt: &Prompt) -> Option<PartId> {
-    let (_own, shared) = prompt.parts.split_last()?;
-    shared.last().map(|part| part.id)
+    let (own, shared) = prompt.parts.split_last()?;
+    Some(shared.last().unwrap_or(own).id)
 }
 
-/// Selects the home among the usable upstreams by rendezvous hashing.
-pub(super) fn select(
+/// Returns the usable upstreams in the order in which a prompt's engine is looked for, by rendezvous
+/// hashing: the home is the first one. `None` for a prompt without parts.
+pub(super) fn ranked<'u>(
     criteria: &Criteria<'_>,
-    usable: &[(&UpstreamId, &Upstream)],
+    usable: &[(&'u UpstreamId, &'u Upstream)],
     now: Instant,
-) -> Option<UpstreamId> {
+) -> Option<Vec<(&'u UpstreamId, &'u Upstream)>> {
     let key = key(criteria.prompt?)?;
-    let weight = |name: &UpstreamId| xxh3_64_with_seed(name.as_bytes(), key);
-    let eligible = usable
-        .iter()
-        .filter(|(name, upstream)| is_eligible(weight(name), upstream, now));
-    let home = eligible.max_by_key(|(name, _)| weight(name));
-    let home = home.or_else(|| usable.iter().max_by_key(|(name, _)| weight(name)));
-    home.map(|(name, _)| (*name).clone())
+    let rank = |(name, upstream): &(&UpstreamId, &Upstream)| {
+        let weight = xxh3_64_with_seed(name.as_bytes(), key);
+        // Those that are not eligible yet come last.
+        Reverse((is_eligible(weight, upstream, now), weight))
+    };
+    let mut ranked = usable.to_vec();
+    ranked.sort_by_cached_key(rank);
+    Some(ranked)
+}
+
+/// Returns how many of `count` ranked upstreams are in each group. An upstream of a later group is
+/// considered only if none of the groups before it is expected to begin the request in time.
+pub(super) fn groups(count: usize) -> impl Iterator<Item = usize> {
+    let sizes = successors(Some(FIRST_GROUP), |size| Some(size * GROUP_GROWTH));
+    let partial = sizes.take_while(move |size| *size < count);
+    partial.chain(once(count))
 }
 
 /// Returns the engine that most likely has the parts that the chosen engine lacks: the home, or the
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -20,6 +20,9 @@
 const REPORT_PERIOD: Duration = Duration::from_millis(250);
 /// Longest time between two reports if nothing has changed.
 const MAX_REPORT_GAP: Duration = Duration::from_millis(1_000);
+/// Age from which on what the leader told of the other entries' work no longer tells which upstreams
+/// are busy: most of it has been done by then.
+const MAX_WORK_AGE: Duration = Duration::from_millis(1_000);
 /// Longest wait for the leader's answer to a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -73,6 +76,7 @@
     let mut told = Limits::default();
     let mut told_refusals = Vec::new();
     let mut told_models = Vec::new();
+    let mut told_at = Instant::now();
     while !core.readiness.wait(REPORT_PERIOD).await {}
     loop {
         let limited = core.table.load();
@@ -111,6 +115,7 @@
         match reported {
             Ok(overview) => {
                 apply_overview(&core, number, &overview, sent_at);
+                told_at = sent_at;
                 told = overview.limits.unwrap_or(told);
                 told_refusals = overview.refusals;
                 told_models = overview.models;
@@ -121,6 +126,9 @@
         if !succeeded {
             lock(&core.accounts).record_silence();
         }
+        if told_at.elapsed() > MAX_WORK_AGE {
+            lock(&core.balancer).even_out_work();
+        }
         let entries = (!succeeded).then(|| lock(&core.retries).entries());
         lock(&core.balancer).fall_back(entries, Instant::now());
         if succeeded && !is_reachable {
--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -114,6 +114,11 @@
         self.update();
     }
 
+    /// Advances the time by less than a lease; nothing is announced.
+    pub(crate) fn pass(&mut self, time: Duration) {
+        self.now += time;
+    }
+
     /// Advances the time without any announcement.
     pub(crate) fn advance_without_announcements(&mut self, time: Duration) {
         self.now += time;
@@ -283,6 +288,13 @@
         self.entries[entry].report()
     }
 
+    /// Lets all entries take what they know of each other's work as too old.
+    pub(crate) fn even_out_work(&mut self) {
+        for entry in &mut self.entries {
+            entry.even_out_work();
+        }
+    }
+
     /// Exchanges the work of all entries, as the leader does.
     pub(crate) fn report_all(&mut self) {
         let mut sums: IndexMap<UpstreamId, Work> = IndexMap::new();
--- a/components/gateway/tests/balancing/main.rs
+++ b/components/gateway/tests/balancing/main.rs
@@ -1,5 +1,6 @@
 //! The choice of upstreams, simulated without a network.
 
+mod crowds;
 mod fleet;
 mod limits;
 mod overload;
