control: Forward changes of upstreams in batches, from control processes that entries are spread over

Each change was sent at once and in full to each subscribed entry, by each control process, and every entry subscribed to the control process that had answered it first, and stayed there: up to all entries at one. The link of the leader was busy with that for longer than an election timeout, so that it stepped down ('no answer from a quorum') without any fault. Changes are now collected for 30 ms and forwarded in one message, also those that other control processes relay. An entry prefers a control process by rendezvous hashing, the leader last, and one to which a connection has been open for three seconds, since a process that has just started knows few upstreams. Tests: 200 upstreams reach a subscriber in at most 50 messages (201 before); 40 entries, of which all found one control process first, are spread over four (never before).

--- a/components/control/src/announcements.rs
+++ b/components/control/src/announcements.rs
@@ -3,8 +3,14 @@
 //! An upstream announces itself either to an entry, which sends the announcement to every control
 //! process that it is connected to, or to a control process. A control process forwards it to the
 //! entries that subscribed here and, if it came from an entry or an upstream, to the other control
-//! processes, so that one broken connection loses no announcement. Renewals that an upstream sent
-//! to this process are forwarded in batches; changes of availability are forwarded at once.
+//! processes, so that one broken connection loses no announcement.
+//!
+//! What is forwarded is collected first: renewals that an upstream sent to this process for longer, all
+//! else for a moment. Hundreds of upstreams may start or leave at the same time, and a message for
+//! each of them to each of hundreds of entries would keep the links busy that the control group needs
+//! to stay in contact.
+
+mod outbox;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -14,16 +20,19 @@
 use indexmap::IndexSet;
 use link::Connection;
 use state::{Command, Output};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tracing::info;
 use upstream::Announcement;
 use wire::{Delta, Push, Role};
 
 use crate::Node;
 use crate::replica::Replica;
+use outbox::{Audience, Outbox};
 
 /// Time for which renewals are collected before they are forwarded.
 const BATCH_INTERVAL: Duration = Duration::from_millis(400);
+/// Time for which changes are collected before they are forwarded.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(30);
 /// Maximum number of upstreams in one message.
 const MAX_UPSTREAMS_PER_MESSAGE: usize = 500;
 
@@ -34,6 +43,7 @@
     subscribers: Mutex<Vec<Connection>>,
     /// Upstreams whose renewals were received here and are not forwarded yet.
     deferred: Mutex<IndexSet<UpstreamId>>,
+    outbox: Outbox,
 }
 
 impl Announcements {
@@ -123,7 +133,8 @@
             Some(before) if before == availability => self.announcements.defer(upstream),
             _ => {
                 info!(upstream = %upstream, "control: upstream \"{upstream}\" is {availability:?}");
-                self.broadcast(&IndexSet::from([upstream]));
+                let outbox = &self.announcements.outbox;
+                outbox.add([upstream], Audience::Everyone);
             }
         }
     }
@@ -140,7 +151,10 @@
             "control: upstream \"{upstream}\" leaves"
         );
         match left {
-            Some(_) => self.broadcast(&IndexSet::from([upstream.clone()])),
+            Some(_) => {
+                let outbox = &self.announcements.outbox;
+                outbox.add([upstream.clone()], Audience::Everyone);
+            }
             None => self.broadcast_deltas(&[Delta::Leave(upstream.clone(), incarnation)]),
         }
     }
@@ -188,16 +202,35 @@
         if updated.is_empty() {
             return;
         }
-        let deltas = self.announcements.deltas(&updated);
+        let audience = match from.hello().role {
+            Role::Entry => Audience::Everyone,
+            Role::Control => Audience::Subscribers,
+        };
+        self.announcements.outbox.add(updated, audience);
+    }
+
+    /// Forwards the collected changes.
+    pub(crate) fn forward_changes(&self) {
+        let pending = self.announcements.outbox.take();
+        let to_everyone = self.announcements.deltas(&pending.everyone);
+        let to_subscribers = self.announcements.deltas(&pending.subscribers);
+        self.broadcast_deltas(&to_everyone);
         for subscriber in self.announcements.subscribers().iter() {
-            if subscriber.hello().node != from.hello().node {
-                send(&deltas, subscriber);
-            }
+            send(&to_subscribers, subscriber);
         }
-        if from.hello().role == Role::Entry {
-            for control in self.peers.control_connections() {
-                send(&deltas, &control);
-            }
+    }
+}
+
+/// Forwards changes until the process stops.
+pub(crate) async fn run_outbox<R>(node: Arc<Node<R>>)
+where
+    R: Replica<Command = Command, Output = Output>,
+{
+    while !*node.stopped.borrow() {
+        let added = node.announcements.outbox.added();
+        if timeout(BATCH_INTERVAL, added).await.is_ok() {
+            sleep(CHANGE_INTERVAL).await;
+            node.forward_changes();
         }
     }
 }
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -109,6 +109,7 @@
         tokio::spawn(peers::listen(node.clone(), listener));
         tokio::spawn(peers::follow_group(node.clone()));
         tokio::spawn(announcements::run(node.clone()));
+        tokio::spawn(announcements::run_outbox(node.clone()));
         tokio::spawn(node::notify_entries(node.clone()));
         tokio::spawn(node::run_leader_tasks(node.clone()));
         if !node.replica.forwards_only() {
@@ -139,6 +140,7 @@
             let _ = timeout(TRANSFER_TIMEOUT, self.node.replica.transfer_leadership()).await;
         }
         sleep(ANSWER_GRACE_PERIOD).await;
+        self.node.forward_changes();
         self.abort();
     }
 
--- a/components/control/tests/process/announcements.rs
+++ b/components/control/tests/process/announcements.rs
@@ -14,7 +14,7 @@
 use crate::relay::Relay;
 use crate::single_control::{any_port, control, member, operator, submission, text, wait_until};
 
-fn announcement(upstream: &str, sequence: u64) -> Announcement {
+pub(crate) fn announcement(upstream: &str, sequence: u64) -> Announcement {
     Announcement {
         upstream: upstream.into(),
         incarnation: 1,
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -4,6 +4,7 @@
 mod announcements;
 mod claims;
 mod control_group;
+mod crowds;
 mod forwarders;
 mod forwarding;
 mod group;
--- a/components/fleet/src/member/links.rs
+++ b/components/fleet/src/member/links.rs
@@ -20,6 +20,9 @@
 
 use super::Shared;
 
+/// Time since a connection was opened before it is preferred for a subscription: a control process that
+/// has just started knows few upstreams.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
 /// Delay before a connection is opened again.
 const REDIAL_DELAY: Duration = Duration::from_millis(100);
 /// Time without an answer after which a call is also sent to the next control process.
@@ -31,6 +34,8 @@
     /// Last known leader of the control group.
     leader: Mutex<Option<NodeId>>,
     subscribed: Mutex<IndexSet<NodeId>>,
+    /// Control processes to which a connection has been open for [`SETTLING_TIME`].
+    settled: Mutex<IndexSet<NodeId>>,
     settings: link::Settings,
 }
 
@@ -40,6 +45,7 @@
             connections: Mutex::default(),
             leader: Mutex::default(),
             subscribed: Mutex::default(),
+            settled: Mutex::default(),
             settings,
         }
     }
@@ -72,53 +78,69 @@
         }
     }
 
-    /// Returns the open connections in the order in which this entry fetches texts over them: by
-    /// rendezvous hashing, so that entries spread over the control processes, and the leader last,
-    /// as it has other work to do.
+    /// Returns the open connections over which this entry fetches texts.
     pub(crate) fn text_sources(&self, entry: &NodeId) -> Vec<Connection> {
+        let sources = self.spread(entry).into_iter();
+        sources
+            .filter_map(|(_, link)| (link.level() >= release::EDITS).then_some(link))
+            .collect()
+    }
+
+    /// Returns the open connections in an order that spreads the entries over the control processes,
+    /// by rendezvous hashing, with the leader last, as it has other work to do.
+    fn spread(&self, entry: &NodeId) -> Vec<(NodeId, Connection)> {
         let leader = self.leader().clone();
         let seed = xxh3_64(entry.as_bytes());
-        let mut sources = self.ordered(|node| {
+        self.ordered_by_name(|node| {
             let is_leader = Some(node) == leader.as_ref();
             (is_leader, xxh3_64_with_seed(node.as_bytes(), seed))
-        });
-        sources.retain(|link| link.level() >= release::EDITS);
-        sources
+        })
     }
 
     /// Returns the open connections, ordered by a key of the control process.
     fn ordered<K: Ord>(&self, key: impl Fn(&NodeId) -> K) -> Vec<Connection> {
+        let ordered = self.ordered_by_name(key).into_iter();
+        ordered.map(|(_, link)| link).collect()
+    }
+
+    /// Returns the open connections with the names of the control processes, ordered by a key of these.
+    fn ordered_by_name<K: Ord>(&self, key: impl Fn(&NodeId) -> K) -> Vec<(NodeId, Connection)> {
         let connections = self.connections();
         let open = connections.iter().filter(|(_, link)| link.is_open());
-        let mut ordered: Vec<_> = open.collect();
+        let mut ordered: Vec<_> = open
+            .map(|(node, link)| (node.clone(), link.clone()))
+            .collect();
         ordered.sort_by_cached_key(|(node, _)| key(node));
-        ordered.into_iter().map(|(_, link)| link.clone()).collect()
+        ordered
     }
 
     pub(crate) fn set_leader(&self, leader: NodeId) {
         *self.leader() = Some(leader);
     }
 
-    /// Subscribes to announcements from up to `wanted` control processes.
-    fn subscribe(&self, wanted: usize) {
-        let connections = self.connections();
+    /// Subscribes `entry` to announcements from up to `wanted` control processes, and cancels its other
+    /// subscriptions. Each entry prefers others, so that none of them relays to most of the entries.
+    fn subscribe(&self, entry: &NodeId, wanted: usize) {
+        let mut spread = self.spread(entry);
+        let settled = self.settled().clone();
+        spread.sort_by_key(|(node, _)| !settled.contains(node));
         let mut subscribed = self
             .subscribed
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        subscribed.retain(|node| connections.get(node).is_some_and(Connection::is_open));
-        for (node, link) in connections.iter().filter(|(_, link)| link.is_open()) {
-            if subscribed.len() >= wanted {
-                return;
-            }
-            if subscribed.insert(node.clone()) {
+        subscribed.retain(|node| spread.iter().any(|(open, _)| open == node));
+        for (index, (node, link)) in spread.iter().enumerate() {
+            if index < wanted && subscribed.insert(node.clone()) {
                 link.push(Push::Subscribe);
+            } else if index >= wanted && subscribed.swap_remove(node) {
+                link.push(Push::Unsubscribe);
             }
         }
     }
 
     fn remove(&self, node: &NodeId) {
         self.connections().swap_remove(node);
+        self.settled().swap_remove(node);
         let mut subscribed = self
             .subscribed
             .lock()
@@ -174,12 +196,22 @@
         Err(last_error.unwrap_or(Error::Timeout(Step::Connect, peer, limit)))
     }
 
+    fn settled(&self) -> MutexGuard<'_, IndexSet<NodeId>> {
+        self.settled.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn leader(&self) -> MutexGuard<'_, Option<NodeId>> {
         self.leader.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Shared {
+    /// Subscribes to announcements from as many control processes as the settings say.
+    fn subscribe(&self) {
+        let settings = &self.settings;
+        self.links.subscribe(&settings.node, settings.subscriptions);
+    }
+
     /// Replaces the members of the group, and connects to those that joined.
     fn update_group(self: &Arc<Self>, group: Vec<NodeId>) {
         let Some(port) = self.settings.peer_port else {
@@ -262,10 +294,21 @@
         .links
         .connections()
         .insert(peer.node.clone(), connection.clone());
-    shared.links.subscribe(shared.settings.subscriptions);
+    shared.subscribe();
     shared.send_all(&connection);
     shared.confirm_now.notify_one();
-    while let Some(message) = messages.recv().await {
+    let settling = sleep(SETTLING_TIME);
+    tokio::pin!(settling);
+    loop {
+        let message = tokio::select! {
+            message = messages.recv() => message,
+            () = &mut settling, if !shared.links.settled().contains(&peer.node) => {
+                shared.links.settled().insert(peer.node.clone());
+                shared.subscribe();
+                continue;
+            }
+        };
+        let Some(message) = message else { break };
         match message {
             Incoming::Push(Push::Newest(version), _) if version > shared.freshness().version() => {
                 shared.confirm_now.notify_one();
@@ -283,5 +326,5 @@
     }
     connection.close();
     shared.links.remove(&peer.node);
-    shared.links.subscribe(shared.settings.subscriptions);
+    shared.subscribe();
 }
