control: Tell entries each other's work in a short table

Cause: the leader answers four reports per second of each of 200 entries, and each answer names all upstreams with work and both figures, about 45 bytes for each: at 120 upstreams 4 MB a second, at 240 twice as much, besides all else on a link of 12.5 MB a second that the group's heartbeats, which have 400 ms, need as well. The work now goes out as a table of hashes of names and two numbers (twelve bytes an upstream), to entries that say that they read it; others get the form of before. A field of the report and one of the overview, which older releases skip. Tests: the answer at 240 upstreams, 800 times a second, takes a quarter of the link; each entry is told in the form that it reads.

--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -14,7 +14,7 @@
 use performance::{Load, Model, Sizing};
 use quarantine::{Evidence, Kind, Record};
 use state::usage::{Counts, Window};
-use wire::{DemandTotals, Forwarder, Limits, Overview, Report, Work};
+use wire::{DemandTotals, Forwarder, Limits, Overview, Report, Work, WorkTable};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::performance::{Performance, objective};
@@ -141,6 +141,7 @@
         self.performance
             .record(&report.samples, &report.models, now);
         let models = text.map(|text| self.performance.models(text, now));
+        let reads_work_table = report.reads_work_table;
         let report = EntryReport {
             at: now,
             work: report.work,
@@ -152,12 +153,21 @@
         self.add_demand(&process, &report.demand, now);
         let node = process.0.clone();
         self.entries.insert(process, report);
+        let total = self.total_work(now);
+        let (work, work_table) = match reads_work_table {
+            true => {
+                let named = total.iter().map(|(name, work)| (name.as_str(), *work));
+                (Vec::new(), Some(WorkTable::new(named)))
+            }
+            false => (total, None),
+        };
         Overview {
             now_ms: 0,
             replaced_ms: None,
             entries: u32::try_from(self.live_reports(now).count()).unwrap_or(u32::MAX),
             balances: balances.unwrap_or_default(),
-            work: self.total_work(now),
+            work,
+            work_table,
             quarantine,
             requests,
             limits,
--- a/components/control/tests/process/crowds.rs
+++ b/components/control/tests/process/crowds.rs
@@ -16,7 +16,7 @@
 use wire::{AgedAnnouncement, Delta, Push, Role};
 
 use crate::announcements::announcement;
-use crate::single_control::{SECRET, any_port, control, member};
+use crate::single_control::{SECRET, any_port, control};
 
 const TIMEOUT: Duration = Duration::from_secs(60);
 /// Control processes between which the entries can choose.
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -16,3 +16,4 @@
 mod silent_connections;
 mod single_control;
 mod submissions;
+mod work;
--- a/components/gateway/src/balancer/exchange.rs
+++ b/components/gateway/src/balancer/exchange.rs
@@ -2,7 +2,7 @@
 
 use config::ids::{ServiceId, UpstreamId};
 use performance::Model;
-use wire::Work;
+use wire::{Work, WorkTable};
 
 use super::Balancer;
 use super::upstream::Upstream;
@@ -36,6 +36,13 @@
         }
     }
 
+    /// Applies the work of all entries in its short form.
+    pub fn apply_work_table(&mut self, table: &WorkTable) {
+        let names = self.upstreams.keys();
+        let work = table.of(names.map(|name| (name.as_str(), name.clone())));
+        self.apply_work(&work);
+    }
+
     /// Spreads the work of the other entries evenly over the upstreams of each service, once it is too
     /// old to tell which of them are busy. Their number is still a measure of the load.
     pub fn even_out_work(&mut self) {
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -99,6 +99,7 @@
             out_of_reach: lock(&core.reach).lost(),
             samples: lock(&core.samples).take(),
             models,
+            reads_work_table: true,
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
@@ -214,7 +215,10 @@
     let now = Instant::now();
     let one_way = now.saturating_duration_since(sent_at) / 2;
     lock(&core.accounts).apply(number, &overview.balances, now);
-    lock(&core.balancer).apply_work(&overview.work);
+    match &overview.work_table {
+        Some(table) => lock(&core.balancer).apply_work_table(table),
+        None => lock(&core.balancer).apply_work(&overview.work),
+    }
     lock(&core.balancer).apply_models(&overview.models);
     let (parts, requests) = (overview.quarantine.clone(), overview.requests.clone());
     let changed = lock(&core.quarantine).apply(parts, requests, now);
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -15,6 +15,7 @@
 mod report;
 mod request;
 mod unknown;
+mod work_table;
 
 pub use answer::{Answer, Failure, FreshnessLease, Submitted};
 pub use codec::{MAX_FRAME_BYTES, decode, encode};
@@ -29,3 +30,4 @@
 };
 pub use request::{Body, Query, Request};
 pub use unknown::{Kind as UnknownKind, Unknown};
+pub use work_table::WorkTable;
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 use state::usage::Window;
 
+use crate::WorkTable;
+
 /// Report of an entry on its work. Its totals count from the start of the process.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Report {
@@ -48,6 +50,17 @@
     /// Models that the entry has and the leader has not told.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub models: Vec<(ServiceId, Model)>,
+    /// Whether the entry reads [`Overview::work_table`] in place of [`Overview::work`].
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub reads_work_table: bool,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_false(flag: &bool) -> bool {
+    !flag
 }
 
 /// Totals of what callers requested of a service.
@@ -112,9 +125,13 @@
     pub replaced_ms: Option<u64>,
     /// Answer to the statements of the report.
     pub balances: Balances,
-    /// Work in progress of all entries, including the reporting one, by upstream.
+    /// Work in progress of all entries, including the reporting one, by upstream; empty for an entry that
+    /// reads the table.
     #[serde(rename = "held")]
     pub work: Vec<(UpstreamId, Work)>,
+    /// The same in a short form.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub work_table: Option<WorkTable>,
     /// Parts of prompts under suspicion and in quarantine.
     #[serde(default)]
     pub quarantine: quarantine::Notice,
