fleet: Let the later of two changes decide over an entry's subscriptions

Read in the diff: two connections that open at the same moment could each look at the open connections first and change the subscriptions in the other order, so that the entry had two and knew of one. Entries of the platform run one thread, where that can't happen.

--- a/components/fleet/src/member/links.rs
+++ b/components/fleet/src/member/links.rs
@@ -121,13 +121,14 @@
     /// Subscribes `entry` to announcements from up to `wanted` control processes, and cancels its other
     /// subscriptions. Each entry prefers others, so that none of them relays to most of the entries.
     fn subscribe(&self, entry: &NodeId, wanted: usize) {
-        let mut spread = self.spread(entry);
-        let settled = self.settled().clone();
-        spread.sort_by_key(|(node, _)| !settled.contains(node));
+        // Locked first, so that of two changes the later one decides.
         let mut subscribed = self
             .subscribed
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
+        let mut spread = self.spread(entry);
+        let settled = self.settled().clone();
+        spread.sort_by_key(|(node, _)| !settled.contains(node));
         subscribed.retain(|node| spread.iter().any(|(open, _)| open == node));
         for (index, (node, link)) in spread.iter().enumerate() {
             if index < wanted && subscribed.insert(node.clone()) {
