placement: Give back no reclaimable instance while a wave of reclaims lasts

At 7.8 s the last peak no longer counted, and the orders of the other five data centres went from 37 to about 20 engines each, of which the new ones had not even started. Two of these data centres went at 12.4 and 14.4 s, while the control group was cut. Reclaimable instances are now kept for as long as a reclaim counts as part of a wave (12 s); instances on demand are still given back.

--- a/components/placement/src/autoscaler.rs
+++ b/components/placement/src/autoscaler.rs
@@ -13,7 +13,7 @@
 //! excluded for a while.
 //!
 //! Reclaims come in waves: the remaining instances must survive the loss of as many further data
-//! centres as were lost recently. Some instances leave without announcing that they are reclaimed,
+//! centres as were lost recently, and reclaimable ones are kept until the wave is over. Some instances leave without announcing that they are reclaimed,
 //! so a slot also counts as reclaimed when none of its instances serve any more although more were
 //! ordered.
 
@@ -165,7 +165,10 @@
         let mut orders = Vec::new();
         for Offer { slot, serving, .. } in &offers {
             let current = self.current_count(slot, *serving, scaling, now);
-            let count = allocation.count(slot);
+            let count = match slot.class {
+                Class::Reclaimable if self.is_in_wave() => allocation.count(slot).max(current),
+                _ => allocation.count(slot),
+            };
             if count != current {
                 orders.push(Order {
                     slot: slot.clone(),
@@ -224,6 +227,13 @@
         recent.count().max(1)
     }
 
+    /// Reports whether reclaimable instances were taken back within [`Settings::reclaim_window`]. No other
+    /// ones are given back then: the wave may take further data centres before new instances have
+    /// started elsewhere.
+    fn is_in_wave(&self) -> bool {
+        !self.reclaims.is_empty()
+    }
+
     /// Returns the count of the last accepted order of a slot. After the time that instances need
     /// to start, at most the number that serve is returned.
     fn current_count(&self, slot: &Slot, serving: u32, scaling: &Scaling, now: Instant) -> u32 {
--- a/components/placement/tests/autoscaler.rs
+++ b/components/placement/tests/autoscaler.rs
@@ -269,6 +269,26 @@
     assert_that!(cloud.total(), lt(grown));
 }
 
+#[test]
+fn gives_back_no_reclaimable_instance_while_a_wave_lasts() {
+    let mut cloud = Cloud::new();
+    let burst = Sizing {
+        sufficient: 9,
+        cold: 0,
+        comfortable: 22,
+    };
+    cloud.run(16, burst);
+    cloud.run(10, USUAL);
+    cloud.sold_out = true;
+    cloud.reclaim("a");
+    let left = cloud.count(Class::Reclaimable);
+    // The burst no longer counts 12 s after its end.
+    cloud.run(8, USUAL);
+    assert_that!(cloud.count(Class::Reclaimable), eq(left));
+    cloud.run(20, USUAL);
+    assert_that!(cloud.count(Class::Reclaimable), lt(left));
+}
+
 #[test]
 fn moves_no_on_demand_instance_for_its_price() {
     let mut cloud = Cloud::new();
