--- a/components/gateway/tests/balancing/crowds.rs
+++ b/components/gateway/tests/balancing/crowds.rs
@@ -4,14 +4,13 @@
 use std::time::Duration;
 
 use gateway::admission;
-use gateway::balancer::{Choice, Rates, Settings};
+use gateway::balancer::{Rates, Settings};
 use googletest::prelude::*;
 use indexmap::IndexMap;
 
 use crate::fleet::Fleet;
+use crate::queue::{Outcomes, Queue, STEP, TARGET};
 
-const TARGET: Duration = Duration::from_millis(1_200);
-const STEP: Duration = Duration::from_millis(10);
 /// Prompt tokens that an engine computes per step.
 const TOKENS_PER_STEP: u32 = 600;
 /// Steps between two exchanges of the entries' work.
@@ -26,24 +25,6 @@
 /// Shared parts that the prompts begin with.
 const SHARED_PARTS: u64 = 1_500;
 
-/// A request at an engine: entry, choice, time waited and tokens still to be computed.
-struct Running {
-    entry: usize,
-    choice: Choice,
-    waited: Duration,
-    tokens: u32,
-}
-
-/// What callers got.
-#[derive(Debug, Default)]
-struct Outcomes {
-    on_time: u32,
-    late: u32,
-    refused: u32,
-    /// Requests that were sent to an engine other than the home of their prompt.
-    away: u32,
-}
-
 /// What the entries hear from the leader.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Leader {
@@ -54,7 +35,9 @@
 
 /// Simulates `entries` entries before `engines` engines, which are busy for the share `busy` of their
 /// time with the parts of prompts that are not shared.
-fn simulate(entries: usize, engines: u16, busy: f64, leader: Leader) -> Outcomes {
+///
+/// Returns the outcomes, and how many requests were sent to another engine than their prompt's home.
+fn simulate(entries: usize, engines: u16, busy: f64, leader: Leader) -> (Outcomes, u32) {
     let rates = Rates {
         prefill_ms_per_token: STEP.as_millis() as f64 / f64::from(TOKENS_PER_STEP),
         ..Rates::default()
@@ -65,8 +48,8 @@
     };
     let mut fleet = Fleet::with_settings(engines, entries, &settings);
     fleet.advance(Duration::from_secs(15));
-    let mut queues: IndexMap<String, Vec<Running>> = IndexMap::new();
-    let mut outcomes = Outcomes::default();
+    let mut queues: IndexMap<String, Queue> = IndexMap::new();
+    let (mut outcomes, mut away) = (Outcomes::default(), 0);
     let max_wait = admission::max_wait_for_rank(TARGET, 1);
     let per_step = f64::from(engines) * busy * f64::from(TOKENS_PER_STEP) / 3_700.0;
     let mut due = 0.0;
@@ -93,7 +76,7 @@
             _ => {}
         }
         for queue in queues.values_mut() {
-            compute_step(queue, &mut fleet, &mut outcomes);
+            queue.compute(TOKENS_PER_STEP, &mut fleet, &mut outcomes);
         }
         due += per_step;
         while due >= 1.0 {
@@ -101,63 +84,35 @@
             let entry = random(entries as u64) as usize;
             match fleet.choose_within(entry, random(SHARED_PARTS), max_wait) {
                 Ok(choice) => {
-                    outcomes.away += u32::from(choice.reason.starts_with("not on the home"));
+                    away += u32::from(choice.reason.starts_with("not on the home"));
                     let queue = queues.entry(choice.upstream.to_string()).or_default();
-                    queue.push(Running {
-                        entry,
-                        tokens: choice.uncached_tokens,
-                        waited: Duration::ZERO,
-                        choice,
-                    });
+                    queue.push(entry, choice);
                 }
                 Err(_) => outcomes.refused += 1,
             }
         }
     }
-    outcomes
-}
-
-/// Computes the prompts of one engine for one step, in the order of arrival.
-fn compute_step(queue: &mut Vec<Running>, fleet: &mut Fleet, outcomes: &mut Outcomes) {
-    let mut budget = TOKENS_PER_STEP;
-    for running in queue.iter_mut() {
-        running.waited += STEP;
-    }
-    while let Some(running) = queue.first_mut() {
-        let computed = budget.min(running.tokens);
-        running.tokens -= computed;
-        budget -= computed;
-        if running.tokens > 0 {
-            return;
-        }
-        match running.waited <= TARGET {
-            true => outcomes.on_time += 1,
-            false => outcomes.late += 1,
-        }
-        fleet.answer(running.entry, &running.choice, running.waited);
-        queue.remove(0);
-    }
+    (outcomes, away)
 }
 
 /// Checks that at most one request in `late` is not answered in time.
 fn check(outcomes: &Outcomes, late: u32) {
-    let all = outcomes.on_time + outcomes.late + outcomes.refused;
+    let all = outcomes.all();
     assert_that!(outcomes.on_time, ge(all - all / late), "{outcomes:?}");
 }
 
 #[test]
 fn answers_in_time_however_many_entries_share_the_engines() {
     for (entries, engines) in [(10, 10), (50, 40), (200, 40), (200, 120)] {
-        let outcomes = simulate(entries, engines, 0.75, Leader::Answers);
+        let (outcomes, away) = simulate(entries, engines, 0.75, Leader::Answers);
         check(&outcomes, 100);
         // Each request that is sent elsewhere moves or computes shared parts again.
-        let all = outcomes.on_time + outcomes.late + outcomes.refused;
-        assert_that!(outcomes.away, le(all / 4), "{outcomes:?}");
+        assert_that!(away, le(outcomes.all() / 4), "{outcomes:?}");
     }
 }
 
 #[test]
 fn answers_in_time_while_the_leader_is_silent() {
-    let outcomes = simulate(100, 60, 0.8, Leader::FallsSilent);
+    let (outcomes, _) = simulate(100, 60, 0.8, Leader::FallsSilent);
     check(&outcomes, 50);
 }
--- a/components/gateway/tests/balancing/main.rs
+++ b/components/gateway/tests/balancing/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod limits;
 mod overload;
+mod queue;
 
 use std::time::Duration;
 
--- a/components/gateway/tests/balancing/overload.rs
+++ b/components/gateway/tests/balancing/overload.rs
@@ -3,16 +3,15 @@
 use std::time::Duration;
 
 use gateway::admission;
-use gateway::balancer::{Choice, Rates, Settings, Shortage};
+use gateway::balancer::{Rates, Settings, Shortage};
 use googletest::prelude::*;
 use indexmap::IndexMap;
 use performance::Model;
 
 use super::ms;
 use crate::fleet::Fleet;
+use crate::queue::{Outcomes, Queue, STEP, TARGET};
 
-const TARGET: Duration = Duration::from_millis(1_200);
-const STEP: Duration = Duration::from_millis(10);
 const ENTRIES: usize = 10;
 /// Prompt tokens that an engine computes per step.
 const TOKENS_PER_STEP: u32 = 100;
@@ -22,17 +21,6 @@
 const REPORT_STEPS: u32 = 25;
 const STEPS: u32 = 3_000;
 
-/// Requests queued at one engine: entry, choice, time waited and tokens still to be computed.
-type Queue = Vec<(usize, Choice, Duration, u32)>;
-
-/// Number of requests by outcome.
-#[derive(Debug, Default)]
-struct Outcomes {
-    on_time: u32,
-    late: u32,
-    refused: u32,
-}
-
 /// Simulates requests with 3,700 tokens to compute each. A request is refused if the expected time
 /// to its first event exceeds `max_wait`.
 fn simulate(max_wait: Duration) -> Outcomes {
@@ -53,15 +41,14 @@
             fleet.report_all();
         }
         for (_, queue) in &mut queues {
-            compute_step(queue, &mut fleet, &mut outcomes);
+            queue.compute(TOKENS_PER_STEP, &mut fleet, &mut outcomes);
         }
         if step % REQUEST_STEPS == 0 {
             let entry = (step / REQUEST_STEPS) as usize % ENTRIES;
             match fleet.choose_within(entry, u64::from(step % 20), max_wait) {
                 Ok(choice) => {
                     let queue = queues.entry(choice.upstream.to_string()).or_default();
-                    let tokens = choice.uncached_tokens;
-                    queue.push((entry, choice, Duration::ZERO, tokens));
+                    queue.push(entry, choice);
                 }
                 Err(_) => outcomes.refused += 1,
             }
@@ -70,28 +57,6 @@
     outcomes
 }
 
-/// Computes the prompts of one engine for one step, in the order of arrival.
-fn compute_step(queue: &mut Queue, fleet: &mut Fleet, outcomes: &mut Outcomes) {
-    let mut budget = TOKENS_PER_STEP;
-    for (_, _, waited, _) in queue.iter_mut() {
-        *waited += STEP;
-    }
-    while let Some((entry, choice, waited, tokens)) = queue.first_mut() {
-        let computed = budget.min(*tokens);
-        *tokens -= computed;
-        budget -= computed;
-        if *tokens > 0 {
-            return;
-        }
-        match *waited <= TARGET {
-            true => outcomes.on_time += 1,
-            false => outcomes.late += 1,
-        }
-        fleet.answer(*entry, choice, *waited);
-        queue.remove(0);
-    }
-}
-
 #[test]
 fn answers_more_requests_on_time_if_late_ones_are_refused() {
     let bounded = simulate(admission::max_wait_for_rank(TARGET, 1));
