--- a/components/control/src/announcements.rs
+++ b/components/control/src/announcements.rs
@@ -227,6 +227,7 @@
     R: Replica<Command = Command, Output = Output>,
 {
     while !*node.stopped.borrow() {
+        // Without changes it looks now and then whether the process stops.
         let added = node.announcements.outbox.added();
         if timeout(BATCH_INTERVAL, added).await.is_ok() {
             sleep(CHANGE_INTERVAL).await;
--- a/components/gateway/src/balancer/home.rs
+++ b/components/gateway/src/balancer/home.rs
@@ -22,7 +22,7 @@
 /// shared parts of each prompt once, so that taking all of them at once would overload it.
 const RAMP_UP_TIME: Duration = Duration::from_secs(10);
 
-/// Engines among which a prompt's engine is chosen first: the home and its substitutes.
+/// Size of the first group: the home and its substitutes.
 const FIRST_GROUP: usize = 4;
 /// Ratio of the size of a group to that of the one before it.
 const GROUP_GROWTH: usize = 4;
