control: Say how many losses the group bears, and whom an acknowledgement left out

Operators saw nothing of a group that lost its margin: `no spare is up to date` stands once in one leader's log, and a process that asks in vain to be added logs nothing. An acknowledgement said how many entries it missed, not which, nor which ones it did not wait for.

A process that asks to be added names whom it asks. An acknowledgement names the entries that lack the text and those that were silent, with the time. An entry says when it heard of a text and from whom, and how long fetching and parsing took.

--- a/components/consensus/src/event.rs
+++ b/components/consensus/src/event.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use crate::Member;
-use crate::ids::{Index, Term};
+use crate::ids::{Index, NodeId, Term};
 
 /// A change of a node's role or of the group.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -16,6 +16,8 @@
     SteppedDown(Term, &'static str),
     /// This node follows another leader; term and leader.
     LeaderChanged(Term, Member),
+    /// This node asks processes to be added to their group, and is no member yet.
+    AsksToJoin(Vec<NodeId>),
     /// A member was added as a learner.
     Joined(Member),
     /// The leader began to replace a lost voter by a spare; lost voter and spare.
@@ -34,6 +36,9 @@
             Event::Elected(term) => write!(f, "elected leader in term {term}"),
             Event::SteppedDown(term, why) => write!(f, "stepped down in term {term}: {why}"),
             Event::LeaderChanged(term, leader) => write!(f, "following {leader} in term {term}"),
+            Event::AsksToJoin(processes) => {
+                write!(f, "asks to be added to the group: {}", processes.join(", "))
+            }
             Event::Joined(member) => write!(f, "added {member} as a learner"),
             Event::RepairBegan(lost, spare) => {
                 write!(f, "repair began: {spare} is to replace {lost}")
--- a/components/consensus/src/membership.rs
+++ b/components/consensus/src/membership.rs
@@ -48,6 +48,20 @@
         self.quorum_value(|member| u64::from(condition(member))) == 1
     }
 
+    /// Returns how many of the voters that meet a condition can be lost while the others that do are
+    /// still a quorum.
+    pub fn tolerated_losses(&self, is_live: impl Fn(&Member) -> bool) -> usize {
+        let spared = |voters: &[Member]| {
+            let live = voters.iter().filter(|voter| is_live(voter)).count();
+            let quorum = voters.len() / 2 + 1;
+            live.saturating_sub(quorum)
+        };
+        match self.is_swapping() {
+            true => spared(&self.voters).min(spared(&self.outgoing)),
+            false => spared(&self.voters),
+        }
+    }
+
     /// Returns whether a swap of voters is in progress.
     pub fn is_swapping(&self) -> bool {
         !self.outgoing.is_empty()
--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -22,7 +22,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::ids::{GroupId, Index, Sequence, Term};
+use crate::ids::{GroupId, Index, NodeId, Sequence, Term};
 use crate::log::Log;
 use crate::{
     Action, Body, Entry, Event, Guards, HardState, InitialState, Member, Membership, Message,
@@ -71,6 +71,8 @@
     /// Whether this node votes and stores the log but never leads.
     passive: bool,
     founding: Founding,
+    /// Processes that this node last reported to ask to be added to their group.
+    asked_peers: Vec<NodeId>,
 }
 
 impl Node {
@@ -117,6 +119,7 @@
             stalled: false,
             passive: false,
             founding: Founding::default(),
+            asked_peers: Vec::new(),
             settings,
         };
         // A promise to an earlier leader has expired after one timeout, so the usual random wait is
--- a/components/consensus/src/node/change.rs
+++ b/components/consensus/src/node/change.rs
@@ -104,6 +104,7 @@
             .filter(|peer| **peer != self.me.node)
             .cloned()
             .collect();
+        self.report_asked(&peers);
         for node in peers {
             let to = Member { node, disk: 0 };
             let mut bodies = vec![Body::Join];
@@ -117,4 +118,14 @@
             }
         }
     }
+
+    /// Reports which processes this node asks to be added, if it is no member and asks others than
+    /// before.
+    fn report_asked(&mut self, peers: &[NodeId]) {
+        let is_member = self.membership().contains(&self.me);
+        if !is_member && self.asked_peers != peers {
+            self.asked_peers = peers.to_vec();
+            self.report(Event::AsksToJoin(peers.to_vec()));
+        }
+    }
 }
--- a/components/consensus/src/node/repair.rs
+++ b/components/consensus/src/node/repair.rs
@@ -6,7 +6,7 @@
 //! voter if the lost one returns.
 
 use crate::ids::Index;
-use crate::{Event, Member, Membership};
+use crate::{Event, Margin, Member, Membership};
 
 use super::Node;
 use super::role::Role;
@@ -98,6 +98,30 @@
         membership.voters.iter().find(is_lost).cloned()
     }
 
+    /// Returns how many losses the group bears; `None` if this node is not the leader.
+    pub fn margin(&self) -> Option<Margin> {
+        if !self.is_leader() {
+            return None;
+        }
+        let membership = self.membership();
+        let missing = membership
+            .all_voters()
+            .filter(|voter| !self.is_live(voter))
+            .cloned()
+            .collect();
+        Some(Margin {
+            tolerated: membership.tolerated_losses(|voter| self.is_live(voter)),
+            full: membership.target.saturating_sub(1) / 2,
+            missing,
+        })
+    }
+
+    /// Returns whether a voter is this node, or answers with the data folder with which it votes.
+    fn is_live(&self, voter: &Member) -> bool {
+        let has_folder = !self.membership().has_other_disk(voter);
+        *voter == self.me || has_folder && self.is_responsive(voter)
+    }
+
     /// Returns whether a member answered within the last election timeout.
     fn is_responsive(&self, member: &Member) -> bool {
         match &self.role {
--- a/components/control/src/documents.rs
+++ b/components/control/src/documents.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use consensus::Margin;
 use serde_json::{Value, json};
 use state::State;
 use upstream::{Announcement, Availability};
@@ -68,6 +69,7 @@
         "commit_index": status.commit_index,
         "voters": status.voters,
         "learners": status.learners,
+        "margin": status.margin.as_ref().map(margin_document),
         "version": state.texts().newest(),
         "claims": state.claims().len(),
         "unknowns": state.claims().unknowns().count(),
@@ -76,6 +78,15 @@
     })
 }
 
+fn margin_document(margin: &Margin) -> Value {
+    let missing = margin.missing.iter().map(|voter| &voter.node);
+    json!({
+        "tolerated_losses": margin.tolerated,
+        "full": margin.full,
+        "missing": missing.collect::<Vec<_>>(),
+    })
+}
+
 fn upstream_document(announcement: &Announcement) -> Value {
     let state = match announcement.availability {
         Availability::Serving => "serving",
--- a/components/control/src/leases.rs
+++ b/components/control/src/leases.rs
@@ -100,6 +100,23 @@
         missing.map(|((entry, _), _)| entry.clone()).collect()
     }
 
+    /// Returns the entries that were not heard of within `contact` and lack `version` as far as is
+    /// known, each with the time since it was heard of.
+    pub fn silent(
+        &self,
+        version: Version,
+        contact: Duration,
+        now: Instant,
+    ) -> Vec<(NodeId, Duration)> {
+        let silence = |lease: &Lease| now.saturating_duration_since(lease.heard_at);
+        let leases = self.iter();
+        let silent =
+            leases.filter(|(_, lease)| lease.version < version && now >= lease.heard_at + contact);
+        silent
+            .map(|(entry, lease)| (entry.clone(), silence(lease)))
+            .collect()
+    }
+
     /// Returns the entries whose lease has expired.
     pub fn expired(&self, now: Instant) -> Vec<(NodeId, Incarnation)> {
         self.leases
--- a/components/control/src/memory_replica.rs
+++ b/components/control/src/memory_replica.rs
@@ -99,6 +99,7 @@
             commit_index: inner.index,
             voters: vec![self.node.clone()],
             learners: Vec::new(),
+            margin: None,
             is_swapping: false,
             told_group: Vec::new(),
         }
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -15,6 +15,11 @@
     pub leads: IntGauge,
     /// 1 while the group has a leader as far as this process knows, 0 otherwise.
     pub has_leader: IntGauge,
+    /// Voters that may be lost at once while the others are still a quorum, as the leader sees it; 0
+    /// where this process is not the leader.
+    pub tolerated_losses: IntGauge,
+    /// 1 while this process leads a group that tolerates fewer losses than it is to, 0 otherwise.
+    pub margin_reduced: IntGauge,
     /// Claims in the replicated state.
     pub claims: IntGauge,
     /// Claims whose outcome is unknown.
@@ -65,6 +70,14 @@
                 "chervilloft_control_has_leader",
                 "1 while the group has a leader.",
             ),
+            tolerated_losses: gauge(
+                "chervilloft_control_tolerated_losses",
+                "Voters that may be lost at once, as the leader sees it.",
+            ),
+            margin_reduced: gauge(
+                "chervilloft_control_margin_reduced",
+                "1 while the group tolerates fewer losses than it is to.",
+            ),
             claims: gauge("chervilloft_control_claims", "Claims that are kept."),
             unknowns: gauge(
                 "chervilloft_control_unknown_claims",
--- a/components/control/src/node/replacement.rs
+++ b/components/control/src/node/replacement.rs
@@ -21,6 +21,8 @@
 /// Time after its last request within which an entry is in contact. Entries ask for a lease each
 /// half second, and report each second at least, also while they fetch a text.
 const ENTRY_CONTACT: Duration = Duration::from_millis(1_200);
+/// Names of entries that one log line lists.
+const MAX_NAMES: usize = 8;
 /// Smallest text that is committed as what it changes, once the whole group can read that.
 const MIN_EDIT_BYTES: usize = 64 * 1_024;
 
@@ -150,6 +152,8 @@
                 bytes,
                 committed_ms = committed.as_millis(),
                 elapsed_ms = began.elapsed().as_millis(),
+                missing = names(missing.iter().map(NodeId::to_string)),
+                silent = self.silent_entries(version),
                 "control: text {version} waited for entries, without it: {}",
                 missing.len()
             );
@@ -158,6 +162,16 @@
         Ok(Answer::Submitted(result))
     }
 
+    /// Returns the names of the entries that an acknowledgement of a text does not wait for, each with
+    /// the milliseconds since it was heard of.
+    fn silent_entries(&self, version: Version) -> String {
+        let leadership = self.leadership();
+        let now = Instant::now();
+        let silent = leadership.leases.silent(version, ENTRY_CONTACT, now);
+        let described = silent.iter();
+        names(described.map(|(entry, silence)| format!("{entry} ({} ms)", silence.as_millis())))
+    }
+
     /// Commits a text, a large one as what it changes.
     async fn commit_replacement(&self, replacement: Replacement) -> Result<Outcome, Failure> {
         self.read_barrier().await?;
@@ -220,6 +234,16 @@
     }
 }
 
+/// Returns the first [`MAX_NAMES`] names for a log line, and how many more there are.
+fn names(names: impl Iterator<Item = String>) -> String {
+    let all: Vec<String> = names.collect();
+    let listed = all[..all.len().min(MAX_NAMES)].join(", ");
+    match all.len().saturating_sub(MAX_NAMES) {
+        0 => listed,
+        more => format!("{listed} and {more} more"),
+    }
+}
+
 /// Returns a replacement as an edit of the text `base`.
 fn edit_of(replacement: &Replacement, base: &(Version, Arc<str>)) -> Result<Edit, Failure> {
     let (version, text) = base;
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -17,6 +17,7 @@
 use std::time::Instant;
 
 use config::ids::NodeId;
+use consensus::Margin;
 use errors::Result;
 
 /// Status of a replica in the control group.
@@ -36,6 +37,8 @@
     pub voters: Vec<NodeId>,
     /// Processes that receive the log but don't vote.
     pub learners: Vec<NodeId>,
+    /// How many losses the group bears; `None` if this process is not the leader.
+    pub margin: Option<Margin>,
     /// Whether a lost voter is being replaced. Until that is over, a decision also needs a quorum
     /// of the voters before.
     pub is_swapping: bool,
--- a/components/control/src/replica/driver.rs
+++ b/components/control/src/replica/driver.rs
@@ -314,6 +314,7 @@
             commit_index: self.node.commit_index(),
             voters: names(&membership.voters),
             learners: names(&membership.learners),
+            margin: self.node.margin(),
             is_swapping: membership.is_swapping(),
             told_group: match self.node.group() {
                 Some(_) => Vec::new(),
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -21,6 +21,7 @@
 use link::Identity;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
+use tracing::info;
 use upstream::Announcement;
 use wire::{Answer, Balances, Body, Overview, Report, Request, Role, Statements};
 
@@ -58,6 +59,8 @@
     pub(crate) draining: Mutex<IndexSet<UpstreamId>>,
     /// The text in force as it was submitted, with its version.
     pub(crate) source: Mutex<(Version, Arc<str>)>,
+    /// Newest version that is not in force here yet, and when a control process first named it.
+    pub(crate) heard: Mutex<Option<(Version, std::time::Instant)>>,
     /// Wakes the task that renews the freshness lease.
     pub(crate) confirm_now: Notify,
     /// Control processes of the group, according to the newest message of one of them.
@@ -87,6 +90,7 @@
             queue: announcements::Queue::default(),
             draining: Mutex::default(),
             source: Mutex::new((0, "".into())),
+            heard: Mutex::default(),
             confirm_now: Notify::new(),
             group: Mutex::default(),
             linked: Mutex::default(),
@@ -205,6 +209,19 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn heard(&self) -> MutexGuard<'_, Option<(Version, std::time::Instant)>> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that control process `from` names a version, which is not in force here yet.
+    pub(crate) fn hear(&self, version: Version, from: &NodeId) {
+        let mut heard = self.heard();
+        if heard.is_none_or(|(known, _)| known < version) {
+            *heard = Some((version, std::time::Instant::now()));
+            info!(version, "fleet: control \"{from}\" names text {version}");
+        }
+    }
+
     pub(crate) fn directory(&self) -> MutexGuard<'_, Directory> {
         self.directory
             .lock()
--- a/components/fleet/src/member/confirm.rs
+++ b/components/fleet/src/member/confirm.rs
@@ -87,6 +87,7 @@
         update_view(shared, None, expires_at);
         return Confirmed::Applied;
     }
+    shared.hear(version, &leader);
     let source = match lease.source {
         // A control process of an earlier release sends the text with the lease.
         Some(source) => source.into(),
@@ -99,20 +100,26 @@
             }
         }
     };
+    let fetched = sent_at.elapsed();
     let Some(text) = parse(shared, version, source).await else {
         return Confirmed::Applied;
     };
+    let parsed = sent_at.elapsed();
     let expires_at = {
         let mut freshness = shared.freshness();
         freshness.apply_confirmation(sent_at, version, true, duration);
         freshness.expires_at()
     };
+    update_view(shared, Some(Arc::new(Config { version, text })), expires_at);
+    let heard = shared.heard().take_if(|heard| heard.0 <= version);
     info!(
         version,
+        heard_ms = heard.map(|(_, at)| at.elapsed().as_millis()),
+        fetched_ms = fetched.as_millis(),
+        parsed_ms = parsed.saturating_sub(fetched).as_millis(),
         elapsed_ms = sent_at.elapsed().as_millis(),
         "fleet: text {version} is in force"
     );
-    update_view(shared, Some(Arc::new(Config { version, text })), expires_at);
     // The leader waits for a request that confirms that the text is in force here.
     shared.confirm_now.notify_one();
     Confirmed::Applied
--- a/components/fleet/src/member/links.rs
+++ b/components/fleet/src/member/links.rs
@@ -312,6 +312,7 @@
         let Some(message) = message else { break };
         match message {
             Incoming::Push(Push::Newest(version), _) if version > shared.freshness().version() => {
+                shared.hear(version, &peer.node);
                 shared.confirm_now.notify_one();
             }
             Incoming::Push(Push::Upstreams(deltas), age) => {
