gateway: Answer requests that come late in a planned stop, or refuse them at once

What callers saw: requests taken in the last seconds of a planned stop, among them calls that may run once, lost their connection without an answer when the process ended. A request was taken if most of its kind finish in the time left; what took longer was cut.

After the load balancer's lag a call that may run once is now taken only if its deadline lies before the end, and an idempotent one if twice its expected time does; others are refused at once as not run, with the connection closed, so that callers come to another entry. What still waits 0.4 s before the end gets 502.

--- a/components/gateway/src/drain.rs
+++ b/components/gateway/src/drain.rs
@@ -4,11 +4,37 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use tokio::sync::watch;
+
+/// How much longer than expected an idempotent request may take that is taken late in a stop.
+const LATE_REQUEST_MARGIN: u32 = 2;
+
 /// Start of a planned stop, and the number of requests in progress.
 #[derive(Debug, Default)]
 pub(crate) struct Drain {
     stopping: OnceLock<Instant>,
     in_progress: AtomicUsize,
+    /// Whether requests end that wait for an answer.
+    ending: watch::Sender<bool>,
+}
+
+/// Times of a request that decide whether it is taken during a planned stop.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Timing {
+    pub(crate) arrived: Instant,
+    /// Time within which most requests of its kind finish.
+    pub(crate) expected: Duration,
+    pub(crate) deadline: Instant,
+    pub(crate) is_idempotent: bool,
+}
+
+/// Times of a planned stop, from its start.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Schedule {
+    /// Time within which the external load balancer notices the stop.
+    pub(crate) balancer_lag: Duration,
+    /// Time after which requests that still wait for an answer end.
+    pub(crate) end: Duration,
 }
 
 impl Drain {
@@ -21,11 +47,32 @@
         self.stopping.get().is_some()
     }
 
-    /// Reports whether a request that takes `expected` can finish before the process ends, at the
-    /// latest `limit` after the stop began. It always can if no stop has begun.
-    pub(crate) fn can_finish(&self, expected: Duration, limit: Duration, now: Instant) -> bool {
-        let stopping = self.stopping.get();
-        stopping.is_none_or(|began| now + expected <= *began + limit)
+    /// Reports whether a request is taken. It always is if no stop has begun. While the load balancer
+    /// sends requests, one is taken that is expected to finish in time; later, callers reach other
+    /// entries, and one that may run only once is taken if it can't last longer than the process.
+    pub(crate) fn takes(&self, request: Timing, schedule: Schedule) -> bool {
+        let Some(began) = self.stopping.get() else {
+            return true;
+        };
+        let end = *began + schedule.end;
+        match request.arrived < *began + schedule.balancer_lag {
+            true => request.arrived + request.expected <= end,
+            false if request.is_idempotent => {
+                request.arrived + request.expected * LATE_REQUEST_MARGIN <= end
+            }
+            false => request.deadline <= end,
+        }
+    }
+
+    /// Ends the requests that wait for an answer.
+    pub(crate) fn end(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Returns once requests end that wait for an answer.
+    pub(crate) async fn ended(&self) {
+        let mut ending = self.ending.subscribe();
+        let _ = ending.wait_for(|ending| *ending).await;
     }
 
     /// Returns the number of requests in progress.
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use config::text::ingress::Route;
 use http::{HeaderValue, Request, Response, header, request};
 use hyper::body::Incoming;
 
 use crate::call::{Admission, Call};
 use crate::core::{Core, lock};
 use crate::dispatch::{self, Attempts};
+use crate::drain::Timing;
 use crate::request_log::RequestLog;
 use crate::{Account, Head, Prompt, Refusal, Table, origin, relay, retries, table, token_limit};
 
@@ -83,7 +85,13 @@
     lock(&core.retries).record_request(&call.service, since_start);
     lock(&core.demand).add(&call.service, call.prompt.as_ref());
     let mut attempts = Attempts::at(software);
-    match dispatch::dispatch(&core, &call, None, &mut attempts, &mut request_log).await {
+    let dispatched = tokio::select! {
+        dispatched = dispatch::dispatch(&core, &call, None, &mut attempts, &mut request_log) => {
+            dispatched
+        }
+        () = core.drain.ended() => Err(Refusal::Lost("this entry stops".to_owned())),
+    };
+    match dispatched {
         Ok(answer) => close_if_stopping(
             &core,
             relay::relay(&core, call, answer, attempts, request_log),
@@ -128,9 +136,6 @@
     arrived: Instant,
 ) -> Result<Call, Refusal> {
     let table = core.table.load();
-    if !can_finish(core, head.prompt.as_ref(), arrived) {
-        return Err(Refusal::Stopping);
-    }
     let host = parts.headers.get(header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     let route = table
@@ -148,6 +153,9 @@
     let wait = head
         .wait
         .map_or(route.timeout, |wait| wait.min(route.timeout));
+    if !takes(core, route, head.prompt.as_ref(), arrived, wait) {
+        return Err(Refusal::Stopping);
+    }
     let admission = Admission {
         route: route.clone(),
         service: service.clone(),
@@ -160,10 +168,21 @@
     Ok(Call::new(admission, head, parts, body))
 }
 
-/// Reports whether a request can finish before the process ends, if it is stopping.
-pub(crate) fn can_finish(core: &Core, prompt: Option<&Prompt>, arrived: Instant) -> bool {
-    let limit = core.settings.drain_timeout;
-    core.drain.can_finish(expected_time(prompt), limit, arrived)
+/// Reports whether a request that waits up to `wait` is taken, if the entry is stopping.
+pub(crate) fn takes(
+    core: &Core,
+    route: &Route,
+    prompt: Option<&Prompt>,
+    arrived: Instant,
+    wait: Duration,
+) -> bool {
+    let timing = Timing {
+        arrived,
+        expected: expected_time(prompt),
+        deadline: arrived + wait,
+        is_idempotent: route.kind.is_idempotent(),
+    };
+    core.drain.takes(timing, core.settings.schedule())
 }
 
 /// Returns the time within which most requests of this kind finish.
--- a/components/gateway/src/forward/server.rs
+++ b/components/gateway/src/forward/server.rs
@@ -73,9 +73,6 @@
     arrived: Instant,
 ) -> Result<Call, Failure> {
     let head = core.protocol.decode_head(&parts).map_err(unable)?;
-    if !exchange::can_finish(core, head.prompt.as_ref(), arrived) {
-        return Err(unable("this entry stops"));
-    }
     let table = core.table.load();
     if table.version() < attempt.version {
         return Err(unable(format!("text {} is in force", table.version())));
@@ -85,6 +82,10 @@
     let route = table.route(host, parts.uri.path());
     let route = route.filter(|route| route.may_select(&attempt.service));
     let route = route.ok_or_else(|| unable("no route matches"))?;
+    let wait = attempt.time_left();
+    if !exchange::takes(core, route, head.prompt.as_ref(), arrived, wait) {
+        return Err(unable("this entry stops"));
+    }
     request_log.set_route(&route.name, table.version());
     let account = match &attempt.account {
         Some(name) => {
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -203,18 +203,25 @@
 }
 
 /// Accepts connections until the external load balancer has noticed the stop, and returns once no
-/// request is in progress or the drain timeout has passed.
+/// request is in progress or the drain timeout has passed. Requests that still wait for an answer then
+/// get one shortly before.
 async fn stop(core: &Core, servers: &Servers) {
     let began = Instant::now();
+    let schedule = core.settings.schedule();
     core.drain.stop(began);
     let mut is_retired = false;
     loop {
         let waited = began.elapsed();
-        let is_idle = core.drain.in_progress() == 0 && waited >= core.settings.balancer_lag;
-        if is_idle || waited >= core.settings.drain_timeout {
+        let is_idle = core.drain.in_progress() == 0 && waited >= schedule.balancer_lag;
+        if is_idle {
             break;
         }
-        if !is_retired && waited >= core.settings.balancer_lag {
+        if waited >= schedule.end {
+            core.drain.end();
+            sleep(CLOSE_DELAY).await;
+            break;
+        }
+        if !is_retired && waited >= schedule.balancer_lag {
             // Callers whose connections are closed open new ones, which the load balancer sends to
             // other entries.
             servers.callers.retire();
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -8,6 +8,11 @@
 use config::settings::Retries;
 
 use crate::Network;
+use crate::drain::Schedule;
+
+/// Time before the end of a planned stop at which requests that still wait for an answer get one, so
+/// that it leaves before the process is killed.
+const END_MARGIN: Duration = Duration::from_millis(400);
 
 /// Settings of one entry's gateway.
 #[derive(Clone, Debug)]
@@ -38,3 +43,13 @@
     /// Opens connections to upstreams.
     pub network: Arc<dyn Network>,
 }
+
+impl Settings {
+    /// Returns the times of a planned stop.
+    pub(crate) fn schedule(&self) -> Schedule {
+        Schedule {
+            balancer_lag: self.balancer_lag,
+            end: self.drain_timeout.saturating_sub(END_MARGIN),
+        }
+    }
+}
