entry: Answer calls that outlast a planned stop before the process ends

A plain call whose service waits longer than the planned stop takes lost its connection without an answer once the last wait of 5 s was over. It now gets status 504 with the outcome that it has, unknown once it was sent.

--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -15,7 +15,7 @@
 
 use crate::admission::{Budget, Limiter, Usage};
 use crate::dispatch::Client;
-use crate::drain::Drain;
+use crate::drain::{Drain, Phase};
 use crate::failure::{Failure, Kind};
 use crate::handover::{Store, Successor};
 use crate::metrics::Metrics;
@@ -93,4 +93,14 @@
     pub(crate) fn notify_streams(&self) {
         self.changes.send_modify(|count| *count += 1);
     }
+
+    /// Returns once a planned stop has reached `phase`.
+    pub(crate) async fn until(&self, phase: Phase) {
+        let mut changes = self.changes.subscribe();
+        while self.drain.phase() < phase {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
 }
--- a/components/entry/src/drain.rs
+++ b/components/entry/src/drain.rs
@@ -15,8 +15,10 @@
     Finishing,
     /// Hands over the model requests in progress to other entries, and relays their answers.
     Offering,
-    /// Ends the requests that are still in progress.
+    /// Ends the model requests that are still in progress.
     Ending,
+    /// Answers the calls that still wait for their upstream, before the process ends.
+    Closing,
 }
 
 /// The phase, and the number of requests in progress.
@@ -40,7 +42,8 @@
             1 => Phase::Leaving,
             2 => Phase::Finishing,
             3 => Phase::Offering,
-            _ => Phase::Ending,
+            4 => Phase::Ending,
+            _ => Phase::Closing,
         }
     }
 
--- a/components/entry/src/plain/serve.rs
+++ b/components/entry/src/plain/serve.rs
@@ -17,6 +17,7 @@
 use crate::admit::{self, Admission};
 use crate::core::Core;
 use crate::dispatch::{Answer, CallError, Oneshot};
+use crate::drain::Phase;
 use crate::exchange::Exchange;
 use crate::failure::{Failure, Kind};
 use crate::incoming::Incoming;
@@ -70,22 +71,38 @@
         admission,
         exchange,
     };
-    let answer = match key {
-        _ if idempotent => tokio::select! {
-            answer = hedge::call(&mut session) => Some(answer),
-            () = reply.closed() => None,
-        },
-        Some(key) => Some(keyed::call(&mut session, key).await),
-        None => Some(session.call_once(None).await.map(self::reply)),
+    let core = session.core.clone();
+    let answer = tokio::select! {
+        answer = answer(&mut session, key, idempotent, &mut reply) => answer,
+        () = core.until(Phase::Closing) => {
+            let message = "this entry stopped before the upstream answered";
+            Err(Failure::new(Kind::Timeout, message))
+        }
     };
-    let gone = || Err(Failure::new(Kind::CallerGone, "the caller left"));
-    let answer = match answer.unwrap_or_else(gone) {
+    let answer = match answer {
         Ok(answer) => session.exchange.answer(answer, "answered"),
         Err(failure) => session.exchange.fail(&failure),
     };
     let _ = reply.send(answer);
 }
 
+/// Calls an upstream, and returns its answer.
+async fn answer<C: Control>(
+    session: &mut Session<C>,
+    key: Option<CompactString>,
+    idempotent: bool,
+    caller: &mut oneshot::Sender<Reply>,
+) -> Result<Reply, Failure> {
+    match key {
+        _ if idempotent => tokio::select! {
+            answer = hedge::call(session) => answer,
+            () = caller.closed() => Err(Failure::new(Kind::CallerGone, "the caller left")),
+        },
+        Some(key) => keyed::call(session, key).await,
+        None => session.call_once(None).await.map(reply),
+    }
+}
+
 type Prepared = (Service, CompactString, Option<CompactString>, Admission);
 
 async fn prepare<C: Control>(
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -44,6 +44,8 @@
 const STOP_POLL: Duration = Duration::from_millis(10);
 /// Longest time for requests in progress to end in [`Phase::Ending`].
 const END_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time for the answers of [`Phase::Closing`] to be sent.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A running entry.
 pub struct Handle<C> {
@@ -229,7 +231,11 @@
                 in_progress = core.drain.in_progress(),
                 "entry: ending the requests in progress"
             );
-            wait_until_idle(core, END_TIMEOUT);
+            if !wait_until_idle(core, END_TIMEOUT) {
+                core.drain.advance(Phase::Closing);
+                core.notify_streams();
+                wait_until_idle(core, CLOSE_TIMEOUT);
+            }
         }
         (self.stop_server)();
         self.runtime.shutdown_background();
--- a/components/entry/tests/path/stop.rs
+++ b/components/entry/tests/path/stop.rs
@@ -55,6 +55,26 @@
     stopping.join().unwrap();
 }
 
+#[gtest]
+fn answers_a_call_that_may_run_once_and_outlasts_a_planned_stop() {
+    let mut settings = settings();
+    settings.entry.drain_timeout = Duration::from_millis(300);
+    let mut text = text();
+    let service = text.services.get_mut("shop").expect("the service is known");
+    service.timeout = Duration::from_secs(60);
+    let bench = Bench::start_with(settings, Standalone::new(text));
+    let shop = bench.upstream("shop-1", "shop");
+    shop.script([Behaviour::Complete(Duration::from_secs(60))]);
+    let mut plain_call = Caller::connect(bench.address);
+    plain_call.send("POST", "/services/shop/exposures", &[], "plate");
+    eventually("the call", || shop.executions() > 0);
+    let stopping = thread::spawn(move || bench.entry.stop());
+    let answer = plain_call.receive();
+    expect_eq!(answer.status, 504);
+    expect_eq!(answer.outcome(), "unknown");
+    stopping.join().unwrap();
+}
+
 /// Stores all records, and returns an unreachable address.
 #[derive(Default)]
 struct MemorySuccessor(Mutex<Vec<Record>>);
