control: Tell the group to processes that a member connects to

A member told who is in the group over connections that it had accepted; such a process connects to its seeds, so that it was told by nobody, knew no leader, and led no entry to the group.

Members now also tell those to which they have opened a connection.

--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -138,10 +138,8 @@
     /// Tells control processes who is in the group, also those in it: one of them may have lost its
     /// disk and know nobody but the processes in its settings.
     pub(super) fn push_group(&self, group: &[NodeId]) {
-        for connection in self.incoming().values() {
-            if connection.hello().role == Role::Control {
-                connection.push(Push::Group(group.to_vec()));
-            }
+        for connection in self.control_connections() {
+            connection.push(Push::Group(group.to_vec()));
         }
     }
 
@@ -251,6 +249,8 @@
                 .outgoing()
                 .insert(peer.node.clone(), connection.clone());
             node.announcements.send_all(&connection);
+            // The settings of the other one may name no member.
+            node.tell_group();
             serve(&node, &connection, messages).await;
             node.peers.outgoing().swap_remove(&peer.node);
         }
--- a/components/control/tests/process/forwarding.rs
+++ b/components/control/tests/process/forwarding.rs
@@ -7,10 +7,12 @@
 use config::keys::{Keys, Secret};
 use config::settings::Control;
 use control::external::{Operation, Reply};
-use control::replica::{ForwardingReplica, Replica};
-use control::{Process, Sockets, start_forwarding, start_group};
+use control::replica::{ConsensusReplica, ForwardingReplica, Replica};
+use control::{Machine, Process, Sockets, start_forwarding, start_group};
+use errors::Error;
 use googletest::prelude::*;
 use tempfile::TempDir;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 
 use crate::control_group::ControlGroup;
@@ -95,29 +97,70 @@
     }
 }
 
+/// Addresses, folders and sockets of processes that are named by their addresses.
+struct Hosts {
+    addresses: [Ipv4Addr; 3],
+    port: u16,
+    folder: TempDir,
+}
+
+impl Hosts {
+    /// Takes the addresses of network `network` that this test process uses.
+    fn new(network: u8) -> Hosts {
+        let last = (std::process::id() % 200 + 20) as u8;
+        let addresses = [1, 2, 3].map(|host| Ipv4Addr::new(127, network, last, host));
+        Hosts {
+            addresses,
+            port: stand_ins::ports::find_free(addresses[0].into(), 1).expect("a port is free")[0],
+            folder: TempDir::new().expect("a folder can be made"),
+        }
+    }
+
+    fn keys() -> Keys {
+        Keys {
+            fleet: Secret::new(SECRET),
+            ..Keys::default()
+        }
+    }
+
+    fn sockets(&self, address: Ipv4Addr) -> Sockets {
+        let peers = SocketAddr::from((address, self.port));
+        Sockets::bind(peers, SocketAddr::from((address, 0))).expect("loopback can be listened on")
+    }
+
+    fn settings(&self, address: Ipv4Addr, seeds: &[Ipv4Addr]) -> Settings {
+        let first = seeded(address, self.port, seeds[0], &self.folder);
+        Settings {
+            seeds: seeds
+                .iter()
+                .map(|seed| SocketAddr::from((*seed, self.port)))
+                .collect(),
+            ..first
+        }
+    }
+
+    fn member(&self, address: Ipv4Addr, seeds: &[Ipv4Addr]) -> Member {
+        let settings = self.settings(address, seeds);
+        start_group(&settings, Self::keys(), self.sockets(address)).expect("the process starts")
+    }
+
+    fn forwarding(&self, address: Ipv4Addr, seeds: &[Ipv4Addr]) -> Process<ForwardingReplica> {
+        let settings = self.settings(address, seeds);
+        start_forwarding(&settings, Self::keys(), self.sockets(address), None)
+            .expect("the process starts")
+    }
+}
+
+/// A process that takes part in the group, and its failure.
+type Member = (Process<ConsensusReplica<Machine>>, oneshot::Receiver<Error>);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn leads_a_process_that_is_told_no_other_seed_to_the_group() {
-    let last = (std::process::id() % 200 + 20) as u8;
-    let [founder, forwarder, joining] = [1, 2, 3].map(|host| Ipv4Addr::new(127, 21, last, host));
-    let folder = TempDir::new().expect("a folder can be made");
-    let port = stand_ins::ports::find_free(founder.into(), 1).expect("a port is free")[0];
-    let keys = || Keys {
-        fleet: Secret::new(SECRET),
-        ..Keys::default()
-    };
-    let sockets = |address: Ipv4Addr| {
-        let peers = SocketAddr::from((address, port));
-        Sockets::bind(peers, SocketAddr::from((address, 0))).expect("loopback can be listened on")
-    };
-    let start = |address, seed| {
-        let settings = seeded(address, port, seed, &folder);
-        start_group(&settings, keys(), sockets(address)).expect("the process starts")
-    };
-    let (first, _failure) = start(founder, founder);
-    let settings = seeded(forwarder, port, founder, &folder);
-    let forwards = start_forwarding(&settings, keys(), sockets(forwarder), None);
-    let _forwards = forwards.expect("the process starts");
-    let (_second, _failure) = start(joining, forwarder);
+    let hosts = Hosts::new(21);
+    let [founder, forwarder, joining] = hosts.addresses;
+    let (first, _failure) = hosts.member(founder, &[founder]);
+    let _forwards = hosts.forwarding(forwarder, &[founder]);
+    let (_second, _failure) = hosts.member(joining, &[forwarder]);
     let deadline = Instant::now() + TIMEOUT;
     let name = joining.to_string();
     loop {
@@ -130,3 +173,14 @@
         sleep(Duration::from_millis(50)).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn serves_entries_through_a_process_whose_settings_name_no_member() {
+    let hosts = Hosts::new(22);
+    let [founder, forwarder, _] = hosts.addresses;
+    let (_first, _failure) = hosts.member(founder, &[founder, forwarder]);
+    // It knows itself only, as after all processes lost power and their settings had been exchanged.
+    let forwards = hosts.forwarding(forwarder, &[forwarder]);
+    let replaced = execute(&forwards, replacement(3, "first")).await;
+    assert_that!(replaced, eq(&Reply::Replaced { newest: 3 }));
+}
