consensus: Test disks that are full one after the other

Another operator's report: the disks of control processes were full in turn, and changes were refused long after.

--- a/components/consensus/tests/suite/margins.rs
+++ b/components/consensus/tests/suite/margins.rs
@@ -185,3 +185,32 @@
         expect_that!(world.violations, is_empty(), "seed {seed}");
     }
 }
+
+/// Time for which a disk is full: longer than it takes to replace its voter.
+const FULL_TIME: Duration = Duration::from_secs(4);
+
+#[gtest]
+fn commits_after_all_disks_were_full_one_after_the_other() {
+    for (seed, processes) in [(1, 4), (2, 5), (3, 6), (4, 4), (5, 5), (6, 6)] {
+        let mut world = seeded(processes, seed);
+        let names: Vec<NodeId> = world.servers.keys().cloned().collect();
+        for (turn, pause) in [SECOND, Duration::from_millis(100)].into_iter().enumerate() {
+            for name in &names {
+                world.servers.get_mut(name).expect("a process").is_disk_full = true;
+                let end = world.now + FULL_TIME;
+                while world.now < end {
+                    world.commit(1);
+                }
+                world.servers.get_mut(name).expect("a process").is_disk_full = false;
+                world.run(pause);
+            }
+            let last = world.committed();
+            world.commit(5);
+            expect_that!(world.committed(), ge(last + 5), "seed {seed}, turn {turn}");
+            let wanted = full_margin(processes);
+            let restored = world.run_until(RESTORED_AFTER, |world| has_margin(world, wanted));
+            expect_true!(restored, "seed {seed}, turn {turn}: {}", world.summary());
+        }
+        expect_that!(world.violations, is_empty(), "seed {seed}");
+    }
+}
--- a/components/control/tests/replica/main.rs
+++ b/components/control/tests/replica/main.rs
@@ -124,7 +124,15 @@
                 sleep(POLL_INTERVAL).await;
             }
         };
-        timeout(TIMEOUT, leader).await.expect("no leader")
+        let elected = timeout(TIMEOUT, leader).await;
+        elected.unwrap_or_else(|_| panic!("no leader: {:#?}", self.statuses()))
+    }
+
+    fn statuses(&self) -> Vec<(&String, control::replica::Status)> {
+        let replicas = self.replicas.iter();
+        replicas
+            .map(|(name, replica)| (name, replica.status()))
+            .collect()
     }
 
     async fn propose(&self, command: u64) -> (u64, usize) {
@@ -136,7 +144,8 @@
                 }
             }
         };
-        timeout(TIMEOUT, done).await.expect("no commit")
+        let committed = timeout(TIMEOUT, done).await;
+        committed.unwrap_or_else(|_| panic!("no commit: {:#?}", self.statuses()))
     }
 }
 
@@ -316,6 +325,42 @@
     expect_that!(timeout(TIMEOUT, barrier).await, ok(anything()));
 }
 
+/// Time for which a disk is full: longer than it takes to replace its voter.
+const FULL_TIME: Duration = Duration::from_millis(1_500);
+
+#[gtest]
+#[tokio::test]
+async fn commits_after_the_disks_of_all_replicas_were_full_one_after_the_other() {
+    let folder = tempfile::tempdir().unwrap();
+    let names = ["a", "b", "c", "d"];
+    let mut cluster = Cluster::default();
+    for name in names {
+        cluster.start(folder.path(), &names, name, name == "d");
+    }
+    let mut command = 1;
+    cluster.propose(command).await;
+    for name in names.iter().chain(&names) {
+        let is_full = &cluster.faults[*name].disk_is_full;
+        is_full.store(true, Ordering::Relaxed);
+        let end = tokio::time::Instant::now() + FULL_TIME;
+        while tokio::time::Instant::now() < end {
+            command += 1;
+            cluster.propose(command).await;
+        }
+        is_full.store(false, Ordering::Relaxed);
+    }
+    let last = cluster.propose(command + 1).await;
+    expect_that!(last.1, ge(command as usize));
+    for name in names {
+        let barrier = async {
+            while cluster.replicas[name].read_barrier().await.is_err() {
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        expect_that!(timeout(TIMEOUT, barrier).await, ok(anything()), "{name}");
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn ends_on_a_state_machine_that_panics() {
