entry: Keep no more than 64 KB of an answer's head

Another operator's report: an upstream sent a head without end, and the process that had called it ran out of memory. Here the HTTP library ends a head at 400 KB, so that a few hundred calls to such an upstream may hold 100 MB, where instances have 160. Calls of plain services now end it at 64 KB, as the gateway does; engines' heads end at 2 KB as before.

The new test sends complete answers with a head of 128 KB: before, all were passed on (it failed); now the call is repeated if it may be, and fails with 502 if not. Bodies are bounded already: 16 MB of a plain answer, 256 KB of an event.

--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -16,6 +16,8 @@
 
 use std::time::Duration;
 
+/// Largest head of an answer, in bytes. It also bounds the read buffer of a connection.
+const MAX_HEAD_BYTES: usize = 64 * 1_024;
 /// `TCP_USER_TIMEOUT` of connections to upstreams: the longest time for which sent bytes may stay
 /// unacknowledged.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
--- a/components/entry/src/dispatch/client.rs
+++ b/components/entry/src/dispatch/client.rs
@@ -12,7 +12,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
-use super::{Answer, TCP_USER_TIMEOUT, collect};
+use super::{Answer, MAX_HEAD_BYTES, TCP_USER_TIMEOUT, collect};
 
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -49,9 +49,10 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .retry_canceled_requests(true);
-        if let Some(bytes) = buffer {
-            builder.http1_read_buf_exact_size(bytes);
-        }
+        match buffer {
+            Some(bytes) => builder.http1_read_buf_exact_size(bytes),
+            None => builder.http1_max_buf_size(MAX_HEAD_BYTES),
+        };
         let inner = builder.build(connector);
         Client { inner }
     }
--- a/components/entry/src/dispatch/oneshot.rs
+++ b/components/entry/src/dispatch/oneshot.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::connection::Connection;
-use super::{Answer, AnswerError, Cutoff, TCP_USER_TIMEOUT, collect};
+use super::{Answer, AnswerError, Cutoff, MAX_HEAD_BYTES, TCP_USER_TIMEOUT, collect};
 
 /// Address, timeouts and limits of one call.
 #[derive(Clone, Copy, Debug)]
@@ -83,7 +83,9 @@
             let peer = peer.clone();
             move |error: hyper::Error| Error::Other(step, peer, error.into())
         };
-        let (mut sender, connection) = http1::handshake(Connection::new(stream, cutoff))
+        let (mut sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(Connection::new(stream, cutoff))
             .await
             .map_err(other(Step::Connect))?;
         let _driver = Driver(tokio::spawn(async move {
--- a/components/entry/tests/path/completeness.rs
+++ b/components/entry/tests/path/completeness.rs
@@ -184,6 +184,26 @@
     }
 }
 
+#[gtest]
+fn never_keeps_a_head_that_is_larger_than_its_bound() {
+    let cases = cases(&[Kind::Get, Kind::Post, Kind::Stream], &[End::LargeHead]);
+    let calls = map(&cases, |case| {
+        let bench = Bench::start();
+        let (fake, answer) = case.call(&bench);
+        (answer.status, fake.calls("/").len())
+    });
+    for (case, (status, calls)) in cases.iter().zip(calls) {
+        let Case { kind, framing, .. } = case;
+        // The first answer is a failure: an idempotent call is repeated, another one is not.
+        let expected = match kind {
+            Kind::Post => (502, 1),
+            _ => (200, 2),
+        };
+        let attempts = calls.min(2);
+        expect_eq!((status, attempts), expected, "{kind:?} {framing:?}");
+    }
+}
+
 #[gtest]
 fn never_waits_longer_for_the_end_of_an_event_than_for_its_start() {
     let bench = Bench::start();
--- a/components/entry/tests/path/framing.rs
+++ b/components/entry/tests/path/framing.rs
@@ -23,6 +23,9 @@
 /// Size of the pieces of a body without end, in bytes.
 const PIECE_BYTES: usize = 64 * 1_024;
 
+/// Size of a large head, in bytes: more than an entry keeps.
+const LARGE_HEAD_BYTES: usize = 128 * 1_024;
+
 /// How the end of an answer is marked.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Framing {
@@ -53,6 +56,8 @@
     Slow,
     /// The head has no end.
     EndlessHead,
+    /// The head is large, and the answer complete.
+    LargeHead,
 }
 
 /// What becomes of the connection when the upstream stops sending.
@@ -69,7 +74,7 @@
 /// Answers a plain call. Always closes the connection.
 pub(crate) fn plain(stream: &mut TcpStream, framing: Framing, end: End) -> Option<()> {
     let sent = match end {
-        End::Whole | End::MoreBytes => BODY,
+        End::Whole | End::MoreBytes | End::LargeHead => BODY,
         End::Within(_) | End::Between(_) => PARTIAL_BODY,
         End::Endless | End::Slow | End::EndlessHead => "",
     };
@@ -95,7 +100,7 @@
     let all: String = tokens.iter().map(token).collect();
     let all = format!("{all}{last}data: [DONE]\n\n");
     let sent = match end {
-        End::Whole | End::MoreBytes => all.clone(),
+        End::Whole | End::MoreBytes | End::LargeHead => all.clone(),
         End::Within(_) => format!("{first}data: {{\"cho"),
         End::Between(_) => first,
         End::Endless | End::Slow => "data: ".to_owned(),
@@ -132,6 +137,10 @@
     length: usize,
 ) -> Option<()> {
     write(stream, "HTTP/1.1 200 X\r\n")?;
+    if end == End::LargeHead {
+        let field = "x".repeat(LARGE_HEAD_BYTES);
+        write(stream, &format!("x-more: {field}\r\n"))?;
+    }
     if end == End::EndlessHead {
         write(stream, "x-more: ")?;
         return send_pieces(stream, PIECE_BYTES, Duration::ZERO);
