--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -2,10 +2,12 @@
 
 mod forward;
 mod group;
+mod listener;
 
 pub(crate) use group::follow_group;
+pub(crate) use listener::listen;
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -16,8 +18,7 @@
 use indexmap::{IndexMap, IndexSet};
 use link::{Connection, Incoming};
 use state::{Command, Output};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tracing::{info, warn};
 use wire::{Body, Failure, Push, Request, Role};
@@ -27,10 +28,6 @@
 
 /// Delay before a connection is opened again.
 const REDIAL_DELAY: Duration = Duration::from_millis(100);
-/// Maximum number of connections in their handshake at one time.
-const MAX_HANDSHAKES: usize = 256;
-/// Delay after the listener failed to accept a connection.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Open connections of a control process.
 #[derive(Debug, Default)]
@@ -152,83 +149,6 @@
     }
 }
 
-/// Accepts connections until the process stops.
-pub(crate) async fn listen<R>(node: Arc<Node<R>>, listener: TcpListener)
-where
-    R: Replica<Command = Command, Output = Output>,
-{
-    let handshakes = Arc::new(Semaphore::new(MAX_HANDSHAKES));
-    let mut stopped = node.stopped.subscribe();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stopped| *stopped) => return,
-        };
-        match (accepted, handshakes.clone().try_acquire_owned()) {
-            (Ok((stream, _)), Ok(permit)) => {
-                let node = node.clone();
-                tokio::spawn(async move {
-                    let opened = accept(&node, stream).await;
-                    drop(permit);
-                    if let Some((connection, messages)) = opened {
-                        serve_accepted(node, connection, messages).await;
-                    }
-                });
-            }
-            (Ok((_, address)), Err(_)) => {
-                warn!(
-                    "control: refused {address}: {MAX_HANDSHAKES} connections are in their handshake"
-                );
-            }
-            (Err(error), _) => {
-                warn!("control: accepting a connection failed: {error}");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-async fn accept<R>(
-    node: &Node<R>,
-    stream: TcpStream,
-) -> Option<(Connection, mpsc::Receiver<Incoming>)> {
-    match link::accept(stream, &node.identity, node.settings.link).await {
-        Ok(opened) => Some(opened),
-        Err(error) => {
-            warn!("control: refused a connection: {error}");
-            None
-        }
-    }
-}
-
-async fn serve_accepted<R>(
-    node: Arc<Node<R>>,
-    connection: Connection,
-    messages: mpsc::Receiver<Incoming>,
-) where
-    R: Replica<Command = Command, Output = Output>,
-{
-    let number = node.peers.next_number.fetch_add(1, Ordering::Relaxed);
-    let name = connection.hello().node.clone();
-    info!(
-        build = connection.build(),
-        level = connection.level(),
-        "control: \"{name}\" connected"
-    );
-    node.peers.incoming().insert(number, connection.clone());
-    if connection.hello().role == Role::Entry {
-        let draining = crate::node::draining(&node.machine.read());
-        connection.push(Push::Draining(draining));
-        connection.push(Push::Group(node.group()));
-    } else {
-        node.tell_group();
-    }
-    serve(&node, &connection, messages).await;
-    node.peers.incoming().swap_remove(&number);
-    node.announcements.unsubscribe(&connection);
-    info!("control: \"{name}\" disconnected");
-}
-
 /// Keeps a connection to another control process open until this process stops or the other is
 /// neither listed in the settings nor in the group.
 pub(crate) async fn keep_connection<R>(node: Arc<Node<R>>, peer: Peer)
--- a/components/entry/src/model/follow.rs
+++ b/components/entry/src/model/follow.rs
@@ -40,7 +40,7 @@
         let client = self.core.plain_client.clone();
         let response = tokio::select! {
             response = client.send(successor, request) => response.ok()?,
-            () = self.until_ending() => return None,
+            () = self.core.until(Phase::Ending) => return None,
         };
         match self.sink.is_streaming() {
             true => self.relay_stream(response).await,
@@ -48,7 +48,7 @@
                 let status = response.status();
                 let body = tokio::select! {
                     answer = handover::collect_kept(response) => answer.ok()?.body,
-                    () = self.until_ending() => return None,
+                    () = self.core.until(Phase::Ending) => return None,
                 };
                 Some(RemoteAnswer::Full(Reply::json(status, body)))
             }
@@ -65,7 +65,7 @@
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
-                () = self.until_ending() => return None,
+                () = self.core.until(Phase::Ending) => return None,
             };
             match frame {
                 // Entries send chunks; without them, the stream may have been cut.
@@ -82,15 +82,6 @@
         }
     }
 
-    /// Returns once the planned stop ends all requests in progress.
-    async fn until_ending(&mut self) {
-        while self.core.drain.phase() < Phase::Ending {
-            if self.changes.changed().await.is_err() {
-                return;
-            }
-        }
-    }
-
     fn mark_complete(&mut self) {
         if self.exchange.lifecycle().state() == State::Dispatched {
             self.exchange.apply(Event::Accepted);
