--- a/components/consensus/src/margin.rs
+++ b/components/consensus/src/margin.rs
@@ -1,4 +1,4 @@
-//! How many losses a group bears.
+//! How many losses a group tolerates.
 
 use crate::Member;
 
@@ -7,14 +7,14 @@
 pub struct Margin {
     /// Live voters of which any may be lost at once while the others are still a quorum.
     pub tolerated: usize,
-    /// The same with all voters live that the group is to have.
+    /// The same once all voters that the group should have are live.
     pub full: usize,
     /// Voters that don't answer, or whose process has another data folder now.
     pub missing: Vec<Member>,
 }
 
 impl Margin {
-    /// Reports whether the group bears fewer losses than it is to.
+    /// Reports whether the group tolerates fewer losses than it should.
     pub fn is_reduced(&self) -> bool {
         self.tolerated < self.full
     }
--- a/components/consensus/src/node/repair.rs
+++ b/components/consensus/src/node/repair.rs
@@ -110,7 +110,7 @@
         membership.voters.iter().find(is_lost).cloned()
     }
 
-    /// Returns how many losses the group bears; `None` if this node is not the leader.
+    /// Returns how many losses the group tolerates; `None` if this node is not the leader.
     pub fn margin(&self) -> Option<Margin> {
         if !self.is_leader() {
             return None;
--- a/components/consensus/tests/suite/margins.rs
+++ b/components/consensus/tests/suite/margins.rs
@@ -9,7 +9,7 @@
 use crate::scenarios::SECOND;
 use crate::world::World;
 
-/// Time after a loss within which the group bears as many losses as before it, see
+/// Time after a loss within which the group tolerates as many losses as before it, see
 /// `docs/PROMISES.md`: twice `repair_after` and five election timeouts.
 const RESTORED_AFTER: Duration = Duration::from_secs(6);
 /// Time for which a process is down whose disk is emptied.
@@ -44,7 +44,7 @@
     world.node(&leader).margin()
 }
 
-/// Returns whether the group bears so many losses, and no voter has lost its disk.
+/// Returns whether the group tolerates so many losses, and no voter has lost its disk.
 fn has_margin(world: &World, wanted: usize) -> bool {
     margin(world).is_some_and(|margin| margin.tolerated >= wanted) && world.have_voters_disks()
 }
@@ -60,7 +60,7 @@
 
 const LOSSES: [Loss; 2] = [Loss::Disk, Loss::Process];
 
-/// Inflicts a loss; returns whether the group bears as many losses as before in time.
+/// Inflicts a loss; returns whether the group tolerates as many losses as before in time.
 fn restores_margin(world: &mut World, name: &NodeId, loss: Loss) -> bool {
     let wanted = full_margin(world.servers.len());
     match loss {
@@ -156,7 +156,7 @@
 }
 
 #[gtest]
-fn bears_the_loss_of_its_margin_with_all_power_after_losses_in_a_row() {
+fn survives_the_loss_of_its_margin_with_all_power_after_losses_in_a_row() {
     for seed in 1..31 {
         let processes = 4 + seed as usize % 3;
         let mut world = seeded(processes, seed);
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -18,7 +18,7 @@
     /// Voters that may be lost at once while the others are still a quorum, as the leader sees it; 0
     /// where this process is not the leader.
     pub tolerated_losses: IntGauge,
-    /// 1 while this process leads a group that tolerates fewer losses than it is to, 0 otherwise.
+    /// 1 while this process leads a group that tolerates fewer losses than it should, 0 otherwise.
     pub margin_reduced: IntGauge,
     /// Claims in the replicated state.
     pub claims: IntGauge,
@@ -76,7 +76,7 @@
             ),
             margin_reduced: gauge(
                 "chervilloft_control_margin_reduced",
-                "1 while the group tolerates fewer losses than it is to.",
+                "1 while the group tolerates fewer losses than it should.",
             ),
             claims: gauge("chervilloft_control_claims", "Claims that are kept."),
             unknowns: gauge(
--- a/components/control/src/node/quorum.rs
+++ b/components/control/src/node/quorum.rs
@@ -1,4 +1,4 @@
-//! Tells operators when the group has no leader, or bears fewer losses than it is to.
+//! Tells operators when the group has no leader, or tolerates fewer losses than it should.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,7 +14,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Time without a leader after which the group is reported; an election takes less.
 const NO_LEADER_REPORT_AFTER: Duration = Duration::from_secs(2);
-/// Time for which the group bears fewer losses than it is to after which it is reported; a restart of
+/// Time for which the group tolerates fewer losses than it should before that is reported; a restart of
 /// a process takes less.
 const MARGIN_REPORT_AFTER: Duration = Duration::from_secs(5);
 
@@ -51,7 +51,7 @@
 }
 
 /// Reports in logs and metrics while no leader is known here, and, as the leader, while the group
-/// bears fewer losses than it is to.
+/// tolerates fewer losses than it should.
 pub(crate) async fn watch_quorum<R>(node: Arc<Node<R>>)
 where
     R: Replica<Command = Command, Output = Output>,
@@ -107,12 +107,12 @@
                     elapsed_ms = elapsed.as_millis(),
                     missing = missing.join(", "),
                     learners = status.learners.join(", "),
-                    "control: the group bears the loss of {tolerated} more voters in place of {full}"
+                    "control: the group tolerates {tolerated} more losses of voters, not {full}"
                 );
             }
             Some(Report::Ended(elapsed)) if status.margin.is_some() => info!(
                 elapsed_ms = elapsed.as_millis(),
-                "control: the group bears the loss of {tolerated} voters again"
+                "control: the group tolerates {tolerated} losses of voters again"
             ),
             Some(Report::Ended(_)) | None => {}
         }
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -37,7 +37,7 @@
     pub voters: Vec<NodeId>,
     /// Processes that receive the log but don't vote.
     pub learners: Vec<NodeId>,
-    /// How many losses the group bears; `None` if this process is not the leader.
+    /// How many losses the group tolerates; `None` if this process is not the leader.
     pub margin: Option<Margin>,
     /// Whether a lost voter is being replaced. Until that is over, a decision also needs a quorum
     /// of the voters before.
