Review: a stream goes on at another version at a machine that is cut off

Cause: in the first seconds of a cut an entry takes itself for one in contact, and the only version that it knows for that which began the stream.

--- a/review/stand_ins/lib.rs
+++ b/review/stand_ins/lib.rs
@@ -325,8 +325,10 @@
 /// A machine of the deployment.
 #[derive(Clone, Debug)]
 pub struct Machine {
-    /// Address of its programs.
+    /// Address on which its programs listen.
     pub ip: String,
+    /// Address at which other processes know it: its own, or that of a proxy before it.
+    pub name: String,
     pub zone: String,
     pub has_disk: bool,
 }
@@ -356,23 +358,38 @@
 impl Deployment {
     /// Starts the programs of all machines with the commands of the deploy file.
     pub fn start(machines: Vec<Machine>, record: &Record) -> Deployment {
+        let mut deployment = Deployment::prepare(machines, record);
+        deployment.start_all();
+        deployment
+    }
+
+    /// Chooses the ports of a deployment, and starts no program.
+    pub fn prepare(machines: Vec<Machine>, record: &Record) -> Deployment {
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
-        let mut deployment = Deployment {
+        Deployment {
             folder,
             ports: free_ports(&machines),
             machines,
             processes: Vec::new(),
             record: record.clone(),
-        };
-        for index in 0..deployment.machines.len() {
-            deployment.start_machine(index, true);
+        }
+    }
+
+    /// Starts the programs of all machines for the first time.
+    pub fn start_all(&mut self) {
+        for index in 0..self.machines.len() {
+            self.start_machine(index, true);
         }
         thread::spawn(|| {
             thread::sleep(LONGEST_RUN);
             unable("it takes too long");
         });
-        deployment
+    }
+
+    /// Returns the port at which control processes take connections of other processes.
+    pub fn peer_port(&self) -> u16 {
+        self.ports[PEER]
     }
 
     fn address(&self, machine: usize, port: usize) -> SocketAddr {
@@ -398,12 +415,17 @@
 
     /// Starts the programs of a machine; `bootstrap` at the first start of the deployment.
     pub fn start_machine(&mut self, index: usize, bootstrap: bool) {
-        let Machine { ip, zone, has_disk } = self.machines[index].clone();
+        let Machine {
+            ip,
+            name,
+            zone,
+            has_disk,
+        } = self.machines[index].clone();
         let seeds = self.machines.iter().filter(|machine| machine.has_disk);
         let port = self.ports[CONTROL];
         let seeds: Vec<String> = seeds
             .take(3)
-            .map(|machine| format!("\"{}:{port}\"", machine.ip))
+            .map(|machine| format!("\"{}:{port}\"", machine.name))
             .collect();
         let seeds = seeds.join(", ");
         let keys = "deploy/keys.toml";
@@ -419,7 +441,7 @@
             "forwards-only = true\n"
         };
         let text = format!(
-            "node = \"{ip}\"\ndata-centre = \"{zone}\"\naddress = \"{ip}\"\n{data}\
+            "node = \"{name}\"\ndata-centre = \"{zone}\"\naddress = \"{ip}\"\n{data}\
              keys-file = \"{keys}\"\ninterface = \"platform\"\nseeds = [{seeds}]\n\n\
              [control]\nlisten = \"{}\"\npeer-port = {peer}\nfounds = {bootstrap}\n{forwards}\
              heartbeat = \"100ms\"\nelection-timeout = \"400ms\"\nrepair-after = \"2s\"\n\
@@ -430,7 +452,7 @@
         );
         self.spawn("control", &ip, &text);
         let text = format!(
-            "node = \"edge-{ip}\"\ndata-centre = \"{zone}\"\naddress = \"{ip}\"\n\
+            "node = \"edge-{name}\"\ndata-centre = \"{zone}\"\naddress = \"{ip}\"\n\
              keys-file = \"{keys}\"\ninterface = \"platform\"\nmetrics = \"{}\"\n\
              seeds = [{seeds}]\n\n[entry]\nlisten = \"{}\"\nready = \"{}\"\nforwarding = \"{}\"\n\
              max-connections = 2500\nbalancer-lag = \"2500ms\"\ndrain-timeout = \"8s\"\n\n\
@@ -565,9 +587,11 @@
     while ports.len() < 6 {
         let first = TcpListener::bind((machines[0].ip.as_str(), 0)).expect("a free port");
         let port = first.local_addr().unwrap().port();
-        let others = machines[1..].iter();
+        let names = machines.iter().filter(|machine| machine.name != machine.ip);
+        let others = machines[1..].iter().map(|machine| &machine.ip);
+        let others = others.chain(names.map(|machine| &machine.name));
         let others: Result<Vec<_>, _> = others
-            .map(|machine| TcpListener::bind((machine.ip.as_str(), port)))
+            .map(|ip| TcpListener::bind((ip.as_str(), port)))
             .collect();
         if let Ok(others) = others {
             ports.push(port);
@@ -601,6 +625,7 @@
     let machine = |index: usize| {
         let ip = format!("127.{block}.{}.1", index + 1);
         Machine {
+            name: ip.clone(),
             ip,
             zone: format!("z{}", index % ZONES + 1),
             has_disk: index < ZONES,
