--- a/review/stand_ins/leave.rs
+++ b/review/stand_ins/leave.rs
@@ -24,15 +24,10 @@
 /// Time after which the machine is back.
 const DOWN: Duration = Duration::from_millis(3_000);
 
-const CONFIGURATION: &str = r#"{"version":1,
-"routes":[{"name":"r","host":"shop.example","path_prefix":"/status/","route_kind":"safe",
+/// Routes of the configuration.
+const ROUTES: &str = r#"{"name":"r","host":"shop.example","path_prefix":"/status/","route_kind":"safe",
 "timeout_ms":800,"target_latency_ms":100,"priority":2,"service":"shop","max_attempts":2,
-"public":false}],
-"services":[{"name":"shop","health_path":"/health","max_conns":110,"protocol":"h1","tls":false}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
-"idle_timeout_ms":15000},
-"tenants":[{"name":"north","api_keys":["key-of-north"],"priority":1,"unit":"tokens",
-"plain_tokens":200,"rate_per_s":0,"burst":0}]}"#;
+"public":false}"#;
 
 fn main() {
     std::process::exit(run());
@@ -48,7 +43,7 @@
     let ip = "127.0.0.1";
     let leaving = Server::start_with("i-leaving", "shop", ip, WORK, &record);
     let staying = Server::start_with("i-staying", "shop", ip, WORK, &record);
-    deployment.configure(CONFIGURATION);
+    deployment.configure(ROUTES, &["shop"]);
     for server in [&leaving, &staying] {
         server.announce(deployment.controls());
     }
--- a/review/stand_ins/lib.rs
+++ b/review/stand_ins/lib.rs
@@ -527,12 +527,13 @@
         ended
     }
 
-    /// Sends a configuration until it is acknowledged.
-    pub fn configure(&self, body: &str) {
+    /// Sends a configuration with routes and plain services until it is acknowledged.
+    pub fn configure(&self, routes: &str, services: &[&str]) {
+        let body = configuration(routes, services);
         let began = Instant::now();
         while began.elapsed() < Duration::from_secs(20) {
             for control in self.controls() {
-                let answer = post(control, "/Configuration.Replace", body, CALL_TIMEOUT * 3);
+                let answer = post(control, "/Configuration.Replace", &body, CALL_TIMEOUT * 3);
                 if answer.is_some_and(|answer| answer.status() == 200) {
                     self.record
                         .note(&format!("{control} acknowledges the configuration"));
@@ -580,6 +581,22 @@
     }
 }
 
+/// Returns a configuration with one tenant, whose key is `key-of-north`.
+fn configuration(routes: &str, services: &[&str]) -> String {
+    let services = services.iter().map(|name| {
+        format!(
+            "{{\"name\":\"{name}\",\"health_path\":\"/health\",\"max_conns\":110,\
+             \"protocol\":\"h1\",\"tls\":false}}"
+        )
+    });
+    let services = services.collect::<Vec<_>>().join(",");
+    let rest = r#""limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"north",
+"api_keys":["key-of-north"],"priority":1,"unit":"tokens","plain_tokens":200,"rate_per_s":0,
+"burst":0}]}"#;
+    format!("{{\"version\":1,\"routes\":[{routes}],\"services\":[{services}],{rest}")
+}
+
 /// Returns ports that are free on all machines.
 fn free_ports(machines: &[Machine]) -> [u16; 6] {
     let mut ports = Vec::new();
--- a/review/stand_ins/stop.rs
+++ b/review/stand_ins/stop.rs
@@ -24,15 +24,10 @@
 /// Time that the server works on a request.
 const WORK: Duration = Duration::from_millis(50);
 
-const CONFIGURATION: &str = r#"{"version":1,
-"routes":[{"name":"r","host":"shop.example","path_prefix":"/book/","route_kind":"unsafe",
+/// Routes of the configuration.
+const ROUTES: &str = r#"{"name":"r","host":"shop.example","path_prefix":"/book/","route_kind":"unsafe",
 "timeout_ms":800,"target_latency_ms":100,"priority":2,"service":"shop","max_attempts":1,
-"public":false}],
-"services":[{"name":"shop","health_path":"/health","max_conns":110,"protocol":"h1","tls":false}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
-"idle_timeout_ms":15000},
-"tenants":[{"name":"north","api_keys":["key-of-north"],"priority":1,"unit":"tokens",
-"plain_tokens":200,"rate_per_s":0,"burst":0}]}"#;
+"public":false}"#;
 
 fn main() {
     std::process::exit(run());
@@ -45,7 +40,7 @@
     let record = Record::create(Path::new(&path));
     let mut deployment = Deployment::start(lib::small_deployment(), &record);
     let server = Server::start_with("i-shop", "shop", "127.0.0.1", WORK, &record);
-    deployment.configure(CONFIGURATION);
+    deployment.configure(ROUTES, &["shop"]);
     server.announce(deployment.controls());
     deployment.wait_ready();
     thread::sleep(Duration::from_secs(6));
--- a/review/stand_ins/versions.rs
+++ b/review/stand_ins/versions.rs
@@ -28,15 +28,10 @@
 /// Streams that are begun at most, until one is served by the new version.
 const TRIES: u32 = 20;
 
-const CONFIGURATION: &str = r#"{"version":1,
-"routes":[{"name":"r","host":"shop.example","path_prefix":"/review/","route_kind":"stream",
+/// Routes of the configuration.
+const ROUTES: &str = r#"{"name":"r","host":"shop.example","path_prefix":"/review/","route_kind":"stream",
 "timeout_ms":4000,"target_latency_ms":1200,"priority":0,"service":"llm","max_attempts":2,
-"public":false,"sticky":true,"resumable":true,"target_gap_ms":800}],
-"services":[{"name":"llm","health_path":"/health","max_conns":110,"protocol":"h1","tls":false}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
-"idle_timeout_ms":15000},
-"tenants":[{"name":"north","api_keys":["key-of-north"],"priority":1,"unit":"tokens",
-"plain_tokens":200,"rate_per_s":0,"burst":0}]}"#;
+"public":false,"sticky":true,"resumable":true,"target_gap_ms":800}"#;
 
 fn main() {
     std::process::exit(run());
@@ -56,7 +51,7 @@
     let proxy = Proxy::start(&deployment);
     deployment.start_all();
     let old = StreamServer::start("i-old", "v1", &record);
-    deployment.configure(CONFIGURATION);
+    deployment.configure(ROUTES, &["llm"]);
     old.announce(deployment.controls());
     deployment.wait_ready();
     thread::sleep(SETTLING);
--- a/review/stand_ins/writer.rs
+++ b/review/stand_ins/writer.rs
@@ -17,18 +17,12 @@
 /// Time between two requests of a client.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
-const CONFIGURATION: &str = r#"{"version":1,
-"routes":[{"name":"r","host":"shop.example","path_prefix":"/status/","route_kind":"safe",
+/// Routes of the configuration.
+const ROUTES: &str = r#"{"name":"r","host":"shop.example","path_prefix":"/status/","route_kind":"safe",
 "timeout_ms":800,"target_latency_ms":100,"priority":2,"service":"shop","max_attempts":2,
 "public":false},{"name":"b","host":"shop.example","path_prefix":"/plates/","route_kind":"safe",
 "timeout_ms":800,"target_latency_ms":100,"priority":2,"service":"plates","max_attempts":2,
-"public":false}],
-"services":[{"name":"shop","health_path":"/health","max_conns":110,"protocol":"h1","tls":false},
-{"name":"plates","health_path":"/health","max_conns":110,"protocol":"h1","tls":false}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
-"idle_timeout_ms":15000},
-"tenants":[{"name":"north","api_keys":["key-of-north"],"priority":1,"unit":"tokens",
-"plain_tokens":200,"rate_per_s":0,"burst":0}]}"#;
+"public":false}"#;
 
 fn main() {
     std::process::exit(run());
@@ -43,7 +37,7 @@
     let work = Duration::from_millis(20);
     let shop = Server::start_with("i-shop", "shop", "127.0.0.1", work, &record);
     let plates = Server::start_with("i-plates", "plates", "127.0.0.1", work, &record);
-    deployment.configure(CONFIGURATION);
+    deployment.configure(ROUTES, &["shop", "plates"]);
     for server in [&shop, &plates] {
         server.announce(deployment.controls());
     }
