Keep leaves of upstreams that the process does not know

Requests could be sent to an upstream that had deregistered, until its lease ended.

Cause: a deregistration of an upstream that the receiver did not know was told once to those who were connected, and kept by nobody. A process that connected a moment later knew nothing of it, and a heartbeat from before that arrived late added the upstream as serving. Where an older start of the upstream was known, that one was marked, and the one that left could still be added.

Change: the directory keeps leaves of unknown upstreams for a minute, tells them to processes that connect, and stores announcements of a start that left as leaving. A leave that names no start applies to announcements made before it, and is not told again, as it would apply to a restart.

--- a/components/control/src/announcements.rs
+++ b/components/control/src/announcements.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, UpstreamId};
-use fleet::{Directory, Update};
+use fleet::{Directory, Leave, Update};
 use indexmap::IndexSet;
 use link::Connection;
 use state::{Command, Output};
@@ -82,6 +82,9 @@
                 Update::Newer(announcement, _) => {
                     updated.insert(announcement.upstream);
                 }
+                Update::Departed(upstream) => {
+                    updated.insert(upstream);
+                }
                 Update::Missing(upstream) => missing.push(upstream),
                 Update::Unchanged => {}
             }
@@ -122,15 +125,15 @@
     pub(crate) fn handle_announcement(&self, announcement: Announcement) {
         let upstream = announcement.upstream.clone();
         let availability = announcement.availability;
-        let (before, is_newer) = {
+        let (before, stored) = {
             let now = Instant::now();
             let mut directory = self.announcements.directory();
             let before = directory.availability(&upstream);
             (before, directory.insert(announcement, now))
         };
-        match before {
-            _ if !is_newer => {}
-            Some(before) if before == availability => self.announcements.defer(upstream),
+        match (before, stored) {
+            (_, None) => {}
+            (Some(before), _) if before == availability => self.announcements.defer(upstream),
             _ => {
                 info!(upstream = %upstream, "control: upstream \"{upstream}\" is {availability:?}");
                 let outbox = &self.announcements.outbox;
@@ -141,21 +144,21 @@
 
     /// Marks an upstream as leaving, after it reported to this process that it leaves.
     pub(crate) fn handle_leave(&self, upstream: &UpstreamId, incarnation: Option<Incarnation>) {
-        let left =
+        let leave =
             self.announcements
                 .directory()
                 .mark_leaving(upstream, incarnation, Instant::now());
         info!(
             upstream = %upstream,
-            known = left.is_some(),
+            known = matches!(leave, Leave::Marked(_)),
             "control: upstream \"{upstream}\" leaves"
         );
-        match left {
-            Some(_) => {
+        match leave {
+            Leave::Marked(_) | Leave::Kept => {
                 let outbox = &self.announcements.outbox;
                 outbox.add([upstream.clone()], Audience::Everyone);
             }
-            None => self.broadcast_deltas(&[Delta::Leave(upstream.clone(), incarnation)]),
+            Leave::Repeated | Leave::Outdated => {}
         }
     }
 
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -8,6 +8,7 @@
 mod forwarders;
 mod forwarding;
 mod group;
+mod leaves;
 mod models;
 mod origins;
 mod quarantine;
--- a/components/fleet/src/directory.rs
+++ b/components/fleet/src/directory.rs
@@ -1,6 +1,8 @@
 //! The directory of upstreams, which relays their announcements. The caller passes the time to each
 //! call.
 
+mod departures;
+
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, UpstreamId};
@@ -8,6 +10,8 @@
 use upstream::{Announcement, Availability};
 use wire::{AgedAnnouncement, Delta, Renewal, fingerprint};
 
+use departures::Departures;
+
 /// Renewals after which the full announcement is relayed again.
 const RENEWALS_PER_FULL: u32 = 20;
 /// Time for which an upstream is kept after its lease has expired, so that an older announcement
@@ -20,6 +24,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     records: IndexMap<UpstreamId, Record>,
+    departures: Departures,
 }
 
 #[derive(Clone, Debug)]
@@ -30,11 +35,26 @@
     renewals: u32,
 }
 
+/// Effect of a leave on the directory.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Leave {
+    /// The upstream is marked as leaving; with its last announcement.
+    Marked(Box<Announcement>),
+    /// The upstream is not known. The leave is kept for announcements that arrive later.
+    Kept,
+    /// The same leave is known.
+    Repeated,
+    /// A later incarnation of the upstream is known.
+    Outdated,
+}
+
 /// Effect of a delta on the directory.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Update {
     /// The announcement is newer than the known one; with the time at which it was made.
     Newer(Box<Announcement>, Instant),
+    /// The upstream left, and no announcement of it is known.
+    Departed(UpstreamId),
     /// Nothing changed.
     Unchanged,
     /// The delta is a renewal of an announcement that is not known; the full one is required.
@@ -112,48 +132,65 @@
         Some(record.announcement.availability)
     }
 
-    /// Stores an announcement that was made at `announced`, and reports whether it is newer than
-    /// the known one.
-    pub fn insert(&mut self, announcement: Announcement, announced: Instant) -> bool {
+    /// Stores an announcement that was made at `announced`, and returns it if it is newer than the
+    /// known one. It is stored as leaving if a leave that arrived before applies to it.
+    pub fn insert(
+        &mut self,
+        announcement: Announcement,
+        announced: Instant,
+    ) -> Option<Announcement> {
+        let announcement = match self.departures.apply_to(&announcement, announced) {
+            true => leaving(announcement),
+            false => announcement,
+        };
         let version = |a: &Announcement| (a.incarnation, a.sequence);
         let newest = self.records.get(&announcement.upstream);
         let fingerprint = fingerprint(&announcement);
         let renewals = match newest {
-            Some(known) if version(&known.announcement) >= version(&announcement) => return false,
+            Some(known) if version(&known.announcement) >= version(&announcement) => return None,
             Some(known) if known.fingerprint == fingerprint => known.renewals + 1,
-            None if self.records.len() >= MAX_UPSTREAMS => return false,
+            None if self.records.len() >= MAX_UPSTREAMS => return None,
             _ => 0,
         };
+        let upstream = announcement.upstream.clone();
         let record = Record {
             announced,
             fingerprint,
             renewals: renewals % RENEWALS_PER_FULL,
-            announcement,
+            announcement: announcement.clone(),
         };
-        self.records
-            .insert(record.announcement.upstream.clone(), record);
-        true
+        self.departures.forget(&upstream);
+        self.records.insert(upstream, record);
+        Some(announcement)
     }
 
-    /// Marks an upstream as leaving, and returns its last announcement. `None` means that the
-    /// upstream is not known, that it was already marked, or that a later incarnation is known.
+    /// Marks an upstream as leaving. `incarnation` is the one that leaves, if it is known.
     pub fn mark_leaving(
         &mut self,
         upstream: &str,
         incarnation: Option<Incarnation>,
         now: Instant,
-    ) -> Option<Announcement> {
-        let known = &self.records.get(upstream)?.announcement;
-        if incarnation.is_some_and(|ended| ended < known.incarnation) {
-            return None;
+    ) -> Leave {
+        let Some(record) = self.records.get(upstream) else {
+            return match self.departures.keep(upstream, incarnation, now) {
+                true => Leave::Kept,
+                false => Leave::Repeated,
+            };
+        };
+        let known = &record.announcement;
+        match incarnation {
+            Some(ended) if ended < known.incarnation => return Leave::Outdated,
+            _ => {}
         }
+        // A later incarnation left before its announcement arrived: it takes the place of this one.
         let last = Announcement {
-            availability: Availability::Leaving,
-            // Outranks all announcements of this incarnation.
-            sequence: u64::MAX,
+            incarnation: incarnation.unwrap_or(known.incarnation),
             ..known.clone()
         };
-        self.insert(last.clone(), now).then_some(last)
+        match self.insert(leaving(last), now) {
+            Some(last) => Leave::Marked(Box::new(last)),
+            None => Leave::Repeated,
+        }
     }
 
     /// Applies a delta that was in transit for at most `transit`.
@@ -164,16 +201,11 @@
         };
         match delta {
             Delta::Leave(id, incarnation) => match self.mark_leaving(&id, incarnation, now) {
-                Some(announcement) => Update::Newer(Box::new(announcement), now),
-                None => Update::Unchanged,
+                Leave::Marked(announcement) => Update::Newer(announcement, now),
+                Leave::Kept => Update::Departed(id),
+                Leave::Repeated | Leave::Outdated => Update::Unchanged,
             },
-            Delta::Full(full) => {
-                let announced = announced_at(full.age_ms);
-                match self.insert(full.announcement.clone(), announced) {
-                    true => Update::Newer(Box::new(full.announcement), announced),
-                    false => Update::Unchanged,
-                }
-            }
+            Delta::Full(full) => self.update(full.announcement, announced_at(full.age_ms)),
             Delta::Renewal(renewal) => {
                 let announced = announced_at(renewal.5);
                 match self.records.get(&renewal.1) {
@@ -183,10 +215,7 @@
                             load: renewal.load(),
                             ..record.announcement.clone()
                         };
-                        match self.insert(announcement.clone(), announced) {
-                            true => Update::Newer(Box::new(announcement), announced),
-                            false => Update::Unchanged,
-                        }
+                        self.update(announcement, announced)
                     }
                     Some(record) if is_outdated(record, &renewal) => Update::Unchanged,
                     _ => Update::Missing(renewal.1),
@@ -195,34 +224,49 @@
         }
     }
 
+    fn update(&mut self, announcement: Announcement, announced: Instant) -> Update {
+        match self.insert(announcement, announced) {
+            Some(stored) => Update::Newer(Box::new(stored), announced),
+            None => Update::Unchanged,
+        }
+    }
+
     /// Returns the delta that relays the newest announcement of an upstream.
     pub fn delta(&self, upstream: &str, now: Instant) -> Option<Delta> {
-        let record = self.records.get(upstream)?;
-        match record.renewals {
-            0 => Some(record.full_delta(now)),
-            _ => Some(record.renewal_delta(now)),
+        match self.records.get(upstream) {
+            Some(record) if record.renewals > 0 => Some(record.renewal_delta(now)),
+            _ => self.full_delta(upstream, now),
         }
     }
 
-    /// Returns the full announcement of an upstream.
+    /// Returns the full announcement of an upstream, or its leave.
     pub fn full_delta(&self, upstream: &str, now: Instant) -> Option<Delta> {
-        self.records
-            .get(upstream)
-            .map(|record| record.full_delta(now))
+        match self.records.get(upstream) {
+            Some(record) => Some(record.full_delta(now)),
+            None => self.departures.delta(upstream),
+        }
     }
 
-    /// Returns all announcements in full.
+    /// Returns all announcements in full, and the leaves of unknown upstreams.
     pub fn full_deltas(&self, now: Instant) -> Vec<Delta> {
-        self.records
-            .values()
-            .map(|record| record.full_delta(now))
-            .collect()
+        let announcements = self.records.values().map(|record| record.full_delta(now));
+        announcements.chain(self.departures.repeatable()).collect()
     }
 
-    /// Removes upstreams whose lease expired long ago.
+    /// Removes upstreams whose lease expired long ago, or that left long ago.
     pub fn remove_expired(&mut self, now: Instant) {
         self.records
             .retain(|_, record| now < record.expires() + EXPIRED_RETENTION);
+        self.departures.remove_old(EXPIRED_RETENTION, now);
+    }
+}
+
+/// Returns the announcement of an incarnation that left; it outranks all others of it.
+fn leaving(announcement: Announcement) -> Announcement {
+    Announcement {
+        availability: Availability::Leaving,
+        sequence: u64::MAX,
+        ..announcement
     }
 }
 
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -12,7 +12,7 @@
 mod view;
 
 pub use control::Control;
-pub use directory::{Directory, Update};
+pub use directory::{Directory, Leave, Update};
 pub use freshness::Freshness;
 pub use member::{Member, Settings};
 pub use standalone::Standalone;
--- a/components/fleet/src/member/announcements.rs
+++ b/components/fleet/src/member/announcements.rs
@@ -79,7 +79,8 @@
     /// Applies an announcement that an upstream sent to this entry.
     pub(crate) fn handle_announcement(&self, announcement: Announcement) {
         let now = Instant::now();
-        if self.directory().insert(announcement.clone(), now) {
+        let stored = self.directory().insert(announcement, now);
+        if let Some(announcement) = stored {
             self.queue.push(announcement, now, true);
         }
     }
@@ -93,7 +94,7 @@
             match update {
                 Update::Newer(announcement, at) => self.queue.push(*announcement, at, false),
                 Update::Missing(upstream) => missing.push(upstream),
-                Update::Unchanged => {}
+                Update::Departed(_) | Update::Unchanged => {}
             }
         }
         if !missing.is_empty() {
