Acknowledge a leave once a majority of the control group holds it

Cause: the leave was acknowledged while it was in a queue in the memory of one process, which was emptied 30 ms later by messages that nobody confirms. A group of three in a test shows it without any platform, whichever process acknowledges.

Change: what says that an upstream leaves (a deregistration, an announcement that it drains or is reclaimed) is acknowledged once a majority of the group confirms with the new request Hold that it holds it; a lone process asks an entry. Leaves of 10 ms share a message and a confirmation. Without a majority within 500 ms the answer is 503, and at once if too few are connected. Processes of older releases confirm by a request that they answer by themselves after what was sent before. Who holds a leave tells the other control processes once more. The answer to a repeated leave waits as well: a second process used to acknowledge at once what it had heard from the first one.

Why it works: two majorities have a member in common, so while the group works, one that holds the leave is among those that entries hear.

--- a/components/config/src/release.rs
+++ b/components/config/src/release.rs
@@ -16,8 +16,10 @@
 pub const EDITS: Level = 2;
 /// Adds the declaration of the level, and answers to requests that are not known.
 pub const DECLARED: Level = 3;
+/// Adds the request `Hold`.
+pub const HOLDS: Level = 4;
 /// Level of this build.
-pub const OWN: Level = DECLARED;
+pub const OWN: Level = HOLDS;
 
 /// Longest name of a build that is taken from another process, in bytes.
 pub const MAX_BUILD_BYTES: usize = 40;
--- a/components/control/src/announcements.rs
+++ b/components/control/src/announcements.rs
@@ -9,20 +9,26 @@
 //! else for a moment. Hundreds of upstreams may start or leave at the same time, and a message for
 //! each of them to each of hundreds of entries would keep the links busy that the control group needs
 //! to stay in contact.
+//!
+//! That an upstream leaves is acknowledged only once a majority of the group holds it (`leaves`): the
+//! upstream may say it only once.
 
+mod leaves;
 mod outbox;
 
+pub(crate) use leaves::run as run_leaves;
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, UpstreamId};
-use fleet::{Directory, Leave, Update};
+use fleet::{Directory, Leave, Update, inform};
 use indexmap::IndexSet;
 use link::Connection;
 use state::{Command, Output};
 use tokio::time::{sleep, timeout};
 use tracing::info;
-use upstream::Announcement;
+use upstream::{Announcement, Availability};
 use wire::{Delta, Push, Role};
 
 use crate::Node;
@@ -33,8 +39,6 @@
 const BATCH_INTERVAL: Duration = Duration::from_millis(400);
 /// Time for which changes are collected before they are forwarded.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(30);
-/// Maximum number of upstreams in one message.
-const MAX_UPSTREAMS_PER_MESSAGE: usize = 500;
 
 /// Upstreams that are known here, and the connections that subscribed to their announcements.
 #[derive(Debug, Default)]
@@ -44,6 +48,7 @@
     /// Upstreams whose renewals were received here and are not forwarded yet.
     deferred: Mutex<IndexSet<UpstreamId>>,
     outbox: Outbox,
+    leaves: leaves::Queue,
 }
 
 impl Announcements {
@@ -62,7 +67,7 @@
     /// Sends the announcements of all known upstreams.
     pub(crate) fn send_all(&self, to: &Connection) {
         let all = self.directory().full_deltas(Instant::now());
-        send(&all, to);
+        inform(to, &all);
     }
 
     pub(crate) fn unsubscribe(&self, connection: &Connection) {
@@ -99,6 +104,13 @@
         upstreams.iter().filter_map(delta).collect()
     }
 
+    fn full_deltas(&self, upstreams: &IndexSet<UpstreamId>) -> Vec<Delta> {
+        let now = Instant::now();
+        let directory = self.directory();
+        let delta = |upstream: &UpstreamId| directory.full_delta(upstream, now);
+        upstreams.iter().filter_map(delta).collect()
+    }
+
     fn defer(&self, upstream: UpstreamId) {
         let mut deferred = self.deferred.lock().unwrap_or_else(PoisonError::into_inner);
         deferred.insert(upstream);
@@ -121,7 +133,8 @@
         self.announcements.live()
     }
 
-    /// Applies an announcement that an upstream sent to this process.
+    /// Applies an announcement that an upstream sent to this process, and forwards it. One by which
+    /// the upstream leaves is left to [`Node::hold_leave`].
     pub(crate) fn handle_announcement(&self, announcement: Announcement) {
         let upstream = announcement.upstream.clone();
         let availability = announcement.availability;
@@ -136,30 +149,28 @@
             (Some(before), _) if before == availability => self.announcements.defer(upstream),
             _ => {
                 info!(upstream = %upstream, "control: upstream \"{upstream}\" is {availability:?}");
-                let outbox = &self.announcements.outbox;
-                outbox.add([upstream], Audience::Everyone);
+                if availability == Availability::Serving {
+                    let outbox = &self.announcements.outbox;
+                    outbox.add([upstream], Audience::Everyone);
+                }
             }
         }
     }
 
     /// Marks an upstream as leaving, after it reported to this process that it leaves.
-    pub(crate) fn handle_leave(&self, upstream: &UpstreamId, incarnation: Option<Incarnation>) {
-        let leave =
-            self.announcements
-                .directory()
-                .mark_leaving(upstream, incarnation, Instant::now());
+    pub(crate) fn handle_leave(
+        &self,
+        upstream: &UpstreamId,
+        incarnation: Option<Incarnation>,
+    ) -> Leave {
+        let mut directory = self.announcements.directory();
+        let leave = directory.mark_leaving(upstream, incarnation, Instant::now());
         info!(
             upstream = %upstream,
             known = matches!(leave, Leave::Marked(_)),
             "control: upstream \"{upstream}\" leaves"
         );
-        match leave {
-            Leave::Marked(_) | Leave::Kept => {
-                let outbox = &self.announcements.outbox;
-                outbox.add([upstream.clone()], Audience::Everyone);
-            }
-            Leave::Repeated | Leave::Outdated => {}
-        }
+        leave
     }
 
     fn broadcast(&self, upstreams: &IndexSet<UpstreamId>) {
@@ -168,10 +179,14 @@
 
     fn broadcast_deltas(&self, deltas: &[Delta]) {
         for subscriber in self.announcements.subscribers().iter() {
-            send(deltas, subscriber);
+            inform(subscriber, deltas);
         }
+        self.inform_controls(deltas);
+    }
+
+    fn inform_controls(&self, deltas: &[Delta]) {
         for control in self.peers.control_connections() {
-            send(deltas, &control);
+            inform(&control, deltas);
         }
     }
 
@@ -183,7 +198,9 @@
                 self.announcements.send_all(from);
             }
             Push::Unsubscribe => self.announcements.unsubscribe(from),
-            Push::Upstreams(deltas) => self.relay(from, deltas, age),
+            Push::Upstreams(deltas) => {
+                self.relay(from, deltas, age);
+            }
             Push::Missing(upstreams) => {
                 let now = Instant::now();
                 let directory = self.announcements.directory();
@@ -197,19 +214,21 @@
         }
     }
 
-    fn relay(&self, from: &Connection, deltas: Vec<Delta>, age: Duration) {
+    /// Applies deltas and forwards them. Returns the upstreams that they updated.
+    fn relay(&self, from: &Connection, deltas: Vec<Delta>, age: Duration) -> IndexSet<UpstreamId> {
         let (updated, missing) = self.announcements.apply(deltas, age);
         if !missing.is_empty() {
             from.push(Push::Missing(missing));
         }
-        if updated.is_empty() {
-            return;
-        }
         let audience = match from.hello().role {
             Role::Entry => Audience::Everyone,
             Role::Control => Audience::Subscribers,
         };
-        self.announcements.outbox.add(updated, audience);
+        if !updated.is_empty() {
+            let outbox = &self.announcements.outbox;
+            outbox.add(updated.iter().cloned(), audience);
+        }
+        updated
     }
 
     /// Forwards the collected changes.
@@ -219,7 +238,7 @@
         let to_subscribers = self.announcements.deltas(&pending.subscribers);
         self.broadcast_deltas(&to_everyone);
         for subscriber in self.announcements.subscribers().iter() {
-            send(&to_subscribers, subscriber);
+            inform(subscriber, &to_subscribers);
         }
     }
 }
@@ -250,11 +269,6 @@
         if !deferred.is_empty() {
             node.broadcast(&deferred);
         }
-    }
-}
-
-fn send(deltas: &[Delta], to: &Connection) {
-    for part in deltas.chunks(MAX_UPSTREAMS_PER_MESSAGE) {
-        to.push(Push::Upstreams(part.to_vec()));
+        node.repeat_leaves();
     }
 }
--- a/components/control/src/external/server.rs
+++ b/components/control/src/external/server.rs
@@ -6,11 +6,13 @@
 
 use bytes::Bytes;
 use errors::Result;
+use fleet::Leave;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use state::text::Outcome;
 use state::{Command, Output};
 use tracing::{info, warn};
+use upstream::Availability;
 use wire::{Answer, Failure};
 
 use super::{Operation, Protocol, Reply};
@@ -83,16 +85,23 @@
     pub async fn execute(&self, operation: Operation) -> Reply {
         match operation {
             Operation::Announce(announcement) => {
+                let upstream = announcement.upstream.clone();
+                let leaves = announcement.availability != Availability::Serving;
                 self.handle_announcement(*announcement);
-                Reply::Acknowledged
+                match leaves {
+                    true => leave_reply(self.hold_leave(upstream).await),
+                    false => Reply::Acknowledged,
+                }
             }
             Operation::Leave {
                 upstream,
                 incarnation,
-            } => {
-                self.handle_leave(&upstream, incarnation);
-                Reply::Acknowledged
-            }
+            } => match self.handle_leave(&upstream, incarnation) {
+                Leave::Outdated => Reply::Acknowledged,
+                Leave::Marked(_) | Leave::Kept | Leave::Repeated => {
+                    leave_reply(self.hold_leave(upstream).await)
+                }
+            },
             Operation::Replace(replacement) => {
                 let version = replacement.version;
                 let submitted = self.submit_replacement(replacement, IN_FORCE_WAIT).await;
@@ -109,6 +118,13 @@
     }
 }
 
+fn leave_reply(is_held: bool) -> Reply {
+    match is_held {
+        true => Reply::Acknowledged,
+        false => Reply::Unavailable("too few others hold that the upstream leaves".to_owned()),
+    }
+}
+
 fn replace_reply(answer: std::result::Result<Answer, Failure>) -> Reply {
     match answer {
         Ok(Answer::Submitted(submitted)) => match submitted.outcome {
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -289,6 +289,7 @@
         Body::DrawPermits { .. } => "draw-permits",
         Body::RecordOrigin(_) => "record-origin",
         Body::FindOrigin(_) => "find-origin",
+        Body::Hold(_) => "hold",
         Body::Query(_) => "query",
     }
 }
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -111,7 +111,7 @@
                 let drawn = workload.permits().draw(&wanted, count, serving, now);
                 Ok(Answer::Permits(drawn))
             }
-            Body::RecordOrigin(_) | Body::FindOrigin(_) | Body::FetchText(_) => {
+            Body::RecordOrigin(_) | Body::FindOrigin(_) | Body::FetchText(_) | Body::Hold(_) => {
                 Err(Failure::Refused("the leader is not needed for it".into()))
             }
             Body::Query(Query::Source) => {
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -21,7 +21,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tracing::{info, warn};
-use wire::{Body, Failure, Push, Request, Role};
+use wire::{Answer, Body, CallId, Failure, Push, Request, Role};
 
 use crate::replica::Replica;
 use crate::{Node, readable};
@@ -196,18 +196,15 @@
 {
     while let Some(message) = messages.recv().await {
         match message {
-            Incoming::Call(id, request, _) => {
-                let (node, connection) = (node.clone(), connection.clone());
-                tokio::spawn(async move {
-                    let answer = match is_allowed(&connection, &request) {
-                        true => node.handle(request).await,
-                        false => Err(Failure::Refused(
-                            "request is not the sender's to make".into(),
-                        )),
-                    };
-                    connection.answer(id, answer);
-                });
-            }
+            Incoming::Call(id, request, age) => match request.body {
+                Body::Hold(deltas) => {
+                    node.handle_hold(connection, deltas, age);
+                    connection.answer(id, Ok(Answer::Done));
+                }
+                _ => {
+                    tokio::spawn(answer(node.clone(), connection.clone(), id, request));
+                }
+            },
             Incoming::Push(Push::Log { message, .. }, _) => deliver(node, connection, &message),
             Incoming::Push(push, age) => node.handle_push(connection, push, age),
         }
@@ -215,6 +212,19 @@
     connection.close();
 }
 
+async fn answer<R>(node: Arc<Node<R>>, connection: Connection, id: CallId, request: Request)
+where
+    R: Replica<Command = Command, Output = Output>,
+{
+    let answer = match is_allowed(&connection, &request) {
+        true => node.handle(request).await,
+        false => Err(Failure::Refused(
+            "request is not the sender's to make".into(),
+        )),
+    };
+    connection.answer(id, answer);
+}
+
 /// Passes a message of another replica to this process's replica if it comes from the process that
 /// it names as its sender.
 fn deliver<R>(node: &Node<R>, connection: &Connection, bytes: &[u8])
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -110,6 +110,7 @@
         tokio::spawn(peers::follow_group(node.clone()));
         tokio::spawn(announcements::run(node.clone()));
         tokio::spawn(announcements::run_outbox(node.clone()));
+        tokio::spawn(announcements::run_leaves(node.clone()));
         tokio::spawn(node::notify_entries(node.clone()));
         tokio::spawn(node::run_leader_tasks(node.clone()));
         if !node.replica.forwards_only() {
--- a/components/control/tests/process/control_group.rs
+++ b/components/control/tests/process/control_group.rs
@@ -12,11 +12,31 @@
 use tempfile::TempDir;
 use tokio::time::sleep;
 
+use crate::relay::Relay;
 use crate::single_control::{SECRET, TOKEN, any_port};
 
 const TIMEOUT: Duration = Duration::from_secs(120);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+fn sockets() -> Vec<Sockets> {
+    let bind = |_| Sockets::bind(any_port(), any_port()).expect("loopback can be listened on");
+    (0..3).map(bind).collect()
+}
+
+fn peers(sockets: &[Sockets]) -> Vec<Peer> {
+    let peer = |(n, sockets): (usize, &Sockets)| {
+        let (address, operators) = sockets.addresses().expect("the sockets have addresses");
+        let operators = operators.expect("it listens for operators");
+        let node = format!("control-{n}").into();
+        Peer {
+            node,
+            address,
+            operators,
+        }
+    };
+    sockets.iter().enumerate().map(peer).collect()
+}
+
 pub(crate) struct ControlGroup {
     folder: TempDir,
     pub(crate) peers: Vec<Peer>,
@@ -25,22 +45,28 @@
 
 impl ControlGroup {
     pub(crate) fn start() -> ControlGroup {
-        let sockets: Vec<Sockets> = (0..3)
-            .map(|_| Sockets::bind(any_port(), any_port()).expect("loopback can be listened on"))
-            .collect();
-        let peer = |(n, sockets): (usize, &Sockets)| {
-            let (address, operators) = sockets.addresses().expect("the sockets have addresses");
-            let operators = operators.expect("it listens for operators");
-            let node = format!("control-{n}").into();
-            Peer {
-                node,
-                address,
-                operators,
-            }
-        };
+        let sockets = sockets();
+        let peers = peers(&sockets);
+        ControlGroup::start_with(sockets, peers)
+    }
+
+    /// Starts a group in which the processes and entries reach each process through a relay.
+    pub(crate) async fn start_behind_relays() -> (ControlGroup, Vec<Relay>) {
+        let sockets = sockets();
+        let mut peers = peers(&sockets);
+        let mut relays = Vec::new();
+        for peer in &mut peers {
+            let relay = Relay::start(peer.address).await;
+            peer.address = relay.address;
+            relays.push(relay);
+        }
+        (ControlGroup::start_with(sockets, peers), relays)
+    }
+
+    fn start_with(sockets: Vec<Sockets>, peers: Vec<Peer>) -> ControlGroup {
         let mut group = ControlGroup {
             folder: TempDir::new().expect("a folder can be made"),
-            peers: sockets.iter().enumerate().map(peer).collect(),
+            peers,
             processes: Vec::new(),
         };
         for (n, sockets) in sockets.into_iter().enumerate() {
--- a/components/control/tests/releases/forms.rs
+++ b/components/control/tests/releases/forms.rs
@@ -119,6 +119,7 @@
         body("Balance", statements.clone()),
         ("recordorigin".to_owned(), Body::RecordOrigin(origin)),
         ("findorigin".to_owned(), Body::FindOrigin(key)),
+        body("Hold", json!([{"l": ["u-1", 5]}])),
         ("query".to_owned(), Body::Query(Query::Source)),
         body("DrawPermits", json!({"wanted": [["u-1", 5]], "count": 2})),
         body(
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 mod control;
 mod directory;
 mod freshness;
+mod holders;
 mod member;
 mod standalone;
 mod view;
@@ -14,6 +15,7 @@
 pub use control::Control;
 pub use directory::{Directory, Leave, Update};
 pub use freshness::Freshness;
+pub use holders::{Holders, inform};
 pub use member::{Member, Settings};
 pub use standalone::Standalone;
 pub use state::claim;
--- a/components/fleet/src/member/announcements.rs
+++ b/components/fleet/src/member/announcements.rs
@@ -11,10 +11,10 @@
 use tokio::time::{sleep, timeout};
 use tracing::info;
 use upstream::{Announcement, Availability, Routes};
-use wire::{Delta, Push};
+use wire::{Answer, Body, Delta, Failure, Push};
 
 use super::Shared;
-use crate::{Update, View};
+use crate::{Update, View, inform};
 
 /// Time for which renewals are collected before they are relayed in one batch.
 const BATCH_WINDOW: Duration = Duration::from_millis(200);
@@ -22,8 +22,6 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which an expired route stays in the view, for logs.
 const EXPIRED_RETENTION: Duration = Duration::from_secs(10);
-/// Largest number of deltas in one message.
-const MAX_DELTAS_PER_MESSAGE: usize = 500;
 
 /// Announcements that wait to be relayed and to be published in the view.
 #[derive(Debug, Default)]
@@ -102,6 +100,22 @@
         }
     }
 
+    /// Answers a request of a control process, which may ask this entry to hold changes.
+    pub(crate) fn answer(
+        &self,
+        body: Body,
+        age: Duration,
+        from: &Connection,
+    ) -> std::result::Result<Answer, Failure> {
+        match body {
+            Body::Hold(deltas) => {
+                self.apply_deltas(deltas, age, from);
+                Ok(Answer::Done)
+            }
+            _ => Err(Failure::Refused("an entry answers no such request".into())),
+        }
+    }
+
     /// Sends the full announcements of `upstreams` to a control process that requested them.
     pub(crate) fn send_full(&self, upstreams: &[UpstreamId], to: &Connection) {
         let now = Instant::now();
@@ -114,10 +128,7 @@
 
     /// Sends the announcements of all known upstreams to a newly connected control process.
     pub(crate) fn send_all(&self, to: &Connection) {
-        let all = self.directory().full_deltas(Instant::now());
-        for part in all.chunks(MAX_DELTAS_PER_MESSAGE) {
-            to.push(Push::Upstreams(part.to_vec()));
-        }
+        inform(to, &self.directory().full_deltas(Instant::now()));
     }
 }
 
@@ -151,8 +162,8 @@
         let delta = |upstream: &UpstreamId| directory.delta(upstream, now);
         upstreams.iter().filter_map(delta).collect()
     };
-    for part in deltas.chunks(MAX_DELTAS_PER_MESSAGE) {
-        shared.links.push_all(&Push::Upstreams(part.to_vec()));
+    for link in shared.links.connections().values() {
+        inform(link, &deltas);
     }
 }
 
--- a/components/fleet/src/member/links.rs
+++ b/components/fleet/src/member/links.rs
@@ -155,12 +155,6 @@
         }
     }
 
-    pub(crate) fn push_all(&self, push: &Push) {
-        for link in self.connections().values() {
-            link.push(push.clone());
-        }
-    }
-
     /// Sends a request to one control process after the other until one answers. The request must
     /// be idempotent, since more than one of them may receive it.
     ///
@@ -247,7 +241,7 @@
         is_listed || self.group().contains(node)
     }
 
-    fn group(&self) -> MutexGuard<'_, IndexSet<NodeId>> {
+    pub(crate) fn group(&self) -> MutexGuard<'_, IndexSet<NodeId>> {
         self.group.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -318,6 +312,9 @@
             Incoming::Push(Push::Upstreams(deltas), age) => {
                 shared.apply_deltas(deltas, age, &connection);
             }
+            Incoming::Call(id, request, age) => {
+                connection.answer(id, shared.answer(request.body, age, &connection));
+            }
             Incoming::Push(Push::Group(group), _) => shared.update_group(group),
             Incoming::Push(Push::Draining(upstreams), _) => shared.set_draining(upstreams),
             Incoming::Push(Push::Missing(upstreams), _) => {
--- a/components/wire/src/answer.rs
+++ b/components/wire/src/answer.rs
@@ -37,7 +37,7 @@
     TextPart(patch::Part),
     /// Answers `FindOrigin`; `None` if the version is not known here.
     Origin(Option<Software>),
-    /// Answers `Leave` and `RecordOrigin`.
+    /// Answers `Leave`, `RecordOrigin` and `Hold`.
     Done,
 }
 
--- a/components/wire/src/request.rs
+++ b/components/wire/src/request.rs
@@ -8,7 +8,7 @@
 use state::text::{Edit, Replacement, Submission};
 use upstream::{Origin, StreamKey};
 
-use crate::{Report, Statements};
+use crate::{Delta, Report, Statements};
 
 /// A request, on behalf of one process of an entry or of an operator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -87,6 +87,9 @@
     /// An entry asks at which software version a stream began. Every control process answers by
     /// itself.
     FindOrigin(StreamKey),
+    /// A process that learned of changes of upstreams asks the receiver to hold them, before it
+    /// acknowledges them. The receiver also relays them.
+    Hold(Vec<Delta>),
     /// An operator reads the leader's state.
     Query(Query),
 }
@@ -97,6 +100,7 @@
         match self {
             Body::FetchText(_) | Body::Edit { .. } => release::EDITS,
             Body::DrawPermits { .. } => release::PERMITS,
+            Body::Hold(_) => release::HOLDS,
             Body::Confirm { .. }
             | Body::Leave
             | Body::Claim(_)
