Acknowledge at an entry that an upstream leaves once others hold it

On our own interface an upstream says at any entry that it leaves.

Change: Control::announce returns once a majority of the control processes holds an announcement by which an upstream leaves, and otherwise fails: the upstream gets 503 and turns to another entry. The entry's own announcement that it stops goes the same way.

--- a/components/control/examples/group/measure.rs
+++ b/components/control/examples/group/measure.rs
@@ -145,7 +145,10 @@
     for part in 0..parts {
         for n in (part..upstreams).step_by(parts) {
             let entry = (n + sequence as usize) % fleet.members.len();
-            fleet.members[entry].announce(announcement(n, sequence));
+            let announced = fleet.members[entry].announce(announcement(n, sequence));
+            announced
+                .await
+                .expect("an announcement that serves waits for nobody");
         }
         sleep(Duration::from_millis(50)).await;
     }
--- a/components/control/tests/process/announcements.rs
+++ b/components/control/tests/process/announcements.rs
@@ -5,7 +5,7 @@
 use config::text::Class;
 use control::client::Outcome;
 use control::replica::Replica;
-use fleet::{Control, View};
+use fleet::{Control, Member, View};
 use googletest::prelude::*;
 use state::order::{Action, Order};
 use state::{Change, Command};
@@ -34,6 +34,11 @@
     }
 }
 
+async fn announce(member: &Member, announcement: Announcement) {
+    let announced = member.announce(announcement).await;
+    assert_that!(announced, ok(anything()));
+}
+
 fn sequence(view: &View, upstream: &str) -> Option<u64> {
     view.routes
         .all()
@@ -58,23 +63,24 @@
         .await;
     assert_that!(submitted, ok(eq(&Outcome::InForce { version: 1 })));
 
-    members[0].announce(announcement("engine-1", 1));
+    announce(&members[0], announcement("engine-1", 1)).await;
     for member in &members {
         wait_until(member, |view| accepts_work(view, "engine-1")).await;
     }
 
     // Renewals carry only what changed, and may go through any entry.
     for n in 2..40 {
-        members[n as usize % 2].announce(announcement("engine-1", n));
+        announce(&members[n as usize % 2], announcement("engine-1", n)).await;
     }
     for member in &members {
         wait_until(member, |view| sequence(view, "engine-1") == Some(39)).await;
     }
 
-    members[1].announce(Announcement {
+    let leaving = Announcement {
         availability: Availability::Leaving,
         ..announcement("engine-1", 40)
-    });
+    };
+    announce(&members[1], leaving).await;
     for member in &members {
         wait_until(member, |view| !accepts_work(view, "engine-1")).await;
     }
@@ -84,12 +90,12 @@
 async fn reach_an_entry_that_connects_later() {
     let process = control().await;
     let first = member("entry-1", process.peer_address);
-    first.announce(announcement("engine-1", 1));
-    first.announce(announcement("engine-1", 2));
+    announce(&first, announcement("engine-1", 1)).await;
+    announce(&first, announcement("engine-1", 2)).await;
     wait_until(&first, |view| sequence(view, "engine-1") == Some(2)).await;
     let second = member("entry-2", process.peer_address);
     wait_until(&second, |view| sequence(view, "engine-1") == Some(2)).await;
-    first.announce(announcement("engine-1", 3));
+    announce(&first, announcement("engine-1", 3)).await;
     wait_until(&second, |view| sequence(view, "engine-1") == Some(3)).await;
     assert_that!(process.node.upstreams().len(), eq(1));
 }
@@ -106,7 +112,7 @@
         }
     };
     let instance: config::ids::InstanceId = "plain-1".into();
-    members[0].announce(announcement("plain-1", 1));
+    announce(&members[0], announcement("plain-1", 1)).await;
     for member in &members {
         wait_until(member, |view| accepts_work(view, "plain-1")).await;
     }
@@ -120,7 +126,7 @@
     }
     // A renewal does not end the draining, nor does it at an entry that connects later.
     let late = crate::single_control::member("entry-3", process.peer_address);
-    late.announce(announcement("plain-1", 2));
+    announce(&late, announcement("plain-1", 2)).await;
     wait_until(&late, |view| sequence(view, "plain-1") == Some(2)).await;
     wait_until(&late, |view| !accepts_work(view, "plain-1")).await;
     wait_until(&members[1], |view| sequence(view, "plain-1") == Some(2)).await;
@@ -149,16 +155,17 @@
         lease_ms: 3_000,
         ..announcement("engine-1", sequence)
     };
-    direct.announce(short(1));
+    announce(&direct, short(1)).await;
     let announced = Instant::now();
     let view = wait_until(&relayed, |view| accepts_work(view, "engine-1")).await;
     let expires = view.routes.all().map(|route| route.expires).max();
     assert_that!(expires, some(le(announced + Duration::from_secs(3))));
 
     relay.block_all();
-    direct.announce(Announcement {
+    let leaving = Announcement {
         availability: Availability::Leaving,
         ..short(2)
-    });
+    };
+    announce(&direct, leaving).await;
     wait_until(&relayed, |view| !accepts_work(view, "engine-1")).await;
 }
--- a/components/control/tests/process/leaves.rs
+++ b/components/control/tests/process/leaves.rs
@@ -1,4 +1,4 @@
-//! Leaves of upstreams that a control process acknowledged.
+//! Leaves of upstreams that a control process or an entry acknowledged.
 
 use std::time::{Duration, Instant};
 
@@ -184,6 +184,22 @@
     assert_that!(acknowledged.elapsed(), lt(LEAVING_BOUND));
 }
 
+// An entry of our own interface acknowledged that an upstream leaves before anyone else knew it.
+#[tokio::test(flavor = "multi_thread")]
+async fn outlast_the_entry_that_acknowledges_an_announcement() {
+    let (_group, [first, second]) = group_with_entries().await;
+    let leaving = Announcement {
+        availability: Availability::Leaving,
+        ..announcement("upstream-0", 2)
+    };
+    let announced = first.announce(leaving).await;
+    first.stop();
+    let acknowledged = Instant::now();
+    assert_that!(announced, ok(anything()));
+    wait_until(&second, |view| !takes_work(view, "upstream-0")).await;
+    assert_that!(acknowledged.elapsed(), lt(LEAVING_BOUND));
+}
+
 async fn late_announcement_stays_leaving(process: &Process<MemoryReplica>, member: &Member) {
     let reply = process.node.execute(announce(announcement("u-1", 7))).await;
     assert_that!(reply, eq(&Reply::Acknowledged));
--- a/components/control/tests/releases/main.rs
+++ b/components/control/tests/releases/main.rs
@@ -207,6 +207,26 @@
     assert_that!(member.view().load().control_reachable, eq(true));
 }
 
+// Upstreams could not leave while processes were replaced one after the other, if only the newer
+// release confirmed that it holds a leave.
+#[tokio::test(flavor = "multi_thread")]
+async fn lets_upstreams_leave_beside_a_control_process_of_an_older_release() {
+    let text = (7, "seven".to_owned());
+    let (older, address) = OlderProcess::start_leader("control-0", SECRET, text, false).await;
+    let member = member(address);
+    wait_until("the text at the entry", || version_in_force(&member) == 7).await;
+    let leaving = serde_json::json!({
+        "upstream": "u-1", "incarnation": 5, "sequence": 2, "service": "bookings",
+        "address": "127.0.0.1:9", "data_centre": "penang", "class": "on-demand",
+        "capacity": {}, "load": {}, "lease_ms": 6_000, "availability": {"state": "leaving"},
+    });
+    let leaving = serde_json::from_value(leaving).expect("the announcement is valid");
+    assert_that!(member.announce(leaving).await, ok(anything()));
+    assert_that!(older.knows("u-1"), eq(true));
+    assert_that!(older.unreadable.list(), is_empty());
+    assert_that!(older.connections(), eq(1));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn fetches_a_text_from_a_leader_that_declares_nothing_but_leaves_texts_to_be_fetched() {
     let text = (7, "seven ".repeat(LARGE_TEXT_BYTES / 6));
--- a/components/control/tests/releases/older_process.rs
+++ b/components/control/tests/releases/older_process.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ciborium::Value;
+use config::ids::UpstreamId;
 use config::keys::Secret;
 use config::settings::Peer;
 use consensus::Message as ReplicaMessage;
@@ -15,7 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::{WebSocketStream, accept_async, client_async};
-use wire::{Answer, Body, Envelope, Failure, Frame, FreshnessLease, Push, Role};
+use wire::{Answer, Body, Delta, Envelope, Failure, Frame, FreshnessLease, Push, Role};
 
 use crate::raw::{Raw, Side};
 
@@ -125,6 +126,8 @@
     outgoing: tokio::sync::broadcast::Sender<ReplicaMessage>,
     version: Arc<Mutex<u64>>,
     connections: Mutex<usize>,
+    /// Upstreams whose changes it was sent.
+    changed: Mutex<Vec<UpstreamId>>,
     pub(crate) unreadable: Unreadable,
 }
 
@@ -199,6 +202,7 @@
             outgoing: tokio::sync::broadcast::channel(1_024).0,
             version: Arc::default(),
             connections: Mutex::default(),
+            changed: Mutex::default(),
             unreadable: Unreadable::default(),
         }
     }
@@ -216,6 +220,12 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Reports whether it was sent a change of an upstream.
+    pub(crate) fn knows(&self, upstream: &str) -> bool {
+        let changed = self.changed.lock().unwrap_or_else(PoisonError::into_inner);
+        changed.iter().any(|known| known == upstream)
+    }
+
     async fn listen(self: Arc<Self>, listener: TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
             let process = self.clone();
@@ -308,10 +318,20 @@
                         let part = archive.part(range).expect("the range is valid");
                         Ok(Answer::TextPart(part.expect("the text is kept")))
                     }
+                    Body::FindOrigin(_) => Ok(Answer::Origin(None)),
                     _ => Err(Failure::NoLeader),
                 };
                 Some(Frame::Answer(id, answer))
             }
+            Frame::Push(Push::Upstreams(deltas)) => {
+                let mut changed = self.changed.lock().unwrap_or_else(PoisonError::into_inner);
+                changed.extend(deltas.into_iter().map(|delta| match delta {
+                    Delta::Full(full) => full.announcement.upstream,
+                    Delta::Renewal(renewal) => renewal.1,
+                    Delta::Leave(upstream, _) => upstream,
+                }));
+                None
+            }
             Frame::Push(Push::Log { message, .. }) => {
                 let message = ciborium::from_reader(message.as_ref());
                 if let (Some(replica), Ok(message)) = (&self.replica, message) {
--- a/components/entry/src/announce.rs
+++ b/components/entry/src/announce.rs
@@ -20,7 +20,7 @@
 /// # Errors
 /// If the announcement is forged, malformed or outdated, its lease is too long or its service is
 /// unknown.
-pub(crate) fn accept<C: Control>(
+pub(crate) async fn accept<C: Control>(
     core: &Core<C>,
     headers: &HeaderMap,
     body: &Bytes,
@@ -45,8 +45,12 @@
         sequence = announcement.sequence,
         "upstream: announced"
     );
-    core.control.announce(announcement);
+    let announced = core.control.announce(announcement).await;
     crate::sync::update(core);
+    announced.map_err(|error| {
+        let message = format_compact!("announce it to another entry: {error}");
+        Failure::new(Kind::Unavailable, message)
+    })?;
     Ok(Reply::json(
         StatusCode::OK,
         format!("{{\"renew_ms\":{renew_ms}}}"),
--- a/components/entry/src/handler.rs
+++ b/components/entry/src/handler.rs
@@ -127,7 +127,7 @@
     }
     let length = Length::from_headers(&head.headers);
     let body = body::read(body, length, limits(core)).await?;
-    announce::accept(core, &head.headers, &body)
+    announce::accept(core, &head.headers, &body).await
 }
 
 async fn handle_handover<C: Control>(
--- a/components/entry/src/handover/presence.rs
+++ b/components/entry/src/handover/presence.rs
@@ -7,6 +7,7 @@
 use compact_str::format_compact;
 use config::text::Class;
 use fleet::Control;
+use tracing::warn;
 use upstream::{Announcement, Availability, Capacity, Load, Role, Routes};
 
 use super::ENTRIES;
@@ -47,7 +48,7 @@
             true => Availability::Serving,
             false => Availability::Leaving,
         };
-        core.control.announce(Announcement {
+        let announced = core.control.announce(Announcement {
             upstream: name(&core.settings.node),
             incarnation,
             sequence,
@@ -64,6 +65,9 @@
             fence: 0,
             software: Default::default(),
         });
+        if let Err(error) = announced.await {
+            warn!("handover: the other entries may not know that this one leaves: {error}");
+        }
     }
 }
 
--- a/components/entry/tests/path/completeness.rs
+++ b/components/entry/tests/path/completeness.rs
@@ -232,7 +232,10 @@
         let other = Fake::start("entry:other");
         let serving = json!({"state": "serving"});
         let announced = announcement(&other.name, other.address, ENTRIES, 1, serving);
-        control.announce(serde_json::from_value(announced).expect("the announcement is valid"));
+        let announced = serde_json::from_value(announced).expect("the announcement is valid");
+        let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+        let announced = runtime.block_on(control.announce(announced));
+        announced.expect("a serving entry is announced");
         other.script([Behaviour::Framed(framing, end)]);
         let headers = [("idempotency-key", "k1"), ("last-event-id", "2")];
         let body = completion("ticket", TOKENS, true);
--- a/components/entry/tests/path/handover.rs
+++ b/components/entry/tests/path/handover.rs
@@ -29,8 +29,8 @@
         self.0.view()
     }
 
-    fn announce(&self, announcement: Announcement) {
-        self.0.announce(announcement);
+    async fn announce(&self, announcement: Announcement) -> errors::Result<()> {
+        self.0.announce(announcement).await
     }
 
     async fn draw(&self, draws: Vec<Draw>) -> errors::Result<Vec<Grant>> {
--- a/components/entry/tests/path/keyed.rs
+++ b/components/entry/tests/path/keyed.rs
@@ -132,8 +132,8 @@
         self.inner.view()
     }
 
-    fn announce(&self, announcement: Announcement) {
-        self.inner.announce(announcement);
+    async fn announce(&self, announcement: Announcement) -> Result<()> {
+        self.inner.announce(announcement).await
     }
 
     async fn draw(&self, draws: Vec<Draw>) -> Result<Vec<Grant>> {
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -15,8 +15,12 @@
     /// Returns the view of the fleet, which the implementation keeps up to date.
     fn view(&self) -> &Arc<ArcSwap<View>>;
 
-    /// Applies an announcement that an upstream sent to this entry, and relays it.
-    fn announce(&self, announcement: Announcement);
+    /// Applies an announcement that an upstream sent to this entry, and relays it. One by which the
+    /// upstream leaves is held by others when this returns.
+    ///
+    /// # Errors
+    /// If too few others hold it; it may be lost with this entry.
+    fn announce(&self, announcement: Announcement) -> impl Future<Output = Result<()>> + Send;
 
     /// Reports the use of accounts' limits, and returns a grant for each report, in order.
     fn draw(&self, draws: Vec<Draw>) -> impl Future<Output = Result<Vec<Grant>>> + Send;
--- a/components/fleet/src/member.rs
+++ b/components/fleet/src/member.rs
@@ -22,7 +22,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 use tracing::info;
-use upstream::Announcement;
+use upstream::{Announcement, Availability};
 use wire::{Answer, Balances, Body, Overview, Report, Request, Role, Statements};
 
 use crate::claim::{Claim, Settlement, Verdict};
@@ -242,8 +242,12 @@
         &self.shared.view
     }
 
-    fn announce(&self, announcement: Announcement) {
-        self.shared.handle_announcement(announcement);
+    async fn announce(&self, announcement: Announcement) -> Result<()> {
+        match announcement.availability {
+            Availability::Serving => self.shared.handle_announcement(announcement),
+            _ => return self.shared.handle_leave(announcement).await,
+        }
+        Ok(())
     }
 
     async fn draw(&self, draws: Vec<Draw>) -> Result<Vec<Grant>> {
--- a/components/fleet/src/member/announcements.rs
+++ b/components/fleet/src/member/announcements.rs
@@ -4,7 +4,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use config::ids::UpstreamId;
+use config::ids::{NodeId, UpstreamId};
+use errors::{Error, Peer, Result, Step};
 use indexmap::IndexSet;
 use link::Connection;
 use tokio::sync::Notify;
@@ -14,7 +15,7 @@
 use wire::{Answer, Body, Delta, Failure, Push};
 
 use super::Shared;
-use crate::{Update, View, inform};
+use crate::{Holders, Update, View, inform};
 
 /// Time for which renewals are collected before they are relayed in one batch.
 const BATCH_WINDOW: Duration = Duration::from_millis(200);
@@ -83,6 +84,45 @@
         }
     }
 
+    /// Applies an announcement by which an upstream leaves, and returns once a majority of the control
+    /// processes holds it.
+    ///
+    /// # Errors
+    /// If a majority does not confirm that in time.
+    pub(crate) async fn handle_leave(&self, announcement: Announcement) -> Result<()> {
+        let now = Instant::now();
+        let upstream = announcement.upstream.clone();
+        let (stored, delta) = {
+            let mut directory = self.directory();
+            let stored = directory.insert(announcement, now);
+            (stored, directory.full_delta(&upstream, now))
+        };
+        if let Some(announcement) = stored {
+            self.queue.push(announcement, now, false);
+        }
+        let deltas = delta.into_iter().collect();
+        let holders = self.holders();
+        match holders.hold(deltas, |body| self.request(body)).await {
+            true => Ok(()),
+            false => {
+                let peer = Peer::Name("control".into());
+                let reason = format!("too few hold that \"{upstream}\" leaves");
+                Err(Error::Protocol(Step::Commit, peer, reason))
+            }
+        }
+    }
+
+    /// Returns the control processes of which a majority has to hold a leave.
+    fn holders(&self) -> Holders {
+        let mut members: Vec<NodeId> = self.group().iter().cloned().collect();
+        if members.is_empty() {
+            let peers = self.settings.peers.iter();
+            members = peers.map(|peer| peer.node.clone()).collect();
+        }
+        let connections = self.links.connections().values().cloned().collect();
+        Holders::majority(&members, &self.identity.node, connections)
+    }
+
     /// Applies deltas that a control process relayed, and requests missing announcements from it.
     pub(crate) fn apply_deltas(&self, deltas: Vec<Delta>, age: Duration, from: &Connection) {
         let now = Instant::now();
--- a/components/fleet/src/standalone.rs
+++ b/components/fleet/src/standalone.rs
@@ -64,7 +64,7 @@
         &self.view
     }
 
-    fn announce(&self, announcement: Announcement) {
+    async fn announce(&self, announcement: Announcement) -> Result<()> {
         let now = Instant::now();
         let expires = now + Duration::from_millis(announcement.lease_ms);
         self.view.rcu(|view| {
@@ -75,6 +75,7 @@
                 ..(**view).clone()
             }
         });
+        Ok(())
     }
 
     async fn draw(&self, draws: Vec<Draw>) -> Result<Vec<Grant>> {
