Refuse heartbeats that no upstream sends, and keep upstreams in their service

One heartbeat without four of its fields, with the id and address of an upstream of one service and the name of another, moved the upstream: a third to more than half of the other service's requests ran there, and its answers reached callers as successes.

While an upstream serves and its lease is valid it stays in its service, and its process at its address; what is known of it stands.

--- a/components/control/src/announcements.rs
+++ b/components/control/src/announcements.rs
@@ -22,7 +22,7 @@
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, UpstreamId};
-use fleet::{Directory, Leave, Update, inform};
+use fleet::{Conflict, Directory, Leave, Update, inform};
 use indexmap::IndexSet;
 use link::Connection;
 use state::{Command, Output};
@@ -135,12 +135,18 @@
 
     /// Applies an announcement that an upstream sent to this process, and forwards it. One by which
     /// the upstream leaves is left to [`Node::hold_leave`].
-    pub(crate) fn handle_announcement(&self, announcement: Announcement) {
+    ///
+    /// # Errors
+    /// If it can't be of the upstream that it names; what is known of that one stands.
+    pub(crate) fn handle_announcement(&self, announcement: Announcement) -> Result<(), Conflict> {
         let upstream = announcement.upstream.clone();
         let availability = announcement.availability;
         let (before, stored) = {
             let now = Instant::now();
             let mut directory = self.announcements.directory();
+            if let Some(conflict) = directory.conflict(&announcement, now) {
+                return Err(conflict);
+            }
             let before = directory.availability(&upstream);
             (before, directory.insert(announcement, now))
         };
@@ -155,6 +161,7 @@
                 }
             }
         }
+        Ok(())
     }
 
     /// Marks an upstream as leaving, after it reported to this process that it leaves.
--- a/components/control/src/external/server.rs
+++ b/components/control/src/external/server.rs
@@ -87,10 +87,13 @@
             Operation::Announce(announcement) => {
                 let upstream = announcement.upstream.clone();
                 let leaves = announcement.availability != Availability::Serving;
-                self.handle_announcement(*announcement);
-                match leaves {
-                    true => leave_reply(self.hold_leave(upstream).await),
-                    false => Reply::Acknowledged,
+                match self.handle_announcement(*announcement) {
+                    Err(conflict) => {
+                        warn!(upstream = %upstream, "control: refused an announcement: {conflict}");
+                        Reply::Invalid(conflict.to_string())
+                    }
+                    Ok(()) if leaves => leave_reply(self.hold_leave(upstream).await),
+                    Ok(()) => Reply::Acknowledged,
                 }
             }
             Operation::Leave {
--- a/components/entry/src/announce.rs
+++ b/components/entry/src/announce.rs
@@ -1,10 +1,12 @@
 //! `POST /v1/upstreams`: an upstream joins, renews its lease or leaves.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use compact_str::format_compact;
 use fleet::Control;
 use http::{HeaderMap, StatusCode};
-use upstream::{Announcement, SIGNATURE_HEADER};
+use upstream::{Announcement, Route, SIGNATURE_HEADER};
 
 use crate::core::Core;
 use crate::failure::{Failure, Kind};
@@ -72,8 +74,19 @@
         let message = format_compact!("field \"address\" has no port");
         return Err(Failure::new(Kind::Invalid, message));
     }
-    let order = |a: &Announcement| (a.incarnation, a.sequence);
+    let now = Instant::now();
     let routes = core.control.view().load().routes.clone();
+    let is_known = |route: &&Route| route.announcement.upstream == announcement.upstream;
+    let elsewhere = routes
+        .all()
+        .filter(|route| route.announcement.service != service && route.takes_work(now))
+        .find(is_known);
+    if let Some(route) = elsewhere {
+        let known = &route.announcement.service;
+        let message = format_compact!("the upstream serves \"{known}\"");
+        return Err(Failure::new(Kind::Conflict, message));
+    }
+    let order = |a: &Announcement| (a.incarnation, a.sequence);
     let known = routes
         .for_service(service)
         .find(|route| route.announcement.upstream == announcement.upstream)
--- a/components/fleet/src/directory.rs
+++ b/components/fleet/src/directory.rs
@@ -3,10 +3,12 @@
 
 mod departures;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use config::ids::{Incarnation, UpstreamId};
+use config::ids::{Incarnation, ServiceId, UpstreamId};
 use indexmap::IndexMap;
+use quick_error::quick_error;
 use upstream::{Announcement, Availability};
 use wire::{AgedAnnouncement, Delta, Renewal, fingerprint};
 
@@ -35,6 +37,21 @@
     renewals: u32,
 }
 
+quick_error! {
+    /// Contradiction between an announcement and what is known of its upstream.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum Conflict {
+        /// The upstream serves another service.
+        Service(known: ServiceId) {
+            display("the upstream serves \"{known}\"")
+        }
+        /// The process of the upstream has another address.
+        Address(known: SocketAddr) {
+            display("the upstream's process is at {known}")
+        }
+    }
+}
+
 /// Effect of a leave on the directory.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Leave {
@@ -132,13 +149,35 @@
         Some(record.announcement.availability)
     }
 
+    /// Returns why an announcement that was made at `announced` can't be of the upstream that it names.
+    /// An upstream that serves stays in its service, and for as long as its process runs at its
+    /// address; another writer may name its id.
+    pub fn conflict(&self, announcement: &Announcement, announced: Instant) -> Option<Conflict> {
+        let record = self.records.get(&announcement.upstream)?;
+        let known = &record.announcement;
+        match known.availability {
+            Availability::Serving if announced < record.expires() => {}
+            _ => return None,
+        }
+        match announcement {
+            new if new.service != known.service => Some(Conflict::Service(known.service.clone())),
+            new if new.incarnation == known.incarnation && new.address != known.address => {
+                Some(Conflict::Address(known.address))
+            }
+            _ => None,
+        }
+    }
+
     /// Stores an announcement that was made at `announced`, and returns it if it is newer than the
-    /// known one. It is stored as leaving if a leave that arrived before applies to it.
+    /// known one and does not contradict it. It is stored as leaving if a leave that arrived before applies to it.
     pub fn insert(
         &mut self,
         announcement: Announcement,
         announced: Instant,
     ) -> Option<Announcement> {
+        if self.conflict(&announcement, announced).is_some() {
+            return None;
+        }
         let announcement = match self.departures.apply_to(&announcement, announced) {
             true => leaving(announcement),
             false => announcement,
--- a/components/fleet/tests/directory.rs
+++ b/components/fleet/tests/directory.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use config::ids::Incarnation;
-use fleet::{Directory, Leave, Update};
+use fleet::{Conflict, Directory, Leave, Update};
 use googletest::prelude::*;
 use upstream::{Announcement, Availability};
 use wire::{AgedAnnouncement, Delta};
@@ -109,3 +109,66 @@
     directory.remove_expired(now + Duration::from_secs(120));
     expect_that!(directory.full_deltas(now), is_empty());
 }
+
+/// Length of the announcements' lease.
+const LEASE: Duration = Duration::from_secs(6);
+
+fn of_service(service: &str, incarnation: Incarnation, sequence: u64) -> Announcement {
+    Announcement {
+        service: service.into(),
+        ..announcement(incarnation, sequence)
+    }
+}
+
+fn at_another_address(incarnation: Incarnation, sequence: u64) -> Announcement {
+    Announcement {
+        address: ([127, 0, 0, 1], 10).into(),
+        ..announcement(incarnation, sequence)
+    }
+}
+
+// Another writer that named a later start moved an upstream to another service.
+#[gtest]
+fn keeps_an_upstream_in_its_service_while_its_lease_is_valid() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.insert(announcement(5, 1), now);
+    let other = of_service("plates", 9, 1);
+    let conflict = directory.conflict(&other, now);
+    expect_that!(conflict, some(eq(&Conflict::Service("bookings".into()))));
+    expect_that!(directory.insert(other.clone(), now), none());
+    // Its own announcements go on counting, with the other writer's in turn.
+    for sequence in 2..5 {
+        let renewed = directory.insert(announcement(5, sequence), now);
+        expect_that!(renewed, some(anything()));
+        expect_that!(
+            directory.insert(of_service("plates", 9, sequence), now),
+            none()
+        );
+    }
+    // A service that changes does so once the upstream has left, or its lease has ended.
+    let mut left = directory.clone();
+    left.mark_leaving("u-1", Some(5), now);
+    expect_that!(left.insert(other.clone(), now), some(anything()));
+    expect_that!(directory.insert(other, now + LEASE), some(anything()));
+}
+
+#[gtest]
+fn lets_a_restart_change_the_address_but_not_a_running_process() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.insert(announcement(5, 1), now);
+    let moved = at_another_address(5, 2);
+    expect_that!(
+        directory.conflict(&moved, now),
+        some(matches_pattern!(Conflict::Address(anything())))
+    );
+    expect_that!(directory.insert(moved, now), none());
+    expect_that!(
+        directory.insert(at_another_address(6, 1), now),
+        some(anything())
+    );
+    // What the former process sent before arrives late.
+    expect_that!(directory.insert(announcement(5, 3), now), none());
+    expect_that!(directory.insert(at_another_address(6, 1), now), none());
+}
