Wait in a planned stop for requests that are still arriving

Of 30 clients that take 2.4 s to send a head, one got no answer: its request was passed on and ran, and the entry ended 5 s before it had to.

Cause: a request counted as in progress from the end of its head on. The entry ended 100 ms after none was in progress, and took requests within these 100 ms that it could not answer any more.

Change: the stop waits for open connections too; those that carry no request are closed before. Once the end has begun nothing is taken: heads and bodies that end then are refused as not run. As a request counts before it is taken, one check after closing shows that none is left.

--- a/components/gateway/src/drain.rs
+++ b/components/gateway/src/drain.rs
@@ -1,7 +1,7 @@
 //! The planned stop of the entry.
 
 use std::sync::OnceLock;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
@@ -14,6 +14,8 @@
 pub(crate) struct Drain {
     stopping: OnceLock<Instant>,
     in_progress: AtomicUsize,
+    /// Whether no request is taken any more.
+    closed: AtomicBool,
     /// Whether requests end that wait for an answer.
     ending: watch::Sender<bool>,
 }
@@ -54,6 +56,9 @@
         let Some(began) = self.stopping.get() else {
             return true;
         };
+        if self.is_closed() {
+            return false;
+        }
         let end = *began + schedule.end;
         match request.arrived < *began + schedule.balancer_lag {
             true => request.arrived + request.expected <= end,
@@ -64,8 +69,21 @@
         }
     }
 
-    /// Ends the requests that wait for an answer.
+    /// Takes no more requests, and reports whether none is in progress. If it returns true, none that
+    /// was taken is left: a request counts as in progress before it is taken.
+    pub(crate) fn close(&self) -> bool {
+        self.closed.store(true, Ordering::SeqCst);
+        self.in_progress() == 0
+    }
+
+    /// Reports whether no request is taken any more.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
+    /// Ends the requests that wait for an answer, and takes no more.
     pub(crate) fn end(&self) {
+        self.close();
         self.ending.send_replace(true);
     }
 
@@ -77,16 +95,16 @@
 
     /// Returns the number of requests in progress.
     pub(crate) fn in_progress(&self) -> usize {
-        self.in_progress.load(Ordering::Relaxed)
+        self.in_progress.load(Ordering::SeqCst)
     }
 
     /// Counts a request as in progress.
     pub(crate) fn enter(&self) {
-        self.in_progress.fetch_add(1, Ordering::Relaxed);
+        self.in_progress.fetch_add(1, Ordering::SeqCst);
     }
 
     /// Counts a request as finished.
     pub(crate) fn leave(&self) {
-        self.in_progress.fetch_sub(1, Ordering::Relaxed);
+        self.in_progress.fetch_sub(1, Ordering::SeqCst);
     }
 }
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -48,7 +48,11 @@
         close_if_stopping(&core, answer)
     };
     let limits = core.table.load().limits();
-    let bytes = match web::collect(body, limits.body_bytes, limits.idle_timeout).await {
+    let collected = tokio::select! {
+        collected = web::collect(body, limits.body_bytes, limits.idle_timeout) => collected,
+        () = core.drain.ended() => return refuse(request_log, &Refusal::Stopping),
+    };
+    let bytes = match collected {
         web::Collected::Complete(bytes) => bytes,
         web::Collected::TooLarge => return refuse(request_log, &Refusal::TooLarge),
         web::Collected::TimedOut => return refuse(request_log, &Refusal::SlowBody),
@@ -85,11 +89,14 @@
     lock(&core.retries).record_request(&call.service, since_start);
     lock(&core.demand).add(&call.service, call.prompt.as_ref());
     let mut attempts = Attempts::at(software);
-    let dispatched = tokio::select! {
-        dispatched = dispatch::dispatch(&core, &call, None, &mut attempts, &mut request_log) => {
-            dispatched
-        }
-        () = core.drain.ended() => Err(Refusal::Lost("this entry stops".to_owned())),
+    let dispatched = match core.drain.is_closed() {
+        true => Err(Refusal::Stopping),
+        false => tokio::select! {
+            dispatched = dispatch::dispatch(&core, &call, None, &mut attempts, &mut request_log) => {
+                dispatched
+            }
+            () = core.drain.ended() => Err(Refusal::Lost("this entry stops".to_owned())),
+        },
     };
     match dispatched {
         Ok(answer) => close_if_stopping(
--- a/components/gateway/src/forward/server.rs
+++ b/components/gateway/src/forward/server.rs
@@ -30,7 +30,10 @@
     request_log.set_id(&attempt.request);
     request_log.set_forwarded_by(&attempt.entry);
     let limits = core.table.load().limits();
-    let collected = web::collect(body, limits.body_bytes, limits.idle_timeout).await;
+    let collected = tokio::select! {
+        collected = web::collect(body, limits.body_bytes, limits.idle_timeout) => collected,
+        () = core.drain.ended() => return refuse(request_log, unable("this entry stops")),
+    };
     let web::Collected::Complete(bytes) = collected else {
         return refuse(request_log, unable("the body is not complete"));
     };
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -108,6 +108,14 @@
     _metrics: Option<web::Server>,
 }
 
+impl Servers {
+    /// Returns the number of open connections of callers and other entries.
+    fn open_connections(&self) -> usize {
+        let servers = self.forwarded.iter().chain([&self.callers]);
+        servers.map(web::Server::open_connections).sum()
+    }
+}
+
 fn build_core(settings: Settings, protocol: Arc<dyn Protocol>, member: Member) -> Arc<Core> {
     let now = Instant::now();
     let unix_ms = SystemTime::now()
@@ -203,8 +211,9 @@
 }
 
 /// Accepts connections until the external load balancer has noticed the stop, and returns once no
-/// request is in progress or the drain timeout has passed. Requests that still wait for an answer then
-/// get one shortly before.
+/// request is in progress and no connection is open, or the drain timeout has passed. A request whose
+/// head is still arriving is not in progress yet, but its connection is open. Requests that still wait
+/// for an answer then get one shortly before.
 async fn stop(core: &Core, servers: &Servers) {
     let began = Instant::now();
     let schedule = core.settings.schedule();
@@ -212,8 +221,8 @@
     let mut is_retired = false;
     loop {
         let waited = began.elapsed();
-        let is_idle = core.drain.in_progress() == 0 && waited >= schedule.balancer_lag;
-        if is_idle {
+        let is_quiet = waited >= schedule.balancer_lag && servers.open_connections() == 0;
+        if is_quiet && core.drain.close() {
             break;
         }
         if waited >= schedule.end {
@@ -234,6 +243,7 @@
     servers.forwarded.iter().for_each(web::Server::stop);
     sleep(CLOSE_DELAY).await;
     info!(
+        open = servers.open_connections(),
         "gateway: stopped, {} requests in progress",
         core.drain.in_progress()
     );
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -14,7 +14,7 @@
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tracing::warn;
 
 use crate::abort::Abort;
@@ -22,6 +22,9 @@
 
 /// Pause after the listener failed to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time within which a connection that is accepted while the others are retiring carries a request, or
+/// is closed.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -161,16 +164,20 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
     let mut phases = shared.phase.subscribe();
-    // A connection that is accepted while the others are retiring carries a new request, so
-    // it is kept open until the stop.
-    let end_phase = match *phases.borrow() {
-        Phase::Serving => Phase::Retiring,
-        Phase::Retiring | Phase::Stopping => Phase::Stopping,
+    let accepted_in = *phases.borrow();
+    let retired = async {
+        match accepted_in {
+            Phase::Serving => wait_for_phase(&mut phases, Phase::Retiring).await,
+            Phase::Retiring | Phase::Stopping => {
+                let stopping = wait_for_phase(&mut phases, Phase::Stopping);
+                let _ = timeout(FIRST_REQUEST_TIMEOUT, stopping).await;
+            }
+        }
     };
     // An error affects this connection only; the client sees it closed.
     let _ = tokio::select! {
         ended = served.as_mut() => ended,
-        () = wait_for_phase(&mut phases, end_phase) => {
+        () = retired => {
             served.as_mut().graceful_shutdown();
             served.await
         }
