Ask the control processes for versions when a stream is taken up

An entry that had been cut off for less than its lease took a stream up at the only software version that it knew; the stream had begun at another one.

Cause: whether the entry knows all versions was read from a lease that is valid for 3 s after the last answer of the leader.

Change: a request that takes up a stream without naming its beginning asks a majority of the control processes which versions of the service they know (ListSoftware, level 4), and is refused as not run if they know another one or don't answer within 400 ms. Other requests don't ask.

--- a/components/config/src/release.rs
+++ b/components/config/src/release.rs
@@ -16,7 +16,7 @@
 pub const EDITS: Level = 2;
 /// Adds the declaration of the level, and answers to requests that are not known.
 pub const DECLARED: Level = 3;
-/// Adds the request `Hold`.
+/// Adds the requests `Hold` and `ListSoftware`.
 pub const HOLDS: Level = 4;
 /// Level of this build.
 pub const OWN: Level = HOLDS;
--- a/components/control/src/announcements.rs
+++ b/components/control/src/announcements.rs
@@ -21,14 +21,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use config::ids::{Incarnation, UpstreamId};
+use config::ids::{Incarnation, ServiceId, UpstreamId};
 use fleet::{Conflict, Directory, Leave, Update, inform};
 use indexmap::IndexSet;
 use link::Connection;
 use state::{Command, Output};
 use tokio::time::{sleep, timeout};
 use tracing::info;
-use upstream::{Announcement, Availability};
+use upstream::{Announcement, Availability, Software};
 use wire::{Delta, Push, Role};
 
 use crate::Node;
@@ -121,6 +121,12 @@
         std::mem::take(&mut *deferred)
     }
 
+    /// Returns the software versions of a service's upstreams, also of those that left a short time
+    /// ago.
+    pub(crate) fn software_of(&self, service: &ServiceId) -> Vec<Software> {
+        self.directory().software_of(service)
+    }
+
     /// Returns the announcements whose lease has not expired.
     pub(crate) fn live(&self) -> Vec<Announcement> {
         self.directory().live(Instant::now()).cloned().collect()
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -193,6 +193,9 @@
                 }
                 Some(Answer::Done)
             }
+            Body::ListSoftware(service) => {
+                Some(Answer::Software(self.announcements.software_of(service)))
+            }
             Body::FindOrigin(key) => Some(Answer::Origin(self.origins().find(key).cloned())),
             _ => None,
         }
@@ -290,6 +293,7 @@
         Body::RecordOrigin(_) => "record-origin",
         Body::FindOrigin(_) => "find-origin",
         Body::Hold(_) => "hold",
+        Body::ListSoftware(_) => "list-software",
         Body::Query(_) => "query",
     }
 }
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -111,9 +111,11 @@
                 let drawn = workload.permits().draw(&wanted, count, serving, now);
                 Ok(Answer::Permits(drawn))
             }
-            Body::RecordOrigin(_) | Body::FindOrigin(_) | Body::FetchText(_) | Body::Hold(_) => {
-                Err(Failure::Refused("the leader is not needed for it".into()))
-            }
+            Body::RecordOrigin(_)
+            | Body::FindOrigin(_)
+            | Body::ListSoftware(_)
+            | Body::FetchText(_)
+            | Body::Hold(_) => Err(Failure::Refused("the leader is not needed for it".into())),
             Body::Query(Query::Source) => {
                 self.read_barrier().await?;
                 let state = self.machine.read();
--- a/components/control/tests/releases/forms.rs
+++ b/components/control/tests/releases/forms.rs
@@ -120,6 +120,7 @@
         ("recordorigin".to_owned(), Body::RecordOrigin(origin)),
         ("findorigin".to_owned(), Body::FindOrigin(key)),
         body("Hold", json!([{"l": ["u-1", 5]}])),
+        body("ListSoftware", json!("model")),
         ("query".to_owned(), Body::Query(Query::Source)),
         body("DrawPermits", json!({"wanted": [["u-1", 5]], "count": 2})),
         body(
@@ -177,6 +178,10 @@
             "overview",
             Frame::Answer(1, Ok(from(json!({"Overview": overview})))),
         ),
+        named(
+            "software",
+            Frame::Answer(1, Ok(from(json!({"Software": ["v1"]})))),
+        ),
         named("done", Frame::Answer(1, Ok(Answer::Done))),
         named("no-leader", Frame::Answer(1, Err(Failure::NoLeader))),
         named(
--- a/components/fleet/src/directory.rs
+++ b/components/fleet/src/directory.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, ServiceId, UpstreamId};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use quick_error::quick_error;
-use upstream::{Announcement, Availability};
+use upstream::{Announcement, Availability, Software};
 use wire::{AgedAnnouncement, Delta, Renewal, fingerprint};
 
 use departures::Departures;
@@ -143,6 +143,17 @@
             .collect()
     }
 
+    /// Returns the software versions of a service's upstreams, each once, also of those whose lease
+    /// expired a short time ago.
+    pub fn software_of(&self, service: &ServiceId) -> Vec<Software> {
+        let records = self.records.values();
+        let own = records.filter(|record| record.announcement.service == *service);
+        let versions: IndexSet<Software> = own
+            .map(|record| record.announcement.software.clone())
+            .collect();
+        versions.into_iter().collect()
+    }
+
     /// Returns the availability in the newest announcement of an upstream.
     pub fn availability(&self, upstream: &str) -> Option<Availability> {
         let record = self.records.get(upstream)?;
--- a/components/fleet/src/member/announcements.rs
+++ b/components/fleet/src/member/announcements.rs
@@ -112,8 +112,8 @@
         }
     }
 
-    /// Returns the control processes of which a majority has to hold a leave.
-    fn holders(&self) -> Holders {
+    /// Returns the control processes of which a majority decides for the group.
+    pub(super) fn holders(&self) -> Holders {
         let mut members: Vec<NodeId> = self.group().iter().cloned().collect();
         if members.is_empty() {
             let peers = self.settings.peers.iter();
--- a/components/fleet/src/member/origins.rs
+++ b/components/fleet/src/member/origins.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use config::ids::ServiceId;
+use indexmap::IndexSet;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 use upstream::{Origin, Software, StreamKey};
@@ -58,4 +60,30 @@
         }
         None
     }
+
+    /// Asks a majority of the control processes for the software versions of a service's upstreams,
+    /// including those that left a short time ago. Returns `None` if no majority answers within
+    /// `limit`: another part of the group may know others.
+    pub async fn list_software(
+        &self,
+        service: &ServiceId,
+        limit: Duration,
+    ) -> Option<IndexSet<Software>> {
+        let holders = self.shared.holders();
+        let mut answers = JoinSet::new();
+        for connection in holders.confirming {
+            let request = self.shared.request(Body::ListSoftware(service.clone()));
+            answers.spawn(async move { connection.call(request, limit).await });
+        }
+        let (mut answered, mut known) = (0, IndexSet::new());
+        while answered < holders.needed
+            && let Some(answer) = answers.join_next().await
+        {
+            if let Ok(Ok(Answer::Software(versions))) = answer {
+                answered += 1;
+                known.extend(versions);
+            }
+        }
+        (answered >= holders.needed).then_some(known)
+    }
 }
--- a/components/gateway/src/origin.rs
+++ b/components/gateway/src/origin.rs
@@ -43,18 +43,25 @@
     let software = match &call.resumes {
         Some(begun) => find_record(core, &key(call, begun)).await,
         // Callers that don't name the request know of one version only.
-        None if knows_all_versions(core, call) => {
-            lock(&core.balancer).only_software(&call.service).cloned()
-        }
+        None if is_settled(core, call) => find_only_version(core, call).await,
         None => None,
     };
     software.map(Some).ok_or(Refusal::UnknownOrigin)
 }
 
-/// Reports whether this entry has known all upstreams for as long as a stream of the route may go
-/// on. After a start it does not know those that have left before, and out of contact not those that
-/// have joined.
-fn knows_all_versions(core: &Core, call: &Call) -> bool {
+/// Returns the only version of the service's upstreams that this entry knows, if a majority of the
+/// control processes knows no other one now. What the entry knows may be older than its lease tells: it
+/// may just have been cut off, or have stood still.
+async fn find_only_version(core: &Core, call: &Call) -> Option<Software> {
+    let own = lock(&core.balancer).only_software(&call.service).cloned()?;
+    let known = core.member.list_software(&call.service, FIND_TIMEOUT);
+    let known = known.await?;
+    known.iter().all(|version| *version == own).then_some(own)
+}
+
+/// Reports whether this entry has been in contact for as long as a stream of the route may go on. After
+/// a start it does not know the upstreams that have left before.
+fn is_settled(core: &Core, call: &Call) -> bool {
     let is_settled = lock(&core.contact).is_settled(Instant::now());
     is_settled && core.started.elapsed() >= call.route.timeout * LIFETIME_PER_TIMEOUT
 }
--- a/components/wire/src/answer.rs
+++ b/components/wire/src/answer.rs
@@ -37,6 +37,8 @@
     TextPart(patch::Part),
     /// Answers `FindOrigin`; `None` if the version is not known here.
     Origin(Option<Software>),
+    /// Answers `ListSoftware`.
+    Software(Vec<Software>),
     /// Answers `Leave`, `RecordOrigin` and `Hold`.
     Done,
 }
--- a/components/wire/src/request.rs
+++ b/components/wire/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests that expect an answer.
 
-use config::ids::{Incarnation, NodeId, Version};
+use config::ids::{Incarnation, NodeId, ServiceId, Version};
 use config::release::{self, Level};
 use limits::{Draw, Process};
 use serde::{Deserialize, Serialize};
@@ -90,6 +90,9 @@
     /// A process that learned of changes of upstreams asks the receiver to hold them, before it
     /// acknowledges them. The receiver also relays them.
     Hold(Vec<Delta>),
+    /// An entry asks for the software versions of the upstreams of a service, including those that
+    /// left a short time ago. Every control process answers by itself.
+    ListSoftware(ServiceId),
     /// An operator reads the leader's state.
     Query(Query),
 }
@@ -100,7 +103,7 @@
         match self {
             Body::FetchText(_) | Body::Edit { .. } => release::EDITS,
             Body::DrawPermits { .. } => release::PERMITS,
-            Body::Hold(_) => release::HOLDS,
+            Body::Hold(_) | Body::ListSoftware(_) => release::HOLDS,
             Body::Confirm { .. }
             | Body::Leave
             | Body::Claim(_)
