Split the leader's requests by their subject

Change: node/take_over, node/entries and node/submissions; leader keeps the table of requests. No line of logic changed, the loop between leader and replacement is gone.

--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -2,6 +2,7 @@
 //! otherwise.
 
 mod background;
+mod entries;
 mod leader;
 mod meters;
 mod parsed_text;
@@ -10,6 +11,8 @@
 mod rate;
 mod replacement;
 mod settings;
+mod submissions;
+mod take_over;
 mod text_parts;
 mod token_limits;
 mod whole_texts;
