--- a/components/control/examples/group/measure.rs
+++ b/components/control/examples/group/measure.rs
@@ -4,8 +4,10 @@
 use std::time::{Duration, Instant};
 
 use config::text::Class;
+use control::external::{Operation, Reply};
 use fleet::Control;
 use fleet::claim::Claim;
+use tokio::task::JoinSet;
 use tokio::time::{interval, sleep};
 use upstream::{Announcement, Availability, Capacity, Load, Role};
 
@@ -16,6 +18,11 @@
 const CLAIM_TIME: Duration = Duration::from_secs(5);
 const IDLE_TIME: Duration = Duration::from_secs(10);
 const ENTRY_COUNT: usize = 10;
+/// Upstreams that leave within a second.
+const LEAVING: usize = 300;
+const LEAVE_VOTERS: usize = 3;
+/// Longer than collected announcements take to arrive.
+const SETTLING_TIME: Duration = Duration::from_secs(1);
 
 fn ms(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
@@ -139,6 +146,44 @@
     fleet.stop();
 }
 
+/// Measures the answers to upstreams that leave at one control process within a second, and what an
+/// entry receives for them.
+pub(crate) async fn leaves(entries: usize) {
+    let fleet = LocalFleet::start(LEAVE_VOTERS, entries).await;
+    for n in 0..LEAVING {
+        let node = &fleet.processes[0].as_ref().expect("it runs").node;
+        let announced = Operation::Announce(Box::new(announcement(n, 1)));
+        assert_eq!(node.execute(announced).await, Reply::Acknowledged);
+    }
+    sleep(SETTLING_TIME).await;
+    let (frames, bytes) = fleet.members[0].traffic();
+    let mut calls = JoinSet::new();
+    let mut ticks = interval(Duration::from_secs(1) / LEAVING as u32);
+    for n in 0..LEAVING {
+        ticks.tick().await;
+        let node = fleet.processes[0].as_ref().expect("it runs").node.clone();
+        calls.spawn(async move {
+            let leave = Operation::Leave {
+                upstream: announcement(n, 1).upstream,
+                incarnation: Some(1),
+            };
+            let asked = Instant::now();
+            assert_eq!(node.execute(leave).await, Reply::Acknowledged);
+            asked.elapsed()
+        });
+    }
+    let times = calls.join_all().await;
+    sleep(SETTLING_TIME).await;
+    let after = fleet.members[0].traffic();
+    print(&format!("leaves, {entries} entries"), times);
+    println!(
+        "leaves, {entries} entries: an entry received {} bytes in {} frames",
+        after.1 - bytes,
+        after.0 - frames
+    );
+    fleet.stop();
+}
+
 /// Renews the announcements of all upstreams, in ten parts over half a second and over all entries.
 async fn announce(fleet: &LocalFleet, upstreams: usize, sequence: u64) {
     let parts = 10;
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -9,6 +9,7 @@
 mod performance;
 mod quorum;
 mod rate;
+mod refusals;
 mod replacement;
 mod settings;
 mod submissions;
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -10,7 +10,7 @@
 use config::Text;
 use config::ids::{AccountId, NodeId, ServiceId, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
-use limits::{Permits, Refusals};
+use limits::Permits;
 use performance::{Load, Model, Sizing};
 use quarantine::{Evidence, Kind, Record};
 use state::usage::{Counts, Window};
@@ -19,6 +19,7 @@
 
 use super::performance::{Performance, objective};
 use super::rate::{Demand, Rate};
+use super::refusals::Records as RefusalRecords;
 use super::token_limits::{EntryProcess, TokenLimits};
 
 /// Time after an entry's last report for which its work is counted.
@@ -41,8 +42,7 @@
     /// Evidence about requests that crash upstreams.
     requests: Evidence,
     permits: Permits,
-    /// What the upstreams of a service said about the refusals that they bear, and when.
-    refusals: IndexMap<ServiceId, (Option<u32>, Instant)>,
+    refusals: RefusalRecords,
     /// Started requests by usage window, process and account.
     window_counts: IndexMap<Window, IndexMap<EntryProcess, Counts>>,
     rates: IndexMap<ServiceId, Rate>,
@@ -86,7 +86,7 @@
             parts: Evidence::new(Kind::Part, 0, &[], now),
             requests: Evidence::new(Kind::Request, 0, &[], now),
             permits: Permits::new(0),
-            refusals: IndexMap::new(),
+            refusals: RefusalRecords::default(),
             window_counts: IndexMap::new(),
             rates: IndexMap::new(),
             performance: Performance::default(),
@@ -109,7 +109,7 @@
         self.parts = Evidence::new(Kind::Part, term, verdicts, now);
         self.requests = Evidence::new(Kind::Request, term, verdicts, now);
         self.permits = Permits::new(term);
-        self.refusals.clear();
+        self.refusals = RefusalRecords::default();
         self.rates.clear();
     }
 
@@ -137,7 +137,7 @@
         let requests = self.requests.record(&process, &report.requests, now);
         let limits = self.record_limits(&report.limits, now);
         let permits = self.permits.offer(now);
-        self.record_refusals(&report.refusals, now);
+        self.refusals.record(&report.refusals, now);
         self.performance
             .record(&report.samples, &report.models, now);
         let models = text.map(|text| self.performance.models(text, now));
@@ -172,42 +172,19 @@
             requests,
             limits,
             permits,
-            refusals: self.refusals(now),
+            refusals: self.refusals.statements(now),
             position: self.position(&node, now),
             forwarders,
             models: models.unwrap_or_default(),
         }
     }
 
-    /// Records what upstreams said about refusals. Of two statements the later one counts.
-    fn record_refusals(&mut self, statements: &[Refusals], now: Instant) {
-        for statement in statements {
-            let age = Duration::from_millis(statement.age_ms);
-            let said = now.checked_sub(age).unwrap_or(now);
-            let known = self.refusals.get(&statement.service);
-            if known.is_none_or(|(_, known)| *known < said) {
-                let service = statement.service.clone();
-                self.refusals.insert(service, (statement.bearable, said));
-            }
-        }
-    }
-
-    fn refusals(&self, now: Instant) -> Vec<Refusals> {
-        let statements = self.refusals.iter().map(|(service, (bearable, said))| {
-            let age = now.saturating_duration_since(*said);
-            Refusals {
-                service: service.clone(),
-                bearable: *bearable,
-                age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            }
-        });
-        statements.collect()
-    }
-
     /// Returns the position of an entry among those that reported, and their number, while upstreams
     /// bear few refusals.
     fn position(&self, node: &NodeId, now: Instant) -> Option<(u32, u32)> {
-        self.refusals.values().find_map(|(bearable, _)| *bearable)?;
+        if !self.refusals.any_bears_few() {
+            return None;
+        }
         let live = self
             .entries
             .iter()
--- a/components/fleet/src/directory.rs
+++ b/components/fleet/src/directory.rs
@@ -2,6 +2,7 @@
 //! call.
 
 mod departures;
+mod record;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -10,9 +11,10 @@
 use indexmap::{IndexMap, IndexSet};
 use quick_error::quick_error;
 use upstream::{Announcement, Availability, Software};
-use wire::{AgedAnnouncement, Delta, Renewal, fingerprint};
+use wire::{Delta, fingerprint};
 
 use departures::Departures;
+use record::Record;
 
 /// Renewals after which the full announcement is relayed again.
 const RENEWALS_PER_FULL: u32 = 20;
@@ -29,14 +31,6 @@
     departures: Departures,
 }
 
-#[derive(Clone, Debug)]
-struct Record {
-    announcement: Announcement,
-    announced: Instant,
-    fingerprint: u64,
-    renewals: u32,
-}
-
 quick_error! {
     /// Contradiction between an announcement and what is known of its upstream.
     #[derive(Clone, Debug, Eq, PartialEq)]
@@ -78,44 +72,6 @@
     Missing(UpstreamId),
 }
 
-impl Record {
-    fn expires(&self) -> Instant {
-        self.announced + Duration::from_millis(self.announcement.lease_ms)
-    }
-
-    /// Returns the age in milliseconds, rounded up so that relaying it never extends a lease.
-    fn age_ms(&self, now: Instant) -> u64 {
-        let age = now.saturating_duration_since(self.announced);
-        u64::try_from(age.as_millis() + 1).unwrap_or(u64::MAX)
-    }
-
-    fn full_delta(&self, now: Instant) -> Delta {
-        Delta::Full(AgedAnnouncement {
-            age_ms: self.age_ms(now),
-            announcement: self.announcement.clone(),
-        })
-    }
-
-    fn renewal_delta(&self, now: Instant) -> Delta {
-        let announcement = &self.announcement;
-        let load = announcement.load;
-        Delta::Renewal(Renewal(
-            announcement.service.clone(),
-            announcement.upstream.clone(),
-            announcement.incarnation,
-            self.fingerprint,
-            announcement.sequence,
-            self.age_ms(now),
-            (
-                load.running,
-                load.waiting,
-                load.queued_prefill_tokens,
-                load.age_ms,
-            ),
-        ))
-    }
-}
-
 impl Directory {
     /// Returns the number of known upstreams.
     pub fn len(&self) -> usize {
@@ -259,7 +215,7 @@
             Delta::Renewal(renewal) => {
                 let announced = announced_at(renewal.5);
                 match self.records.get(&renewal.1) {
-                    Some(record) if matches(record, &renewal) => {
+                    Some(record) if record.matches(&renewal) => {
                         let announcement = Announcement {
                             sequence: renewal.4,
                             load: renewal.load(),
@@ -267,7 +223,7 @@
                         };
                         self.update(announcement, announced)
                     }
-                    Some(record) if is_outdated(record, &renewal) => Update::Unchanged,
+                    Some(record) if record.outranks(&renewal) => Update::Unchanged,
                     _ => Update::Missing(renewal.1),
                 }
             }
@@ -319,12 +275,3 @@
         ..announcement
     }
 }
-
-fn matches(record: &Record, renewal: &Renewal) -> bool {
-    record.announcement.incarnation == renewal.2 && record.fingerprint == renewal.3
-}
-
-fn is_outdated(record: &Record, renewal: &Renewal) -> bool {
-    let announcement = &record.announcement;
-    (announcement.incarnation, announcement.sequence) >= (renewal.2, renewal.4)
-}
