Answer requests that arrive as a stopping server closes its listener

Cause: three in web::Server. Connections that waited to be accepted were dropped with the listener; a new connection without a byte read was closed at once, though its request lay in the socket's buffer; a kept one likewise. Ruled out: a request that waits for its upstream (those end 100 ms before).

Change: a stopping server accepts for 10 ms more, and each connection waits 50 ms for a request on its way; what is ready is read before the time is looked at.

Why it works: both the listener and the connections are polled after the event loop's turn in which the time ran out, so that all that arrived before that turn is read.

--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -25,6 +25,11 @@
 /// Time within which a connection that is accepted while the others are retiring carries a request, or
 /// is closed.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which a connection that is to close waits for a request that has been sent already.
+const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time for which a stopping server accepts the connections that wait for it. Less than the other limits, so
+/// that their requests are answered before the process ends.
+const LAST_ACCEPT_TIMEOUT: Duration = Duration::from_millis(10);
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -85,7 +90,8 @@
         self.shared.phase.send_replace(Phase::Retiring);
     }
 
-    /// Accepts no more connections, and closes each open one after its response in progress.
+    /// Accepts no more connections than those that wait already, and closes each one after its response in
+    /// progress. What was sent before is read first, which takes less than a tenth of a second.
     pub fn stop(&self) {
         self.shared.phase.send_replace(Phase::Stopping);
     }
@@ -97,10 +103,18 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let mut phases = shared.phase.subscribe();
+    // What has arrived goes before the end: the system resets the connections that wait at a listener
+    // when it is closed.
+    let stopped = async {
+        wait_for_phase(&mut phases, Phase::Stopping).await;
+        sleep(LAST_ACCEPT_TIMEOUT).await;
+    };
+    tokio::pin!(stopped);
     loop {
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            () = wait_for_phase(&mut phases, Phase::Stopping) => return,
+            () = stopped.as_mut() => return,
         };
         let settings = *shared.settings.borrow();
         match accepted {
@@ -173,9 +187,12 @@
                 let _ = timeout(FIRST_REQUEST_TIMEOUT, stopping).await;
             }
         }
+        sleep(LAST_REQUEST_TIMEOUT).await;
     };
-    // An error affects this connection only; the client sees it closed.
+    // A request that has arrived is read before the connection is closed as idle. An error affects this
+    // connection only; the client sees it closed.
     let _ = tokio::select! {
+        biased;
         ended = served.as_mut() => ended,
         () = retired => {
             served.as_mut().graceful_shutdown();
