Refuse announcements of our own interface that move a running process

Callers saw: an upstream of our own interface that named another address under the same start got 200, though what it said was ignored; one that left this way was told that its leave was held, and went on getting requests.

Cause: the entry checked the service only; fleet::Directory drops an announcement with another address silently. Change: the rule stands once, as Announcement::conflict_with; the entry answers 409 with it, the directory uses it.

--- a/components/control/src/announcements.rs
+++ b/components/control/src/announcements.rs
@@ -22,13 +22,13 @@
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, ServiceId, UpstreamId};
-use fleet::{Conflict, Directory, Leave, Update, inform};
+use fleet::{Directory, Leave, Update, inform};
 use indexmap::IndexSet;
 use link::Connection;
 use state::{Command, Output};
 use tokio::time::{sleep, timeout};
 use tracing::info;
-use upstream::{Announcement, Availability, Software};
+use upstream::{Announcement, Availability, Conflict, Software};
 use wire::{Delta, Push, Role};
 
 use crate::Node;
--- a/components/entry/src/announce.rs
+++ b/components/entry/src/announce.rs
@@ -77,19 +77,17 @@
     let now = Instant::now();
     let routes = core.control.view().load().routes.clone();
     let is_known = |route: &&Route| route.announcement.upstream == announcement.upstream;
-    let elsewhere = routes
-        .all()
-        .filter(|route| route.announcement.service != service && route.takes_work(now))
-        .find(is_known);
-    if let Some(route) = elsewhere {
-        let known = &route.announcement.service;
-        let message = format_compact!("the upstream serves \"{known}\"");
-        return Err(Failure::new(Kind::Conflict, message));
+    let known = routes.all().filter(is_known);
+    let conflict = known
+        .filter(|route| route.takes_work(now))
+        .find_map(|route| announcement.conflict_with(&route.announcement));
+    if let Some(conflict) = conflict {
+        return Err(Failure::new(Kind::Conflict, format_compact!("{conflict}")));
     }
     let order = |a: &Announcement| (a.incarnation, a.sequence);
     let known = routes
         .for_service(service)
-        .find(|route| route.announcement.upstream == announcement.upstream)
+        .find(is_known)
         .map(|route| order(&route.announcement));
     match known {
         Some(known) if known >= order(announcement) => {
--- a/components/entry/tests/path/announcements.rs
+++ b/components/entry/tests/path/announcements.rs
@@ -48,6 +48,21 @@
     expect_eq!(answer.status, 400);
 }
 
+// An announcement that named another address was acknowledged, although it was ignored.
+#[gtest]
+fn errors_on_an_announcement_that_moves_a_running_process() {
+    let bench = Bench::start();
+    let [fake, other] = ["shop-1", "shop-2"].map(Fake::start);
+    for state in ["serving", "leaving"] {
+        let serving = json!({"state": "serving"});
+        bench.announce_as("shop-1", fake.address, "shop", 1, serving);
+        let moved = bench.announce_as("shop-1", other.address, "shop", 2, json!({"state": state}));
+        expect_eq!(moved.status, 409);
+        expect_eq!(bench.get("/services/shop/x").status, 200);
+    }
+    expect_eq!(fake.executions(), 2);
+}
+
 #[gtest]
 fn sends_no_new_requests_to_an_upstream_that_is_leaving() {
     let bench = Bench::start();
--- a/components/fleet/src/directory.rs
+++ b/components/fleet/src/directory.rs
@@ -4,13 +4,11 @@
 mod departures;
 mod record;
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use config::ids::{Incarnation, ServiceId, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
-use quick_error::quick_error;
-use upstream::{Announcement, Availability, Software};
+use upstream::{Announcement, Availability, Conflict, Software};
 use wire::{Delta, fingerprint};
 
 use departures::Departures;
@@ -31,21 +29,6 @@
     departures: Departures,
 }
 
-quick_error! {
-    /// Contradiction between an announcement and what is known of its upstream.
-    #[derive(Clone, Debug, Eq, PartialEq)]
-    pub enum Conflict {
-        /// The upstream serves another service.
-        Service(known: ServiceId) {
-            display("the upstream serves \"{known}\"")
-        }
-        /// The process of the upstream has another address.
-        Address(known: SocketAddr) {
-            display("the upstream's process is at {known}")
-        }
-    }
-}
-
 /// Effect of a leave on the directory.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Leave {
@@ -110,26 +93,26 @@
         versions.into_iter().collect()
     }
 
+    /// Reports whether an announcement of an upstream is known whose lease has not expired.
+    pub fn knows(&self, upstream: &str, now: Instant) -> bool {
+        let record = self.records.get(upstream);
+        record.is_some_and(|record| now < record.expires())
+    }
+
     /// Returns the availability in the newest announcement of an upstream.
     pub fn availability(&self, upstream: &str) -> Option<Availability> {
         let record = self.records.get(upstream)?;
         Some(record.announcement.availability)
     }
 
-    /// Returns why an announcement that was made at `announced` can't be of the upstream that it names.
-    /// An upstream that serves stays in its service, and for as long as its process runs at its
-    /// address; another writer may name its id.
+    /// Returns why an announcement that was made at `announced` can't be of the upstream that it names. One
+    /// that leaves, or whose lease has expired, may come back as anything.
     pub fn conflict(&self, announcement: &Announcement, announced: Instant) -> Option<Conflict> {
         let record = self.records.get(&announcement.upstream)?;
         let known = &record.announcement;
         match known.availability {
-            Availability::Serving if announced < record.expires() => {}
-            _ => return None,
-        }
-        match announcement {
-            new if new.service != known.service => Some(Conflict::Service(known.service.clone())),
-            new if new.incarnation == known.incarnation && new.address != known.address => {
-                Some(Conflict::Address(known.address))
+            Availability::Serving if announced < record.expires() => {
+                announcement.conflict_with(known)
             }
             _ => None,
         }
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -13,7 +13,7 @@
 mod view;
 
 pub use control::Control;
-pub use directory::{Conflict, Directory, Leave, Update};
+pub use directory::{Directory, Leave, Update};
 pub use freshness::Freshness;
 pub use holders::{Holders, inform};
 pub use member::{Member, Settings};
--- a/components/fleet/tests/directory.rs
+++ b/components/fleet/tests/directory.rs
@@ -3,9 +3,9 @@
 use std::time::{Duration, Instant};
 
 use config::ids::Incarnation;
-use fleet::{Conflict, Directory, Leave, Update};
+use fleet::{Directory, Leave, Update};
 use googletest::prelude::*;
-use upstream::{Announcement, Availability};
+use upstream::{Announcement, Availability, Conflict};
 use wire::{AgedAnnouncement, Delta};
 
 fn announcement(incarnation: Incarnation, sequence: u64) -> Announcement {
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod blocks;
 pub mod cache;
 mod capacity;
+mod conflict;
 mod load;
 mod origins;
 pub mod prompt;
@@ -12,6 +13,7 @@
 
 pub use announcement::{Announcement, Availability, Role, Served, Software};
 pub use capacity::Capacity;
+pub use conflict::Conflict;
 pub use load::Load;
 pub use origins::{Origin, Origins, StreamKey};
 pub use routes::{Route, Routes};
