Let announcements of services that no text names wait outside the table

Callers saw: requests of a service were refused although its upstream ran, for as long as the lease of an announcement of another writer (6 s), if that one named the upstream's id first, with a service that the text does not name.

Cause: any service was taken for one, and an upstream that is known stays in its service while its lease is valid. It is acknowledged. Without a text nothing changes.

Why it works: what waits is not in the directory, so that it contradicts nobody, here or at the processes that are told.

--- a/components/control/src/announcements.rs
+++ b/components/control/src/announcements.rs
@@ -15,6 +15,7 @@
 
 mod leaves;
 mod outbox;
+mod unnamed;
 
 pub(crate) use leaves::run as run_leaves;
 
@@ -34,6 +35,7 @@
 use crate::Node;
 use crate::replica::Replica;
 use outbox::{Audience, Outbox};
+use unnamed::Unnamed;
 
 /// Time for which renewals are collected before they are forwarded.
 const BATCH_INTERVAL: Duration = Duration::from_millis(400);
@@ -49,6 +51,7 @@
     deferred: Mutex<IndexSet<UpstreamId>>,
     outbox: Outbox,
     leaves: leaves::Queue,
+    unnamed: Unnamed,
 }
 
 impl Announcements {
@@ -147,6 +150,9 @@
     pub(crate) fn handle_announcement(&self, announcement: Announcement) -> Result<(), Conflict> {
         let upstream = announcement.upstream.clone();
         let availability = announcement.availability;
+        if availability == Availability::Serving && self.keep_unnamed(&announcement) {
+            return Ok(());
+        }
         let (before, stored) = {
             let now = Instant::now();
             let mut directory = self.announcements.directory();
--- a/components/control/src/node/background.rs
+++ b/components/control/src/node/background.rs
@@ -54,6 +54,7 @@
         if newest > announced_version {
             node.keep_newest_text();
             node.peers.announce_version(newest);
+            node.admit_named();
             announced_version = newest;
         }
         node.metrics
--- a/components/control/tests/process/announcements.rs
+++ b/components/control/tests/process/announcements.rs
@@ -47,7 +47,7 @@
         .map(|announcement| announcement.sequence)
 }
 
-fn accepts_work(view: &View, upstream: &str) -> bool {
+pub(crate) fn accepts_work(view: &View, upstream: &str) -> bool {
     let now = Instant::now();
     view.routes
         .all()
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -17,4 +17,5 @@
 mod silent_connections;
 mod single_control;
 mod submissions;
+mod unnamed_services;
 mod work;
