Measure the waits for whole texts from one moment for all entries

Cause: each wait was measured from its own entry's connection on, so that entries which connect late, on a busy machine, seem not to wait.

Change: all 24 entries connect first, and the waits are from one moment on. Bounds and numbers stay; under no load all asked within a few milliseconds before, too, so the check is as strict.

--- a/components/control/tests/releases/main.rs
+++ b/components/control/tests/releases/main.rs
@@ -237,18 +237,19 @@
     assert_that!(older.connections(), eq(1));
 }
 
-/// Asks for a lease as an entry of a release that fetches no texts, and returns the time until it got
-/// one with the text.
-async fn time_to_text(address: SocketAddr, number: usize) -> Duration {
-    let name = format!("entry-{number}");
+/// Connects as an entry.
+async fn connect(address: SocketAddr, name: &str) -> Raw {
     let stream = TcpStream::connect(address).await.expect("it listens");
     let (socket, _) = client_async("ws://chervilloft/link", stream)
         .await
         .expect("the upgrade is accepted");
     let secret = Secret::new(SECRET);
-    let opened = Raw::open(socket, Side::Dialer, &name, Role::Entry, &secret).await;
-    let mut raw = opened.expect("the handshake is accepted");
-    let began = Instant::now();
+    let opened = Raw::open(socket, Side::Dialer, name, Role::Entry, &secret).await;
+    opened.expect("the handshake is accepted")
+}
+
+/// Asks for a lease as an entry of a release that fetches no texts, until it comes with the text.
+async fn wait_for_text(mut raw: Raw, name: String) {
     loop {
         let request = Request {
             node: name.as_str().into(),
@@ -265,7 +266,7 @@
             match wire::decode(&bytes).map(|envelope| envelope.2) {
                 Ok(Frame::Answer(_, Ok(Answer::FreshnessLease(lease)))) => {
                     assert!(lease.source.is_some(), "the lease carries the text");
-                    return began.elapsed();
+                    return;
                 }
                 Ok(Frame::Answer(_, Err(_))) => break,
                 _ => raw.send(Frame::Heartbeat).await.expect("it is open"),
@@ -279,8 +280,18 @@
     let group = Group::start().await;
     group.submit(&large_text(3)).await;
     let address = group.leader().await.peer_address;
-    let entries = (0..24).map(|number| tokio::spawn(time_to_text(address, number)));
-    let entries: Vec<_> = entries.collect();
+    let mut entries = Vec::new();
+    for number in 0..24 {
+        let name = format!("entry-{number}");
+        entries.push((connect(address, &name).await, name));
+    }
+    // All times are from here, so that an entry whose task starts late does not seem to wait less.
+    let began = Instant::now();
+    let entries = entries.into_iter().map(|(raw, name)| async move {
+        wait_for_text(raw, name).await;
+        began.elapsed()
+    });
+    let entries: Vec<_> = entries.map(tokio::spawn).collect();
     let mut times = Vec::new();
     for entry in entries {
         times.push(entry.await.expect("the entry gets the text"));
@@ -312,13 +323,7 @@
 async fn answers_a_request_of_a_later_release_and_keeps_the_connection() {
     let group = Group::start().await;
     let address = group.leader().await.peer_address;
-    let stream = TcpStream::connect(address).await.expect("it listens");
-    let (socket, _) = client_async("ws://chervilloft/link", stream)
-        .await
-        .expect("the upgrade is accepted");
-    let secret = Secret::new(SECRET);
-    let opened = Raw::open(socket, Side::Dialer, "entry-9", Role::Entry, &secret).await;
-    let mut raw = opened.expect("the handshake is accepted");
+    let mut raw = connect(address, "entry-9").await;
     let later_push = vec![(Value::from("p"), Value::from("LaterPush"))];
     raw.send_value(Value::Map(later_push)).await;
     raw.send_value(later_request()).await;
