Keep statements on refusals in one place, and an entry's places in their own file

Cause: the leader's records of what upstreams say on refusals and the balancer's were the same code twice; the balancer's file held two concerns, and imported the file of upstreams, which imported it. Change: limits::refusals::Records serves both; balancer/places.rs holds an entry's places at an upstream. No change of behaviour.

--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -9,7 +9,6 @@
 mod performance;
 mod quorum;
 mod rate;
-mod refusals;
 mod replacement;
 mod settings;
 mod submissions;
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -10,7 +10,7 @@
 use config::Text;
 use config::ids::{AccountId, NodeId, ServiceId, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
-use limits::Permits;
+use limits::{Permits, refusals};
 use performance::{Load, Model, Sizing};
 use quarantine::{Evidence, Kind, Record};
 use state::usage::{Counts, Window};
@@ -19,7 +19,6 @@
 
 use super::performance::{Performance, objective};
 use super::rate::{Demand, Rate};
-use super::refusals::Records as RefusalRecords;
 use super::token_limits::{EntryProcess, TokenLimits};
 
 /// Time after an entry's last report for which its work is counted.
@@ -42,7 +41,7 @@
     /// Evidence about requests that crash upstreams.
     requests: Evidence,
     permits: Permits,
-    refusals: RefusalRecords,
+    refusals: refusals::Records,
     /// Started requests by usage window, process and account.
     window_counts: IndexMap<Window, IndexMap<EntryProcess, Counts>>,
     rates: IndexMap<ServiceId, Rate>,
@@ -86,7 +85,7 @@
             parts: Evidence::new(Kind::Part, 0, &[], now),
             requests: Evidence::new(Kind::Request, 0, &[], now),
             permits: Permits::new(0),
-            refusals: RefusalRecords::default(),
+            refusals: refusals::Records::default(),
             window_counts: IndexMap::new(),
             rates: IndexMap::new(),
             performance: Performance::default(),
@@ -109,7 +108,7 @@
         self.parts = Evidence::new(Kind::Part, term, verdicts, now);
         self.requests = Evidence::new(Kind::Request, term, verdicts, now);
         self.permits = Permits::new(term);
-        self.refusals = RefusalRecords::default();
+        self.refusals = refusals::Records::default();
         self.rates.clear();
     }
 
@@ -137,7 +136,7 @@
         let requests = self.requests.record(&process, &report.requests, now);
         let limits = self.record_limits(&report.limits, now);
         let permits = self.permits.offer(now);
-        self.refusals.record(&report.refusals, now);
+        self.refusals.learn(&report.refusals, now);
         self.performance
             .record(&report.samples, &report.models, now);
         let models = text.map(|text| self.performance.models(text, now));
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -18,6 +18,7 @@
 mod home;
 mod limit;
 mod limits;
+mod places;
 mod prefixes;
 mod rates;
 mod serving;
--- a/components/gateway/src/balancer/brittle.rs
+++ b/components/gateway/src/balancer/brittle.rs
@@ -8,40 +8,29 @@
 use std::time::{Duration, Instant};
 
 use ::limits::Refusals;
+use ::limits::refusals::{Record, Records};
 use config::ids::ServiceId;
-use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::places::WINDOW;
 use super::upstream::Upstream;
 use super::{Balancer, Choice, Criteria, is_candidate};
 
-/// Time over which an upstream counts refusals, and a margin for the ways of two requests.
-const WINDOW: Duration = Duration::from_millis(1_150);
 /// Time for which a larger share is not used, so that the entries that held it know of it.
 const GROWTH_DELAY: Duration = Duration::from_millis(1_500);
-/// Time for which an upstream counts as full while the requests of this entry there go on.
-const FULL_TIME: Duration = Duration::from_secs(2);
 /// Time without a statement after which a service counts as sound.
 const STATEMENT_LIFETIME: Duration = Duration::from_secs(600);
 
 /// What the upstreams of each service said, and this entry's position among all.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Brittle {
-    services: IndexMap<ServiceId, Statement>,
+    services: Records,
     /// Position and number of the entries; `None` before the leader has told.
     position: Option<Position>,
     /// The position before, and when it changed.
     before: Option<(Option<Position>, Instant)>,
 }
 
-/// Newest statement of the upstreams of a service.
-#[derive(Clone, Copy, Debug)]
-struct Statement {
-    /// Refusals within a second that each of them bears; `None` if they are sound.
-    refusals: Option<u32>,
-    said: Instant,
-}
-
 /// Position of an entry among all, from 0.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Position {
@@ -62,63 +51,13 @@
     }
 }
 
-/// Places of one entry at one upstream.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Places {
-    /// Requests of which it is not known whether the upstream took them.
-    taken: u32,
-    /// Until when places are out of use.
-    spent: Vec<Instant>,
-    /// Requests of this entry that were in progress when the upstream last had no room, and until
-    /// when that counts.
-    full_at: Option<(u32, Instant)>,
-}
-
-impl Places {
-    pub(super) fn take(&mut self, now: Instant) {
-        self.spent.retain(|until| now < *until);
-        self.taken += 1;
-    }
-
-    /// Gives a place back.
-    pub(super) fn release(&mut self) {
-        self.taken = self.taken.saturating_sub(1);
-    }
-
-    /// Puts a place out of use, as the upstream refused the request or may have while `running` other
-    /// ones of this entry were in progress.
-    pub(super) fn spend(&mut self, running: u32, now: Instant) {
-        self.release();
-        self.spent.push(now + WINDOW);
-        self.full_at = Some((running, now + FULL_TIME));
-    }
-
-    /// Reports whether none of the requests that were in progress when the upstream had no room has
-    /// ended, of which `running` are in progress now.
-    fn is_full(&self, running: u32, now: Instant) -> bool {
-        let full_at = self.full_at.filter(|(_, until)| now < *until);
-        full_at.is_some_and(|(full_at, _)| running >= full_at.max(1))
-    }
-
-    fn in_use(&self, now: Instant) -> u32 {
-        let spent = self.spent.iter().filter(|until| now < **until);
-        self.taken + spent.count() as u32
-    }
-
-    /// Returns the time until a place comes back into use.
-    fn wait(&self, now: Instant) -> Option<Duration> {
-        let left = |until: &Instant| until.checked_duration_since(now);
-        self.spent.iter().filter_map(left).min()
-    }
-}
-
 impl Brittle {
     /// Returns how many refusals within a second each upstream of the service bears, if they are
     /// brittle.
     fn refusals(&self, service: &str, now: Instant) -> Option<u32> {
         let statement = self.services.get(service)?;
         let age = now.saturating_duration_since(statement.said);
-        statement.refusals.filter(|_| age < STATEMENT_LIFETIME)
+        statement.bearable.filter(|_| age < STATEMENT_LIFETIME)
     }
 
     /// Returns this entry's places at an upstream. Without a position it keeps one.
@@ -145,10 +84,10 @@
         !is_full && places.in_use(now) < self.share(name, all, now)
     }
 
-    fn record(&mut self, service: &ServiceId, refusals: Option<u32>, said: Instant) -> bool {
-        let statement = Statement { refusals, said };
-        let before = self.services.insert(service.clone(), statement);
-        before.and_then(|before| before.refusals) != refusals
+    /// Records a statement, and reports whether it is a change for its service.
+    fn record(&mut self, service: &ServiceId, bearable: Option<u32>, said: Instant) -> bool {
+        let before = self.services.replace(service, Record { bearable, said });
+        before.and_then(|before| before.bearable) != bearable
     }
 }
 
@@ -169,7 +108,7 @@
         let known = self.brittle.services.get(&service);
         // An answer without a statement may be older than one with it.
         let is_older = known.is_some_and(|known| sent_at < known.said);
-        let was_sound = known.is_none_or(|known| known.refusals.is_none());
+        let was_sound = known.is_none_or(|known| known.bearable.is_none());
         if refusals.is_none() && (was_sound || is_older) {
             return false;
         }
@@ -178,16 +117,7 @@
 
     /// Returns what the upstreams of each service said, for a report to the leader.
     pub fn brittle(&self, now: Instant) -> Vec<Refusals> {
-        let statements = self.brittle.services.iter();
-        let statements = statements.map(|(service, statement)| {
-            let age = now.saturating_duration_since(statement.said);
-            Refusals {
-                service: service.clone(),
-                bearable: statement.refusals,
-                age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            }
-        });
-        statements.collect()
+        self.brittle.services.statements(now)
     }
 
     /// Applies what upstreams said to other entries, and this entry's position among them.
@@ -197,15 +127,7 @@
         position: Option<Position>,
         now: Instant,
     ) {
-        for statement in statements {
-            let age = Duration::from_millis(statement.age_ms);
-            let said = now.checked_sub(age).unwrap_or(now);
-            let known = self.brittle.services.get(&statement.service);
-            if known.is_none_or(|known| known.said < said) {
-                self.brittle
-                    .record(&statement.service, statement.bearable, said);
-            }
-        }
+        self.brittle.services.learn(statements, now);
         if position.is_some() && position != self.brittle.position {
             let before = std::mem::replace(&mut self.brittle.position, position);
             self.brittle.before = Some((before, now));
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -10,12 +10,12 @@
 use wire::Work;
 
 use super::Outcome;
-use super::brittle::Places;
 use super::choice::{Choice, Criteria};
 use super::estimate::Estimate;
 use super::health::Health;
 use super::is_engine;
 use super::limit::Limit;
+use super::places::Places;
 use super::prefixes::Prefixes;
 
 /// Weight of the newest call in the average duration of plain calls.
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -27,7 +27,7 @@
 mod permits;
 mod policy;
 mod rate;
-mod refusals;
+pub mod refusals;
 mod report;
 mod share;
 mod sliding_window;
