--- a/components/entry/src/admit.rs
+++ b/components/entry/src/admit.rs
@@ -10,7 +10,7 @@
 use fleet::{Config, Control};
 use upstream::Routes;
 
-use crate::admission::{Permit, Quota, Slot, Waiter};
+use crate::admission::{Permits, Quota, Waiter};
 use crate::core::Core;
 use crate::exchange::Exchange;
 use crate::failure::{Failure, Kind};
@@ -28,13 +28,6 @@
     pub priority: Priority,
 }
 
-/// The account's slot and the service's permit of an admitted request, held until its end.
-#[derive(Debug)]
-pub(crate) struct Permits {
-    _slot: Slot,
-    _permit: Permit,
-}
-
 /// Admits a request of `tokens` tokens to the service that `exchange` names.
 ///
 /// # Errors
@@ -77,10 +70,7 @@
         .await?;
     core.budget.earn();
     exchange.apply(Event::Admitted);
-    exchange.hold(Permits {
-        _slot: slot,
-        _permit: permit,
-    });
+    exchange.hold(Permits::new(slot, permit));
     Ok(Admission { priority })
 }
 
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::admit::Permits;
+use crate::admission::Permits;
 use crate::failure::Failure;
 use crate::lifecycle::{self, Event};
 use crate::metrics::Metrics;
