Refuse announcements and deregistrations without names of fields

Callers would see: a deregistration with the body [] took its upstream out of service, and an array of the fields' values, without their names, counted as a heartbeat; at our own interface an announcement without a name of the upstream or data centre, or with an address of nobody, got 200.

Cause: serde takes an array of the fields' values for a struct; the entry checked the port of the address only. Change: upstream::Object decodes structs from objects only, in both decoders; Announcement::fault holds what both interfaces check.

--- a/components/entry/src/announce.rs
+++ b/components/entry/src/announce.rs
@@ -6,7 +6,7 @@
 use compact_str::format_compact;
 use fleet::Control;
 use http::{HeaderMap, StatusCode};
-use upstream::{Announcement, Route, SIGNATURE_HEADER};
+use upstream::{Announcement, Object, Route, SIGNATURE_HEADER};
 
 use crate::core::Core;
 use crate::failure::{Failure, Kind};
@@ -35,10 +35,11 @@
         let message = "the signature does not fit the body and the upstreams' secret";
         return Err(Failure::new(Kind::Unauthorized, message));
     }
-    let announcement: Announcement = serde_json::from_slice(body).map_err(|error| {
-        let message = format_compact!("the body is not an announcement: {error}");
-        Failure::new(Kind::Invalid, message)
-    })?;
+    let Object(announcement): Object<Announcement> =
+        serde_json::from_slice(body).map_err(|error| {
+            let message = format_compact!("the body is not an announcement: {error}");
+            Failure::new(Kind::Invalid, message)
+        })?;
     check(core, &announcement)?;
     let renew_ms = (announcement.lease_ms / RENEWALS_PER_LEASE).max(1);
     tracing::debug!(
@@ -70,9 +71,8 @@
         let message = format_compact!("field \"lease_ms\" must be 1 to {MAX_LEASE_MS}");
         return Err(Failure::new(Kind::Invalid, message));
     }
-    if announcement.address.port() == 0 {
-        let message = format_compact!("field \"address\" has no port");
-        return Err(Failure::new(Kind::Invalid, message));
+    if let Some(reason) = announcement.fault() {
+        return Err(Failure::new(Kind::Invalid, reason));
     }
     let now = Instant::now();
     let routes = core.control.view().load().routes.clone();
--- a/components/entry/tests/path/announcements.rs
+++ b/components/entry/tests/path/announcements.rs
@@ -1,7 +1,7 @@
 //! Announcements of upstreams.
 
 use googletest::prelude::*;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::bench::{Bench, announcement};
 use crate::fake::Fake;
@@ -48,6 +48,85 @@
     expect_eq!(answer.status, 400);
 }
 
+/// Signs and sends an announcement of which one field is replaced, or left out.
+fn announce_with(bench: &Bench, fake: &Fake, field: &str, value: Option<Value>) -> u16 {
+    let mut body = announcement(
+        "shop-1",
+        fake.address,
+        "shop",
+        1,
+        json!({"state": "serving"}),
+    );
+    let fields = body.as_object_mut().expect("it is an object");
+    match value {
+        Some(value) => fields.insert(field.to_owned(), value),
+        None => fields.remove(field),
+    };
+    bench.send_announcement(&body.to_string()).status
+}
+
+#[gtest]
+fn errors_on_announcements_in_which_a_field_is_missing_or_of_another_type() {
+    let bench = Bench::start();
+    let fake = Fake::start("shop-1");
+    let whole = announcement(
+        "shop-1",
+        fake.address,
+        "shop",
+        1,
+        json!({"state": "serving"}),
+    );
+    let optional = ["models"];
+    let others = [
+        json!(null),
+        json!(true),
+        json!(-1),
+        json!(0.5),
+        json!("text"),
+        json!([1]),
+        json!({"a": 1}),
+    ];
+    let kind = |value: &Value| std::mem::discriminant(value);
+    for (field, value) in whole.as_object().expect("it is an object") {
+        if !optional.contains(&field.as_str()) {
+            expect_eq!(
+                announce_with(&bench, &fake, field, None),
+                400,
+                "without {field}"
+            );
+        }
+        for other in others.iter().filter(|other| kind(other) != kind(value)) {
+            let status = announce_with(&bench, &fake, field, Some(other.clone()));
+            expect_eq!(status, 400, "{field}: {other}");
+        }
+        let twice = format!("{{\"{field}\":{value},{}", &whole.to_string()[1..]);
+        expect_eq!(bench.send_announcement(&twice).status, 400, "{field} twice");
+    }
+    for (field, value) in [
+        ("upstream", json!("")),
+        ("data_centre", json!("")),
+        ("address", json!("0.0.0.0:80")),
+        ("address", json!("224.0.0.1:80")),
+        ("address", json!("127.0.0.1:0")),
+        ("incarnation", json!(-1)),
+        ("sequence", json!(0.5)),
+        ("lease_ms", json!(0)),
+        ("lease_ms", json!(60_001)),
+        ("availability", json!({"state": "gone"})),
+        ("availability", json!({"state": "reclaimed"})),
+        ("class", json!("free")),
+        ("models", json!([{"model": "m"}])),
+        ("models", json!([["m", "1", []]])),
+        ("capacity", json!({"batch": -1})),
+        ("load", json!({"unknown": 1})),
+        ("unknown", json!(1)),
+    ] {
+        let status = announce_with(&bench, &fake, field, Some(value.clone()));
+        expect_eq!(status, 400, "{field}: {value}");
+    }
+    expect_eq!(bench.get("/services/shop/x").status, 503);
+}
+
 // An announcement that named another address was acknowledged, although it was ignored.
 #[gtest]
 fn errors_on_an_announcement_that_moves_a_running_process() {
--- a/components/entry/tests/path/bench.rs
+++ b/components/entry/tests/path/bench.rs
@@ -124,7 +124,7 @@
         let serving = json!({"state": "serving"});
         let mut body = announcement(name, fake.address, "assistant", 1, serving);
         body["software"] = software.into();
-        let answer = self.send_announcement(&body);
+        let answer = self.send_announcement(&body.to_string());
         assert_eq!(answer.status, 200, "{}", answer.body);
         fake
     }
@@ -142,14 +142,15 @@
         sequence: u64,
         state: Value,
     ) -> Answer {
-        self.send_announcement(&announcement(name, address, service, sequence, state))
+        let body = announcement(name, address, service, sequence, state);
+        self.send_announcement(&body.to_string())
     }
 
-    fn send_announcement(&self, body: &Value) -> Answer {
-        let body = body.to_string();
+    /// Signs and sends the body of an announcement.
+    pub(crate) fn send_announcement(&self, body: &str) -> Answer {
         let signature = Secret::new(UPSTREAM_SECRET).sign(body.as_bytes());
         let headers = [("chervilloft-signature", signature.as_str())];
-        call(self.address, "POST", "/v1/upstreams", &headers, &body)
+        call(self.address, "POST", "/v1/upstreams", &headers, body)
     }
 
     pub(crate) fn get(&self, path: &str) -> Answer {
--- a/components/upstream/src/announcement.rs
+++ b/components/upstream/src/announcement.rs
@@ -8,7 +8,7 @@
 use config::ids::{DataCentreId, Incarnation, ModelId, ServiceId, UpstreamId};
 use config::text::Class;
 
-use crate::{Capacity, Load};
+use crate::{Capacity, Load, object};
 
 /// Version of an upstream's software.
 pub type Software = CompactString;
@@ -35,11 +35,13 @@
     #[serde(default)]
     pub role: Role,
     /// Models it has loaded; empty for plain services.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "object::only_each")]
     pub models: Vec<Served>,
     /// Its capacity.
+    #[serde(deserialize_with = "object::only")]
     pub capacity: Capacity,
     /// Its load at the last measurement.
+    #[serde(deserialize_with = "object::only")]
     pub load: Load,
     /// Time for which the announcement is valid, in milliseconds.
     pub lease_ms: u64,
@@ -54,6 +56,27 @@
     pub software: Software,
 }
 
+impl Announcement {
+    /// Returns why the announcement names no upstream that could be called.
+    pub fn fault(&self) -> Option<&'static str> {
+        let address = self.address;
+        match self {
+            Announcement { upstream, .. } if upstream.is_empty() => {
+                Some("the upstream has no name")
+            }
+            Announcement { service, .. } if service.is_empty() => Some("the service has no name"),
+            Announcement { data_centre, .. } if data_centre.is_empty() => {
+                Some("the data centre has no name")
+            }
+            _ if address.port() == 0 => Some("the address has no port"),
+            _ if address.ip().is_unspecified() || address.ip().is_multicast() => {
+                Some("the address is not that of an upstream")
+            }
+            _ => None,
+        }
+    }
+}
+
 /// Whether an upstream accepts new work.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "state")]
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -7,6 +7,7 @@
 mod capacity;
 mod conflict;
 mod load;
+mod object;
 mod origins;
 pub mod prompt;
 mod routes;
@@ -15,6 +16,7 @@
 pub use capacity::Capacity;
 pub use conflict::Conflict;
 pub use load::Load;
+pub use object::Object;
 pub use origins::{Origin, Origins, StreamKey};
 pub use routes::{Route, Routes};
 
