--- a/components/control/tests/process/unnamed_services.rs
+++ b/components/control/tests/process/unnamed_services.rs
@@ -2,7 +2,7 @@
 
 use control::external::{Operation, Reply};
 use control::{MemoryReplica, Process};
-use fleet::Control;
+use fleet::{Control, Member};
 use googletest::prelude::*;
 use state::text::Replacement;
 use upstream::Announcement;
@@ -18,6 +18,15 @@
     }))
 }
 
+/// Starts a control process and an entry that has a text in force.
+async fn process_with_text() -> (Process<MemoryReplica>, Member) {
+    let process = control().await;
+    let entry = member("entry-1", process.peer_address);
+    process.node.execute(replacement(1, "first")).await;
+    wait_until(&entry, |view| fresh_version(view) == Some(1)).await;
+    (process, entry)
+}
+
 async fn acknowledges(process: &Process<MemoryReplica>, operation: Operation) -> bool {
     process.node.execute(operation).await == Reply::Acknowledged
 }
@@ -26,10 +35,7 @@
 // and named its id.
 #[tokio::test(flavor = "multi_thread")]
 async fn do_not_keep_an_upstream_out_of_its_own() {
-    let process = control().await;
-    let entry = member("entry-1", process.peer_address);
-    process.node.execute(replacement(1, "first")).await;
-    wait_until(&entry, |view| fresh_version(view) == Some(1)).await;
+    let (process, entry) = process_with_text().await;
     assert_that!(
         acknowledges(&process, announced("nothing", 9)).await,
         eq(true)
@@ -56,10 +62,7 @@
 // heartbeat later.
 #[tokio::test(flavor = "multi_thread")]
 async fn serve_as_soon_as_a_text_names_them() {
-    let process = control().await;
-    let entry = member("entry-1", process.peer_address);
-    process.node.execute(replacement(1, "first")).await;
-    wait_until(&entry, |view| fresh_version(view) == Some(1)).await;
+    let (process, entry) = process_with_text().await;
     assert_that!(
         acknowledges(&process, announced("tours", 1)).await,
         eq(true)
