Test answers of upstreams with an invalid status on our own interface

On the present code calls of plain services, once and repeated, on new and kept connections, pass 101 and 600 to 999 on as answers; 0 to 99 and four digits are refused, and so are all of them from engines.

--- a/components/entry/tests/path/completeness.rs
+++ b/components/entry/tests/path/completeness.rs
@@ -248,3 +248,53 @@
     }
     insta::assert_snapshot!(table);
 }
+
+/// Statuses that no answer may have (RFC 9110, section 15), or that none of an entry's requests asks for.
+const INVALID_STATUSES: [u16; 9] = [0, 1, 99, 101, 600, 700, 999, 1_000, 2_000];
+
+/// Guards against a status that a caller's HTTP library can't interpret, such as 600, or takes for a switch
+/// of protocols, 101.
+#[gtest]
+fn never_answers_with_an_invalid_status() {
+    for status in INVALID_STATUSES {
+        let bench = Bench::start();
+        let fake = bench.upstream("shop-1", "shop");
+        fake.script([Behaviour::Status(status), Behaviour::Status(status)]);
+        let once = bench.post("/services/shop/jobs", &[], "plate");
+        expect_eq!(once.status, 502, "once, {status}");
+        expect_eq!(once.outcome(), "unknown", "once, {status}");
+        fake.script([0; 4].map(|_| Behaviour::Status(status)));
+        let repeated = bench.get("/services/shop/jobs");
+        expect_that!(
+            repeated.status,
+            any![eq(200), eq(502)],
+            "repeated, {status}"
+        );
+    }
+}
+
+/// The same on a connection that has carried another answer before, which only idempotent calls use.
+#[gtest]
+fn never_answers_with_an_invalid_status_on_a_kept_connection() {
+    for status in INVALID_STATUSES {
+        let bench = Bench::start();
+        let fake = bench.upstream("shop-1", "shop");
+        let first = bench.get("/services/shop/jobs");
+        expect_eq!(first.status, 200, "{status}");
+        fake.script([0; 4].map(|_| Behaviour::Status(status)));
+        let repeated = bench.get("/services/shop/jobs");
+        expect_that!(repeated.status, any![eq(200), eq(502)], "{status}");
+    }
+}
+
+/// The same for the answers of engines.
+#[gtest]
+fn never_answers_a_call_of_a_model_with_an_invalid_status() {
+    for status in INVALID_STATUSES {
+        let bench = Bench::start();
+        let fake = bench.upstream("engine-1", "assistant");
+        fake.script([0; 8].map(|_| Behaviour::Status(status)));
+        let answer = bench.post("/v1/completions", &[], &completion("ticket", TOKENS, false));
+        expect_that!(answer.status, any![eq(200), eq(502), eq(503)], "{status}");
+    }
+}
