Refuse answers of upstreams with an invalid status

Cause: the HTTP client accepts every status from 100 to 999, so that 101, which no request of an entry asks for, and 600 to 999, which are invalid, were passed on to callers. Change: both paths check the status where they accept the head of an answer; one that fails counts as unclear, so that only idempotent requests are sent again.

--- a/components/entry/src/dispatch/answer.rs
+++ b/components/entry/src/dispatch/answer.rs
@@ -30,6 +30,10 @@
             display("the answer is cut: {cause}")
             source(cause)
         }
+        /// No answer has this status.
+        Status(status: StatusCode) {
+            display("{status} is no status of an answer")
+        }
         /// The body has neither a length nor a last chunk, so that truncation can't be detected.
         Unbounded {
             display("the answer has neither a length nor chunks, so it may be cut")
@@ -49,13 +53,16 @@
 /// two frames.
 ///
 /// # Errors
-/// If the answer is not known to be complete, is too large or stalls.
+/// If the answer is not known to be complete, is too large or stalls, or if its status is invalid.
 pub async fn collect(
     response: Response<Incoming>,
     limit: usize,
     frame_timeout: Duration,
 ) -> Result<Answer, AnswerError> {
     let (head, mut body) = response.into_parts();
+    if !web::is_final_status(head.status) {
+        return Err(AnswerError::Status(head.status));
+    }
     if Framing::of(&head.headers, &body) == Framing::Connection {
         return Err(AnswerError::Unbounded);
     }
--- a/components/gateway/src/dispatch/attempt.rs
+++ b/components/gateway/src/dispatch/attempt.rs
@@ -174,8 +174,10 @@
     if reply::is_stray(reply, call) {
         return Err(Failure::Unknown("an answer to another request".to_owned()));
     }
-    if !is_final(status) {
-        return Err(Failure::Unknown(format!("status {status} ends no answer")));
+    if !web::is_final_status(status) {
+        return Err(Failure::Unknown(format!(
+            "{status} is no status of an answer"
+        )));
     }
     if reply.not_run || reply.other_upstream {
         return Err(Failure::NotRun);
@@ -191,15 +193,6 @@
     Ok(())
 }
 
-/// Reports whether an answer may have this status. The HTTP client also lets through statuses beyond
-/// 599, which are invalid, and 101, which no request of an entry asks for.
-fn is_final(status: StatusCode) -> bool {
-    status.is_success()
-        || status.is_redirection()
-        || status.is_client_error()
-        || status.is_server_error()
-}
-
 /// Reports whether a call that was answered with `status` should be retried at another upstream.
 fn should_retry(call: &Call, status: StatusCode) -> bool {
     call.is_idempotent() && status.is_server_error()
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -9,6 +9,7 @@
 mod observed_stream;
 mod server;
 mod settings;
+mod status;
 
 pub use body::{Body, Collected, collect, empty, full};
 pub use framing::Framing;
@@ -17,3 +18,4 @@
 pub use observed_stream::{ObservedStream, Observer};
 pub use server::{Phase, Server};
 pub use settings::Settings;
+pub use status::is_final_status;
