Name the interface of balancing by work

Cause: admission, homes and refusals need the expected work of a request and the speed of an upstream while both are being built. Result: no behaviour changes.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -24,6 +24,7 @@
 mod serving;
 mod settings;
 mod upstream;
+mod work;
 
 pub use brittle::Position;
 pub use choice::{Choice, Criteria, Shortage};
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -102,6 +102,12 @@
         self.is_engine = service.is_some_and(|service| is_engine(service.kind));
     }
 
+    /// Returns the speed of the upstream relative to the usual one of its service, which is 1.0.
+    #[expect(dead_code, reason = "the estimates do not use it yet")]
+    pub(super) fn speed(&self, _now: Instant) -> f64 {
+        1.0
+    }
+
     /// Reports whether the process is leaving, by its announcements or its answers.
     pub(super) fn is_leaving(&self) -> bool {
         self.said_leaving || self.availability != Availability::Serving
