--- /dev/null
+++ b/components/performance/src/statements.rs
@@ -0,0 +1,70 @@
+//! The slowdown that an upstream states in its answers.
+
+use std::time::{Duration, Instant};
+
+/// Time constant with which a statement loses its weight. Slow moments last some hundred milliseconds.
+const LIFETIME: Duration = Duration::from_millis(300);
+/// Slowdown that is stated at the usual speed.
+const USUAL: f64 = 100.0;
+/// Largest stated slowdown that is taken as true.
+const MAX_SLOWDOWN: f64 = 10_000.0;
+/// Weight of the newest statement in the average one, once there are as many as its inverse.
+const NEWEST_WEIGHT: f64 = 0.05;
+/// Statements of the usual slowdown that the average one starts with.
+const FIRST_STATEMENTS: f64 = 2.0;
+/// Spread of the statements, as a sum of squared logarithms, up to which they are trusted more than
+/// the times that are taken: that of about two slow moments.
+const TRUST: f64 = 1.0;
+/// Part of that sum and of its relation to the times that remains with each answer.
+const MEMORY: f64 = 0.95;
+
+/// Statements of one upstream. A correction follows from how far the newest one deviates from the
+/// average one, so that an upstream that always states the same is not corrected, and from how far
+/// the times followed earlier ones.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Statements {
+    /// Logarithm of the newest slowdown, relative to the usual one, and when it was stated.
+    newest: Option<(f64, Instant)>,
+    /// Average of the logarithms.
+    average: f64,
+    count: f64,
+    /// Sum of the squared corrections that full trust would have made.
+    spread: f64,
+    /// Sum of the products of these corrections and the actual deviations.
+    relation: f64,
+}
+
+impl Statements {
+    /// Records a statement. Figures that are absurd count as not stated.
+    pub(crate) fn record(&mut self, slowdown: f64, now: Instant) {
+        if !(slowdown > 0.0 && slowdown <= MAX_SLOWDOWN) {
+            return;
+        }
+        let log = (slowdown / USUAL).ln();
+        self.newest = Some((log, now));
+        self.count += 1.0;
+        let weight = (1.0 / (self.count + FIRST_STATEMENTS)).max(NEWEST_WEIGHT);
+        self.average += (log - self.average) * weight;
+    }
+
+    /// Records that the logarithm of the speed deviated from its average by `deviation` in an answer.
+    pub(crate) fn record_answer(&mut self, deviation: f64, now: Instant) {
+        let stated = self.stated(now);
+        self.spread = self.spread * MEMORY + stated * stated;
+        self.relation = self.relation * MEMORY + stated * deviation;
+    }
+
+    /// Returns the deviation of the logarithm of the speed from its average at this moment.
+    pub(crate) fn correction(&self, now: Instant) -> f64 {
+        let trust = (self.relation + TRUST) / (self.spread + TRUST);
+        self.stated(now) * trust.clamp(0.0, 1.0)
+    }
+
+    /// Returns the same as it is stated, with the weight that the statement's age leaves it.
+    fn stated(&self, now: Instant) -> f64 {
+        self.newest.map_or(0.0, |(log, at)| {
+            let age = now.saturating_duration_since(at).as_secs_f64();
+            (self.average - log) * (-age / LIFETIME.as_secs_f64()).exp()
+        })
+    }
+}
