Balance services by expected work and speed

Cause: engines differ in speed, and requests in work; a count of requests says little of when an upstream begins the next one. Change: services.NAME.balance selects the measure, by default work from the moment that an upstream states its slowdown. The estimate is the work ahead over the speed and slots of the upstream, with the waiting requests that it states, and the request's own work. Entries learn events by hint, route and account, and speeds; they report speeds and outstanding work in optional fields, and the leader answers with the sums. Result: services that are balanced by requests are estimated as before; wire::Work and the Criteria, Choice and Prompt of the gateway have one field more, which tests that spell them out now name.

--- a/components/config/src/text.rs
+++ b/components/config/src/text.rs
@@ -1,6 +1,7 @@
 //! The operators' text: services, their dependencies, and the accounts that may call them.
 
 mod account;
+mod balance;
 mod class;
 mod data_centre;
 mod engine;
@@ -12,6 +13,7 @@
 mod service;
 
 pub use account::Account;
+pub use balance::Balance;
 pub use class::Class;
 pub use data_centre::{Cost, DataCentre};
 pub use engine::Engine;
--- a/components/config/src/text/service.rs
+++ b/components/config/src/text/service.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use super::{Engine, Priority, Scaling};
+use super::{Balance, Engine, Priority, Scaling};
 use crate::ids::{ModelId, ServiceId};
 
 /// A service with its dependencies, limits and routes.
@@ -56,6 +56,9 @@
     /// Limits and prices of its instances, if they are ordered by count.
     #[serde(default)]
     pub scaling: Option<Scaling>,
+    /// What its upstreams are balanced by.
+    #[serde(default, skip_serializing_if = "Balance::is_default")]
+    pub balance: Balance,
 }
 
 impl Default for Service {
@@ -76,6 +79,7 @@
             max_connections: None,
             engine: None,
             scaling: None,
+            balance: Balance::default(),
         }
     }
 }
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -14,7 +14,7 @@
 use performance::{Load, Model, Sizing};
 use quarantine::{Evidence, Kind, Record};
 use state::usage::{Counts, Window};
-use wire::{DemandTotals, Forwarder, Limits, Overview, Report, Work, WorkTable};
+use wire::{DemandTotals, Forwarder, Limits, Overview, Report, SpeedTable, Work, WorkTable};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::performance::{Performance, objective};
@@ -23,6 +23,8 @@
 
 /// Time after an entry's last report for which its work is counted.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
+/// Time between two times that an entry is told the speeds of upstreams. They change over seconds.
+const SPEEDS_PERIOD: Duration = Duration::from_secs(1);
 /// Time after an entry's last report for which its totals are kept.
 const ENTRY_RETENTION: Duration = Duration::from_secs(60);
 /// Most entries that an entry is told of to which it may forward requests. Entries are told of
@@ -74,6 +76,9 @@
     demand: IndexMap<ServiceId, DemandTotals>,
     forwarding: Option<SocketAddr>,
     out_of_reach: Vec<ServiceId>,
+    speeds: SpeedTable,
+    /// When the entry was last told the speeds of all entries.
+    speeds_told: Option<Instant>,
 }
 
 impl Workload {
@@ -141,24 +146,32 @@
             .record(&report.samples, &report.models, now);
         let models = text.map(|text| self.performance.models(text, now));
         let reads_work_table = report.reads_work_table;
+        let before = self.entries.get(&process);
+        let speeds_told = before.and_then(|report| report.speeds_told);
+        let is_due = |told| now.saturating_duration_since(told) >= SPEEDS_PERIOD;
+        let speeds_due = speeds_told.is_none_or(is_due);
         let report = EntryReport {
             at: now,
             work: report.work,
             demand: report.demand.into_iter().collect(),
             forwarding: report.forwarding,
             out_of_reach: report.out_of_reach,
+            speeds: report.speeds,
+            speeds_told: if speeds_due { Some(now) } else { speeds_told },
         };
         let forwarders = self.forwarders(&process, &report.out_of_reach, now);
         self.add_demand(&process, &report.demand, now);
         let node = process.0.clone();
         self.entries.insert(process, report);
+        let speeds = speeds_due.then(|| self.total_speeds(now));
         let total = self.total_work(now);
-        let (work, work_table) = match reads_work_table {
+        let (work, work_table, work_ms) = match reads_work_table {
             true => {
                 let named = total.iter().map(|(name, work)| (name.as_str(), *work));
-                (Vec::new(), Some(WorkTable::new(named)))
+                let (table, work_ms) = WorkTable::with_work_ms(named);
+                (Vec::new(), Some(table), work_ms)
             }
-            false => (total, None),
+            false => (total, None, Vec::new()),
         };
         Overview {
             now_ms: 0,
@@ -167,6 +180,8 @@
             balances: balances.unwrap_or_default(),
             work,
             work_table,
+            work_ms,
+            speeds,
             quarantine,
             requests,
             limits,
@@ -323,12 +338,15 @@
         reports.filter(move |report| now.saturating_duration_since(report.at) < REPORT_LIFETIME)
     }
 
+    fn total_speeds(&self, now: Instant) -> SpeedTable {
+        SpeedTable::sum(self.live_reports(now).map(|report| &report.speeds))
+    }
+
     fn total_work(&self, now: Instant) -> Vec<(UpstreamId, Work)> {
         let mut sums: IndexMap<UpstreamId, Work> = IndexMap::new();
         for (upstream, work) in self.live_reports(now).flat_map(|report| &report.work) {
             let sum = sums.entry(upstream.clone()).or_default();
-            sum.requests += work.requests;
-            sum.prefill_tokens += work.prefill_tokens;
+            *sum = sum.with(*work);
         }
         sums.into_iter().collect()
     }
--- a/components/control/tests/process/replacements.rs
+++ b/components/control/tests/process/replacements.rs
@@ -124,6 +124,7 @@
             Work {
                 requests,
                 prefill_tokens: 100,
+                work_ms: None,
             },
         )],
         demand: vec![("bookings".into(), DemandTotals::default())],
@@ -137,6 +138,7 @@
     let sum = Work {
         requests: 5,
         prefill_tokens: 200,
+        work_ms: None,
     };
     assert_that!(second.work, eq(&vec![("u-1".into(), sum)]));
 }
--- a/components/control/tests/process/work.rs
+++ b/components/control/tests/process/work.rs
@@ -12,6 +12,7 @@
 const WORK: Work = Work {
     requests: 3,
     prefill_tokens: 9_000,
+    work_ms: None,
 };
 
 #[tokio::test(flavor = "multi_thread")]
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -8,8 +8,12 @@
 //! the names of the engines. An overloaded home is passed over. Its load is the work of all entries
 //! as reported by the leader, which is some hundred milliseconds old, plus the work that this entry
 //! has added since its last report.
+//!
+//! Services are balanced by requests, as if their upstreams were equally fast, or by expected work and
+//! speed ([`Balancer::is_balanced_by_work`]).
 
 mod brittle;
+mod by_work;
 mod choice;
 mod estimate;
 mod exchange;
@@ -21,6 +25,7 @@
 mod places;
 mod prefixes;
 mod rates;
+mod speeds;
 mod serving;
 mod settings;
 mod upstream;
@@ -30,6 +35,8 @@
 pub use choice::{Choice, Criteria, Shortage};
 pub use rates::Rates;
 pub use settings::Settings;
+pub use speeds::Speeds;
+pub use work::{Ended, Kind as RequestKind};
 
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -45,8 +52,9 @@
 
 use crate::call::PartId;
 use brittle::Brittle;
-use estimate::{Affinity, Estimate};
+use estimate::{Affinity, Basis, Estimate};
 use upstream::Upstream;
+use work::Learned;
 
 /// The upstreams known to one entry, and the work in flight at each.
 #[derive(Debug, Default)]
@@ -56,6 +64,8 @@
     brittle: Brittle,
     /// What the engines of each service do, as far as the leader has learned it.
     models: IndexMap<ServiceId, Model>,
+    /// What was learned of the work of requests.
+    work: Learned,
     /// Number of choices so far.
     choices: u64,
 }
@@ -98,6 +108,7 @@
         self.upstreams
             .retain(|_, u| now < u.expires + retention || u.own_work != Work::default());
         self.mark_superseded();
+        self.work.update(text);
     }
 
     /// Returns the number of known upstreams.
@@ -179,14 +190,19 @@
         now: Instant,
     ) -> Option<(UpstreamId, Estimate)> {
         let rates = self.rates(criteria.service);
+        let is_by_work = self.is_balanced_by_work(criteria.service);
         let estimated = upstreams.iter().map(|(name, upstream)| {
             let affinity = match home {
                 Some(home) if home == *name => Affinity::Home,
                 Some(_) => Affinity::Away,
                 None => Affinity::Any,
             };
-            let by = (&self.settings, &rates);
-            let estimate = Estimate::new(upstream, criteria, affinity, by, now);
+            let by = Basis {
+                settings: &self.settings,
+                rates: &rates,
+                is_by_work,
+            };
+            let estimate = Estimate::new(upstream, criteria, affinity, &by, now);
             (*name, estimate)
         });
         let lowest = estimated.min_by(|a, b| a.1.score.total_cmp(&b.1.score));
--- a/components/gateway/src/balancer/choice.rs
+++ b/components/gateway/src/balancer/choice.rs
@@ -26,6 +26,9 @@
     /// Longest expected time to the first event with which the request is sent, unless its own prompt
     /// takes most of that time.
     pub max_wait: Duration,
+    /// Expected work of the request besides its prompt: the generation, or a plain call, in milliseconds
+    /// of a usual upstream. 0 for a service that is balanced by requests.
+    pub work_ms: f64,
 }
 
 /// Share of [`Criteria::max_wait`] that a request may wait for others however long its own prompt
@@ -66,6 +69,9 @@
     pub in_flight: u32,
     /// Expected time to the first event.
     pub expected_first_event: Duration,
+    /// Expected work of the request besides its prompt, as counted at the upstream, in milliseconds of a
+    /// usual one; `None` for a service that is balanced by requests.
+    pub work_ms: Option<u32>,
     /// Why the upstream was chosen, for the log.
     pub reason: CompactString,
 }
--- a/components/gateway/src/balancer/estimate.rs
+++ b/components/gateway/src/balancer/estimate.rs
@@ -3,6 +3,7 @@
 use config::duration::bounded;
 use std::time::{Duration, Instant};
 
+use super::by_work::{self, ByWork};
 use super::choice::Criteria;
 use super::rates::Rates;
 use super::settings::Settings;
@@ -10,7 +11,7 @@
 use crate::Prompt;
 
 /// Age up to which the load that an upstream reported replaces a lower count by the entries.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(500);
+pub(super) const MAX_REPORT_AGE: Duration = Duration::from_millis(500);
 /// Penalty in milliseconds of an upstream that fails every request.
 const FAILURE_PENALTY_MS: f64 = 400.0;
 
@@ -38,6 +39,17 @@
     pub(super) in_flight: u32,
     /// Expected cost for this and other requests, in milliseconds; the lowest score is chosen.
     pub(super) score: f64,
+    /// `None` if the service is balanced by requests.
+    pub(super) by_work: Option<ByWork>,
+}
+
+/// What estimates are based on, besides the upstream and the request.
+pub(super) struct Basis<'a> {
+    pub(super) settings: &'a Settings,
+    /// Rates of the service's engines.
+    pub(super) rates: &'a Rates,
+    /// Whether the service is balanced by work.
+    pub(super) is_by_work: bool,
 }
 
 impl Estimate {
@@ -45,9 +57,10 @@
         upstream: &Upstream,
         criteria: &Criteria<'_>,
         affinity: Affinity,
-        (settings, rates): (&Settings, &Rates),
+        basis: &Basis<'_>,
         now: Instant,
     ) -> Self {
+        let settings = basis.settings;
         let in_flight = in_flight(upstream, now);
         let remote_delay = if upstream.data_centre == settings.data_centre {
             0.0
@@ -55,44 +68,53 @@
             settings.remote_delay_ms
         };
         let penalty = upstream.health.failure_rate() * FAILURE_PENALTY_MS;
-        match criteria.prompt.filter(|_| upstream.is_engine) {
-            Some(prompt) => {
-                let tokens = Tokens::new(upstream, prompt, affinity, settings);
-                let cost = engine_cost(upstream, &tokens, in_flight, settings, rates);
-                let bonus = if affinity == Affinity::Home {
-                    settings.home_bonus_ms
-                } else {
-                    0.0
-                };
-                Estimate {
-                    first_event: millis(cost.first_event + remote_delay),
-                    at_rest: millis(cost.at_rest + remote_delay),
-                    uncached_tokens: tokens.computed,
-                    in_flight,
-                    score: cost.score + remote_delay + penalty - bonus,
-                }
+        let prompt = criteria.prompt.filter(|_| upstream.is_engine);
+        let tokens = prompt.map(|prompt| Tokens::new(upstream, prompt, affinity, settings));
+        let cost = match (&tokens, basis.is_by_work) {
+            (Some(tokens), false) => {
+                engine_cost(upstream, tokens, in_flight, settings, basis.rates)
             }
-            None => {
-                let time = upstream.call_ms.unwrap_or(settings.plain_call_ms);
-                let queue = f64::from(in_flight) / f64::from(upstream.slots.max(1));
-                let first_event = time * (1.0 + queue) + remote_delay;
-                Estimate {
-                    first_event: millis(first_event),
-                    at_rest: millis(time + remote_delay),
-                    uncached_tokens: 0,
-                    in_flight,
-                    score: first_event + penalty,
-                }
+            (None, false) => plain_cost(upstream, in_flight, settings),
+            (Some(tokens), true) => {
+                let by = (settings, basis.rates);
+                by_work::engine_cost(upstream, tokens, criteria, by, now)
             }
+            (None, true) => by_work::plain_cost(upstream, criteria, now),
+        };
+        let bonus = match (&tokens, affinity) {
+            (Some(_), Affinity::Home) => settings.home_bonus_ms,
+            _ => 0.0,
+        };
+        Estimate {
+            first_event: millis(cost.first_event + remote_delay),
+            at_rest: millis(cost.at_rest + remote_delay),
+            uncached_tokens: tokens.map_or(0, |tokens| tokens.computed),
+            in_flight,
+            score: cost.score + remote_delay + penalty - bonus,
+            by_work: cost.by_work,
         }
     }
 }
 
-/// Expected costs at one engine, in milliseconds.
-struct EngineCost {
-    first_event: f64,
-    at_rest: f64,
-    score: f64,
+/// Expected costs at one upstream, in milliseconds.
+pub(super) struct Cost {
+    pub(super) first_event: f64,
+    pub(super) at_rest: f64,
+    pub(super) score: f64,
+    /// `None` if the service is balanced by requests.
+    pub(super) by_work: Option<ByWork>,
+}
+
+fn plain_cost(upstream: &Upstream, in_flight: u32, settings: &Settings) -> Cost {
+    let time = upstream.call_ms.unwrap_or(settings.plain_call_ms);
+    let queue = f64::from(in_flight) / f64::from(upstream.slots.max(1));
+    let first_event = time * (1.0 + queue);
+    Cost {
+        first_event,
+        at_rest: time,
+        score: first_event,
+        by_work: None,
+    }
 }
 
 fn engine_cost(
@@ -101,7 +123,7 @@
     in_flight: u32,
     settings: &Settings,
     rates: &Rates,
-) -> EngineCost {
+) -> Cost {
     let batch = f64::from(upstream.slots.max(1));
     let in_flight = f64::from(in_flight);
     let queue = f64::from(upstream.queued_tokens()) * rates.prefill_ms_per_token;
@@ -115,18 +137,19 @@
     let at_rest = rates.first_event_ms + prefill + fetch;
     let first_event = at_rest + queue + slot_wait;
     let fetch_cost = f64::from(tokens.fetched) * settings.fetch_ms_per_token;
-    EngineCost {
+    Cost {
         first_event,
         at_rest,
         score: first_event
             + prefill * settings.prefill_weight
             + in_flight * settings.batch_delay_ms
             + fetch_cost,
+        by_work: None,
     }
 }
 
 /// Returns the requests in flight at an upstream, of all entries.
-fn in_flight(upstream: &Upstream, now: Instant) -> u32 {
+pub(super) fn in_flight(upstream: &Upstream, now: Instant) -> u32 {
     let counted = upstream.own_work.requests + upstream.other_work.requests;
     match upstream.reported_load {
         Some((reported, at)) if now.saturating_duration_since(at) < MAX_REPORT_AGE => {
@@ -137,11 +160,11 @@
 }
 
 /// Tokens of a prompt that are not in an engine's cache.
-struct Tokens {
+pub(super) struct Tokens {
     /// Tokens that have to be computed.
-    computed: u32,
+    pub(super) computed: u32,
     /// Tokens that are fetched from the prompt's home.
-    fetched: u32,
+    pub(super) fetched: u32,
 }
 
 impl Tokens {
--- a/components/gateway/src/balancer/exchange.rs
+++ b/components/gateway/src/balancer/exchange.rs
@@ -1,8 +1,11 @@
-//! What entries tell each other of upstreams through the leader: their work there, and what engines do.
+//! What entries tell each other of upstreams through the leader: their work there, what engines do,
+//! and how fast each upstream is.
+
+use std::time::Instant;
 
 use config::ids::{ServiceId, UpstreamId};
-use performance::Model;
-use wire::{Work, WorkTable};
+use performance::{Evidence, Model};
+use wire::{SpeedTable, Work, WorkTable};
 
 use super::Balancer;
 use super::upstream::Upstream;
@@ -27,22 +30,38 @@
         }
         for (name, all) in work {
             if let Some(upstream) = self.upstreams.get_mut(name) {
-                let reported = upstream.reported_work;
-                upstream.other_work = Work {
-                    requests: all.requests.saturating_sub(reported.requests),
-                    prefill_tokens: all.prefill_tokens.saturating_sub(reported.prefill_tokens),
-                };
+                upstream.other_work = all.without(upstream.reported_work);
             }
         }
     }
 
-    /// Applies the work of all entries in its short form.
-    pub fn apply_work_table(&mut self, table: &WorkTable) {
+    /// Applies the work of all entries in its short form, with [`Work::work_ms`] of each row.
+    pub fn apply_work_table(&mut self, table: &WorkTable, work_ms: &[u32]) {
         let names = self.upstreams.keys();
-        let work = table.of(names.map(|name| (name.as_str(), name.clone())));
+        let names = names.map(|name| (name.as_str(), name.clone()));
+        let work = table.with(work_ms, names);
         self.apply_work(&work);
     }
 
+    /// Returns what this entry learned of the speeds of upstreams, for a report to the leader.
+    pub fn report_speeds(&mut self, now: Instant) -> SpeedTable {
+        let upstreams = self.upstreams.iter_mut();
+        SpeedTable::new(upstreams.map(|(name, upstream)| {
+            let process = (name.as_str(), upstream.incarnation);
+            (process, upstream.speed.report(now))
+        }))
+    }
+
+    /// Applies what all entries learned, which includes this entry's last report.
+    pub fn apply_speeds(&mut self, speeds: &SpeedTable, now: Instant) {
+        let processes = self.upstreams.iter();
+        let processes = processes.map(|(name, upstream)| (name.as_str(), upstream.incarnation));
+        let evidence: Vec<Evidence> = speeds.of(processes).collect();
+        for (upstream, evidence) in self.upstreams.values_mut().zip(evidence) {
+            upstream.speed.apply(evidence, now);
+        }
+    }
+
     /// Spreads the work of the other entries evenly over the upstreams of each service, once it is too
     /// old to tell which of them are busy. Their number is still a measure of the load.
     pub fn even_out_work(&mut self) {
@@ -76,12 +95,10 @@
 
 fn average(work: impl ExactSizeIterator<Item = Work>) -> Work {
     let count = u32::try_from(work.len()).unwrap_or(u32::MAX).max(1);
-    let sum = work.fold(Work::default(), |sum, work| Work {
-        requests: sum.requests.saturating_add(work.requests),
-        prefill_tokens: sum.prefill_tokens.saturating_add(work.prefill_tokens),
-    });
+    let sum = work.fold(Work::default(), Work::with);
     Work {
         requests: sum.requests / count,
         prefill_tokens: sum.prefill_tokens / count,
+        work_ms: sum.work_ms.map(|work_ms| work_ms / count),
     }
 }
--- a/components/gateway/src/balancer/feedback.rs
+++ b/components/gateway/src/balancer/feedback.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Balancer, Choice, Outcome};
+use crate::Load;
 
 impl Balancer {
     /// Records that the first event of a request came `elapsed` after it was sent, and counts its
@@ -30,7 +31,22 @@
     /// Records the running and waiting requests that an upstream reported in an answer.
     pub fn record_load(&mut self, choice: &Choice, running: u32, waiting: u32, now: Instant) {
         if let Some(upstream) = self.upstream_of(choice) {
-            upstream.reported_load = Some((running + waiting, now));
+            upstream.reported_load = Some((running.saturating_add(waiting), now));
+        }
+    }
+
+    /// Records what an upstream stated of its load in an answer. With the first slowdown that an upstream
+    /// states, its service is balanced by work unless the operators' text says otherwise.
+    pub fn record_statement(&mut self, choice: &Choice, load: &Load, now: Instant) {
+        self.record_load(choice, load.running, load.waiting, now);
+        let Some(upstream) = self.upstream_of(choice) else {
+            return;
+        };
+        upstream.stated = Some((*load, now));
+        if let Some(slowdown) = load.slowdown {
+            upstream.speed.record_slowdown(slowdown, now);
+            let service = upstream.service.clone();
+            self.work.record_stated(&service);
         }
     }
 
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -4,9 +4,10 @@
 use std::time::{Duration, Instant};
 
 use ::upstream::{Availability, Route, Software};
-use compact_str::format_compact;
+use compact_str::{CompactString, format_compact};
 use config::ids::{DataCentreId, Incarnation, ServiceId, UpstreamId};
 use config::text::Service;
+use performance::Speed;
 use wire::Work;
 
 use super::Outcome;
@@ -17,6 +18,7 @@
 use super::limit::Limit;
 use super::places::Places;
 use super::prefixes::Prefixes;
+use crate::Load;
 
 /// Weight of the newest call in the average duration of plain calls.
 const NEWEST_WEIGHT: f64 = 0.2;
@@ -46,6 +48,9 @@
     pub(super) other_work: Work,
     /// Running and waiting requests that the upstream reported in an answer, and when.
     pub(super) reported_load: Option<(u32, Instant)>,
+    /// What the upstream stated of its load in an answer, and when.
+    pub(super) stated: Option<(Load, Instant)>,
+    pub(super) speed: Speed,
     /// Average time to the first event, in milliseconds; only for upstreams that are not engines.
     pub(super) call_ms: Option<f64>,
     pub(super) prefixes: Prefixes,
@@ -78,6 +83,8 @@
             reported_work: Work::default(),
             other_work: Work::default(),
             reported_load: None,
+            stated: None,
+            speed: Speed::default(),
             call_ms: None,
             prefixes: Prefixes::default(),
             health: Health::default(),
@@ -103,9 +110,8 @@
     }
 
     /// Returns the speed of the upstream relative to the usual one of its service, which is 1.0.
-    #[expect(dead_code, reason = "the estimates do not use it yet")]
-    pub(super) fn speed(&self, _now: Instant) -> f64 {
-        1.0
+    pub(super) fn speed(&self, now: Instant) -> f64 {
+        self.speed.value(now)
     }
 
     /// Reports whether the process is leaving, by its announcements or its answers.
@@ -142,8 +148,11 @@
         let queued_tokens = self.queued_tokens();
         self.limit.take(now);
         self.places.take(now);
-        self.own_work.requests += 1;
-        self.own_work.prefill_tokens += estimate.uncached_tokens;
+        self.own_work = self.own_work.with(Work {
+            requests: 1,
+            prefill_tokens: estimate.uncached_tokens,
+            work_ms: estimate.by_work.map(|by_work| by_work.work_ms),
+        });
         if let Some(prompt) = criteria.prompt.filter(|_| self.is_engine) {
             self.prefixes.record(prompt);
         }
@@ -153,6 +162,9 @@
             Some(_) => "not on the home engine",
             None => "no home engine",
         };
+        let by_work = estimate.by_work.map_or_else(CompactString::default, |by_work| {
+            format_compact!("{by_work}, ")
+        });
         Choice {
             upstream: name.clone(),
             incarnation: self.incarnation,
@@ -164,8 +176,9 @@
             queued_tokens,
             in_flight: estimate.in_flight,
             expected_first_event: estimate.first_event,
+            work_ms: estimate.by_work.map(|by_work| by_work.work_ms),
             reason: format_compact!(
-                "{affinity}, {} in flight, {} tokens to compute, \
+                "{affinity}, {} in flight, {} tokens to compute, {by_work}\
                 announcement expires in {expiry_ms} ms",
                 estimate.in_flight,
                 estimate.uncached_tokens,
@@ -189,7 +202,14 @@
         outcome: Outcome,
         now: Instant,
     ) {
-        self.own_work.requests = self.own_work.requests.saturating_sub(1);
+        self.own_work = self.own_work.without(Work {
+            requests: 1,
+            prefill_tokens: 0,
+            work_ms: choice.work_ms,
+        });
+        if self.own_work.requests == 0 {
+            self.own_work.work_ms = None;
+        }
         match (choice.is_taken, outcome) {
             (true, _) => {}
             (false, Outcome::Unsent | Outcome::Unreachable) => self.places.release(),
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -12,6 +12,7 @@
 use quarantine::Fingerprint;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::balancer::RequestKind;
 use crate::{Account, Head};
 
 /// Identifier of a part of a prompt.
@@ -37,6 +38,8 @@
     pub output_tokens: u32,
     /// Parts of the prompt in order; the last one belongs to this request and is not shared.
     pub parts: Vec<Part>,
+    /// The caller's estimate of the tokens to generate.
+    pub length_hint: Option<u32>,
 }
 
 /// An admitted request, ready to be sent to an upstream.
@@ -159,6 +162,16 @@
         own.unwrap_or(self.route.rank)
     }
 
+    /// Returns what the request has in common with others that take similar work.
+    pub(crate) fn kind(&self) -> RequestKind<'_> {
+        let account = self.account.as_ref();
+        RequestKind {
+            service: &self.service,
+            route: &self.route.name,
+            account: account.map(|account| account.name.as_str()),
+        }
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -149,7 +149,7 @@
     request_log: &mut RequestLog,
 ) -> Result<Answer, Failed> {
     let software = attempts.software.as_ref();
-    let criteria = criteria(call, &attempts.excluded, software, resume_after);
+    let criteria = criteria(core, call, &attempts.excluded, software, resume_after);
     let chosen = choose(core, call, &criteria).await;
     let choice = chosen.map_err(|shortage| Failed::Refused(refusal(shortage, attempts)))?;
     let mut ticket = Ticket::new(core, choice.clone());
@@ -170,6 +170,7 @@
 /// Returns the criteria for the upstream of a call, which goes on after the event `resume_after` if
 /// that is set.
 pub(crate) fn criteria<'a>(
+    core: &Core,
     call: &'a Call,
     excluded: &'a [UpstreamId],
     software: Option<&'a Software>,
@@ -186,6 +187,7 @@
             Some(_) => time_left,
             None => admission::max_wait(call),
         },
+        work_ms: lock(&core.balancer).work_ms(&call.kind(), call.prompt.as_ref()),
     }
 }
 
--- a/components/gateway/src/dispatch/reply.rs
+++ b/components/gateway/src/dispatch/reply.rs
@@ -21,8 +21,8 @@
         return;
     }
     let is_own = reply.id.is_some();
-    if let Some((running, waiting)) = reply.load {
-        lock(&core.balancer).record_load(choice, running, waiting, Instant::now());
+    if let Some(load) = &reply.load {
+        lock(&core.balancer).record_statement(choice, load, Instant::now());
     }
     // A process that took over the address speaks for itself only.
     if reply.leaving && !reply.other_upstream && lock(&core.balancer).record_leaving(choice) {
--- a/components/gateway/src/forward/client.rs
+++ b/components/gateway/src/forward/client.rs
@@ -141,6 +141,7 @@
         queued_tokens: 0,
         in_flight: 0,
         expected_first_event: Duration::ZERO,
+        work_ms: None,
         reason: compact_str::format_compact!("chosen by entry {node}"),
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -52,7 +52,7 @@
 pub use metrics::Metrics;
 pub use network::{Connecting, Network, Tcp};
 pub use pool::idle_limit;
-pub use protocol::{Head, Metadata, Protocol, Reply};
+pub use protocol::{Head, Load, Metadata, Protocol, Reply};
 pub use quarantine::Subject;
 pub use reach::{Finding, Reach};
 pub use readiness::Readiness;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
+use crate::balancer::Speeds;
+
 /// Upper bounds of the latency histograms' buckets, in seconds.
 const BUCKETS: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
@@ -22,6 +25,7 @@
     forwarded: IntCounterVec,
     first_event: HistogramVec,
     total: HistogramVec,
+    speeds: GaugeVec,
     /// Version of the text in force.
     pub version: IntGauge,
     /// Open connections of callers.
@@ -53,7 +57,19 @@
                 .expect("metric registered once");
             gauge
         };
+        let speeds = GaugeVec::new(
+            Opts::new(
+                "chervilloft_gateway_upstream_speed",
+                "Lowest, average and highest speed of the upstreams of a service.",
+            ),
+            &["service", "of"],
+        )
+        .expect("valid metric");
+        registry
+            .register(Box::new(speeds.clone()))
+            .expect("metric registered once");
         Metrics {
+            speeds,
             requests: counters(
                 "chervilloft_gateway_requests_total",
                 "Requests by route and outcome.",
@@ -148,6 +164,18 @@
             .inc_by(tokens);
     }
 
+    /// Sets the speeds of a service's upstreams.
+    pub fn set_speeds(&self, service: &str, speeds: &Speeds) {
+        let values = [
+            ("min", speeds.min),
+            ("mean", speeds.mean),
+            ("max", speeds.max),
+        ];
+        for (of, speed) in values {
+            self.speeds.with_label_values(&[service, of]).set(speed);
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut bytes = Vec::new();
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -80,8 +80,8 @@
     pub other_upstream: bool,
     /// Whether the upstream signed the answer.
     pub is_signed: bool,
-    /// Running and waiting requests at the upstream.
-    pub load: Option<(u32, u32)>,
+    /// Load of the upstream.
+    pub load: Option<Load>,
     /// Requests a second that the upstream takes from all entries together; `None` for no limit.
     pub limit: Option<f64>,
     /// Requests that the upstream can refuse within a second for want of room before it falls; `None`
@@ -94,3 +94,16 @@
     /// Time for which the upstream keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
+
+/// What an upstream states of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that it can run at the same time; 0 if not stated.
+    pub slots: u32,
+    /// How long work takes there at this moment, where 100 is the usual; `None` if not stated.
+    pub slowdown: Option<f64>,
+}
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -221,7 +221,7 @@
         let events = self.events.as_ref().map_or(Some(1), EventBuffer::last_id);
         source
             .ticket
-            .record_end(&self.call.service, events.unwrap_or(1));
+            .record_end(&self.call, events.unwrap_or(1));
     }
 
     /// Finishes a complete answer, and returns its connection to the pool.
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -100,6 +100,7 @@
             samples: lock(&core.samples).take(),
             models,
             reads_work_table: true,
+            speeds: lock(&core.balancer).report_speeds(Instant::now()),
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
@@ -216,10 +217,16 @@
     let one_way = now.saturating_duration_since(sent_at) / 2;
     lock(&core.accounts).apply(number, &overview.balances, now);
     match &overview.work_table {
-        Some(table) => lock(&core.balancer).apply_work_table(table),
+        Some(table) => lock(&core.balancer).apply_work_table(table, &overview.work_ms),
         None => lock(&core.balancer).apply_work(&overview.work),
     }
     lock(&core.balancer).apply_models(&overview.models);
+    if let Some(speeds) = &overview.speeds {
+        lock(&core.balancer).apply_speeds(speeds, now);
+    }
+    for (service, speeds) in lock(&core.balancer).speeds(now) {
+        core.metrics.set_speeds(&service, &speeds);
+    }
     let (parts, requests) = (overview.quarantine.clone(), overview.requests.clone());
     let changed = lock(&core.quarantine).apply(parts, requests, now);
     for subject in changed {
--- a/components/gateway/src/ticket.rs
+++ b/components/gateway/src/ticket.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use config::ids::ServiceId;
-
-use crate::balancer::{Choice, Outcome};
+use crate::balancer::{Choice, Ended, Outcome};
+use crate::call::Call;
 use crate::core::{Core, lock};
 use crate::samples;
 
@@ -71,14 +70,22 @@
         }
     }
 
-    /// Records that all `events` events of the answer came, for the leader to learn from.
-    pub(crate) fn record_end(&self, service: &ServiceId, events: u64) {
+    /// Records that all `events` events of the answer to `call` came, to learn from.
+    pub(crate) fn record_end(&self, call: &Call, events: u64) {
         let Some(first) = self.first_event.filter(|_| !self.finished) else {
             return;
         };
+        let ended = Ended {
+            kind: call.kind(),
+            prompt: call.prompt.as_ref(),
+            first_event: first - self.sent_at,
+            stream: first.elapsed(),
+            events,
+        };
+        lock(&self.core.balancer).record_end(&self.choice, &ended, Instant::now());
         let entries = lock(&self.core.retries).entries();
-        let sample = samples::sample(&self.choice, first - self.sent_at, first.elapsed(), events);
-        lock(&self.core.samples).add(service, sample, entries);
+        let sample = samples::sample(&self.choice, ended.first_event, ended.stream, events);
+        lock(&self.core.samples).add(&call.service, sample, entries);
     }
 
     /// Counts the request as no longer at its upstream.
--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -50,6 +50,7 @@
         input_tokens: 17_000,
         output_tokens: 120,
         parts: vec![part(shared, 13_300), part(1_000_000 + own, 3_700)],
+        length_hint: None,
     }
 }
 
@@ -200,6 +201,7 @@
             excluded: &[],
             time_left: Duration::from_secs(15),
             max_wait,
+            work_ms: 0.0,
         };
         let choice = self.entries[entry].choose(&criteria, self.now)?;
         self.open.push((entry, choice.clone()));
@@ -273,6 +275,7 @@
             queued_tokens: 0,
             in_flight: 0,
             expected_first_event: Duration::ZERO,
+            work_ms: None,
             reason: "".into(),
         };
         self.entries[entry].record_finish(&choice, true, Outcome::Failed, self.now);
--- a/components/performance/src/statements.rs
+++ b/components/performance/src/statements.rs
@@ -8,6 +8,8 @@
 const USUAL: f64 = 100.0;
 /// Largest stated slowdown that is taken as true.
 const MAX_SLOWDOWN: f64 = 10_000.0;
+/// Largest logarithm of a stated slowdown that counts in full: what the bounds of a speed are apart.
+const MAX_LOG: f64 = 2.8;
 /// Weight of the newest statement in the average one, once there are as many as its inverse.
 const NEWEST_WEIGHT: f64 = 0.05;
 /// Statements of the usual slowdown that the average one starts with.
@@ -40,7 +42,7 @@
         if !(slowdown > 0.0 && slowdown <= MAX_SLOWDOWN) {
             return;
         }
-        let log = (slowdown / USUAL).ln();
+        let log = (slowdown / USUAL).ln().clamp(-MAX_LOG, MAX_LOG);
         self.newest = Some((log, now));
         self.count += 1.0;
         let weight = (1.0 / (self.count + FIRST_STATEMENTS)).max(NEWEST_WEIGHT);
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -14,6 +14,7 @@
 mod push;
 mod report;
 mod request;
+mod speed_table;
 mod unknown;
 mod work_table;
 
@@ -29,5 +30,6 @@
     Balance, Balances, DemandTotals, Forwarder, Limits, Overview, Report, Statements, Work,
 };
 pub use request::{Body, Query, Request};
+pub use speed_table::SpeedTable;
 pub use unknown::{Kind as UnknownKind, Unknown};
 pub use work_table::WorkTable;
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use state::usage::Window;
 
-use crate::WorkTable;
+use crate::{SpeedTable, WorkTable};
 
 /// Report of an entry on its work. Its totals count from the start of the process.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -53,6 +53,9 @@
     /// Whether the entry reads [`Overview::work_table`] in place of [`Overview::work`].
     #[serde(default, skip_serializing_if = "is_false")]
     pub reads_work_table: bool,
+    /// Evidence of the speeds of upstreams that the entry has.
+    #[serde(default, skip_serializing_if = "SpeedTable::is_empty")]
+    pub speeds: SpeedTable,
 }
 
 #[expect(
@@ -81,6 +84,37 @@
     pub requests: u32,
     /// Prompt tokens of requests whose first event has not arrived.
     pub prefill_tokens: u32,
+    /// Expected time of the generations and plain calls in progress, in milliseconds of a usual upstream;
+    /// `None` if the service is not balanced by work.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub work_ms: Option<u32>,
+}
+
+impl Work {
+    /// Returns this work and `other`.
+    #[must_use]
+    pub fn with(self, other: Work) -> Work {
+        let work_ms = match (self.work_ms, other.work_ms) {
+            (Some(own), Some(other)) => Some(own.saturating_add(other)),
+            (own, other) => own.or(other),
+        };
+        Work {
+            requests: self.requests.saturating_add(other.requests),
+            prefill_tokens: self.prefill_tokens.saturating_add(other.prefill_tokens),
+            work_ms,
+        }
+    }
+
+    /// Returns this work without the `part` of it.
+    #[must_use]
+    pub fn without(self, part: Work) -> Work {
+        let part_ms = part.work_ms.unwrap_or_default();
+        Work {
+            requests: self.requests.saturating_sub(part.requests),
+            prefill_tokens: self.prefill_tokens.saturating_sub(part.prefill_tokens),
+            work_ms: self.work_ms.map(|work_ms| work_ms.saturating_sub(part_ms)),
+        }
+    }
 }
 
 /// Statements of an entry about accounts with a token limit. At most one of them about an account
@@ -132,6 +166,13 @@
     /// The same in a short form.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub work_table: Option<WorkTable>,
+    /// [`Work::work_ms`] of each row of that table, 0 for none; empty if no row has one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub work_ms: Vec<u32>,
+    /// Evidence of the speeds of upstreams that all entries have together, including the reporting one;
+    /// `None` if the entry was told a moment ago.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speeds: Option<SpeedTable>,
     /// Parts of prompts under suspicion and in quarantine.
     #[serde(default)]
     pub quarantine: quarantine::Notice,
--- a/components/wire/src/work_table.rs
+++ b/components/wire/src/work_table.rs
@@ -1,5 +1,7 @@
 //! The work in progress at all upstreams, in a short form.
 
+use std::iter::repeat;
+
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -15,25 +17,47 @@
 impl WorkTable {
     /// Creates the table of the work at upstreams by name.
     pub fn new<'a>(work: impl IntoIterator<Item = (&'a str, Work)>) -> Self {
+        WorkTable::with_work_ms(work).0
+    }
+
+    /// Creates the same, and [`Work::work_ms`] of each row: 0 for none, and no rows if none has one.
+    /// It is apart from the rows, since older releases read rows of three figures only.
+    pub fn with_work_ms<'a>(work: impl IntoIterator<Item = (&'a str, Work)>) -> (Self, Vec<u32>) {
         let mut sums: IndexMap<u32, Work> = IndexMap::new();
         for (upstream, work) in work {
             let sum = sums.entry(hash(upstream)).or_default();
-            sum.requests = sum.requests.saturating_add(work.requests);
-            sum.prefill_tokens = sum.prefill_tokens.saturating_add(work.prefill_tokens);
+            *sum = sum.with(work);
+        }
+        let mut work_ms: Vec<u32> = sums
+            .values()
+            .map(|work| work.work_ms.unwrap_or_default())
+            .collect();
+        if work_ms.iter().all(|ms| *ms == 0) {
+            work_ms.clear();
         }
         let rows = sums.into_iter();
-        WorkTable(
-            rows.map(|(hash, work)| (hash, work.requests, work.prefill_tokens))
-                .collect(),
-        )
+        let rows = rows.map(|(hash, work)| (hash, work.requests, work.prefill_tokens));
+        (WorkTable(rows.collect()), work_ms)
     }
 
     /// Returns the work at those of `upstreams` that the table has.
     pub fn of<'a, T>(&self, upstreams: impl IntoIterator<Item = (&'a str, T)>) -> Vec<(T, Work)> {
-        let rows = self.0.iter().map(|(hash, requests, prefill_tokens)| {
+        self.with(&[], upstreams)
+    }
+
+    /// Returns the same with `work_ms` of each row.
+    pub fn with<'a, T>(
+        &self,
+        work_ms: &[u32],
+        upstreams: impl IntoIterator<Item = (&'a str, T)>,
+    ) -> Vec<(T, Work)> {
+        let work_ms = work_ms.iter().chain(repeat(&0));
+        let rows = self.0.iter().zip(work_ms);
+        let rows = rows.map(|((hash, requests, prefill_tokens), work_ms)| {
             let work = Work {
                 requests: *requests,
                 prefill_tokens: *prefill_tokens,
+                work_ms: (*work_ms > 0).then_some(*work_ms),
             };
             (*hash, work)
         });
--- a/components/wire/tests/work_table.rs
+++ b/components/wire/tests/work_table.rs
@@ -7,6 +7,7 @@
     Work {
         requests: number % 24,
         prefill_tokens: number * 700,
+        work_ms: None,
     }
 }
 
