Plan the instances of services balanced by work by value and price

The counts follow from the value of answers in time less the price of the instances, over the loss of any one data centre. They are reached in portions, sold-out slots back off for longer with each refusal, and orders without an answer are repeated with the same count. Services balanced by requests are planned as before, except that on-demand instances are kept for up to 15 s while nothing was learned.

--- a/components/placement/src/autoscaler.rs
+++ b/components/placement/src/autoscaler.rs
@@ -16,8 +16,17 @@
 //! centres as were lost recently, and reclaimable ones are kept until the wave is over. Some instances leave without announcing that they are reclaimed,
 //! so a slot also counts as reclaimed when none of its instances serve any more although more were
 //! ordered.
+//!
+//! For a service that is balanced by work, the counts are those with the largest value of answers
+//! less the price of the instances ([`Economy`]), and they are reached in portions.
 
 mod allocation;
+mod by_work;
+mod counts;
+mod economy;
+mod input;
+mod transition;
+mod warmth;
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -29,6 +38,10 @@
 
 use crate::Slot;
 use allocation::{Allocation, Need, Offer};
+use by_work::ByWork;
+pub use by_work::Status;
+pub use economy::Economy;
+pub use input::{Forecast, Input};
 
 /// Time beyond the boot time after which an ordered instance is no longer expected to start.
 const START_SLACK: Duration = Duration::from_secs(2);
@@ -48,6 +61,8 @@
     pub refusal_backoff: Duration,
     /// Time after a reclaim within which another one belongs to the same wave.
     pub reclaim_window: Duration,
+    /// Prices and values for services that are balanced by work.
+    pub economy: Economy,
 }
 
 impl Default for Settings {
@@ -59,6 +74,7 @@
             reclaim_backoff: Duration::from_secs(6),
             refusal_backoff: Duration::from_secs(2),
             reclaim_window: Duration::from_secs(12),
+            economy: Economy::default(),
         }
     }
 }
@@ -72,15 +88,6 @@
     pub reclaimed: u32,
 }
 
-/// What a service is expected to need.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Forecast {
-    /// Numbers of instances; 0 without any demand.
-    pub sizing: Sizing,
-    /// Whether it follows from what the instances were seen to do, and not from assumptions.
-    pub is_learned: bool,
-}
-
 /// An order of a number of instances in one slot.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
@@ -111,6 +118,9 @@
     previous_serving: IndexMap<Slot, u32>,
     /// When the instances of a slot were last taken back.
     reclaims: IndexMap<Slot, Instant>,
+    /// When the first plan was made.
+    started: Option<Instant>,
+    by_work: ByWork,
 }
 
 /// The count of an accepted order and the time of its acceptance.
@@ -132,7 +142,10 @@
     /// Records that the cloud has no more instances of a slot to sell. An earlier order of the slot
     /// stays in force.
     pub fn record_refusal(&mut self, slot: &Slot, now: Instant) {
-        self.exclude(slot, now + self.settings.refusal_backoff);
+        match self.by_work.is_active() {
+            true => self.back_off(slot, now),
+            false => self.exclude(slot, now + self.settings.refusal_backoff),
+        }
     }
 
     /// Records that the cloud accepted an order.
@@ -140,6 +153,17 @@
         let count = order.count;
         let acceptance = Acceptance { count, at: now };
         self.accepted.insert(order.slot.clone(), acceptance);
+        let serving = self.previous_serving.get(&order.slot).copied();
+        if count > serving.unwrap_or(0) {
+            self.record_increase(&order.slot, now);
+        }
+        self.by_work.record_answer(&order.slot);
+    }
+
+    /// Records that it is unknown whether the cloud accepted an order. Where the service is balanced
+    /// by work, the order is repeated with the same count, and there is no other until its answer.
+    pub fn record_failure(&mut self, order: &Order, now: Instant) {
+        self.by_work.record_failure(order, &self.settings, now);
     }
 
     /// Returns the orders that bring the counts to those needed now.
@@ -147,12 +171,30 @@
         &mut self,
         scaling: &Scaling,
         supply: &IndexMap<Slot, Supply>,
-        forecast: Forecast,
+        input: impl Into<Input>,
         now: Instant,
     ) -> Vec<Order> {
+        let input = input.into();
+        self.started.get_or_insert(now);
         self.record_reclaims(supply, now);
         let serving = supply.values().map(|supply| supply.serving).sum();
-        let needed = self.update_sizing(forecast, serving, now);
+        let needed = self.update_sizing(input.forecast, serving, now);
+        self.by_work
+            .observe(supply, &input, &self.settings.economy, now);
+        match input.is_balanced_by_work {
+            true => self.plan_by_work(scaling, supply, &input, needed, now),
+            false => self.plan_by_requests(scaling, supply, needed, now),
+        }
+    }
+
+    /// Returns the orders for a service that is balanced by requests, or of which that is not known.
+    fn plan_by_requests(
+        &self,
+        scaling: &Scaling,
+        supply: &IndexMap<Slot, Supply>,
+        needed: Sizing,
+        now: Instant,
+    ) -> Vec<Order> {
         let offers = self.offers(scaling, supply, now);
         let losses = self.losses(now);
         let lost = losses as f64 / scaling.prices.len().max(1) as f64;
@@ -167,6 +209,7 @@
             let current = self.current_count(slot, *serving, scaling, now);
             let count = match slot.class {
                 Class::Reclaimable if self.is_in_wave() => allocation.count(slot).max(current),
+                Class::OnDemand if self.is_undecided(now) => allocation.count(slot).max(current),
                 _ => allocation.count(slot),
             };
             if count != current {
@@ -234,6 +277,16 @@
         !self.reclaims.is_empty()
     }
 
+    /// Reports whether the first answers may still show that the service is balanced by work. The
+    /// caches of the instances that serve at the start are then worth more than their price.
+    fn is_undecided(&self, now: Instant) -> bool {
+        let hold = self.settings.economy.undecided_hold;
+        let is_new = self
+            .started
+            .is_none_or(|at| now.saturating_duration_since(at) < hold);
+        is_new && self.learned_since.is_none()
+    }
+
     /// Returns the count of the last accepted order of a slot. After the time that instances need
     /// to start, at most the number that serve is returned.
     fn current_count(&self, slot: &Slot, serving: u32, scaling: &Scaling, now: Instant) -> u32 {
