Tell the autoscaler which services are balanced by work

The leader passes what entries report on the balance of a service to the autoscaler, and records orders without an answer. Metrics show the plan of each such service and the orders by result. No entry reports it yet: Report::by_work is empty.

--- a/components/control/src/duties/scaling.rs
+++ b/components/control/src/duties/scaling.rs
@@ -8,7 +8,7 @@
 use config::text::Scaling;
 use indexmap::IndexMap;
 use placement::Slot;
-use placement::autoscaler::{self, Forecast, Supply};
+use placement::autoscaler::{self, Forecast, Input, Supply};
 use state::{Command, Output};
 use tracing::{info, warn};
 use upstream::{Announcement, Availability};
@@ -20,6 +20,8 @@
 
 /// HTTP status with which the cloud refuses an order for a slot without capacity.
 const NO_CAPACITY_STATUS: u16 = 409;
+/// Lowest HTTP status of an error of the cloud itself.
+const MIN_SERVER_ERROR: u16 = 500;
 
 impl<R: Replica<Command = Command, Output = Output>> Duties<R> {
     /// Orders the instances that each service needs now.
@@ -50,19 +52,38 @@
         let now = Instant::now();
         let serving = supply.values().map(|supply| supply.serving).sum();
         let batch = announced.iter().map(|a| a.capacity.batch).max();
-        let needed = self
-            .node
-            .workload()
-            .needed(name, text, serving, batch.unwrap_or(1), now);
+        let (input, basis) = self.input(name, text, serving, batch.unwrap_or(1), now);
+        let autoscaler = self.autoscalers.entry(name.clone()).or_default();
+        let orders = autoscaler.plan(scaling, &supply, input, now);
+        if let Some(status) = autoscaler.status() {
+            self.node.metrics.scaling.show(name, &status);
+        }
+        for order in orders {
+            self.send_order(term, fence, name, &order, &basis).await;
+        }
+    }
+
+    /// Returns what is known of a service besides its instances, and from what it follows.
+    fn input(
+        &self,
+        name: &ServiceId,
+        text: &Text,
+        serving: u32,
+        batch: u32,
+        now: Instant,
+    ) -> (Input, CompactString) {
+        let mut workload = self.node.workload();
+        let needed = workload.needed(name, text, serving, batch, now);
         let basis = needed.as_ref().map(basis).unwrap_or_default();
         let forecast = needed.map_or(Forecast::default(), |needed| Forecast {
             sizing: needed.sizing,
             is_learned: needed.model.is_learned(),
         });
-        let autoscaler = self.autoscalers.entry(name.clone()).or_default();
-        for order in autoscaler.plan(scaling, &supply, forecast, now) {
-            self.send_order(term, fence, name, &order, &basis).await;
-        }
+        let input = Input {
+            is_balanced_by_work: workload.is_balanced_by_work(name),
+            ..Input::from(forecast)
+        };
+        (input, basis)
     }
 
     async fn send_order(
@@ -84,6 +105,12 @@
                 .encode_scale(fence, self.cloud, name, data_centre, slot.class, *count);
         let status = self.call(term, &call).await;
         let number = fence.number;
+        let result = match &status {
+            Ok(status) if (200..300).contains(status) => "accepted",
+            Ok(_) => "refused",
+            Err(_) => "unanswered",
+        };
+        self.node.metrics.scaling.count_order(name, result);
         let Some(autoscaler) = self.autoscalers.get_mut(name) else {
             return;
         };
@@ -103,13 +130,17 @@
                 );
             }
             Ok(status) => {
-                autoscaler.record_refusal(slot, Instant::now());
+                match status >= MIN_SERVER_ERROR {
+                    true => autoscaler.record_error(order, Instant::now()),
+                    false => autoscaler.record_refusal(slot, Instant::now()),
+                }
                 warn!(
                     order = number,
                     "placement: order of {count} instances of {name} in {slot} refused: status {status}"
                 );
             }
             Err(error) => {
+                autoscaler.record_failure(order, Instant::now());
                 warn!(
                     order = number,
                     "placement: order of {count} instances of {name} in {slot} failed: {error}"
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -1,8 +1,12 @@
 //! Metrics of the control process.
 
+mod scaling;
+
 use config::release;
 use prometheus::{Encoder, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
 
+pub use scaling::Scaling;
+
 /// Counters and gauges of one control process.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -27,6 +31,8 @@
     /// Tokens that each account with a limit spent within the last window at all entries, as the
     /// leader counts them.
     pub account_spent: IntGaugeVec,
+    /// Orders for instances by count, and the plans behind them.
+    pub scaling: Scaling,
 }
 
 impl Default for Metrics {
@@ -84,6 +90,7 @@
                 "Claims whose outcome is unknown.",
             ),
             account_spent,
+            scaling: Scaling::new(&registry),
             registry,
         }
     }
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -74,6 +74,7 @@
     demand: IndexMap<ServiceId, DemandTotals>,
     forwarding: Option<SocketAddr>,
     out_of_reach: Vec<ServiceId>,
+    by_work: Vec<ServiceId>,
 }
 
 impl Workload {
@@ -147,6 +148,7 @@
             demand: report.demand.into_iter().collect(),
             forwarding: report.forwarding,
             out_of_reach: report.out_of_reach,
+            by_work: report.by_work,
         };
         let forwarders = self.forwarders(&process, &report.out_of_reach, now);
         self.add_demand(&process, &report.demand, now);
@@ -274,6 +276,13 @@
         })
     }
 
+    /// Reports whether a service is balanced by work: an entry reported that an upstream of it stated
+    /// its slowdown.
+    pub(crate) fn is_balanced_by_work(&self, service: &ServiceId) -> bool {
+        let mut reports = self.entries.values();
+        reports.any(|report| report.by_work.contains(service))
+    }
+
     fn add_demand(
         &mut self,
         process: &EntryProcess,
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -100,6 +100,7 @@
             samples: lock(&core.samples).take(),
             models,
             reads_work_table: true,
+            by_work: Vec::new(),
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
--- a/components/placement/src/autoscaler.rs
+++ b/components/placement/src/autoscaler.rs
@@ -25,6 +25,9 @@
 mod counts;
 mod economy;
 mod input;
+mod plan;
+mod settings;
+mod speeds;
 mod transition;
 mod warmth;
 
@@ -42,43 +45,11 @@
 pub use by_work::Status;
 pub use economy::Economy;
 pub use input::{Forecast, Input};
+pub use settings::Settings;
 
 /// Time beyond the boot time after which an ordered instance is no longer expected to start.
 const START_SLACK: Duration = Duration::from_secs(2);
 
-/// Settings of an [`Autoscaler`].
-#[derive(Clone, Debug, PartialEq)]
-pub struct Settings {
-    /// Minimum number of instances that must remain after a loss of data centres.
-    pub min_survivors: u32,
-    /// Time for which fewer instances must be sufficient before fewer are ordered.
-    pub scale_down_delay: Duration,
-    /// Time since the sizing was learned first before fewer instances are ordered than there were.
-    pub learning_time: Duration,
-    /// Time for which a slot is excluded after its instances were taken back.
-    pub reclaim_backoff: Duration,
-    /// Time for which a slot is excluded after the cloud had none to sell.
-    pub refusal_backoff: Duration,
-    /// Time after a reclaim within which another one belongs to the same wave.
-    pub reclaim_window: Duration,
-    /// Prices and values for services that are balanced by work.
-    pub economy: Economy,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Settings {
-            min_survivors: 3,
-            scale_down_delay: Duration::from_secs(12),
-            learning_time: Duration::from_secs(4),
-            reclaim_backoff: Duration::from_secs(6),
-            refusal_backoff: Duration::from_secs(2),
-            reclaim_window: Duration::from_secs(12),
-            economy: Economy::default(),
-        }
-    }
-}
-
 /// The announced instances of one slot.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Supply {
@@ -166,6 +137,15 @@
         self.by_work.record_failure(order, &self.settings, now);
     }
 
+    /// Records that the cloud answered an order with an error of its own, which says nothing of its
+    /// capacity.
+    pub fn record_error(&mut self, order: &Order, now: Instant) {
+        match self.by_work.is_active() {
+            true => self.record_failure(order, now),
+            false => self.record_refusal(&order.slot, now),
+        }
+    }
+
     /// Returns the orders that bring the counts to those needed now.
     pub fn plan(
         &mut self,
--- a/components/placement/src/autoscaler/counts.rs
+++ b/components/placement/src/autoscaler/counts.rs
@@ -10,8 +10,9 @@
 use super::economy::Economy;
 use crate::Slot;
 
-/// Largest number of bounds on the reclaimable instances of a data centre that are tried.
-const MAX_BOUNDS: u32 = 32;
+/// Number of bounds on the reclaimable instances of a data centre that are tried before those beside
+/// the best one.
+const COARSE_BOUNDS: u32 = 8;
 
 /// A slot with what it costs.
 #[derive(Clone, Debug)]
@@ -64,14 +65,23 @@
     /// Returns the best counts. The even spread over data centres is found by trying each bound on
     /// the reclaimable instances of a data centre, under which the best instance is taken first.
     pub(super) fn best(offers: &[Offer], need: &Need, economy: &Economy) -> Counts {
-        let step = need.max_count.div_ceil(MAX_BOUNDS).max(1) as usize;
-        let bounds = (0..=need.max_count).rev().step_by(step);
-        let counts = bounds.map(|bound| Search::new(offers, need, economy, bound).run());
-        let best = counts.reduce(|best, other| match other.net > best.net {
-            true => other,
-            false => best,
-        });
-        best.unwrap_or_default()
+        let data_centres = data_centres(offers);
+        let try_bounds = |bounds: &mut dyn Iterator<Item = u32>| {
+            let search = |bound| Search::new(offers, &data_centres, need, economy, bound);
+            let found = bounds.map(|bound| (bound, search(bound).run()));
+            found.reduce(|best, other| match other.1.net > best.1.net {
+                true => other,
+                false => best,
+            })
+        };
+        let step = need.max_count.div_ceil(COARSE_BOUNDS).max(1);
+        let mut coarse = (0..=COARSE_BOUNDS).map(|n| (n * step).min(need.max_count));
+        let (bound, coarse) = try_bounds(&mut coarse).unwrap_or_default();
+        let beside = bound.saturating_sub(step - 1)..(bound + step).min(need.max_count);
+        match try_bounds(&mut beside.filter(|other| *other != bound)) {
+            Some((_, fine)) if fine.net > coarse.net => fine,
+            _ => coarse,
+        }
     }
 
     pub(super) fn count(&self, slot: &Slot) -> u32 {
@@ -86,6 +96,8 @@
 /// A search under one bound.
 struct Search<'a> {
     offers: &'a [Offer],
+    /// Index of the data centre of each offer.
+    data_centres: &'a [usize],
     need: &'a Need,
     economy: &'a Economy,
     /// Most reclaimable instances in a data centre.
@@ -93,6 +105,8 @@
     /// Probability of the loss of each data centre.
     loss: f64,
     counts: Vec<u32>,
+    /// Instances of all classes, by data centre.
+    beside: Vec<u32>,
     /// Speed of the reclaimable instances, by offer; the loss of a data centre takes one of these.
     reclaimable: Vec<f64>,
     capacity: f64,
@@ -101,15 +115,23 @@
 }
 
 impl<'a> Search<'a> {
-    fn new(offers: &'a [Offer], need: &'a Need, economy: &'a Economy, bound: u32) -> Self {
+    fn new(
+        offers: &'a [Offer],
+        data_centres: &'a [usize],
+        need: &'a Need,
+        economy: &'a Economy,
+        bound: u32,
+    ) -> Self {
         let reclaimable = offers.iter().filter(|offer| is_reclaimable(offer)).count();
         Search {
             offers,
+            data_centres,
             need,
             economy,
             bound,
             loss: need.loss_probability / reclaimable.max(1) as f64,
             counts: vec![0; offers.len()],
+            beside: vec![0; offers.len()],
             reclaimable: vec![0.0; offers.len()],
             capacity: 0.0,
             price: 0.0,
@@ -154,10 +176,7 @@
 
     /// Returns the instances of all classes in the data centre of an offer.
     fn count_beside(&self, index: usize) -> u32 {
-        let data_centre = &self.offers[index].slot.data_centre;
-        let counts = self.offers.iter().zip(&self.counts);
-        let here = counts.filter(|(offer, _)| offer.slot.data_centre == *data_centre);
-        here.map(|(_, count)| count).sum()
+        self.beside[self.data_centres[index]]
     }
 
     fn next_price(&self, index: usize) -> f64 {
@@ -199,6 +218,7 @@
         self.net += net;
         self.capacity += offer.speed;
         self.counts[index] += 1;
+        self.beside[self.data_centres[index]] += 1;
         if is_reclaimable(offer) {
             self.reclaimable[index] += offer.speed;
         }
@@ -208,8 +228,7 @@
     fn ensure_minimum(&mut self) {
         for index in 0..self.offers.len() {
             while self.count_beside(index) < self.need.min_count {
-                let data_centre = &self.offers[index].slot.data_centre;
-                let is_here = |i: &usize| self.offers[*i].slot.data_centre == *data_centre;
+                let is_here = |i: &usize| self.data_centres[*i] == self.data_centres[index];
                 let has_room = |i: &usize| self.counts[*i] < self.offers[*i].limit;
                 let here = (0..self.offers.len()).filter(is_here).filter(has_room);
                 let by_price =
@@ -224,6 +243,14 @@
     }
 }
 
+/// Returns the index of the first offer in the same data centre, for each offer.
+fn data_centres(offers: &[Offer]) -> Vec<usize> {
+    let is_same = |a: &Offer, b: &Offer| a.slot.data_centre == b.slot.data_centre;
+    let first = |offer| offers.iter().position(|other| is_same(offer, other));
+    let indices = offers.iter().map(|offer| first(offer).unwrap_or(0));
+    indices.collect()
+}
+
 fn is_reclaimable(offer: &Offer) -> bool {
     offer.slot.class == Class::Reclaimable
 }
--- a/components/placement/src/autoscaler/economy.rs
+++ b/components/placement/src/autoscaler/economy.rs
@@ -28,9 +28,12 @@
     pub keep_time: Duration,
     /// Time for which an instance serves until its cache counts as filled.
     pub warm_time: Duration,
-    /// Time for which fewer comfortable instances must be enough before fewer are kept. It exceeds a
-    /// period of the usual waves of the load.
+    /// Time over which the need for comfortable instances is taken. It exceeds a period of the usual
+    /// waves of the load.
     pub comfort_window: Duration,
+    /// Time for which the load must exceed what exists before more is ordered for it at any price.
+    /// Shorter bursts end before new instances serve.
+    pub rise_time: Duration,
     /// Share of the serving instances that are replaced or released at a time.
     pub portion: f64,
     /// Time between two releases.
@@ -52,14 +55,15 @@
             instance_value: 4.0,
             burst_share: 0.15,
             loss_probability: 0.2,
-            wave_loss_probability: 0.4,
+            wave_loss_probability: 0.3,
             cold_cost: 13.0,
             reclaimable_use: Duration::from_secs(60),
-            on_demand_use: Duration::from_secs(20),
-            keep_time: Duration::from_secs(20),
+            on_demand_use: Duration::from_secs(18),
+            keep_time: Duration::from_secs(18),
             warm_time: Duration::from_secs(5),
             comfort_window: Duration::from_secs(45),
-            portion: 0.25,
+            rise_time: Duration::from_secs(3),
+            portion: 0.2,
             release_interval: Duration::from_secs(3),
             min_change: 0.04,
             max_refusal_backoff: Duration::from_millis(3_500),
--- a/components/placement/src/autoscaler/transition.rs
+++ b/components/placement/src/autoscaler/transition.rs
@@ -4,6 +4,7 @@
 //! after the previous ones had time to fill their caches, and those that they replace are released
 //! only while enough others are warm.
 
+use config::ids::DataCentreId;
 use config::text::Class;
 
 use super::counts::Counts;
@@ -39,6 +40,8 @@
     pub(super) is_urgent: bool,
     /// Most instances in each data centre.
     pub(super) max_count: u32,
+    /// Instances that must stay where others are released to make place for those that replace them.
+    pub(super) floor: u32,
 }
 
 /// What a round does.
@@ -59,12 +62,30 @@
         true => missing,
         false => 0,
     };
-    let added = increase(steps, missing + allowance.replaced, allowance.max_count);
+    let lacking = steps
+        .iter()
+        .map(|step| step.wanted.saturating_sub(step.current));
+    let replaced = match lacking.sum::<u32>() > missing + allowance.ignored {
+        true => allowance.replaced,
+        false => 0,
+    };
+    let added = increase(steps, missing + replaced, allowance.max_count);
     let warm: u32 = steps.iter().map(|step| step.warm).sum();
     let spare = warm.saturating_sub(wanted.total()).min(allowance.released);
+    let released = release(steps, spare, allowance.ignored, |_| true);
+    // A data centre at its bound has no place for what is to replace its instances.
+    let spare = warm.saturating_sub(allowance.floor).min(allowance.released);
+    let full = full_data_centres(steps, allowance.max_count);
+    let is_full = |step: &Step| full.contains(&step.slot.data_centre);
+    let making_place = release(
+        steps,
+        spare.saturating_sub(released),
+        allowance.ignored,
+        is_full,
+    );
     Moved {
         replaced: added.saturating_sub(missing),
-        released: release(steps, spare, allowance.ignored),
+        released: released + making_place,
     }
 }
 
@@ -92,21 +113,36 @@
     here.map(|step| step.next.max(step.current)).sum()
 }
 
-/// Releases at most `spare` instances, dearest slots first, and returns how many there were.
-/// Reclaimable ones are cheap, so that few of them are not worth an order.
-fn release(steps: &mut [Step], spare: u32, ignored: u32) -> u32 {
+/// Returns the data centres at their bound in which one slot lacks instances.
+fn full_data_centres(steps: &[Step], max_count: u32) -> Vec<DataCentreId> {
+    let indices = 0..steps.len();
+    let is_full = |index: &usize| in_data_centre(steps, *index) >= max_count;
+    let lacking = indices.filter(|index| steps[*index].next < steps[*index].wanted);
+    let full = lacking.filter(is_full);
+    full.map(|index| steps[index].slot.data_centre.clone())
+        .collect()
+}
+
+/// Releases at most `spare` instances of eligible slots, dearest first, and returns how many there
+/// were. Reclaimable ones are cheap, so that few of them are not worth an order.
+fn release(
+    steps: &mut [Step],
+    spare: u32,
+    ignored: u32,
+    is_eligible: impl Fn(&Step) -> bool,
+) -> u32 {
     let mut order: Vec<usize> = (0..steps.len()).collect();
     order.sort_by(|a, b| steps[*b].price.total_cmp(&steps[*a].price));
     let mut released = 0;
     for index in order {
         let step = &mut steps[index];
-        let surplus = step.current.saturating_sub(step.wanted);
+        let surplus = step.next.saturating_sub(step.wanted);
         let is_worthwhile = step.slot.class == Class::OnDemand || surplus > ignored;
-        if !step.may_release || !is_worthwhile {
+        if !step.may_release || !is_worthwhile || !is_eligible(step) {
             continue;
         }
         let count = surplus.min(spare - released);
-        step.next = step.current - count;
+        step.next -= count;
         released += count;
     }
     released
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -53,6 +53,10 @@
     /// Whether the entry reads [`Overview::work_table`] in place of [`Overview::work`].
     #[serde(default, skip_serializing_if = "is_false")]
     pub reads_work_table: bool,
+    /// Services of which an upstream stated its slowdown, so that they are balanced by work unless the
+    /// text says otherwise.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub by_work: Vec<ServiceId>,
 }
 
 #[expect(
