--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -5,7 +5,7 @@
 use config::release;
 use prometheus::{Encoder, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
 
-pub use scaling::Scaling;
+use scaling::Scaling;
 
 /// Counters and gauges of one control process.
 #[derive(Clone, Debug)]
@@ -32,7 +32,7 @@
     /// leader counts them.
     pub account_spent: IntGaugeVec,
     /// Orders for instances by count, and the plans behind them.
-    pub scaling: Scaling,
+    pub(crate) scaling: Scaling,
 }
 
 impl Default for Metrics {
--- a/components/control/src/metrics/scaling.rs
+++ b/components/control/src/metrics/scaling.rs
@@ -5,9 +5,9 @@
 
 /// Metrics of the orders for instances by count; set by the leader only.
 #[derive(Clone, Debug)]
-pub struct Scaling {
+pub(crate) struct Scaling {
     /// Orders by service and result: `accepted`, `refused`, `unanswered`.
-    pub orders: IntCounterVec,
+    orders: IntCounterVec,
     /// Instances of the last plan of each service that is balanced by work, by state.
     instances: IntGaugeVec,
     /// Slots of each such service that were sold out at the last order.
--- a/components/placement/src/autoscaler.rs
+++ b/components/placement/src/autoscaler.rs
@@ -260,11 +260,12 @@
     /// Reports whether the first answers may still show that the service is balanced by work. The
     /// caches of the instances that serve at the start are then worth more than their price.
     fn is_undecided(&self, now: Instant) -> bool {
-        let hold = self.settings.economy.undecided_hold;
-        let is_new = self
-            .started
-            .is_none_or(|at| now.saturating_duration_since(at) < hold);
-        is_new && self.learned_since.is_none()
+        let is_within = |since: Option<Instant>, time: Duration| {
+            since.is_some_and(|at| now.saturating_duration_since(at) < time)
+        };
+        let is_new = is_within(self.started, self.settings.economy.undecided_hold);
+        let is_first_demand = is_within(self.demand_since, self.settings.learning_time);
+        self.learned_since.is_none() && (is_new || is_first_demand)
     }
 
     /// Returns the count of the last accepted order of a slot. After the time that instances need
--- a/components/placement/src/autoscaler/counts.rs
+++ b/components/placement/src/autoscaler/counts.rs
@@ -160,8 +160,19 @@
 
     /// Returns the offer whose next instance has the largest value less its price.
     fn best_offer(&self) -> Option<(usize, f64)> {
+        // Instances mostly have the same speed, and then the same value but for their own loss.
+        let mut of_speed: Option<(f64, f64)> = None;
         let open = (0..self.offers.len()).filter(|index| self.is_open(*index));
-        let rated = open.map(|index| (index, self.value(index) - self.next_price(index)));
+        let rated = open.map(|index| {
+            let speed = self.offers[index].speed;
+            let value = match of_speed {
+                Some((known, value)) if known == speed => value,
+                _ => self.value(speed),
+            };
+            of_speed = Some((speed, value));
+            let own_loss = self.value_after_loss(index, speed);
+            (index, value - own_loss - self.next_price(index))
+        });
         rated.max_by(|(_, a), (_, b)| a.total_cmp(b))
     }
 
@@ -187,21 +198,25 @@
         }
     }
 
-    /// Returns the value of another instance of an offer, over all scenarios.
-    fn value(&self, index: usize) -> f64 {
-        let speed = self.offers[index].speed;
-        let rise = |capacity: f64, sufficient: f64| {
-            self.utility(capacity + speed, sufficient) - self.utility(capacity, sufficient)
-        };
-        let no_loss =
-            (1.0 - self.need.loss_probability) * rise(self.capacity, self.need.sufficient);
-        let lost = self.offers.iter().enumerate();
-        let survived = lost.filter(|(other, offer)| is_reclaimable(offer) && *other != index);
-        let after_loss = survived.map(|(other, _)| {
-            let capacity = self.capacity - self.reclaimable[other];
-            self.loss * rise(capacity, self.need.sufficient_after_loss)
-        });
-        no_loss + after_loss.sum::<f64>()
+    /// Returns the value of another instance that serves in all scenarios.
+    fn value(&self, speed: f64) -> f64 {
+        let no_loss = self.rise(self.capacity, speed, self.need.sufficient);
+        let losses = (0..self.offers.len()).map(|lost| self.value_after_loss(lost, speed));
+        (1.0 - self.need.loss_probability) * no_loss + losses.sum::<f64>()
+    }
+
+    /// Returns the value of another instance that serves after the loss of the instances of an offer;
+    /// 0 if these can't be lost.
+    fn value_after_loss(&self, lost: usize, speed: f64) -> f64 {
+        if !is_reclaimable(&self.offers[lost]) {
+            return 0.0;
+        }
+        let left = self.capacity - self.reclaimable[lost];
+        self.loss * self.rise(left, speed, self.need.sufficient_after_loss)
+    }
+
+    fn rise(&self, capacity: f64, speed: f64, sufficient: f64) -> f64 {
+        self.utility(capacity + speed, sufficient) - self.utility(capacity, sufficient)
     }
 
     /// Returns the value of the answers that a capacity gives.
@@ -236,8 +251,9 @@
                 let Some(cheapest) = here.min_by(by_price) else {
                     break;
                 };
-                let net = self.value(cheapest) - self.next_price(cheapest);
-                self.add(cheapest, net);
+                let speed = self.offers[cheapest].speed;
+                let value = self.value(speed) - self.value_after_loss(cheapest, speed);
+                self.add(cheapest, value - self.next_price(cheapest));
             }
         }
     }
--- a/components/placement/tests/days/day.rs
+++ b/components/placement/tests/days/day.rs
@@ -4,7 +4,7 @@
 
 use config::text::{Class, Scaling};
 use performance::Sizing;
-use placement::autoscaler::{Autoscaler, Economy, Forecast, Input, Order, Settings};
+use placement::autoscaler::{Autoscaler, Forecast, Input, Order};
 
 use crate::cloud::{Answer, Cloud, Reclaim};
 use crate::load::Load;
@@ -39,7 +39,10 @@
     pub(crate) max_count: u32,
     /// Time in which the cloud answers nothing, in seconds.
     pub(crate) silence_s: std::ops::Range<f64>,
-    pub(crate) economy: Economy,
+    /// Reclaims in place of random ones.
+    pub(crate) reclaims: Option<Vec<Reclaim>>,
+    /// Time at which another leader takes over, which knows nothing, in seconds.
+    pub(crate) new_leader_s: f64,
 }
 
 impl Default for Case {
@@ -53,7 +56,8 @@
             day_s: 90.0,
             max_count: 30,
             silence_s: 0.0..0.0,
-            economy: Economy::default(),
+            reclaims: None,
+            new_leader_s: f64::INFINITY,
         }
     }
 }
@@ -76,10 +80,10 @@
     pub(crate) paid: f64,
     /// Engine seconds that were missing.
     pub(crate) missing: f64,
-    /// The same in the first 12 s.
+    /// Engine seconds that were missing beyond the bounds of all data centres.
+    pub(crate) out_of_bounds: f64,
+    /// Engine seconds that were missing in the first 12 s.
     pub(crate) missing_at_start: f64,
-    /// Engine seconds that the load needed.
-    pub(crate) needed: f64,
     /// Engines before the first request.
     pub(crate) at_start: usize,
     pub(crate) sent: Vec<Sent>,
@@ -113,13 +117,10 @@
     let mut random = Random::new(case.seed);
     let load = Load::new(case.mean, case.day_s, &mut random);
     let (first_s, interval_s) = case.reclaims_s;
-    let reclaims = Reclaim::of_day(first_s, interval_s, case.day_s, 4, &mut random);
+    let random_reclaims = Reclaim::of_day(first_s, interval_s, case.day_s, 4, &mut random);
+    let reclaims = case.reclaims.clone().unwrap_or(random_reclaims);
     let mut cloud = Cloud::new(scaling(case.max_count), case.initial, reclaims);
-    let settings = Settings {
-        economy: case.economy.clone(),
-        ..Settings::default()
-    };
-    let mut autoscaler = Autoscaler::new(settings);
+    let mut autoscaler = Autoscaler::default();
     let mut outcome = Outcome::default();
     let start = Instant::now();
     let rounds = ((LEAD_S + case.day_s) / ROUND_S) as u32;
@@ -127,6 +128,9 @@
         let now_s = f64::from(round) * ROUND_S - LEAD_S;
         cloud.advance(now_s, ROUND_S, now_s > 0.0);
         outcome.observe(&cloud, &load, now_s);
+        if (now_s..now_s + ROUND_S).contains(&case.new_leader_s) {
+            autoscaler = Autoscaler::default();
+        }
         let now = start + Duration::from_secs_f64(now_s + LEAD_S);
         let input = input(case, &load, now_s);
         let supply = cloud.supply(now_s);
@@ -175,7 +179,8 @@
         }
         let needed = load.at(now_s) * cloud.tokens_ratio(now_s);
         let missing = ROUND_S * (needed - cloud.capacity(now_s)).max(0.0);
-        self.needed += ROUND_S * needed;
+        let bound = f64::from(cloud.scaling.max_count) * cloud.scaling.prices.len() as f64;
+        self.out_of_bounds += ROUND_S * (needed - bound).max(0.0);
         self.missing += missing;
         if now_s < 12.0 {
             self.missing_at_start += missing;
--- a/components/placement/tests/days/load.rs
+++ b/components/placement/tests/days/load.rs
@@ -37,7 +37,7 @@
         }
         let wave = 1.0 + WAVE_SHARE * (time_s / WAVE_S * std::f64::consts::TAU).sin();
         let is_burst = |start: &f64| (*start..*start + BURST_S).contains(&time_s);
-        let burst = match self.bursts.iter().any(|start| is_burst(start)) {
+        let burst = match self.bursts.iter().any(is_burst) {
             true => BURST,
             false => 1.0,
         };
