--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -79,6 +79,7 @@
     speeds: SpeedTable,
     /// When the entry was last told the speeds of all entries.
     speeds_told: Option<Instant>,
+    by_work: Vec<ServiceId>,
 }
 
 impl Workload {
@@ -158,6 +159,7 @@
             out_of_reach: report.out_of_reach,
             speeds: report.speeds,
             speeds_told: if speeds_due { Some(now) } else { speeds_told },
+            by_work: report.by_work,
         };
         let forwarders = self.forwarders(&process, &report.out_of_reach, now);
         self.add_demand(&process, &report.demand, now);
@@ -289,6 +291,13 @@
         })
     }
 
+    /// Reports whether a service is balanced by work: an entry reported that an upstream of it stated
+    /// its slowdown.
+    pub(crate) fn is_balanced_by_work(&self, service: &ServiceId) -> bool {
+        let mut reports = self.entries.values();
+        reports.any(|report| report.by_work.contains(service))
+    }
+
     fn add_demand(
         &mut self,
         process: &EntryProcess,
--- a/components/gateway/src/balancer/work.rs
+++ b/components/gateway/src/balancer/work.rs
@@ -109,6 +109,13 @@
         self.work.is_balanced_by_work(service)
     }
 
+    /// Returns the services that are balanced by work.
+    pub fn services_by_work(&self) -> Vec<ServiceId> {
+        let services = self.work.services.keys();
+        let by_work = services.filter(|service| self.is_balanced_by_work(service));
+        by_work.cloned().collect()
+    }
+
     /// Returns the expected work of a request, in milliseconds of a usual upstream, as far as it
     /// follows from its service. `prompt` is `None` for a plain call.
     pub fn request_work_ms(&self, service: &ServiceId, prompt: Option<&Prompt>) -> f64 {
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -101,6 +101,7 @@
             models,
             reads_work_table: true,
             speeds: lock(&core.balancer).report_speeds(Instant::now()),
+            by_work: lock(&core.balancer).services_by_work(),
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
--- a/components/placement/src/autoscaler.rs
+++ b/components/placement/src/autoscaler.rs
@@ -16,8 +16,20 @@
 //! centres as were lost recently, and reclaimable ones are kept until the wave is over. Some instances leave without announcing that they are reclaimed,
 //! so a slot also counts as reclaimed when none of its instances serve any more although more were
 //! ordered.
+//!
+//! For a service that is balanced by work, the counts are those with the largest value of answers
+//! less the price of the instances ([`Economy`]), and they are reached in portions.
 
 mod allocation;
+mod by_work;
+mod counts;
+mod economy;
+mod input;
+mod plan;
+mod settings;
+mod speeds;
+mod transition;
+mod warmth;
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -29,40 +41,15 @@
 
 use crate::Slot;
 use allocation::{Allocation, Need, Offer};
+use by_work::ByWork;
+pub use by_work::Status;
+pub use economy::Economy;
+pub use input::{Forecast, Input};
+pub use settings::Settings;
 
 /// Time beyond the boot time after which an ordered instance is no longer expected to start.
 const START_SLACK: Duration = Duration::from_secs(2);
 
-/// Settings of an [`Autoscaler`].
-#[derive(Clone, Debug, PartialEq)]
-pub struct Settings {
-    /// Minimum number of instances that must remain after a loss of data centres.
-    pub min_survivors: u32,
-    /// Time for which fewer instances must be sufficient before fewer are ordered.
-    pub scale_down_delay: Duration,
-    /// Time since the sizing was learned first before fewer instances are ordered than there were.
-    pub learning_time: Duration,
-    /// Time for which a slot is excluded after its instances were taken back.
-    pub reclaim_backoff: Duration,
-    /// Time for which a slot is excluded after the cloud had none to sell.
-    pub refusal_backoff: Duration,
-    /// Time after a reclaim within which another one belongs to the same wave.
-    pub reclaim_window: Duration,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Settings {
-            min_survivors: 3,
-            scale_down_delay: Duration::from_secs(12),
-            learning_time: Duration::from_secs(4),
-            reclaim_backoff: Duration::from_secs(6),
-            refusal_backoff: Duration::from_secs(2),
-            reclaim_window: Duration::from_secs(12),
-        }
-    }
-}
-
 /// The announced instances of one slot.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Supply {
@@ -72,15 +59,6 @@
     pub reclaimed: u32,
 }
 
-/// What a service is expected to need.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Forecast {
-    /// Numbers of instances; 0 without any demand.
-    pub sizing: Sizing,
-    /// Whether it follows from what the instances were seen to do, and not from assumptions.
-    pub is_learned: bool,
-}
-
 /// An order of a number of instances in one slot.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
@@ -111,6 +89,9 @@
     previous_serving: IndexMap<Slot, u32>,
     /// When the instances of a slot were last taken back.
     reclaims: IndexMap<Slot, Instant>,
+    /// When the first plan was made.
+    started: Option<Instant>,
+    by_work: ByWork,
 }
 
 /// The count of an accepted order and the time of its acceptance.
@@ -132,7 +113,10 @@
     /// Records that the cloud has no more instances of a slot to sell. An earlier order of the slot
     /// stays in force.
     pub fn record_refusal(&mut self, slot: &Slot, now: Instant) {
-        self.exclude(slot, now + self.settings.refusal_backoff);
+        match self.by_work.is_active() {
+            true => self.back_off(slot, now),
+            false => self.exclude(slot, now + self.settings.refusal_backoff),
+        }
     }
 
     /// Records that the cloud accepted an order.
@@ -140,6 +124,26 @@
         let count = order.count;
         let acceptance = Acceptance { count, at: now };
         self.accepted.insert(order.slot.clone(), acceptance);
+        let serving = self.previous_serving.get(&order.slot).copied();
+        if count > serving.unwrap_or(0) {
+            self.record_increase(&order.slot, now);
+        }
+        self.by_work.record_answer(&order.slot);
+    }
+
+    /// Records that it is unknown whether the cloud accepted an order. Where the service is balanced
+    /// by work, the order is repeated with the same count, and there is no other until its answer.
+    pub fn record_failure(&mut self, order: &Order, now: Instant) {
+        self.by_work.record_failure(order, &self.settings, now);
+    }
+
+    /// Records that the cloud answered an order with an error of its own, which says nothing of its
+    /// capacity.
+    pub fn record_error(&mut self, order: &Order, now: Instant) {
+        match self.by_work.is_active() {
+            true => self.record_failure(order, now),
+            false => self.record_refusal(&order.slot, now),
+        }
     }
 
     /// Returns the orders that bring the counts to those needed now.
@@ -147,12 +151,30 @@
         &mut self,
         scaling: &Scaling,
         supply: &IndexMap<Slot, Supply>,
-        forecast: Forecast,
+        input: impl Into<Input>,
         now: Instant,
     ) -> Vec<Order> {
+        let input = input.into();
+        self.started.get_or_insert(now);
         self.record_reclaims(supply, now);
         let serving = supply.values().map(|supply| supply.serving).sum();
-        let needed = self.update_sizing(forecast, serving, now);
+        let needed = self.update_sizing(input.forecast, serving, now);
+        self.by_work
+            .observe(supply, &input, &self.settings.economy, now);
+        match input.is_balanced_by_work {
+            true => self.plan_by_work(scaling, supply, &input, needed, now),
+            false => self.plan_by_requests(scaling, supply, needed, now),
+        }
+    }
+
+    /// Returns the orders for a service that is balanced by requests, or of which that is not known.
+    fn plan_by_requests(
+        &self,
+        scaling: &Scaling,
+        supply: &IndexMap<Slot, Supply>,
+        needed: Sizing,
+        now: Instant,
+    ) -> Vec<Order> {
         let offers = self.offers(scaling, supply, now);
         let losses = self.losses(now);
         let lost = losses as f64 / scaling.prices.len().max(1) as f64;
@@ -167,6 +189,7 @@
             let current = self.current_count(slot, *serving, scaling, now);
             let count = match slot.class {
                 Class::Reclaimable if self.is_in_wave() => allocation.count(slot).max(current),
+                Class::OnDemand if self.is_undecided(now) => allocation.count(slot).max(current),
                 _ => allocation.count(slot),
             };
             if count != current {
@@ -234,6 +257,17 @@
         !self.reclaims.is_empty()
     }
 
+    /// Reports whether the first answers may still show that the service is balanced by work. The
+    /// caches of the instances that serve at the start are then worth more than their price.
+    fn is_undecided(&self, now: Instant) -> bool {
+        let is_within = |since: Option<Instant>, time: Duration| {
+            since.is_some_and(|at| now.saturating_duration_since(at) < time)
+        };
+        let is_new = is_within(self.started, self.settings.economy.undecided_hold);
+        let is_first_demand = is_within(self.demand_since, self.settings.learning_time);
+        self.learned_since.is_none() && (is_new || is_first_demand)
+    }
+
     /// Returns the count of the last accepted order of a slot. After the time that instances need
     /// to start, at most the number that serve is returned.
     fn current_count(&self, slot: &Slot, serving: u32, scaling: &Scaling, now: Instant) -> u32 {
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -56,6 +56,10 @@
     /// Evidence of the speeds of upstreams that the entry has.
     #[serde(default, skip_serializing_if = "SpeedTable::is_empty")]
     pub speeds: SpeedTable,
+    /// Services of which an upstream stated its slowdown, so that they are balanced by work unless the
+    /// text says otherwise.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub by_work: Vec<ServiceId>,
 }
 
 #[expect(
