Exchange statements and draw plain upstreams; test the choice by work under load

At 80 entries, one rarely has a fresh statement of an upstream. Change: plain calls compare two upstreams drawn in proportion to their speed; what follows from statements is exchanged in a third table; speeds are centred on the usual one of the service.

--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -14,7 +14,9 @@
 use performance::{Load, Model, Sizing};
 use quarantine::{Evidence, Kind, Record};
 use state::usage::{Counts, Window};
-use wire::{DemandTotals, Forwarder, Limits, Overview, Report, SpeedTable, Work, WorkTable};
+use wire::{
+    DemandTotals, Forwarder, Limits, MomentTable, Overview, Report, SpeedTable, Work, WorkTable,
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::performance::{Performance, objective};
@@ -77,6 +79,7 @@
     forwarding: Option<SocketAddr>,
     out_of_reach: Vec<ServiceId>,
     speeds: SpeedTable,
+    moments: MomentTable,
     /// When the entry was last told the speeds of all entries.
     speeds_told: Option<Instant>,
 }
@@ -157,6 +160,7 @@
             forwarding: report.forwarding,
             out_of_reach: report.out_of_reach,
             speeds: report.speeds,
+            moments: report.moments,
             speeds_told: if speeds_due { Some(now) } else { speeds_told },
         };
         let forwarders = self.forwarders(&process, &report.out_of_reach, now);
@@ -182,6 +186,7 @@
             work_table,
             work_ms,
             speeds,
+            moments: self.newest_moments(now),
             quarantine,
             requests,
             limits,
@@ -342,6 +347,11 @@
         SpeedTable::sum(self.live_reports(now).map(|report| &report.speeds))
     }
 
+    fn newest_moments(&self, now: Instant) -> MomentTable {
+        let reports = self.live_reports(now);
+        MomentTable::newest(reports.map(|report| (&report.moments, report.at)), now)
+    }
+
     fn total_work(&self, now: Instant) -> Vec<(UpstreamId, Work)> {
         let mut sums: IndexMap<UpstreamId, Work> = IndexMap::new();
         for (upstream, work) in self.live_reports(now).flat_map(|report| &report.work) {
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -16,6 +16,7 @@
 mod replacements;
 mod silent_connections;
 mod single_control;
+mod speeds;
 mod submissions;
 mod unnamed_services;
 mod work;
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -25,9 +25,10 @@
 mod places;
 mod prefixes;
 mod rates;
-mod speeds;
+mod sampled;
 mod serving;
 mod settings;
+mod speeds;
 mod upstream;
 mod work;
 
@@ -167,7 +168,15 @@
         now: Instant,
     ) -> (Option<UpstreamId>, Option<(UpstreamId, Estimate)>) {
         let Some(ranked) = home::ranked(criteria, usable, now) else {
-            return (None, self.lowest(usable, None, criteria, now));
+            let is_sampled =
+                criteria.prompt.is_none() && self.is_balanced_by_work(criteria.service);
+            return match is_sampled {
+                true => (
+                    None,
+                    self.lowest(&self.sampled(usable, now), None, criteria, now),
+                ),
+                false => (None, self.lowest(usable, None, criteria, now)),
+            };
         };
         let home = ranked.first().map(|(name, _)| *name);
         let lowest = |size| self.lowest(&ranked[..size], home, criteria, now);
--- a/components/gateway/src/balancer/by_work.rs
+++ b/components/gateway/src/balancer/by_work.rs
@@ -122,7 +122,9 @@
 /// that don't state it are taken to be like this one.
 fn request_ms(upstream: &Upstream, criteria: &Criteria<'_>) -> f64 {
     let work = [upstream.own_work, upstream.other_work];
-    let known = work.iter().filter_map(|work| Some((work.requests, work.work_ms?)));
+    let known = work
+        .iter()
+        .filter_map(|work| Some((work.requests, work.work_ms?)));
     let (requests, work_ms) = known.fold((0.0, 0.0), |(requests, work_ms), (count, ms)| {
         (requests + f64::from(count), work_ms + f64::from(ms))
     });
--- a/components/gateway/src/balancer/exchange.rs
+++ b/components/gateway/src/balancer/exchange.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use config::ids::{ServiceId, UpstreamId};
-use performance::{Evidence, Model};
-use wire::{SpeedTable, Work, WorkTable};
+use performance::{Evidence, Model, Moment};
+use wire::{MomentTable, SpeedTable, Work, WorkTable};
 
 use super::Balancer;
 use super::upstream::Upstream;
@@ -52,14 +52,57 @@
         }))
     }
 
+    /// Returns what follows from the newest statements of upstreams to this entry.
+    pub fn report_moments(&self, now: Instant) -> MomentTable {
+        let upstreams = self.upstreams.iter();
+        let moments = upstreams.filter_map(|(name, upstream)| {
+            let process = (name.as_str(), upstream.incarnation);
+            Some((process, upstream.speed.moment()?))
+        });
+        MomentTable::new(moments, now)
+    }
+
     /// Applies what all entries learned, which includes this entry's last report.
     pub fn apply_speeds(&mut self, speeds: &SpeedTable, now: Instant) {
-        let processes = self.upstreams.iter();
-        let processes = processes.map(|(name, upstream)| (name.as_str(), upstream.incarnation));
-        let evidence: Vec<Evidence> = speeds.of(processes).collect();
+        let evidence: Vec<Evidence> = speeds.of(self.processes()).collect();
         for (upstream, evidence) in self.upstreams.values_mut().zip(evidence) {
             upstream.speed.apply(evidence, now);
         }
+        for service in self.services() {
+            self.set_usual_speed(&service);
+        }
+    }
+
+    /// Applies what follows from the newest statements to all entries, which were told at `told`.
+    pub fn apply_moments(&mut self, moments: &MomentTable, told: Instant) {
+        if moments.is_empty() {
+            return;
+        }
+        let moments: Vec<Option<Moment>> = moments.of(self.processes(), told).collect();
+        for (upstream, moment) in self.upstreams.values_mut().zip(moments) {
+            if let Some(moment) = moment {
+                upstream.speed.receive(moment);
+            }
+        }
+    }
+
+    fn processes(&self) -> impl Iterator<Item = (&str, u64)> {
+        let upstreams = self.upstreams.iter();
+        upstreams.map(|(name, upstream)| (name.as_str(), upstream.incarnation))
+    }
+
+    /// Takes the average speed of a service's upstreams as the usual one.
+    fn set_usual_speed(&mut self, service: &str) {
+        let upstreams = self.upstreams.values();
+        let live = upstreams.filter(|upstream| upstream.service == service && !upstream.superseded);
+        let (sum, count) = live.fold((0.0, 0.0), |(sum, count), upstream| {
+            (sum + upstream.speed.average(), count + 1.0_f64)
+        });
+        let usual = sum / count.max(1.0);
+        let upstreams = self.upstreams.values_mut();
+        for upstream in upstreams.filter(|upstream| upstream.service == service) {
+            upstream.speed.set_usual(usual);
+        }
     }
 
     /// Spreads the work of the other entries evenly over the upstreams of each service, once it is too
--- a/components/gateway/src/balancer/settings.rs
+++ b/components/gateway/src/balancer/settings.rs
@@ -11,6 +11,8 @@
 pub struct Settings {
     /// Data centre of the entry.
     pub data_centre: DataCentreId,
+    /// Number that differs by entry.
+    pub seed: u64,
     /// Rates of engines of which nothing was learned yet.
     pub unknown_rates: Rates,
     /// Duration of a call to a plain service before one was measured, in milliseconds.
@@ -38,6 +40,7 @@
     fn default() -> Self {
         Settings {
             data_centre: DataCentreId::default(),
+            seed: 0,
             unknown_rates: Rates::default(),
             plain_call_ms: 20.0,
             prefill_weight: 1.0,
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -162,9 +162,11 @@
             Some(_) => "not on the home engine",
             None => "no home engine",
         };
-        let by_work = estimate.by_work.map_or_else(CompactString::default, |by_work| {
-            format_compact!("{by_work}, ")
-        });
+        let by_work = estimate
+            .by_work
+            .map_or_else(CompactString::default, |by_work| {
+                format_compact!("{by_work}, ")
+            });
         Choice {
             upstream: name.clone(),
             incarnation: self.incarnation,
--- a/components/gateway/src/balancer/work.rs
+++ b/components/gateway/src/balancer/work.rs
@@ -139,7 +139,11 @@
             }
             None => {
                 let learned = self.work.lengths.expected(keys, None);
-                let measured = || model.map(|model| model.first_event_ms).filter(|ms| *ms > 0.0);
+                let measured = || {
+                    model
+                        .map(|model| model.first_event_ms)
+                        .filter(|ms| *ms > 0.0)
+                };
                 let expected = learned.or_else(measured);
                 expected.unwrap_or(self.settings.plain_call_ms)
             }
@@ -165,10 +169,10 @@
             None => {
                 let queue = queue_share(choice, upstream);
                 let actual = millis(ended.first_event);
-                let expected = self.answer_ms(service, &keys, None) * (1.0 + queue);
-                let alone = actual / (1.0 + queue);
-                self.work.lengths.record(&keys, None, alone);
-                Some((expected, actual))
+                let alone = self.work.lengths.expected(&keys, None);
+                let measured = actual / (1.0 + queue);
+                self.work.lengths.record(&keys, None, measured);
+                alone.map(|alone| (alone, measured))
             }
         };
         let Some((expected, actual)) = times else {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -219,9 +219,7 @@
             return;
         }
         let events = self.events.as_ref().map_or(Some(1), EventBuffer::last_id);
-        source
-            .ticket
-            .record_end(&self.call, events.unwrap_or(1));
+        source.ticket.record_end(&self.call, events.unwrap_or(1));
     }
 
     /// Finishes a complete answer, and returns its connection to the pool.
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 use tracing::info;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::balancer;
 use crate::core::{Core, lock};
@@ -125,6 +126,7 @@
         });
     let balancer_settings = balancer::Settings {
         data_centre: settings.data_centre.clone(),
+        seed: xxh3_64(settings.node.as_bytes()),
         ..balancer::Settings::default()
     };
     Arc::new(Core {
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -101,6 +101,7 @@
             models,
             reads_work_table: true,
             speeds: lock(&core.balancer).report_speeds(Instant::now()),
+            moments: lock(&core.balancer).report_moments(Instant::now()),
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
@@ -224,6 +225,7 @@
     if let Some(speeds) = &overview.speeds {
         lock(&core.balancer).apply_speeds(speeds, now);
     }
+    lock(&core.balancer).apply_moments(&overview.moments, now.checked_sub(one_way).unwrap_or(now));
     for (service, speeds) in lock(&core.balancer).speeds(now) {
         core.metrics.set_speeds(&service, &speeds);
     }
--- a/components/performance/src/evidence.rs
+++ b/components/performance/src/evidence.rs
@@ -25,9 +25,9 @@
         }
     }
 
-    /// Returns the average logarithm, where `usual` further answers show the usual speed.
-    pub fn average(&self, usual: f64) -> f64 {
-        match self.weight + usual {
+    /// Returns the average logarithm; 0 without any answer.
+    pub fn average(&self) -> f64 {
+        match self.weight {
             weight if weight > 0.0 => self.sum / weight,
             _ => 0.0,
         }
--- a/components/performance/src/lib.rs
+++ b/components/performance/src/lib.rs
@@ -28,5 +28,6 @@
 pub use sample::Sample;
 pub use sizing::{Load, Objective, Sizing};
 pub use speed::Speed;
+pub use statements::Moment;
 pub(crate) use statements::Statements;
 pub use usual::Usual;
--- a/components/performance/src/speed.rs
+++ b/components/performance/src/speed.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::{Evidence, Statements};
+use crate::{Evidence, Moment, Statements};
 
 /// Bounds of a speed.
 const MIN_SPEED: f64 = 0.25;
@@ -26,6 +26,8 @@
     /// When the evidence was last decayed.
     decayed_at: Option<Instant>,
     statements: Statements,
+    /// Logarithm that all speeds of the service have on average.
+    usual: f64,
 }
 
 impl Speed {
@@ -52,7 +54,7 @@
 
     /// Returns the speed.
     pub fn value(&self, now: Instant) -> f64 {
-        let log = self.average() + self.statements.correction(now);
+        let log = self.average() - self.usual + self.statements.correction(now);
         log.exp().clamp(MIN_SPEED, MAX_SPEED)
     }
 
@@ -69,9 +71,25 @@
         self.others = all.without(self.reported);
     }
 
-    /// Returns the logarithm of the speed between statements.
-    fn average(&self) -> f64 {
-        self.own.with(self.others).average(USUAL_WEIGHT)
+    /// Returns what follows from the newest statement to this entry, for a report to the leader.
+    pub fn moment(&self) -> Option<Moment> {
+        self.statements.moment()
+    }
+
+    /// Applies what follows from a statement to another entry.
+    pub fn receive(&mut self, moment: Moment) {
+        self.statements.receive(moment);
+    }
+
+    /// Takes the average of the service's speeds, as a logarithm, as the usual one.
+    pub fn set_usual(&mut self, usual: f64) {
+        self.usual = usual;
+    }
+
+    /// Returns the logarithm of the speed between statements, before the usual one is taken out.
+    pub fn average(&self) -> f64 {
+        let usual = Evidence::new(USUAL_WEIGHT, self.usual);
+        self.own.with(self.others).with(usual).average()
     }
 
     fn decay(&mut self, now: Instant) {
--- a/components/performance/src/statements.rs
+++ b/components/performance/src/statements.rs
@@ -20,6 +20,15 @@
 /// Part of that sum and of its relation to the times that remains with each answer.
 const MEMORY: f64 = 0.95;
 
+/// Deviation of an upstream's speed from its average one, as it follows from a statement.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Moment {
+    /// Logarithm of the factor by which the speed deviates.
+    pub log: f64,
+    /// When the statement was made.
+    pub at: Instant,
+}
+
 /// Statements of one upstream. A correction follows from how far the newest one deviates from the
 /// average one, so that an upstream that always states the same is not corrected, and from how far
 /// the times followed earlier ones.
@@ -27,6 +36,8 @@
 pub(crate) struct Statements {
     /// Logarithm of the newest slowdown, relative to the usual one, and when it was stated.
     newest: Option<(f64, Instant)>,
+    /// What follows from the newest statement to another entry.
+    received: Option<Moment>,
     /// Average of the logarithms.
     average: f64,
     count: f64,
@@ -56,17 +67,44 @@
         self.relation = self.relation * MEMORY + stated * deviation;
     }
 
-    /// Returns the deviation of the logarithm of the speed from its average at this moment.
+    /// Records what follows from a statement to another entry.
+    pub(crate) fn receive(&mut self, moment: Moment) {
+        let log = moment.log.clamp(-MAX_LOG, MAX_LOG);
+        if log.is_finite() {
+            self.received = Some(Moment { log, ..moment });
+        }
+    }
+
+    /// Returns the deviation of the logarithm of the speed from its average at this moment, by the newest
+    /// statement.
     pub(crate) fn correction(&self, now: Instant) -> f64 {
+        let (own, received) = (self.moment(), self.received);
+        let newest = match (own, received) {
+            (Some(own), Some(received)) if received.at > own.at => Some(received),
+            (own, received) => own.or(received),
+        };
+        newest.map_or(0.0, |moment| moment.log * weight(moment.at, now))
+    }
+
+    /// Returns what follows from the newest statement to this entry.
+    pub(crate) fn moment(&self) -> Option<Moment> {
+        let (log, at) = self.newest?;
         let trust = (self.relation + TRUST) / (self.spread + TRUST);
-        self.stated(now) * trust.clamp(0.0, 1.0)
+        Some(Moment {
+            log: (self.average - log) * trust.clamp(0.0, 1.0),
+            at,
+        })
     }
 
-    /// Returns the same as it is stated, with the weight that the statement's age leaves it.
+    /// Returns the deviation as it is stated, with the weight that the statement's age leaves it.
     fn stated(&self, now: Instant) -> f64 {
-        self.newest.map_or(0.0, |(log, at)| {
-            let age = now.saturating_duration_since(at).as_secs_f64();
-            (self.average - log) * (-age / LIFETIME.as_secs_f64()).exp()
-        })
+        self.newest
+            .map_or(0.0, |(log, at)| (self.average - log) * weight(at, now))
     }
 }
+
+/// Returns the weight of a statement.
+fn weight(at: Instant, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(at).as_secs_f64();
+    (-age / LIFETIME.as_secs_f64()).exp()
+}
--- a/components/performance/src/usual.rs
+++ b/components/performance/src/usual.rs
@@ -1,7 +1,7 @@
 //! The usual relation of the expected times to the actual ones in one service.
 
 /// Answers that the average spans.
-const ANSWERS: f64 = 256.0;
+const ANSWERS: f64 = 64.0;
 /// Largest deviation of an answer that counts in full, as a logarithm.
 const MAX_DEVIATION: f64 = 0.7;
 
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod frame;
 mod hello;
 mod malformed;
+mod moment_table;
 mod push;
 mod report;
 mod request;
@@ -25,6 +26,7 @@
 pub use frame::{CallId, Frame};
 pub use hello::{Hello, PROTOCOL_VERSION, Role};
 pub use malformed::Malformed;
+pub use moment_table::MomentTable;
 pub use push::Push;
 pub use report::{
     Balance, Balances, DemandTotals, Forwarder, Limits, Overview, Report, Statements, Work,
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use state::usage::Window;
 
-use crate::{SpeedTable, WorkTable};
+use crate::{MomentTable, SpeedTable, WorkTable};
 
 /// Report of an entry on its work. Its totals count from the start of the process.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -56,6 +56,9 @@
     /// Evidence of the speeds of upstreams that the entry has.
     #[serde(default, skip_serializing_if = "SpeedTable::is_empty")]
     pub speeds: SpeedTable,
+    /// What follows from the newest statements of upstreams to the entry.
+    #[serde(default, skip_serializing_if = "MomentTable::is_empty")]
+    pub moments: MomentTable,
 }
 
 #[expect(
@@ -173,6 +176,9 @@
     /// `None` if the entry was told a moment ago.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub speeds: Option<SpeedTable>,
+    /// What follows from the newest statements of upstreams to all entries.
+    #[serde(default, skip_serializing_if = "MomentTable::is_empty")]
+    pub moments: MomentTable,
     /// Parts of prompts under suspicion and in quarantine.
     #[serde(default)]
     pub quarantine: quarantine::Notice,
--- a/components/wire/src/speed_table.rs
+++ b/components/wire/src/speed_table.rs
@@ -52,7 +52,7 @@
     fn of_rows(evidence: impl IntoIterator<Item = (u32, Evidence)>) -> Self {
         let rows = evidence.into_iter().map(|(hash, evidence)| {
             let weight = (evidence.weight * WEIGHT_UNITS).round() as u32;
-            let log = (evidence.average(0.0) * LOG_UNITS).round() as i32;
+            let log = (evidence.average() * LOG_UNITS).round() as i32;
             (hash, weight, log)
         });
         SpeedTable(rows.filter(|(_, weight, _)| *weight > 0).collect())
@@ -68,6 +68,6 @@
 }
 
 /// Returns the lower half of a 64-bit hash of a process.
-fn hash((upstream, incarnation): (&str, u64)) -> u32 {
+pub(crate) fn hash((upstream, incarnation): (&str, u64)) -> u32 {
     xxh3_64_with_seed(upstream.as_bytes(), incarnation) as u32
 }
--- a/components/wire/tests/work_table.rs
+++ b/components/wire/tests/work_table.rs
@@ -1,6 +1,7 @@
 //! The short form of the work in progress.
 
 use googletest::prelude::*;
+use serde::{Deserialize, Serialize};
 use wire::{Answer, Envelope, Frame, Overview, Work, WorkTable};
 
 fn work(number: u32) -> Work {
@@ -55,3 +56,70 @@
         le(LINK_BYTES_PER_SECOND / 4)
     );
 }
+
+/// The work of an upstream as releases before the expected milliseconds read and write it.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct OlderWork {
+    requests: u32,
+    prefill_tokens: u32,
+}
+
+fn encoded(value: &impl Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).expect("the value can be encoded");
+    bytes
+}
+
+/// Guards against reports that a process of the release before can't read, or reads differently.
+#[test]
+fn is_read_by_the_release_before_and_reads_what_that_wrote() {
+    let older = OlderWork {
+        requests: 3,
+        prefill_tokens: 700,
+    };
+    let without = Work {
+        requests: 3,
+        prefill_tokens: 700,
+        work_ms: None,
+    };
+    assert_that!(encoded(&without), eq(&encoded(&older)));
+    let with = Work {
+        work_ms: Some(90),
+        ..without
+    };
+    let read: OlderWork = ciborium::from_reader(encoded(&with).as_slice()).expect("it is read");
+    assert_that!(read, eq(&older));
+    let read: Work = ciborium::from_reader(encoded(&older).as_slice()).expect("it is read");
+    assert_that!(read, eq(without));
+}
+
+/// Guards against rows of four figures, which a process of the release before can't read.
+#[test]
+fn has_the_expected_milliseconds_apart_from_its_rows() {
+    let by_work = |work: Work| Work {
+        work_ms: Some(40 * work.requests),
+        ..work
+    };
+    let named = [
+        ("a", by_work(work(5))),
+        ("b", work(6)),
+        ("a", by_work(work(7))),
+    ];
+    let (table, work_ms) = WorkTable::with_work_ms(named);
+    let plain = WorkTable::new(named.map(|(name, work)| {
+        (
+            name,
+            Work {
+                work_ms: None,
+                ..work
+            },
+        )
+    }));
+    assert_that!(encoded(&table), eq(&encoded(&plain)));
+    assert_that!(work_ms, eq(&vec![40 * 12, 0]));
+    let read = table.with(&work_ms, [("a", 'a'), ("b", 'b')]);
+    let sum = by_work(work(5)).with(by_work(work(7)));
+    assert_that!(read, eq(&vec![('a', sum), ('b', work(6))]));
+    let (_, none) = WorkTable::with_work_ms([("b", work(6))]);
+    assert_that!(none, is_empty());
+}
