--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use state::usage::Window;
 
-use crate::{SpeedTable, WorkTable};
+use crate::{MomentTable, SpeedTable, WorkTable};
 
 /// Report of an entry on its work. Its totals count from the start of the process.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -60,6 +60,9 @@
     /// text says otherwise.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub by_work: Vec<ServiceId>,
+    /// What follows from the newest statements of upstreams to the entry.
+    #[serde(default, skip_serializing_if = "MomentTable::is_empty")]
+    pub moments: MomentTable,
 }
 
 #[expect(
@@ -177,6 +180,9 @@
     /// `None` if the entry was told a moment ago.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub speeds: Option<SpeedTable>,
+    /// What follows from the newest statements of upstreams to all entries.
+    #[serde(default, skip_serializing_if = "MomentTable::is_empty")]
+    pub moments: MomentTable,
     /// Parts of prompts under suspicion and in quarantine.
     #[serde(default)]
     pub quarantine: quarantine::Notice,
