Keep the counts while it is not known what a service needs

After 12 s without figures a service balanced by work would have been released down to what was assumed. Nothing is released or replaced then.

--- a/components/placement/src/autoscaler/plan.rs
+++ b/components/placement/src/autoscaler/plan.rs
@@ -132,7 +132,8 @@
     }
 
     /// Returns what this round may do. Nothing is replaced or released before what the service needs
-    /// was learned for the time in which instances ordered by an earlier leader start.
+    /// was learned for the time in which instances ordered by an earlier leader start, nor while it
+    /// is not known.
     fn allowance(
         &self,
         offers: &[Offer],
@@ -146,7 +147,9 @@
             since.is_none_or(|at| now.saturating_duration_since(at) >= time)
         };
         let hold = economy.warm_time.max(scaling.boot_time + START_SLACK);
-        let may_move = self.learned_since.is_some() && is_past(self.learned_since, hold);
+        let delay = self.settings.scale_down_delay;
+        let is_known = self.by_work.steady(delay, now).is_some();
+        let may_move = is_known && is_past(self.learned_since, hold);
         let may_replace = may_move && !self.is_in_wave();
         let existing: u32 = offers.iter().map(|offer| offer.existing).sum();
         let portion = (f64::from(existing) * economy.portion).ceil() as u32;
--- a/components/placement/tests/days/day.rs
+++ b/components/placement/tests/days/day.rs
@@ -39,6 +39,8 @@
     pub(crate) max_count: u32,
     /// Time in which the cloud answers nothing, in seconds.
     pub(crate) silence_s: std::ops::Range<f64>,
+    /// Time in which the leader knows nothing of what the service needs, in seconds.
+    pub(crate) unknown_s: std::ops::Range<f64>,
     /// Reclaims in place of random ones.
     pub(crate) reclaims: Option<Vec<Reclaim>>,
     /// Time at which another leader takes over, which knows nothing, in seconds.
@@ -56,6 +58,7 @@
             day_s: 90.0,
             max_count: 30,
             silence_s: 0.0..0.0,
+            unknown_s: 0.0..0.0,
             reclaims: None,
             new_leader_s: f64::INFINITY,
         }
@@ -162,10 +165,15 @@
         cold: count(COLD_RATIO),
         comfortable: count(2.0),
     };
-    let is_learned = now_s >= LEARNING_S;
+    let is_past_start = now_s >= LEARNING_S;
+    let is_learned = is_past_start && !case.unknown_s.contains(&now_s);
+    let forecast = match case.unknown_s.contains(&now_s) {
+        true => Forecast::default(),
+        false => Forecast { sizing, is_learned },
+    };
     Input {
-        is_balanced_by_work: case.is_balanced_by_work && is_learned,
-        ..Input::from(Forecast { sizing, is_learned })
+        is_balanced_by_work: case.is_balanced_by_work && is_past_start,
+        ..Input::from(forecast)
     }
 }
 
--- a/components/placement/tests/days/start.rs
+++ b/components/placement/tests/days/start.rs
@@ -97,3 +97,19 @@
     let late = day.sent.iter().filter(|sent| sent.at_s >= 50.0);
     assert_that!(late.filter(is_on_demand).count(), le(4));
 }
+
+/// Guards against the release of what serves while the leader gets no figures.
+#[test]
+fn keeps_the_counts_while_it_is_not_known_what_is_needed() {
+    let day = run(&Case {
+        reclaims: Some(Vec::new()),
+        unknown_s: 40.0..80.0,
+        ..Case::default()
+    });
+    // What was known until 40 s holds for 12 s.
+    let unknown = day
+        .sent
+        .iter()
+        .filter(|sent| (53.0..80.0).contains(&sent.at_s));
+    assert_that!(unknown.count(), eq(0));
+}
