--- a/components/placement/src/autoscaler.rs
+++ b/components/placement/src/autoscaler.rs
@@ -263,9 +263,9 @@
         let is_within = |since: Option<Instant>, time: Duration| {
             since.is_some_and(|at| now.saturating_duration_since(at) < time)
         };
-        let is_new = is_within(self.started, self.settings.economy.undecided_hold);
-        let is_first_demand = is_within(self.demand_since, self.settings.learning_time);
-        self.learned_since.is_none() && (is_new || is_first_demand)
+        let hold = self.settings.economy.undecided_hold;
+        let is_first_demand = is_within(self.demand_since, self.settings.learning_time.min(hold));
+        self.learned_since.is_none() && (is_within(self.started, hold) || is_first_demand)
     }
 
     /// Returns the count of the last accepted order of a slot. After the time that instances need
--- a/components/placement/src/autoscaler/by_work.rs
+++ b/components/placement/src/autoscaler/by_work.rs
@@ -75,7 +75,9 @@
         now: Instant,
     ) {
         self.is_active = input.is_balanced_by_work;
-        self.warmth.record(supply, economy.warm_time, now);
+        let has_demand = input.forecast.sizing != Sizing::default();
+        self.warmth
+            .record(supply, has_demand, economy.warm_time, now);
         let window = economy.comfort_window;
         self.sizings
             .retain(|(at, _)| now.saturating_duration_since(*at) <= window);
--- a/components/placement/src/autoscaler/economy.rs
+++ b/components/placement/src/autoscaler/economy.rs
@@ -45,7 +45,7 @@
     /// two rounds, the end of an outage is noticed within 4 s.
     pub max_refusal_backoff: Duration,
     /// Time for which on-demand instances that serve at the start are kept while nothing was learned,
-    /// and it is not known how the service is balanced.
+    /// and it is not known how the service is balanced; zero for not at all.
     pub undecided_hold: Duration,
 }
 
--- a/components/placement/src/autoscaler/plan.rs
+++ b/components/placement/src/autoscaler/plan.rs
@@ -131,9 +131,8 @@
         steps.collect()
     }
 
-    /// Returns what this round may do. Nothing is replaced or released before what the service needs
-    /// was learned for the time in which instances ordered by an earlier leader start, nor while it
-    /// is not known.
+    /// Returns what this round may do. Nothing is replaced or released before instances that an earlier
+    /// leader ordered have started, and unless it is known for some time what the service needs.
     fn allowance(
         &self,
         offers: &[Offer],
@@ -146,10 +145,12 @@
         let is_past = |since: Option<Instant>, time: Duration| {
             since.is_none_or(|at| now.saturating_duration_since(at) >= time)
         };
-        let hold = economy.warm_time.max(scaling.boot_time + START_SLACK);
+        let start_time = scaling.boot_time + START_SLACK;
         let delay = self.settings.scale_down_delay;
         let is_known = self.by_work.steady(delay, now).is_some();
-        let may_move = is_known && is_past(self.learned_since, hold);
+        let may_move = is_known
+            && is_past(self.learned_since, self.settings.learning_time)
+            && is_past(self.started, start_time);
         let may_replace = may_move && !self.is_in_wave();
         let existing: u32 = offers.iter().map(|offer| offer.existing).sum();
         let portion = (f64::from(existing) * economy.portion).ceil() as u32;
--- a/components/placement/src/autoscaler/warmth.rs
+++ b/components/placement/src/autoscaler/warmth.rs
@@ -17,10 +17,11 @@
 
 impl Warmth {
     /// Records the supply, and drops what is older than `warm_time`. What serves at the first call
-    /// counts as warm.
+    /// counts as warm. Caches fill only while there is demand.
     pub(super) fn record(
         &mut self,
         supply: &IndexMap<Slot, Supply>,
+        has_demand: bool,
         warm_time: Duration,
         now: Instant,
     ) {
@@ -36,7 +37,11 @@
         }
         for (slot, history) in &mut self.serving {
             let serving = supply.get(slot).map_or(0, |supply| supply.serving);
-            history.push_back((now, serving));
+            let warm = history.iter().map(|(_, serving)| *serving).min();
+            match warm.filter(|_| !has_demand) {
+                Some(warm) => *history = VecDeque::from([(now, warm.min(serving))]),
+                None => history.push_back((now, serving)),
+            }
             history.retain(|(at, _)| now.saturating_duration_since(*at) <= warm_time);
         }
     }
