--- a/components/control/src/duties/scaling.rs
+++ b/components/control/src/duties/scaling.rs
@@ -54,8 +54,16 @@
         let batch = announced.iter().map(|a| a.capacity.batch).max();
         let (input, basis) = self.input(name, text, serving, batch.unwrap_or(1), now);
         let autoscaler = self.autoscalers.entry(name.clone()).or_default();
+        let was_by_work = autoscaler.status().is_some();
         let orders = autoscaler.plan(scaling, &supply, input, now);
         if let Some(status) = autoscaler.status() {
+            if !was_by_work {
+                info!(
+                    "placement: the instances of {name} follow the value of answers from now on: it is \
+                     balanced by work, {} are wanted, {} serve or were ordered",
+                    status.wanted, status.ordered
+                );
+            }
             self.node.metrics.scaling.show(name, &status);
         }
         for order in orders {
--- a/components/placement/tests/days/reserve.rs
+++ b/components/placement/tests/days/reserve.rs
@@ -11,6 +11,7 @@
 
 use crate::cloud::Reclaim;
 use crate::day::{Case, run, scaling};
+use crate::random::Random;
 
 const SIZING: Sizing = Sizing {
     sufficient: 40,
@@ -24,6 +25,13 @@
 
 /// Runs rounds in which orders take effect at once, and returns the counts.
 fn settle(scaling: &Scaling, speed: Option<f64>) -> IndexMap<Slot, u32> {
+    let (counts, _) = settle_by(scaling, speed, SIZING);
+    counts
+}
+
+/// The same for a sizing; also returns the last round with an order.
+fn settle_by(scaling: &Scaling, speed: Option<f64>, sizing: Sizing) -> (IndexMap<Slot, u32>, u32) {
+    let mut last_order = 0;
     // Small differences are not worth an order, and would hide what is wanted.
     let economy = Economy {
         min_change: 0.0,
@@ -55,7 +63,7 @@
         });
         let input = Input {
             forecast: Forecast {
-                sizing: SIZING,
+                sizing,
                 is_learned: true,
             },
             is_balanced_by_work: true,
@@ -65,9 +73,10 @@
         for order in autoscaler.plan(scaling, &supply, input, now) {
             autoscaler.record_order(&order, now);
             counts.insert(order.slot, order.count);
+            last_order = round;
         }
     }
-    counts
+    (counts, last_order)
 }
 
 /// Returns the reclaimable instances that remain after the loss of the data centre with the most.
@@ -148,3 +157,20 @@
         );
     }
 }
+
+/// Guards against counts that swing while nothing changes.
+#[test]
+fn orders_nothing_more_under_a_constant_need() {
+    let mut random = Random::new(7);
+    for _ in 0..12 {
+        let sufficient = random.between(3.0, 90.0);
+        let sizing = Sizing {
+            sufficient: sufficient as u32,
+            cold: (sufficient * random.between(0.5, 2.0)) as u32,
+            comfortable: (sufficient * random.between(1.5, 2.5)) as u32,
+        };
+        let max_count = random.between(10.0, 40.0) as u32;
+        let (counts, last_order) = settle_by(&scaling(max_count), None, sizing);
+        assert_that!(last_order, lt(180), "{sizing:?}, {max_count}: {counts:?}");
+    }
+}
