Admit requests by the leader's plan while engines can't take all

Cause: entries bound the expected wait by themselves, which refuses the most urgent requests as often as the least urgent ones in full engines. Change: entries report the demand for services balanced by work by rank and account, the leader plans the shares that are admitted, and entries refuse what is beyond them unless the engines have room. The bound of the expected wait of these services is within the target for all ranks.

--- a/components/admission/src/capacity.rs
+++ b/components/admission/src/capacity.rs
@@ -12,7 +12,7 @@
 /// target: the wait of one request in twenty is three times as long.
 const FULL_WAIT: f64 = 0.3;
 /// Share of late answers at which engines count as full.
-const FULL_LATE_SHARE: f64 = 0.05;
+const FULL_LATE_SHARE: f64 = 0.1;
 /// Fewest answers per second from which the share of late ones is taken.
 const MIN_ANSWERS: f64 = 4.0;
 /// Weight of the wait while no answer is late.
--- a/components/admission/src/planner.rs
+++ b/components/admission/src/planner.rs
@@ -87,6 +87,13 @@
         (age < crate::MAX_PLAN_AGE).then_some(&self.plan)
     }
 
+    /// Returns the share of each rank's work that is admitted, from 0 to 1; all ranks with a demand are
+    /// named.
+    pub fn ranks(&self) -> impl Iterator<Item = (u8, f64)> {
+        let ranks = self.shares.iter();
+        ranks.map(|(rank, shares)| (*rank, shares.share))
+    }
+
     /// Returns what the engines can take relative to what follows from their speed and places.
     pub fn capacity_factor(&self) -> f64 {
         self.capacity.factor()
--- a/components/control/src/announcements.rs
+++ b/components/control/src/announcements.rs
@@ -33,6 +33,7 @@
 use wire::{Delta, Push, Role};
 
 use crate::Node;
+use crate::node::plans::Supplies;
 use crate::replica::Replica;
 use outbox::{Audience, Outbox};
 use unnamed::Unnamed;
@@ -130,6 +131,19 @@
         self.directory().software_of(service)
     }
 
+    /// Returns the upstreams that serve, by service.
+    pub(crate) fn supplies(&self) -> Supplies {
+        let mut supplies = Supplies::new();
+        let directory = self.directory();
+        let live = directory.live(Instant::now());
+        for announcement in live.filter(|a| a.availability == Availability::Serving) {
+            let supply = supplies.entry(announcement.service.clone()).or_default();
+            supply.upstreams.push(announcement.upstream.clone());
+            supply.places += announcement.capacity.batch;
+        }
+        supplies
+    }
+
     /// Returns the announcements whose lease has not expired.
     pub(crate) fn live(&self) -> Vec<Announcement> {
         self.directory().live(Instant::now()).cloned().collect()
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -1,7 +1,11 @@
 //! Metrics of the control process.
 
 use config::release;
-use prometheus::{Encoder, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, GaugeVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+use crate::node::plans::Planned;
 
 /// Counters and gauges of one control process.
 #[derive(Clone, Debug)]
@@ -27,6 +31,10 @@
     /// Tokens that each account with a limit spent within the last window at all entries, as the
     /// leader counts them.
     pub account_spent: IntGaugeVec,
+    /// Share of each rank's work that is admitted, as the leader plans it.
+    admitted_share: GaugeVec,
+    /// What the engines of a service can take, relative to what follows from their number and the model.
+    capacity_factor: GaugeVec,
 }
 
 impl Default for Metrics {
@@ -48,6 +56,23 @@
         registry
             .register(Box::new(account_spent.clone()))
             .expect("metric registered once");
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let gauges = GaugeVec::new(Opts::new(name, help), labels).expect("valid metric");
+            registry
+                .register(Box::new(gauges.clone()))
+                .expect("metric registered once");
+            gauges
+        };
+        let admitted_share = gauges(
+            "chervilloft_control_admitted_share",
+            "Share of the requested work that is admitted, by service and rank.",
+            &["service", "rank"],
+        );
+        let capacity_factor = gauges(
+            "chervilloft_control_capacity_factor",
+            "What the engines of a service can take, relative to the model.",
+            &["service"],
+        );
         let opts = Opts::new("chervilloft_build_info", "This build; always 1.");
         let build = IntGaugeVec::new(opts, &["build", "level"]).expect("valid metric");
         registry
@@ -84,12 +109,25 @@
                 "Claims whose outcome is unknown.",
             ),
             account_spent,
+            admitted_share,
+            capacity_factor,
             registry,
         }
     }
 }
 
 impl Metrics {
+    /// Records the plan of a service.
+    pub(crate) fn record_plan(&self, planned: &Planned) {
+        for (rank, share) in &planned.ranks {
+            let labels = [planned.service.as_str(), &rank.to_string()];
+            self.admitted_share.with_label_values(&labels).set(*share);
+        }
+        let service = [planned.service.as_str()];
+        let factor = self.capacity_factor.with_label_values(&service);
+        factor.set(planned.capacity_factor);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut bytes = Vec::new();
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -7,6 +7,7 @@
 mod meters;
 mod parsed_text;
 mod performance;
+pub(crate) mod plans;
 mod quorum;
 mod rate;
 mod replacement;
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use config::Text;
 use state::claims::millis;
 use state::{Change, Command, Output};
 use wire::{Answer, Body, Failure, Overview, Query, Request};
@@ -67,6 +68,9 @@
                 let text = self.text().map(|(_, text)| text);
                 let process = (node, incarnation);
                 let now = Instant::now();
+                if let Some(text) = &text {
+                    self.plan_admission(text, now);
+                }
                 let (serving, replaced_ms) = self.serving_entries(&process.0);
                 let overview =
                     self.workload()
@@ -116,6 +120,19 @@
         }
     }
 
+    /// Makes the plans of admission that are due.
+    fn plan_admission(&self, text: &Text, now: Instant) {
+        let due = self.workload().plans_due(now);
+        if due.is_empty() {
+            return;
+        }
+        let supplies = self.announcements.supplies();
+        let planned = self.workload().plan(&due, supplies, text, now);
+        for planned in &planned {
+            self.metrics.record_plan(planned);
+        }
+    }
+
     /// Returns how many entries serve, and the milliseconds since the process of `entry` replaced
     /// another one.
     fn serving_entries(&self, entry: &str) -> (u32, Option<u64>) {
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -18,6 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::performance::{Performance, objective};
+use super::plans::{Basis, Planned, Plans, Supplies};
 use super::rate::{Demand, Rate};
 use super::token_limits::{EntryProcess, TokenLimits};
 
@@ -46,6 +47,7 @@
     window_counts: IndexMap<Window, IndexMap<EntryProcess, Counts>>,
     rates: IndexMap<ServiceId, Rate>,
     performance: Performance,
+    plans: Plans,
 }
 
 /// Returns what is assumed of a service's upstreams under a demand while nothing is learned.
@@ -89,6 +91,7 @@
             window_counts: IndexMap::new(),
             rates: IndexMap::new(),
             performance: Performance::default(),
+            plans: Plans::default(),
         }
     }
 
@@ -110,6 +113,7 @@
         self.permits = Permits::new(term);
         self.refusals = refusals::Records::default();
         self.rates.clear();
+        self.plans = Plans::default();
     }
 
     /// Returns the limits that upstreams named.
@@ -139,6 +143,7 @@
         self.refusals.learn(&report.refusals, now);
         self.performance
             .record(&report.samples, &report.models, now);
+        self.plans.record(&process, &report.classes, now);
         let models = text.map(|text| self.performance.models(text, now));
         let reads_work_table = report.reads_work_table;
         let report = EntryReport {
@@ -175,6 +180,7 @@
             position: self.position(&node, now),
             forwarders,
             models: models.unwrap_or_default(),
+            plans: self.plans.newest(now),
         }
     }
 
@@ -274,6 +280,39 @@
         })
     }
 
+    /// Returns the services whose next plan of admission is due.
+    pub(crate) fn plans_due(&self, now: Instant) -> Vec<ServiceId> {
+        self.plans.due(now)
+    }
+
+    /// Makes the next plans of admission of `services`, while `supplies` serve.
+    pub(crate) fn plan(
+        &mut self,
+        services: &[ServiceId],
+        supplies: Supplies,
+        text: &Text,
+        now: Instant,
+    ) -> Vec<Planned> {
+        self.plans.set_supplies(supplies);
+        let work = self.total_work(now).into_iter().collect();
+        let planned = services.iter().filter_map(|service| {
+            let model = self.performance.model(service, text, now);
+            let model = model.unwrap_or_else(|| Model::assumed(0.0, 0.0));
+            let basis = Basis {
+                speed: self.service_speed(service),
+                ms_per_token: model.prefill_ms_per_token,
+                target: objective(text, service, 1)?.first_event,
+            };
+            self.plans.plan(service, &work, basis, now)
+        });
+        planned.collect()
+    }
+
+    /// Returns the sum of the speeds of a service's upstreams that serve; 1.0 is a usual one.
+    pub(crate) fn service_speed(&self, service: &str) -> f64 {
+        self.plans.speed(service)
+    }
+
     fn add_demand(
         &mut self,
         process: &EntryProcess,
--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -15,6 +15,13 @@
 /// this entry does not know of yet.
 const MAX_WAIT_PER_TARGET: [f64; 3] = [1.5, 0.7, 0.5];
 
+/// The same for services that are balanced by work. Requests of all ranks are late from the target on,
+/// and the leader's plan admits more urgent ones first.
+const MAX_WAIT_PER_TARGET_BY_WORK: [f64; 3] = [0.9, 0.7, 0.5];
+/// Part of its own target that a request may always wait, however strict the targets of more urgent
+/// ones are.
+const MIN_WAIT_PER_TARGET: f64 = 0.25;
+
 /// Returns the longest expected time to the first event with which `call` is sent to an upstream.
 /// Calls without a prompt have no limit, and neither have those that take up a stream: its first
 /// event came earlier, and fewer upstreams may continue it than begin others.
@@ -25,6 +32,23 @@
     }
 }
 
+/// The same for a service that is balanced by work. `more_urgent` is the strictest target of the ranks
+/// before that of the call: a queue that makes these late is too long for the call as well, or they
+/// would be refused more often than it.
+pub fn max_wait_by_work(call: &Call, more_urgent: Option<Duration>) -> Duration {
+    match call.prompt {
+        Some(_) if !call.takes_up() => {
+            let ranks = MAX_WAIT_PER_TARGET_BY_WORK;
+            let factor = ranks[usize::from(call.rank()).min(ranks.len() - 1)];
+            let own = call.route.target;
+            let strictest = more_urgent.map_or(own, |other| own.min(other));
+            let wait = strictest.mul_f64(factor);
+            wait.max(own.mul_f64(MIN_WAIT_PER_TARGET))
+        }
+        _ => Duration::MAX,
+    }
+}
+
 /// Returns the longest expected time to the first event for a latency target and a rank.
 pub fn max_wait_for_rank(target: Duration, rank: u8) -> Duration {
     let index = usize::from(rank).min(MAX_WAIT_PER_TARGET.len() - 1);
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -21,9 +21,11 @@
 mod places;
 mod prefixes;
 mod rates;
+mod room;
 mod serving;
 mod settings;
 mod upstream;
+mod work;
 
 pub use brittle::Position;
 pub use choice::{Choice, Criteria, Shortage};
@@ -38,7 +40,7 @@
 use config::Text;
 use config::ids::{ServiceId, UpstreamId};
 use config::text::Kind;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use performance::Model;
 use wire::Work;
 
@@ -55,6 +57,8 @@
     brittle: Brittle,
     /// What the engines of each service do, as far as the leader has learned it.
     models: IndexMap<ServiceId, Model>,
+    /// Services that are balanced by work.
+    by_work: IndexSet<ServiceId>,
     /// Number of choices so far.
     choices: u64,
 }
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -18,7 +18,8 @@
 use crate::reach::Reach;
 use crate::samples::Samples;
 use crate::{
-    Accounts, Balancer, Contact, Metrics, Protocol, Readiness, Retries, Settings, Table, Usage,
+    Accounts, Balancer, Classes, Contact, Metrics, Plans, Protocol, Readiness, Retries, Settings,
+    Table, Usage,
 };
 
 /// State shared by the tasks of one entry.
@@ -35,6 +36,10 @@
     pub(crate) retries: Mutex<Retries>,
     pub(crate) usage: Mutex<Usage>,
     pub(crate) demand: Mutex<Demand>,
+    /// Demand for services that are balanced by work, by rank and account.
+    pub(crate) classes: Mutex<Classes>,
+    /// Shares of the requests that are admitted.
+    pub(crate) plans: Mutex<Plans>,
     /// Whether this entry knows all upstreams that others know.
     pub(crate) contact: Mutex<Contact>,
     /// Samples of complete answers since the last report.
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -149,7 +149,7 @@
     request_log: &mut RequestLog,
 ) -> Result<Answer, Failed> {
     let software = attempts.software.as_ref();
-    let criteria = criteria(call, &attempts.excluded, software, resume_after);
+    let criteria = criteria(core, call, &attempts.excluded, software, resume_after);
     let chosen = choose(core, call, &criteria).await;
     let choice = chosen.map_err(|shortage| Failed::Refused(refusal(shortage, attempts)))?;
     let mut ticket = Ticket::new(core, choice.clone());
@@ -170,6 +170,7 @@
 /// Returns the criteria for the upstream of a call, which goes on after the event `resume_after` if
 /// that is set.
 pub(crate) fn criteria<'a>(
+    core: &Core,
     call: &'a Call,
     excluded: &'a [UpstreamId],
     software: Option<&'a Software>,
@@ -184,11 +185,23 @@
         time_left,
         max_wait: match resume_after {
             Some(_) => time_left,
-            None => admission::max_wait(call),
+            None => max_wait(core, call),
         },
     }
 }
 
+/// Returns the longest expected time to the first event with which `call` is sent to an upstream.
+fn max_wait(core: &Core, call: &Call) -> Duration {
+    let is_by_work = lock(&core.balancer).is_balanced_by_work(&call.service);
+    match is_by_work {
+        true => {
+            let more_urgent = core.table.load().target_before(&call.service, call.rank());
+            admission::max_wait_by_work(call, more_urgent)
+        }
+        false => admission::max_wait(call),
+    }
+}
+
 /// Chooses an upstream. If none may take the request without it, draws a permit under the limit of
 /// one that names a limit.
 pub(crate) async fn choose(
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -12,7 +12,9 @@
 use crate::dispatch::{self, Attempts};
 use crate::drain::Timing;
 use crate::request_log::RequestLog;
-use crate::{Account, Head, Prompt, Refusal, Table, origin, relay, retries, table, token_limit};
+use crate::{
+    Account, Head, Prompt, Refusal, Table, origin, priority, relay, retries, table, token_limit,
+};
 
 /// Longest wait of a request for the first text after the start of the entry. A request that waits
 /// this long still meets most latency targets.
@@ -88,6 +90,10 @@
     let since_start = retries::elapsed(core.started, arrived);
     lock(&core.retries).record_request(&call.service, since_start);
     lock(&core.demand).add(&call.service, call.prompt.as_ref());
+    if let Err(refusal) = priority::decide(&core, &call) {
+        account_for_refusal(&core, &call, &refusal);
+        return refuse(request_log, &refusal);
+    }
     let mut attempts = Attempts::at(software);
     let dispatched = match core.drain.is_closed() {
         true => Err(Refusal::Stopping),
--- a/components/gateway/src/forward/server.rs
+++ b/components/gateway/src/forward/server.rs
@@ -126,7 +126,7 @@
             return Err(unable("this entry reaches no upstream either"));
         }
         let software = attempt.software.as_ref();
-        let criteria = dispatch::criteria(call, &excluded, software, attempt.resume_after);
+        let criteria = dispatch::criteria(core, call, &excluded, software, attempt.resume_after);
         let choice = dispatch::choose(core, call, &criteria)
             .await
             .map_err(shortage)?;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -20,6 +20,7 @@
     retries: IntCounterVec,
     limit_tokens: IntCounterVec,
     forwarded: IntCounterVec,
+    planned: IntCounterVec,
     first_event: HistogramVec,
     total: HistogramVec,
     /// Version of the text in force.
@@ -79,6 +80,11 @@
                 "Attempts asked of other entries, by service and whether an upstream answered.",
                 &["service", "outcome"],
             ),
+            planned: counters(
+                "chervilloft_gateway_planned_total",
+                "Requests while the engines of a service can't take all, by service, rank and decision.",
+                &["service", "rank", "decision"],
+            ),
             first_event: histograms(
                 "chervilloft_gateway_first_seconds",
                 "Time to the first event, or to the head of a whole answer.",
@@ -132,6 +138,13 @@
         self.forwarded.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Counts a request on which a plan decided, or that was admitted beyond it as there was room.
+    pub fn record_plan(&self, service: &str, rank: u8, decision: &str) {
+        let rank = rank.to_string();
+        let labels = [service, rank.as_str(), decision];
+        self.planned.with_label_values(&labels).inc();
+    }
+
     /// Counts a retry that was asked of the shared budget.
     pub fn record_retry(&self, service: &str, granted: bool) {
         let decision = match granted {
--- /dev/null
+++ b/components/gateway/src/priority.rs
@@ -0,0 +1,92 @@
+//! Admission by the leader's plans, while the engines of a service can't take all requests.
+//!
+//! The decision about a request depends on the newest plan and the request's identifier. Without a
+//! plan, or with one that is too old, the bound of the expected wait ([`crate::admission`]) alone
+//! decides.
+
+use std::time::Instant;
+
+use admission::{Class, MAX_PLAN_AGE, Plan};
+use config::ids::ServiceId;
+use indexmap::IndexMap;
+
+use crate::call::Call;
+use crate::core::{Core, lock};
+use crate::{Prompt, Refusal, dispatch};
+
+/// The newest plans.
+#[derive(Debug, Default)]
+pub struct Plans {
+    services: IndexMap<ServiceId, Plan>,
+    /// When the report was sent that the leader answered with them.
+    at: Option<Instant>,
+}
+
+impl Plans {
+    /// Replaces all plans by those with which the leader answered a report that was sent at `sent_at`.
+    pub fn set(&mut self, plans: &[(ServiceId, Plan)], sent_at: Instant) {
+        self.services = plans.iter().cloned().collect();
+        self.at = Some(sent_at);
+    }
+
+    /// Returns the plan of a service; `None` if all requests are admitted, or the plan is too old.
+    pub fn newest(&self, service: &ServiceId, now: Instant) -> Option<&Plan> {
+        let age = now.saturating_duration_since(self.at?);
+        self.services.get(service).filter(|_| age < MAX_PLAN_AGE)
+    }
+}
+
+/// Counts a request to engines that are balanced by work, and decides on it by the plan of their
+/// service.
+///
+/// # Errors
+/// Returns a [`Refusal`] if the request is beyond the share of its class, and no engine is idle. One
+/// that takes up a stream is never refused.
+pub(crate) fn decide(core: &Core, call: &Call) -> Result<(), Refusal> {
+    let Some(prompt) = &call.prompt else {
+        return Ok(());
+    };
+    let account = call.account.as_ref().map(|account| account.name.as_str());
+    let class = Class::new(call.rank(), account);
+    if !count(core, call, class, prompt) || call.takes_up() {
+        return Ok(());
+    }
+    let now = Instant::now();
+    let hash = admission::hash(&call.id);
+    let (admits, retry_after) = match lock(&core.plans).newest(&call.service, now) {
+        Some(plan) => (plan.admits(class, hash), plan.retry_after(hash)),
+        None => return Ok(()),
+    };
+    let has_room = !admits && has_room(core, call, now);
+    let decision = match (admits, has_room) {
+        (true, _) => "admitted",
+        (false, true) => "room",
+        (false, false) => "refused",
+    };
+    core.metrics
+        .record_plan(&call.service, class.rank, decision);
+    match admits || has_room {
+        true => Ok(()),
+        false => Err(Refusal::OverCapacity(retry_after)),
+    }
+}
+
+/// Counts a request, and reports whether its service is balanced by work.
+fn count(core: &Core, call: &Call, class: Class, prompt: &Prompt) -> bool {
+    let (compute_ms, place_ms) = {
+        let balancer = lock(&core.balancer);
+        if !balancer.is_balanced_by_work(&call.service) {
+            return false;
+        }
+        let place_ms = balancer.request_work_ms(&call.service, Some(prompt));
+        let compute_ms = balancer.prompt_work_ms(&call.service, prompt);
+        (compute_ms.min(place_ms), place_ms)
+    };
+    lock(&core.classes).add(&call.service, class, compute_ms, place_ms);
+    true
+}
+
+fn has_room(core: &Core, call: &Call, now: Instant) -> bool {
+    let criteria = dispatch::criteria(core, call, &[], None, None);
+    lock(&core.balancer).has_room(&criteria, call.rank(), call.route.target, now)
+}
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -51,6 +51,11 @@
         Overloaded(retry_after: Duration) {
             display("the upstreams can't serve it in time")
         }
+        /// The engines take only a part of the requests, and this one is beyond the share of its rank and
+        /// account.
+        OverCapacity(retry_after: Duration) {
+            display("the engines can't take all requests now")
+        }
         /// The request takes up a stream, and the software version that began it is not known.
         UnknownOrigin {
             display("it is not known which version began the stream")
@@ -94,6 +99,7 @@
             | Refusal::OverLimit(after)
             | Refusal::NoUpstream(after)
             | Refusal::Overloaded(after)
+            | Refusal::OverCapacity(after)
             | Refusal::Shed(after) => Some(*after),
             Refusal::Stopping => Some(Duration::ZERO),
             _ => None,
@@ -113,6 +119,7 @@
             Refusal::OverLimit(_) => "over-limit",
             Refusal::NoUpstream(_) => "no-upstream",
             Refusal::Overloaded(_) => "overloaded",
+            Refusal::OverCapacity(_) => "over-capacity",
             Refusal::UnknownOrigin => "unknown-origin",
             Refusal::Quarantined(_, _) => "quarantined",
             Refusal::Shed(_) => "shed",
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -124,11 +124,17 @@
         if let Some(request_log) = &mut self.request_log {
             request_log.record_first_event();
         }
-        if !std::mem::replace(&mut self.usage_recorded, true)
-            && let Some(account) = &self.call.account
-        {
+        if std::mem::replace(&mut self.usage_recorded, true) {
+            return;
+        }
+        if let Some(account) = &self.call.account {
             lock(&self.core.usage).record(&account.name, Instant::now());
         }
+        if self.call.prompt.is_some() && !self.call.takes_up() && self.status < 300 {
+            let (elapsed, target) = (self.call.arrived.elapsed(), self.call.route.target);
+            let mut classes = lock(&self.core.classes);
+            classes.record_first_event(&self.call.service, elapsed, target);
+        }
     }
 
     /// Records that the answer to the request has begun well, if it has. An answer that
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -146,6 +146,8 @@
         balancer: Mutex::new(Balancer::new(balancer_settings)),
         accounts: Mutex::new(Accounts::default()),
         demand: Mutex::default(),
+        classes: Mutex::default(),
+        plans: Mutex::default(),
         samples: Mutex::default(),
         contact: Mutex::default(),
         origins: Mutex::default(),
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -100,6 +100,7 @@
             samples: lock(&core.samples).take(),
             models,
             reads_work_table: true,
+            classes: lock(&core.classes).report(),
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
@@ -113,6 +114,7 @@
         let number = report.statements.number;
         let reported = core.member.report(report, REPORT_TIMEOUT).await;
         let succeeded = reported.is_ok();
+        lock(&core.classes).record_answer(succeeded);
         match reported {
             Ok(overview) => {
                 apply_overview(&core, number, &overview, sent_at);
@@ -220,6 +222,7 @@
         None => lock(&core.balancer).apply_work(&overview.work),
     }
     lock(&core.balancer).apply_models(&overview.models);
+    lock(&core.plans).set(&overview.plans, sent_at);
     let (parts, requests) = (overview.quarantine.clone(), overview.requests.clone());
     let changed = lock(&core.quarantine).apply(parts, requests, now);
     for subject in changed {
--- a/components/gateway/src/table.rs
+++ b/components/gateway/src/table.rs
@@ -1,6 +1,7 @@
 //! Look-up tables of the routes and accounts of a text.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use config::Text;
@@ -20,6 +21,8 @@
     accounts: IndexMap<CompactString, Arc<Account>>,
     /// Accounts that have a token limit.
     limited: Vec<AccountId>,
+    /// Ranks and targets of the routes to each service.
+    targets: IndexMap<ServiceId, Vec<(u8, Duration)>>,
     /// Connections that an upstream of each service accepts from all entries, if that is known.
     max_connections: IndexMap<ServiceId, u32>,
     limits: Limits,
@@ -69,6 +72,7 @@
             version,
             routes,
             accounts,
+            targets: targets(text),
             limited: limited.cloned().collect(),
             max_connections: max_connections.collect(),
             limits: text.ingress.limits,
@@ -95,6 +99,13 @@
         self.max_connections.get(service).copied()
     }
 
+    /// Returns the strictest target of the routes to a service whose rank is before `rank`.
+    pub fn target_before(&self, service: &str, rank: u8) -> Option<Duration> {
+        let targets = self.targets.get(service)?.iter();
+        let before = targets.filter(|(other, _)| *other < rank);
+        before.map(|(_, target)| *target).min()
+    }
+
     /// Returns the route with the longest prefix of `path` at `host`; a port is ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.split_once(':').map_or(host, |(name, _port)| name);
@@ -115,6 +126,18 @@
     }
 }
 
+/// Returns the ranks and targets of the routes to each service.
+fn targets(text: &Text) -> IndexMap<ServiceId, Vec<(u8, Duration)>> {
+    let mut targets: IndexMap<ServiceId, Vec<(u8, Duration)>> = IndexMap::new();
+    for route in &text.ingress.routes {
+        for split in &route.splits {
+            let service = targets.entry(split.service.clone()).or_default();
+            service.push((route.rank, route.target));
+        }
+    }
+    targets
+}
+
 /// Selects the service of a route by weight. The selection depends on the request's identifier
 /// only, so that it is repeatable.
 pub(crate) fn select_service<'a>(route: &'a Route, id: &str) -> Option<&'a ServiceId> {
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use admission::Plan;
 use config::ids::{AccountId, NodeId, ServiceId, UpstreamId};
 use limits::{Naming, Permit, Refusals, Statement};
 use performance::{Model, Sample};
@@ -53,6 +54,9 @@
     /// Whether the entry reads [`Overview::work_table`] in place of [`Overview::work`].
     #[serde(default, skip_serializing_if = "is_false")]
     pub reads_work_table: bool,
+    /// Demand for the services that are balanced by work, by rank and account.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub classes: Vec<(ServiceId, admission::Report)>,
 }
 
 #[expect(
@@ -158,6 +162,9 @@
     /// What the upstreams of each service do, as far as it is known.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub models: Vec<(ServiceId, Model)>,
+    /// Shares of the requests that are admitted, for services that can't take all of them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub plans: Vec<(ServiceId, Plan)>,
 }
 
 /// An entry that takes requests of others and sends them to upstreams.
