--- a/components/admission/src/capacity.rs
+++ b/components/admission/src/capacity.rs
@@ -100,7 +100,7 @@
     }
 
     /// Corrects the estimate by the load of the engines and by the answers that began per second
-    /// `(all, late)`. `is_short` is whether a part of the demand was refused.
+    /// `(all, late)`. `is_short` is whether the demand is larger than the estimate.
     pub(crate) fn correct(
         &mut self,
         supply: &Supply,
--- a/components/admission/src/class.rs
+++ b/components/admission/src/class.rs
@@ -8,6 +8,9 @@
 /// Highest rank that is told apart; requests of higher ones count as this.
 pub const MAX_RANK: u8 = 7;
 
+/// Maximum number of classes of a service that are told apart, at an entry and at the leader.
+pub const MAX_CLASSES: usize = 256;
+
 /// Key of all accounts beyond those that are told apart.
 pub(crate) const OTHERS: AccountKey = AccountKey::MAX;
 
@@ -30,7 +33,7 @@
     }
 
     /// Returns the class for the accounts of the rank that are not told apart.
-    pub(crate) fn others(self) -> Self {
+    pub fn others(self) -> Self {
         Class {
             account: OTHERS,
             ..self
--- a/components/admission/src/division.rs
+++ b/components/admission/src/division.rs
@@ -26,8 +26,8 @@
 }
 
 impl RankShares {
-    /// Returns the share of accounts that are not listed: their demand is too new or small to be
-    /// known, and within any fair share.
+    /// Returns the share of accounts that are not told apart. If all are, the demand of another one is
+    /// too new to be known, and within any fair share.
     pub(crate) fn unlisted(&self) -> f64 {
         self.accounts.get(&OTHERS).copied().unwrap_or(1.0)
     }
@@ -83,7 +83,8 @@
 }
 
 /// Returns the share of each account of a rank of which `share` is admitted: each is admitted up to
-/// the same part of the capacity, and at least `floor` of what it asks for.
+/// the same part of the capacity, and at least `floor` of what it asks for. The accounts that are not
+/// told apart get the share of the rank, as they would get little as a single account.
 fn account_shares(
     accounts: &[(AccountKey, Demand)],
     share: f64,
@@ -91,13 +92,16 @@
     capacity: &Demand,
 ) -> IndexMap<AccountKey, f64> {
     let part = |demand: &Demand| demand.dominant_part_of(capacity);
-    let share_at = |demand: &Demand, level: f64| {
+    let share_at = |(account, demand): &(AccountKey, Demand), level: f64| {
+        if *account == OTHERS {
+            return share;
+        }
         let fair = level / part(demand).max(f64::MIN_POSITIVE);
         fair.min(1.0).max(floor)
     };
     let room = sum(accounts) * share;
     let fits = |level: f64| {
-        let admitted = accounts.iter().map(|(_, d)| *d * share_at(d, level));
+        let admitted = accounts.iter().map(|row| row.1 * share_at(row, level));
         let admitted = admitted.fold(Demand::default(), |sum, demand| sum + demand);
         admitted.fits(&room)
     };
@@ -107,9 +111,7 @@
         false => largest_level(highest, fits),
     };
     let shares = accounts.iter();
-    shares
-        .map(|(account, demand)| (*account, share_at(demand, level)))
-        .collect()
+    shares.map(|row| (row.0, share_at(row, level))).collect()
 }
 
 /// Returns the largest level up to `highest` that fits.
--- a/components/admission/src/ledger.rs
+++ b/components/admission/src/ledger.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use indexmap::map::Entry;
 
+use crate::class::{MAX_CLASSES, MAX_RANK};
 use crate::rate::Rate;
 use crate::{Class, Demand, Report, Row, Totals};
 
@@ -25,8 +26,9 @@
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 /// Time after the last request of a class, or the last report of a process, for which it is kept.
 const RETENTION: Duration = Duration::from_secs(60);
-/// Maximum number of classes that are told apart.
-const MAX_CLASSES: usize = 256;
+
+/// Most classes that a process reports: those that it tells apart, and the others of each rank.
+const MAX_REPORTED: usize = MAX_CLASSES + MAX_RANK as usize + 1;
 
 /// The demand for one service by class.
 #[derive(Clone, Debug)]
@@ -53,7 +55,7 @@
 impl Known {
     /// Replaces the totals of a class, and returns their rise; `None` if the former ones are not known.
     fn update(&mut self, row: &Row) -> Option<Demand> {
-        let is_full = self.totals.len() >= MAX_CLASSES;
+        let is_full = self.totals.len() >= MAX_REPORTED;
         match self.totals.entry(row.class) {
             Entry::Occupied(mut known) => Some(row.totals.since(&known.insert(row.totals))),
             Entry::Vacant(_) if is_full => None,
@@ -88,12 +90,15 @@
             begun: report.begun,
             late: report.late,
         });
+        // What arrived since the last report did so half of that time ago on average. Without this, the
+        // rates of a few entries would seem higher right after their reports.
+        let age = now.saturating_duration_since(known.at) / 2;
         for row in &report.rows {
             if let Some(rise) = known.update(row) {
-                self.add(row.class, rise, now);
+                self.add(row.class, rise, age, now);
             }
         }
-        self.add_answers(&known, report, now);
+        self.add_answers(&known, report, age, now);
         known.at = now;
         known.is_whole |= report.is_whole;
         (known.begun, known.late) = (report.begun, report.late);
@@ -130,7 +135,7 @@
         self.classes.retain(|_, rate| is_kept(rate.at()));
     }
 
-    fn add(&mut self, class: Class, rise: Demand, now: Instant) {
+    fn add(&mut self, class: Class, rise: Demand, age: Duration, now: Instant) {
         if rise == Demand::default() {
             return;
         }
@@ -141,17 +146,17 @@
         };
         let new = || Rate::new(now);
         let rate = self.classes.entry(class).or_insert_with(new);
-        rate.add(rise, ACCOUNT_TIME, now);
+        rate.add(rise, age, ACCOUNT_TIME, now);
         let rank = self.ranks.entry(class.rank).or_insert_with(new);
-        rank.add(rise, RANK_TIME, now);
+        rank.add(rise, age, RANK_TIME, now);
     }
 
-    fn add_answers(&mut self, before: &Known, report: &Report, now: Instant) {
+    fn add_answers(&mut self, before: &Known, report: &Report, age: Duration, now: Instant) {
         let rise = Demand {
             requests: report.begun.saturating_sub(before.begun) as f64,
             compute_ms: report.late.saturating_sub(before.late) as f64,
             place_ms: 0.0,
         };
-        self.answers.add(rise, ANSWER_TIME, now);
+        self.answers.add(rise, age, ANSWER_TIME, now);
     }
 }
--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -21,7 +21,7 @@
 mod report;
 
 pub use capacity::{Load, Supply};
-pub use class::{AccountKey, Class, MAX_RANK, account_key};
+pub use class::{AccountKey, Class, MAX_CLASSES, MAX_RANK, account_key};
 pub use demand::Demand;
 pub use ledger::Process;
 pub use plan::{MAX_PLAN_AGE, Plan, hash};
--- a/components/admission/src/plan.rs
+++ b/components/admission/src/plan.rs
@@ -72,7 +72,12 @@
             plan.accounts.extend(differing);
         }
         plan.accounts.sort_by_key(|(_, _, share)| *share);
-        plan.accounts.truncate(MAX_LISTED);
+        if plan.accounts.len() > MAX_LISTED {
+            plan.accounts.truncate(MAX_LISTED);
+            for (_, share, unlisted) in &mut plan.ranks {
+                *unlisted = (*share).min(*unlisted);
+            }
+        }
         plan
     }
 
--- a/components/admission/src/planner.rs
+++ b/components/admission/src/planner.rs
@@ -70,13 +70,13 @@
             return &self.plan;
         }
         let answers = self.ledger.answers(now);
-        let is_short = !self.plan.admits_all();
+        let demands = self.ledger.demands(now);
+        let all = demands.values().fold(Demand::default(), |sum, d| sum + *d);
+        let is_short = !all.fits(&self.capacity.per_second(supply, load));
         self.capacity.correct(supply, load, answers, is_short);
         let capacity = self.capacity.per_second(supply, load);
-        let demands = self.ledger.demands(now);
         let newest = division::divide(&demands, &capacity);
         self.shares = approach(&self.shares, newest);
-        let all = demands.values().fold(Demand::default(), |sum, d| sum + *d);
         self.plan = Plan::new(&self.shares, retry_after(&all, &capacity));
         &self.plan
     }
--- a/components/admission/src/rate.rs
+++ b/components/admission/src/rate.rs
@@ -22,8 +22,16 @@
         }
     }
 
-    /// Adds what arrived until `now`. After `time_constant`, it counts for 1/e of its weight.
-    pub(crate) fn add(&mut self, arrived: Demand, time_constant: Duration, now: Instant) {
+    /// Adds what arrived, on average, `age` before `now`. After `time_constant`, it counts for 1/e of its
+    /// weight.
+    pub(crate) fn add(
+        &mut self,
+        arrived: Demand,
+        age: Duration,
+        time_constant: Duration,
+        now: Instant,
+    ) {
+        let arrived = arrived * decay(age, time_constant);
         self.sum = self.decayed_sum(time_constant, now) + arrived;
         self.at = now;
     }
--- a/components/gateway/src/classes.rs
+++ b/components/gateway/src/classes.rs
@@ -2,13 +2,10 @@
 
 use std::time::Duration;
 
-use admission::{Class, Report, Row, Totals};
+use admission::{Class, MAX_CLASSES, Report, Row, Totals};
 use config::ids::ServiceId;
 use indexmap::IndexMap;
 
-/// Maximum number of classes of a service that are told apart; the requests of others are not
-/// counted, and admitted.
-const MAX_CLASSES: usize = 256;
 /// Reports after which all classes are reported again, so that a new leader learns them within a
 /// second.
 const WHOLE_PERIOD: u32 = 4;
@@ -57,9 +54,10 @@
     pub fn add(&mut self, service: &ServiceId, class: Class, compute_ms: f64, place_ms: f64) {
         let service = self.services.entry(service.clone()).or_default();
         let is_full = service.classes.len() >= MAX_CLASSES;
-        if is_full && !service.classes.contains_key(&class) {
-            return;
-        }
+        let class = match is_full && !service.classes.contains_key(&class) {
+            true => class.others(),
+            false => class,
+        };
         let counts = service.classes.entry(class).or_default();
         counts.requests += 1;
         counts.compute_ms += compute_ms;
