Keep more of a short capacity for the most urgent rank

Change: the floors shrink with the square of what fits; at least two fifths of the capacity are admitted while a queue is worked off.

--- a/components/admission/src/capacity.rs
+++ b/components/admission/src/capacity.rs
@@ -33,7 +33,7 @@
 const STANDING_WAIT: f64 = 0.15;
 const DRAIN_SECONDS: f64 = 1.0;
 /// Part of the capacity that is admitted at least while a queue is worked off.
-const MIN_ADMITTED: f64 = 0.25;
+const MIN_ADMITTED: f64 = 0.4;
 /// Exponent by which a correction fades in a period in which all demand is admitted: within half a
 /// minute, since it was learned under another load.
 const FADING: f64 = 0.99;
--- a/components/admission/src/division.rs
+++ b/components/admission/src/division.rs
@@ -7,9 +7,11 @@
 
 /// Share of each rank that is admitted whatever the more urgent ones ask for.
 const RANK_FLOOR: f64 = 1.0 / 3.0;
-/// Part of the capacity that the floors take together at most, so that more urgent ranks are served
-/// more often also if there is less capacity than the floors take.
-const MAX_FLOORS: f64 = 2.0 / 3.0;
+/// Factor of the square of the part of all demand that fits, which bounds the floor: it is reached while
+/// less than half fits. More urgent ranks are then served first with most of what there is.
+const FLOOR_PER_SQUARE: f64 = 4.0 / 3.0;
+/// Floor relative to the part of all demand that fits; a quarter is what a rank must get.
+const MIN_FLOOR: f64 = 0.3;
 /// Share of an account that is admitted whatever the other accounts of the rank ask for, relative to
 /// the share of all requests; a quarter is what an account must get.
 const ACCOUNT_FLOOR: f64 = 0.3;
@@ -71,7 +73,9 @@
     if all.fits(capacity) {
         return vec![1.0; demands.len()];
     }
-    let floor = RANK_FLOOR.min(all.part_in(capacity) * MAX_FLOORS);
+    let fitting = all.part_in(capacity);
+    let floor = (fitting * fitting * FLOOR_PER_SQUARE).max(fitting * MIN_FLOOR);
+    let floor = floor.min(RANK_FLOOR);
     let mut room = *capacity - all * floor;
     let mut most = 1.0 - floor;
     let share = |demand: &Demand| {
