--- a/components/gateway/src/classes.rs
+++ b/components/gateway/src/classes.rs
@@ -75,7 +75,7 @@
 
     /// Returns what has changed for a report to the leader, from time to time all.
     pub fn report(&mut self) -> Vec<(ServiceId, Report)> {
-        let is_whole = self.is_unanswered || self.since_whole % WHOLE_PERIOD == 0;
+        let is_whole = self.is_unanswered || self.since_whole.is_multiple_of(WHOLE_PERIOD);
         let report = |(name, service): (&ServiceId, &mut Service)| {
             let mut rows = Vec::new();
             for (class, counts) in &mut service.classes {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -55,7 +55,7 @@
 pub use metrics::Metrics;
 pub use network::{Connecting, Network, Tcp};
 pub use pool::idle_limit;
-pub use priority::Plans;
+pub use priority::{Decision, Plans};
 pub use protocol::{Head, Metadata, Protocol, Reply};
 pub use quarantine::Subject;
 pub use reach::{Finding, Reach};
--- a/components/gateway/src/priority.rs
+++ b/components/gateway/src/priority.rs
@@ -4,7 +4,8 @@
 //! plan, or with one that is too old, the bound of the expected wait ([`crate::admission`]) alone
 //! decides.
 
-use std::time::Instant;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use admission::{Class, MAX_PLAN_AGE, Plan};
 use config::ids::ServiceId;
@@ -17,7 +18,7 @@
 /// The newest plans.
 #[derive(Debug, Default)]
 pub struct Plans {
-    services: IndexMap<ServiceId, Plan>,
+    services: IndexMap<ServiceId, Arc<Plan>>,
     /// When the report was sent that the leader answered with them.
     at: Option<Instant>,
 }
@@ -25,14 +26,49 @@
 impl Plans {
     /// Replaces all plans by those with which the leader answered a report that was sent at `sent_at`.
     pub fn set(&mut self, plans: &[(ServiceId, Plan)], sent_at: Instant) {
-        self.services = plans.iter().cloned().collect();
+        let plans = plans.iter();
+        let plans = plans.map(|(service, plan)| (service.clone(), Arc::new(plan.clone())));
+        self.services = plans.collect();
         self.at = Some(sent_at);
     }
 
     /// Returns the plan of a service; `None` if all requests are admitted, or the plan is too old.
-    pub fn newest(&self, service: &ServiceId, now: Instant) -> Option<&Plan> {
+    pub fn newest(&self, service: &ServiceId, now: Instant) -> Option<Arc<Plan>> {
         let age = now.saturating_duration_since(self.at?);
-        self.services.get(service).filter(|_| age < MAX_PLAN_AGE)
+        let plan = self.services.get(service)?;
+        (age < MAX_PLAN_AGE).then(|| plan.clone())
+    }
+}
+
+/// Decision on a request by the plan of its service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// The request is within the share of its class.
+    Admitted,
+    /// It is beyond the share, and the engines have room.
+    Room,
+    /// It is refused, and the caller should retry after this time.
+    Refused(Duration),
+}
+
+impl Decision {
+    /// Decides on a request of `class` by its hash. `has_room` reports whether the engines have room for
+    /// it; it is called only for a request beyond the share.
+    pub fn new(plan: &Plan, class: Class, hash: u64, has_room: impl FnOnce() -> bool) -> Self {
+        match plan.admits(class, hash) {
+            true => Decision::Admitted,
+            false if has_room() => Decision::Room,
+            false => Decision::Refused(plan.retry_after(hash)),
+        }
+    }
+
+    /// Returns the name for metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Decision::Admitted => "admitted",
+            Decision::Room => "room",
+            Decision::Refused(_) => "refused",
+        }
     }
 }
 
@@ -40,8 +76,8 @@
 /// service.
 ///
 /// # Errors
-/// Returns a [`Refusal`] if the request is beyond the share of its class, and no engine is idle. One
-/// that takes up a stream is never refused.
+/// Returns a [`Refusal`] if the request is beyond the share of its class, and the engines have no room.
+/// One that takes up a stream is never refused.
 pub(crate) fn decide(core: &Core, call: &Call) -> Result<(), Refusal> {
     let Some(prompt) = &call.prompt else {
         return Ok(());
@@ -52,22 +88,16 @@
         return Ok(());
     }
     let now = Instant::now();
-    let hash = admission::hash(&call.id);
-    let (admits, retry_after) = match lock(&core.plans).newest(&call.service, now) {
-        Some(plan) => (plan.admits(class, hash), plan.retry_after(hash)),
-        None => return Ok(()),
-    };
-    let has_room = !admits && has_room(core, call, now);
-    let decision = match (admits, has_room) {
-        (true, _) => "admitted",
-        (false, true) => "room",
-        (false, false) => "refused",
+    let Some(plan) = lock(&core.plans).newest(&call.service, now) else {
+        return Ok(());
     };
+    let has_room = || has_room(core, call, now);
+    let decision = Decision::new(&plan, class, admission::hash(&call.id), has_room);
     core.metrics
-        .record_plan(&call.service, class.rank, decision);
-    match admits || has_room {
-        true => Ok(()),
-        false => Err(Refusal::OverCapacity(retry_after)),
+        .record_plan(&call.service, class.rank, decision.name());
+    match decision {
+        Decision::Admitted | Decision::Room => Ok(()),
+        Decision::Refused(retry_after) => Err(Refusal::OverCapacity(retry_after)),
     }
 }
 
--- a/components/gateway/tests/admission.rs
+++ b/components/gateway/tests/admission.rs
@@ -52,3 +52,30 @@
     assert_that!(wait(Kind::ResumableStream, Some(0)), eq(new));
     assert_that!(wait(Kind::Stream, Some(3)), eq(new));
 }
+
+/// Guards against urgent requests that wait longest in a full engine and are late.
+#[test]
+fn bounds_waits_by_the_target_where_services_are_balanced_by_work() {
+    let wait = |rank, more_urgent: Option<u64>| {
+        let mut call = call(Kind::ResumableStream, None);
+        let route = Route {
+            rank,
+            ..(*call.route).clone()
+        };
+        call.route = Arc::new(route);
+        let wait = admission::max_wait_by_work(&call, more_urgent.map(Duration::from_millis));
+        wait.as_millis()
+    };
+    // The target is 1,000 ms.
+    assert_that!(wait(0, None), eq(900));
+    assert_that!([wait(1, Some(1_200)), wait(2, Some(1_200))], eq([700, 500]));
+    // More urgent requests would be late, and are refused, with the queue that it could wait for.
+    assert_that!(wait(1, Some(600)), eq(420));
+    // One that has much time may wait for a part of it.
+    assert_that!(wait(2, Some(100)), eq(250));
+    let taken_up = call(Kind::ResumableStream, Some(3));
+    assert_that!(
+        admission::max_wait_by_work(&taken_up, None),
+        eq(Duration::MAX)
+    );
+}
--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -206,6 +206,37 @@
         Ok(choice)
     }
 
+    /// Reports whether an entry knows of room for a request of `rank`.
+    pub(crate) fn has_room(&self, entry: usize, shared: u64, rank: u8, target: Duration) -> bool {
+        let prompt = prompt(shared, 0);
+        let criteria = Criteria {
+            service: &SERVICE.into(),
+            prompt: Some(&prompt),
+            software: None,
+            excluded: &[],
+            time_left: Duration::from_secs(15),
+            max_wait: target,
+        };
+        self.entries[entry].has_room(&criteria, rank, target, self.now)
+    }
+
+    /// Returns the work of a prompt and that of its whole request, as an entry expects it.
+    pub(crate) fn work(&self, entry: usize) -> (f64, f64) {
+        let (service, prompt) = (SERVICE.into(), prompt(1, 1));
+        let entry = &self.entries[entry];
+        let all = entry.request_work_ms(&service, Some(&prompt));
+        (entry.prompt_work_ms(&service, &prompt), all)
+    }
+
+    /// Records the first events of all open requests, which go on.
+    pub(crate) fn begin_all(&mut self) {
+        for (entry, choice) in &mut self.open {
+            self.entries[*entry].record_first_event(choice, Duration::ZERO, self.now);
+            // Its prompt is computed only once.
+            choice.uncached_tokens = 0;
+        }
+    }
+
     /// Lets all entries know the limit that an engine names.
     pub(crate) fn name_limit(&mut self, engine: &str, rate: Option<f64>) {
         let process = (engine.into(), 1);
--- a/components/gateway/tests/balancing/main.rs
+++ b/components/gateway/tests/balancing/main.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod overload;
 mod queue;
+mod room;
 
 use std::time::Duration;
 
--- a/components/gateway/tests/table.rs
+++ b/components/gateway/tests/table.rs
@@ -76,3 +76,26 @@
     assert_that!(name("k3"), some(eq("farm")));
     assert_that!(name("k4"), none());
 }
+
+/// Guards against less urgent requests that fill the queues of more urgent ones.
+#[test]
+fn knows_the_strictest_target_of_more_urgent_routes_to_a_service() {
+    let with = |rank, target| Route {
+        rank,
+        target: Duration::from_millis(target),
+        ..route("any", "one.example", "/")
+    };
+    let text = Text {
+        ingress: Ingress {
+            routes: vec![with(0, 600), with(0, 900), with(1, 300), with(2, 500)],
+            ..Ingress::default()
+        },
+        ..Text::default()
+    };
+    let table = Table::new(1, &text);
+    let before = |rank| table.target_before("plain", rank);
+    assert_that!(before(0), none());
+    assert_that!(before(1), some(eq(Duration::from_millis(600))));
+    assert_that!(before(2), some(eq(Duration::from_millis(300))));
+    assert_that!(table.target_before("another", 2), none());
+}
