--- a/components/admission/tests/load/main.rs
+++ b/components/admission/tests/load/main.rs
@@ -73,6 +73,7 @@
                 ..Settings::default()
             };
             let outcomes = run(&settings, seed);
+            outcomes.print(STEADY.start, STEADY.end);
             let all = outcomes.sum(STEADY.start, STEADY.end, |_, _| true);
             (
                 all.in_time,
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -11,6 +11,7 @@
 mod leaves;
 mod models;
 mod origins;
+mod plans;
 mod quarantine;
 mod relay;
 mod replacements;
