--- a/components/admission/tests/load/simulation.rs
+++ b/components/admission/tests/load/simulation.rs
@@ -306,7 +306,8 @@
     /// Lets the entries whose turn it is report to the leader.
     fn exchange(&mut self, step: usize, now: Instant) {
         for index in 0..ENTRIES {
-            if (step + index * REPORT_STEPS / ENTRIES) % REPORT_STEPS != 0 {
+            let turn = step + index * REPORT_STEPS / ENTRIES;
+            if !turn.is_multiple_of(REPORT_STEPS) {
                 continue;
             }
             let report = self.entries[index].report();
