Plan for engines that don't state their places

Cause: the places of engines that state no batch add up to none, so that a plan would have refused all requests. Change: no places count as unknown, and time for prompts alone is planned. Ranks of reports are bounded. Tests are split into smaller files.

--- a/components/admission/src/capacity.rs
+++ b/components/admission/src/capacity.rs
@@ -46,7 +46,7 @@
 pub struct Supply {
     /// Sum of their speeds; 1.0 is a usual engine.
     pub speed: f64,
-    /// Sum of the places of their batches.
+    /// Sum of the places of their batches; 0 if they don't state it.
     pub places: f64,
     /// Strictest target for the time to the first event.
     pub target: Duration,
@@ -90,7 +90,10 @@
         Demand {
             requests: f64::INFINITY,
             compute_ms: without_excess.max(compute_ms * MIN_ADMITTED),
-            place_ms: supply.places * PLACE_SHARE * ms,
+            place_ms: match supply.places > 0.0 {
+                true => supply.places * PLACE_SHARE * ms,
+                false => f64::INFINITY,
+            },
         }
     }
 
@@ -137,7 +140,11 @@
     let full_wait_ms = supply.speed * millis(supply.target) * FULL_WAIT;
     let waiting = load.waiting_ms / full_wait_ms.max(f64::MIN_POSITIVE);
     let weight = late.map_or(1.0, |late| late.clamp(MIN_WAIT_WEIGHT, 1.0));
-    (waiting * weight).max(load.requests / supply.places.max(1.0))
+    let taken = match supply.places > 0.0 {
+        true => load.requests / supply.places,
+        false => 0.0,
+    };
+    (waiting * weight).max(taken)
 }
 
 fn millis(duration: Duration) -> f64 {
--- a/components/admission/src/report.rs
+++ b/components/admission/src/report.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Class, Demand};
+use crate::{Class, Demand, MAX_RANK};
 
 /// Totals of one class since the process started.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -39,6 +39,7 @@
 
 impl From<(u8, u32, u64, u64, u64)> for Row {
     fn from((rank, account, requests, compute_ms, place_ms): (u8, u32, u64, u64, u64)) -> Self {
+        let rank = rank.min(MAX_RANK);
         Row {
             class: Class { rank, account },
             totals: Totals {
--- a/components/admission/tests/load/main.rs
+++ b/components/admission/tests/load/main.rs
@@ -2,11 +2,13 @@
 
 mod engine;
 mod entry;
+mod outcomes;
 mod simulation;
 
 use googletest::prelude::*;
 
-use simulation::{ACCOUNTS, Outcomes, Settings, Simulation};
+use outcomes::Outcomes;
+use simulation::{ACCOUNTS, Settings, Simulation};
 
 const SEEDS: [u64; 3] = [0x5eed_0041, 0x5eed_0042, 0x5eed_0043];
 /// Seconds of a simulation in which the load is steady.
--- a/components/admission/tests/plans.rs
+++ b/components/admission/tests/plans/main.rs
@@ -1,111 +1,13 @@
 //! Plans for a steady demand, and decisions by them.
 
-use std::time::{Duration, Instant};
+mod fleet;
 
-use admission::{
-    Class, Load, MAX_CLASSES, Plan, Planner, Process, Report, Row, Supply, Totals, account_key,
-    hash,
-};
-use googletest::prelude::*;
-
-const PERIOD: Duration = Duration::from_millis(250);
-/// Returns engines that compute prompts for 8 s of each second with 800 places.
-fn supply(engines: f64) -> Supply {
-    Supply {
-        speed: engines,
-        places: engines * 80.0,
-        target: Duration::from_millis(500),
-    }
-}
-
-/// Returns a load that gives no reason to correct the estimate of the capacity.
-fn usual_load(supply: &Supply) -> Load {
-    Load {
-        requests: supply.places * 0.8,
-        waiting_ms: 0.0,
-    }
-}
-
-fn process(entry: u32) -> Process {
-    (format!("entry-{entry}").into(), 1)
-}
-
-fn class(rank: u8, account: &str) -> Class {
-    Class::new(rank, Some(account))
-}
-
-/// An entry whose callers ask for the same in each second.
-struct Entry {
-    /// Class, requests per second, and time for the prompt and for a place of each request.
-    asked: Vec<(Class, u64, u64, u64)>,
-    ms: u64,
-}
-
-impl Entry {
-    fn new(asked: Vec<(Class, u64, u64, u64)>) -> Self {
-        Entry { asked, ms: 0 }
-    }
-
-    fn report(&self) -> Report {
-        let row = |(class, rate, compute_ms, place_ms): &(Class, u64, u64, u64)| {
-            let requests = rate * self.ms / 1_000;
-            Row {
-                class: *class,
-                totals: Totals {
-                    requests,
-                    compute_ms: requests * compute_ms,
-                    place_ms: requests * place_ms,
-                },
-            }
-        };
-        Report {
-            is_whole: true,
-            rows: self.asked.iter().map(row).collect(),
-            ..Report::default()
-        }
-    }
-}
-
-/// A leader with one entry.
-struct Fleet {
-    planner: Planner,
-    entry: Entry,
-    now: Instant,
-}
-
-impl Fleet {
-    fn new(asked: Vec<(Class, u64, u64, u64)>) -> Self {
-        let now = Instant::now();
-        Fleet {
-            planner: Planner::new(now),
-            entry: Entry::new(asked),
-            now,
-        }
-    }
+use std::time::Duration;
 
-    /// Lets `seconds` pass with reports and plans, while engines are loaded as usual.
-    fn pass(&mut self, seconds: u64, supply: &Supply) {
-        self.pass_periods(seconds * 4, supply, &usual_load(supply));
-    }
-
-    /// Lets periods of reports and plans pass.
-    fn pass_periods(&mut self, periods: u64, supply: &Supply, load: &Load) {
-        for _ in 0..periods {
-            self.now += PERIOD;
-            self.entry.ms += 250;
-            let report = self.entry.report();
-            self.planner.record(&process(1), &report, self.now);
-            if self.planner.is_due(self.now) {
-                self.planner.plan(supply, load, self.now);
-            }
-        }
-    }
+use admission::{Class, Load, MAX_CLASSES, Report, Row, Supply, Totals, account_key, hash};
+use googletest::prelude::*;
 
-    fn plan(&self) -> Plan {
-        let plan = self.planner.newest(self.now);
-        plan.expect("a plan is known").clone()
-    }
-}
+use fleet::{Fleet, PERIOD, class, process, supply, usual_load};
 
 /// Three ranks of 4 s of prompts a second each, of two accounts.
 fn three_ranks() -> Vec<(Class, u64, u64, u64)> {
@@ -361,3 +263,19 @@
     );
     assert_that!(account_key(None), eq(account_key(Some(""))));
 }
+
+/// Guards against the refusal of everything by engines that don't state the places of their batches.
+#[test]
+fn counts_prompts_alone_where_places_are_not_known() {
+    let unknown = |engines| Supply {
+        places: 0.0,
+        ..supply(engines)
+    };
+    let mut fleet = Fleet::new(three_ranks());
+    fleet.pass(4, &unknown(16.0));
+    assert_that!(fleet.plan().admits_all(), eq(true));
+    let mut fleet = Fleet::new(three_ranks());
+    let idle = Load::default();
+    fleet.pass_periods(5, &unknown(4.0), &idle);
+    assert_that!(fleet.plan().share(class(2, "shop")), lt(0.9));
+}
