--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -26,6 +26,7 @@
 mod prefixes;
 mod rates;
 mod sampled;
+mod room;
 mod serving;
 mod settings;
 mod speeds;
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -185,12 +185,24 @@
         time_left,
         max_wait: match resume_after {
             Some(_) => time_left,
-            None => admission::max_wait(call),
+            None => max_wait(core, call),
         },
         work_ms: lock(&core.balancer).work_ms(&call.kind(), call.prompt.as_ref()),
     }
 }
 
+/// Returns the longest expected time to the first event with which `call` is sent to an upstream.
+fn max_wait(core: &Core, call: &Call) -> Duration {
+    let is_by_work = lock(&core.balancer).is_balanced_by_work(&call.service);
+    match is_by_work {
+        true => {
+            let more_urgent = core.table.load().target_before(&call.service, call.rank());
+            admission::max_wait_by_work(call, more_urgent)
+        }
+        false => admission::max_wait(call),
+    }
+}
+
 /// Chooses an upstream. If none may take the request without it, draws a permit under the limit of
 /// one that names a limit.
 pub(crate) async fn choose(
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -103,6 +103,7 @@
             speeds: lock(&core.balancer).report_speeds(Instant::now()),
             by_work: lock(&core.balancer).services_by_work(),
             moments: lock(&core.balancer).report_moments(Instant::now()),
+            classes: lock(&core.classes).report(),
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
@@ -116,6 +117,7 @@
         let number = report.statements.number;
         let reported = core.member.report(report, REPORT_TIMEOUT).await;
         let succeeded = reported.is_ok();
+        lock(&core.classes).record_answer(succeeded);
         match reported {
             Ok(overview) => {
                 apply_overview(&core, number, &overview, sent_at);
@@ -230,6 +232,7 @@
     for (service, speeds) in lock(&core.balancer).speeds(now) {
         core.metrics.set_speeds(&service, &speeds);
     }
+    lock(&core.plans).set(&overview.plans, sent_at);
     let (parts, requests) = (overview.quarantine.clone(), overview.requests.clone());
     let changed = lock(&core.quarantine).apply(parts, requests, now);
     for subject in changed {
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use admission::Plan;
 use config::ids::{AccountId, NodeId, ServiceId, UpstreamId};
 use limits::{Naming, Permit, Refusals, Statement};
 use performance::{Model, Sample};
@@ -63,6 +64,9 @@
     /// What follows from the newest statements of upstreams to the entry.
     #[serde(default, skip_serializing_if = "MomentTable::is_empty")]
     pub moments: MomentTable,
+    /// Demand for the services that are balanced by work, by rank and account.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub classes: Vec<(ServiceId, admission::Report)>,
 }
 
 #[expect(
@@ -209,6 +213,9 @@
     /// What the upstreams of each service do, as far as it is known.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub models: Vec<(ServiceId, Model)>,
+    /// Shares of the requests that are admitted, for services that can't take all of them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub plans: Vec<(ServiceId, Plan)>,
 }
 
 /// An entry that takes requests of others and sends them to upstreams.
