Choose engines by what is known of their caches

The source of a fetch was the engine with the highest weight, also one that had just started. Services balanced by work now derive recent homes, second places and expected shares from when engines came, left and changed their speed. Other services choose as before. Not covered by tests yet.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -15,20 +15,29 @@
 mod exchange;
 mod feedback;
 mod health;
+mod holders;
 mod home;
+mod level;
 mod limit;
 mod limits;
 mod places;
 mod prefixes;
 mod rates;
+mod residence;
 mod serving;
 mod settings;
+mod tally;
+mod tenure;
 mod upstream;
+mod warm;
+mod work;
 
 pub use brittle::Position;
 pub use choice::{Choice, Criteria, Shortage};
+pub use level::Level;
 pub use rates::Rates;
 pub use settings::Settings;
+pub use tally::Tally;
 
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -38,13 +47,14 @@
 use config::Text;
 use config::ids::{ServiceId, UpstreamId};
 use config::text::Kind;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use performance::Model;
 use wire::Work;
 
 use crate::call::PartId;
 use brittle::Brittle;
 use estimate::{Affinity, Estimate};
+use residence::Residence;
 use upstream::Upstream;
 
 /// The upstreams known to one entry, and the work in flight at each.
@@ -55,6 +65,11 @@
     brittle: Brittle,
     /// What the engines of each service do, as far as the leader has learned it.
     models: IndexMap<ServiceId, Model>,
+    /// Services that are balanced by work.
+    by_work: IndexSet<ServiceId>,
+    /// Engines that have shared parts, as far as this entry has sent them there.
+    residence: Residence,
+    tally: Tally,
     /// Number of choices so far.
     choices: u64,
 }
@@ -97,6 +112,7 @@
         self.upstreams
             .retain(|_, u| now < u.expires + retention || u.own_work != Work::default());
         self.mark_superseded();
+        self.observe_tenures(now);
     }
 
     /// Returns the number of known upstreams.
@@ -129,6 +145,9 @@
     /// exceeds the deadline or the longest accepted wait.
     pub fn choose(&mut self, criteria: &Criteria<'_>, now: Instant) -> Result<Choice, Shortage> {
         self.choices = self.choices.wrapping_add(1);
+        if let Some(prompt) = self.warm_prompt(criteria) {
+            return self.choose_warm(criteria, prompt, now);
+        }
         let usable = self.usable(criteria, now);
         let (home, best) = self.best(&usable, criteria, now);
         let Some((name, estimate)) = best else {
--- a/components/gateway/src/balancer/estimate.rs
+++ b/components/gateway/src/balancer/estimate.rs
@@ -23,6 +23,31 @@
     Away,
     /// The prompt has no home.
     Any,
+    /// What is expected of the engine's cache, by what is known of the prompt's parts.
+    Expected(Expectation),
+}
+
+/// Tokens of a prompt that an engine need not compute.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct Expectation {
+    /// Leading tokens in its cache.
+    pub(super) cached: u32,
+    /// Tokens that it fetches from another engine.
+    pub(super) fetched: u32,
+    /// Tokens that it computes though the prompt's home computes them as well, or has them.
+    pub(super) repeated: u32,
+    /// Whether all entries prefer it for the prompt.
+    pub(super) is_preferred: bool,
+}
+
+impl Affinity {
+    fn is_preferred(self) -> bool {
+        match self {
+            Affinity::Home => true,
+            Affinity::Expected(expectation) => expectation.is_preferred,
+            Affinity::Away | Affinity::Any => false,
+        }
+    }
 }
 
 /// Expected cost of sending a request to one upstream.
@@ -59,7 +84,7 @@
             Some(prompt) => {
                 let tokens = Tokens::new(upstream, prompt, affinity, settings);
                 let cost = engine_cost(upstream, &tokens, in_flight, settings, rates);
-                let bonus = if affinity == Affinity::Home {
+                let bonus = if affinity.is_preferred() {
                     settings.home_bonus_ms
                 } else {
                     0.0
@@ -114,12 +139,14 @@
     };
     let at_rest = rates.first_event_ms + prefill + fetch;
     let first_event = at_rest + queue + slot_wait;
-    let fetch_cost = f64::from(tokens.fetched) * settings.fetch_ms_per_token;
+    let repeated = f64::from(tokens.repeated) * rates.prefill_ms_per_token;
+    let fetch_cost = f64::from(tokens.charged) * settings.fetch_ms_per_token;
     EngineCost {
         first_event,
         at_rest,
         score: first_event
             + prefill * settings.prefill_weight
+            + repeated * settings.repeat_weight
             + in_flight * settings.batch_delay_ms
             + fetch_cost,
     }
@@ -142,6 +169,10 @@
     computed: u32,
     /// Tokens that are fetched from the prompt's home.
     fetched: u32,
+    /// Tokens of the fetched ones whose copy counts as a cost. All further prompts use the home's.
+    charged: u32,
+    /// Tokens of those to be computed that another engine has computed or computes as well.
+    repeated: u32,
 }
 
 impl Tokens {
@@ -155,14 +186,22 @@
             Affinity::Home => 0,
             Affinity::Away => shared.saturating_sub(local),
             Affinity::Any => 0,
+            Affinity::Expected(expectation) => expectation.fetched,
         };
         let cached = match affinity {
             Affinity::Home | Affinity::Away => local.max(shared),
             Affinity::Any => local,
+            Affinity::Expected(expectation) => expectation.cached + expectation.fetched,
+        };
+        let repeated = match affinity {
+            Affinity::Expected(expectation) => expectation.repeated,
+            Affinity::Home | Affinity::Away | Affinity::Any => 0,
         };
         Tokens {
             computed: prompt.input_tokens.saturating_sub(cached),
             fetched,
+            charged: if affinity.is_preferred() { 0 } else { fetched },
+            repeated,
         }
     }
 }
--- a/components/gateway/src/balancer/home.rs
+++ b/components/gateway/src/balancer/home.rs
@@ -28,7 +28,7 @@
 const GROUP_GROWTH: usize = 4;
 
 /// Returns the part that determines the home: the last shared part, or the only part.
-fn key(prompt: &Prompt) -> Option<PartId> {
+pub(super) fn key(prompt: &Prompt) -> Option<PartId> {
     let (own, shared) = prompt.parts.split_last()?;
     Some(shared.last().unwrap_or(own).id)
 }
--- a/components/gateway/src/balancer/prefixes.rs
+++ b/components/gateway/src/balancer/prefixes.rs
@@ -54,3 +54,11 @@
         Some((*hash, (part.id, part.tokens)))
     })
 }
+
+/// Returns the shared parts of a prompt, all but the last: the hash of the prefix that each one ends,
+/// and its tokens.
+pub(super) fn shared(prompt: &Prompt) -> impl Iterator<Item = (u64, u32)> {
+    let count = prompt.parts.len().saturating_sub(1);
+    let shared = prefixes(prompt).take(count);
+    shared.map(|(hash, (_, tokens))| (hash, tokens))
+}
--- a/components/gateway/src/balancer/settings.rs
+++ b/components/gateway/src/balancer/settings.rs
@@ -30,6 +30,12 @@
     /// Bonus of the home over an engine with the same cached tokens, in milliseconds, so that all
     /// entries choose the same engine.
     pub home_bonus_ms: f64,
+    /// Weight of the time for which an engine computes shared parts that another one has computed or
+    /// computes as well, in services balanced by work.
+    pub repeat_weight: f64,
+    /// Whether traffic between data centres is dear, so that the second place of a part lies in the data
+    /// centre of its home. Otherwise it lies in another one, as data centres leave as a whole.
+    pub remote_fetch_is_dear: bool,
     /// Time for which an upstream is kept after its lease has expired.
     pub retention_after_lease: Duration,
 }
@@ -47,6 +53,8 @@
             fetch_ms_per_token: 0.01,
             home_cached_share: 1.0,
             home_bonus_ms: 25.0,
+            repeat_weight: 1.0,
+            remote_fetch_is_dear: false,
             retention_after_lease: Duration::from_secs(60),
         }
     }
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -17,6 +17,7 @@
 use super::limit::Limit;
 use super::places::Places;
 use super::prefixes::Prefixes;
+use super::tenure::Tenure;
 
 /// Weight of the newest call in the average duration of plain calls.
 const NEWEST_WEIGHT: f64 = 0.2;
@@ -49,6 +50,7 @@
     /// Average time to the first event, in milliseconds; only for upstreams that are not engines.
     pub(super) call_ms: Option<f64>,
     pub(super) prefixes: Prefixes,
+    pub(super) tenure: Tenure,
     pub(super) health: Health,
     pub(super) limit: Limit,
     /// This entry's requests of which it is not known whether the upstream took them.
@@ -80,6 +82,7 @@
             reported_load: None,
             call_ms: None,
             prefixes: Prefixes::default(),
+            tenure: Tenure::default(),
             health: Health::default(),
             limit: Limit::default(),
             places: Places::default(),
@@ -107,6 +110,11 @@
         self.said_leaving || self.availability != Availability::Serving
     }
 
+    /// Returns the speed; 1.0 is the usual one of the service.
+    pub(super) fn speed(&self, _now: Instant) -> f64 {
+        1.0
+    }
+
     /// Records that the process takes no requests for the time `pause`.
     pub(super) fn record_pause(&mut self, pause: Duration, now: Instant) {
         let until = now.checked_add(pause);
