--- a/components/gateway/src/balancer/health.rs
+++ b/components/gateway/src/balancer/health.rs
@@ -38,6 +38,11 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// Reports whether the upstream was ejected and has answered no request since.
+    pub(super) fn is_failing(&self) -> bool {
+        self.consecutive_failures >= EJECTION_THRESHOLD
+    }
+
     /// Reports whether the upstream is passed over, because it is ejected or has just refused a
     /// request.
     pub(super) fn is_passed_over(&self, now: Instant) -> bool {
--- a/components/gateway/src/balancer/warm.rs
+++ b/components/gateway/src/balancer/warm.rs
@@ -228,9 +228,7 @@
         }
         let index = self.upstreams.get_index_of(chosen)?;
         let source = parts.holders.source_for(index, |i| self.is_source(i, now))?;
-        let has_all = parts.holders.share_at(index) >= 1.0;
-        let is_needed = source.is_known || !has_all;
-        is_needed.then(|| (source, self.upstreams[source.index].address))
+        Some((source, self.upstreams[source.index].address))
     }
 
     /// Reports whether other engines may fetch from an engine. One that is leaving still sends its parts
@@ -264,7 +262,7 @@
             let takes_requests = (now < upstream.expires || !has_live)
                 && !upstream.superseded
                 && !upstream.is_leaving()
-                && !upstream.health.is_ejected(now);
+                && !upstream.health.is_failing();
             let speed = upstream.speed(now);
             let first_seen = upstream.first_seen;
             let tenure = &mut upstream.tenure;
