--- a/components/gateway/src/balancer/level.rs
+++ b/components/gateway/src/balancer/level.rs
@@ -4,10 +4,10 @@
 const LEVELS_PER_DOUBLING: f64 = 2.0;
 /// Distance from a level, in levels, from which on the speed belongs to another one. Beyond half a
 /// level, so that a speed between two levels keeps to one of them.
-const HYSTERESIS: f64 = 0.75;
+const HYSTERESIS: f64 = 0.85;
 /// Time constant over which the speed is averaged, in seconds. Other workloads slow an engine for
-/// some 600 ms at a time; no home may move for these.
-const AVERAGE_TIME_S: f64 = 10.0;
+/// some 600 ms at a time; averaged over 10 s, these changed levels 17 times in 10 minutes.
+const AVERAGE_TIME_S: f64 = 30.0;
 /// Lowest and highest level: a quarter of the usual speed, and four times that.
 const RANGE: i8 = 4;
 
--- a/components/gateway/src/balancer/settings.rs
+++ b/components/gateway/src/balancer/settings.rs
@@ -33,6 +33,9 @@
     /// Weight of the time for which an engine computes shared parts that another one has computed or
     /// computes as well, in services balanced by work.
     pub repeat_weight: f64,
+    /// In services balanced by work, one in so many prompts of a part that is used much goes to the
+    /// part's second place; 0 for none.
+    pub second_place_interval: u64,
     /// Whether traffic between data centres is dear, so that the second place of a part lies in the data
     /// centre of its home. Otherwise it lies in another one, as data centres leave as a whole.
     pub remote_fetch_is_dear: bool,
@@ -53,7 +56,8 @@
             fetch_ms_per_token: 0.01,
             home_cached_share: 1.0,
             home_bonus_ms: 25.0,
-            repeat_weight: 1.0,
+            repeat_weight: 3.0,
+            second_place_interval: 16,
             remote_fetch_is_dear: false,
             retention_after_lease: Duration::from_secs(60),
         }
--- a/components/gateway/src/balancer/warm.rs
+++ b/components/gateway/src/balancer/warm.rs
@@ -19,9 +19,6 @@
 use crate::Prompt;
 use crate::call::PartId;
 
-/// One in so many prompts of a part that is used much goes to the part's second place.
-const SECOND_PLACE_INTERVAL: u64 = 16;
-
 /// A prompt, and where its shared parts are expected.
 struct Parts<'c> {
     prompt: &'c Prompt,
@@ -151,7 +148,7 @@
     ) -> Option<(UpstreamId, Estimate, bool)> {
         let is_in_time =
             |(_, best): &(UpstreamId, Estimate)| best.first_event <= criteria.limit(best.at_rest);
-        if parts.is_for_second_place() && ranked.len() > 1 {
+        if parts.is_for_second_place(self.settings.second_place_interval) && ranked.len() > 1 {
             let second = self.lowest_warm(&ranked[1..2], ranked[1].0, parts, criteria, now);
             if let Some((name, estimate)) = second.filter(is_in_time) {
                 return Some((name, estimate, true));
@@ -275,10 +272,10 @@
 impl Parts<'_> {
     /// Reports whether the prompt is one of those that keep the second place of its parts warm. All
     /// entries derive it from the prompt's own part, so that a second attempt goes there as well.
-    fn is_for_second_place(&self) -> bool {
+    fn is_for_second_place(&self, interval: u64) -> bool {
         let own = self.prompt.parts.last().map_or(0, |own| own.id);
         let hash = xxh3_64_with_seed(&own.to_le_bytes(), self.key);
-        self.shared_tokens > 0 && self.is_used_much && hash % SECOND_PLACE_INTERVAL == 0
+        self.shared_tokens > 0 && self.is_used_much && hash.checked_rem(interval) == Some(0)
     }
 }
 
--- a/components/gateway/tests/warm/days.rs
+++ b/components/gateway/tests/warm/days.rs
@@ -4,19 +4,21 @@
 
 use crate::world::{Size, Totals, World};
 
-fn env(n: &str, d: usize) -> usize { std::env::var(n).map_or(d, |v| v.parse().unwrap()) }
-fn size() -> Size { Size {
+/// Engines that are busy for more than half of their time. Their caches hold the prompts of some 20 s, so
+/// that rare parts are evicted.
+const SIZE: Size = Size {
     entries: 80,
-    engines: env("ENGINES", 60),
-    shared_parts: env("PARTS", 300) as u32,
-} }
+    engines: 40,
+    shared_parts: 300,
+    load: 1.4,
+};
 /// Time for which the caches fill before anything happens.
 const WARM_UP_MS: u64 = 20_000;
 
 /// Plays a scenario on engines with full caches, with or without balancing by work. Returns what is
 /// counted from its begin on.
 fn play(by_work: bool, seed: u64, scenario: impl Fn(&mut World)) -> Totals {
-    let mut world = World::new(size(), by_work, seed);
+    let mut world = World::new(SIZE, by_work, seed);
     world.settle(1_000);
     world.run(WARM_UP_MS);
     world.totals = Totals::default();
@@ -95,7 +97,7 @@
 fn computes_parts_once_after_a_start_with_empty_caches() {
     for seed in [1, 2] {
         let start = |by_work| {
-            let mut world = World::new(size(), by_work, seed);
+            let mut world = World::new(SIZE, by_work, seed);
             world.settle(1_000);
             world.run(20_000);
             report(by_work, seed, &mut world)
--- a/components/gateway/tests/warm/main.rs
+++ b/components/gateway/tests/warm/main.rs
@@ -2,5 +2,10 @@
 
 mod days;
 mod engine;
+mod group;
+mod levels;
+mod places;
+mod sources;
+mod start;
 mod traffic;
 mod world;
--- a/components/gateway/tests/warm/world.rs
+++ b/components/gateway/tests/warm/world.rs
@@ -25,7 +25,7 @@
 const EXCHANGE_MS: u64 = 250;
 /// Age of what an entry hears.
 const DELAY_MS: u64 = 100;
-const DATA_CENTRES: usize = 4;
+pub(crate) const DATA_CENTRES: usize = 4;
 /// Time within which a shared part counts as computed again.
 const REPEAT_MS: f64 = 10_000.0;
 const MAX_TRIES: u32 = 3;
@@ -34,14 +34,14 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Totals {
     pub(crate) computed: f64,
+    /// Tokens of shared parts among them.
+    pub(crate) shared: f64,
     /// Tokens of shared parts that another engine had computed within [`REPEAT_MS`].
     pub(crate) repeated: f64,
     pub(crate) fetched: f64,
     pub(crate) requests: u32,
     pub(crate) on_time: u32,
     pub(crate) refused: u32,
-    pub(crate) refused_by: [u32; 8],
-    pub(crate) by: [u32; 4],
     /// Fetches from an engine that did not have the part.
     pub(crate) empty_fetches: u32,
 }
@@ -64,6 +64,8 @@
     pub(crate) entries: usize,
     pub(crate) engines: usize,
     pub(crate) shared_parts: u32,
+    /// Requests relative to those of `traffic::KINDS`.
+    pub(crate) load: f64,
 }
 
 pub(crate) struct World {
@@ -72,7 +74,7 @@
     random: Random,
     traffic: Traffic,
     /// Requests relative to the usual.
-    pub(crate) load: f64,
+    load: f64,
     is_quiet: bool,
     text: Text,
     routes: Routes,
@@ -106,7 +108,6 @@
             let mut entry = Balancer::new(Settings {
                 data_centre: data_centre(index % DATA_CENTRES),
                 unknown_rates: rates,
-                repeat_weight: std::env::var("RW").map_or(1.0, |v| v.parse().unwrap()),
                 ..Settings::default()
             });
             if by_work {
@@ -119,7 +120,7 @@
             now_ms: 0,
             random: Random::new(seed),
             traffic: Traffic::new(size.shared_parts),
-            load: std::env::var("LOAD").map_or(1.0, |v| v.parse().unwrap()),
+            load: size.load,
             is_quiet: false,
             text: Text {
                 services: [(SERVICE.into(), service)].into_iter().collect(),
@@ -305,13 +306,8 @@
                 time_left: Duration::from_secs(5),
                 max_wait: admission::max_wait_for_rank(target, kind.rank.into()),
             };
-            let choice = match self.entries[entry].choose(&criteria, now) {
-                Ok(choice) => choice,
-                Err(s) => {
-                    self.totals.refused_by[kind.rank as usize + 4 * usize::from(s == gateway::balancer::Shortage::NoUpstream)] += 1;
-                    if std::env::var("DBG").is_ok() { eprintln!("{} {s:?} tries {tries} rank {} part {}", self.now_ms, kind.rank, prompt.parts[0].id); }
-                    break;
-                }
+            let Ok(choice) = self.entries[entry].choose(&criteria, now) else {
+                break;
             };
             if !self.engines.contains_key(&choice.upstream) {
                 self.entries[entry].record_finish(&choice, false, Outcome::Unreachable, now);
@@ -353,9 +349,8 @@
         }
         match source.filter(|source| self.engines[*source].cache.has(part)) {
             Some(source) if source != index => {
-                let [Some((_, to)), Some((_, other))] =
-                    self.engines.get_disjoint_indices_mut([index, source]).map_or([None, None], |a| a.map(Some))
-                else {
+                let both = self.engines.get_disjoint_indices_mut([index, source]);
+                let Ok([(_, to), (_, other)]) = both else {
                     return;
                 };
                 let ready = transfer(to, other, tokens, now);
@@ -411,23 +406,22 @@
             return;
         }
         self.totals.computed += f64::from(tokens);
+        self.totals.shared += f64::from(tokens);
         let before = self.computed.entry(part).or_default();
         before.retain(|(_, at)| now - at < REPEAT_MS);
         if before.iter().any(|(other, _)| other != name) {
             self.totals.repeated += f64::from(tokens);
-            let on_home = job.choice.reason.starts_with("on the");
-            let i = usize::from(!on_home) * 2 + usize::from(job.choice.fetch_from.is_some());
-            self.totals.by[i] += tokens / 1000;
         }
         before.push((name.clone(), now));
     }
 }
 
-fn data_centre(index: usize) -> config::ids::DataCentreId {
+pub(crate) fn data_centre(index: usize) -> config::ids::DataCentreId {
     format!("dc{index}").as_str().into()
 }
 
-fn announcement(name: &UpstreamId, address: SocketAddr, place: usize) -> Announcement {
+/// Returns the announcement of an engine.
+pub(crate) fn announcement(name: &UpstreamId, address: SocketAddr, place: usize) -> Announcement {
     Announcement {
         upstream: name.clone(),
         incarnation: 1,
