--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -202,6 +202,9 @@
             let mut balancer = lock(&core.balancer);
             let chosen = balancer.choose(criteria, now);
             let limited = balancer.limited(criteria, now);
+            let tally = balancer.take_tally();
+            drop(balancer);
+            core.metrics.record_tally(&call.service, &tally);
             (chosen, limited)
         };
         let shortage = match chosen {
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -6,6 +6,8 @@
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
+use crate::balancer::Tally;
+
 /// Upper bounds of the latency histograms' buckets, in seconds.
 const BUCKETS: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
@@ -20,6 +22,9 @@
     retries: IntCounterVec,
     limit_tokens: IntCounterVec,
     forwarded: IntCounterVec,
+    fetches: IntCounterVec,
+    second_places: IntCounterVec,
+    cold_tokens: IntCounterVec,
     first_event: HistogramVec,
     total: HistogramVec,
     /// Version of the text in force.
@@ -79,6 +84,21 @@
                 "Attempts asked of other entries, by service and whether an upstream answered.",
                 &["service", "outcome"],
             ),
+            fetches: counters(
+                "chervilloft_gateway_prompt_fetches_total",
+                "Prompts whose engine was told where to fetch shared parts, by service and source.",
+                &["service", "source"],
+            ),
+            second_places: counters(
+                "chervilloft_gateway_second_places_total",
+                "Prompts sent to the second place of their shared parts, by service.",
+                &["service"],
+            ),
+            cold_tokens: counters(
+                "chervilloft_gateway_cold_tokens_total",
+                "Tokens of shared parts that engines were expected to compute, by service.",
+                &["service"],
+            ),
             first_event: histograms(
                 "chervilloft_gateway_first_seconds",
                 "Time to the first event, or to the head of a whole answer.",
@@ -132,6 +152,19 @@
         self.forwarded.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Adds what was expected of the caches of a service's engines.
+    pub(crate) fn record_tally(&self, service: &str, tally: &Tally) {
+        let add = |counters: &IntCounterVec, labels: &[&str], count: u64| {
+            if count > 0 {
+                counters.with_label_values(labels).inc_by(count);
+            }
+        };
+        add(&self.fetches, &[service, "known"], tally.known_sources);
+        add(&self.fetches, &[service, "assumed"], tally.assumed_sources);
+        add(&self.second_places, &[service], tally.second_places);
+        add(&self.cold_tokens, &[service], tally.cold_tokens);
+    }
+
     /// Counts a retry that was asked of the shared budget.
     pub fn record_retry(&self, service: &str, granted: bool) {
         let decision = match granted {
