Forget parts that an engine refused, and log what was expected

A request that an engine refused counted as if its parts were there, so that later prompts were fetched from it. The reason of a choice now names the source and the shared tokens expected to be computed. The emulator is split into small files.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -28,6 +28,7 @@
 mod settings;
 mod tally;
 mod tenure;
+mod tenures;
 mod upstream;
 mod warm;
 mod work;
--- a/components/gateway/src/balancer/feedback.rs
+++ b/components/gateway/src/balancer/feedback.rs
@@ -25,6 +25,9 @@
         if let Some(upstream) = self.upstream_of(choice) {
             upstream.record_finish(choice, prompt_computed, outcome, now);
         }
+        if outcome != Outcome::Answered {
+            self.residence.forget_unready(&choice.upstream, now);
+        }
     }
 
     /// Records the running and waiting requests that an upstream reported in an answer.
--- a/components/gateway/src/balancer/holders.rs
+++ b/components/gateway/src/balancer/holders.rs
@@ -48,8 +48,7 @@
         now: Instant,
     ) -> Self {
         let engines = upstreams.iter().enumerate();
-        let engines =
-            engines.filter(|(_, (_, u))| u.is_engine && u.service == *criteria.service);
+        let engines = engines.filter(|(_, (_, u))| u.is_engine && u.service == *criteria.service);
         let mut contenders: Vec<Contender> = Vec::with_capacity(upstreams.len());
         for (index, (name, upstream)) in engines {
             let hash = xxh3_64_with_seed(name.as_bytes(), key);
@@ -106,14 +105,14 @@
         is_reachable: impl Fn(usize) -> bool,
     ) -> Option<Holder> {
         let holders = self.0.iter().flatten().filter(|holder| {
-            holder.index != index
-                && holder.share >= MIN_SOURCE_SHARE
-                && is_reachable(holder.index)
+            holder.index != index && holder.share >= MIN_SOURCE_SHARE && is_reachable(holder.index)
         });
         let rank = |holder: &Holder| (holder.is_known, holder.share);
-        holders
-            .copied()
-            .max_by(|a, b| rank(a).partial_cmp(&rank(b)).unwrap_or(std::cmp::Ordering::Equal))
+        holders.copied().max_by(|a, b| {
+            rank(a)
+                .partial_cmp(&rank(b))
+                .unwrap_or(std::cmp::Ordering::Equal)
+        })
     }
 }
 
--- a/components/gateway/src/balancer/home.rs
+++ b/components/gateway/src/balancer/home.rs
@@ -20,7 +20,7 @@
 
 /// Time over which a new engine gradually becomes the home of its prompts. It has to compute the
 /// shared parts of each prompt once, so that taking all of them at once would overload it.
-const RAMP_UP_TIME: Duration = Duration::from_secs(10);
+pub(super) const RAMP_UP_TIME: Duration = Duration::from_secs(10);
 
 /// Size of the first group: the home and its substitutes.
 const FIRST_GROUP: usize = 4;
--- a/components/gateway/src/balancer/residence.rs
+++ b/components/gateway/src/balancer/residence.rs
@@ -103,6 +103,17 @@
         places.filter(move |place| place.is_fresh(now) && place.ready <= now)
     }
 
+    /// Drops what an engine would be computing by now, as it has refused or failed.
+    pub(super) fn forget_unready(&mut self, upstream: &str, now: Instant) {
+        let slots = self.prefixes.values_mut().flatten();
+        for slot in slots {
+            let is_unready = |place: &Place| place.upstream == upstream && now < place.ready;
+            if slot.as_ref().is_some_and(is_unready) {
+                *slot = None;
+            }
+        }
+    }
+
     /// Drops what is no longer fresh once there are [`MAX_PREFIXES`], and the oldest half if that is not
     /// enough. Amortized over the requests between, this costs little.
     fn make_room(&mut self, now: Instant) {
--- a/components/gateway/src/balancer/tenure.rs
+++ b/components/gateway/src/balancer/tenure.rs
@@ -8,14 +8,13 @@
 
 use ::upstream::Availability;
 
+use super::home::RAMP_UP_TIME;
 use super::level::Level;
 use super::upstream::Upstream;
 use crate::call::PartId;
 
 /// Time between two of the moments that are looked at; the newest is the present.
 const TICK: Duration = Duration::from_millis(500);
-/// Time over which a new engine gradually becomes the home of its prompts.
-const RAMP_UP_TIME: Duration = Duration::from_secs(10);
 /// Age of a service's oldest engine up to which others start together with it. They have nothing to
 /// take over from each other, and to ramp them up would move each home several times.
 const FOUNDING_TIME: Duration = Duration::from_secs(3);
--- a/components/gateway/src/balancer/warm.rs
+++ b/components/gateway/src/balancer/warm.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use compact_str::{CompactString, format_compact};
 use config::ids::{DataCentreId, UpstreamId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -62,15 +63,17 @@
             return Err(Shortage::Overloaded(estimate.first_event - limit));
         }
         let source = self.source(&parts, &name, now);
-        self.tally.record(&source, is_second, cold_tokens(&parts, &estimate));
-        let fetch_from = source.map(|(_, address)| address);
+        let cold_tokens = cold_tokens(&parts, &estimate);
+        self.tally.record(&source, is_second, cold_tokens);
         let upstream = self.upstreams.get_mut(&name).ok_or(Shortage::NoUpstream)?;
         let ready = now + estimate.first_event;
         let process = (&name, upstream.incarnation);
         self.residence.record(prompt, process, ready, now);
+        let choice = upstream.record_dispatch(&name, criteria, &estimate, home.as_deref(), now);
         Ok(Choice {
-            fetch_from,
-            ..upstream.record_dispatch(&name, criteria, &estimate, home.as_deref(), now)
+            fetch_from: source.map(|(_, address)| address),
+            reason: reason(&choice.reason, is_second, &source, cold_tokens),
+            ..choice
         })
     }
 
@@ -113,12 +116,7 @@
 
     /// Ranks the usable engines by rendezvous hashing. The first one is the home and the next one the second
     /// place: the highest of those whose data centre is the right one for it.
-    fn ranked<'u>(
-        &self,
-        parts: &Parts<'_>,
-        usable: Ranked<'u>,
-        now: Instant,
-    ) -> Ranked<'u> {
+    fn ranked<'u>(&self, parts: &Parts<'_>, usable: Ranked<'u>, now: Instant) -> Ranked<'u> {
         let rank = |(name, upstream): (&'u UpstreamId, &'u Upstream)| {
             let hash = xxh3_64_with_seed(name.as_bytes(), parts.key);
             (tenure::rank(upstream, hash, now), (name, upstream))
@@ -156,7 +154,9 @@
         }
         let home = ranked.first()?.0;
         let lowest = |size: usize| self.lowest_warm(&ranked[..size], home, parts, criteria, now);
-        let in_time = home::groups(ranked.len()).filter_map(lowest).find(is_in_time);
+        let in_time = home::groups(ranked.len())
+            .filter_map(lowest)
+            .find(is_in_time);
         let best = in_time.or_else(|| lowest(ranked.len()));
         best.map(|(name, estimate)| (name, estimate, false))
     }
@@ -224,7 +224,9 @@
             return None;
         }
         let index = self.upstreams.get_index_of(chosen)?;
-        let source = parts.holders.source_for(index, |i| self.is_source(i, now))?;
+        let source = parts
+            .holders
+            .source_for(index, |i| self.is_source(i, now))?;
         Some((source, self.upstreams[source.index].address))
     }
 
@@ -240,33 +242,6 @@
                 && !upstream.tenure.is_gone(now)
         })
     }
-
-    /// Records for each engine whether it takes requests, and how fast it is.
-    pub(super) fn observe_tenures(&mut self, now: Instant) {
-        // Where no lease holds, this entry is cut off, and the engines count as before.
-        let is_live = |upstream: &Upstream| now < upstream.expires;
-        let has_live = self.upstreams.values().any(is_live);
-        let mut oldest = indexmap::IndexMap::new();
-        for upstream in self.upstreams.values().filter(|u| is_live(u) || !has_live) {
-            let first_seen = oldest
-                .entry(upstream.service.clone())
-                .or_insert(upstream.first_seen);
-            *first_seen = upstream.first_seen.min(*first_seen);
-        }
-        for upstream in self.upstreams.values_mut() {
-            let oldest = oldest.get(&upstream.service);
-            let oldest = oldest.copied().unwrap_or(upstream.first_seen);
-            let takes_requests = (now < upstream.expires || !has_live)
-                && !upstream.superseded
-                && !upstream.is_leaving()
-                && !upstream.health.is_failing();
-            let speed = upstream.speed(now);
-            let first_seen = upstream.first_seen;
-            let tenure = &mut upstream.tenure;
-            tenure.observe((first_seen, oldest), takes_requests, speed, now);
-            tenure.observe_reclaim(upstream.availability, now);
-        }
-    }
 }
 
 impl Parts<'_> {
@@ -279,8 +254,34 @@
     }
 }
 
+/// Returns the reason for a choice with what was expected of the caches, for the log.
+fn reason(
+    reason: &str,
+    is_second_place: bool,
+    source: &Option<(Holder, SocketAddr)>,
+    cold_tokens: u32,
+) -> CompactString {
+    let place = if is_second_place {
+        " as the second place"
+    } else {
+        ""
+    };
+    match source {
+        Some((holder, address)) => {
+            let known = if holder.is_known { "known" } else { "assumed" };
+            format_compact!(
+                "{reason}{place}, {cold_tokens} shared tokens cold, source {address} {known}"
+            )
+        }
+        None => format_compact!("{reason}{place}, {cold_tokens} shared tokens cold, no source"),
+    }
+}
+
 /// Returns the shared tokens of a prompt that are expected to be computed.
 fn cold_tokens(parts: &Parts<'_>, estimate: &Estimate) -> u32 {
-    let own = parts.prompt.input_tokens.saturating_sub(parts.shared_tokens);
+    let own = parts
+        .prompt
+        .input_tokens
+        .saturating_sub(parts.shared_tokens);
     estimate.uncached_tokens.saturating_sub(own)
 }
--- a/components/gateway/tests/warm/days.rs
+++ b/components/gateway/tests/warm/days.rs
@@ -2,7 +2,8 @@
 
 use googletest::prelude::*;
 
-use crate::world::{Size, Totals, World};
+use crate::totals::Totals;
+use crate::world::{Size, World};
 
 /// Engines that are busy for more than half of their time. Their caches hold the prompts of some 20 s, so
 /// that rare parts are evicted.
--- a/components/gateway/tests/warm/group.rs
+++ b/components/gateway/tests/warm/group.rs
@@ -79,7 +79,9 @@
 
     /// Lets an engine leave, which stops after `in_ms`.
     pub(crate) fn reclaim(&mut self, engine: &str, in_ms: u64) {
-        self.change(engine, |a| a.availability = Availability::Reclaimed { in_ms });
+        self.change(engine, |a| {
+            a.availability = Availability::Reclaimed { in_ms }
+        });
     }
 
     /// Lets time pass in which the engines announce themselves twice a second.
--- a/components/gateway/tests/warm/sources.rs
+++ b/components/gateway/tests/warm/sources.rs
@@ -1,8 +1,9 @@
 //! The engine that is named as the source of a fetch.
 
-use googletest::prelude::*;
+use std::slice::from_ref;
 
 use gateway::balancer::Outcome;
+use googletest::prelude::*;
 
 use crate::group::Group;
 
@@ -102,7 +103,7 @@
     let mut group = Group::new(1, 9);
     group.pass(SETTLED_MS);
     let home = group.ask(0, 1);
-    let second = group.ask_except(0, 1, &[home.upstream.clone()]);
+    let second = group.ask_except(0, 1, from_ref(&home.upstream));
     let others = [home.upstream.clone(), second.upstream.clone()];
     let third = group.ask_except(0, 2, &others);
     group.pass(1_000);
@@ -115,7 +116,7 @@
 fn does_not_name_an_engine_that_is_still_computing_the_parts() {
     let mut group = Group::new(1, 9);
     let first = group.send(0, 1);
-    let next = group.send_except(0, 1, &[first.upstream.clone()]);
+    let next = group.send_except(0, 1, from_ref(&first.upstream));
     assert_that!(next.fetch_from, none());
     group.pass(1_000);
     let excluded = [first.upstream.clone(), next.upstream.clone()];
@@ -131,7 +132,7 @@
     let home = group.ask(0, 1);
     group.change(&home.upstream, |announcement| announcement.incarnation = 2);
     group.pass(1_000);
-    let next = group.ask_except(0, 1, &[home.upstream.clone()]);
+    let next = group.ask_except(0, 1, from_ref(&home.upstream));
     assert_that!(next.fetch_from, not(some(eq(home.address))));
 }
 
@@ -146,3 +147,20 @@
     assert_that!(after.upstream, eq(&before.upstream));
     assert_that!(after.uncached_tokens, le(before.uncached_tokens));
 }
+
+#[test]
+fn forgets_what_an_engine_refused_to_take() {
+    let mut group = Group::new(1, 9);
+    group.pass(SETTLED_MS);
+    let home = group.ask(0, 1);
+    let refused = group.send_except(0, 1, from_ref(&home.upstream));
+    group.finish(0, &refused, Outcome::Refused);
+    group.pass(2_000);
+    let excluded = [home.upstream.clone(), refused.upstream.clone()];
+    let next = group.ask_except(0, 1, &excluded);
+    assert_that!(next.fetch_from, some(eq(home.address)));
+    assert_that!(
+        next.reason.as_str(),
+        ends_with(format!("source {} known", home.address))
+    );
+}
--- a/components/gateway/tests/warm/world.rs
+++ b/components/gateway/tests/warm/world.rs
@@ -7,14 +7,14 @@
 use config::Text;
 use config::ids::UpstreamId;
 use config::text::{Kind as ServiceKind, Service};
-use gateway::admission;
-use gateway::balancer::{Balancer, Criteria, Outcome, Rates, Settings, Tally};
+use gateway::balancer::{Balancer, Outcome, Rates, Settings, Tally};
 use indexmap::IndexMap;
 use upstream::{Announcement, Availability, Capacity, Load, Role, Routes};
 use wire::Work;
 
-use crate::engine::{BATCH, Done, Engine, Job, TOKENS_PER_MS, transfer};
-use crate::traffic::{Kind, Random, Traffic};
+use crate::engine::{BATCH, Done, Engine, TOKENS_PER_MS};
+use crate::totals::Totals;
+use crate::traffic::{Random, Traffic};
 
 pub(crate) const SERVICE: &str = "model";
 const LEASE: Duration = Duration::from_secs(4);
@@ -26,37 +26,6 @@
 /// Age of what an entry hears.
 const DELAY_MS: u64 = 100;
 pub(crate) const DATA_CENTRES: usize = 4;
-/// Time within which a shared part counts as computed again.
-const REPEAT_MS: f64 = 10_000.0;
-const MAX_TRIES: u32 = 3;
-
-/// Sums of tokens, and numbers of requests.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Totals {
-    pub(crate) computed: f64,
-    /// Tokens of shared parts among them.
-    pub(crate) shared: f64,
-    /// Tokens of shared parts that another engine had computed within [`REPEAT_MS`].
-    pub(crate) repeated: f64,
-    pub(crate) fetched: f64,
-    pub(crate) requests: u32,
-    pub(crate) on_time: u32,
-    pub(crate) refused: u32,
-    /// Fetches from an engine that did not have the part.
-    pub(crate) empty_fetches: u32,
-}
-
-impl Totals {
-    /// Returns the share of the computed tokens that were computed again.
-    pub(crate) fn repeated_share(&self) -> f64 {
-        self.repeated / self.computed.max(1.0)
-    }
-
-    /// Returns the share of the requests that were answered in time.
-    pub(crate) fn on_time_share(&self) -> f64 {
-        f64::from(self.on_time) / f64::from(self.requests.max(1))
-    }
-}
 
 /// Number of entries, engines and shared parts of each kind.
 #[derive(Clone, Copy, Debug)]
@@ -70,7 +39,7 @@
 
 pub(crate) struct World {
     start: Instant,
-    now_ms: u64,
+    pub(crate) now_ms: u64,
     random: Random,
     traffic: Traffic,
     /// Requests relative to the usual.
@@ -81,15 +50,16 @@
     announcements: IndexMap<UpstreamId, Announcement>,
     /// What was announced, by the time from which on entries hear of it.
     snapshots: Vec<(u64, Routes)>,
-    work: (u64, Vec<(UpstreamId, Work)>),
-    entries: Vec<Balancer>,
+    /// Work of all entries, as last exchanged.
+    work: Vec<(UpstreamId, Work)>,
+    pub(crate) entries: Vec<Balancer>,
     /// The engines that run.
     pub(crate) engines: IndexMap<UpstreamId, Engine>,
     /// When engines stop.
     stops: Vec<(u64, UpstreamId)>,
     started: usize,
     /// By which engine and when each shared part was computed last.
-    computed: IndexMap<u64, Vec<(UpstreamId, f64)>>,
+    pub(crate) computed: IndexMap<u64, Vec<(UpstreamId, f64)>>,
     pub(crate) totals: Totals,
 }
 
@@ -129,7 +99,7 @@
             routes: Routes::default(),
             announcements: IndexMap::new(),
             snapshots: Vec::new(),
-            work: (0, Vec::new()),
+            work: Vec::new(),
             entries: (0..size.entries).map(entry).collect(),
             engines: IndexMap::new(),
             stops: Vec::new(),
@@ -141,7 +111,7 @@
         world
     }
 
-    fn now(&self) -> Instant {
+    pub(crate) fn now(&self) -> Instant {
         self.start + Duration::from_millis(self.now_ms)
     }
 
@@ -189,8 +159,7 @@
         let now = self.now();
         for announcement in self.announcements.values_mut() {
             announcement.sequence += 1;
-            self.routes
-                .insert(announcement.clone(), now, now + LEASE);
+            self.routes.insert(announcement.clone(), now, now + LEASE);
         }
         self.snapshots
             .push((self.now_ms + DELAY_MS, self.routes.clone()));
@@ -242,8 +211,9 @@
 
     fn stop_due(&mut self) {
         let now = self.now_ms;
-        let (due, later): (Vec<_>, _) =
-            std::mem::take(&mut self.stops).into_iter().partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, _) = std::mem::take(&mut self.stops)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
         self.stops = later;
         for (_, name) in due {
             self.announcements.shift_remove(&name);
@@ -254,7 +224,14 @@
                 let now = self.now();
                 self.entries[job.entry].record_finish(&job.choice, false, Outcome::Failed, now);
                 let mut excluded = vec![name.clone()];
-                self.send(job.entry, job.kind, job.prompt, job.arrived, job.tries + 1, &mut excluded);
+                self.send(
+                    job.entry,
+                    job.kind,
+                    job.prompt,
+                    job.arrived,
+                    job.tries + 1,
+                    &mut excluded,
+                );
             }
         }
     }
@@ -262,7 +239,9 @@
     /// Lets entries report and hear, each at its own time.
     fn exchange(&mut self) {
         let due = |index: usize| (self.now_ms + index as u64 * 37) % EXCHANGE_MS < STEP_MS as u64;
-        let due: Vec<usize> = (0..self.entries.len()).filter(|index| due(*index)).collect();
+        let due: Vec<usize> = (0..self.entries.len())
+            .filter(|index| due(*index))
+            .collect();
         if self.now_ms.is_multiple_of(EXCHANGE_MS) {
             let mut sums: IndexMap<UpstreamId, Work> = IndexMap::new();
             for (name, work) in self.entries.iter_mut().flat_map(Balancer::report) {
@@ -270,9 +249,12 @@
                 sum.requests += work.requests;
                 sum.prefill_tokens += work.prefill_tokens;
             }
-            self.work = (self.now_ms, sums.into_iter().collect());
+            self.work = sums.into_iter().collect();
         }
-        let heard = self.snapshots.iter().rposition(|(at, _)| *at <= self.now_ms);
+        let heard = self
+            .snapshots
+            .iter()
+            .rposition(|(at, _)| *at <= self.now_ms);
         let Some(heard) = heard else {
             return;
         };
@@ -281,86 +263,7 @@
         for entry in due {
             let entry = &mut self.entries[entry];
             entry.update(&self.text, &self.snapshots[0].1, now);
-            entry.apply_work(&self.work.1);
-        }
-    }
-
-    /// Sends a request to the engine that its entry chooses, or to others if that one is down.
-    fn send(
-        &mut self,
-        entry: usize,
-        kind: Kind,
-        prompt: gateway::Prompt,
-        arrived: f64,
-        tries: u32,
-        excluded: &mut Vec<UpstreamId>,
-    ) {
-        let now = self.now();
-        for tries in tries..MAX_TRIES {
-            let target = Duration::from_millis(kind.target_ms);
-            let criteria = Criteria {
-                service: &SERVICE.into(),
-                prompt: Some(&prompt),
-                excluded,
-                software: None,
-                time_left: Duration::from_secs(5),
-                max_wait: admission::max_wait_for_rank(target, kind.rank.into()),
-            };
-            let Ok(choice) = self.entries[entry].choose(&criteria, now) else {
-                break;
-            };
-            if !self.engines.contains_key(&choice.upstream) {
-                self.entries[entry].record_finish(&choice, false, Outcome::Unreachable, now);
-                excluded.push(choice.upstream.clone());
-                continue;
-            }
-            let job = Job {
-                entry,
-                kind,
-                prompt,
-                choice,
-                arrived,
-                sent: self.now_ms as f64,
-                tries,
-            };
-            self.accept(job);
-            return;
-        }
-        self.totals.refused += 1;
-    }
-
-    /// Lets an engine fetch what it lacks of a prompt, or queue it.
-    fn accept(&mut self, job: Job) {
-        let now = self.now_ms as f64;
-        let (part, tokens) = job.shared();
-        let Some(index) = self.engines.get_index_of(&job.choice.upstream) else {
-            return;
-        };
-        let from = job.choice.fetch_from;
-        let source = self.engines.values().position(|e| Some(e.address) == from);
-        let engine = &mut self.engines[index];
-        let (Some(from), false) = (from, engine.cache.has(part)) else {
-            engine.push(job);
-            return;
-        };
-        if let Some(ready) = engine.fetched_at(part) {
-            engine.fetch(job, from, ready);
-            return;
-        }
-        match source.filter(|source| self.engines[*source].cache.has(part)) {
-            Some(source) if source != index => {
-                let both = self.engines.get_disjoint_indices_mut([index, source]);
-                let Ok([(_, to), (_, other)]) = both else {
-                    return;
-                };
-                let ready = transfer(to, other, tokens, now);
-                to.fetch(job, from, ready);
-                self.totals.fetched += f64::from(tokens);
-            }
-            _ => {
-                self.totals.empty_fetches += 1;
-                self.engines[index].push(job);
-            }
+            entry.apply_work(&self.work);
         }
     }
 
@@ -396,24 +299,6 @@
             }
         }
     }
-
-    /// Counts the tokens that an engine computed for a prompt.
-    fn count(&mut self, name: &UpstreamId, job: &Job, computes_shared: bool) {
-        let now = self.now_ms as f64;
-        let (part, tokens) = job.shared();
-        self.totals.computed += f64::from(job.prompt.input_tokens - tokens);
-        if !computes_shared {
-            return;
-        }
-        self.totals.computed += f64::from(tokens);
-        self.totals.shared += f64::from(tokens);
-        let before = self.computed.entry(part).or_default();
-        before.retain(|(_, at)| now - at < REPEAT_MS);
-        if before.iter().any(|(other, _)| other != name) {
-            self.totals.repeated += f64::from(tokens);
-        }
-        before.push((name.clone(), now));
-    }
 }
 
 pub(crate) fn data_centre(index: usize) -> config::ids::DataCentreId {
