--- a/components/gateway/src/balancer/warm.rs
+++ b/components/gateway/src/balancer/warm.rs
@@ -6,7 +6,7 @@
 
 use std::cmp::Ordering;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use compact_str::{CompactString, format_compact};
 use config::ids::{DataCentreId, UpstreamId};
@@ -20,6 +20,9 @@
 use crate::Prompt;
 use crate::call::PartId;
 
+/// Longest time that a prompt may be late at the second place, compared with the best engine.
+const MAX_SECOND_PLACE_DELAY: Duration = Duration::from_millis(50);
+
 /// A prompt, and where its shared parts are expected.
 struct Parts<'c> {
     prompt: &'c Prompt,
@@ -134,9 +137,9 @@
         ranked
     }
 
-    /// Returns the engine with the lowest score: the second place for a small part of the prompts that are
-    /// used much, otherwise among the home and its substitutes if one of them is in time, otherwise among
-    /// more of them. Reports whether it was taken as the second place.
+    /// Returns the engine with the lowest score: among the home and its substitutes if one of them is in
+    /// time, otherwise among more of them; for a small part of the prompts that are used much, the second
+    /// place unless it is busier. Reports whether it was taken as the second place.
     fn best_warm(
         &self,
         ranked: &Ranked<'_>,
@@ -146,19 +149,22 @@
     ) -> Option<(UpstreamId, Estimate, bool)> {
         let is_in_time =
             |(_, best): &(UpstreamId, Estimate)| best.first_event <= criteria.limit(best.at_rest);
-        if parts.is_for_second_place(self.settings.second_place_interval) && ranked.len() > 1 {
-            let second = self.lowest_warm(&ranked[1..2], ranked[1].0, parts, criteria, now);
-            if let Some((name, estimate)) = second.filter(is_in_time) {
-                return Some((name, estimate, true));
-            }
-        }
         let home = ranked.first()?.0;
         let lowest = |size: usize| self.lowest_warm(&ranked[..size], home, parts, criteria, now);
         let in_time = home::groups(ranked.len())
             .filter_map(lowest)
             .find(is_in_time);
         let best = in_time.or_else(|| lowest(ranked.len()));
-        best.map(|(name, estimate)| (name, estimate, false))
+        let (best, estimate) = best?;
+        if parts.is_for_second_place(self.settings.second_place_interval) && ranked.len() > 1 {
+            let latest = estimate.first_event + MAX_SECOND_PLACE_DELAY;
+            let second = self.lowest_warm(&ranked[1..2], ranked[1].0, parts, criteria, now);
+            let is_soon = |(_, second): &(UpstreamId, Estimate)| second.first_event <= latest;
+            if let Some((name, estimate)) = second.filter(is_in_time).filter(is_soon) {
+                return Some((name, estimate, true));
+            }
+        }
+        Some((best, estimate, false))
     }
 
     /// Returns the engine with the lowest score, and what is expected of it.
--- a/components/gateway/tests/warm/places.rs
+++ b/components/gateway/tests/warm/places.rs
@@ -85,3 +85,20 @@
         }
     }
 }
+
+#[test]
+fn passes_over_a_second_place_that_is_busier() {
+    // With its share sent there regardless, 2.5% of the requests of a busy fleet were late.
+    let mut group = Group::new(1, 16);
+    group.pass(SETTLED_MS);
+    let engines = engines_of(&mut group, 0, 1);
+    let second = &engines[1].0;
+    let others: Vec<_> = (0..16).map(|number| format!("e{number}")).collect();
+    let others = others.iter().filter(|name| *name != second);
+    let others: Vec<_> = others.map(|name| name.as_str().into()).collect();
+    for part in 100..120 {
+        group.send_except(0, part, &others);
+    }
+    let later = engines_of(&mut group, 0, 1);
+    assert_that!(later.len(), eq(1), "{later:?}");
+}
