--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -153,7 +153,7 @@
     }
 
     /// Adds what was expected of the caches of a service's engines.
-    pub(crate) fn record_tally(&self, service: &str, tally: &Tally) {
+    pub fn record_tally(&self, service: &str, tally: &Tally) {
         let add = |counters: &IntCounterVec, labels: &[&str], count: u64| {
             if count > 0 {
                 counters.with_label_values(labels).inc_by(count);
--- a/components/gateway/tests/warm/main.rs
+++ b/components/gateway/tests/warm/main.rs
@@ -1,5 +1,6 @@
 //! Shared parts of prompts stay cached while engines come and go, simulated without a network.
 
+mod counts;
 mod days;
 mod engine;
 mod group;
