--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -19,25 +19,34 @@
 mod exchange;
 mod feedback;
 mod health;
+mod holders;
 mod home;
+mod level;
 mod limit;
 mod limits;
 mod places;
 mod prefixes;
 mod rates;
-mod sampled;
+mod residence;
 mod room;
+mod sampled;
 mod serving;
 mod settings;
 mod speeds;
+mod tally;
+mod tenure;
+mod tenures;
 mod upstream;
+mod warm;
 mod work;
 
 pub use brittle::Position;
 pub use choice::{Choice, Criteria, Shortage};
+pub use level::Level;
 pub use rates::Rates;
 pub use settings::Settings;
 pub use speeds::Speeds;
+pub use tally::Tally;
 pub use work::{Ended, Kind as RequestKind};
 
 use std::net::SocketAddr;
@@ -55,6 +64,7 @@
 use crate::call::PartId;
 use brittle::Brittle;
 use estimate::{Affinity, Basis, Estimate};
+use residence::Residence;
 use upstream::Upstream;
 use work::Learned;
 
@@ -68,6 +78,9 @@
     models: IndexMap<ServiceId, Model>,
     /// What was learned of the work of requests.
     work: Learned,
+    /// Engines that have shared parts, as far as this entry has sent them there.
+    residence: Residence,
+    tally: Tally,
     /// Number of choices so far.
     choices: u64,
 }
@@ -111,6 +124,7 @@
             .retain(|_, u| now < u.expires + retention || u.own_work != Work::default());
         self.mark_superseded();
         self.work.update(text);
+        self.observe_tenures(now);
     }
 
     /// Returns the number of known upstreams.
@@ -143,6 +157,9 @@
     /// exceeds the deadline or the longest accepted wait.
     pub fn choose(&mut self, criteria: &Criteria<'_>, now: Instant) -> Result<Choice, Shortage> {
         self.choices = self.choices.wrapping_add(1);
+        if let Some(prompt) = self.warm_prompt(criteria) {
+            return self.choose_warm(criteria, prompt, now);
+        }
         let usable = self.usable(criteria, now);
         let (home, best) = self.best(&usable, criteria, now);
         let Some((name, estimate)) = best else {
--- a/components/gateway/src/balancer/by_work.rs
+++ b/components/gateway/src/balancer/by_work.rs
@@ -40,6 +40,7 @@
 ) -> Cost {
     let speed = upstream.speed(now);
     let prefill_ms = f64::from(tokens.computed) * rates.prefill_ms_per_token;
+    let repeated_ms = f64::from(tokens.repeated) * rates.prefill_ms_per_token;
     let ahead = Ahead::new(upstream, criteria, rates.first_event_ms + prefill_ms, now);
     let queue = f64::from(upstream.queued_tokens()) * rates.prefill_ms_per_token / speed;
     let fetch = match tokens.fetched {
@@ -55,7 +56,8 @@
         score: first_event
             + prefill_ms / speed * settings.prefill_weight
             + crowd * settings.batch_delay_ms / speed
-            + f64::from(tokens.fetched) * settings.fetch_ms_per_token,
+            + repeated_ms / speed * settings.repeat_weight
+            + f64::from(tokens.charged) * settings.fetch_ms_per_token,
         by_work: Some(ByWork::new(criteria, prefill_ms, speed)),
     }
 }
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -18,6 +18,7 @@
 use super::limit::Limit;
 use super::places::Places;
 use super::prefixes::Prefixes;
+use super::tenure::Tenure;
 use crate::Load;
 
 /// Weight of the newest call in the average duration of plain calls.
@@ -54,6 +55,7 @@
     /// Average time to the first event, in milliseconds; only for upstreams that are not engines.
     pub(super) call_ms: Option<f64>,
     pub(super) prefixes: Prefixes,
+    pub(super) tenure: Tenure,
     pub(super) health: Health,
     pub(super) limit: Limit,
     /// This entry's requests of which it is not known whether the upstream took them.
@@ -87,6 +89,7 @@
             speed: Speed::default(),
             call_ms: None,
             prefixes: Prefixes::default(),
+            tenure: Tenure::default(),
             health: Health::default(),
             limit: Limit::default(),
             places: Places::default(),
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -7,7 +7,7 @@
     TextEncoder,
 };
 
-use crate::balancer::Speeds;
+use crate::balancer::{Speeds, Tally};
 
 /// Upper bounds of the latency histograms' buckets, in seconds.
 const BUCKETS: [f64; 12] = [
@@ -24,6 +24,9 @@
     limit_tokens: IntCounterVec,
     forwarded: IntCounterVec,
     planned: IntCounterVec,
+    fetches: IntCounterVec,
+    second_places: IntCounterVec,
+    cold_tokens: IntCounterVec,
     first_event: HistogramVec,
     total: HistogramVec,
     speeds: GaugeVec,
@@ -101,6 +104,21 @@
                 "Requests while the engines of a service can't take all, by service, rank and decision.",
                 &["service", "rank", "decision"],
             ),
+            fetches: counters(
+                "chervilloft_gateway_prompt_fetches_total",
+                "Prompts whose engine was told where to fetch shared parts, by service and source.",
+                &["service", "source"],
+            ),
+            second_places: counters(
+                "chervilloft_gateway_second_places_total",
+                "Prompts sent to the second place of their shared parts, by service.",
+                &["service"],
+            ),
+            cold_tokens: counters(
+                "chervilloft_gateway_cold_tokens_total",
+                "Tokens of shared parts that engines were expected to compute, by service.",
+                &["service"],
+            ),
             first_event: histograms(
                 "chervilloft_gateway_first_seconds",
                 "Time to the first event, or to the head of a whole answer.",
@@ -161,6 +179,19 @@
         self.planned.with_label_values(&labels).inc();
     }
 
+    /// Adds what was expected of the caches of a service's engines.
+    pub fn record_tally(&self, service: &str, tally: &Tally) {
+        let add = |counters: &IntCounterVec, labels: &[&str], count: u64| {
+            if count > 0 {
+                counters.with_label_values(labels).inc_by(count);
+            }
+        };
+        add(&self.fetches, &[service, "known"], tally.known_sources);
+        add(&self.fetches, &[service, "assumed"], tally.assumed_sources);
+        add(&self.second_places, &[service], tally.second_places);
+        add(&self.cold_tokens, &[service], tally.cold_tokens);
+    }
+
     /// Counts a retry that was asked of the shared budget.
     pub fn record_retry(&self, service: &str, granted: bool) {
         let decision = match granted {
