--- a/components/gateway/tests/warm/days.rs
+++ b/components/gateway/tests/warm/days.rs
@@ -65,11 +65,21 @@
 
 #[test]
 fn keeps_parts_while_a_quarter_of_the_engines_crashes() {
-    check(|world| {
-        let crashed = world.names(|index, _| index % 4 == index / 4 % 4);
-        world.crash(&crashed);
-        world.run(20_000);
-    });
+    // The runs of one seed differ by more than the change makes, in both directions. So the bound
+    // holds for each seed, and the comparison is that of all seeds together.
+    let (mut before, mut after) = (Totals::default(), Totals::default());
+    for seed in 1..=7 {
+        let crash = |world: &mut World| {
+            let crashed = world.names(|index, _| index % 4 == index / 4 % 4);
+            world.crash(&crashed);
+            world.run(20_000);
+        };
+        before.add(&play(false, seed, crash));
+        let totals = play(true, seed, crash);
+        assert_that!(totals.repeated_share(), lt(0.1), "seed {seed}");
+        after.add(&totals);
+    }
+    compare(&before, &after);
 }
 
 #[test]
--- a/components/gateway/tests/warm/totals.rs
+++ b/components/gateway/tests/warm/totals.rs
@@ -17,6 +17,14 @@
 }
 
 impl Totals {
+    /// Adds what is compared of two runs: tokens and requests.
+    pub(crate) fn add(&mut self, other: &Totals) {
+        self.computed += other.computed;
+        self.repeated += other.repeated;
+        self.requests += other.requests;
+        self.on_time += other.on_time;
+    }
+
     /// Returns the share of the computed tokens that were computed again.
     pub(crate) fn repeated_share(&self) -> f64 {
         self.repeated / self.computed.max(1.0)
