Keep roll-outs in the replicated log, and decide about them from evidence

Operators can't move a service to another software version and have it judged. The state gets roll-outs with their phases, as log entries of level 5, and the pure crate rollout compares versions by route over windows and decides when a phase ends.

--- a/components/config/src/release.rs
+++ b/components/config/src/release.rs
@@ -18,8 +18,11 @@
 pub const DECLARED: Level = 3;
 /// Adds the requests `Hold` and `ListSoftware`.
 pub const HOLDS: Level = 4;
+/// Adds the log entries `BeginRollout` and `AdvanceRollout`, the request `BeginRollout` and the query
+/// `Rollouts`.
+pub const ROLLOUTS: Level = 5;
 /// Level of this build.
-pub const OWN: Level = HOLDS;
+pub const OWN: Level = ROLLOUTS;
 
 /// Longest name of a build that is taken from another process, in bytes.
 pub const MAX_BUILD_BYTES: usize = 40;
--- a/components/state/src/command.rs
+++ b/components/state/src/command.rs
@@ -8,6 +8,7 @@
 use crate::claim::{Claim, Settlement};
 use crate::ledger::Usage;
 use crate::order::Order;
+use crate::rollouts::{self, Advance};
 use crate::spending::Slices;
 use crate::text::{Edit, Replacement, Submission};
 use crate::usage::{Counts, Window};
@@ -93,6 +94,10 @@
     RecordSpending(Slices),
     /// Records the parts of prompts and the requests that are in quarantine.
     RecordVerdicts(Vec<quarantine::Record>),
+    /// Begins a roll-out, unless another one of the service is in progress.
+    BeginRollout(rollouts::Order),
+    /// Begins the next phase of a roll-out.
+    AdvanceRollout(Advance),
     /// Advances the time of the state without any other change.
     Tick,
 }
@@ -103,6 +108,7 @@
         match self {
             Change::Edit(_) => release::EDITS,
             Change::RecordVerdicts(_) => release::PERMITS,
+            Change::BeginRollout(_) | Change::AdvanceRollout(_) => release::ROLLOUTS,
             Change::Submit(_)
             | Change::Replace(_)
             | Change::Claim { .. }
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod order;
 mod output;
 mod position;
+pub mod rollouts;
 pub mod spending;
 mod state;
 pub mod text;
--- a/components/state/src/state.rs
+++ b/components/state/src/state.rs
@@ -6,6 +6,7 @@
 use crate::ledger::Ledger;
 use crate::members::Members;
 use crate::order::Orders;
+use crate::rollouts::Rollouts;
 use crate::spending::Spending;
 use crate::text::Texts;
 use crate::usage::Windows;
@@ -31,6 +32,8 @@
     spending: Spending,
     #[serde(default)]
     verdicts: Verdicts,
+    #[serde(default)]
+    rollouts: Rollouts,
 }
 
 impl State {
@@ -84,6 +87,11 @@
         &self.verdicts
     }
 
+    /// Returns the newest roll-out of each service.
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
     /// Applies the command at `position`; skips it if it was applied before.
     pub fn apply(&mut self, position: Position, command: Command) -> Output {
         if position.index <= self.applied.index {
@@ -168,6 +176,12 @@
                 self.verdicts.record(at, verdicts);
                 Output::Done
             }
+            Change::BeginRollout(order) => {
+                Output::Rollout(self.rollouts.begin(now, position, order))
+            }
+            Change::AdvanceRollout(advance) => {
+                Output::Advanced(self.rollouts.advance(now, advance))
+            }
             Change::Tick => Output::Done,
         }
     }
--- a/components/wire/src/answer.rs
+++ b/components/wire/src/answer.rs
@@ -5,6 +5,7 @@
 use limits::{Drawn, Grant};
 use serde::{Deserialize, Serialize};
 use state::claim::Verdict;
+use state::rollouts;
 use state::text::Outcome;
 use upstream::Software;
 
@@ -39,6 +40,8 @@
     Origin(Option<Software>),
     /// Answers `ListSoftware`.
     Software(Vec<Software>),
+    /// Answers `BeginRollout`.
+    Rollout(rollouts::Outcome),
     /// Answers `Leave`, `RecordOrigin` and `Hold`.
     Done,
 }
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -53,6 +53,9 @@
     /// Whether the entry reads [`Overview::work_table`] in place of [`Overview::work`].
     #[serde(default, skip_serializing_if = "is_false")]
     pub reads_work_table: bool,
+    /// What the entry counted in each roll-out of which the leader told.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<rollout::Report>,
 }
 
 #[expect(
@@ -158,6 +161,9 @@
     /// What the upstreams of each service do, as far as it is known.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub models: Vec<(ServiceId, Model)>,
+    /// The roll-outs that are in progress or were rolled back.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<rollout::Stage>,
 }
 
 /// An entry that takes requests of others and sends them to upstreams.
--- a/components/wire/src/request.rs
+++ b/components/wire/src/request.rs
@@ -5,6 +5,7 @@
 use limits::{Draw, Process};
 use serde::{Deserialize, Serialize};
 use state::claim::{Claim, Settlement};
+use state::rollouts;
 use state::text::{Edit, Replacement, Submission};
 use upstream::{Origin, StreamKey};
 
@@ -93,6 +94,8 @@
     /// An entry asks for the software versions of the upstreams of a service, including those that
     /// left a short time ago. Every control process answers by itself.
     ListSoftware(ServiceId),
+    /// An operator orders a roll-out.
+    BeginRollout(rollouts::Order),
     /// An operator reads the leader's state.
     Query(Query),
 }
@@ -104,6 +107,7 @@
             Body::FetchText(_) | Body::Edit { .. } => release::EDITS,
             Body::DrawPermits { .. } => release::PERMITS,
             Body::Hold(_) | Body::ListSoftware(_) => release::HOLDS,
+            Body::BeginRollout(_) | Body::Query(Query::Rollouts) => release::ROLLOUTS,
             Body::Confirm { .. }
             | Body::Leave
             | Body::Claim(_)
@@ -135,4 +139,6 @@
     Ledger,
     /// Orders to engines and the cloud, in JSON.
     Orders,
+    /// The newest roll-out of each service, in JSON.
+    Rollouts,
 }
