Choose upstreams by the share of a roll-out, and record evidence at the leader

Entries send requests to the new version by a hash of the request and the share that the leader tells, and report counts by version and route. The leader keeps the evidence, decides every 100 ms and commits each phase before entries learn of it. Operators of the platform order and read roll-outs.

--- a/components/control/src/documents.rs
+++ b/components/control/src/documents.rs
@@ -29,6 +29,7 @@
         Query::Status => status_document(state, status, leases, upstreams),
         Query::Unknowns => json!({ "unknowns": state.claims().unknowns().collect::<Vec<_>>() }),
         Query::Ledger => ledger_document(state),
+        Query::Rollouts => json!(state.rollouts()),
         Query::Orders => json!({ "orders": state.orders().iter().collect::<Vec<_>>() }),
     }
 }
--- a/components/control/src/external/operation.rs
+++ b/components/control/src/external/operation.rs
@@ -1,6 +1,7 @@
 //! Operations that upstreams and operators request, and their replies.
 
-use config::ids::{Incarnation, UpstreamId, Version};
+use config::ids::{Incarnation, ServiceId, UpstreamId, Version};
+use state::rollouts::{Order, Rollout};
 use state::text::Replacement;
 use upstream::Announcement;
 
@@ -20,6 +21,10 @@
     Replace(Replacement),
     /// An operator reads the configuration text.
     Read,
+    /// An operator orders a roll-out.
+    BeginRollout(Order),
+    /// An operator reads the state of a service's newest roll-out.
+    ReadRollout(ServiceId),
 }
 
 /// Reply to an operation.
@@ -36,6 +41,12 @@
     Text(String),
     /// No text was submitted yet.
     NoText,
+    /// Another roll-out of the service is in progress; nothing changed.
+    Conflict(String),
+    /// The newest roll-out of the service.
+    Rollout(Rollout),
+    /// There was no roll-out of the service.
+    NoRollout,
     /// The request is invalid, for this reason; nothing changed.
     Invalid(String),
     /// No quorum answers, or it is unknown whether anything changed. The text is the reason.
--- a/components/control/src/external/server.rs
+++ b/components/control/src/external/server.rs
@@ -9,6 +9,7 @@
 use fleet::Leave;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use state::rollouts;
 use state::text::Outcome;
 use state::{Command, Output};
 use tracing::{info, warn};
@@ -117,6 +118,12 @@
                 Ok(None) => Reply::NoText,
                 Err(failure) => unavailable_reply(failure),
             },
+            Operation::BeginRollout(order) => rollout_reply(self.order_rollout(order).await),
+            Operation::ReadRollout(service) => match self.read_rollout(&service).await {
+                Ok(Some(rollout)) => Reply::Rollout(rollout),
+                Ok(None) => Reply::NoRollout,
+                Err(failure) => unavailable_reply(failure),
+            },
         }
     }
 }
@@ -141,6 +148,17 @@
     }
 }
 
+fn rollout_reply(ordered: std::result::Result<rollouts::Outcome, Failure>) -> Reply {
+    match ordered {
+        Ok(rollouts::Outcome::Begun(_)) => Reply::Acknowledged,
+        Ok(rollouts::Outcome::InProgress(to)) => {
+            Reply::Conflict(format!("a roll-out to \"{to}\" is in progress"))
+        }
+        Err(Failure::Refused(reason)) => Reply::Invalid(reason.into()),
+        Err(failure) => unavailable_reply(failure),
+    }
+}
+
 fn unavailable_reply(failure: Failure) -> Reply {
     match failure {
         Failure::NoLeader => Reply::Unavailable("no leader is known".to_owned()),
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -27,6 +27,8 @@
     /// Tokens that each account with a limit spent within the last window at all entries, as the
     /// leader counts them.
     pub account_spent: IntGaugeVec,
+    /// Phases of roll-outs that this process began as the leader, by service and phase.
+    pub rollout_phases: IntCounterVec,
 }
 
 impl Default for Metrics {
@@ -48,6 +50,15 @@
         registry
             .register(Box::new(account_spent.clone()))
             .expect("metric registered once");
+        let opts = Opts::new(
+            "chervilloft_control_rollout_phases_total",
+            "Phases of roll-outs that began.",
+        );
+        let rollout_phases =
+            IntCounterVec::new(opts, &["service", "phase"]).expect("valid metric");
+        registry
+            .register(Box::new(rollout_phases.clone()))
+            .expect("metric registered once");
         let opts = Opts::new("chervilloft_build_info", "This build; always 1.");
         let build = IntGaugeVec::new(opts, &["build", "level"]).expect("valid metric");
         registry
@@ -84,6 +95,7 @@
                 "Claims whose outcome is unknown.",
             ),
             account_spent,
+            rollout_phases,
             registry,
         }
     }
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -10,6 +10,7 @@
 mod quorum;
 mod rate;
 mod replacement;
+mod rollouts;
 mod settings;
 mod submissions;
 mod take_over;
@@ -20,10 +21,12 @@
 
 pub(crate) use background::{draining, notify_entries, run_leader_tasks};
 pub(crate) use quorum::watch_quorum;
+pub(crate) use rollouts::run_rollouts;
 pub use settings::Settings;
 
 use meters::Meters;
 use parsed_text::ParsedText;
+use rollouts::Rollouts;
 use whole_texts::WholeTexts;
 use workload::Workload;
 
@@ -59,6 +62,7 @@
     leadership: Mutex<Leadership>,
     meters: Mutex<Meters>,
     workload: Mutex<Workload>,
+    rollouts: Mutex<Rollouts>,
     origins: Mutex<Origins>,
     origin_files: Option<OriginFiles>,
     parsed_text: Mutex<ParsedText>,
@@ -94,6 +98,7 @@
             }),
             meters: Mutex::default(),
             workload: Mutex::new(Workload::new(settings.limit_window, Instant::now())),
+            rollouts: Mutex::default(),
             origins: Mutex::new(origins),
             origin_files,
             parsed_text: Mutex::default(),
@@ -297,6 +302,7 @@
         Body::FindOrigin(_) => "find-origin",
         Body::Hold(_) => "hold",
         Body::ListSoftware(_) => "list-software",
+        Body::BeginRollout(_) => "begin-rollout",
         Body::Query(_) => "query",
     }
 }
--- a/components/control/src/node/leader.rs
+++ b/components/control/src/node/leader.rs
@@ -63,11 +63,13 @@
                     .await
             }
             Body::Edit { edit, wait_ms } => self.edit(edit, Duration::from_millis(wait_ms)).await,
-            Body::Report(report) => {
+            Body::Report(mut report) => {
                 let text = self.text().map(|(_, text)| text);
                 let process = (node, incarnation);
                 let now = Instant::now();
                 let (serving, replaced_ms) = self.serving_entries(&process.0);
+                let counted = std::mem::take(&mut report.rollouts);
+                let rollouts = self.record_rollouts(&process, counted, now);
                 let overview =
                     self.workload()
                         .record_report(process, *report, text.as_deref(), now);
@@ -75,6 +77,7 @@
                     now_ms: clock::monotonic_unix_ms(),
                     entries: overview.entries.max(serving),
                     replaced_ms,
+                    rollouts,
                     ..overview
                 })))
             }
@@ -96,6 +99,7 @@
                 let drawn = workload.permits().draw(&wanted, count, serving, now);
                 Ok(Answer::Permits(drawn))
             }
+            Body::BeginRollout(order) => self.begin_rollout(order).await,
             Body::RecordOrigin(_)
             | Body::FindOrigin(_)
             | Body::ListSoftware(_)
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -175,6 +175,7 @@
             position: self.position(&node, now),
             forwarders,
             models: models.unwrap_or_default(),
+            rollouts: Vec::new(),
         }
     }
 
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -113,6 +113,7 @@
         tokio::spawn(announcements::run_leaves(node.clone()));
         tokio::spawn(node::notify_entries(node.clone()));
         tokio::spawn(node::run_leader_tasks(node.clone()));
+        tokio::spawn(node::run_rollouts(node.clone()));
         if !node.replica.forwards_only() {
             tokio::spawn(node::watch_quorum(node.clone()));
         }
--- a/components/control/tests/releases/forms.rs
+++ b/components/control/tests/releases/forms.rs
@@ -70,6 +70,16 @@
             "RecordVerdicts",
             json!([{"kind": "Part", "part": 9, "age_ms": 5, "trials": 1}]),
         ),
+        change(
+            "BeginRollout",
+            json!({"service": "model", "to": "v2", "duration_ms": 60_000}),
+        ),
+        // The index of the entry above is the low part of the number.
+        change(
+            "AdvanceRollout",
+            json!({"service": "model", "number": (1_u64 << 40) + 15, "phase": "RolledBack",
+                "reason": "why"}),
+        ),
         (
             "edit".to_owned(),
             Change::Edit(state::text::Edit {
@@ -122,6 +132,10 @@
         body("Hold", json!([{"l": ["u-1", 5]}])),
         body("ListSoftware", json!("model")),
         ("query".to_owned(), Body::Query(Query::Source)),
+        body(
+            "BeginRollout",
+            json!({"service": "model", "to": "v2", "duration_ms": 60_000}),
+        ),
         body("DrawPermits", json!({"wanted": [["u-1", 5]], "count": 2})),
         body(
             "FetchText",
@@ -182,6 +196,15 @@
             "software",
             Frame::Answer(1, Ok(from(json!({"Software": ["v1"]})))),
         ),
+        named(
+            "rollout",
+            Frame::Answer(1, Ok(from(json!({"Rollout": {"Begun": 5}})))),
+        ),
+        named(
+            "overview-rollouts",
+            Frame::Answer(1, Ok(from(json!({"Overview": overview_of_rollouts()})))),
+        ),
+        named("report-rollouts", Frame::Call(1, report_of_rollouts())),
         named("done", Frame::Answer(1, Ok(Answer::Done))),
         named("no-leader", Frame::Answer(1, Err(Failure::NoLeader))),
         named(
@@ -204,6 +227,30 @@
     ]
 }
 
+fn overview_of_rollouts() -> Value {
+    json!({
+        "now_ms": 1, "entries": 2, "balances": {"window_ms": 8_000, "accounts": []}, "held": [],
+        "rollouts": [{"service": "model", "number": 5, "to": "v2", "phase": "Canary",
+            "share": 0.5}],
+    })
+}
+
+fn report_of_rollouts() -> Request {
+    let counts = json!({"sent": 3, "ended": 2, "failed": 1, "sum_ms": 70, "times": [0, 1]});
+    let report = json!({
+        "spent": {"number": 4, "accounts": []}, "begun": [], "held": [], "offered": [],
+        "rollouts": [{"number": 5, "phase": "Canary",
+            "new": {"running": 1, "routes": {"a": counts}},
+            "old": {"running": 0, "routes": {}}}],
+    });
+    Request {
+        node: "entry-1".into(),
+        incarnation: 5,
+        forwarded: false,
+        body: Body::Report(Box::new(from(report))),
+    }
+}
+
 fn messages() -> Vec<(String, consensus::Message)> {
     let member = |node: &str| json!({"node": node, "disk": 77});
     let bodies = [
--- a/components/control/tests/releases/samples.rs
+++ b/components/control/tests/releases/samples.rs
@@ -12,7 +12,7 @@
 use crate::older_process::{KNOWN_CHANGES, KNOWN_REQUESTS};
 
 /// Folder of the newest samples.
-const NEWEST: &str = "level-4";
+const NEWEST: &str = "level-5";
 
 fn folder() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/releases/samples")
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -21,6 +21,7 @@
 mod places;
 mod prefixes;
 mod rates;
+mod rollout;
 mod serving;
 mod settings;
 mod upstream;
@@ -45,6 +46,7 @@
 use crate::call::PartId;
 use brittle::Brittle;
 use estimate::{Affinity, Estimate};
+use rollout::Rollouts;
 use upstream::Upstream;
 
 /// The upstreams known to one entry, and the work in flight at each.
@@ -53,6 +55,7 @@
     settings: Settings,
     upstreams: IndexMap<UpstreamId, Upstream>,
     brittle: Brittle,
+    rollouts: Rollouts,
     /// What the engines of each service do, as far as the leader has learned it.
     models: IndexMap<ServiceId, Model>,
     /// Number of choices so far.
@@ -239,6 +242,7 @@
                 && self.brittle.allows(name, upstream, now)
         };
         let all: Vec<_> = self.upstreams.iter().filter(is_candidate).collect();
+        let all = self.keep_to_versions(all, criteria, now);
         let is_live = |upstream: &Upstream| now < upstream.expires;
         let is_healthy = |upstream: &Upstream| !upstream.health.is_passed_over(now);
         let healthy: Vec<_> = all
--- a/components/gateway/src/balancer/choice.rs
+++ b/components/gateway/src/balancer/choice.rs
@@ -21,6 +21,8 @@
     pub excluded: &'a [UpstreamId],
     /// Software version at which a stream has to go on; `None` for any.
     pub software: Option<&'a Software>,
+    /// Hash of the request's identifier.
+    pub hash: u64,
     /// Time until the deadline.
     pub time_left: Duration,
     /// Longest expected time to the first event with which the request is sent, unless its own prompt
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -10,7 +10,7 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Uri, header, request};
 use quarantine::Fingerprint;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::{Account, Head};
 
@@ -44,6 +44,8 @@
 pub struct Call {
     /// Identifier, which is new for each attempt of a caller.
     pub id: RequestId,
+    /// Hash of the identifier.
+    pub hash: u64,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -127,6 +129,7 @@
         let caller = caller.map(|account| account.name.as_str());
         Call {
             fingerprint: fingerprint(&parts.method, host, &parts.uri, caller, &body),
+            hash: xxh3_64(head.id.as_bytes()),
             id: head.id,
             method: parts.method,
             uri: parts.uri,
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -18,7 +18,8 @@
 use crate::reach::Reach;
 use crate::samples::Samples;
 use crate::{
-    Accounts, Balancer, Contact, Metrics, Protocol, Readiness, Retries, Settings, Table, Usage,
+    Accounts, Balancer, Contact, Metrics, Protocol, Readiness, Retries, Rollouts, Settings, Table,
+    Usage,
 };
 
 /// State shared by the tasks of one entry.
@@ -53,6 +54,8 @@
     pub(crate) forwarders: Mutex<Forwarders>,
     /// Draws under the limits that upstreams name.
     pub(crate) permits: Mutex<Permits>,
+    /// Counts by software version during roll-outs.
+    pub(crate) rollouts: Mutex<Rollouts>,
     /// Wakes the task that reports to the leader.
     pub(crate) report_now: Notify,
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -181,6 +181,7 @@
         prompt: call.prompt.as_ref(),
         excluded,
         software,
+        hash: call.hash,
         time_left,
         max_wait: match resume_after {
             Some(_) => time_left,
--- a/components/gateway/src/dispatch/attempt.rs
+++ b/components/gateway/src/dispatch/attempt.rs
@@ -111,6 +111,7 @@
         ticket.finish(Outcome::Unsent);
         return Err(Failure::Withdrawn);
     }
+    ticket.count(call);
     let time_left = call.time_left(now);
     let request = build_request(core, call, &choice, time_left, resume_after);
     let wait = match call.is_idempotent() && !is_last {
@@ -142,6 +143,9 @@
         return Err(failure);
     }
     ticket.record_taken();
+    if status.is_server_error() {
+        ticket.record_server_error();
+    }
     let answer = Answer {
         ticket,
         connection,
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -6,6 +6,8 @@
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
+use crate::balancer::Outcome;
+
 /// Upper bounds of the latency histograms' buckets, in seconds.
 const BUCKETS: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
@@ -20,6 +22,7 @@
     retries: IntCounterVec,
     limit_tokens: IntCounterVec,
     forwarded: IntCounterVec,
+    rollout_requests: IntCounterVec,
     first_event: HistogramVec,
     total: HistogramVec,
     /// Version of the text in force.
@@ -79,6 +82,11 @@
                 "Attempts asked of other entries, by service and whether an upstream answered.",
                 &["service", "outcome"],
             ),
+            rollout_requests: counters(
+                "chervilloft_gateway_rollout_requests_total",
+                "Requests that ended during a roll-out, by service, version and outcome.",
+                &["service", "version", "outcome"],
+            ),
             first_event: histograms(
                 "chervilloft_gateway_first_seconds",
                 "Time to the first event, or to the head of a whole answer.",
@@ -132,6 +140,22 @@
         self.forwarded.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Counts a request that ended during a roll-out of its service.
+    pub(crate) fn record_rollout(&self, service: &str, is_new: bool, outcome: Outcome) {
+        let version = match is_new {
+            true => "new",
+            false => "old",
+        };
+        let outcome = match outcome {
+            Outcome::Answered => "answered",
+            Outcome::Failed => "failed",
+            Outcome::Unsent | Outcome::Refused | Outcome::Unreachable => "not-run",
+        };
+        self.rollout_requests
+            .with_label_values(&[service, version, outcome])
+            .inc();
+    }
+
     /// Counts a retry that was asked of the shared budget.
     pub fn record_retry(&self, service: &str, granted: bool) {
         let decision = match granted {
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -146,6 +146,7 @@
         balancer: Mutex::new(Balancer::new(balancer_settings)),
         accounts: Mutex::new(Accounts::default()),
         demand: Mutex::default(),
+        rollouts: Mutex::default(),
         samples: Mutex::default(),
         contact: Mutex::default(),
         origins: Mutex::default(),
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -100,6 +100,7 @@
             samples: lock(&core.samples).take(),
             models,
             reads_work_table: true,
+            rollouts: lock(&core.rollouts).report(),
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
@@ -206,9 +207,22 @@
         && report.limits == other.limits
         && report.refusals == other.refusals
         && report.out_of_reach == other.out_of_reach
+        && report.rollouts == other.rollouts
         && report.samples.is_empty()
 }
 
+/// Applies what the leader told of the roll-outs in answer to a report that was sent at `sent_at`.
+fn apply_rollouts(core: &Core, stages: &[rollout::Stage], sent_at: Instant) {
+    lock(&core.rollouts).apply(stages);
+    let changed = lock(&core.balancer).apply_rollouts(stages, sent_at);
+    for stage in changed {
+        info!(
+            service = %stage.service, software = %stage.to, share = stage.share,
+            "rollout: \"{}\" to \"{}\": {:?}", stage.service, stage.to, stage.phase
+        );
+    }
+}
+
 /// Applies the leader's answer to the report whose statements have `number`, which was sent at
 /// `sent_at`.
 fn apply_overview(core: &Core, number: u64, overview: &wire::Overview, sent_at: Instant) {
@@ -220,6 +234,7 @@
         None => lock(&core.balancer).apply_work(&overview.work),
     }
     lock(&core.balancer).apply_models(&overview.models);
+    apply_rollouts(core, &overview.rollouts, sent_at);
     let (parts, requests) = (overview.quarantine.clone(), overview.requests.clone());
     let changed = lock(&core.quarantine).apply(parts, requests, now);
     for subject in changed {
--- a/components/gateway/src/ticket.rs
+++ b/components/gateway/src/ticket.rs
@@ -5,7 +5,9 @@
 
 use config::ids::ServiceId;
 
+use crate::Begun;
 use crate::balancer::{Choice, Outcome};
+use crate::call::Call;
 use crate::core::{Core, lock};
 use crate::samples;
 
@@ -18,6 +20,10 @@
     /// When the first event came, or the first bytes of a plain answer.
     first_event: Option<Instant>,
     finished: bool,
+    /// Set during a roll-out of the service.
+    counted: Option<Begun>,
+    /// Whether the answer is a server error, or none came.
+    has_failed: bool,
 }
 
 impl Ticket {
@@ -29,6 +35,8 @@
             sent_at: Instant::now(),
             first_event: None,
             finished: false,
+            counted: None,
+            has_failed: false,
         }
     }
 
@@ -47,6 +55,17 @@
         self.sent_at
     }
 
+    /// Counts the request as sent, if a roll-out of its service is in progress.
+    pub(crate) fn count(&mut self, call: &Call) {
+        let software = &self.choice.software;
+        self.counted = lock(&self.core.rollouts).begin(&call.service, &call.route.name, software);
+    }
+
+    /// Records that the answer is a server error.
+    pub(crate) fn record_server_error(&mut self) {
+        self.has_failed = true;
+    }
+
     /// Records that the upstream took the request.
     pub(crate) fn record_taken(&mut self) {
         if !std::mem::replace(&mut self.choice.is_taken, true) {
@@ -90,12 +109,30 @@
                 outcome,
                 Instant::now(),
             );
+            self.count_end(outcome);
         }
     }
+
+    /// Counts the request as ended.
+    fn count_end(&mut self, outcome: Outcome) {
+        let Some(begun) = self.counted.take() else {
+            return;
+        };
+        let outcome = match outcome {
+            Outcome::Answered if self.has_failed => Outcome::Failed,
+            outcome => outcome,
+        };
+        let elapsed = self.sent_at.elapsed();
+        lock(&self.core.rollouts).end(&begun, elapsed, outcome);
+        let metrics = &self.core.metrics;
+        metrics.record_rollout(&begun.service, begun.is_new, outcome);
+    }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
+        // The caller gave up before an answer.
+        self.has_failed |= self.first_event.is_none();
         self.finish(Outcome::Answered);
     }
 }
--- a/components/gateway/tests/admission.rs
+++ b/components/gateway/tests/admission.rs
@@ -11,6 +11,7 @@
 fn call(kind: Kind, resume_after: Option<u64>) -> Call {
     let now = Instant::now();
     Call {
+        hash: 0,
         id: "id-1".into(),
         method: Method::POST,
         uri: Uri::from_static("/a"),
--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -198,6 +198,7 @@
             prompt: Some(prompt),
             software,
             excluded: &[],
+            hash: self.sent,
             time_left: Duration::from_secs(15),
             max_wait,
         };
