--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -14,6 +14,7 @@
 mod quarantine;
 mod relay;
 mod replacements;
+mod rollouts;
 mod silent_connections;
 mod single_control;
 mod submissions;
--- a/components/state/src/rollouts.rs
+++ b/components/state/src/rollouts.rs
@@ -143,7 +143,7 @@
         }
     }
 
-    pub(crate) fn begin(&mut self, now: Millis, position: Position, order: Order) -> Outcome {
+    pub(crate) fn record(&mut self, now: Millis, position: Position, order: Order) -> Outcome {
         if let Some(outcome) = self.outcome_without_change(&order, now) {
             return outcome;
         }
--- a/components/state/src/state.rs
+++ b/components/state/src/state.rs
@@ -177,7 +177,7 @@
                 Output::Done
             }
             Change::BeginRollout(order) => {
-                Output::Rollout(self.rollouts.begin(now, position, order))
+                Output::Rollout(self.rollouts.record(now, position, order))
             }
             Change::AdvanceRollout(advance) => {
                 Output::Advanced(self.rollouts.advance(now, advance))
