--- a/components/control/src/client.rs
+++ b/components/control/src/client.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
 use serde_json::{Value, json};
+use state::rollouts::Order;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Largest response body, in bytes.
@@ -90,6 +91,24 @@
     },
 }
 
+/// Outcome of an order of a roll-out.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "outcome")]
+pub enum Ordered {
+    /// It is recorded, now or by the same order before.
+    Begun,
+    /// Another roll-out of the service is in progress; nothing changed.
+    InProgress {
+        /// Which one.
+        message: String,
+    },
+    /// Refused; nothing changed.
+    Refused {
+        /// Reason.
+        message: String,
+    },
+}
+
 /// Documents that operators read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Document {
@@ -103,6 +122,8 @@
     Ledger,
     /// Orders to engines and the cloud.
     Orders,
+    /// The newest roll-out of each service.
+    Rollouts,
 }
 
 impl Document {
@@ -113,6 +134,7 @@
             Document::Unknowns => "/v1/unknowns",
             Document::Ledger => "/v1/ledger",
             Document::Orders => "/v1/orders",
+            Document::Rollouts => "/v1/rollouts",
         }
     }
 }
@@ -138,6 +160,33 @@
         Ok(outcome(status, &answer))
     }
 
+    /// Orders a roll-out. An order without an answer can be sent again.
+    ///
+    /// # Errors
+    /// Fails when no control process answers in time.
+    pub async fn begin_rollout(&self, order: &Order) -> Result<Ordered> {
+        let body = json!({
+            "service": order.service, "to": order.to, "duration_ms": order.duration_ms,
+        });
+        let (status, answer) = self
+            .send(
+                Method::POST,
+                "/v1/rollouts",
+                body.to_string().into(),
+                TIMEOUT,
+            )
+            .await?;
+        Ok(match status {
+            StatusCode::OK => Ordered::Begun,
+            StatusCode::CONFLICT => Ordered::InProgress {
+                message: message(&answer),
+            },
+            _ => Ordered::Refused {
+                message: message(&answer),
+            },
+        })
+    }
+
     /// Reads a document.
     ///
     /// # Errors
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -54,8 +54,7 @@
             "chervilloft_control_rollout_phases_total",
             "Phases of roll-outs that began.",
         );
-        let rollout_phases =
-            IntCounterVec::new(opts, &["service", "phase"]).expect("valid metric");
+        let rollout_phases = IntCounterVec::new(opts, &["service", "phase"]).expect("valid metric");
         registry
             .register(Box::new(rollout_phases.clone()))
             .expect("metric registered once");
--- a/components/control/src/node/rollouts.rs
+++ b/components/control/src/node/rollouts.rs
@@ -127,6 +127,10 @@
             let reason = "a control process of an earlier release takes part in the group";
             return Err(Failure::Uncertain(reason.into()));
         }
+        if !self.workload().keeps_to_rollouts(Instant::now()) {
+            let reason = "no entry has reported yet, or one does not keep to roll-outs";
+            return Err(Failure::Uncertain(reason.into()));
+        }
         let (service, to) = (order.service.clone(), order.to.clone());
         let duration_ms = order.duration_ms;
         match self.commit(Change::BeginRollout(order)).await? {
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -74,6 +74,7 @@
     demand: IndexMap<ServiceId, DemandTotals>,
     forwarding: Option<SocketAddr>,
     out_of_reach: Vec<ServiceId>,
+    reads_rollouts: bool,
 }
 
 impl Workload {
@@ -147,6 +148,7 @@
             demand: report.demand.into_iter().collect(),
             forwarding: report.forwarding,
             out_of_reach: report.out_of_reach,
+            reads_rollouts: report.reads_rollouts,
         };
         let forwarders = self.forwarders(&process, &report.out_of_reach, now);
         self.add_demand(&process, &report.demand, now);
@@ -179,6 +181,12 @@
         }
     }
 
+    /// Reports whether entries have reported lately, and all of these keep to roll-outs.
+    pub(crate) fn keeps_to_rollouts(&self, now: Instant) -> bool {
+        let mut live = self.live_reports(now).peekable();
+        live.peek().is_some() && live.all(|report| report.reads_rollouts)
+    }
+
     /// Returns the position of an entry among those that reported, and their number, while upstreams
     /// bear few refusals.
     fn position(&self, node: &NodeId, now: Instant) -> Option<(u32, u32)> {
--- a/components/control/src/operators/routes.rs
+++ b/components/control/src/operators/routes.rs
@@ -4,9 +4,10 @@
 
 use bytes::BytesMut;
 use compact_str::CompactString;
-use config::ids::Version;
+use config::ids::{ServiceId, Version};
 use serde::Deserialize;
 use serde_json::{Value, json};
+use state::rollouts;
 use state::text::{MAX_TEXT_BYTES, Outcome, Submission};
 use tokio::time::timeout;
 use wire::{Answer, Body, Failure, Query, Submitted};
@@ -22,6 +23,10 @@
 
 /// Largest request body, in bytes: a text as a JSON string, in which every byte may be escaped.
 const MAX_BODY_BYTES: usize = 2 * MAX_TEXT_BYTES + 4_096;
+/// Largest body of an order of a roll-out, in bytes.
+const MAX_ORDER_BYTES: usize = 4_096;
+/// Longest time from an order of a roll-out to its deadline, in milliseconds.
+const MAX_ROLLOUT_MS: u64 = 7 * 24 * 3_600 * 1_000;
 /// Timeout of receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Default of the longest wait for a text to be in force, in milliseconds.
@@ -37,6 +42,15 @@
     wait_ms: Option<u64>,
 }
 
+/// Body of `POST /v1/rollouts`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PostedOrder {
+    service: ServiceId,
+    to: CompactString,
+    duration_ms: u64,
+}
+
 pub(super) async fn health(_: &Context<'_>) -> WebResponse {
     json_response(StatusCode::OK, &json!({ "status": "alive" }))
 }
@@ -76,6 +90,48 @@
     query(ctx, Query::Orders).await
 }
 
+pub(super) async fn rollouts(ctx: &Context<'_>) -> WebResponse {
+    query(ctx, Query::Rollouts).await
+}
+
+pub(super) async fn begin_rollout(
+    ctx: &Context<'_>,
+    body::Body(body): body::Body<RequestBody>,
+) -> WebResponse {
+    if operator(ctx).is_none() {
+        return unauthorized_response();
+    }
+    let bytes = match timeout(BODY_TIMEOUT, read(body, MAX_ORDER_BYTES)).await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(refusal)) => return refusal,
+        Err(_) => return slow_body_response(),
+    };
+    let order: PostedOrder = match serde_json::from_slice(&bytes) {
+        Ok(order) => order,
+        Err(message) => return error(StatusCode::BAD_REQUEST, "bad_body", &message.to_string()),
+    };
+    if order.to.is_empty() || !(1..=MAX_ROLLOUT_MS).contains(&order.duration_ms) {
+        let message = format!("\"to\" is empty, or \"duration_ms\" not 1 to {MAX_ROLLOUT_MS}");
+        return error(StatusCode::BAD_REQUEST, "bad_body", &message);
+    }
+    let order = rollouts::Order {
+        service: order.service,
+        to: order.to,
+        duration_ms: order.duration_ms,
+    };
+    match ctx.state().call(Body::BeginRollout(order)).await {
+        Ok(Answer::Rollout(rollouts::Outcome::Begun(number))) => {
+            json_response(StatusCode::OK, &json!({ "number": number }))
+        }
+        Ok(Answer::Rollout(rollouts::Outcome::InProgress(to))) => {
+            let message = format!("a roll-out to \"{to}\" is in progress");
+            error(StatusCode::CONFLICT, "in_progress", &message)
+        }
+        Ok(_) => failure_response(Failure::Uncertain("answer is of another kind".into())),
+        Err(failure) => failure_response(failure),
+    }
+}
+
 pub(super) async fn submit(
     ctx: &Context<'_>,
     body::Body(body): body::Body<RequestBody>,
@@ -83,16 +139,10 @@
     let Some(operator) = operator(ctx) else {
         return unauthorized_response();
     };
-    let bytes = match timeout(BODY_TIMEOUT, read(body)).await {
+    let bytes = match timeout(BODY_TIMEOUT, read(body, MAX_BODY_BYTES)).await {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(refusal)) => return refusal,
-        Err(_) => {
-            return error(
-                StatusCode::REQUEST_TIMEOUT,
-                "slow_body",
-                "body took too long",
-            );
-        }
+        Err(_) => return slow_body_response(),
     };
     let body: Posted = match serde_json::from_slice(&bytes) {
         Ok(body) => body,
@@ -133,16 +183,24 @@
     }
 }
 
-async fn read(body: RequestBody) -> Result<BytesMut, WebResponse> {
+fn slow_body_response() -> WebResponse {
+    error(
+        StatusCode::REQUEST_TIMEOUT,
+        "slow_body",
+        "body took too long",
+    )
+}
+
+async fn read(body: RequestBody, max_bytes: usize) -> Result<BytesMut, WebResponse> {
     let mut body = std::pin::pin!(body);
     let mut bytes = BytesMut::new();
     while let Some(part) = body.as_mut().data().await {
         match part {
-            Ok(part) if bytes.len() + part.len() <= MAX_BODY_BYTES => {
+            Ok(part) if bytes.len() + part.len() <= max_bytes => {
                 bytes.extend_from_slice(&part);
             }
             Ok(_) => {
-                let message = format!("body is larger than {MAX_BODY_BYTES} bytes");
+                let message = format!("body is larger than {max_bytes} bytes");
                 return Err(error(StatusCode::PAYLOAD_TOO_LARGE, "too_large", &message));
             }
             Err(message) => {
--- a/components/control/src/operators/server.rs
+++ b/components/control/src/operators/server.rs
@@ -40,6 +40,10 @@
             .at("/v1/unknowns", get(handler_service(routes::unknowns)))
             .at("/v1/ledger", get(handler_service(routes::ledger)))
             .at("/v1/orders", get(handler_service(routes::orders)))
+            .at(
+                "/v1/rollouts",
+                get(handler_service(routes::rollouts)).post(handler_service(routes::begin_rollout)),
+            )
             .serve()
             .worker_threads(WORKER_THREADS)
             .request_head_timeout(HEAD_TIMEOUT)
--- a/components/control/src/peers/forward.rs
+++ b/components/control/src/peers/forward.rs
@@ -72,10 +72,7 @@
         // Another member may be asked whether or not such a request has taken effect.
         let may_repeat = matches!(
             request.body,
-            Body::Replace { .. }
-                | Body::BeginRollout(_)
-                | Body::Query(_)
-                | Body::Confirm { .. }
+            Body::Replace { .. } | Body::BeginRollout(_) | Body::Query(_) | Body::Confirm { .. }
         );
         let mut connections = self.control_connections();
         connections.retain(|connection| connection.is_open() && is_member(connection));
--- a/components/control/tests/process/rollouts.rs
+++ b/components/control/tests/process/rollouts.rs
@@ -50,6 +50,7 @@
             };
             let report = Report {
                 rollouts,
+                reads_rollouts: true,
                 ..Report::default()
             };
             if let Ok(overview) = member.report(report, REPORT_TIMEOUT).await {
@@ -289,3 +290,25 @@
     assert_that!(rollout.phase, eq(Phase::Completed), "{rollout:?}");
     assert_that!(rollout.number, eq(before.number));
 }
+
+// An entry of an earlier release would send the new version as much as the old one.
+#[tokio::test(flavor = "multi_thread")]
+async fn begins_no_rollout_while_an_entry_does_not_keep_to_it() {
+    let deployment = Deployment::start().await;
+    let member = deployment.group.member("entry-3");
+    wait_until(&member, |view| fresh_version(view) == Some(1)).await;
+    let older = tokio::spawn(async move {
+        loop {
+            let _ = member.report(Report::default(), REPORT_TIMEOUT).await;
+            sleep(REPORT_PERIOD).await;
+        }
+    });
+    sleep(REPORT_PERIOD * 5).await;
+    let refused = deployment.execute(0, order("v2")).await;
+    assert_that!(refused, matches_pattern!(Reply::Unavailable(anything())));
+    older.abort();
+    // Its last report counts for some time.
+    sleep(Duration::from_secs(3)).await;
+    let acknowledged = deployment.execute(0, order("v2")).await;
+    assert_that!(acknowledged, eq(&Reply::Acknowledged));
+}
--- a/components/gateway/src/balancer/rollout.rs
+++ b/components/gateway/src/balancer/rollout.rs
@@ -108,8 +108,9 @@
         let changed = stages.iter().filter(is_new).cloned().collect();
         let named = stages.iter().map(|stage| (stage.service.clone(), stage));
         let mut established: IndexMap<ServiceId, IndexSet<Software>> = IndexMap::new();
-        let stages: IndexMap<ServiceId, Stage> =
-            named.map(|(service, stage)| (service, stage.clone())).collect();
+        let stages: IndexMap<ServiceId, Stage> = named
+            .map(|(service, stage)| (service, stage.clone()))
+            .collect();
         for upstream in self.upstreams.values() {
             let stage = stages.get(&upstream.service);
             let is_judged = stage.is_some_and(|stage| {
--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -49,9 +49,7 @@
     pub fn apply(&mut self, stages: &[Stage]) {
         let active = || stages.iter().filter(|stage| !stage.phase.is_final());
         self.services.retain(|service, counted| {
-            active().any(|stage| {
-                stage.service == *service && stage.number == counted.report.number
-            })
+            active().any(|stage| stage.service == *service && stage.number == counted.report.number)
         });
         for stage in active() {
             let counted = self.services.entry(stage.service.clone());
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -101,6 +101,7 @@
             models,
             reads_work_table: true,
             rollouts: lock(&core.rollouts).report(),
+            reads_rollouts: true,
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
--- a/components/gateway/tests/rollouts.rs
+++ b/components/gateway/tests/rollouts.rs
@@ -247,7 +247,10 @@
         expect_that!(new.is_ok(), eq(may_go_on), "{phase:?}");
     }
     let told = Entry::new(&BOTH).told(&[stage(Phase::Canary, 0.07)]);
-    expect_that!(told.later(STALE).send_at(1, &[], Some(&v2)), err(anything()));
+    expect_that!(
+        told.later(STALE).send_at(1, &[], Some(&v2)),
+        err(anything())
+    );
 }
 
 #[gtest]
@@ -268,7 +271,9 @@
     expect_that!(counts.begin(&service, "a", &v2), none());
     counts.apply(&[stage(Phase::Canary, 0.07)]);
     let begin = |counts: &mut Rollouts, route: &str, version: &Software| {
-        counts.begin(&service, route, version).expect("it is counted")
+        counts
+            .begin(&service, route, version)
+            .expect("it is counted")
     };
     let first = begin(&mut counts, "a", &v2);
     let second = begin(&mut counts, "b", &v2);
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -56,6 +56,9 @@
     /// What the entry counted in each roll-out of which the leader told.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rollouts: Vec<rollout::Report>,
+    /// Whether the entry keeps to [`Overview::rollouts`].
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub reads_rollouts: bool,
 }
 
 #[expect(
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -41,6 +41,7 @@
             submit(),
             show(),
             status(),
+            rollout(),
             forecast(),
             explain(),
         ])
@@ -117,6 +118,49 @@
         .arg(format())
 }
 
+fn rollout() -> Command {
+    let begin = Command::new("begin")
+        .about("Orders that the traffic of a service moves to a version of its upstreams")
+        .long_about(
+            "Orders that the traffic of a service moves to a version of its upstreams.\n\n\
+             The version gets a small share of the requests and is compared with the others. The \
+             traffic moves before the deadline if it does as well, and returns if it does not. The \
+             same order can be sent again when its answer is lost.",
+        )
+        .arg(
+            Arg::new("service")
+                .value_name("SERVICE")
+                .help("The service")
+                .required(true),
+        )
+        .arg(
+            Arg::new("to")
+                .value_name("VERSION")
+                .help("Software version that the new upstreams announce")
+                .required(true),
+        )
+        .arg(
+            Arg::new("duration")
+                .long("duration")
+                .value_name("TIME")
+                .help("Time from the order to the deadline, such as \"10m\"")
+                .required(true),
+        )
+        .args(operator_args())
+        .arg(format());
+    let show = Command::new("show")
+        .about("Shows the newest roll-out of each service")
+        .args(operator_args())
+        .arg(format());
+    Command::new("rollout")
+        .about(
+            "Moves the traffic of a service to another software version, or shows how far that is",
+        )
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands([begin, show])
+}
+
 fn forecast() -> Command {
     Command::new("forecast")
         .about("Forecasts next month's bill by data centre, class and service")
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -7,6 +7,7 @@
 mod files;
 mod forecast;
 mod operator;
+mod rollout;
 mod runtime;
 mod status;
 mod submit;
@@ -29,6 +30,7 @@
         Some(("submit", matches)) => submit::run(matches),
         Some(("show", matches)) => status::show(matches),
         Some(("status", matches)) => status::run(matches),
+        Some(("rollout", matches)) => rollout::run(matches),
         Some(("forecast", matches)) => forecast::run(matches),
         Some(("explain", matches)) => explain::run(matches),
         _ => Ok(ExitCode::FAILURE),
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -56,12 +56,18 @@
 fn can_explain_every_command() {
     let mut help = String::new();
     for command in [
-        "", "entry", "check", "submit", "status", "forecast", "explain",
+        "",
+        "entry",
+        "check",
+        "submit",
+        "status",
+        "rollout",
+        "rollout begin",
+        "forecast",
+        "explain",
     ] {
-        let arguments: Vec<&str> = [command, "--help"]
-            .into_iter()
-            .filter(|a| !a.is_empty())
-            .collect();
+        let arguments: Vec<&str> = command.split(' ').chain(["--help"]).collect();
+        let arguments: Vec<&str> = arguments.into_iter().filter(|a| !a.is_empty()).collect();
         let output = chervilloft(&arguments);
         help.push_str(&String::from_utf8_lossy(&output.stdout));
         help.push_str("----\n");
