--- a/components/rollout/src/comparison.rs
+++ b/components/rollout/src/comparison.rs
@@ -100,7 +100,7 @@
         answers(sums.old.get(*route)) >= BUSY_ROUTE
             && answers(sums.new.get(*route)) < MIN_ROUTE_ANSWERS
     };
-    match sums.routes().into_iter().find(|route| is_missing(&route)) {
+    match sums.routes().into_iter().find(|route| is_missing(route)) {
         _ if new.ended < MIN_ANSWERS => Verdict::Open(format_compact!("too few answers: {text}")),
         Some(route) => Verdict::Open(format_compact!("too few answers on route {route}: {text}")),
         None => Verdict::Good(text),
