--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -41,6 +41,8 @@
     admitted_share: GaugeVec,
     /// What the engines of a service can take, relative to what follows from their number and the model.
     capacity_factor: GaugeVec,
+    /// Phases of roll-outs that this process began as the leader, by service and phase.
+    pub rollout_phases: IntCounterVec,
 }
 
 impl Default for Metrics {
@@ -79,6 +81,14 @@
             "What the engines of a service can take, relative to the model.",
             &["service"],
         );
+        let opts = Opts::new(
+            "chervilloft_control_rollout_phases_total",
+            "Phases of roll-outs that began.",
+        );
+        let rollout_phases = IntCounterVec::new(opts, &["service", "phase"]).expect("valid metric");
+        registry
+            .register(Box::new(rollout_phases.clone()))
+            .expect("metric registered once");
         let opts = Opts::new("chervilloft_build_info", "This build; always 1.");
         let build = IntGaugeVec::new(opts, &["build", "level"]).expect("valid metric");
         registry
@@ -118,6 +128,7 @@
             scaling: Scaling::new(&registry),
             admitted_share,
             capacity_factor,
+            rollout_phases,
             registry,
         }
     }
--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -85,6 +85,7 @@
     /// When the entry was last told the speeds of all entries.
     speeds_told: Option<Instant>,
     by_work: Vec<ServiceId>,
+    reads_rollouts: bool,
 }
 
 impl Workload {
@@ -169,6 +170,7 @@
             moments: report.moments,
             speeds_told: if speeds_due { Some(now) } else { speeds_told },
             by_work: report.by_work,
+            reads_rollouts: report.reads_rollouts,
         };
         let forwarders = self.forwarders(&process, &report.out_of_reach, now);
         self.add_demand(&process, &report.demand, now);
@@ -203,9 +205,16 @@
             forwarders,
             models: models.unwrap_or_default(),
             plans: self.plans.newest(now),
+            rollouts: Vec::new(),
         }
     }
 
+    /// Reports whether entries have reported lately, and all of these keep to roll-outs.
+    pub(crate) fn keeps_to_rollouts(&self, now: Instant) -> bool {
+        let mut live = self.live_reports(now).peekable();
+        live.peek().is_some() && live.all(|report| report.reads_rollouts)
+    }
+
     /// Returns the position of an entry among those that reported, and their number, while upstreams
     /// bear few refusals.
     fn position(&self, node: &NodeId, now: Instant) -> Option<(u32, u32)> {
--- a/components/control/tests/process/main.rs
+++ b/components/control/tests/process/main.rs
@@ -15,6 +15,7 @@
 mod quarantine;
 mod relay;
 mod replacements;
+mod rollouts;
 mod silent_connections;
 mod single_control;
 mod speeds;
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -28,6 +28,7 @@
 mod prefixes;
 mod rates;
 mod residence;
+mod rollout;
 mod room;
 mod sampled;
 mod serving;
@@ -65,6 +66,7 @@
 use brittle::Brittle;
 use estimate::{Affinity, Basis, Estimate};
 use residence::Residence;
+use rollout::Rollouts;
 use upstream::Upstream;
 use work::Learned;
 
@@ -74,6 +76,7 @@
     settings: Settings,
     upstreams: IndexMap<UpstreamId, Upstream>,
     brittle: Brittle,
+    rollouts: Rollouts,
     /// What the engines of each service do, as far as the leader has learned it.
     models: IndexMap<ServiceId, Model>,
     /// What was learned of the work of requests.
@@ -283,6 +286,7 @@
                 && self.brittle.allows(name, upstream, now)
         };
         let all: Vec<_> = self.upstreams.iter().filter(is_candidate).collect();
+        let all = self.keep_to_versions(all, criteria, now);
         let is_live = |upstream: &Upstream| now < upstream.expires;
         let is_healthy = |upstream: &Upstream| !upstream.health.is_passed_over(now);
         let healthy: Vec<_> = all
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -7,7 +7,7 @@
     TextEncoder,
 };
 
-use crate::balancer::{Speeds, Tally};
+use crate::balancer::{Outcome, Speeds, Tally};
 
 /// Upper bounds of the latency histograms' buckets, in seconds.
 const BUCKETS: [f64; 12] = [
@@ -27,6 +27,7 @@
     fetches: IntCounterVec,
     second_places: IntCounterVec,
     cold_tokens: IntCounterVec,
+    rollout_requests: IntCounterVec,
     first_event: HistogramVec,
     total: HistogramVec,
     speeds: GaugeVec,
@@ -119,6 +120,11 @@
                 "Tokens of shared parts that engines were expected to compute, by service.",
                 &["service"],
             ),
+            rollout_requests: counters(
+                "chervilloft_gateway_rollout_requests_total",
+                "Requests that ended during a roll-out, by service, version and outcome.",
+                &["service", "version", "outcome"],
+            ),
             first_event: histograms(
                 "chervilloft_gateway_first_seconds",
                 "Time to the first event, or to the head of a whole answer.",
@@ -192,6 +198,22 @@
         add(&self.cold_tokens, &[service], tally.cold_tokens);
     }
 
+    /// Counts a request that ended during a roll-out of its service.
+    pub(crate) fn record_rollout(&self, service: &str, is_new: bool, outcome: Outcome) {
+        let version = match is_new {
+            true => "new",
+            false => "old",
+        };
+        let outcome = match outcome {
+            Outcome::Answered => "answered",
+            Outcome::Failed => "failed",
+            Outcome::Unsent | Outcome::Refused | Outcome::Unreachable => "not-run",
+        };
+        self.rollout_requests
+            .with_label_values(&[service, version, outcome])
+            .inc();
+    }
+
     /// Counts a retry that was asked of the shared budget.
     pub fn record_retry(&self, service: &str, granted: bool) {
         let decision = match granted {
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -150,6 +150,7 @@
         demand: Mutex::default(),
         classes: Mutex::default(),
         plans: Mutex::default(),
+        rollouts: Mutex::default(),
         samples: Mutex::default(),
         contact: Mutex::default(),
         origins: Mutex::default(),
--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -199,6 +199,7 @@
             prompt: Some(prompt),
             software,
             excluded: &[],
+            hash: self.sent,
             time_left: Duration::from_secs(15),
             max_wait,
             work_ms: 0.0,
--- a/components/wire/src/report.rs
+++ b/components/wire/src/report.rs
@@ -67,6 +67,12 @@
     /// Demand for the services that are balanced by work, by rank and account.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub classes: Vec<(ServiceId, admission::Report)>,
+    /// What the entry counted in each roll-out of which the leader told.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<rollout::Report>,
+    /// Whether the entry keeps to [`Overview::rollouts`].
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub reads_rollouts: bool,
 }
 
 #[expect(
@@ -216,6 +222,9 @@
     /// Shares of the requests that are admitted, for services that can't take all of them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub plans: Vec<(ServiceId, Plan)>,
+    /// The roll-outs that are in progress or were rolled back.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<rollout::Stage>,
 }
 
 /// An entry that takes requests of others and sends them to upstreams.
