Read the memory and the descriptors of the machine from the settings

Cause: a process did not know how much memory and how many descriptors its machine has, so that nothing could be bounded by them.

Change: the table [machine] with memory-mb and descriptors, from which the budget for bodies and the number of open connections follow. Both are optional: files without them are read as before, with defaults of a larger machine. Values that are not above 0 count as absent. The templates take both from the platform's fields, if they are there.

Result: the templates' tests check the fields whole, as fractions, 0 and absent.

--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -3,11 +3,13 @@
 mod control;
 mod entry;
 mod log;
+mod machine;
 mod peer;
 
 pub use control::{Control, Usage};
 pub use entry::{Entry, Retries};
 pub use log::{Format, Log};
+pub use machine::Machine;
 pub use peer::Peer;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -45,6 +47,8 @@
     pub entry: Entry,
     /// Settings of `chervilloft control`.
     pub control: Control,
+    /// The machine on which this process runs.
+    pub machine: Machine,
     /// Settings of the log.
     pub log: Log,
 }
@@ -63,6 +67,7 @@
             metrics: None,
             entry: Entry::default(),
             control: Control::default(),
+            machine: Machine::default(),
             log: Log::default(),
         }
     }
--- a/tests/deploy/main.rs
+++ b/tests/deploy/main.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use config::settings::Machine;
 use config::{Settings, check};
 use googletest::prelude::*;
 use serde_json::{Value, json};
@@ -43,6 +44,7 @@
             "usage_delay_s": 10,
             "window_s": 5,
         },
+        "limits": { "memory_mb": 120, "max_fds": 1_024 },
     })
 }
 
@@ -122,6 +124,36 @@
     assert_that!(lease, eq(Duration::from_micros(2_500_500)));
 }
 
+// A process without the limits of its machine would use the defaults of a larger one.
+#[test]
+fn takes_the_memory_and_the_descriptors_of_the_machine() {
+    for path in TEMPLATES {
+        let machine = settings(path, &fields(true)).machine;
+        assert_that!(machine.memory_mb, eq(120.0));
+        assert_that!(machine.descriptors, eq(1_024.0));
+        assert_that!(machine.budget_bytes(), eq(20_000_000));
+        assert_that!(machine.max_connections(), eq(309));
+    }
+}
+
+#[test]
+fn can_read_limits_that_are_fractions_or_absent() {
+    for path in TEMPLATES {
+        for name in ["memory_mb", "max_fds"] {
+            for value in [json!(400.5), json!(0), Value::Null] {
+                let mut fields = fields(true);
+                fields["limits"][name] = value;
+                let machine = settings(path, &fields).machine;
+                assert_that!(machine.budget_bytes(), ge(10_000_000));
+                assert_that!(machine.max_connections(), ge(16));
+            }
+        }
+        let mut fields = fields(true);
+        fields["limits"] = Value::Null;
+        assert_that!(settings(path, &fields).machine, eq(Machine::default()));
+    }
+}
+
 #[test]
 fn finds_control_processes_at_the_ip_addresses_of_the_seeds() {
     let controls = settings("deploy/control.toml", &fields(true)).controls();
