Hold bodies within a budget of memory, and connections within the machine's

Cause: each listener collected bodies up to the largest legal size on any number of connections, with no bound on all of them together, and read bodies that were announced as too large.

Change: one budget for each process (web::Budget). A reservation counts the capacity of a buffer and lives as long as its bytes. A body that arrives at once costs an atomic addition and the allocation of its owner; other bodies are registered, and when the budget is short the one without progress for longest is dropped: its request has not run and gets 503 with Retry-After and Connection: close. A body below 64 KiB/s counts as stalled since it fell behind. An eighth of the budget is kept for bodies that arrive at once. A length beyond the limit is refused with 413 before the body is read. It applies to callers and other entries, to operators and upstreams at control processes, and to both listeners of our own interface. At the limit of connections, the one that has waited longest for a request gives way to a new one; the operators' listener of our own interface has a limit now. Metrics and at most one log line a second for bodies and for connections say what was dropped.

--- a/components/control/src/external/server.rs
+++ b/components/control/src/external/server.rs
@@ -7,8 +7,9 @@
 use bytes::Bytes;
 use errors::Result;
 use fleet::Leave;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use rand::RngExt;
 use state::text::Outcome;
 use state::{Command, Output};
 use tracing::{info, warn};
@@ -21,6 +22,8 @@
 
 /// Timeout of receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time in which most bodies that are dropped for others make room.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest wait for a text to be in force at all entries in contact before it is acknowledged. The
 /// text is durable before the wait. An operator who turns to another process meanwhile waits there.
 const IN_FORCE_WAIT: Duration = Duration::from_secs(2);
@@ -38,12 +41,15 @@
     R: Replica<Command = Command, Output = Output>,
 {
     let listener = web::listen(address)?;
+    let settings = web::Settings {
+        max_connections: node.settings.max_connections,
+        ..web::Settings::default()
+    };
+    let metrics = node.metrics.clone();
     let serve = move |request, _| serve(node.clone(), protocol.clone(), request);
-    Ok(web::Server::start(
-        listener,
-        web::Settings::default(),
-        serve,
-    ))
+    let server = web::Server::start(listener, settings, serve);
+    metrics.register(server.collectors());
+    Ok(server)
 }
 
 async fn serve<R>(
@@ -55,11 +61,16 @@
     R: Replica<Command = Command, Output = Output>,
 {
     let (head, body) = request.into_parts();
-    let body = match web::collect(body, protocol.max_body_bytes(), BODY_TIMEOUT).await {
+    let limits = web::Limits {
+        bytes: protocol.max_body_bytes(),
+        time: BODY_TIMEOUT,
+    };
+    let body = match web::collect(body, &node.budget, limits).await {
         web::Collected::Complete(body) => body,
-        web::Collected::TooLarge => return empty(StatusCode::PAYLOAD_TOO_LARGE),
+        web::Collected::TooLarge => return closing(StatusCode::PAYLOAD_TOO_LARGE),
+        web::Collected::Dropped => return memory_short(),
         web::Collected::Incomplete(_) | web::Collected::TimedOut => {
-            return empty(StatusCode::BAD_REQUEST);
+            return closing(StatusCode::BAD_REQUEST);
         }
     };
     let request = Request::from_parts(head, body);
@@ -74,9 +85,22 @@
     answer.map(web::full)
 }
 
-fn empty(status: StatusCode) -> Response<web::Body> {
+/// Returns the answer to a request whose body is not read further.
+fn closing(status: StatusCode) -> Response<web::Body> {
     let mut answer = Response::new(web::full(Bytes::new()));
     *answer.status_mut() = status;
+    let close = HeaderValue::from_static("close");
+    answer.headers_mut().insert(header::CONNECTION, close);
+    answer
+}
+
+/// Returns the answer to a request whose body was dropped before its end; it has not run.
+fn memory_short() -> Response<web::Body> {
+    let mut answer = closing(StatusCode::SERVICE_UNAVAILABLE);
+    let after = MEMORY_RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..1.5));
+    if let Ok(after) = HeaderValue::try_from(format!("{:.3}", after.as_secs_f64())) {
+        answer.headers_mut().insert(header::RETRY_AFTER, after);
+    }
     answer
 }
 
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the control process.
 
 use config::release;
+use prometheus::core::Collector;
 use prometheus::{Encoder, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
 
 /// Counters and gauges of one control process.
@@ -90,6 +91,14 @@
 }
 
 impl Metrics {
+    /// Adds metrics that are counted elsewhere in the process.
+    pub(crate) fn register(&self, collectors: Vec<Box<dyn Collector>>) {
+        for collector in collectors {
+            let registered = self.registry.register(collector);
+            registered.expect("metric registered once");
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut bytes = Vec::new();
--- a/components/control/src/node.rs
+++ b/components/control/src/node.rs
@@ -56,6 +56,8 @@
     pub(crate) peers: Peers,
     pub(crate) announcements: Announcements,
     pub(crate) metrics: Metrics,
+    /// Memory for the bodies of operators' and upstreams' requests.
+    pub(crate) budget: web::Budget,
     leadership: Mutex<Leadership>,
     meters: Mutex<Meters>,
     workload: Mutex<Workload>,
@@ -86,6 +88,9 @@
             secret: settings.secret.clone(),
         };
         let (origin_files, origins) = open_origins(&settings);
+        let budget = web::Budget::new(settings.budget_bytes);
+        let metrics = Metrics::default();
+        metrics.register(budget.collectors());
         Arc::new(Node {
             leadership: Mutex::new(Leadership {
                 term: 0,
@@ -104,7 +109,8 @@
             machine,
             peers: Peers::default(),
             announcements: Announcements::default(),
-            metrics: Metrics::default(),
+            metrics,
+            budget,
             stopped: watch::Sender::new(false),
             settings,
         })
--- a/components/control/src/node/settings.rs
+++ b/components/control/src/node/settings.rs
@@ -43,11 +43,16 @@
     pub origins_folder: Option<PathBuf>,
     /// Time for which idempotency keys and recorded answers are kept.
     pub claim_retention: Duration,
+    /// Memory for the bodies of operators' and upstreams' requests, in bytes.
+    pub budget_bytes: usize,
+    /// Maximum number of open connections from operators and upstreams.
+    pub max_connections: usize,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         let control = config::settings::Control::default();
+        let machine = config::settings::Machine::default();
         Settings {
             node: NodeId::default(),
             incarnation: 0,
@@ -63,6 +68,8 @@
             cloud: control.cloud,
             origins_folder: None,
             claim_retention: control.claim_retention,
+            budget_bytes: machine.budget_bytes(),
+            max_connections: machine.max_connections(),
         }
     }
 }
--- a/components/control/src/operators/handle.rs
+++ b/components/control/src/operators/handle.rs
@@ -21,6 +21,7 @@
 pub struct Handle {
     pub(super) keys: Arc<Keys>,
     pub(super) metrics: Metrics,
+    pub(super) budget: web::Budget,
     requests: mpsc::Sender<QueuedRequest>,
 }
 
@@ -34,6 +35,7 @@
         let handle = Handle {
             keys: Arc::new(keys),
             metrics: node.metrics.clone(),
+            budget: node.budget.clone(),
             requests,
         };
         tokio::spawn(answer(node, receiver));
--- a/components/control/src/operators/routes.rs
+++ b/components/control/src/operators/routes.rs
@@ -2,18 +2,21 @@
 
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::Bytes;
 use compact_str::CompactString;
 use config::ids::Version;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use state::text::{MAX_TEXT_BYTES, Outcome, Submission};
 use tokio::time::timeout;
+use web::{Budget, Reading, Shortage};
 use wire::{Answer, Body, Failure, Query, Submitted};
 use xitca_web::WebContext;
 use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
 use xitca_web::handler::body;
-use xitca_web::http::header::{AUTHORIZATION, CONTENT_TYPE};
+use xitca_web::http::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER,
+};
 use xitca_web::http::{HeaderValue, StatusCode, WebResponse};
 
 use super::Handle;
@@ -24,6 +27,8 @@
 const MAX_BODY_BYTES: usize = 2 * MAX_TEXT_BYTES + 4_096;
 /// Timeout of receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time in which most bodies that are dropped for others make room, in seconds.
+const MEMORY_RETRY_AFTER_S: &str = "1";
 /// Default of the longest wait for a text to be in force, in milliseconds.
 const DEFAULT_WAIT_MS: u64 = 10_000;
 
@@ -49,6 +54,7 @@
 }
 
 pub(super) async fn metrics(ctx: &Context<'_>) -> WebResponse {
+    ctx.state().budget.update_metrics();
     response(
         StatusCode::OK,
         "text/plain; version=0.0.4",
@@ -83,15 +89,17 @@
     let Some(operator) = operator(ctx) else {
         return unauthorized_response();
     };
-    let bytes = match timeout(BODY_TIMEOUT, read(body)).await {
+    let announced = ctx.req().headers().get(CONTENT_LENGTH);
+    let announced = announced.and_then(|length| length.to_str().ok()?.parse().ok());
+    let bytes = match timeout(BODY_TIMEOUT, read(body, &ctx.state().budget, announced)).await {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(refusal)) => return refusal,
         Err(_) => {
-            return error(
+            return closing(error(
                 StatusCode::REQUEST_TIMEOUT,
                 "slow_body",
                 "body took too long",
-            );
+            ));
         }
     };
     let body: Posted = match serde_json::from_slice(&bytes) {
@@ -133,28 +141,65 @@
     }
 }
 
-async fn read(body: RequestBody) -> Result<BytesMut, WebResponse> {
+/// Reads a body of which `announced` bytes were announced, if any were.
+async fn read(
+    body: RequestBody,
+    budget: &Budget,
+    announced: Option<usize>,
+) -> Result<Bytes, WebResponse> {
+    if announced.is_some_and(|announced| announced > MAX_BODY_BYTES) {
+        return Err(refused(Shortage::TooLarge));
+    }
     let mut body = std::pin::pin!(body);
-    let mut bytes = BytesMut::new();
-    while let Some(part) = body.as_mut().data().await {
+    let mut reading = Reading::new(budget, MAX_BODY_BYTES);
+    loop {
+        let mut next = body.as_mut();
+        let part = tokio::select! {
+            biased;
+            () = reading.wait_until_dropped() => return Err(refused(Shortage::Dropped)),
+            part = next.data() => part,
+        };
         match part {
-            Ok(part) if bytes.len() + part.len() <= MAX_BODY_BYTES => {
-                bytes.extend_from_slice(&part);
-            }
-            Ok(_) => {
-                let message = format!("body is larger than {MAX_BODY_BYTES} bytes");
-                return Err(error(StatusCode::PAYLOAD_TOO_LARGE, "too_large", &message));
+            None => return reading.finish().map_err(refused),
+            Some(Ok(part)) => {
+                let is_last = announced == Some(part.len());
+                reading.push(part, is_last).map_err(refused)?;
             }
-            Err(message) => {
-                return Err(error(
+            Some(Err(message)) => {
+                return Err(closing(error(
                     StatusCode::BAD_REQUEST,
                     "bad_body",
                     &message.to_string(),
-                ));
+                )));
             }
         }
     }
-    Ok(bytes)
+}
+
+/// Returns the response to a request whose body is not read further; it has not run.
+fn refused(shortage: Shortage) -> WebResponse {
+    let mut response = match shortage {
+        Shortage::TooLarge => {
+            let message = format!("body is larger than {MAX_BODY_BYTES} bytes");
+            error(StatusCode::PAYLOAD_TOO_LARGE, "too_large", &message)
+        }
+        Shortage::Dropped => {
+            let message = "the process is short of memory; nothing was changed";
+            error(StatusCode::SERVICE_UNAVAILABLE, "memory_short", message)
+        }
+    };
+    if shortage == Shortage::Dropped {
+        let after = HeaderValue::from_static(MEMORY_RETRY_AFTER_S);
+        response.headers_mut().insert(RETRY_AFTER, after);
+    }
+    closing(response)
+}
+
+/// Closes the connection after a response: the rest of the body is not read.
+fn closing(mut response: WebResponse) -> WebResponse {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
 }
 
 fn operator(ctx: &Context<'_>) -> Option<CompactString> {
--- a/components/control/src/operators/server.rs
+++ b/components/control/src/operators/server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use errors::{Error, Peer, Result, Step};
+use web::ConnectionLimit;
 use xitca_web::App;
 use xitca_web::handler::handler_service;
 use xitca_web::route::get;
@@ -21,11 +22,11 @@
 }
 
 impl Server {
-    /// Starts serving on `listener`.
+    /// Starts serving on `listener`, with at most `max_connections` open connections.
     ///
     /// # Errors
     /// Fails when the socket can't be served.
-    pub fn start(listener: TcpListener, node: Handle) -> Result<Server> {
+    pub fn start(listener: TcpListener, node: Handle, max_connections: usize) -> Result<Server> {
         let listen = |error| Error::Io(Step::Listen, Peer::Local, error);
         let mut server = App::new()
             .with_state(node)
@@ -40,6 +41,7 @@
             .at("/v1/unknowns", get(handler_service(routes::unknowns)))
             .at("/v1/ledger", get(handler_service(routes::ledger)))
             .at("/v1/orders", get(handler_service(routes::orders)))
+            .enclosed(ConnectionLimit::new(max_connections))
             .serve()
             .worker_threads(WORKER_THREADS)
             .request_head_timeout(HEAD_TIMEOUT)
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -96,8 +96,10 @@
     pub fn start(node: Arc<Node<R>>, keys: Keys, sockets: Sockets) -> Result<Process<R>> {
         let (peer_address, operators_address) = sockets.addresses()?;
         let (listener, operators) = sockets.into_listeners()?;
-        let serve =
-            |listener| operators::Server::start(listener, Handle::start(node.clone(), keys));
+        let serve = |listener| {
+            let handle = Handle::start(node.clone(), keys);
+            operators::Server::start(listener, handle, node.settings.max_connections)
+        };
         let operators = operators.map(serve).transpose()?;
         // Registered for this process itself, so that it opens no connection to itself.
         node.peers.register_dialer(&node.settings.node);
@@ -323,6 +325,8 @@
         leader_lease: settings.control.election_timeout,
         cloud: settings.control.cloud,
         claim_retention: settings.control.claim_retention,
+        budget_bytes: settings.machine.budget_bytes(),
+        max_connections: settings.machine.max_connections(),
         ..defaults
     }
 }
--- a/components/entry/src/body.rs
+++ b/components/entry/src/body.rs
@@ -1,16 +1,20 @@
 //! Reads the body of a request within its limits, and checks that it is complete.
 
 use std::future::poll_fn;
-use std::pin::Pin;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use compact_str::format_compact;
 use http::{HeaderMap, header};
+use rand::RngExt;
+use web::{Budget, Reading, Shortage};
 use xitca_web::body::{Body, Frame, RequestBody};
 
 use crate::failure::{Failure, Kind};
 
+/// Time in which most bodies that are dropped for others make room.
+const MEMORY_RETRY: Duration = Duration::from_secs(1);
+
 /// Limits of a request body.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Limits {
@@ -49,16 +53,18 @@
 /// Reads a body.
 ///
 /// # Errors
-/// If the body is too large, arrives too slowly or differs from its declared length.
+/// If the body is too large, arrives too slowly or differs from its declared length, or if it was dropped
+/// because `budget` is short.
 pub(crate) async fn read(
     mut body: RequestBody,
     length: Length,
+    budget: &Budget,
     limits: Limits,
 ) -> Result<Bytes, Failure> {
     if matches!(length, Length::Exact(length) if length > limits.bytes as u64) {
         return Err(too_large(limits.bytes));
     }
-    let reading = read_all(&mut body, limits.bytes);
+    let reading = read_all(&mut body, length, budget, limits.bytes);
     let bytes = tokio::time::timeout(limits.time, reading)
         .await
         .map_err(|_| timed_out(limits.time))??;
@@ -68,19 +74,41 @@
     }
 }
 
-async fn read_all(body: &mut RequestBody, limit: usize) -> Result<Bytes, Failure> {
-    let mut collected = BytesMut::new();
-    while let Some(frame) = poll_fn(|cx| Pin::new(&mut *body).poll_frame(cx)).await {
+async fn read_all(
+    body: &mut RequestBody,
+    length: Length,
+    budget: &Budget,
+    limit: usize,
+) -> Result<Bytes, Failure> {
+    let failure = |shortage| match shortage {
+        Shortage::TooLarge => too_large(limit),
+        Shortage::Dropped => dropped(),
+    };
+    let mut reading = Reading::new(budget, limit);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = reading.wait_until_dropped() => return Err(dropped()),
+            frame = poll_fn(|cx| Pin::new(&mut *body).poll_frame(cx)) => frame,
+        };
         match frame {
-            Ok(Frame::Data(data)) => collected.extend_from_slice(&data),
-            Ok(Frame::Trailers(_)) => {}
-            Err(error) => return Err(unreadable(&error)),
-        }
-        if collected.len() > limit {
-            return Err(too_large(limit));
+            None => break,
+            Some(Ok(Frame::Data(data))) => {
+                let is_last = length == Length::Exact(data.len() as u64);
+                reading.push(data, is_last).map_err(failure)?;
+            }
+            Some(Ok(Frame::Trailers(_))) => {}
+            Some(Err(error)) => return Err(unreadable(&error)),
         }
     }
-    Ok(collected.freeze())
+    reading.finish().map_err(failure)
+}
+
+/// Returns the failure of a body that was dropped before its end, so that its request has not run.
+fn dropped() -> Failure {
+    let after = MEMORY_RETRY.mul_f64(rand::rng().random_range(0.5..1.5));
+    let message = "this entry is short of memory";
+    Failure::retryable(Kind::Overloaded, message, after)
 }
 
 fn too_large(limit: usize) -> Failure {
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -38,6 +38,8 @@
     pub plain_client: Client,
     /// Client for engines.
     pub engine_client: Client,
+    /// Memory for the bodies of requests.
+    pub memory: web::Budget,
     /// Metrics.
     pub metrics: Arc<Metrics>,
     /// Usage of limits by account.
--- a/components/entry/src/handler.rs
+++ b/components/entry/src/handler.rs
@@ -95,10 +95,10 @@
         }
         Target::Announce => handle_announcement(core, &head, body)
             .await
-            .unwrap_or_else(|failure| Reply::failure(&failure)),
+            .unwrap_or_else(|failure| closing(Reply::failure(&failure))),
         Target::Handover => handle_handover(core, &head, body)
             .await
-            .unwrap_or_else(|failure| Reply::failure(&failure)),
+            .unwrap_or_else(|failure| closing(Reply::failure(&failure))),
         _ => handle_call(core, target, head, body).await,
     }
 }
@@ -114,6 +114,7 @@
     let view = core.control.view().load();
     let version = view.config.as_ref().map_or(0, |config| config.version);
     core.metrics.record_text_version(version);
+    core.memory.update_metrics();
     core.metrics.render()
 }
 
@@ -126,7 +127,7 @@
         return Err(wrong_method(&head.method));
     }
     let length = Length::from_headers(&head.headers);
-    let body = body::read(body, length, limits(core)).await?;
+    let body = body::read(body, length, &core.memory, limits(core)).await?;
     announce::accept(core, &head.headers, &body).await
 }
 
@@ -146,7 +147,8 @@
         bytes: 2 * core.settings.entry.max_body_bytes,
         ..limits(core)
     };
-    let body = body::read(body, Length::from_headers(&head.headers), limits).await?;
+    let length = Length::from_headers(&head.headers);
+    let body = body::read(body, length, &core.memory, limits).await?;
     handover::take_over(core, &head.headers, &body)
 }
 
@@ -165,16 +167,22 @@
     match receive(core, &target, head, body, &mut exchange).await {
         Ok(incoming) => serve(core, target, incoming, exchange).await,
         Err(failure) => {
-            let mut reply = exchange.fail(&failure);
-            if has_body {
-                // The rest of the body can't be distinguished from a next request.
-                reply.headers.insert(header::CONNECTION, CONNECTION_CLOSE);
+            let reply = exchange.fail(&failure);
+            match has_body {
+                true => closing(reply),
+                false => reply,
             }
-            reply
         }
     }
 }
 
+/// Closes the connection after a reply: the rest of a body that was not read can't be distinguished from a
+/// next request.
+fn closing(mut reply: Reply) -> Reply {
+    reply.headers.insert(header::CONNECTION, CONNECTION_CLOSE);
+    reply
+}
+
 /// Checks the head and reads the body.
 async fn receive<C: Control>(
     core: &Core<C>,
@@ -199,7 +207,7 @@
         }
         _ => {}
     }
-    let body = body::read(body, length, limits(core)).await?;
+    let body = body::read(body, length, &core.memory, limits(core)).await?;
     Ok(Incoming {
         account,
         method: head.method,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -11,7 +11,6 @@
 mod body;
 mod cache;
 mod cause;
-mod connection_limit;
 mod core;
 pub mod dispatch;
 mod drain;
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -109,6 +109,14 @@
 }
 
 impl Metrics {
+    /// Adds metrics that are counted elsewhere in the process.
+    pub(crate) fn register(&self, collectors: Vec<Box<dyn prometheus::core::Collector>>) {
+        for collector in collectors {
+            let registered = self.registry.register(collector);
+            registered.expect("each name is used once");
+        }
+    }
+
     /// Counts the end of a request.
     pub(crate) fn record_end(&self, outcome: Outcome) {
         self.outcomes[outcome as usize].inc();
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -14,12 +14,12 @@
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
+use web::ConnectionLimit;
 use xitca_web::App;
 use xitca_web::service::fn_service;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admission::Budget;
-use crate::connection_limit::ConnectionLimit;
 use crate::core::Core;
 use crate::dispatch::Client;
 use crate::drain::{Drain, Phase};
@@ -94,6 +94,9 @@
     let listener = listen(listen_at).map_err(io)?;
     let address = listener.local_addr().map_err(io)?;
     let router = router(&settings);
+    let memory = web::Budget::new(settings.machine.budget_bytes());
+    let metrics = Metrics::default();
+    metrics.register(memory.collectors());
     let core = Arc::new(Core {
         plain_client: Client::new(settings.entry.connect_timeout),
         engine_client: Client::for_engines(settings.entry.connect_timeout),
@@ -102,7 +105,8 @@
         control,
         router,
 
-        metrics: Arc::new(Metrics::default()),
+        memory,
+        metrics: Arc::new(metrics),
         accounts: ArcSwap::from_pointee(IndexMap::new()),
         limiters: ArcSwap::from_pointee(IndexMap::new()),
         budget: Budget::default(),
@@ -161,11 +165,13 @@
 fn serve<C: Control>(core: &Arc<Core<C>>, listener: TcpListener) -> std::io::Result<Stopper> {
     let entry = &core.settings.entry;
     let workers = threads(&core.settings);
+    let machine = core.settings.machine;
+    let max_connections = entry.max_connections.min(machine.max_connections());
     let state = core.clone();
     let mut server = App::new()
         .with_state(state)
         .at("/{*}", fn_service(handler::handle::<C>))
-        .enclosed(ConnectionLimit::new(entry.max_connections))
+        .enclosed(ConnectionLimit::new(max_connections))
         .serve()
         .disable_signal()
         .worker_threads(workers)
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -27,6 +27,8 @@
     pub(crate) protocol: Arc<dyn Protocol>,
     pub(crate) member: Member,
     pub(crate) metrics: Metrics,
+    /// Memory for bodies of callers and other entries.
+    pub(crate) budget: web::Budget,
     pub(crate) drain: Drain,
     pub(crate) table: ArcSwap<Table>,
     pub(crate) started: Instant,
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -29,6 +29,9 @@
 /// Time within which a busy engine generates one token.
 const GENERATION_TIME_PER_TOKEN: Duration = Duration::from_millis(15);
 
+/// Time in which most bodies that are dropped for others make room.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Serves one request.
 pub(crate) async fn serve(core: Arc<Core>, request: Request<Incoming>) -> Response<web::Body> {
     let arrived = Instant::now();
@@ -47,17 +50,27 @@
         request_log.set_outcome(refusal.name(), answer.status().as_u16());
         close_if_stopping(&core, answer)
     };
+    // The rest of the body is not read.
+    let refuse_body = |log: RequestLog, refusal: &Refusal| close(refuse(log, refusal));
     let limits = core.table.load().limits();
+    let body_limits = web::Limits {
+        bytes: limits.body_bytes,
+        time: limits.idle_timeout,
+    };
     let collected = tokio::select! {
-        collected = web::collect(body, limits.body_bytes, limits.idle_timeout) => collected,
+        collected = web::collect(body, &core.budget, body_limits) => collected,
         () = core.drain.ended() => return refuse(request_log, &Refusal::Stopping),
     };
     let bytes = match collected {
         web::Collected::Complete(bytes) => bytes,
-        web::Collected::TooLarge => return refuse(request_log, &Refusal::TooLarge),
-        web::Collected::TimedOut => return refuse(request_log, &Refusal::SlowBody),
+        web::Collected::TooLarge => return refuse_body(request_log, &Refusal::TooLarge),
+        web::Collected::TimedOut => return refuse_body(request_log, &Refusal::SlowBody),
+        web::Collected::Dropped => {
+            let retry_after = memory_retry_after(arrived);
+            return refuse_body(request_log, &Refusal::MemoryShort(retry_after));
+        }
         web::Collected::Incomplete(error) => {
-            return refuse(request_log, &Refusal::Malformed(error.to_string()));
+            return refuse_body(request_log, &Refusal::Malformed(error.to_string()));
         }
     };
     if !core.readiness.wait(READINESS_TIMEOUT).await {
@@ -125,14 +138,27 @@
 }
 
 /// Asks the caller to close the connection if this entry is stopping.
-fn close_if_stopping(core: &Core, mut answer: Response<web::Body>) -> Response<web::Body> {
-    if core.drain.is_stopping() {
-        let close = HeaderValue::from_static("close");
-        answer.headers_mut().insert(header::CONNECTION, close);
+fn close_if_stopping(core: &Core, answer: Response<web::Body>) -> Response<web::Body> {
+    match core.drain.is_stopping() {
+        true => close(answer),
+        false => answer,
     }
+}
+
+/// Asks the caller to close the connection.
+fn close(mut answer: Response<web::Body>) -> Response<web::Body> {
+    let close = HeaderValue::from_static("close");
+    answer.headers_mut().insert(header::CONNECTION, close);
     answer
 }
 
+/// Returns the time after which a caller whose body was dropped should retry: half to one and a half of
+/// [`MEMORY_RETRY_AFTER`], spread so that callers don't return together.
+fn memory_retry_after(arrived: Instant) -> Duration {
+    let spread = arrived.elapsed().subsec_nanos() % 1_000;
+    MEMORY_RETRY_AFTER.mul_f64(0.5 + f64::from(spread) / 1_000.0)
+}
+
 /// Finds the route, the service and the account of a request.
 fn admit(
     core: &Core,
--- a/components/gateway/src/forward/server.rs
+++ b/components/gateway/src/forward/server.rs
@@ -30,12 +30,20 @@
     request_log.set_id(&attempt.request);
     request_log.set_forwarded_by(&attempt.entry);
     let limits = core.table.load().limits();
+    let body_limits = web::Limits {
+        bytes: limits.body_bytes,
+        time: limits.idle_timeout,
+    };
     let collected = tokio::select! {
-        collected = web::collect(body, limits.body_bytes, limits.idle_timeout) => collected,
+        collected = web::collect(body, &core.budget, body_limits) => collected,
         () = core.drain.ended() => return refuse(request_log, unable("this entry stops")),
     };
-    let web::Collected::Complete(bytes) = collected else {
-        return refuse(request_log, unable("the body is not complete"));
+    let bytes = match collected {
+        web::Collected::Complete(bytes) => bytes,
+        web::Collected::Dropped => {
+            return refuse(request_log, unable("this entry is short of memory"));
+        }
+        _ => return refuse(request_log, unable("the body is not complete")),
     };
     let call = match admit(&core, &mut request_log, &attempt, parts, bytes, arrived) {
         Ok(call) => Arc::new(call),
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use prometheus::core::Collector;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -101,6 +102,14 @@
 }
 
 impl Metrics {
+    /// Adds metrics that are counted elsewhere in the process.
+    pub(crate) fn register(&self, collectors: Vec<Box<dyn Collector>>) {
+        for collector in collectors {
+            let registered = self.registry.register(collector);
+            registered.expect("metric registered once");
+        }
+    }
+
     /// Records a finished request. `first` is the time to the first event, if there was one.
     pub fn record_request(
         &self,
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -39,6 +39,10 @@
         SlowBody {
             display("the body took too long")
         }
+        /// The body was dropped before its end, because the entry is short of memory.
+        MemoryShort(retry_after: Duration) {
+            display("this entry is short of memory")
+        }
         /// The account has exceeded its token limit.
         OverLimit(retry_after: Duration) {
             display("the account is beyond its limit for {} ms", retry_after.as_millis())
@@ -92,6 +96,7 @@
         match self {
             Refusal::Unready(after)
             | Refusal::OverLimit(after)
+            | Refusal::MemoryShort(after)
             | Refusal::NoUpstream(after)
             | Refusal::Overloaded(after)
             | Refusal::Shed(after) => Some(*after),
@@ -110,6 +115,7 @@
             Refusal::NoAccount => "no-account",
             Refusal::TooLarge => "too-large",
             Refusal::SlowBody => "slow-body",
+            Refusal::MemoryShort(_) => "memory-short",
             Refusal::OverLimit(_) => "over-limit",
             Refusal::NoUpstream(_) => "no-upstream",
             Refusal::Overloaded(_) => "overloaded",
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -25,6 +25,8 @@
 /// Number of entries assumed to share the retry budget until the leader has answered the first
 /// report, which is sent as soon as there is a text.
 const ASSUMED_ENTRIES: u32 = 10;
+/// Maximum number of open connections to each of the listeners for readiness and metrics.
+const MAX_PROBE_CONNECTIONS: usize = 64;
 /// Pause between two checks of the requests in progress during a planned stop.
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// Time that connections get to close after the last answer.
@@ -127,7 +129,11 @@
         data_centre: settings.data_centre.clone(),
         ..balancer::Settings::default()
     };
+    let metrics = Metrics::default();
+    let budget = web::Budget::new(settings.budget_bytes);
+    metrics.register(budget.collectors());
     Arc::new(Core {
+        budget,
         quarantine: Mutex::default(),
         broken: Mutex::default(),
         permits: Mutex::default(),
@@ -139,7 +145,7 @@
         settings,
         protocol,
         member,
-        metrics: Metrics::default(),
+        metrics,
         drain: Drain::default(),
         table: ArcSwap::from_pointee(Table::default()),
         started: now,
@@ -155,10 +161,13 @@
 }
 
 fn listen(core: &Arc<Core>) -> Result<Servers> {
-    let web_settings = web::Settings {
-        max_connections: core.settings.max_connections,
+    let limited_to = |max_connections| web::Settings {
+        max_connections,
         ..web::Settings::default()
     };
+    let callers = limited_to(core.settings.max_connections);
+    let probes = limited_to(MAX_PROBE_CONNECTIONS);
+    let entries = limited_to(core.settings.max_forwarded_connections);
     let exchange = {
         let core = core.clone();
         move |request, _| exchange::serve(core.clone(), request)
@@ -170,25 +179,20 @@
     let metrics = |address| {
         let core = core.clone();
         let serve = move |_, _| render_metrics(core.clone());
-        Ok::<_, Error>(web::Server::start(
-            web::listen(address)?,
-            web_settings,
-            serve,
-        ))
+        Ok::<_, Error>(web::Server::start(web::listen(address)?, probes, serve))
     };
     let forwarded = |address| {
         let core = core.clone();
         let serve = move |request, _| forward::serve(core.clone(), request);
-        Ok::<_, Error>(web::Server::start(
-            web::listen(address)?,
-            web_settings,
-            serve,
-        ))
+        Ok::<_, Error>(web::Server::start(web::listen(address)?, entries, serve))
     };
+    let listener = web::listen(core.settings.listen)?;
+    let callers = web::Server::start(listener, callers, exchange);
+    core.metrics.register(callers.collectors());
     Ok(Servers {
+        callers,
         forwarded: core.settings.forwarding.map(forwarded).transpose()?,
-        callers: web::Server::start(web::listen(core.settings.listen)?, web_settings, exchange),
-        _ready: web::Server::start(web::listen(core.settings.ready)?, web_settings, ready),
+        _ready: web::Server::start(web::listen(core.settings.ready)?, probes, ready),
         _metrics: core.settings.metrics.map(metrics).transpose()?,
     })
 }
@@ -207,6 +211,7 @@
 }
 
 async fn render_metrics(core: Arc<Core>) -> Response<web::Body> {
+    core.budget.update_metrics();
     Response::new(web::full(core.metrics.render()))
 }
 
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -38,8 +38,12 @@
     pub balancer_lag: Duration,
     /// Longest duration of a planned stop.
     pub drain_timeout: Duration,
+    /// Memory for the bodies of callers and other entries, in bytes.
+    pub budget_bytes: usize,
     /// Maximum number of open connections from callers.
     pub max_connections: usize,
+    /// Maximum number of open connections from other entries.
+    pub max_forwarded_connections: usize,
     /// Opens connections to upstreams.
     pub network: Arc<dyn Network>,
 }
--- a/components/entry/src/connection_limit.rs
+++ b/components/web/src/connection_limit.rs
@@ -1,4 +1,4 @@
-//! The limit of open connections.
+//! The limit of open connections of servers of `xitca-web`.
 
 use std::sync::Arc;
 
@@ -8,19 +8,20 @@
 
 /// A middleware that accepts no more connections than its semaphore has permits.
 #[derive(Clone, Debug)]
-pub(crate) struct ConnectionLimit {
+pub struct ConnectionLimit {
     permits: Arc<Semaphore>,
 }
 
 /// A service that is ready for a connection only while a permit is free.
-pub(crate) struct LimitedService<S> {
+#[derive(Debug)]
+pub struct LimitedService<S> {
     inner: S,
     permits: Arc<Semaphore>,
 }
 
 impl ConnectionLimit {
     /// Creates a limit of `limit` open connections, at least one.
-    pub(crate) fn new(limit: usize) -> Self {
+    pub fn new(limit: usize) -> Self {
         let permits = limit.clamp(1, Semaphore::MAX_PERMITS);
         ConnectionLimit {
             permits: Arc::new(Semaphore::new(permits)),
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -3,14 +3,20 @@
 
 mod abort;
 mod body;
+mod budget;
+mod connection_limit;
+mod connections;
 mod framing;
 mod headers;
 mod listener;
 mod observed_stream;
+mod served_body;
 mod server;
 mod settings;
 
-pub use body::{Body, Collected, collect, empty, full};
+pub use body::{Body, Collected, Limits, collect, empty, full};
+pub use budget::{Budget, Reading, Shortage};
+pub use connection_limit::{ConnectionLimit, LimitedService};
 pub use framing::Framing;
 pub use headers::remove_connection_headers;
 pub use listener::listen;
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use http::{Request, Response, Version};
@@ -11,6 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use prometheus::core::Collector;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -18,6 +18,8 @@
 use tracing::warn;
 
 use crate::abort::Abort;
+use crate::connections::{Connections, Guard};
+use crate::served_body::ServedBody;
 use crate::{Body, ObservedStream, Settings};
 
 /// Pause after the listener failed to accept a connection.
@@ -55,7 +57,7 @@
 struct Shared {
     phase: watch::Sender<Phase>,
     settings: watch::Sender<Settings>,
-    open: AtomicUsize,
+    connections: Arc<Connections>,
 }
 
 impl Server {
@@ -68,7 +70,7 @@
         let shared = Arc::new(Shared {
             phase: watch::Sender::default(),
             settings: watch::Sender::new(settings),
-            open: AtomicUsize::new(0),
+            connections: Arc::new(Connections::new()),
         });
         tokio::spawn(accept(listener, shared.clone(), handler));
         Server { shared }
@@ -82,7 +84,12 @@
 
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
-        self.shared.open.load(Ordering::Relaxed)
+        self.shared.connections.open()
+    }
+
+    /// Returns the metrics of this server, to be registered by the process.
+    pub fn collectors(&self) -> Vec<Box<dyn Collector>> {
+        vec![Box::new(self.shared.connections.gave_way().clone())]
     }
 
     /// Closes each connection that is open now after its response in progress.
@@ -118,19 +125,22 @@
         };
         let settings = *shared.settings.borrow();
         match accepted {
-            Ok((stream, peer))
-                if shared.open.load(Ordering::Relaxed) < settings.max_connections =>
-            {
-                shared.open.fetch_add(1, Ordering::Relaxed);
+            Ok((stream, peer)) => {
+                let connections = &shared.connections;
+                if !connections.make_room(settings.max_connections).await {
+                    warn!("http: refused {peer}: too many connections are open");
+                    continue;
+                }
+                let guard = Arc::new(connections.add());
                 tokio::spawn(connection(
                     stream,
                     peer,
                     settings,
                     shared.clone(),
+                    guard,
                     handler.clone(),
                 ));
             }
-            Ok((_, peer)) => warn!("http: refused {peer}: too many connections are open"),
             Err(error) => {
                 warn!("http: accepting a connection failed: {error}");
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -149,6 +159,7 @@
     peer: SocketAddr,
     settings: Settings,
     shared: Arc<Shared>,
+    guard: Arc<Guard>,
     handler: H,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
@@ -157,17 +168,21 @@
     prepare(&stream, settings);
     let abort = Abort::default();
     let stream = ObservedStream::new(stream, abort.clone());
+    let serving = guard.clone();
     let service = service_fn(move |request| {
+        serving.begin();
+        let connection = serving.clone();
         let version = request.version();
         let response = handler(request, peer);
         let abort = abort.clone();
         async move {
             let response = response.await;
             // Without chunks, only a reset tells the client that the response is incomplete.
-            Ok::<_, Infallible>(match version {
+            let response = match version {
                 Version::HTTP_10 => response.map(|body| abort.on_error_of(body)),
                 _ => response,
-            })
+            };
+            Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, connection)))
         }
     });
     let served = http1::Builder::new()
@@ -198,8 +213,14 @@
             served.as_mut().graceful_shutdown();
             served.await
         }
+        () = guard.must_give_way() => match guard.is_serving() {
+            true => {
+                served.as_mut().graceful_shutdown();
+                served.await
+            }
+            false => Ok(()),
+        },
     };
-    shared.open.fetch_sub(1, Ordering::Relaxed);
 }
 
 /// Sets socket options. Errors are ignored, because they mean that the peer has already closed the
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -61,7 +61,11 @@
         usage_window: settings.control.usage.window,
         balancer_lag: entry.balancer_lag,
         drain_timeout: entry.drain_timeout,
-        max_connections: entry.max_connections,
+        budget_bytes: settings.machine.budget_bytes(),
+        max_connections: entry
+            .max_connections
+            .min(settings.machine.max_connections()),
+        max_forwarded_connections: settings.machine.max_forwarded_connections(),
         network: Arc::new(gateway::Tcp),
     };
     let result = gateway::run(
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -18,6 +18,8 @@
 use target::Target;
 use tokio::sync::Mutex;
 
+/// Settings of the machines: the smallest memory, and few descriptors.
+const SMALL_MACHINE: &str = "[machine]\nmemory-mb = 120\ndescriptors = 1000\n";
 /// Memory by which a process may grow. Two processes that grow by this much fit beside the rest of their
 /// machine into 160 MB, and one into 120 MB.
 const MAX_GROWTH_BYTES: u64 = 48 * 1_024 * 1_024;
--- a/tests/crowds/own.rs
+++ b/tests/crowds/own.rs
@@ -8,6 +8,7 @@
 use trials::upstreams::{read, start_plain, wait_until_reachable};
 use trials::{ACCOUNT_KEY, Fleet, OPERATOR_TOKEN, Process, Settings};
 
+use crate::SMALL_MACHINE;
 use crate::crowd;
 use crate::target::{Answering, Target};
 
@@ -19,6 +20,8 @@
     Settings {
         controls: 1,
         entries: 1,
+        entry_lines: SMALL_MACHINE.to_owned(),
+        control_lines: SMALL_MACHINE.to_owned(),
         ..Settings::new(BINARY)
     }
 }
