--- a/components/entry/src/handover/offer.rs
+++ b/components/entry/src/handover/offer.rs
@@ -11,7 +11,7 @@
 use errors::{Error, Peer, Result, Step};
 use fleet::View;
 use http::{Method, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use tokio::time::timeout;
 use upstream::{Route, Routes, SIGNATURE_HEADER};
@@ -22,6 +22,8 @@
 
 /// Largest number of entries to which a request is offered, one after the other.
 const MAX_OFFERS: usize = 3;
+/// Largest text of a refusal that is read, in bytes.
+const MAX_ERROR_BYTES: usize = 16 * 1_024;
 /// Timeout for the response to an offer.
 const OFFER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -99,7 +101,8 @@
         match response.status() {
             StatusCode::OK => Ok(()),
             status => {
-                let body = response.into_body().collect().await;
+                let body = Limited::new(response.into_body(), MAX_ERROR_BYTES);
+                let body = body.collect().await;
                 let body = body
                     .map(http_body_util::Collected::to_bytes)
                     .unwrap_or_default();
--- a/components/entry/src/handover/store.rs
+++ b/components/entry/src/handover/store.rs
@@ -14,19 +14,29 @@
 pub(crate) const RETENTION: Duration = Duration::from_secs(300);
 /// Largest number of buffered answers.
 const MAX_ANSWERS: usize = 10_000;
-/// Total size above which no new answer is buffered, in bytes.
+/// Largest total size above which no new answer is buffered, in bytes.
 const MAX_TOTAL_BYTES: usize = 64 * 1_024 * 1_024;
 
 type Key = (AccountId, CompactString);
 
 /// Buffered answers by account and key. Only requests with an idempotency key, or that are
 /// handed over, access it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Store {
+    /// Total size above which no new answer is buffered, in bytes.
+    max_total_bytes: usize,
     buffers: Mutex<IndexMap<Key, Arc<Buffer>>>,
 }
 
 impl Store {
+    /// Creates a store on a machine that has `memory` bytes for answers.
+    pub(crate) fn new(memory: usize) -> Store {
+        Store {
+            max_total_bytes: memory.min(MAX_TOTAL_BYTES),
+            buffers: Mutex::default(),
+        }
+    }
+
     /// Creates a buffer for an answer. Returns `None` if the store is full or the key is in use.
     pub(crate) fn insert(&self, record: &Record) -> Option<Arc<Buffer>> {
         let mut buffers = self.buffers();
@@ -34,7 +44,7 @@
         buffers.retain(|_, buffer| !is_expired(buffer, now));
         let bytes: usize = buffers.values().map(|buffer| buffer.len_bytes()).sum();
         let key = (record.account.clone(), CompactString::from(record.key()));
-        let full = buffers.len() >= MAX_ANSWERS || bytes >= MAX_TOTAL_BYTES;
+        let full = buffers.len() >= MAX_ANSWERS || bytes >= self.max_total_bytes;
         if full || buffers.contains_key(&key) {
             return None;
         }
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -94,7 +94,8 @@
     let listener = listen(listen_at).map_err(io)?;
     let address = listener.local_addr().map_err(io)?;
     let router = router(&settings);
-    let memory = web::Budget::new(settings.machine.budget_bytes());
+    let budget_bytes = settings.machine.budget_bytes();
+    let memory = web::Budget::new(budget_bytes);
     let metrics = Metrics::default();
     metrics.register(memory.collectors());
     let core = Arc::new(Core {
@@ -112,7 +113,7 @@
         budget: Budget::default(),
         drain: Drain::default(),
         successor,
-        buffers: Store::default(),
+        buffers: Store::new(budget_bytes),
         changes: watch::Sender::new(0),
         runtime: runtime.handle().clone(),
     });
--- a/tests/deploy/main.rs
+++ b/tests/deploy/main.rs
@@ -149,7 +149,7 @@
             }
         }
         let mut fields = fields(true);
-        fields["limits"] = Value::Null;
+        fields["limits"] = json!({ "memory_mb": null, "max_fds": null });
         assert_that!(settings(path, &fields).machine, eq(Machine::default()));
     }
 }
