--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -3,6 +3,7 @@
 mod scaling;
 
 use config::release;
+use prometheus::core::Collector;
 use prometheus::{
     Encoder, GaugeVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
@@ -146,6 +147,14 @@
         factor.set(planned.capacity_factor);
     }
 
+    /// Adds metrics that are counted elsewhere in the process.
+    pub(crate) fn register(&self, collectors: Vec<Box<dyn Collector>>) {
+        for collector in collectors {
+            let registered = self.registry.register(collector);
+            registered.expect("metric registered once");
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut bytes = Vec::new();
