--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -217,8 +217,10 @@
             prompt: Some(&prompt),
             software: None,
             excluded: &[],
+            hash: 0,
             time_left: Duration::from_secs(15),
             max_wait: target,
+            work_ms: 0.0,
         };
         self.entries[entry].has_room(&criteria, rank, target, self.now)
     }
--- a/components/gateway/tests/rollouts.rs
+++ b/components/gateway/tests/rollouts.rs
@@ -119,6 +119,7 @@
             hash,
             time_left: Duration::from_secs(15),
             max_wait: Duration::from_secs(15),
+            work_ms: 0.0,
         };
         let choice = self.balancer.choose(&criteria, self.now)?;
         let software = choice.software.clone();
--- a/components/gateway/tests/warm/group.rs
+++ b/components/gateway/tests/warm/group.rs
@@ -5,7 +5,7 @@
 
 use config::Text;
 use config::ids::UpstreamId;
-use config::text::{Kind, Service};
+use config::text::{Balance, Kind, Service};
 use gateway::balancer::{Balancer, Choice, Criteria, Outcome, Settings};
 use gateway::{Part, Prompt};
 use indexmap::IndexMap;
@@ -36,13 +36,10 @@
     pub(crate) fn with_settings(entries: usize, engines: u16, settings: &Settings) -> Self {
         let service = Service {
             kind: Kind::Model,
+            balance: Balance::ByWork,
             ..Service::default()
         };
-        let entry = |_| {
-            let mut entry = Balancer::new(settings.clone());
-            entry.balance_by_work(&SERVICE.into());
-            entry
-        };
+        let entry = |_| Balancer::new(settings.clone());
         let mut group = Group {
             now: Instant::now(),
             text: Text {
@@ -132,6 +129,8 @@
             prompt: Some(&prompt),
             software: None,
             excluded,
+            hash: self.sent,
+            work_ms: 0.0,
             time_left: Duration::from_secs(15),
             max_wait: Duration::MAX,
         };
@@ -179,6 +178,7 @@
         model: "m".into(),
         input_tokens: SHARED_TOKENS + OWN_TOKENS,
         output_tokens: 120,
+        length_hint: None,
         parts: vec![
             part(shared, SHARED_TOKENS),
             part(1_000_000 + own, OWN_TOKENS),
--- a/components/gateway/tests/warm/requests.rs
+++ b/components/gateway/tests/warm/requests.rs
@@ -9,7 +9,7 @@
 
 use crate::engine::{Job, transfer};
 use crate::traffic::Kind;
-use crate::world::{SERVICE, World};
+use crate::world::{SERVICE, SLOT_TIME_MS, World};
 
 /// Time within which a shared part counts as computed again, in milliseconds.
 const REPEAT_MS: f64 = 10_000.0;
@@ -34,6 +34,8 @@
                 prompt: Some(&prompt),
                 excluded,
                 software: None,
+                hash: 0,
+                work_ms: SLOT_TIME_MS,
                 time_left: Duration::from_secs(5),
                 max_wait: admission::max_wait_for_rank(target, kind.rank),
             };
--- a/components/gateway/tests/warm/traffic.rs
+++ b/components/gateway/tests/warm/traffic.rs
@@ -116,6 +116,7 @@
         model: "m".into(),
         input_tokens: shared_tokens + own_tokens,
         output_tokens: 120,
+        length_hint: None,
         parts: vec![
             part((kind + 1) * 100_000 + shared, shared_tokens),
             part(10_000_000 + own, own_tokens),
--- a/components/gateway/tests/warm/world.rs
+++ b/components/gateway/tests/warm/world.rs
@@ -6,7 +6,7 @@
 
 use config::Text;
 use config::ids::UpstreamId;
-use config::text::{Kind as ServiceKind, Service};
+use config::text::{Balance, Kind as ServiceKind, Service};
 use gateway::balancer::{Balancer, Outcome, Rates, Settings, Tally};
 use indexmap::IndexMap;
 use upstream::{Announcement, Availability, Capacity, Load, Role, Routes};
@@ -26,6 +26,8 @@
 /// Age of what an entry hears.
 const DELAY_MS: u64 = 100;
 pub(crate) const DATA_CENTRES: usize = 4;
+/// Time for which a request occupies a slot of an engine, in milliseconds.
+pub(crate) const SLOT_TIME_MS: f64 = 300.0;
 
 /// Number of entries, engines and shared parts of each kind.
 #[derive(Clone, Copy, Debug)]
@@ -67,23 +69,23 @@
     pub(crate) fn new(size: Size, by_work: bool, seed: u64) -> Self {
         let service = Service {
             kind: ServiceKind::Model,
+            balance: match by_work {
+                true => Balance::ByWork,
+                false => Balance::ByRequests,
+            },
             ..Service::default()
         };
         let rates = Rates {
             prefill_ms_per_token: 1.0 / TOKENS_PER_MS,
-            slot_time_ms: 300.0,
+            slot_time_ms: SLOT_TIME_MS,
             ..Rates::default()
         };
         let entry = |index: usize| {
-            let mut entry = Balancer::new(Settings {
+            Balancer::new(Settings {
                 data_centre: data_centre(index % DATA_CENTRES),
                 unknown_rates: rates,
                 ..Settings::default()
-            });
-            if by_work {
-                entry.balance_by_work(&SERVICE.into());
-            }
-            entry
+            })
         };
         let mut world = World {
             start: Instant::now(),
--- a/components/gateway/tests/work/simulation.rs
+++ b/components/gateway/tests/work/simulation.rs
@@ -270,6 +270,7 @@
             prompt: arrival.prompt.as_ref(),
             excluded: &[],
             software: None,
+            hash: 0,
             time_left: Duration::from_secs(10),
             max_wait: match arrival.prompt {
                 Some(_) => self.case.target.mul_f64(0.7),
@@ -383,6 +384,7 @@
             prompt,
             excluded: &[],
             software: None,
+            hash: 0,
             time_left: Duration::from_secs(10),
             max_wait,
             work_ms: self.entries[0].work_ms(&kind, prompt),
