Take the slots that an upstream stated also for what is learned

Cause: the estimate used the stated slots, and the speed was learned with the announced ones. Change: one function returns them. Result: the tests of the gateway's balancing pass.

--- a/components/gateway/src/balancer/by_work.rs
+++ b/components/gateway/src/balancer/by_work.rs
@@ -97,9 +97,7 @@
 impl Ahead {
     /// `first_ms` is the time for which a request occupies a slot before its first event.
     fn new(upstream: &Upstream, criteria: &Criteria<'_>, first_ms: f64, now: Instant) -> Self {
-        let stated = upstream.stated.filter(|(load, _)| load.slots > 0);
-        let slots = stated.map_or(upstream.slots, |(load, _)| load.slots);
-        let slots = f64::from(slots.max(1));
+        let slots = upstream.known_slots();
         let request_ms = request_ms(upstream, criteria);
         let slot_ms = (request_ms + first_ms).max(MIN_SLOT_MS);
         let requests = f64::from(in_flight(upstream, now));
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -114,6 +114,14 @@
         self.speed.value(now)
     }
 
+    /// Returns the requests that the upstream runs at the same time: as it stated in an answer, otherwise
+    /// as announced.
+    pub(super) fn known_slots(&self) -> f64 {
+        let stated = self.stated.map(|(load, _)| load.slots);
+        let slots = stated.filter(|slots| *slots > 0).unwrap_or(self.slots);
+        f64::from(slots.max(1))
+    }
+
     /// Reports whether the process is leaving, by its announcements or its answers.
     pub(super) fn is_leaving(&self) -> bool {
         self.said_leaving || self.availability != Availability::Serving
--- a/components/gateway/src/balancer/work.rs
+++ b/components/gateway/src/balancer/work.rs
@@ -229,7 +229,7 @@
     upstream: &Upstream,
 ) -> Option<(f64, f64)> {
     let has_stream = ended.events >= MIN_EVENTS;
-    let has_slot = choice.in_flight < upstream.slots;
+    let has_slot = f64::from(choice.in_flight) < upstream.known_slots();
     let has_first = has_slot && choice.queued_tokens <= choice.uncached_tokens;
     let in_flight = f64::from(choice.in_flight);
     let event_ms = model.event_ms + in_flight * model.event_ms_per_request;
@@ -249,7 +249,7 @@
 
 /// Returns how long a plain call waited for a slot, relative to its own time.
 fn queue_share(choice: &Choice, upstream: &Upstream) -> f64 {
-    let slots = f64::from(upstream.slots.max(1));
+    let slots = upstream.known_slots();
     (f64::from(choice.in_flight) + 1.0 - slots).max(0.0) / slots
 }
 
