Release the balancer's lock before the next use in a report

Cause: two guards of the balancer in the fields of one struct expression are both held until its end, so that the reports of an entry waited for themselves for ever; seen as the platform's path tests hung. Change: each is taken and released before the report is put together. Result: the 100 path tests pass.

--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -86,6 +86,9 @@
         let refusals = changed_refusals(&core, &told_refusals, Instant::now());
         let (quarantine, requests) = lock(&core.quarantine).report(Instant::now());
         let models = lock(&core.balancer).models_beyond(&told_models);
+        // Guards in the fields of the report would be held until all of them are set.
+        let speeds = lock(&core.balancer).report_speeds(Instant::now());
+        let moments = lock(&core.balancer).report_moments(Instant::now());
         let report = Report {
             statements,
             started: lock(&core.usage).report(),
@@ -100,8 +103,8 @@
             samples: lock(&core.samples).take(),
             models,
             reads_work_table: true,
-            speeds: lock(&core.balancer).report_speeds(Instant::now()),
-            moments: lock(&core.balancer).report_moments(Instant::now()),
+            speeds,
+            moments,
         };
         let is_recent = |(last, at): &(Report, Instant)| {
             is_same(&report, last) && at.elapsed() < MAX_REPORT_GAP
@@ -226,7 +229,8 @@
         lock(&core.balancer).apply_speeds(speeds, now);
     }
     lock(&core.balancer).apply_moments(&overview.moments, now.checked_sub(one_way).unwrap_or(now));
-    for (service, speeds) in lock(&core.balancer).speeds(now) {
+    let speeds = lock(&core.balancer).speeds(now);
+    for (service, speeds) in speeds {
         core.metrics.set_speeds(&service, &speeds);
     }
     let (parts, requests) = (overview.quarantine.clone(), overview.requests.clone());
