--- a/components/rollout/src/evidence.rs
+++ b/components/rollout/src/evidence.rs
@@ -137,7 +137,7 @@
         sums
     }
 
-    /// Returns the sums as they were `age` ago; empty if none are kept of that time.
+    /// Returns the sums as they were `age` ago; `None` if none are kept of that time.
     pub(crate) fn sums_before(&self, age: Duration, now: Instant) -> Option<&Sums> {
         let is_before = |at: Instant| now.saturating_duration_since(at) >= age;
         let mut newest_first = self.history.iter().rev();
