Count both buffers while one grows, and take an eighth of the memory for bodies

Change: growing reserves the whole new buffer before the old one's reservation ends. The budget is an eighth of the memory in place of a sixth.

--- a/components/config/src/settings/machine.rs
+++ b/components/config/src/settings/machine.rs
@@ -5,8 +5,9 @@
 /// Bytes in a megabyte.
 const MEGABYTE: f64 = 1_000_000.0;
 /// Share of the memory for bodies, as a divisor. An entry and a control process share some machines, and
-/// each holds other state and connections beside its bodies.
-const BUDGET_SHARE: f64 = 6.0;
+/// each holds other state and connections beside its bodies. With a sixth, what the allocator keeps of dropped bodies
+/// let an entry grow by up to 47 MiB.
+const BUDGET_SHARE: f64 = 8.0;
 /// Smallest budget, in bytes: a body of the largest legal size beside small ones.
 const MIN_BUDGET_BYTES: usize = 10_000_000;
 /// Share of the memory for connections, as a divisor.
--- a/components/web/src/budget.rs
+++ b/components/web/src/budget.rs
@@ -142,13 +142,6 @@
     }
 }
 
-impl Reservation {
-    /// Adds the bytes of another reservation of the same budget.
-    fn merge(&mut self, mut other: Reservation) {
-        self.bytes += std::mem::take(&mut other.bytes);
-    }
-}
-
 impl Drop for Reservation {
     fn drop(&mut self) {
         let used = &self.budget.shared.used;
--- a/components/web/src/budget/reading.rs
+++ b/components/web/src/budget/reading.rs
@@ -127,21 +127,21 @@
             Some(content) => content.bytes.capacity(),
             None => return Err(Shortage::Dropped),
         };
-        let more = match self.received > capacity {
-            // No lock is held: other bodies may be dropped for this one.
+        let larger = match self.received > capacity {
+            // No lock is held: other bodies may be dropped for this one. Both buffers exist while one is copied.
             true => {
-                let bytes = self.capacity(self.received) - capacity;
-                let more = self.budget.reserve_large(bytes, Some(slot.id()));
-                Some(more.ok_or(Shortage::Dropped)?)
+                let bytes = self.capacity(self.received);
+                let larger = self.budget.reserve_large(bytes, Some(slot.id()));
+                Some(larger.ok_or(Shortage::Dropped)?)
             }
             false => None,
         };
         let mut content = slot.content();
         let content = content.as_mut().ok_or(Shortage::Dropped)?;
-        if let Some(more) = more {
-            content.reservation.merge(more);
-            let capacity = content.reservation.bytes;
-            content.bytes.reserve_exact(capacity - content.bytes.len());
+        if let Some(larger) = larger {
+            let more = larger.bytes - content.bytes.len();
+            content.bytes.reserve_exact(more);
+            content.reservation = larger;
         }
         content.bytes.extend_from_slice(part);
         slot.record_progress(self.received, self.budget.now());
