--- a/components/gateway/src/balancer/work.rs
+++ b/components/gateway/src/balancer/work.rs
@@ -16,8 +16,6 @@
 
 /// Fewest events of an answer from whose pauses a speed is learned.
 const MIN_EVENTS: u64 = 3;
-/// Weight of the newest answer in the share of prompt tokens that are computed.
-const NEWEST_WEIGHT: f64 = 0.05;
 
 /// What requests have in common that take similar work.
 #[derive(Clone, Copy, Debug)]
@@ -59,8 +57,6 @@
     /// Whether an upstream has stated its slowdown.
     stated: bool,
     usual: Usual,
-    /// Average share of the prompt tokens that are not cached; `None` before the first answer.
-    computed_share: Option<f64>,
 }
 
 impl Learned {
@@ -116,17 +112,6 @@
         by_work.cloned().collect()
     }
 
-    /// Returns the expected work of a request, in milliseconds of a usual upstream, as far as it
-    /// follows from its service. `prompt` is `None` for a plain call.
-    pub fn request_work_ms(&self, service: &ServiceId, prompt: Option<&Prompt>) -> f64 {
-        let rates = self.rates(service);
-        let computed = self.work.services.get(service);
-        let share = computed.and_then(|service| service.computed_share);
-        let tokens = prompt.map_or(0.0, |prompt| f64::from(prompt.input_tokens));
-        let prefill = tokens * share.unwrap_or(1.0) * rates.prefill_ms_per_token;
-        prefill + self.answer_ms(service, &[seed(service)], prompt)
-    }
-
     /// Returns the expected work of a request besides its prompt, in milliseconds of a usual upstream: the
     /// generation, or a plain call. 0 if the service is balanced by requests.
     pub fn work_ms(&self, kind: &Kind<'_>, prompt: Option<&Prompt>) -> f64 {
@@ -170,7 +155,8 @@
         let keys = ended.kind.keys();
         let times = match ended.prompt.filter(|_| upstream.is_engine) {
             Some(prompt) => {
-                self.work.record_generation(&keys, ended, prompt, choice);
+                let hint = prompt.length_hint.map(f64::from);
+                self.work.lengths.record(&keys, hint, ended.events as f64);
                 model.and_then(|model| generation_times(choice, ended, &model, upstream))
             }
             None => {
@@ -193,25 +179,6 @@
     }
 }
 
-impl Learned {
-    fn record_generation(
-        &mut self,
-        keys: &[u64],
-        ended: &Ended<'_>,
-        prompt: &Prompt,
-        choice: &Choice,
-    ) {
-        let hint = prompt.length_hint.map(f64::from);
-        self.lengths.record(keys, hint, ended.events as f64);
-        let service = self.services.get_mut(ended.kind.service);
-        if let Some(service) = service.filter(|_| prompt.input_tokens > 0) {
-            let share = f64::from(choice.uncached_tokens) / f64::from(prompt.input_tokens);
-            let average = service.computed_share.unwrap_or(share);
-            service.computed_share = Some(average + (share - average) * NEWEST_WEIGHT);
-        }
-    }
-}
-
 impl Kind<'_> {
     /// Returns the keys under which requests of this kind are learned, the narrowest first.
     fn keys(&self) -> [u64; 3] {
--- a/components/gateway/src/priority.rs
+++ b/components/gateway/src/priority.rs
@@ -108,9 +108,9 @@
         if !balancer.is_balanced_by_work(&call.service) {
             return false;
         }
-        let place_ms = balancer.request_work_ms(&call.service, Some(prompt));
         let compute_ms = balancer.prompt_work_ms(&call.service, prompt);
-        (compute_ms.min(place_ms), place_ms)
+        let place_ms = compute_ms + balancer.work_ms(&call.kind(), Some(prompt));
+        (compute_ms, place_ms)
     };
     lock(&core.classes).add(&call.service, class, compute_ms, place_ms);
     true
--- a/components/gateway/tests/balancing/room.rs
+++ b/components/gateway/tests/balancing/room.rs
@@ -56,6 +56,7 @@
 #[test]
 fn counts_the_prompt_and_the_events_as_work() {
     let mut fleet = Fleet::new(1, 1);
+    fleet.balance_by_work();
     fleet.tell(performance::Model {
         prefill_ms_per_token: 0.02,
         event_ms: 10.0,
