--- a/components/placement/tests/days/day.rs
+++ b/components/placement/tests/days/day.rs
@@ -41,8 +41,8 @@
     pub(crate) silence_s: std::ops::Range<f64>,
     /// Time in which the leader knows nothing of what the service needs, in seconds.
     pub(crate) unknown_s: std::ops::Range<f64>,
-    /// Time for which on-demand engines are kept at the start, in place of the default.
-    pub(crate) undecided_hold: Option<Duration>,
+    /// Time for which on-demand engines are kept at the start.
+    pub(crate) undecided_hold: Duration,
     /// Reclaims in place of random ones.
     pub(crate) reclaims: Option<Vec<Reclaim>>,
     /// Time at which another leader takes over, which knows nothing, in seconds.
@@ -61,7 +61,7 @@
             max_count: 30,
             silence_s: 0.0..0.0,
             unknown_s: 0.0..0.0,
-            undecided_hold: None,
+            undecided_hold: Duration::from_secs(18),
             reclaims: None,
             new_leader_s: f64::INFINITY,
         }
@@ -122,7 +122,7 @@
     let economy = Economy::default();
     Settings {
         economy: Economy {
-            undecided_hold: case.undecided_hold.unwrap_or(economy.undecided_hold),
+            undecided_hold: case.undecided_hold,
             ..economy
         },
         ..Settings::default()
--- a/components/placement/tests/days/totals.rs
+++ b/components/placement/tests/days/totals.rs
@@ -71,7 +71,7 @@
             ..case.clone()
         };
         let before = means(&Case {
-            undecided_hold: Some(Duration::ZERO),
+            undecided_hold: Duration::ZERO,
             ..by_requests.clone()
         });
         let held = means(&by_requests);
