--- a/components/config/src/settings/entry.rs
+++ b/components/config/src/settings/entry.rs
@@ -6,6 +6,8 @@
 
 use serde::Deserialize;
 
+use crate::text::Balance;
+
 /// Settings of an entry process.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
@@ -45,6 +47,8 @@
     /// Time for which the load balancer may still send requests after this entry stops being ready.
     #[serde(with = "crate::duration")]
     pub balancer_lag: Duration,
+    /// What services are balanced by whose text leaves it open.
+    pub balance: Balance,
     /// Time after `balancer_lag` at which requests still in progress are handed over to other
     /// entries.
     #[serde(with = "crate::duration")]
@@ -73,6 +77,7 @@
             upstream_silence: Duration::from_secs(5),
             connect_timeout: Duration::from_secs(1),
             balancer_lag: Duration::from_secs(2),
+            balance: Balance::Auto,
             hand_over_after: Duration::from_millis(1_500),
             drain_timeout: Duration::from_secs(20),
             threads: 0,
--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -126,7 +126,7 @@
         self.upstreams
             .retain(|_, u| now < u.expires + retention || u.own_work != Work::default());
         self.mark_superseded();
-        self.work.update(text);
+        self.work.update(text, self.settings.balance);
         self.observe_tenures(now);
     }
 
--- a/components/gateway/src/balancer/settings.rs
+++ b/components/gateway/src/balancer/settings.rs
@@ -3,12 +3,15 @@
 use std::time::Duration;
 
 use config::ids::DataCentreId;
+use config::text::Balance;
 
 use super::rates::Rates;
 
 /// Rates and weights by which upstreams are scored.
 #[derive(Clone, Debug)]
 pub struct Settings {
+    /// What services are balanced by whose text leaves it open.
+    pub balance: Balance,
     /// Data centre of the entry.
     pub data_centre: DataCentreId,
     /// Number that differs by entry.
@@ -48,6 +51,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
+            balance: Balance::Auto,
             data_centre: DataCentreId::default(),
             seed: 0,
             unknown_rates: Rates::default(),
--- a/components/gateway/src/balancer/work.rs
+++ b/components/gateway/src/balancer/work.rs
@@ -60,11 +60,14 @@
 }
 
 impl Learned {
-    /// Applies the text in force.
-    pub(super) fn update(&mut self, text: &Text) {
+    /// Applies the text in force. Services whose text leaves it open are balanced by `default`.
+    pub(super) fn update(&mut self, text: &Text, default: Balance) {
         for (name, service) in &text.services {
             let learned = self.services.entry(name.clone()).or_default();
-            learned.balance = service.balance;
+            learned.balance = match service.balance {
+                Balance::Auto => default,
+                balance => balance,
+            };
         }
         self.services
             .retain(|name, _| text.services.contains_key(name));
@@ -105,7 +108,7 @@
         self.work.is_balanced_by_work(service)
     }
 
-    /// Reports whether the text asks that a service be balanced by work. Only then are its requests
+    /// Reports whether the text or the settings ask that a service be balanced by work. Only then are its requests
     /// admitted, and its instances ordered, by their work as well.
     pub fn is_planned_by_work(&self, service: &ServiceId) -> bool {
         let service = self.work.services.get(service);
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -128,6 +128,7 @@
         });
     let balancer_settings = balancer::Settings {
         data_centre: settings.data_centre.clone(),
+        balance: settings.balance,
         seed: xxh3_64(settings.node.as_bytes()),
         ..balancer::Settings::default()
     };
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -6,6 +6,7 @@
 
 use config::ids::{DataCentreId, NodeId};
 use config::settings::Retries;
+use config::text::Balance;
 
 use crate::Network;
 use crate::drain::Schedule;
@@ -36,6 +37,8 @@
     /// Time for which the external load balancer may still send requests after the entry reports
     /// that it is not ready.
     pub balancer_lag: Duration,
+    /// What services are balanced by whose text leaves it open.
+    pub balance: Balance,
     /// Longest duration of a planned stop.
     pub drain_timeout: Duration,
     /// Memory for the bodies of callers and other entries, in bytes.
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -60,6 +60,7 @@
         retries: entry.retries,
         usage_window: settings.control.usage.window,
         balancer_lag: entry.balancer_lag,
+        balance: entry.balance,
         drain_timeout: entry.drain_timeout,
         budget_bytes: settings.machine.budget_bytes(),
         max_connections: entry
