Give each group of control processes in tests an address of its own

The test starts three groups in turn; the entries and control processes of the earlier ones go on connecting to the port that the crashed process freed. A later group that got this port took in their announcements, among them the leave of the upstream that the test adds. Other runs can't take the ports of a process that starts again either.

--- a/components/control/tests/process/control_group.rs
+++ b/components/control/tests/process/control_group.rs
@@ -11,15 +11,23 @@
 use fleet::Member;
 use tempfile::TempDir;
 use tokio::time::sleep;
+use trials::Address;
 
 use crate::relay::Relay;
-use crate::single_control::{SECRET, TOKEN, any_port};
+use crate::single_control::{SECRET, TOKEN};
 
 const TIMEOUT: Duration = Duration::from_secs(120);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Binds an address of the group's own. A process that crashed frees its ports while the others and the
+/// entries go on connecting to them: another group or run that got such a port would take part in this one.
 fn sockets() -> Vec<Sockets> {
-    let bind = |_| Sockets::bind(any_port(), any_port()).expect("loopback can be listened on");
+    let address = Address::next();
+    let bind = |_| {
+        let ports = address.ports(2).expect("two free ports");
+        let [peers, operators] = [ports[0], ports[1]].map(|port| address.with_port(port));
+        Sockets::bind(peers, operators).expect("loopback can be listened on")
+    };
     (0..3).map(bind).collect()
 }
 
