Move the last reports of entries to a module of their own

What follows from the reports alone, such as the entries to forward to, needs none of its other state. No behaviour changes.

--- a/components/control/src/node/workload.rs
+++ b/components/control/src/node/workload.rs
@@ -4,42 +4,34 @@
 //! It is not replicated: each entry reports totals, so that a new leader has the whole workload
 //! after one report of each entry.
 
-use std::net::SocketAddr;
+mod reports;
+
 use std::time::{Duration, Instant};
 
 use config::Text;
-use config::ids::{AccountId, NodeId, ServiceId, UpstreamId};
-use indexmap::{IndexMap, IndexSet};
+use config::ids::{AccountId, NodeId, ServiceId};
+use indexmap::IndexMap;
 use limits::{Permits, refusals};
 use performance::{Load, Model, Sizing};
 use quarantine::{Evidence, Kind, Record};
 use state::usage::{Counts, Window};
-use wire::{
-    DemandTotals, Forwarder, Limits, MomentTable, Overview, Report, SpeedTable, Work, WorkTable,
-};
-use xxhash_rust::xxh3::xxh3_64;
+use wire::{DemandTotals, Limits, Overview, Report, WorkTable};
 
 use super::performance::{Performance, objective};
 use super::plans::{Basis, Planned, Plans, Supplies};
 use super::rate::{Demand, Rate};
 use super::token_limits::{EntryProcess, TokenLimits};
+use reports::{EntryReport, Reports};
 
-/// Time after an entry's last report for which its work is counted.
-const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 /// Time between two times that an entry is told the speeds of upstreams. They change over seconds.
 const SPEEDS_PERIOD: Duration = Duration::from_secs(1);
-/// Time after an entry's last report for which its totals are kept.
-const ENTRY_RETENTION: Duration = Duration::from_secs(60);
-/// Most entries that an entry is told of to which it may forward requests. Entries are told of
-/// different ones, so that what one cut off forwards is spread.
-const MAX_FORWARDERS: usize = 6;
 /// Maximum number of usage windows whose counts are kept.
 const MAX_WINDOWS: usize = 16;
 
 /// Reports of all entries, and the sums over them.
 #[derive(Debug)]
 pub(crate) struct Workload {
-    entries: IndexMap<EntryProcess, EntryReport>,
+    entries: Reports,
     limits: TokenLimits,
     /// Evidence about parts of prompts that crash upstreams.
     parts: Evidence,
@@ -71,28 +63,11 @@
     pub(crate) model: Model,
 }
 
-/// Last report of one entry.
-#[derive(Debug)]
-struct EntryReport {
-    /// Time at which it was received.
-    at: Instant,
-    work: Vec<(UpstreamId, Work)>,
-    demand: IndexMap<ServiceId, DemandTotals>,
-    forwarding: Option<SocketAddr>,
-    out_of_reach: Vec<ServiceId>,
-    speeds: SpeedTable,
-    moments: MomentTable,
-    /// When the entry was last told the speeds of all entries.
-    speeds_told: Option<Instant>,
-    by_work: Vec<ServiceId>,
-    reads_rollouts: bool,
-}
-
 impl Workload {
     /// Starts without reports at the time `now`; token limits apply over `limit_window`.
     pub(crate) fn new(limit_window: Duration, now: Instant) -> Self {
         Workload {
-            entries: IndexMap::new(),
+            entries: Reports::default(),
             limits: TokenLimits::new(limit_window),
             parts: Evidence::new(Kind::Part, 0, &[], now),
             requests: Evidence::new(Kind::Request, 0, &[], now),
@@ -140,7 +115,7 @@
         text: Option<&Text>,
         now: Instant,
     ) -> Overview {
-        self.drop_old_entries(now);
+        self.remove_old_entries(now);
         self.add_counts(&process, report.started);
         let balances = text.map(|text| {
             self.limits
@@ -172,12 +147,12 @@
             by_work: report.by_work,
             reads_rollouts: report.reads_rollouts,
         };
-        let forwarders = self.forwarders(&process, &report.out_of_reach, now);
+        let forwarders = self.entries.forwarders(&process, &report.out_of_reach, now);
         self.add_demand(&process, &report.demand, now);
         let node = process.0.clone();
         self.entries.insert(process, report);
-        let speeds = speeds_due.then(|| self.total_speeds(now));
-        let total = self.total_work(now);
+        let speeds = speeds_due.then(|| self.entries.total_speeds(now));
+        let total = self.entries.total_work(now);
         let (work, work_table, work_ms) = match reads_work_table {
             true => {
                 let named = total.iter().map(|(name, work)| (name.as_str(), *work));
@@ -189,13 +164,13 @@
         Overview {
             now_ms: 0,
             replaced_ms: None,
-            entries: u32::try_from(self.live_reports(now).count()).unwrap_or(u32::MAX),
+            entries: u32::try_from(self.entries.live(now).count()).unwrap_or(u32::MAX),
             balances: balances.unwrap_or_default(),
             work,
             work_table,
             work_ms,
             speeds,
-            moments: self.newest_moments(now),
+            moments: self.entries.newest_moments(now),
             quarantine,
             requests,
             limits,
@@ -211,55 +186,16 @@
 
     /// Reports whether entries have reported lately, and all of these keep to roll-outs.
     pub(crate) fn keeps_to_rollouts(&self, now: Instant) -> bool {
-        let mut live = self.live_reports(now).peekable();
-        live.peek().is_some() && live.all(|report| report.reads_rollouts)
+        self.entries.keeps_to_rollouts(now)
     }
 
     /// Returns the position of an entry among those that reported, and their number, while upstreams
     /// bear few refusals.
     fn position(&self, node: &NodeId, now: Instant) -> Option<(u32, u32)> {
-        if !self.refusals.any_bears_few() {
-            return None;
+        match self.refusals.any_bears_few() {
+            true => self.entries.position(node, now),
+            false => None,
         }
-        let live = self
-            .entries
-            .iter()
-            .filter(|(_, report)| now.saturating_duration_since(report.at) < REPORT_LIFETIME);
-        let nodes: IndexSet<&NodeId> = live.map(|((node, _), _)| node).collect();
-        let before = nodes.iter().filter(|other| **other < node).count();
-        Some((
-            u32::try_from(before).ok()?,
-            u32::try_from(nodes.len()).ok()?,
-        ))
-    }
-
-    /// Returns entries to which `process` may forward requests: if it does not reach some services,
-    /// those that reach these, otherwise those that reach all.
-    fn forwarders(
-        &self,
-        (node, _): &EntryProcess,
-        out_of_reach: &[ServiceId],
-        now: Instant,
-    ) -> Vec<Forwarder> {
-        let count = self.entries.len();
-        let first = xxh3_64(node.as_bytes()) as usize % count.max(1);
-        let reaches = |report: &EntryReport| match out_of_reach {
-            [] => report.out_of_reach.is_empty(),
-            _ => out_of_reach
-                .iter()
-                .all(|service| !report.out_of_reach.contains(service)),
-        };
-        let from_first = (first..count).chain(0..first);
-        let entries = from_first.filter_map(|index| self.entries.get_index(index));
-        let forwarders = entries.filter_map(|((other, _), report)| {
-            let is_live = now.saturating_duration_since(report.at) < REPORT_LIFETIME;
-            let usable = other != node && is_live && reaches(report);
-            Some(Forwarder {
-                node: other.clone(),
-                address: report.forwarding.filter(|_| usable)?,
-            })
-        });
-        forwarders.take(MAX_FORWARDERS).collect()
     }
 
     /// Records the limits that an entry heard of, and returns all of them unless the entry has the
@@ -314,8 +250,7 @@
     /// Reports whether a service is balanced by work: an entry reported that an upstream of it stated
     /// its slowdown.
     pub(crate) fn is_balanced_by_work(&self, service: &ServiceId) -> bool {
-        let mut reports = self.entries.values();
-        reports.any(|report| report.by_work.contains(service))
+        self.entries.is_balanced_by_work(service)
     }
 
     /// Returns the services whose next plan of admission is due.
@@ -332,7 +267,7 @@
         now: Instant,
     ) -> Vec<Planned> {
         self.plans.set_supplies(supplies);
-        let work = self.total_work(now).into_iter().collect();
+        let work = self.entries.total_work(now).into_iter().collect();
         let planned = services.iter().filter_map(|service| {
             let model = self.performance.model(service, text, now);
             let model = model.unwrap_or_else(|| Model::assumed(0.0, 0.0));
@@ -359,9 +294,7 @@
     ) {
         // What came before a process's first report, or while none arrived, may be old, so that it
         // adds nothing to the rate.
-        let before = self.entries.get(process);
-        let before =
-            before.filter(|report| now.saturating_duration_since(report.at) < REPORT_LIFETIME);
+        let before = self.entries.get_live(process, now);
         for (service, total) in demand {
             let known =
                 before.map(|report| report.demand.get(service).copied().unwrap_or_default());
@@ -384,37 +317,11 @@
         }
     }
 
-    fn drop_old_entries(&mut self, now: Instant) {
-        let count = self.entries.len();
-        self.entries
-            .retain(|_, report| now.saturating_duration_since(report.at) < ENTRY_RETENTION);
-        if self.entries.len() < count {
+    fn remove_old_entries(&mut self, now: Instant) {
+        if self.entries.remove_old(now) {
             let entries = &self.entries;
             self.limits
-                .retain_processes(|process| entries.contains_key(process));
-        }
-    }
-
-    fn live_reports(&self, now: Instant) -> impl Iterator<Item = &EntryReport> {
-        let reports = self.entries.values();
-        reports.filter(move |report| now.saturating_duration_since(report.at) < REPORT_LIFETIME)
-    }
-
-    fn total_speeds(&self, now: Instant) -> SpeedTable {
-        SpeedTable::sum(self.live_reports(now).map(|report| &report.speeds))
-    }
-
-    fn newest_moments(&self, now: Instant) -> MomentTable {
-        let reports = self.live_reports(now);
-        MomentTable::newest(reports.map(|report| (&report.moments, report.at)), now)
-    }
-
-    fn total_work(&self, now: Instant) -> Vec<(UpstreamId, Work)> {
-        let mut sums: IndexMap<UpstreamId, Work> = IndexMap::new();
-        for (upstream, work) in self.live_reports(now).flat_map(|report| &report.work) {
-            let sum = sums.entry(upstream.clone()).or_default();
-            *sum = sum.with(*work);
+                .retain_processes(|process| entries.contains(process));
         }
-        sums.into_iter().collect()
     }
 }
