Report no cold shared parts as queued to other entries

Cause: an entry takes a shared part for cold that it has not sent itself, and counted its tokens in the work that it reported. An engine computes such a part once, but the queue of its home had it once for each entry. Homes of parts then looked full, prompts went to engines that computed the parts again, and cold prompts were refused.

Change: cold tokens count in the queue only at the entry that sent them. Choice has them in a field of their own, so that they are released with the prompt.

--- a/components/gateway/src/balancer/choice.rs
+++ b/components/gateway/src/balancer/choice.rs
@@ -65,6 +65,8 @@
     pub is_taken: bool,
     /// Tokens of the prompt that the upstream has to compute.
     pub uncached_tokens: u32,
+    /// Those of them that belong to shared parts of the prompt.
+    pub cold_tokens: u32,
     /// Tokens of earlier requests that the upstream has to compute first.
     pub queued_tokens: u32,
     /// Other requests in flight at the upstream, of all entries.
--- a/components/gateway/src/balancer/estimate.rs
+++ b/components/gateway/src/balancer/estimate.rs
@@ -37,6 +37,8 @@
     pub(super) fetched: u32,
     /// Tokens that it computes though the prompt's home computes them as well, or has them.
     pub(super) repeated: u32,
+    /// Tokens of shared parts that it is expected to compute.
+    pub(super) cold: u32,
     /// Whether all entries prefer it for the prompt.
     pub(super) is_preferred: bool,
 }
@@ -60,6 +62,8 @@
     pub(super) at_rest: Duration,
     /// Tokens of the prompt that the upstream has to compute.
     pub(super) uncached_tokens: u32,
+    /// Those of them that belong to shared parts of the prompt.
+    pub(super) cold_tokens: u32,
     /// Requests in flight at the upstream, of all entries.
     pub(super) in_flight: u32,
     /// Expected cost for this and other requests, in milliseconds; the lowest score is chosen.
@@ -113,7 +117,8 @@
         Estimate {
             first_event: millis(cost.first_event + remote_delay),
             at_rest: millis(cost.at_rest + remote_delay),
-            uncached_tokens: tokens.map_or(0, |tokens| tokens.computed),
+            uncached_tokens: tokens.as_ref().map_or(0, |tokens| tokens.computed),
+            cold_tokens: tokens.as_ref().map_or(0, |tokens| tokens.cold),
             in_flight,
             score: cost.score + remote_delay + penalty - bonus,
             by_work: cost.by_work,
@@ -196,6 +201,8 @@
     pub(super) charged: u32,
     /// Tokens of those to be computed that another engine has computed or computes as well.
     pub(super) repeated: u32,
+    /// Tokens of shared parts among those to be computed.
+    cold: u32,
 }
 
 impl Tokens {
@@ -220,11 +227,16 @@
             Affinity::Expected(expectation) => expectation.repeated,
             Affinity::Home | Affinity::Away | Affinity::Any => 0,
         };
+        let cold = match affinity {
+            Affinity::Expected(expectation) => expectation.cold,
+            Affinity::Home | Affinity::Away | Affinity::Any => 0,
+        };
         Tokens {
             computed: prompt.input_tokens.saturating_sub(cached),
             fetched,
             charged: if affinity.is_preferred() { 0 } else { fetched },
             repeated,
+            cold,
         }
     }
 }
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -41,8 +41,13 @@
     pub(super) is_engine: bool,
     /// Requests that fit into a batch.
     pub(super) slots: u32,
-    /// Current work of this entry.
+    /// Current work of this entry, without [`Upstream::own_cold_tokens`].
     pub(super) own_work: Work,
+    /// Tokens of cold shared parts that this entry's requests are expected to compute. They are not
+    /// reported: each entry takes a part for cold that it has not sent itself, but the engine computes
+    /// it once. Summed over all entries, they made the queues of homes look so long that prompts went
+    /// to engines that computed the parts again.
+    own_cold_tokens: u32,
     /// Work of this entry as of its last report.
     pub(super) reported_work: Work,
     /// Work of the other entries, as last received from the leader.
@@ -82,6 +87,7 @@
             is_engine: false,
             slots: announcement.capacity.batch,
             own_work: Work::default(),
+            own_cold_tokens: 0,
             reported_work: Work::default(),
             other_work: Work::default(),
             reported_load: None,
@@ -144,7 +150,7 @@
 
     /// Returns the prompt tokens that it still has to compute, for requests of all entries.
     pub(super) fn queued_tokens(&self) -> u32 {
-        self.own_work.prefill_tokens + self.other_work.prefill_tokens
+        self.own_work.prefill_tokens + self.own_cold_tokens + self.other_work.prefill_tokens
     }
 
     /// Counts a request as sent, and returns the choice.
@@ -161,9 +167,12 @@
         self.places.take(now);
         self.own_work = self.own_work.with(Work {
             requests: 1,
-            prefill_tokens: estimate.uncached_tokens,
+            prefill_tokens: estimate
+                .uncached_tokens
+                .saturating_sub(estimate.cold_tokens),
             work_ms: estimate.by_work.map(|by_work| by_work.work_ms),
         });
+        self.own_cold_tokens += estimate.cold_tokens;
         if let Some(prompt) = criteria.prompt.filter(|_| self.is_engine) {
             self.prefixes.record(prompt);
         }
@@ -186,6 +195,7 @@
             fetch_from: None,
             is_taken: false,
             uncached_tokens: estimate.uncached_tokens,
+            cold_tokens: estimate.cold_tokens,
             queued_tokens,
             in_flight: estimate.in_flight,
             expected_first_event: estimate.first_event,
@@ -243,6 +253,8 @@
     /// Removes the prompt of a request from the tokens still to be computed.
     fn release_prefill(&mut self, choice: &Choice) {
         let tokens = self.own_work.prefill_tokens;
-        self.own_work.prefill_tokens = tokens.saturating_sub(choice.uncached_tokens);
+        let reported = choice.uncached_tokens.saturating_sub(choice.cold_tokens);
+        self.own_work.prefill_tokens = tokens.saturating_sub(reported);
+        self.own_cold_tokens = self.own_cold_tokens.saturating_sub(choice.cold_tokens);
     }
 }
--- a/components/gateway/src/balancer/warm.rs
+++ b/components/gateway/src/balancer/warm.rs
@@ -219,6 +219,7 @@
             cached,
             fetched,
             repeated: if is_preferred { 0 } else { missing },
+            cold: missing,
             is_preferred,
         }
     }
--- a/components/gateway/src/forward/client.rs
+++ b/components/gateway/src/forward/client.rs
@@ -138,6 +138,7 @@
         fetch_from: None,
         is_taken: true,
         uncached_tokens: 0,
+        cold_tokens: 0,
         queued_tokens: 0,
         in_flight: 0,
         expected_first_event: Duration::ZERO,
--- a/components/gateway/tests/balancing/fleet.rs
+++ b/components/gateway/tests/balancing/fleet.rs
@@ -319,6 +319,7 @@
             address: announcement.address,
             fetch_from: None,
             uncached_tokens: 0,
+            cold_tokens: 0,
             queued_tokens: 0,
             in_flight: 0,
             expected_first_event: Duration::ZERO,
--- a/components/gateway/tests/warm/start.rs
+++ b/components/gateway/tests/warm/start.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use config::ids::UpstreamId;
-use gateway::balancer::Settings;
+use gateway::balancer::{Outcome, Settings};
 use googletest::prelude::*;
 use indexmap::IndexMap;
 
@@ -38,6 +38,24 @@
     assert_that!(first, eq(&later));
 }
 
+/// Guards against a queue that counts one cold part once for each entry which has not sent it yet.
+#[test]
+fn reports_no_cold_parts_as_queued_to_other_entries() {
+    let mut group = Group::new(2, 9);
+    let first = group.send(0, 1);
+    let reported = group.entry(0).report();
+    let tokens = reported.iter().map(|(_, work)| work.prefill_tokens);
+    assert_that!(first.cold_tokens, gt(SHARED_TOKENS / 2));
+    assert_that!(tokens.sum::<u32>(), eq(OWN_TOKENS));
+    // The entry that sent it knows that the engine computes it.
+    let second = group.send(0, 1);
+    assert_that!(second.upstream, eq(&first.upstream));
+    assert_that!(second.queued_tokens, eq(first.uncached_tokens));
+    group.finish(0, &first, Outcome::Answered);
+    let third = group.send(0, 1);
+    assert_that!(third.queued_tokens, eq(OWN_TOKENS));
+}
+
 #[test]
 fn spreads_cold_prompts_over_the_engines() {
     let mut group = Group::new(1, 10);
