Separate the selection of an upstream from its counting, and explain it

`choose` selected an upstream and counted the request in one step, so that a choice could not be looked at without making it. `select` now only reads, and `choose` counts what it returns; `explain` calls the same function and lists the candidates and what is left out.

--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -17,6 +17,7 @@
 mod choice;
 mod estimate;
 mod exchange;
+mod explanation;
 mod feedback;
 mod health;
 mod holders;
@@ -43,6 +44,7 @@
 
 pub use brittle::Position;
 pub use choice::{Choice, Criteria, Shortage};
+pub use explanation::{Candidate, Explanation, LeftOut, Reason};
 pub use level::Level;
 pub use rates::Rates;
 pub use settings::Settings;
@@ -65,6 +67,7 @@
 use crate::call::PartId;
 use brittle::Brittle;
 use estimate::{Affinity, Basis, Estimate};
+use choice::Selection;
 use residence::Residence;
 use rollout::Rollouts;
 use upstream::Upstream;
@@ -160,41 +163,76 @@
     /// exceeds the deadline or the longest accepted wait.
     pub fn choose(&mut self, criteria: &Criteria<'_>, now: Instant) -> Result<Choice, Shortage> {
         self.choices = self.choices.wrapping_add(1);
+        let selection = self.select(criteria, self.choices, now)?;
+        let Selection {
+            choice,
+            estimate,
+            warm,
+        } = selection;
+        let upstream = self.upstreams.get_mut(&choice.upstream);
+        let upstream = upstream.ok_or(Shortage::NoUpstream)?;
+        upstream.record_dispatch(criteria, &estimate, now);
+        if let (Some(warm), Some(prompt)) = (warm, criteria.prompt) {
+            self.tally
+                .record(&warm.source, warm.is_second_place, warm.cold_tokens);
+            let ready = now + estimate.first_event;
+            let process = (&choice.upstream, choice.incarnation);
+            self.residence.record(prompt, process, ready, now);
+        }
+        Ok(choice)
+    }
+
+    /// Selects the upstream of the choice with this number, and counts nothing.
+    fn select(
+        &self,
+        criteria: &Criteria<'_>,
+        number: u64,
+        now: Instant,
+    ) -> Result<Selection, Shortage> {
         if let Some(prompt) = self.warm_prompt(criteria) {
-            return self.choose_warm(criteria, prompt, now);
+            return self.select_warm(criteria, prompt, now);
         }
         let usable = self.usable(criteria, now);
-        let (home, best) = self.best(&usable, criteria, now);
+        let (home, best) = self.best(&usable, criteria, number, now);
         let Some((name, estimate)) = best else {
             return Err(self.shortage(criteria, now));
         };
-        let limit = criteria.limit(estimate.at_rest);
-        if estimate.first_event > limit {
-            return Err(Shortage::Overloaded(estimate.first_event - limit));
-        }
+        self.check_limit(criteria, &estimate)?;
         let fetch_from = self.fetch_source(criteria, &name, now);
-        let upstream = self.upstreams.get_mut(&name).ok_or(Shortage::NoUpstream)?;
-        Ok(Choice {
-            fetch_from,
-            ..upstream.record_dispatch(&name, criteria, &estimate, home.as_deref(), now)
+        let upstream = self.upstreams.get(&name).ok_or(Shortage::NoUpstream)?;
+        Ok(Selection {
+            choice: Choice {
+                fetch_from,
+                ..upstream.choice(&name, &estimate, home.as_deref(), now)
+            },
+            estimate,
+            warm: None,
         })
     }
 
+    /// Checks that a request is expected to begin in time at the best upstream.
+    fn check_limit(&self, criteria: &Criteria<'_>, best: &Estimate) -> Result<(), Shortage> {
+        let limit = criteria.limit(best.at_rest);
+        match best.first_event > limit {
+            true => Err(Shortage::Overloaded(best.first_event - limit)),
+            false => Ok(()),
+        }
+    }
+
     /// Returns the home of a prompt, and the upstream with the lowest score: among the home and its
     /// substitutes if one of them is expected to begin the request in time, otherwise among more of them.
     fn best(
         &self,
         usable: &[(&UpstreamId, &Upstream)],
         criteria: &Criteria<'_>,
+        number: u64,
         now: Instant,
     ) -> (Option<UpstreamId>, Option<(UpstreamId, Estimate)>) {
         let Some(ranked) = home::ranked(criteria, usable, now) else {
-            let is_sampled =
-                criteria.prompt.is_none() && self.is_balanced_by_work(criteria.service);
-            return match is_sampled {
+            return match self.is_sampled(criteria) {
                 true => (
                     None,
-                    self.lowest(&self.sampled(usable, now), None, criteria, now),
+                    self.lowest(&self.sampled(usable, number, now), None, criteria, now),
                 ),
                 false => (None, self.lowest(usable, None, criteria, now)),
             };
@@ -220,18 +258,9 @@
         now: Instant,
     ) -> Option<(UpstreamId, Estimate)> {
         let rates = self.rates(criteria.service);
-        let is_by_work = self.is_balanced_by_work(criteria.service);
+        let by = self.basis(criteria, &rates);
         let estimated = upstreams.iter().map(|(name, upstream)| {
-            let affinity = match home {
-                Some(home) if home == *name => Affinity::Home,
-                Some(_) => Affinity::Away,
-                None => Affinity::Any,
-            };
-            let by = Basis {
-                settings: &self.settings,
-                rates: &rates,
-                is_by_work,
-            };
+            let affinity = affinity(name, home);
             let estimate = Estimate::new(upstream, criteria, affinity, &by, now);
             (*name, estimate)
         });
@@ -239,6 +268,15 @@
         lowest.map(|(name, estimate)| (name.clone(), estimate))
     }
 
+    /// Returns what estimates for a request are based on.
+    fn basis<'b>(&'b self, criteria: &Criteria<'_>, rates: &'b Rates) -> Basis<'b> {
+        Basis {
+            settings: &self.settings,
+            rates,
+            is_by_work: self.is_balanced_by_work(criteria.service),
+        }
+    }
+
     /// Returns the rates of a service's engines.
     fn rates(&self, service: &ServiceId) -> Rates {
         let model = self.models.get(service);
@@ -279,14 +317,7 @@
     /// If all leases have expired as well, every upstream last known to be serving is included, so
     /// that an entry without contact to the control group continues to serve.
     fn usable(&self, criteria: &Criteria<'_>, now: Instant) -> Vec<(&UpstreamId, &Upstream)> {
-        let is_candidate = |(name, upstream): &(&UpstreamId, &Upstream)| {
-            is_candidate(name, upstream, criteria)
-                && upstream.pause(now).is_none()
-                && upstream.limit.allows(now)
-                && self.brittle.allows(name, upstream, now)
-        };
-        let all: Vec<_> = self.upstreams.iter().filter(is_candidate).collect();
-        let all = self.keep_to_versions(all, criteria, now);
+        let all = self.eligible(criteria, now);
         let is_live = |upstream: &Upstream| now < upstream.expires;
         let is_healthy = |upstream: &Upstream| !upstream.health.is_passed_over(now);
         let healthy: Vec<_> = all
@@ -306,6 +337,33 @@
         }
     }
 
+    /// Returns the upstreams to which the request may be sent, whatever their lease and health.
+    fn eligible(&self, criteria: &Criteria<'_>, now: Instant) -> Vec<(&UpstreamId, &Upstream)> {
+        let takes_it = |(name, upstream): &(&UpstreamId, &Upstream)| {
+            upstream.service == *criteria.service
+                && self.obstacle(name, upstream, criteria, now).is_none()
+        };
+        let all = self.upstreams.iter().filter(takes_it).collect();
+        self.keep_to_versions(all, criteria, now)
+    }
+
+    /// Returns why an upstream of the service may not take the request, whatever its lease and health.
+    fn obstacle(
+        &self,
+        name: &UpstreamId,
+        upstream: &Upstream,
+        criteria: &Criteria<'_>,
+        now: Instant,
+    ) -> Option<Reason> {
+        let lasting = lasting_obstacle(name, upstream, criteria);
+        lasting.or_else(|| match upstream.pause(now) {
+            Some(_) => Some(Reason::Paused),
+            None if !upstream.limit.allows(now) => Some(Reason::NoPermit),
+            None if !self.brittle.allows(name, upstream, now) => Some(Reason::NoPlace),
+            None => None,
+        })
+    }
+
     /// Returns the software version of a service if it has only one: among all its upstreams that
     /// are known, also those that have left within [`Settings::retention_after_lease`].
     pub fn only_software(&self, service: &ServiceId) -> Option<&Software> {
@@ -356,13 +414,32 @@
 
 /// Reports whether an upstream may take a request, whatever its lease, health and limit.
 fn is_candidate(name: &UpstreamId, upstream: &Upstream, criteria: &Criteria<'_>) -> bool {
-    upstream.service == *criteria.service
-        && !upstream.is_leaving()
-        && !upstream.superseded
-        && !criteria.excluded.contains(name)
-        && criteria
-            .software
-            .is_none_or(|software| *software == upstream.software)
+    upstream.service == *criteria.service && lasting_obstacle(name, upstream, criteria).is_none()
+}
+
+/// Returns why an upstream of the service may not take the request, whatever its lease, health, limit and
+/// pauses.
+fn lasting_obstacle(
+    name: &UpstreamId,
+    upstream: &Upstream,
+    criteria: &Criteria<'_>,
+) -> Option<Reason> {
+    match criteria.software {
+        _ if upstream.is_leaving() => Some(Reason::Leaving),
+        _ if upstream.superseded => Some(Reason::Superseded),
+        _ if criteria.excluded.contains(name) => Some(Reason::Excluded),
+        Some(software) if *software != upstream.software => Some(Reason::OtherVersion),
+        _ => None,
+    }
+}
+
+/// Returns the relation of an engine to the home of a prompt.
+fn affinity(name: &UpstreamId, home: Option<&UpstreamId>) -> Affinity {
+    match home {
+        Some(home) if home == name => Affinity::Home,
+        Some(_) => Affinity::Away,
+        None => Affinity::Any,
+    }
 }
 
 /// Reports whether the upstreams of a service of this kind are engines.
--- a/components/gateway/src/balancer/by_work.rs
+++ b/components/gateway/src/balancer/by_work.rs
@@ -23,10 +23,17 @@
     pub(super) speed: f64,
 }
 
+impl ByWork {
+    /// Returns the work with the prompt, in milliseconds of a usual upstream.
+    pub(super) fn total_ms(&self) -> f64 {
+        f64::from(self.work_ms) + self.prefill_ms
+    }
+}
+
 impl fmt::Display for ByWork {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let work_ms = f64::from(self.work_ms) + self.prefill_ms;
-        write!(f, "work {work_ms:.0} ms, speed {:.2}", self.speed)
+        let (work_ms, speed) = (self.total_ms(), self.speed);
+        write!(f, "work {work_ms:.0} ms, speed {speed:.2}")
     }
 }
 
--- a/components/gateway/src/balancer/choice.rs
+++ b/components/gateway/src/balancer/choice.rs
@@ -8,6 +8,8 @@
 use config::duration::bounded;
 use config::ids::{Incarnation, ServiceId, UpstreamId};
 
+use super::estimate::Estimate;
+use super::holders::Holder;
 use crate::Prompt;
 
 /// Criteria by which the upstream of a request is chosen.
@@ -87,3 +89,22 @@
     /// paused, and the first pause ends after it.
     Overloaded(Duration),
 }
+
+/// An upstream that was selected for a request, before the request is counted there.
+#[derive(Clone, Debug)]
+pub(super) struct Selection {
+    pub(super) choice: Choice,
+    pub(super) estimate: Estimate,
+    /// `None` if the choice did not depend on the engines' caches.
+    pub(super) warm: Option<Warm>,
+}
+
+/// What was expected of the engines' caches at a choice.
+#[derive(Clone, Debug)]
+pub(super) struct Warm {
+    /// Engine to fetch from.
+    pub(super) source: Option<(Holder, SocketAddr)>,
+    pub(super) is_second_place: bool,
+    /// Shared tokens of the prompt that are expected to be computed.
+    pub(super) cold_tokens: u32,
+}
--- a/components/gateway/src/balancer/estimate.rs
+++ b/components/gateway/src/balancer/estimate.rs
@@ -60,6 +60,8 @@
     pub(super) at_rest: Duration,
     /// Tokens of the prompt that the upstream has to compute.
     pub(super) uncached_tokens: u32,
+    /// Tokens of the prompt that the upstream fetches from another engine.
+    pub(super) fetched_tokens: u32,
     /// Requests in flight at the upstream, of all entries.
     pub(super) in_flight: u32,
     /// Expected cost for this and other requests, in milliseconds; the lowest score is chosen.
@@ -113,6 +115,7 @@
         Estimate {
             first_event: millis(cost.first_event + remote_delay),
             at_rest: millis(cost.at_rest + remote_delay),
+            fetched_tokens: tokens.as_ref().map_or(0, |tokens| tokens.fetched),
             uncached_tokens: tokens.map_or(0, |tokens| tokens.computed),
             in_flight,
             score: cost.score + remote_delay + penalty - bonus,
--- a/components/gateway/src/balancer/room.rs
+++ b/components/gateway/src/balancer/room.rs
@@ -27,7 +27,7 @@
         now: Instant,
     ) -> bool {
         let usable = self.usable(criteria, now);
-        let (_, Some((_, best))) = self.best(&usable, criteria, now) else {
+        let (_, Some((_, best))) = self.best(&usable, criteria, self.choices, now) else {
             return false;
         };
         let wait = best.first_event.saturating_sub(best.at_rest);
--- a/components/gateway/src/balancer/upstream.rs
+++ b/components/gateway/src/balancer/upstream.rs
@@ -147,16 +147,13 @@
         self.own_work.prefill_tokens + self.other_work.prefill_tokens
     }
 
-    /// Counts a request as sent, and returns the choice.
+    /// Counts a request as sent.
     pub(super) fn record_dispatch(
         &mut self,
-        name: &UpstreamId,
         criteria: &Criteria<'_>,
         estimate: &Estimate,
-        home: Option<&str>,
         now: Instant,
-    ) -> Choice {
-        let queued_tokens = self.queued_tokens();
+    ) {
         self.limit.take(now);
         self.places.take(now);
         self.own_work = self.own_work.with(Work {
@@ -167,6 +164,16 @@
         if let Some(prompt) = criteria.prompt.filter(|_| self.is_engine) {
             self.prefixes.record(prompt);
         }
+    }
+
+    /// Returns the choice of this upstream for a request, before that is counted.
+    pub(super) fn choice(
+        &self,
+        name: &UpstreamId,
+        estimate: &Estimate,
+        home: Option<&str>,
+        now: Instant,
+    ) -> Choice {
         let expiry_ms = self.expires.saturating_duration_since(now).as_millis();
         let affinity = match home {
             Some(home) if home == name.as_str() => "on the home engine",
@@ -186,7 +193,7 @@
             fetch_from: None,
             is_taken: false,
             uncached_tokens: estimate.uncached_tokens,
-            queued_tokens,
+            queued_tokens: self.queued_tokens(),
             in_flight: estimate.in_flight,
             expected_first_event: estimate.first_event,
             work_ms: estimate.by_work.map(|by_work| by_work.work_ms),
--- a/components/gateway/src/balancer/warm.rs
+++ b/components/gateway/src/balancer/warm.rs
@@ -12,7 +12,7 @@
 use config::ids::{DataCentreId, UpstreamId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::choice::{Choice, Criteria, Shortage};
+use super::choice::{Choice, Criteria, Selection, Shortage, Warm};
 use super::estimate::{Affinity, Basis, Estimate, Expectation};
 use super::holders::{Holder, Holders};
 use super::upstream::Upstream;
@@ -44,13 +44,13 @@
         (is_by_work && !prompt.parts.is_empty()).then_some(prompt)
     }
 
-    /// Chooses the engine of a prompt, and counts the request as sent to it.
-    pub(super) fn choose_warm(
-        &mut self,
+    /// Selects the engine of a prompt, and counts nothing.
+    pub(super) fn select_warm(
+        &self,
         criteria: &Criteria<'_>,
         prompt: &Prompt,
         now: Instant,
-    ) -> Result<Choice, Shortage> {
+    ) -> Result<Selection, Shortage> {
         let Some(parts) = self.parts(criteria, prompt, now) else {
             return Err(Shortage::NoUpstream);
         };
@@ -61,25 +61,50 @@
         else {
             return Err(self.shortage(criteria, now));
         };
-        let limit = criteria.limit(estimate.at_rest);
-        if estimate.first_event > limit {
-            return Err(Shortage::Overloaded(estimate.first_event - limit));
-        }
+        self.check_limit(criteria, &estimate)?;
         let source = self.source(&parts, &name, now);
         let cold_tokens = cold_tokens(&parts, &estimate);
-        self.tally.record(&source, is_second, cold_tokens);
-        let upstream = self.upstreams.get_mut(&name).ok_or(Shortage::NoUpstream)?;
-        let ready = now + estimate.first_event;
-        let process = (&name, upstream.incarnation);
-        self.residence.record(prompt, process, ready, now);
-        let choice = upstream.record_dispatch(&name, criteria, &estimate, home.as_deref(), now);
-        Ok(Choice {
-            fetch_from: source.map(|(_, address)| address),
-            reason: reason(&choice.reason, is_second, &source, cold_tokens),
-            ..choice
+        let upstream = self.upstreams.get(&name).ok_or(Shortage::NoUpstream)?;
+        let choice = upstream.choice(&name, &estimate, home.as_deref(), now);
+        Ok(Selection {
+            choice: Choice {
+                fetch_from: source.map(|(_, address)| address),
+                reason: reason(&choice.reason, is_second, &source, cold_tokens),
+                ..choice
+            },
+            estimate,
+            warm: Some(Warm {
+                source,
+                is_second_place: is_second,
+                cold_tokens,
+            }),
         })
     }
 
+    /// Returns the usable engines in the order in which a prompt's engine is looked for, with what is
+    /// expected of each.
+    pub(super) fn estimates_warm(
+        &self,
+        criteria: &Criteria<'_>,
+        prompt: &Prompt,
+        now: Instant,
+    ) -> Vec<(&UpstreamId, Estimate)> {
+        let Some(parts) = self.parts(criteria, prompt, now) else {
+            return Vec::new();
+        };
+        let ranked = self.ranked(&parts, self.usable(criteria, now), now);
+        let Some(home) = ranked.first().map(|(name, _)| *name) else {
+            return Vec::new();
+        };
+        let rates = self.rates(criteria.service);
+        let by = self.basis(criteria, &rates);
+        let estimate = |engine: &(&'_ UpstreamId, &Upstream)| {
+            self.estimate_warm(*engine, home, &parts, criteria, &by, now)
+        };
+        let estimates = ranked.iter().map(|engine| (engine.0, estimate(engine)));
+        estimates.collect()
+    }
+
     /// Returns where the shared parts of a prompt are expected; `None` for a prompt without parts.
     fn parts<'c>(
         &self,
@@ -177,21 +202,30 @@
         now: Instant,
     ) -> Option<(UpstreamId, Estimate)> {
         let rates = self.rates(criteria.service);
-        let estimated = engines.iter().map(|(name, upstream)| {
-            let expectation = self.expectation((name, upstream), preferred, parts, now);
-            let affinity = Affinity::Expected(expectation);
-            let by = Basis {
-                settings: &self.settings,
-                rates: &rates,
-                is_by_work: true,
-            };
-            let estimate = Estimate::new(upstream, criteria, affinity, &by, now);
-            (*name, estimate)
+        let by = self.basis(criteria, &rates);
+        let estimated = engines.iter().map(|engine| {
+            let estimate = self.estimate_warm(*engine, preferred, parts, criteria, &by, now);
+            (engine.0, estimate)
         });
         let lowest = estimated.min_by(|a, b| a.1.score.total_cmp(&b.1.score));
         lowest.map(|(name, estimate)| (name.clone(), estimate))
     }
 
+    /// Returns what is expected of an engine.
+    fn estimate_warm(
+        &self,
+        (name, upstream): (&UpstreamId, &Upstream),
+        preferred: &UpstreamId,
+        parts: &Parts<'_>,
+        criteria: &Criteria<'_>,
+        by: &Basis<'_>,
+        now: Instant,
+    ) -> Estimate {
+        let expectation = self.expectation((name, upstream), preferred, parts, now);
+        let affinity = Affinity::Expected(expectation);
+        Estimate::new(upstream, criteria, affinity, by, now)
+    }
+
     /// Returns what is expected of an engine's cache for a prompt.
     fn expectation(
         &self,
