--- a/components/gateway/src/balancer.rs
+++ b/components/gateway/src/balancer.rs
@@ -66,8 +66,8 @@
 
 use crate::call::PartId;
 use brittle::Brittle;
-use estimate::{Affinity, Basis, Estimate};
 use choice::Selection;
+use estimate::{Affinity, Basis, Estimate};
 use residence::Residence;
 use rollout::Rollouts;
 use upstream::Upstream;
--- a/components/gateway/src/balancer/explanation.rs
+++ b/components/gateway/src/balancer/explanation.rs
@@ -134,11 +134,16 @@
     }
 
     fn candidates(&self, criteria: &Criteria<'_>, number: u64, now: Instant) -> Vec<Candidate> {
-        let usable = self.usable(criteria, now);
+        let mut usable = self.usable(criteria, now);
         let drawn = match self.is_sampled(criteria) {
             true => Some(self.sampled(&usable, number, now)),
             false => None,
         };
+        if let Some(drawn) = &drawn {
+            // Of equal scores, that of the first one drawn is the lowest.
+            let position = |name: &UpstreamId| drawn.iter().position(|(other, _)| *other == name);
+            usable.sort_by_key(|(name, _)| position(name).unwrap_or(usize::MAX));
+        }
         let (has_groups, estimates) = self.estimates(usable, criteria, now);
         let count = estimates.len();
         let group = |position: usize, name: &UpstreamId| match &drawn {
@@ -185,10 +190,7 @@
         let by = self.basis(criteria, &rates);
         let estimates = ranked.into_iter().map(|(name, upstream)| {
             let affinity = affinity(name, home);
-            (
-                name,
-                Estimate::new(upstream, criteria, affinity, &by, now),
-            )
+            (name, Estimate::new(upstream, criteria, affinity, &by, now))
         });
         (has_groups, estimates.collect())
     }
