Add chervilloft explain-route, answered by an entry's listener for metrics

The entry previews each decision about a request with the functions that make it: route, account, quarantine, token limit, plan of admission, way and choice. Each of these got a form that reads only. Compiles; not yet tested through an entry.

--- a/components/gateway/src/accounts.rs
+++ b/components/gateway/src/accounts.rs
@@ -43,11 +43,20 @@
     /// only while the leader answers.
     pub fn take(&mut self, account: &AccountId, rate: Rate, tokens: u64, now: Instant) -> Decision {
         let is_cut_off = self.is_cut_off;
-        let holding = &mut self.account(account).holding;
-        match holding.take(tokens, rate, now) {
-            Decision::Draw if is_cut_off => holding.refuse(tokens, rate),
-            decision => decision,
-        }
+        decide(
+            &mut self.account(account).holding,
+            is_cut_off,
+            rate,
+            tokens,
+            now,
+        )
+    }
+
+    /// Returns what [`Accounts::take`] would decide, and takes nothing.
+    pub fn preview(&self, account: &str, rate: Rate, tokens: u64, now: Instant) -> Decision {
+        let account = self.accounts.get(account);
+        let mut holding = account.map_or_else(Holding::default, |account| account.holding.clone());
+        decide(&mut holding, self.is_cut_off, rate, tokens, now)
     }
 
     /// Puts back the tokens of a request that arrived at `arrived` and did not run.
@@ -143,3 +152,17 @@
         self.accounts.entry(account.clone()).or_default()
     }
 }
+
+/// Decides on a request of `tokens` tokens, and takes them if it is admitted.
+fn decide(
+    holding: &mut Holding,
+    is_cut_off: bool,
+    rate: Rate,
+    tokens: u64,
+    now: Instant,
+) -> Decision {
+    match holding.take(tokens, rate, now) {
+        Decision::Draw if is_cut_off => holding.refuse(tokens, rate),
+        decision => decision,
+    }
+}
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod attempts;
+mod preview;
 mod reply;
 mod through;
 
@@ -15,6 +16,7 @@
 
 pub(crate) use attempt::{Answer, Failure, attempt, check, head_timeout};
 pub(crate) use attempts::Attempts;
+pub(crate) use preview::{Course, Preview, preview};
 pub(crate) use reply::is_stray;
 
 use crate::balancer::{Choice, Criteria, Outcome, Shortage};
@@ -74,7 +76,7 @@
         if let Some(refusal) = refusal_before_attempt(core, call, attempts) {
             return fallback(server_error, refusal);
         }
-        let tried = match way(core, call, attempts) {
+        let tried = match way(core, call, attempts, through::next) {
             Way::Direct => direct(core, call, resume_after, attempts, request_log).await,
             Way::Through(other) => {
                 through::attempt(core, call, &other, resume_after, attempts, request_log).await
@@ -120,8 +122,13 @@
     }
 }
 
-/// Returns how the request gets to an upstream.
-fn way(core: &Core, call: &Call, attempts: &Attempts) -> Way {
+/// Returns how the request gets to an upstream. `next` returns the next entry to be asked.
+fn way(
+    core: &Core,
+    call: &Call,
+    attempts: &Attempts,
+    next: fn(&Core, &Attempts) -> Option<Forwarder>,
+) -> Way {
     let is_lost = lock(&core.reach).is_lost(&call.service);
     let failures = attempts.connect_failures;
     let limit = match is_lost {
@@ -130,7 +137,7 @@
     };
     let has_no_place = lock(&core.balancer).has_no_place(&call.service, Instant::now());
     let forwarder = match is_lost || has_no_place || failures >= limit {
-        true => through::next(core, attempts),
+        true => next(core, attempts),
         false => None,
     };
     match forwarder {
@@ -228,15 +235,20 @@
             Err(shortage) => shortage,
         };
         if let Err(wait) = permits::draw(core, &call.service, limited).await {
-            return Err(match shortage {
-                Shortage::NoUpstream => Shortage::Overloaded(wait),
-                Shortage::Overloaded(excess) => Shortage::Overloaded(excess.min(wait)),
-            });
+            return Err(or_wait(shortage, wait));
         }
     }
     lock(&core.balancer).choose(criteria, Instant::now())
 }
 
+/// Returns the shortage of a request for which there is no permit before `wait` is over.
+fn or_wait(shortage: Shortage, wait: Duration) -> Shortage {
+    match shortage {
+        Shortage::NoUpstream => Shortage::Overloaded(wait),
+        Shortage::Overloaded(excess) => Shortage::Overloaded(excess.min(wait)),
+    }
+}
+
 /// Returns why a request that was sent before must not be sent again, if it must not.
 fn refusal_to_repeat(core: &Core, call: &Call, attempts: &mut Attempts) -> Option<Refusal> {
     let quarantined = lock(&core.quarantine).subject(call);
--- a/components/gateway/src/dispatch/through.rs
+++ b/components/gateway/src/dispatch/through.rs
@@ -23,6 +23,11 @@
     }
 }
 
+/// Returns the same before the first one was asked, and leaves it the next one.
+pub(super) fn peek(core: &Core, attempts: &Attempts) -> Option<Forwarder> {
+    lock(&core.forwarders).peek(&attempts.forwarders, Instant::now())
+}
+
 /// Lets `forwarder` make an attempt.
 pub(super) async fn attempt(
     core: &Arc<Core>,
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use config::ids::ServiceId;
 use config::text::ingress::Route;
 use http::{HeaderValue, Request, Response, header, request};
 use hyper::body::Incoming;
@@ -76,11 +77,7 @@
         }
     };
     if !core.readiness.wait(READINESS_TIMEOUT).await {
-        let retry_after = EXPECTED_STARTUP_TIME.saturating_sub(core.started.elapsed());
-        return refuse(
-            request_log,
-            &Refusal::Unready(retry_after.max(MIN_RETRY_AFTER)),
-        );
+        return refuse(request_log, &unready(&core));
     }
     let admitted = head
         .map_err(Refusal::Malformed)
@@ -165,6 +162,12 @@
     MEMORY_RETRY_AFTER.mul_f64(0.5 + f64::from(spread) / 1_000.0)
 }
 
+/// Returns the refusal of a request while the entry has no text.
+pub(crate) fn unready(core: &Core) -> Refusal {
+    let retry_after = EXPECTED_STARTUP_TIME.saturating_sub(core.started.elapsed());
+    Refusal::Unready(retry_after.max(MIN_RETRY_AFTER))
+}
+
 /// Finds the route, the service and the account of a request.
 fn admit(
     core: &Core,
@@ -189,13 +192,26 @@
         request_log.set_resumes(begun);
     }
     let service = table::select_service(route, &head.id).ok_or(Refusal::NoRoute)?;
+    let admission = accept(core, &table, (route, service), account, &head, arrived)?;
+    Ok(Call::new(admission, head, parts, body))
+}
+
+/// Accepts a request to a service of a route, unless the entry is stopping.
+pub(crate) fn accept(
+    core: &Core,
+    table: &Table,
+    (route, service): (&Arc<Route>, &ServiceId),
+    account: Option<Arc<Account>>,
+    head: &Head,
+    arrived: Instant,
+) -> Result<Admission, Refusal> {
     let wait = head
         .wait
         .map_or(route.timeout, |wait| wait.min(route.timeout));
     if !takes(core, route, head.prompt.as_ref(), arrived, wait) {
         return Err(Refusal::Stopping);
     }
-    let admission = Admission {
+    Ok(Admission {
         route: route.clone(),
         service: service.clone(),
         account,
@@ -203,8 +219,7 @@
         forwarded_by: None,
         arrived,
         deadline: arrived + wait,
-    };
-    Ok(Call::new(admission, head, parts, body))
+    })
 }
 
 /// Reports whether a request that waits up to `wait` is taken, if the entry is stopping.
--- a/components/gateway/src/forward/forwarders.rs
+++ b/components/gateway/src/forward/forwarders.rs
@@ -29,9 +29,16 @@
 
     /// Returns the next entry that is not passed over and not among `tried`.
     pub fn next(&mut self, tried: &[NodeId], now: Instant) -> Option<Forwarder> {
+        let next = self.peek(tried, now);
         self.turn = self.turn.wrapping_add(1);
+        next
+    }
+
+    /// Returns what [`Forwarders::next`] would return.
+    pub fn peek(&self, tried: &[NodeId], now: Instant) -> Option<Forwarder> {
+        let turn = self.turn.wrapping_add(1);
         let count = self.entries.len();
-        let indices = (0..count).map(|offset| (self.turn + offset) % count);
+        let indices = (0..count).map(|offset| (turn + offset) % count);
         let mut entries = indices.map(|index| &self.entries[index]);
         let usable = |entry: &&Forwarder| {
             let until = self.passed_over.get(&entry.node);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod drain;
 mod event_buffer;
 mod exchange;
+pub mod explain;
 mod forward;
 mod metrics;
 mod network;
--- a/components/gateway/src/permits.rs
+++ b/components/gateway/src/permits.rs
@@ -49,6 +49,15 @@
     }
 }
 
+/// Returns how long requests to a service are still refused without a draw.
+pub(crate) fn pause(core: &Core, service: &ServiceId, now: Instant) -> Option<Duration> {
+    let permits = lock(&core.permits);
+    let until = permits.services.get(service)?.paused_until?;
+    until
+        .checked_duration_since(now)
+        .filter(|wait| !wait.is_zero())
+}
+
 /// Draws a permit for one of the upstreams `wanted`.
 ///
 /// # Errors
--- a/components/gateway/src/priority.rs
+++ b/components/gateway/src/priority.rs
@@ -32,6 +32,11 @@
         self.at = Some(sent_at);
     }
 
+    /// Returns the age of the newest plans; `None` before the first ones.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.at?))
+    }
+
     /// Returns the plan of a service; `None` if all requests are admitted, or the plan is too old.
     pub fn newest(&self, service: &ServiceId, now: Instant) -> Option<Arc<Plan>> {
         let age = now.saturating_duration_since(self.at?);
@@ -82,17 +87,13 @@
     let Some(prompt) = &call.prompt else {
         return Ok(());
     };
-    let account = call.account.as_ref().map(|account| account.name.as_str());
-    let class = Class::new(call.rank(), account);
+    let class = class(call);
     if !count(core, call, class, prompt) || call.takes_up() {
         return Ok(());
     }
-    let now = Instant::now();
-    let Some(plan) = lock(&core.plans).newest(&call.service, now) else {
+    let Some(decision) = by_plan(core, call, class, Instant::now()) else {
         return Ok(());
     };
-    let has_room = || has_room(core, call, now);
-    let decision = Decision::new(&plan, class, admission::hash(&call.id), has_room);
     core.metrics
         .record_plan(&call.service, class.rank, decision.name());
     match decision {
@@ -101,6 +102,29 @@
     }
 }
 
+/// Returns what would be decided about a request, which is not counted; `None` if no plan applies to it.
+pub(crate) fn preview(core: &Core, call: &Call, now: Instant) -> Option<Decision> {
+    let is_planned = lock(&core.balancer).is_planned_by_work(&call.service);
+    match is_planned && call.prompt.is_some() && !call.takes_up() {
+        true => by_plan(core, call, class(call), now),
+        false => None,
+    }
+}
+
+/// Returns the class of a request.
+pub(crate) fn class(call: &Call) -> Class {
+    let account = call.account.as_ref().map(|account| account.name.as_str());
+    Class::new(call.rank(), account)
+}
+
+/// Decides on a request by the plan of its service, if there is one.
+fn by_plan(core: &Core, call: &Call, class: Class, now: Instant) -> Option<Decision> {
+    let plan = lock(&core.plans).newest(&call.service, now)?;
+    let has_room = || has_room(core, call, now);
+    let hash = admission::hash(&call.id);
+    Some(Decision::new(&plan, class, hash, has_room))
+}
+
 /// Counts a request, and reports whether its service is balanced by work.
 fn count(core: &Core, call: &Call, class: Class, prompt: &Prompt) -> bool {
     let (compute_ms, place_ms) = {
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -48,6 +48,18 @@
         }
     }
 
+    /// Returns the subject for which a call would be refused, if there is one. Uses up no trial.
+    pub(crate) fn preview(&self, call: &Call, now: Instant) -> Option<Subject> {
+        let request = self.requests.would_refuse(&[call.fingerprint], now);
+        match request {
+            Some(fingerprint) => Some(Subject::Request(fingerprint)),
+            None => {
+                let part = self.parts.would_refuse(&call.shared_parts, now);
+                part.map(Subject::Part)
+            }
+        }
+    }
+
     /// Returns the subject of a call that is in quarantine, if there is one.
     pub(crate) fn subject(&self, call: &Call) -> Option<Subject> {
         let request = self.requests.quarantined(&[call.fingerprint]);
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -20,7 +20,7 @@
 use crate::pool::Pool;
 use crate::{
     Accounts, Balancer, Metrics, Protocol, Readiness, Retries, Settings, Table, Usage, exchange,
-    forward, reach, sync,
+    explain, forward, reach, sync,
 };
 
 /// Number of entries assumed to share the retry budget until the leader has answered the first
@@ -184,7 +184,7 @@
     };
     let metrics = |address| {
         let core = core.clone();
-        let serve = move |_, _| render_metrics(core.clone());
+        let serve = move |request, _| answer_operator(core.clone(), request);
         Ok::<_, Error>(web::Server::start(web::listen(address)?, probes, serve))
     };
     let forwarded = |address| {
@@ -216,7 +216,11 @@
     answer
 }
 
-async fn render_metrics(core: Arc<Core>) -> Response<web::Body> {
+/// Explains a route if that is asked for, otherwise returns the metrics.
+async fn answer_operator(core: Arc<Core>, request: Request<Incoming>) -> Response<web::Body> {
+    if explain::is_asked(&request) {
+        return explain::serve(&core, request).await;
+    }
     core.budget.update_metrics();
     Response::new(web::full(core.metrics.render()))
 }
--- a/components/gateway/src/table.rs
+++ b/components/gateway/src/table.rs
@@ -115,6 +115,12 @@
             .find(|route| path.starts_with(route.prefix.as_str()))
     }
 
+    /// Returns the first route to a service.
+    pub(crate) fn route_to(&self, service: &str) -> Option<&Arc<Route>> {
+        let mut routes = self.routes.values().flatten();
+        routes.find(|route| route.splits.iter().any(|split| split.service == service))
+    }
+
     /// Returns the account `name`, if it has a key.
     pub(crate) fn account_named(&self, name: &str) -> Option<&Arc<Account>> {
         self.accounts.values().find(|account| account.name == name)
--- a/components/gateway/src/token_limit.rs
+++ b/components/gateway/src/token_limit.rs
@@ -37,6 +37,16 @@
     result
 }
 
+/// Returns the tokens that `call` would take from its account's limit and the decision, if it has one.
+/// Nothing is taken or drawn.
+pub(crate) fn preview(core: &Core, call: &Call, now: Instant) -> Option<(u64, Decision)> {
+    let account = call.account.as_ref()?;
+    let tokens = cost(call, account);
+    let rate = account.limit?;
+    let decision = lock(&core.accounts).preview(&account.name, rate, tokens, now);
+    Some((tokens, decision))
+}
+
 /// Puts the tokens of a call that did not run back.
 pub(crate) fn put_back(core: &Core, call: &Call, account: &Account) {
     let tokens = cost(call, account);
--- a/components/quarantine/src/watch.rs
+++ b/components/quarantine/src/watch.rs
@@ -49,14 +49,25 @@
     /// Returns the subject for which a request is refused, if there is one. A trial of the subject
     /// is used up.
     pub fn refusal(&mut self, subjects: &[SubjectId], now: Instant) -> Option<SubjectId> {
-        let subject = self.quarantined(subjects)?;
-        match self.trials.swap_remove(&subject) {
-            Some(until) if now < until => None,
-            _ => {
+        let refused = self.would_refuse(subjects, now);
+        match refused {
+            Some(subject) => {
+                self.trials.swap_remove(&subject);
                 self.refused.insert(subject, now);
-                Some(subject)
+            }
+            None => {
+                let subject = self.quarantined(subjects)?;
+                self.trials.swap_remove(&subject);
             }
         }
+        refused
+    }
+
+    /// Returns what [`Watch::refusal`] would return.
+    pub fn would_refuse(&self, subjects: &[SubjectId], now: Instant) -> Option<SubjectId> {
+        let subject = self.quarantined(subjects)?;
+        let trial = self.trials.get(&subject);
+        trial.is_none_or(|until| *until <= now).then_some(subject)
     }
 
     /// Returns the first subject that is in quarantine.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,6 @@
 //! Commands and arguments of the command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -44,6 +45,7 @@
             rollout(),
             forecast(),
             explain(),
+            explain_route(),
         ])
 }
 
@@ -221,6 +223,90 @@
         .arg(format())
 }
 
+fn explain_route() -> Command {
+    let option = |name: &'static str, value: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_name(value).help(help)
+    };
+    let number = |name: &'static str, help: &'static str| {
+        option(name, "NUMBER", help).value_parser(value_parser!(u32))
+    };
+    Command::new("explain-route")
+        .about("Asks an entry where a request would go now and why, without sending it")
+        .long_about(
+            "Asks an entry where a request would go now and why, without sending it.\n\n\
+             The entry's listener for metrics answers. Nothing is sent to an upstream, charged to \
+             the account or counted. With --host and --path the route is found as for a request; \
+             with --service alone, the first route to that service is taken.",
+        )
+        .arg(
+            option(
+                "entry",
+                "ADDRESS",
+                "Listener for metrics of the entry; by default that of the settings",
+            )
+            .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(settings().help("Settings file of the entry"))
+        .arg(option("host", "HOST", "Host of the request").requires("path"))
+        .arg(option("path", "PATH", "Path of the request").requires("host"))
+        .arg(option("service", "SERVICE", "Service of the route").required_unless_present("path"))
+        .arg(option(
+            "account",
+            "NAME",
+            "Client account; none for a request without a key",
+        ))
+        .arg(option(
+            "id",
+            "ID",
+            "Identifier of the request, on which shares depend; random by default",
+        ))
+        .arg(
+            option(
+                "rank",
+                "NUMBER",
+                "Rank in place of that of the account or route; 0 is the most urgent",
+            )
+            .value_parser(value_parser!(u8)),
+        )
+        .arg(option(
+            "wait",
+            "TIME",
+            "How long the caller waits, such as \"5s\"",
+        ))
+        .arg(
+            option(
+                "excluded",
+                "UPSTREAM",
+                "Upstream that was tried before; may be given several times",
+            )
+            .action(ArgAction::Append),
+        )
+        .arg(number(
+            "prompt-tokens",
+            "Tokens of the prompt of a generation; none for a plain call",
+        ))
+        .arg(
+            number("output-tokens", "Maximum number of tokens to generate")
+                .requires("prompt-tokens"),
+        )
+        .arg(
+            number(
+                "length-hint",
+                "The caller's estimate of the tokens to generate",
+            )
+            .requires("prompt-tokens"),
+        )
+        .arg(
+            option(
+                "parts",
+                "ID:TOKENS,...",
+                "Parts of the prompt, as in the header of a request; the last one is not shared",
+            )
+            .requires("prompt-tokens"),
+        )
+        .arg(format())
+}
+
 fn settings() -> Arg {
     Arg::new("settings")
         .long("settings")
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -4,6 +4,7 @@
 mod control;
 mod entry;
 mod explain;
+mod explain_route;
 mod files;
 mod forecast;
 mod operator;
@@ -33,6 +34,7 @@
         Some(("rollout", matches)) => rollout::run(matches),
         Some(("forecast", matches)) => forecast::run(matches),
         Some(("explain", matches)) => explain::run(matches),
+        Some(("explain-route", matches)) => explain_route::run(matches),
         _ => Ok(ExitCode::FAILURE),
     }
 }
