--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -52,6 +52,24 @@
     expect_that!(stderr(&output), contains_substring("--base"));
 }
 
+/// Guards against a question without a route, which no entry can answer.
+#[gtest]
+fn errors_on_a_route_to_explain_without_path_and_service() {
+    let output = chervilloft(&["explain-route", "--account", "shop"]);
+    expect_that!(output.status.code(), some(eq(2)));
+    expect_that!(stderr(&output), contains_substring("--service"));
+}
+
+/// Guards against parts that are read as others than in the header of a request.
+#[gtest]
+fn errors_on_faulty_parts_of_a_prompt_to_explain() {
+    let entry = ["explain-route", "--entry", "127.0.0.1:1", "--service", "m"];
+    let prompt = ["--prompt-tokens", "9", "--parts", "xyz:9"];
+    let output = chervilloft(&[&entry[..], &prompt[..]].concat());
+    expect_that!(output.status.code(), some(eq(1)));
+    expect_that!(stderr(&output), contains_substring("--parts: "));
+}
+
 #[gtest]
 fn can_explain_every_command() {
     let mut help = String::new();
@@ -65,6 +83,7 @@
         "rollout begin",
         "forecast",
         "explain",
+        "explain-route",
     ] {
         let arguments: Vec<&str> = command.split(' ').chain(["--help"]).collect();
         let arguments: Vec<&str> = arguments.into_iter().filter(|a| !a.is_empty()).collect();
