--- a/components/gateway/src/balancer/estimate.rs
+++ b/components/gateway/src/balancer/estimate.rs
@@ -64,6 +64,8 @@
     pub(super) uncached_tokens: u32,
     /// Those of them that belong to shared parts of the prompt.
     pub(super) cold_tokens: u32,
+    /// Tokens of the prompt that the upstream fetches from another engine.
+    pub(super) fetched_tokens: u32,
     /// Requests in flight at the upstream, of all entries.
     pub(super) in_flight: u32,
     /// Expected cost for this and other requests, in milliseconds; the lowest score is chosen.
@@ -119,6 +121,7 @@
             at_rest: millis(cost.at_rest + remote_delay),
             uncached_tokens: tokens.as_ref().map_or(0, |tokens| tokens.computed),
             cold_tokens: tokens.as_ref().map_or(0, |tokens| tokens.cold),
+            fetched_tokens: tokens.as_ref().map_or(0, |tokens| tokens.fetched),
             in_flight,
             score: cost.score + remote_delay + penalty - bonus,
             by_work: cost.by_work,
