Test crowds of signed requests at the forwarding listener

Cause: the crowds at the forwarding listener had no entry's signature, so that their bodies were refused by their heads and the budget of forwarded bodies was never under a crowd.

Change: the forms of the other crowds, each request signed as by another entry of the fleet. The bounds are those of the other tests. An ordinary request is one that is forwarded and one of a caller. The test in calm sends a body of the largest legal size through this listener also.

--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -155,6 +155,12 @@
     LARGEST_BODY,
     CLIENTS
 );
+crowds!(
+    forwarding_listener_under_signed_requests,
+    platform::SignedForwarding::start(),
+    LARGEST_BODY,
+    CLIENTS
+);
 crowds!(
     entry_of_the_own_interface,
     own::Entry::start(),
@@ -176,6 +182,9 @@
     let platform = platform::Entry::start().await;
     platform.wait_for_answer(ANSWER_TIMEOUT).await;
     expect_that!(platform.status_of_body(LARGEST_BODY).await, some(eq(200)));
+    let forwarding = platform::SignedForwarding::start().await;
+    forwarding.wait_for_answer(ANSWER_TIMEOUT).await;
+    expect_that!(forwarding.status_of_body(LARGEST_BODY).await, some(eq(200)));
     let own = own::Entry::start().await;
     own.wait_for_answer(ANSWER_TIMEOUT).await;
     expect_that!(
