Test large answers of plain services whose callers do not read them

Cause: an entry of our own interface collects answers of up to 16 MiB and holds them while callers read them, outside the memory budget. No test let callers read slowly, or answers stop short of their end.

Change: a plain service in the stand-ins gives large answers to reads, whole or one byte short. Five crowds of 80 callers ask for them and read nothing, or a little; the bounds are those of the other tests. One more test reads 80 answers of 2 MiB in turn.

--- a/stand_ins/src/plain/api.rs
+++ b/stand_ins/src/plain/api.rs
@@ -108,6 +108,13 @@
 
 fn answer(core: &Core, call: &Record, count: u32) -> Response {
     let service = &core.settings.service;
+    let (read_bytes, stop_short) = {
+        let switches = lock(&core.switches);
+        (switches.read_bytes, switches.stop_short)
+    };
+    if call.method == Method::GET.as_str() && read_bytes > 0 {
+        return web::filler(read_bytes, stop_short);
+    }
     if call.method == Method::GET.as_str() {
         let body: serde_json::Value = serde_json::from_str(&read_answer(service, &call.path))
             .expect("the answer of a read is JSON");
--- a/stand_ins/src/plain/switches.rs
+++ b/stand_ins/src/plain/switches.rs
@@ -18,6 +18,10 @@
     /// Exclusive upper bound of an additional delay in milliseconds, which is derived from the
     /// number of executions.
     pub jitter_ms: u64,
+    /// Size of the answers to reads, in bytes; 0 for the usual answer.
+    pub read_bytes: usize,
+    /// Whether answers to reads of that size stop one byte short, on a connection that stays open.
+    pub stop_short: bool,
 }
 
 /// How a call is handled.
--- a/stand_ins/src/web.rs
+++ b/stand_ins/src/web.rs
@@ -7,7 +7,7 @@
 
 pub use client::{Answer, call, call_with_headers, send};
 pub use refusal::Refusal;
-pub use response::{error, json, text};
+pub use response::{error, filler, json, text};
 pub use server::{Disconnect, serve};
 
 use std::io;
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -29,6 +29,12 @@
 const LARGEST_BODY: usize = 4 * 1_024 * 1_024;
 /// Largest legal body of an operator's request on the project's own interface, in bytes.
 const LARGEST_OPERATORS_BODY: usize = 2 * 256 * 1_024 + 4_096;
+/// Largest answer of a plain service on the project's own interface, in bytes.
+const LARGEST_ANSWER: usize = 16 * 1_024 * 1_024;
+/// An answer of a plain service of which few fit in the memory of the smallest machine, in bytes.
+const LARGE_ANSWER: usize = 2 * 1_024 * 1_024;
+/// Times for which a slow client reads a little of its answer before it stops.
+const SLOW_READS: usize = 40;
 /// Clients of a crowd with bodies.
 const CLIENTS: usize = 80;
 /// Clients of a crowd at the operators' interface, whose bodies are smaller.
@@ -174,6 +180,75 @@
     OPERATORS_CLIENTS
 );
 
+/// Declares the tests of an entry of the project's own interface whose callers get large answers. Each guards
+/// against answers that are held outside the memory budget.
+macro_rules! answers {
+    ($name:ident, $bytes:expr, $stop_short:expr, $reads:expr) => {
+        #[googletest::test]
+        #[tokio::test(flavor = "multi_thread")]
+        async fn $name() {
+            let _turn = ONE_AT_A_TIME.lock().await;
+            let answer = own::Answer {
+                bytes: $bytes,
+                stop_short: $stop_short,
+            };
+            let form = Form::Unread { reads: $reads };
+            check(&mut own::Answers::start(answer).await, CLIENTS, form).await;
+        }
+    };
+}
+
+mod collected_answers_of_the_own_interface {
+    use super::*;
+
+    answers!(
+        stays_within_bounds_under_callers_that_read_nothing_of_the_largest_answers,
+        LARGEST_ANSWER,
+        false,
+        0
+    );
+    answers!(
+        stays_within_bounds_under_callers_that_read_nothing,
+        LARGE_ANSWER,
+        false,
+        0
+    );
+    answers!(
+        stays_within_bounds_under_callers_that_read_slowly,
+        LARGE_ANSWER,
+        false,
+        SLOW_READS
+    );
+    answers!(
+        stays_within_bounds_under_the_largest_answers_without_an_end,
+        LARGEST_ANSWER,
+        true,
+        0
+    );
+    answers!(
+        stays_within_bounds_under_answers_without_an_end,
+        LARGE_ANSWER,
+        true,
+        0
+    );
+}
+
+/// Guards against a budget that refuses answers for which there is room.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn passes_on_many_large_answers_in_turn() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let answer = own::Answer {
+        bytes: LARGE_ANSWER,
+        stop_short: false,
+    };
+    let own = own::Answers::start(answer).await;
+    own.wait_for_answer(ANSWER_TIMEOUT).await;
+    for _ in 0..CLIENTS {
+        expect_that!(own.read().await, some(eq(LARGE_ANSWER)));
+    }
+}
+
 /// Guards against a budget that refuses what the limits allow.
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/crowds/own.rs
+++ b/tests/crowds/own.rs
@@ -29,7 +29,7 @@
 /// An entry before a plain upstream.
 pub(crate) struct Entry {
     fleet: Fleet,
-    _upstream: Plain,
+    upstream: Plain,
     /// Keys of ordinary requests so far.
     keys: AtomicU64,
 }
@@ -43,7 +43,7 @@
         wait_until_reachable(&fleet, &read(1)).await;
         Entry {
             fleet,
-            _upstream: upstream,
+            upstream: upstream,
             keys: AtomicU64::new(0),
         }
     }
@@ -85,6 +85,61 @@
     }
 }
 
+/// Answers that the upstream of [`Answers`] gives to reads.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Answer {
+    /// Size, in bytes.
+    pub(crate) bytes: usize,
+    /// Whether the last byte is never sent.
+    pub(crate) stop_short: bool,
+}
+
+/// An entry before a plain upstream whose answers to reads are large.
+pub(crate) struct Answers(Entry);
+
+impl Answers {
+    pub(crate) async fn start(answer: Answer) -> Answers {
+        let entry = Entry::start().await;
+        entry.upstream.update_switches(|switches| {
+            switches.read_bytes = answer.bytes;
+            switches.stop_short = answer.stop_short;
+        });
+        Answers(entry)
+    }
+
+    /// Reads an answer, and returns its size if it is complete and a success.
+    pub(crate) async fn read(&self) -> Option<usize> {
+        crowd::read_answer(self.address(), &self.head()).await
+    }
+
+    /// Waits until the entry answers an ordinary request.
+    pub(crate) async fn wait_for_answer(&self, limit: std::time::Duration) {
+        self.0.wait_for_answer(limit).await;
+    }
+}
+
+impl Target for Answers {
+    fn process(&mut self) -> &mut Process {
+        self.0.process()
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.0.address()
+    }
+
+    fn head(&self) -> String {
+        format!(
+            "GET /services/{PLAIN_SERVICE}/jobs/1 HTTP/1.1\r\nhost: one.example\r\n\
+             authorization: Bearer {ACCOUNT_KEY}\r\n"
+        )
+    }
+
+    /// A small call with a small answer.
+    fn answers(&self) -> Answering<'_> {
+        self.0.answers()
+    }
+}
+
 /// A control process at its operators' listener.
 pub(crate) struct Control {
     fleet: Fleet,
