Hold collected answers within the memory budget, and drop those that callers do not read

Cause: an entry of our own interface collected answers of up to 16 MiB with no bound on all of them together. While a caller read slowly, the server held a second copy in the buffer of its connection.

Change: answers are received within the process's budget; an announced length is reserved at once. One that is dropped or finds no room gives 502 and the outcome unknown, as the call may have run, and is not dispatched again. A complete answer above 16 KiB is sent in parts and keeps its reservation; while memory is short, one of which nothing was read for a second is dropped, and its connection closed before the announced end. Answers that are read go on, and new bodies are refused in their place. Answers of Client::fetch, refusals of engines and answers that other entries keep are in the budget also.

--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -38,7 +38,7 @@
     pub plain_client: Client,
     /// Client for engines.
     pub engine_client: Client,
-    /// Memory for the bodies of requests.
+    /// Memory for the bodies of requests and of answers that are collected.
     pub memory: web::Budget,
     /// Metrics.
     pub metrics: Arc<Metrics>,
--- a/components/entry/src/dispatch/answer.rs
+++ b/components/entry/src/dispatch/answer.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use quick_error::quick_error;
 use tokio::time::timeout;
-use web::Framing;
+use web::{Budget, Framing, Reading, Shortage};
 
 /// A complete answer.
 #[derive(Clone, Debug)]
@@ -17,7 +17,7 @@
     pub status: StatusCode,
     /// HTTP headers.
     pub headers: HeaderMap,
-    /// Body.
+    /// Body, which holds its reservation of memory.
     pub body: Bytes,
 }
 
@@ -42,6 +42,10 @@
         TooLarge(limit: usize) {
             display("the answer is larger than {limit} bytes")
         }
+        /// The body was dropped, or not received, because the memory budget is short.
+        Dropped {
+            display("this entry is short of memory for the answer")
+        }
         /// No bytes arrived in time.
         Timeout(limit: Duration) {
             display("nothing came for {} ms", limit.as_millis())
@@ -49,13 +53,15 @@
     }
 }
 
-/// Reads the body of an answer, of at most `limit` bytes. `frame_timeout` bounds the time between
-/// two frames.
+/// Reads the body of an answer within `budget`, of at most `limit` bytes. `frame_timeout` bounds the time
+/// between two frames.
 ///
 /// # Errors
-/// If the answer is not known to be complete, is too large or stalls, or if its status is invalid.
+/// If the answer is not known to be complete, is too large or stalls, if its status is invalid, or if memory is
+/// short. The upstream may have run the request in each case.
 pub async fn collect(
     response: Response<Incoming>,
+    budget: &Budget,
     limit: usize,
     frame_timeout: Duration,
 ) -> Result<Answer, AnswerError> {
@@ -66,27 +72,34 @@
     if Framing::of(&head.headers, &body) == Framing::Connection {
         return Err(AnswerError::Unbounded);
     }
-    let mut collected = BytesMut::new();
+    let too_large_or_dropped = |shortage| match shortage {
+        Shortage::TooLarge => AnswerError::TooLarge(limit),
+        Shortage::Dropped => AnswerError::Dropped,
+    };
+    let mut reading = match body.size_hint().exact().map(usize::try_from) {
+        None => Reading::new(budget, limit),
+        Some(Ok(length)) if length <= limit => Reading::of_length(budget, length),
+        Some(_) => return Err(AnswerError::TooLarge(limit)),
+    };
     loop {
-        let frame = timeout(frame_timeout, body.frame())
-            .await
-            .map_err(|_| AnswerError::Timeout(frame_timeout))?;
-        match frame {
+        let frame = tokio::select! {
+            biased;
+            () = reading.wait_until_dropped() => return Err(AnswerError::Dropped),
+            frame = timeout(frame_timeout, body.frame()) => frame,
+        };
+        let frame = frame.map_err(|_| AnswerError::Timeout(frame_timeout))?;
+        let frame = match frame {
             None => break,
-            Some(Err(error)) => return Err(AnswerError::Truncated(error)),
-            Some(Ok(frame)) => collected.extend_from_slice(data(&frame)),
-        }
-        if collected.len() > limit {
-            return Err(AnswerError::TooLarge(limit));
+            Some(frame) => frame.map_err(AnswerError::Truncated)?,
+        };
+        if let Ok(data) = frame.into_data() {
+            let pushed = reading.push(data, body.is_end_stream());
+            pushed.map_err(too_large_or_dropped)?;
         }
     }
     Ok(Answer {
         status: head.status,
         headers: head.headers,
-        body: collected.freeze(),
+        body: reading.finish().map_err(too_large_or_dropped)?,
     })
 }
-
-fn data(frame: &http_body::Frame<Bytes>) -> &[u8] {
-    frame.data_ref().map_or(&[], Bytes::as_ref)
-}
--- a/components/entry/src/dispatch/client.rs
+++ b/components/entry/src/dispatch/client.rs
@@ -11,6 +11,7 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use web::Budget;
 
 use super::{Answer, MAX_HEAD_BYTES, TCP_USER_TIMEOUT, collect};
 
@@ -26,20 +27,22 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    /// Memory for the answers of [`Client::fetch`].
+    memory: Budget,
 }
 
 impl Client {
     /// Creates a client for plain services. `connect_timeout` bounds opening a connection.
-    pub fn new(connect_timeout: Duration) -> Self {
-        Client::build(connect_timeout, None)
+    pub fn new(connect_timeout: Duration, memory: Budget) -> Self {
+        Client::build(connect_timeout, memory, None)
     }
 
     /// Creates a client for engines, with small read buffers because many streams are open.
-    pub fn for_engines(connect_timeout: Duration) -> Self {
-        Client::build(connect_timeout, Some(ENGINE_BUFFER_BYTES))
+    pub fn for_engines(connect_timeout: Duration, memory: Budget) -> Self {
+        Client::build(connect_timeout, memory, Some(ENGINE_BUFFER_BYTES))
     }
 
-    fn build(connect_timeout: Duration, buffer: Option<usize>) -> Self {
+    fn build(connect_timeout: Duration, memory: Budget, buffer: Option<usize>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(connect_timeout));
@@ -54,7 +57,7 @@
             None => builder.http1_max_buf_size(MAX_HEAD_BYTES),
         };
         let inner = builder.build(connector);
-        Client { inner }
+        Client { inner, memory }
     }
 
     /// Sends a request and returns the answer once its head has arrived.
@@ -91,7 +94,7 @@
         let peer = Peer::Address(address);
         let exchange = async {
             let response = self.send(address, request).await?;
-            collect(response, MAX_FETCH_BYTES, limit)
+            collect(response, &self.memory, MAX_FETCH_BYTES, limit)
                 .await
                 .map_err(|error| Error::Protocol(Step::Receive, peer.clone(), error.to_string()))
         };
--- a/components/entry/src/dispatch/oneshot.rs
+++ b/components/entry/src/dispatch/oneshot.rs
@@ -18,7 +18,7 @@
 use super::{Answer, AnswerError, Cutoff, MAX_HEAD_BYTES, TCP_USER_TIMEOUT, collect};
 
 /// Address, timeouts and limits of one call.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Oneshot {
     /// The upstream.
     pub address: SocketAddr,
@@ -28,6 +28,8 @@
     pub answer_timeout: Duration,
     /// Largest body of an answer, in bytes.
     pub max_answer_bytes: usize,
+    /// Memory for the answer.
+    pub memory: web::Budget,
     /// Deadline for writing the first byte; `None` for no deadline.
     pub first_byte_deadline: Option<Instant>,
 }
@@ -58,12 +60,13 @@
     pub async fn call(self, mut request: Request<Full<Bytes>>) -> Result<Answer, CallError> {
         *request.uri_mut() = origin_form(request.uri());
         let cutoff = Arc::new(Cutoff::new(self.first_byte_deadline));
-        let result = timeout(self.answer_timeout, self.exchange(request, cutoff.clone())).await;
         let peer = Peer::Address(self.address);
+        let answer_timeout = self.answer_timeout;
+        let result = timeout(answer_timeout, self.exchange(request, cutoff.clone())).await;
         let error = match result {
             Ok(Ok(answer)) => return Ok(answer),
             Ok(Err(error)) => error,
-            Err(_) => Error::Timeout(Step::Receive, peer, self.answer_timeout),
+            Err(_) => Error::Timeout(Step::Receive, peer, answer_timeout),
         };
         let may_have_arrived = cutoff.has_written();
         Err(CallError {
@@ -95,12 +98,17 @@
             .send_request(request)
             .await
             .map_err(other(Step::Receive))?;
-        collect(response, self.max_answer_bytes, self.answer_timeout)
-            .await
-            .map_err(|error| match error {
-                AnswerError::Timeout(limit) => Error::Timeout(Step::Receive, peer, limit),
-                error => Error::Protocol(Step::Receive, peer, error.to_string()),
-            })
+        collect(
+            response,
+            &self.memory,
+            self.max_answer_bytes,
+            self.answer_timeout,
+        )
+        .await
+        .map_err(|error| match error {
+            AnswerError::Timeout(limit) => Error::Timeout(Step::Receive, peer, limit),
+            error => Error::Protocol(Step::Receive, peer, error.to_string()),
+        })
     }
 
     async fn connect(&self) -> Result<TcpStream, Error> {
--- a/components/entry/src/handler.rs
+++ b/components/entry/src/handler.rs
@@ -17,6 +17,7 @@
 use crate::drain::{Guard, Phase};
 use crate::exchange::Exchange;
 use crate::failure::{Failure, Kind};
+use crate::held_body::HeldBody;
 use crate::incoming::Incoming;
 use crate::lifecycle::Event;
 use crate::relay_body::RelayBody;
@@ -28,6 +29,9 @@
 /// Suggested pause before a request that is refused during a stop is sent to another entry.
 const DRAIN_RETRY: Duration = Duration::from_secs(1);
 
+/// Largest body that is not sent in parts, in bytes: as much as the server buffers for a connection.
+const MAX_COPIED_BYTES: usize = 16 * 1_024;
+
 /// Value of the `Connection` header that announces that the connection will be closed.
 const CONNECTION_CLOSE: HeaderValue = HeaderValue::from_static("close");
 
@@ -264,6 +268,9 @@
 fn respond<C>(core: &Core<C>, reply: Reply, guard: Guard) -> WebResponse {
     let body = match reply.body {
         Body::Full(body) => ResponseBody::bytes(body),
+        // The server copies it whole into the buffer of the connection.
+        Body::Held(body) if body.len() <= MAX_COPIED_BYTES => ResponseBody::bytes(body),
+        Body::Held(body) => ResponseBody::boxed(HeldBody::new(&core.memory, body)),
         Body::Stream(events) => ResponseBody::boxed(RelayBody::new(events, guard)),
     };
     let mut response = WebResponse::new(body);
--- a/components/entry/src/handover/lookup.rs
+++ b/components/entry/src/handover/lookup.rs
@@ -206,8 +206,8 @@
                 forward(body, framing, sender).await;
             });
         }
-        _ => match collect_kept(Response::from_parts(head, body)).await {
-            Ok(answer) => reply.body = Body::Full(answer.body),
+        _ => match collect_kept(&core.memory, Response::from_parts(head, body)).await {
+            Ok(answer) => reply.body = Body::Held(answer.body),
             Err(error) => {
                 tracing::warn!("request: the answer that another entry keeps is lost: {error}");
                 reply.status = StatusCode::BAD_GATEWAY;
@@ -220,9 +220,12 @@
 /// Reads the body of an answer that another entry keeps.
 ///
 /// # Errors
-/// If it is not known to be complete, is too large or stalls.
-pub(crate) async fn collect_kept(response: Response<Streamed>) -> Result<Answer, AnswerError> {
-    collect(response, MAX_KEPT_BYTES, KEPT_TIMEOUT).await
+/// If it is not known to be complete, is too large or stalls, or if memory is short.
+pub(crate) async fn collect_kept(
+    memory: &web::Budget,
+    response: Response<Streamed>,
+) -> Result<Answer, AnswerError> {
+    collect(response, memory, MAX_KEPT_BYTES, KEPT_TIMEOUT).await
 }
 
 /// Forwards the bytes of a stream. An empty item marks its end; without it, the caller's connection
--- a/components/entry/src/handover/take_over.rs
+++ b/components/entry/src/handover/take_over.rs
@@ -74,7 +74,7 @@
         return buffer.finish(StatusCode::BAD_GATEWAY);
     };
     match reply.body {
-        Body::Full(body) => buffer.push(body),
+        Body::Full(body) | Body::Held(body) => buffer.push(body),
         Body::Stream(mut events) => {
             while let Some(event) = events.recv().await {
                 match () {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod failure;
 mod handler;
 pub mod handover;
+mod held_body;
 mod incoming;
 pub mod lifecycle;
 mod metrics;
--- a/components/entry/src/model/attempt.rs
+++ b/components/entry/src/model/attempt.rs
@@ -161,10 +161,11 @@
         }
         let status = response.status();
         let frame_timeout = self.core.settings.entry.upstream_silence;
-        let answer = match collect(response, MAX_ERROR_BYTES, frame_timeout).await {
-            Ok(answer) => answer,
-            Err(error) => return Ok(failed(Cause::Closed, &error)),
-        };
+        let answer =
+            match collect(response, &self.core.memory, MAX_ERROR_BYTES, frame_timeout).await {
+                Ok(answer) => answer,
+                Err(error) => return Ok(failed(Cause::Closed, &error)),
+            };
         let is_first = self.exchange.lifecycle().dispatches() == 1;
         let code = serde_json::from_slice(&answer.body).map(|body: ErrorBody| body.error.code);
         match code.as_deref() {
--- a/components/entry/src/model/follow.rs
+++ b/components/entry/src/model/follow.rs
@@ -47,7 +47,7 @@
             false => {
                 let status = response.status();
                 let body = tokio::select! {
-                    answer = handover::collect_kept(response) => answer.ok()?.body,
+                    answer = handover::collect_kept(&self.core.memory, response) => answer.ok()?.body,
                     () = self.core.until(Phase::Ending) => return None,
                 };
                 Some(RemoteAnswer::Full(Reply::json(status, body)))
--- a/components/entry/src/plain/call.rs
+++ b/components/entry/src/plain/call.rs
@@ -101,7 +101,7 @@
     Reply {
         status: answer.status,
         headers,
-        body: reply::Body::Full(answer.body),
+        body: reply::Body::Held(answer.body),
     }
 }
 
--- a/components/entry/src/plain/hedge.rs
+++ b/components/entry/src/plain/hedge.rs
@@ -11,7 +11,7 @@
 use super::call::{Call, is_rejection, is_stray, reply};
 use super::serve::{MAX_ANSWER_BYTES, RETRY_AFTER, Session, is_safe};
 use crate::core::Core;
-use crate::dispatch::{Answer, Client, collect};
+use crate::dispatch::{Answer, AnswerError, Client, collect};
 use crate::failure::{Failure, Kind};
 use crate::lifecycle::Event;
 use crate::reply::Reply;
@@ -79,9 +79,15 @@
                     "the upstream refused the call and did not run it",
                 ));
             }
+            Err(DispatchError {
+                is_retryable: false,
+                detail,
+                ..
+            }) => return Err(upstream_failure(&detail)),
             Err(DispatchError {
                 may_have_arrived,
                 detail,
+                ..
             }) => {
                 if !may_have_arrived {
                     session.exchange.apply(Event::NotSent);
@@ -113,6 +119,8 @@
 /// Why a dispatch has no complete answer.
 struct DispatchError {
     may_have_arrived: bool,
+    /// Whether another dispatch may bring an answer.
+    is_retryable: bool,
     detail: CompactString,
 }
 
@@ -130,12 +138,13 @@
     let call = session.call.clone();
     async move {
         let choice = &in_flight.1;
-        dispatch(&core.plain_client, &call, choice, time_left).await
+        dispatch(&core.plain_client, &core.memory, &call, choice, time_left).await
     }
 }
 
 async fn dispatch(
     client: &Client,
+    memory: &web::Budget,
     call: &Call,
     choice: &Choice,
     time_left: Duration,
@@ -144,6 +153,7 @@
         .request(choice.address)
         .map_err(|failure| DispatchError {
             may_have_arrived: false,
+            is_retryable: true,
             detail: failure.message,
         })?;
     let response = client
@@ -151,12 +161,15 @@
         .await
         .map_err(|error| DispatchError {
             may_have_arrived: error.step() != errors::Step::Connect,
+            is_retryable: true,
             detail: format_compact!("{error}"),
         })?;
-    collect(response, MAX_ANSWER_BYTES, time_left)
+    collect(response, memory, MAX_ANSWER_BYTES, time_left)
         .await
         .map_err(|error| DispatchError {
             may_have_arrived: true,
+            // The same memory is short for another answer.
+            is_retryable: !matches!(error, AnswerError::Dropped),
             detail: format_compact!("{error}"),
         })
 }
--- a/components/entry/src/plain/serve.rs
+++ b/components/entry/src/plain/serve.rs
@@ -257,6 +257,7 @@
             connect_timeout: self.core.settings.entry.connect_timeout,
             answer_timeout: self.deadline.saturating_duration_since(Instant::now()),
             max_answer_bytes: MAX_ANSWER_BYTES,
+            memory: self.core.memory.clone(),
             first_byte_deadline: dispatch_deadline,
         }
         .call(request)
--- a/components/entry/src/reply.rs
+++ b/components/entry/src/reply.rs
@@ -28,6 +28,9 @@
 pub(crate) enum Body {
     /// The complete body.
     Full(Bytes),
+    /// The complete body, which holds its reservation of memory and may be dropped while its caller does not
+    /// read it.
+    Held(Bytes),
     /// A stream. An empty item marks its end; without the mark, the stream is incomplete.
     Stream(mpsc::Receiver<Bytes>),
 }
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -63,14 +63,15 @@
 /// # Errors
 /// If the address can't be listened on or a runtime can't be started.
 pub fn start<C: Control>(settings: Settings, keys: Keys, control: C) -> Result<Handle<C>> {
+    let memory = web::Budget::new(settings.machine.budget_bytes());
     let peers = Peers {
         view: control.view().clone(),
         node: settings.node.clone(),
         data_centre: settings.data_centre.clone(),
         secret: keys.fleet.clone(),
-        client: Client::new(settings.entry.connect_timeout),
+        client: Client::new(settings.entry.connect_timeout, memory.clone()),
     };
-    start_with(settings, keys, control, Arc::new(peers))
+    start_within(memory, settings, keys, control, Arc::new(peers))
 }
 
 /// Starts an entry that hands over requests to `successor`.
@@ -82,6 +83,17 @@
     keys: Keys,
     control: C,
     successor: Arc<dyn Successor>,
+) -> Result<Handle<C>> {
+    let memory = web::Budget::new(settings.machine.budget_bytes());
+    start_within(memory, settings, keys, control, successor)
+}
+
+fn start_within<C: Control>(
+    memory: web::Budget,
+    settings: Settings,
+    keys: Keys,
+    control: C,
+    successor: Arc<dyn Successor>,
 ) -> Result<Handle<C>> {
     let listen_at = SocketAddr::new(settings.address, settings.entry.port);
     let io = |error| Error::Io(Step::Listen, Peer::Address(listen_at), error);
@@ -95,12 +107,12 @@
     let address = listener.local_addr().map_err(io)?;
     let router = router(&settings);
     let budget_bytes = settings.machine.budget_bytes();
-    let memory = web::Budget::new(budget_bytes);
     let metrics = Metrics::default();
     metrics.register(memory.collectors());
+    let connect_timeout = settings.entry.connect_timeout;
     let core = Arc::new(Core {
-        plain_client: Client::new(settings.entry.connect_timeout),
-        engine_client: Client::for_engines(settings.entry.connect_timeout),
+        plain_client: Client::new(settings.entry.connect_timeout, memory.clone()),
+        engine_client: Client::for_engines(connect_timeout, memory.clone()),
         settings,
         keys,
         control,
--- a/components/entry/tests/path/behaviour.rs
+++ b/components/entry/tests/path/behaviour.rs
@@ -27,6 +27,8 @@
     Status(u16),
     /// Runs the call and closes within the body.
     HalfBody,
+    /// Runs the call and answers with this many bytes.
+    Large(usize),
     /// Runs the call and closes without an answer.
     NoAnswer,
     /// Closes without an answer after this time.
--- a/components/entry/tests/path/fake.rs
+++ b/components/entry/tests/path/fake.rs
@@ -209,6 +209,7 @@
             stream.write_all(head.as_bytes()).ok()?;
             None
         }
+        Behaviour::Large(bytes) => reply(stream, 200, &"x".repeat(bytes)),
         Behaviour::Unbounded => {
             stream.write_all(b"HTTP/1.1 200 X\r\n\r\nhalf").ok()?;
             None
--- a/components/entry/tests/path/plain.rs
+++ b/components/entry/tests/path/plain.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use config::settings::{Machine, Settings};
+use fleet::Standalone;
 use googletest::prelude::*;
 
 use crate::behaviour::Behaviour;
-use crate::bench::Bench;
+use crate::bench::{Bench, settings, text};
 
 #[gtest]
 fn can_forward_a_call_with_its_method_path_and_query() {
@@ -162,3 +164,30 @@
     expect_eq!(answer.outcome(), "answered");
     expect_eq!(shop.executions(), 2);
 }
+
+/// Guards against a refusal that promises that a call has not run whose answer found no memory, and against
+/// further dispatches, whose answers find none either.
+#[gtest]
+fn errors_as_unknown_after_one_dispatch_of_a_call_whose_answer_exceeds_the_memory() {
+    let machine = Machine {
+        memory_mb: 1.0,
+        ..Machine::default()
+    };
+    let large = Behaviour::Large(machine.budget_bytes() + 1);
+    let settings = Settings {
+        machine,
+        ..settings()
+    };
+    let bench = Bench::start_with(settings, Standalone::new(text()));
+    let shop = bench.upstream("shop-1", "shop");
+    shop.script([large.clone(), large]);
+    let once = bench.post("/services/shop/exposures", &[], "plate");
+    expect_eq!(once.status, 502);
+    expect_eq!(once.outcome(), "unknown");
+    expect_that!(once.body, contains_substring("it may have run"));
+    let idempotent = bench.get("/services/shop/jobs");
+    expect_eq!(idempotent.status, 502);
+    expect_eq!(idempotent.outcome(), "unknown");
+    expect_eq!(shop.executions(), 2);
+    expect_eq!(bench.get("/services/shop/jobs").status, 200);
+}
--- a/components/web/src/budget.rs
+++ b/components/web/src/budget.rs
@@ -1,8 +1,10 @@
 //! Memory that a process has for the bodies that it holds.
 //!
 //! A reservation counts what a buffer really takes and lives as long as the buffer. When the budget is
-//! short, the incomplete body that has made no progress for longest is dropped.
+//! short, the body in progress that has made none for longest is dropped: one that is received, or one that a
+//! peer has stopped reading.
 
+mod delivery;
 mod losses;
 mod reading;
 mod slot;
@@ -14,9 +16,10 @@
 
 use prometheus::core::Collector;
 
+pub use delivery::Delivery;
 use losses::Losses;
 pub use reading::{Reading, Shortage};
-use slot::Slot;
+use slot::{Held, Progress, Slot};
 
 /// Share of the budget, as a divisor, that only bodies that arrive at once may use. Ordinary small requests
 /// find room there while large bodies hold the rest.
@@ -33,9 +36,9 @@
     limit: usize,
     used: AtomicUsize,
     created: Instant,
-    /// Number of the next incomplete body.
+    /// Number of the next body in progress.
     next: AtomicU64,
-    incomplete: Mutex<BTreeMap<u64, Arc<Slot>>>,
+    in_progress: Mutex<BTreeMap<u64, Arc<dyn Progress>>>,
     losses: Losses,
 }
 
@@ -57,7 +60,7 @@
                 used: AtomicUsize::new(0),
                 created: Instant::now(),
                 next: AtomicU64::new(0),
-                incomplete: Mutex::default(),
+                in_progress: Mutex::default(),
                 losses,
             }),
         }
@@ -94,7 +97,7 @@
         self.reserve(bytes, ceiling, own)
     }
 
-    /// Reserves bytes, and drops other incomplete bodies for them. Returns `None` if none is left, or if
+    /// Reserves bytes, and drops other bodies in progress for them. Returns `None` if none is left, or if
     /// `own` is the next to be dropped.
     fn reserve(&self, bytes: usize, ceiling: usize, own: Option<u64>) -> Option<Reservation> {
         let used = &self.shared.used;
@@ -122,18 +125,34 @@
     }
 
     /// Removes and returns the body without progress for longest, unless it is `own`.
-    fn take_most_stalled(&self, own: Option<u64>) -> Option<Arc<Slot>> {
-        let mut incomplete = self.incomplete();
-        let stalled = incomplete.values().min_by_key(|slot| slot.progress())?.id();
+    fn take_most_stalled(&self, own: Option<u64>) -> Option<Arc<dyn Progress>> {
+        let now = self.now();
+        let mut in_progress = self.in_progress();
+        let bodies = in_progress.values();
+        let droppable = bodies.filter(|body| body.may_be_dropped(now));
+        let stalled = droppable.min_by_key(|body| body.progress())?.id();
         match own {
             Some(own) if own == stalled => None,
-            _ => incomplete.remove(&stalled),
+            _ => in_progress.remove(&stalled),
         }
     }
 
-    fn incomplete(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Slot>>> {
-        let incomplete = self.shared.incomplete.lock();
-        incomplete.unwrap_or_else(PoisonError::into_inner)
+    /// Lets a body be dropped for others until [`Budget::end`].
+    fn begin<C: Held + 'static>(&self, content: C) -> Arc<Slot<C>> {
+        let id = self.shared.next.fetch_add(1, Ordering::Relaxed);
+        let slot = Arc::new(Slot::new(id, self.now(), content));
+        self.in_progress().insert(id, slot.clone());
+        slot
+    }
+
+    /// Ends the progress of a body.
+    fn end(&self, id: u64) {
+        self.in_progress().remove(&id);
+    }
+
+    fn in_progress(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<dyn Progress>>> {
+        let in_progress = self.shared.in_progress.lock();
+        in_progress.unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the time since the creation of the budget, in microseconds.
--- a/components/web/src/budget/losses.rs
+++ b/components/web/src/budget/losses.rs
@@ -30,7 +30,7 @@
         Losses {
             dropped: counter(
                 "chervilloft_memory_dropped_bodies_total",
-                "Incomplete bodies dropped because the memory budget was short.",
+                "Bodies in progress dropped because the memory budget was short.",
             ),
             dropped_bytes: counter(
                 "chervilloft_memory_dropped_bytes_total",
@@ -70,7 +70,7 @@
                 refused = self.refused.get(),
                 used = budget.used(),
                 limit = budget.shared.limit,
-                "memory: dropped an incomplete body of {bytes} bytes without progress for {} ms",
+                "memory: dropped a body of {bytes} bytes without progress for {} ms",
                 stalled_us / 1_000
             );
         }
--- a/components/web/src/budget/reading.rs
+++ b/components/web/src/budget/reading.rs
@@ -1,12 +1,11 @@
-//! The body of one request while it is received.
+//! The body of one request or answer while it is received.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 
-use super::slot::Content;
-use super::{Budget, Reservation, Slot};
+use super::slot::{Content, Progress, Slot};
+use super::{Budget, Reservation};
 
 /// Smallest buffer of a body that does not arrive at once, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1_024;
@@ -25,10 +24,12 @@
 pub struct Reading {
     budget: Budget,
     max_bytes: usize,
+    /// Smallest buffer of the body if it does not arrive at once, in bytes.
+    min_buffer_bytes: usize,
     received: usize,
     /// The body if it arrived at once.
     whole: Option<Whole>,
-    slot: Option<Arc<Slot>>,
+    slot: Option<Arc<Slot<Content>>>,
 }
 
 /// A body that arrived at once.
@@ -50,12 +51,21 @@
         Reading {
             budget: budget.clone(),
             max_bytes,
+            min_buffer_bytes: MIN_BUFFER_BYTES,
             received: 0,
             whole: None,
             slot: None,
         }
     }
 
+    /// Begins a body whose peer is trusted to have announced its length, of `bytes` bytes. The buffer does not
+    /// grow: while it does, the body takes up to twice its length.
+    pub fn of_length(budget: &Budget, bytes: usize) -> Reading {
+        let mut reading = Reading::new(budget, bytes);
+        reading.min_buffer_bytes = bytes;
+        reading
+    }
+
     /// Adds a part; `is_last` says that it is known to be the last one.
     ///
     /// # Errors
@@ -93,7 +103,7 @@
         let Some(slot) = self.slot.take() else {
             return Ok(Bytes::new());
         };
-        self.budget.incomplete().remove(&slot.id());
+        self.budget.end(slot.id());
         let content = slot.content().take();
         content.map(Bytes::from_owner).ok_or(Shortage::Dropped)
     }
@@ -114,15 +124,11 @@
         let reservation = reservation.ok_or(Shortage::Dropped)?;
         let mut bytes = Vec::with_capacity(capacity);
         bytes.extend_from_slice(part);
-        let id = self.budget.shared.next.fetch_add(1, Ordering::Relaxed);
-        let content = Content { bytes, reservation };
-        let slot = Arc::new(Slot::new(id, self.budget.now(), content));
-        self.budget.incomplete().insert(id, slot.clone());
-        self.slot = Some(slot);
+        self.slot = Some(self.budget.begin(Content { bytes, reservation }));
         Ok(())
     }
 
-    fn append(&self, slot: &Slot, part: &[u8]) -> Result<(), Shortage> {
+    fn append(&self, slot: &Slot<Content>, part: &[u8]) -> Result<(), Shortage> {
         let capacity = match slot.content().as_ref() {
             Some(content) => content.bytes.capacity(),
             None => return Err(Shortage::Dropped),
@@ -150,7 +156,7 @@
 
     /// Returns the size of the buffer for a body of which `received` bytes have arrived.
     fn capacity(&self, received: usize) -> usize {
-        let doubled = received.next_power_of_two().max(MIN_BUFFER_BYTES);
+        let doubled = received.next_power_of_two().max(self.min_buffer_bytes);
         doubled.min(self.max_bytes).max(received)
     }
 }
@@ -158,7 +164,7 @@
 impl Drop for Reading {
     fn drop(&mut self) {
         if let Some(slot) = self.slot.take() {
-            self.budget.incomplete().remove(&slot.id());
+            self.budget.end(slot.id());
         }
     }
 }
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -16,7 +16,7 @@
 mod status;
 
 pub use body::{Body, Collected, Limits, collect, empty, full};
-pub use budget::{Budget, Reading, Shortage};
+pub use budget::{Budget, Delivery, Reading, Shortage};
 pub use connection_limit::{ConnectionLimit, LimitedService};
 pub use framing::Framing;
 pub use headers::remove_connection_headers;
--- a/components/web/tests/budget.rs
+++ b/components/web/tests/budget.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use googletest::prelude::*;
 use tokio::time::{Duration, sleep};
-use web::{Budget, Reading, Shortage};
+use web::{Budget, Delivery, Reading, Shortage};
 
 /// Budget of the tests, in bytes. An eighth of it is for bodies that arrive at once.
 const LIMIT: usize = 640 * 1_024;
@@ -123,3 +123,60 @@
     drop(reading);
     assert_that!(budget.used(), eq(0));
 }
+
+// A buffer that grew would count twice, so that an answer of more than half of the budget did not fit.
+#[test]
+fn counts_a_body_of_known_length_once() {
+    let budget = Budget::new(LIMIT);
+    let mut reading = Reading::of_length(&budget, 500_000);
+    for _ in 0..5 {
+        reading.push(part(100_000), false).expect("there is room");
+        assert_that!(budget.used(), eq(500_000));
+    }
+    assert_that!(reading.push(part(1), false), err(eq(Shortage::TooLarge)));
+}
+
+#[test]
+fn delivers_the_parts_in_order_and_then_frees_them() {
+    let budget = Budget::new(LIMIT);
+    let expected: Vec<u8> = (0..150_000_u32).map(|index| index as u8).collect();
+    let mut reading = Reading::new(&budget, MAX_BODY);
+    let received = Bytes::from(expected.clone());
+    reading.push(received, false).expect("there is room");
+    let mut delivery = Delivery::new(&budget, reading.finish().expect("there is room"));
+    let mut sent = Vec::new();
+    while let Some(part) = delivery.next_part().expect("it is not dropped") {
+        sent.extend_from_slice(&part);
+        assert_that!(delivery.remaining(), eq(expected.len() - sent.len()));
+    }
+    assert_that!(sent == expected, eq(true));
+    drop(delivery);
+    assert_that!(budget.used(), eq(0));
+}
+
+// Callers that read nothing kept the memory of their answers until they left.
+#[tokio::test]
+async fn drops_a_delivery_that_stalls_for_a_new_body() {
+    let budget = Budget::new(LIMIT);
+    let answer = begin(&budget, LARGE).finish().expect("there is room");
+    let mut stalled = Delivery::new(&budget, answer);
+    stalled.next_part().expect("it is not dropped");
+    let _other = begin(&budget, LARGE).finish().expect("there is room");
+    sleep(Duration::from_millis(1_050)).await;
+    let _new = begin(&budget, LARGE);
+    assert_that!(stalled.next_part().err(), some(eq(Shortage::Dropped)));
+}
+
+// An answer that its caller reads must not be cut for a request that can be refused.
+#[test]
+fn refuses_a_body_while_deliveries_go_on() {
+    let budget = Budget::new(LIMIT);
+    let answers = (0..2).map(|_| begin(&budget, LARGE).finish().expect("there is room"));
+    let mut deliveries: Vec<_> = answers.map(|b| Delivery::new(&budget, b)).collect();
+    let mut late = Reading::new(&budget, MAX_BODY);
+    assert_that!(late.push(part(LARGE), false), err(eq(Shortage::Dropped)));
+    for delivery in &mut deliveries {
+        let part = delivery.next_part().expect("it is not dropped");
+        assert_that!(part.map_or(0, |part| part.len()), gt(0));
+    }
+}
