End connections whose heads take longer than the text allows

A head had the time of an idle connection, 15 s from the end of the answer before it.

Change: the time counts from the first byte of a head. Entries apply it to callers' connections that are opened once the text is in force. A timer for each connection, not for each request, checks it.

--- a/components/config/src/duration.rs
+++ b/components/config/src/duration.rs
@@ -64,6 +64,32 @@
     parse(&text).map_err(D::Error::custom)
 }
 
+/// Durations that may be left out, for `#[serde(with)]` beside `#[serde(default)]`.
+pub mod optional {
+    use super::{Deserializer, Duration, Serializer};
+
+    /// Deserializes a duration.
+    ///
+    /// # Errors
+    /// Fails if the value is not a string that [`parse`](super::parse) accepts.
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Option<Duration>, D::Error> {
+        super::deserialize(deserializer).map(Some)
+    }
+
+    /// Serializes a duration that is not left out.
+    ///
+    /// # Errors
+    /// Fails if the serializer does.
+    pub fn serialize<S: Serializer>(
+        duration: &Option<Duration>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        super::serialize(&duration.unwrap_or_default(), serializer)
+    }
+}
+
 /// Serializes a duration, for `#[serde(with)]`.
 ///
 /// # Errors
--- a/components/config/src/text/ingress/limits.rs
+++ b/components/config/src/text/ingress/limits.rs
@@ -12,9 +12,13 @@
     pub head_bytes: usize,
     /// Largest request body, in bytes.
     pub body_bytes: usize,
-    /// Longest time to receive a request head.
-    #[serde(with = "crate::duration")]
-    pub head_timeout: Duration,
+    /// Longest time from the first byte of a request head to its end; `None` for the idle timeout of the
+    /// connection only.
+    #[serde(
+        with = "crate::duration::optional",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub head_timeout: Option<Duration>,
     /// Longest time that an idle connection stays open between two requests.
     #[serde(with = "crate::duration")]
     pub idle_timeout: Duration,
@@ -25,7 +29,7 @@
         Limits {
             head_bytes: 16 * 1_024,
             body_bytes: 4 * 1_024 * 1_024,
-            head_timeout: Duration::from_secs(3),
+            head_timeout: None,
             idle_timeout: Duration::from_secs(15),
         }
     }
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -51,7 +51,7 @@
     ) -> Result<Gateway> {
         let core = build_core(settings, protocol, member);
         let servers = listen(&core)?;
-        tokio::spawn(sync::watch_view(core.clone()));
+        tokio::spawn(sync::watch_view(core.clone(), servers.callers.clone()));
         tokio::spawn(sync::report(core.clone()));
         tokio::spawn(reach::run(core.clone()));
         info!(
@@ -166,12 +166,21 @@
     })
 }
 
+/// Returns the limits on the connections of callers, whose heads have `head_timeout`.
+pub(crate) fn callers_settings(core: &Core, head_timeout: Option<Duration>) -> web::Settings {
+    web::Settings {
+        head_timeout,
+        max_connections: core.settings.max_connections,
+        ..web::Settings::default()
+    }
+}
+
 fn listen(core: &Arc<Core>) -> Result<Servers> {
     let limited_to = |max_connections| web::Settings {
         max_connections,
         ..web::Settings::default()
     };
-    let callers = limited_to(core.settings.max_connections);
+    let callers = callers_settings(core, None);
     let probes = limited_to(MAX_PROBE_CONNECTIONS);
     let entries = limited_to(core.settings.max_forwarded_connections);
     let exchange = {
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -12,7 +12,7 @@
 
 use crate::balancer::Position;
 use crate::core::{Core, lock};
-use crate::{Share, Table, crash, retries};
+use crate::{Share, Table, crash, retries, server};
 
 /// Time between two checks of the view.
 const POLL_PERIOD: Duration = Duration::from_millis(40);
@@ -26,8 +26,8 @@
 /// Longest wait for the leader's answer to a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Applies changes of the view for as long as the process runs.
-pub(crate) async fn watch_view(core: Arc<Core>) {
+/// Applies changes of the view, also to the server of callers, for as long as the process runs.
+pub(crate) async fn watch_view(core: Arc<Core>, callers: web::Server) {
     let mut previous: Option<Arc<View>> = None;
     loop {
         let view = core.member.view().load_full();
@@ -36,6 +36,8 @@
             .is_some_and(|previous| Arc::ptr_eq(previous, &view))
         {
             update(&core, previous.as_deref(), &view);
+            let head_timeout = core.table.load().limits().head_timeout;
+            callers.update_settings(server::callers_settings(&core, head_timeout));
             previous = Some(view);
         }
         let now = Instant::now();
--- a/components/web/src/connections.rs
+++ b/components/web/src/connections.rs
@@ -7,7 +7,7 @@
 
 use prometheus::IntCounter;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tracing::warn;
 
 /// Longest wait for the end of a connection that gives way.
@@ -16,6 +16,8 @@
 const LOG_INTERVAL_US: u64 = 1_000_000;
 /// Value of [`Connection::waits_since`] while a request is served.
 const SERVING: u64 = u64::MAX;
+/// Value of [`Connection::head_since`] while no head arrives.
+const NO_HEAD: u64 = u64::MAX;
 
 /// The open connections of one server.
 #[derive(Debug)]
@@ -37,6 +39,8 @@
     /// Time since which it waits for the end of a request's head, in microseconds since the creation of the
     /// server.
     waits_since: AtomicU64,
+    /// Time of the first byte of the head that arrives, in microseconds since the creation of the server.
+    head_since: AtomicU64,
     give_way: Notify,
 }
 
@@ -94,6 +98,7 @@
         let connection = Arc::new(Connection {
             id: self.next.fetch_add(1, Ordering::Relaxed),
             waits_since: AtomicU64::new(self.now()),
+            head_since: AtomicU64::new(NO_HEAD),
             give_way: Notify::new(),
         });
         self.open.fetch_add(1, Ordering::Relaxed);
@@ -142,6 +147,37 @@
     pub(crate) fn begin(&self) {
         let waits_since = &self.connection.waits_since;
         waits_since.store(SERVING, Ordering::Relaxed);
+        let head_since = &self.connection.head_since;
+        head_since.store(NO_HEAD, Ordering::Relaxed);
+    }
+
+    /// Records that bytes have arrived, which begin a head unless one arrives already or a request is served.
+    pub(crate) fn record_bytes(&self) {
+        let head_since = &self.connection.head_since;
+        if head_since.load(Ordering::Relaxed) == NO_HEAD && !self.is_serving() {
+            head_since.store(self.connections.now(), Ordering::Relaxed);
+        }
+    }
+
+    /// Returns once a head has not arrived whole within `limit` from its first byte. One timer serves all heads
+    /// of the connection.
+    pub(crate) async fn head_is_late(&self, limit: Option<Duration>) {
+        let Some(limit) = limit else {
+            return std::future::pending().await;
+        };
+        loop {
+            let time_left = match self.connection.head_since.load(Ordering::Relaxed) {
+                NO_HEAD => limit,
+                since => {
+                    let elapsed = self.connections.now().saturating_sub(since);
+                    limit.saturating_sub(Duration::from_micros(elapsed))
+                }
+            };
+            match time_left.is_zero() {
+                true => return,
+                false => sleep(time_left).await,
+            }
+        }
     }
 
     /// Records that the connection waits for the next request.
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -14,6 +14,7 @@
 mod server;
 mod settings;
 mod status;
+mod tracked;
 
 pub use body::{Body, Collected, Limits, collect, empty, full};
 pub use budget::{Budget, Delivery, Reading, Shortage};
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -20,6 +20,7 @@
 use crate::abort::Abort;
 use crate::connections::{Connections, Guard};
 use crate::served_body::ServedBody;
+use crate::tracked::Tracked;
 use crate::{Body, ObservedStream, Settings};
 
 /// Pause after the listener failed to accept a connection.
@@ -167,7 +168,7 @@
 {
     prepare(&stream, settings);
     let abort = Abort::default();
-    let stream = ObservedStream::new(stream, abort.clone());
+    let stream = ObservedStream::new(stream, Tracked::new(guard.clone(), abort.clone()));
     let serving = guard.clone();
     let service = service_fn(move |request| {
         serving.begin();
@@ -213,6 +214,7 @@
             served.as_mut().graceful_shutdown();
             served.await
         }
+        () = guard.head_is_late(settings.head_timeout) => Ok(()),
         () = guard.must_give_way() => match guard.is_serving() {
             true => {
                 served.as_mut().graceful_shutdown();
--- a/components/web/src/settings.rs
+++ b/components/web/src/settings.rs
@@ -8,6 +8,8 @@
     /// Longest time from the end of a response, or from the opening of a connection, until the
     /// next request head is complete.
     pub idle_timeout: Duration,
+    /// Longest time from the first byte of a request head to its end, beside the idle timeout.
+    pub head_timeout: Option<Duration>,
     /// Largest request head, in bytes.
     pub max_head_bytes: usize,
     /// Maximum number of open connections.
@@ -20,6 +22,7 @@
     fn default() -> Self {
         Settings {
             idle_timeout: Duration::from_secs(15),
+            head_timeout: None,
             max_head_bytes: 16 * 1_024,
             max_connections: 3_000,
             tcp_user_timeout: Duration::from_secs(20),
--- a/components/web/tests/connections.rs
+++ b/components/web/tests/connections.rs
@@ -17,9 +17,15 @@
 const TIMEOUT: Duration = Duration::from_secs(20);
 
 fn start() -> (web::Server, SocketAddr) {
+    start_with(None)
+}
+
+fn start_with(head_timeout: Option<Duration>) -> (web::Server, SocketAddr) {
     let listener = web::listen(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
     let address = listener.local_addr().expect("an address");
     let settings = web::Settings {
+        head_timeout,
+        idle_timeout: Duration::from_secs(3_600),
         max_connections: MAX_CONNECTIONS,
         ..web::Settings::default()
     };
@@ -82,3 +88,30 @@
         assert_that!(read(stream).await, starts_with("HTTP/1.1 200"));
     }
 }
+
+// The head's time in the operators' text was not used: a head without an end held its connection for the time of
+// an idle one.
+#[tokio::test]
+async fn closes_a_connection_whose_head_is_late_and_no_other() {
+    let (_limited, limited) = start_with(Some(SLOW / 2));
+    let (_unlimited, unlimited) = start();
+    let half = "GET / HTTP/1.1\r\nhost: one";
+    let mut slow_heads = [send(limited, half).await, send(unlimited, half).await];
+    let mut idle = send(limited, "").await;
+    let mut served = send(limited, "GET /slow HTTP/1.1\r\nhost: one.example\r\n\r\n").await;
+    assert_that!(read(&mut slow_heads[0]).await, eq(""));
+    assert_that!(read(&mut served).await, starts_with("HTTP/1.1 200"));
+    for (stream, rest) in [
+        (&mut slow_heads[1], ".example\r\n\r\n"),
+        (&mut idle, "GET / HTTP/1.1\r\nhost: one.example\r\n\r\n"),
+        (&mut served, "GET / HTTP/1.1\r\nhost: one.example\r\n\r\n"),
+    ] {
+        let sent = stream.write_all(rest.as_bytes()).await;
+        sent.expect("the connection is open");
+        assert_that!(read(stream).await, starts_with("HTTP/1.1 200"));
+    }
+    // A later head on a connection that has served requests is bounded as well.
+    let sent = served.write_all(half.as_bytes()).await;
+    sent.expect("the connection is open");
+    assert_that!(read(&mut served).await, eq(""));
+}
