Give up the thread between the parts of a body on our own interface

Cause: parts that have arrived together are ready without a wait, and the loop that reads a body went on until none was. Under chunks of one byte, a turn of one connection took up to 128 reads of 4 KiB with some 680 chunks each. With 120 connections on the one worker thread of a control process, the listener and the 10 s limit of a body came to their turn about once a minute. Seen in a failing run: the worker thread used a whole core, 113 connections waited to be accepted, and 152 descriptors were open for the whole minute.

Change: each part takes one unit of the runtime's budget for a turn, of which there are 128, at control processes and entries.

--- a/components/control/src/operators/routes.rs
+++ b/components/control/src/operators/routes.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 use state::rollouts;
 use state::text::{MAX_TEXT_BYTES, Outcome, Submission};
+use tokio::task::consume_budget;
 use tokio::time::timeout;
 use web::{Budget, Reading, Shortage};
 use wire::{Answer, Body, Failure, Query, Submitted};
@@ -219,6 +220,9 @@
     let mut body = std::pin::pin!(body);
     let mut reading = Reading::new(budget, max_bytes);
     loop {
+        // Parts that have arrived together are ready without a wait. Without turns between tiny ones, a crowd kept
+        // the thread from accepting connections for a minute.
+        consume_budget().await;
         let mut next = body.as_mut();
         let part = tokio::select! {
             biased;
--- a/components/entry/src/body.rs
+++ b/components/entry/src/body.rs
@@ -7,6 +7,7 @@
 use compact_str::format_compact;
 use http::{HeaderMap, header};
 use rand::RngExt;
+use tokio::task::consume_budget;
 use web::{Budget, Reading, Shortage};
 use xitca_web::body::{Body, Frame, RequestBody};
 
@@ -86,6 +87,9 @@
     };
     let mut reading = Reading::new(budget, limit);
     loop {
+        // Parts that have arrived together are ready without a wait. Other connections of the thread get their
+        // turn between tiny ones.
+        consume_budget().await;
         let frame = tokio::select! {
             biased;
             () = reading.wait_until_dropped() => return Err(dropped()),
