--- a/tests/crowds/own.rs
+++ b/tests/crowds/own.rs
@@ -43,7 +43,7 @@
         wait_until_reachable(&fleet, &read(1)).await;
         Entry {
             fleet,
-            upstream: upstream,
+            upstream,
             keys: AtomicU64::new(0),
         }
     }
