--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -14,9 +14,10 @@
 mod server;
 mod settings;
 mod status;
+mod tracked;
 
 pub use body::{Body, Collected, Limits, collect, empty, full};
-pub use budget::{Budget, Reading, Shortage};
+pub use budget::{Budget, Delivery, Reading, Shortage};
 pub use connection_limit::{ConnectionLimit, LimitedService};
 pub use framing::Framing;
 pub use headers::remove_connection_headers;
