--- a/tests/explain_route.rs
+++ b/tests/explain_route.rs
@@ -1,28 +1,24 @@
 //! `chervilloft explain-route` asks an entry with a control process, in this process and on loopback.
 
+#[path = "../platform/tests/explain_route/processes.rs"]
+mod processes;
+
 use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::process::{Command, Output};
 use std::sync::Arc;
 use std::time::Duration;
 
-use config::Keys;
-use config::keys::Secret;
-use config::settings::{Peer, Retries};
+use config::settings::Retries;
 use config::text::Balance;
-use control::external::{Operation, Protocol, Reply};
-use control::{Machine, MemoryReplica, Node, Process, Sockets};
-use fleet::Member;
+use control::{MemoryReplica, Process};
 use gateway::Gateway;
 use googletest::prelude::*;
-use http::{Method, Request};
-use platform::{CallerProtocol, OperatorProtocol};
+use platform::CallerProtocol;
 use serde_json::{Value, json};
 use trials::wait_until_within;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_chervilloft");
-const SECRET: &str = "fleet-secret";
-const LEASE: Duration = Duration::from_secs(600);
 /// Longest wait until the entry knows the text and the upstream.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -39,21 +35,12 @@
     async fn start() -> Fixture {
         let upstream = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
         upstream.set_nonblocking(true).unwrap();
-        let process = control();
-        let address = upstream.local_addr().unwrap();
-        let announcement = json!({
-            "service": "plain", "address": address, "zone": "north", "slots": 8, "state": "ready",
-            "version": "v1", "cold_remaining_ms": 0, "sequence": 1, "born": 1,
-        });
-        execute(&process, "/Instances.Heartbeat/u-0", &announcement).await;
-        let read = process.node.execute(Operation::Read).await;
-        assert!(matches!(read, Reply::NoText));
-        execute(&process, "/Configuration.Replace", &text()).await;
+        let process = processes::control(upstream.local_addr().unwrap()).await;
         let loopback = trials::Address::next();
         let ports = loopback.ports(3).unwrap();
         let at = |index: usize| SocketAddr::new(loopback.ip(), ports[index]);
         let settings = settings(at(0), at(1), at(2));
-        let member = member(&process);
+        let member = processes::member(&process);
         let gateway = Gateway::start(settings, Arc::new(CallerProtocol), member).unwrap();
         let fixture = Fixture {
             metrics: at(2),
@@ -78,38 +65,6 @@
     }
 }
 
-fn control() -> Process<MemoryReplica> {
-    let machine = Machine::default();
-    let settings = control::Settings {
-        node: "control-1".into(),
-        incarnation: 1,
-        parser: platform::parse_text,
-        secret: Secret::new(SECRET),
-        ..control::Settings::default()
-    };
-    let replica = MemoryReplica::new("control-1".into(), machine.clone());
-    let node = Node::new(settings, replica, machine);
-    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let sockets = Sockets::bind(any_port, any_port).unwrap();
-    Process::start(node, Keys::default(), sockets).unwrap()
-}
-
-fn member(process: &Process<MemoryReplica>) -> Member {
-    Member::start(fleet::Settings {
-        node: "entry-1".into(),
-        incarnation: 1,
-        peers: vec![Peer {
-            node: "control-1".into(),
-            address: process.peer_address,
-            operators: process.peer_address,
-        }],
-        subscriptions: usize::MAX,
-        parser: platform::parse_text,
-        secret: Secret::new(SECRET),
-        ..fleet::Settings::default()
-    })
-}
-
 fn settings(listen: SocketAddr, ready: SocketAddr, metrics: SocketAddr) -> gateway::Settings {
     gateway::Settings {
         node: "entry-1".into(),
@@ -130,31 +85,6 @@
     }
 }
 
-fn text() -> Value {
-    json!({
-        "version": 7,
-        "routes": [{
-            "name": "safe", "host": "one.example", "path_prefix": "/safe/", "route_kind": "safe",
-            "timeout_ms": 60_000, "target_latency_ms": 30_000, "service": "plain",
-            "max_attempts": 2, "resumable": false,
-        }],
-        "services": [{"name": "plain"}],
-        "tenants": [{"name": "shop", "api_keys": ["key"], "plain_tokens": 1,
-                     "rate_per_s": 1000, "burst": 1000}],
-    })
-}
-
-async fn execute(process: &Process<MemoryReplica>, path: &str, body: &Value) {
-    let request = Request::builder().method(Method::POST).uri(path);
-    let request = request.body(body.to_string().into()).unwrap();
-    let operation = OperatorProtocol { lease: LEASE }.decode(&request).unwrap();
-    let reply = process.node.execute(operation).await;
-    assert!(matches!(
-        reply,
-        Reply::Acknowledged | Reply::Replaced { newest: 7 }
-    ));
-}
-
 async fn explain_route(entry: SocketAddr, arguments: &[&str]) -> Output {
     let mut command = Command::new(BINARY);
     command.args(["explain-route", "--entry", &entry.to_string()]);
