--- a/review/stand_ins_2/lib.rs
+++ b/review/stand_ins_2/lib.rs
@@ -498,7 +498,8 @@
     sequence: AtomicU64,
     /// When each request began to run, with its identifier.
     pub runs: Mutex<Vec<(Instant, String)>>,
-    connections: Mutex<Vec<TcpStream>>,
+    /// Open connections, by a number.
+    connections: Mutex<HashMap<u64, TcpStream>>,
     is_up: AtomicBool,
     announces: AtomicBool,
     /// Time that a plain request takes.
@@ -530,15 +531,20 @@
     }
 
     fn accept(self: Arc<Self>, listener: &TcpListener) {
+        let mut number = 0;
         while self.is_up.load(Ordering::Relaxed) {
             match listener.accept() {
                 Ok((stream, _)) => {
                     let _ = stream.set_nonblocking(false);
+                    number += 1;
                     if let Ok(kept) = stream.try_clone() {
-                        lock(&self.connections).push(kept);
+                        lock(&self.connections).insert(number, kept);
                     }
                     let upstream = self.clone();
-                    thread::spawn(move || upstream.serve(stream));
+                    thread::spawn(move || {
+                        upstream.serve(stream);
+                        lock(&upstream.connections).remove(&number);
+                    });
                 }
                 Err(_) => thread::sleep(Duration::from_millis(1)),
             }
@@ -550,7 +556,7 @@
     pub fn crash(&self) {
         self.announces.store(false, Ordering::Relaxed);
         self.is_up.store(false, Ordering::Relaxed);
-        for stream in lock(&self.connections).drain(..) {
+        for (_, stream) in lock(&self.connections).drain() {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
     }
