--- a/review/stand_ins_2/crashes.rs
+++ b/review/stand_ins_2/crashes.rs
@@ -11,7 +11,12 @@
 use lib::{Deployment, Record, Service, Size, Upstream, Verdict};
 
 /// As on the sheet of armor-sondes.
-const SIZE: Size = Size { zones: 4, per_zone: 2, memory_mb: 260, contact_ms: 3_000 };
+const SIZE: Size = Size {
+    zones: 4,
+    per_zone: 2,
+    memory_mb: 260,
+    contact_ms: 3_000,
+};
 /// Model servers of that sheet.
 const UPSTREAMS: usize = 9;
 /// Servers that crash at each of these times: a quarter of them.
@@ -38,10 +43,16 @@
     deployment.start()?;
     let controls = deployment.controls();
     let json = lib::configuration(7);
-    lib::submit(record, &controls, &json, Duration::from_secs(30)).ok_or("no configuration is acknowledged")?;
+    lib::submit(record, &controls, &json, Duration::from_secs(30))
+        .ok_or("no configuration is acknowledged")?;
     let start = |number: usize| {
         let zone = format!("zone-{}", 1 + number % SIZE.zones);
-        let upstream = Upstream::start(&format!("i-model-{number}"), Service::Model, &zone, Duration::ZERO);
+        let upstream = Upstream::start(
+            &format!("i-model-{number}"),
+            Service::Model,
+            &zone,
+            Duration::ZERO,
+        );
         upstream.map(|upstream| {
             upstream.announce(controls.clone());
             upstream
@@ -54,7 +65,9 @@
     thread::sleep(Duration::from_secs(10).saturating_sub(started.elapsed()));
     let began = Instant::now();
     let tries: Mutex<Vec<Try>> = Mutex::default();
-    let fronts: Vec<_> = (0..deployment.machines.len()).map(|machine| deployment.front(machine)).collect();
+    let fronts: Vec<_> = (0..deployment.machines.len())
+        .map(|machine| deployment.front(machine))
+        .collect();
     let mut number = 0_usize;
     thread::scope(|scope| {
         let mut crashes = CRASHES.iter().peekable();
@@ -69,8 +82,9 @@
             });
             number += 1;
             if trouble && crashes.next_if(|at| began.elapsed() >= **at).is_some() {
-                let running: Vec<usize> =
-                    (0..UPSTREAMS).filter(|place| down.iter().all(|(_, other)| other != place)).collect();
+                let running: Vec<usize> = (0..UPSTREAMS)
+                    .filter(|place| down.iter().all(|(_, other)| other != place))
+                    .collect();
                 for place in busiest(&upstreams, running) {
                     upstreams[place].crash();
                     record.line(format!("servers: {} crashes", upstreams[place].id));
@@ -92,13 +106,28 @@
     for tried in &tries {
         *outcomes.entry(&tried.outcome).or_default() += 1;
     }
-    let denied: Vec<f64> = tries.iter().filter(|tried| tried.outcome == "400").map(|tried| tried.at.as_secs_f64()).collect();
-    record.line(format!("callers: {} proper requests: {outcomes:?}", tries.len()));
-    if let (Some(first), Some(last)) = (denied.iter().copied().reduce(f64::min), denied.iter().copied().reduce(f64::max)) {
-        record.line(format!("callers: refused with 400 from second {first:.1} to {last:.1} of the traffic"));
+    let denied: Vec<f64> = tries
+        .iter()
+        .filter(|tried| tried.outcome == "400")
+        .map(|tried| tried.at.as_secs_f64())
+        .collect();
+    record.line(format!(
+        "callers: {} proper requests: {outcomes:?}",
+        tries.len()
+    ));
+    if let (Some(first), Some(last)) = (
+        denied.iter().copied().reduce(f64::min),
+        denied.iter().copied().reduce(f64::max),
+    ) {
+        record.line(format!(
+            "callers: refused with 400 from second {first:.1} to {last:.1} of the traffic"
+        ));
     }
     let allowed = 5 + tries.len() / 500;
-    record.line(format!("callers: {} were refused with 400, {allowed} may be", denied.len()));
+    record.line(format!(
+        "callers: {} were refused with 400, {allowed} may be",
+        denied.len()
+    ));
     match denied.len() > allowed {
         true => Ok(Verdict::Broken),
         false => Ok(Verdict::Held),
@@ -119,9 +148,16 @@
         lib::new_id(),
         0x9000_0000_u64 + number as u64
     );
-    let answer = lib::request(front, &head, &format!("{{\"report\":{number}}}"), Duration::from_secs(7));
+    let answer = lib::request(
+        front,
+        &head,
+        &format!("{{\"report\":{number}}}"),
+        Duration::from_secs(7),
+    );
     match answer {
-        Ok(answer) if answer.status == 200 && !answer.body.ends_with("0\r\n\r\n") => "cut off".into(),
+        Ok(answer) if answer.status == 200 && !answer.body.ends_with("0\r\n\r\n") => {
+            "cut off".into()
+        }
         Ok(answer) => answer.status.to_string(),
         Err(error) => error,
     }
--- a/review/stand_ins_2/crowd.rs
+++ b/review/stand_ins_2/crowd.rs
@@ -14,7 +14,12 @@
 use lib::{Deployment, Record, Service, Size, Upstream, Verdict};
 
 /// As on the sheet of armor-sondes.
-const SIZE: Size = Size { zones: 4, per_zone: 2, memory_mb: 260, contact_ms: 3_000 };
+const SIZE: Size = Size {
+    zones: 4,
+    per_zone: 2,
+    memory_mb: 260,
+    contact_ms: 3_000,
+};
 /// Machine whose entry the crowd meets; one without a disk.
 const MACHINE: usize = 4;
 /// Processes of the crowd, and the connections of each. A machine has 4,100 descriptors.
@@ -40,7 +45,8 @@
     let mut open = Vec::new();
     if let Ok(address) = address.parse::<SocketAddr>() {
         for _ in 0..CONNECTIONS {
-            let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
+            let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1))
+            else {
                 continue;
             };
             let part = format!(
@@ -99,16 +105,26 @@
     deployment.start()?;
     let controls = deployment.controls();
     let json = lib::configuration(7);
-    lib::submit(record, &controls, &json, Duration::from_secs(30)).ok_or("no configuration is acknowledged")?;
+    lib::submit(record, &controls, &json, Duration::from_secs(30))
+        .ok_or("no configuration is acknowledged")?;
     let upstreams: Result<Vec<_>, _> = (0..2)
-        .map(|n| Upstream::start(&format!("i-plain-{n}"), Service::Plain, "zone-1", Duration::from_millis(15)))
+        .map(|n| {
+            Upstream::start(
+                &format!("i-plain-{n}"),
+                Service::Plain,
+                "zone-1",
+                Duration::from_millis(15),
+            )
+        })
         .collect();
     for upstream in upstreams.map_err(|error| error.to_string())? {
         upstream.announce(controls.clone());
     }
     let front = deployment.front(MACHINE);
     let served = || lib::call(front, "GET", "/safe/reading", Duration::from_millis(1_500));
-    let is_served = lib::wait_until(Duration::from_secs(20), || served().is_ok_and(|answer| answer.status == 200));
+    let is_served = lib::wait_until(Duration::from_secs(20), || {
+        served().is_ok_and(|answer| answer.status == 200)
+    });
     if !is_served {
         return Err("the entry serves nobody in calm".into());
     }
@@ -120,7 +136,9 @@
             crowd.push(Crowd::start(front)?);
         }
         let open: usize = crowd.iter_mut().map(Crowd::open).sum();
-        record.line(format!("crowd: {open} connections, each with a chunked body that stops short of its end"));
+        record.line(format!(
+            "crowd: {open} connections, each with a chunked body that stops short of its end"
+        ));
         if open < CROWD * CONNECTIONS * 9 / 10 {
             return Err(format!("the machine allows only {open} connections"));
         }
@@ -135,8 +153,13 @@
                     let at = began.elapsed();
                     let answer = served();
                     let is_answered = answer.is_ok();
-                    let outcome = answer.map_or_else(|error| error, |answer| answer.status.to_string());
-                    lib::lock(&tries).push(Try { at, outcome, is_answered });
+                    let outcome =
+                        answer.map_or_else(|error| error, |answer| answer.status.to_string());
+                    lib::lock(&tries).push(Try {
+                        at,
+                        outcome,
+                        is_answered,
+                    });
                     thread::sleep(PAUSE);
                 }
             });
@@ -144,9 +167,12 @@
         scope.spawn(|| {
             while began.elapsed() < TRYING {
                 let head = "GET /readiness HTTP/1.1\r\nHost: ready\r\n";
-                let answer = lib::request(deployment.ready(MACHINE), head, "", Duration::from_secs(1));
+                let answer =
+                    lib::request(deployment.ready(MACHINE), head, "", Duration::from_secs(1));
                 let status = answer.map_or(0, |answer| answer.status);
-                record.line(format!("platform: readiness of machine {MACHINE}: {status}"));
+                record.line(format!(
+                    "platform: readiness of machine {MACHINE}: {status}"
+                ));
                 if status != 200 {
                     is_ready.store(false, Ordering::Relaxed);
                 }
@@ -154,17 +180,32 @@
             }
         });
     });
-    let other = lib::call(deployment.front(MACHINE + 1), "GET", "/safe/reading", Duration::from_millis(1_500));
-    record.line(format!("callers: another machine answers: {:?}", other.map(|answer| answer.status)));
+    let other = lib::call(
+        deployment.front(MACHINE + 1),
+        "GET",
+        "/safe/reading",
+        Duration::from_millis(1_500),
+    );
+    record.line(format!(
+        "callers: another machine answers: {:?}",
+        other.map(|answer| answer.status)
+    ));
     let tries = tries.into_inner().unwrap_or_default();
     let longest = longest_silence(&tries);
     let answered = tries.iter().filter(|tried| tried.is_answered).count();
     for second in 0..TRYING.as_secs() {
-        let within: Vec<_> = tries.iter().filter(|tried| tried.at.as_secs() == second).collect();
+        let within: Vec<_> = tries
+            .iter()
+            .filter(|tried| tried.at.as_secs() == second)
+            .collect();
         let mut outcomes: Vec<&str> = within.iter().map(|tried| tried.outcome.as_str()).collect();
         outcomes.sort_unstable();
         outcomes.dedup();
-        record.line(format!("callers: second {second}: {} new connections: {}", within.len(), outcomes.join(", ")));
+        record.line(format!(
+            "callers: second {second}: {} new connections: {}",
+            within.len(),
+            outcomes.join(", ")
+        ));
     }
     record.line(format!(
         "callers: {answered} of {} requests on new connections were answered; longest time without one: {longest:?}",
@@ -172,7 +213,9 @@
     ));
     let ended = deployment.ended();
     if !ended.is_empty() {
-        record.line(format!("platform: processes ended by themselves: {ended:?}"));
+        record.line(format!(
+            "platform: processes ended by themselves: {ended:?}"
+        ));
     }
     let contact = Duration::from_millis(SIZE.contact_ms);
     match is_ready.load(Ordering::Relaxed) && longest > contact {
@@ -183,7 +226,11 @@
 
 /// Returns the longest time within which no try was answered, though all callers tried.
 fn longest_silence(tries: &[Try]) -> Duration {
-    let mut answered: Vec<Duration> = tries.iter().filter(|tried| tried.is_answered).map(|tried| tried.at).collect();
+    let mut answered: Vec<Duration> = tries
+        .iter()
+        .filter(|tried| tried.is_answered)
+        .map(|tried| tried.at)
+        .collect();
     answered.push(Duration::ZERO);
     answered.push(TRYING);
     answered.sort_unstable();
--- a/review/stand_ins_2/founding.rs
+++ b/review/stand_ins_2/founding.rs
@@ -9,7 +9,12 @@
 use lib::{Deployment, Record, Size, Verdict};
 
 /// As on the sheet of armor-sondes-grown: five machines with a disk, of which two may be lost.
-const SIZE: Size = Size { zones: 5, per_zone: 2, memory_mb: 160, contact_ms: 4_000 };
+const SIZE: Size = Size {
+    zones: 5,
+    per_zone: 2,
+    memory_mb: 160,
+    contact_ms: 4_000,
+};
 /// Time for which the machines are down.
 const DOWN: Duration = Duration::from_secs(1);
 /// `recover_s` of that sheet.
@@ -24,7 +29,8 @@
 fn run(record: &Record, trouble: bool) -> Result<Verdict, String> {
     let mut deployment = Deployment::new(SIZE, &[0, 1, 2])?;
     deployment.start()?;
-    record.line("platform: started 10 machines, 5 of them with a disk; seeds are three with a disk");
+    record
+        .line("platform: started 10 machines, 5 of them with a disk; seeds are three with a disk");
     let controls = deployment.controls();
     // The operator sends the first configuration to one machine until that acknowledges it.
     let json = lib::configuration(7);
@@ -39,18 +45,25 @@
         for machine in victims {
             deployment.wipe(machine);
         }
-        record.line(format!("platform: machines {victims:?} lose power and their disks"));
+        record.line(format!(
+            "platform: machines {victims:?} lose power and their disks"
+        ));
         thread::sleep(DOWN);
         for machine in victims {
             deployment.start_machine(machine)?;
         }
-        record.line(format!("platform: machines {victims:?} are back, with empty disks"));
+        record.line(format!(
+            "platform: machines {victims:?} are back, with empty disks"
+        ));
     }
     let back = Instant::now();
     let mut newest = None;
     let mut next_line = Duration::ZERO;
     while back.elapsed() < RECOVERY + PATIENCE && newest.is_none() {
-        let read: Vec<_> = controls.iter().map(|control| lib::read_version(*control)).collect();
+        let read: Vec<_> = controls
+            .iter()
+            .map(|control| lib::read_version(*control))
+            .collect();
         newest = read.iter().flatten().max().copied();
         if back.elapsed() >= next_line || newest.is_some() {
             record.line(format!("operator: reads at all machines: {read:?}"));
@@ -59,15 +72,22 @@
         thread::sleep(Duration::from_millis(200));
     }
     if let ended @ [_, ..] = deployment.ended().as_slice() {
-        record.line(format!("platform: processes ended by themselves: {ended:?}"));
+        record.line(format!(
+            "platform: processes ended by themselves: {ended:?}"
+        ));
     }
     match newest {
         Some(version) if version >= 7 => Ok(Verdict::Held),
         found => {
-            record.line(format!("operator: acknowledged configuration 7; read back: {found:?}"));
+            record.line(format!(
+                "operator: acknowledged configuration 7; read back: {found:?}"
+            ));
             let next = lib::configuration(9);
             let again = lib::submit(record, &controls, &next, Duration::from_secs(5));
-            record.line(format!("operator: a further configuration is acknowledged: {}", again.is_some()));
+            record.line(format!(
+                "operator: a further configuration is acknowledged: {}",
+                again.is_some()
+            ));
             Ok(Verdict::Broken)
         }
     }
--- a/review/stand_ins_2/leave.rs
+++ b/review/stand_ins_2/leave.rs
@@ -10,7 +10,12 @@
 use lib::{Deployment, Record, Service, Size, Upstream, Verdict};
 
 /// As on the sheet of armor-sondes.
-const SIZE: Size = Size { zones: 4, per_zone: 2, memory_mb: 260, contact_ms: 3_000 };
+const SIZE: Size = Size {
+    zones: 4,
+    per_zone: 2,
+    memory_mb: 260,
+    contact_ms: 3_000,
+};
 /// `drain_ms` of that sheet.
 const DRAIN: Duration = Duration::from_millis(2_000);
 /// Time for which the processes are down.
@@ -31,16 +36,30 @@
     deployment.start()?;
     let controls = deployment.controls();
     let json = lib::configuration(7);
-    lib::submit(record, &controls, &json, Duration::from_secs(30)).ok_or("no configuration is acknowledged")?;
-    let start = |name: &str, zone: &str| Upstream::start(name, Service::Plain, zone, Duration::from_millis(15));
+    lib::submit(record, &controls, &json, Duration::from_secs(30))
+        .ok_or("no configuration is acknowledged")?;
+    let start = |name: &str, zone: &str| {
+        Upstream::start(name, Service::Plain, zone, Duration::from_millis(15))
+    };
     let leaving = start("i-leaving", "zone-1").map_err(|error| error.to_string())?;
     let staying = start("i-staying", "zone-2").map_err(|error| error.to_string())?;
     leaving.announce(controls.clone());
     staying.announce(controls.clone());
-    let fronts: Vec<_> = (0..deployment.machines.len()).map(|machine| deployment.front(machine)).collect();
-    let served = |front| lib::call(front, "POST", "/unsafe/record", Duration::from_millis(1_500));
+    let fronts: Vec<_> = (0..deployment.machines.len())
+        .map(|machine| deployment.front(machine))
+        .collect();
+    let served = |front| {
+        lib::call(
+            front,
+            "POST",
+            "/unsafe/record",
+            Duration::from_millis(1_500),
+        )
+    };
     let is_served = lib::wait_until(Duration::from_secs(20), || {
-        fronts.iter().all(|front| served(*front).is_ok_and(|answer| answer.status == 200))
+        fronts
+            .iter()
+            .all(|front| served(*front).is_ok_and(|answer| answer.status == 200))
     });
     if !is_served {
         return Err("the entries serve nobody in calm".into());
@@ -52,9 +71,13 @@
     let late = leaving.announcement();
     let sent = Instant::now();
     record.line("server i-leaving: sends a heartbeat with the state `ready`, which is delayed");
-    let holder = leaving.leave(&controls).ok_or("the leave is not acknowledged")?;
+    let holder = leaving
+        .leave(&controls)
+        .ok_or("the leave is not acknowledged")?;
     let acknowledged = Instant::now();
-    record.line(format!("server i-leaving: {holder} acknowledges that it leaves"));
+    record.line(format!(
+        "server i-leaving: {holder} acknowledges that it leaves"
+    ));
     if trouble {
         let all: Vec<usize> = (0..deployment.machines.len()).collect();
         deployment.end_bootstrap();
@@ -74,7 +97,8 @@
                 let mut turn = caller;
                 while goes_on.load(Ordering::Relaxed) {
                     turn += 1;
-                    if served(fronts[turn % fronts.len()]).is_ok_and(|answer| answer.status == 200) {
+                    if served(fronts[turn % fronts.len()]).is_ok_and(|answer| answer.status == 200)
+                    {
                         answered.fetch_add(1, Ordering::Relaxed);
                     }
                     thread::sleep(Duration::from_millis(20));
@@ -104,8 +128,15 @@
         .filter(|(at, _)| *at > acknowledged + DRAIN && *at > in_touch + DRAIN / 4)
         .map(|(at, _)| (*at - acknowledged).as_secs_f64())
         .collect();
-    record.line(format!("callers: {} requests were answered", answered.load(Ordering::Relaxed)));
-    let first: Vec<String> = late_runs.iter().take(5).map(|at| format!("{at:.2}")).collect();
+    record.line(format!(
+        "callers: {} requests were answered",
+        answered.load(Ordering::Relaxed)
+    ));
+    let first: Vec<String> = late_runs
+        .iter()
+        .take(5)
+        .map(|at| format!("{at:.2}"))
+        .collect();
     record.line(format!(
         "server i-leaving: {} requests later than drain_ms after the acknowledgement, by machines in touch; the first ones {} s after it",
         late_runs.len(),
--- a/review/stand_ins_2/lib.rs
+++ b/review/stand_ins_2/lib.rs
@@ -40,7 +40,10 @@
             2
         }
         Ok(record) => {
-            record.line(format!("disruption: {}", if trouble { "yes" } else { "no" }));
+            record.line(format!(
+                "disruption: {}",
+                if trouble { "yes" } else { "no" }
+            ));
             let verdict = case(&record, trouble).unwrap_or_else(Verdict::NotRun);
             match verdict {
                 Verdict::Held => {
@@ -100,7 +103,9 @@
     let mut rest = template;
     while let Some(start) = rest.find("{{") {
         out.push_str(&rest[..start]);
-        let Some(length) = rest[start..].find("}}") else { break };
+        let Some(length) = rest[start..].find("}}") else {
+            break;
+        };
         let tag = &rest[start + 2..start + length];
         rest = &rest[start + length + 2..];
         let section = tag.chars().next().filter(|c| matches!(c, '#' | '^'));
@@ -175,7 +180,9 @@
     /// Lays the machines out on loopback addresses; `seeds` are the machines that all settings name.
     pub fn new(size: Size, seeds: &[usize]) -> Result<Deployment, String> {
         let id = std::process::id();
-        let nanos = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.subsec_nanos());
+        let nanos = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |t| t.subsec_nanos());
         let folder = std::env::temp_dir().join(format!("chervilloft-review-{id}-{nanos}"));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let net = 16 + (id % 200) as u8;
@@ -186,7 +193,8 @@
             data: folder.join(format!("data-{zone}-{place}")),
         };
         // Those with a disk first.
-        let places = (0..size.per_zone).flat_map(|place| (0..size.zones).map(move |zone| (zone, place)));
+        let places =
+            (0..size.per_zone).flat_map(|place| (0..size.zones).map(move |zone| (zone, place)));
         let machines: Vec<Machine> = places.map(|(zone, place)| machine(zone, place)).collect();
         let port = free_ports(&machines).ok_or("no free ports")?;
         Ok(Deployment {
@@ -213,7 +221,9 @@
     }
 
     pub fn controls(&self) -> Vec<SocketAddr> {
-        (0..self.machines.len()).map(|machine| self.control(machine)).collect()
+        (0..self.machines.len())
+            .map(|machine| self.control(machine))
+            .collect()
     }
 
     fn address(&self, machine: usize, offset: u16) -> SocketAddr {
@@ -231,7 +241,9 @@
     /// Starts the processes of a machine with settings of this moment.
     pub fn start_machine(&mut self, machine: usize) -> Result<(), String> {
         for role in [Role::Control, Role::Entry] {
-            let child = self.spawn(machine, role).map_err(|error| format!("{PROGRAM}: {error}"))?;
+            let child = self
+                .spawn(machine, role)
+                .map_err(|error| format!("{PROGRAM}: {error}"))?;
             self.processes.insert((machine, role), child);
         }
         Ok(())
@@ -268,14 +280,23 @@
     fn fields(&self, index: usize) -> HashMap<&'static str, Value> {
         let machine = &self.machines[index];
         let text = |text: &str| Value::Text(text.to_owned());
-        let seeds = self.seeds.iter().map(|seed| self.control(*seed).to_string());
+        let seeds = self
+            .seeds
+            .iter()
+            .map(|seed| self.control(*seed).to_string());
         let mut fields = HashMap::from([
-            ("node_name", Value::Text(format!("edge-{}-{index}", machine.zone))),
+            (
+                "node_name",
+                Value::Text(format!("edge-{}-{index}", machine.zone)),
+            ),
             ("zone", text(&machine.zone)),
             ("ip", Value::Text(machine.ip.to_string())),
             ("listen.front", Value::Text(self.front(index).to_string())),
             ("listen.ready", Value::Text(self.ready(index).to_string())),
-            ("listen.control", Value::Text(self.control(index).to_string())),
+            (
+                "listen.control",
+                Value::Text(self.control(index).to_string()),
+            ),
             ("internal_ports.0", Value::Text((self.port + 3).to_string())),
             ("internal_ports.1", Value::Text((self.port + 4).to_string())),
             ("seeds", Value::List(seeds.collect())),
@@ -303,8 +324,10 @@
     /// Kills all processes of some machines at the same moment.
     pub fn kill(&mut self, machines: &[usize]) {
         let all = self.processes.iter_mut();
-        let mut killed: Vec<&mut Child> =
-            all.filter(|((machine, _), _)| machines.contains(machine)).map(|(_, child)| child).collect();
+        let mut killed: Vec<&mut Child> = all
+            .filter(|((machine, _), _)| machines.contains(machine))
+            .map(|(_, child)| child)
+            .collect();
         for child in &mut killed {
             let _ = child.kill();
         }
@@ -321,7 +344,8 @@
     /// Returns the machines of which a process has ended by itself.
     pub fn ended(&mut self) -> Vec<(usize, Role)> {
         let all = self.processes.iter_mut();
-        let ended = all.filter_map(|(key, child)| matches!(child.try_wait(), Ok(Some(_))).then_some(*key));
+        let ended =
+            all.filter_map(|(key, child)| matches!(child.try_wait(), Ok(Some(_))).then_some(*key));
         ended.collect()
     }
 }
@@ -341,10 +365,14 @@
 fn free_ports(machines: &[Machine]) -> Option<u16> {
     let start = 21_000 + (std::process::id() % 300) as u16 * 100;
     let is_free = |port: u16| {
-        let mut all = machines.iter().flat_map(|machine| (port..port + PORTS).map(move |p| (machine.ip, p)));
+        let mut all = machines
+            .iter()
+            .flat_map(|machine| (port..port + PORTS).map(move |p| (machine.ip, p)));
         all.all(|(ip, port)| TcpListener::bind((ip, port)).is_ok())
     };
-    (0..50).map(|step| 20_000 + (start - 20_000 + step * 20) % 40_000).find(|port| is_free(*port))
+    (0..50)
+        .map(|step| 20_000 + (start - 20_000 + step * 20) % 40_000)
+        .find(|port| is_free(*port))
 }
 
 /// An answer to a request.
@@ -365,7 +393,10 @@
     let mut stream =
         TcpStream::connect_timeout(&address, limit.min(Duration::from_secs(1))).map_err(text_of)?;
     stream.set_nodelay(true).map_err(text_of)?;
-    let whole = format!("{head}Connection: close\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let whole = format!(
+        "{head}Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
     stream.write_all(whole.as_bytes()).map_err(text_of)?;
     read_answer(&mut stream, deadline)
 }
@@ -386,7 +417,12 @@
         match stream.read(&mut buffer) {
             Ok(0) => break,
             Ok(count) => bytes.extend_from_slice(&buffer[..count]),
-            Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+            Err(error)
+                if matches!(
+                    error.kind(),
+                    io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                ) =>
+            {
                 return Err("no answer in time".into());
             }
             Err(error) => return Err(error.to_string()),
@@ -396,7 +432,10 @@
     let Some((head, body)) = text.split_once("\r\n\r\n") else {
         return Err("closed without an answer".into());
     };
-    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
     Ok(Answer {
         status: status.ok_or("an answer without a status")?,
         body: body.to_owned(),
@@ -411,7 +450,12 @@
 }
 
 /// Sends a caller's request.
-pub fn call(address: SocketAddr, method: &str, path: &str, deadline: Duration) -> Result<Answer, String> {
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    deadline: Duration,
+) -> Result<Answer, String> {
     let head = format!(
         "{method} {path} HTTP/1.1\r\nHost: front.example\r\nAttempt-Id: {}\r\nDeadline-Ms: {}\r\n",
         new_id(),
@@ -422,13 +466,19 @@
 
 /// Posts JSON to a control process.
 pub fn post(address: SocketAddr, path: &str, json: &str) -> Result<Answer, String> {
-    let head = format!("POST {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n");
+    let head =
+        format!("POST {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n");
     request(address, &head, json, CALL_TIMEOUT)
 }
 
 /// Sends a configuration to one control process after the other until it is acknowledged. Returns the
 /// place of the one that did.
-pub fn submit(record: &Record, controls: &[SocketAddr], json: &str, limit: Duration) -> Option<usize> {
+pub fn submit(
+    record: &Record,
+    controls: &[SocketAddr],
+    json: &str,
+    limit: Duration,
+) -> Option<usize> {
     let deadline = Instant::now() + limit;
     while Instant::now() < deadline {
         for (place, control) in controls.iter().enumerate() {
@@ -449,7 +499,9 @@
     let head = format!("GET /Configuration.Read HTTP/1.1\r\nHost: {control}\r\n");
     let answer = request(control, &head, "", CALL_TIMEOUT)?;
     let digits = answer.body.split_once("\"version\":").map(|(_, rest)| {
-        rest.chars().take_while(char::is_ascii_digit).collect::<String>()
+        rest.chars()
+            .take_while(char::is_ascii_digit)
+            .collect::<String>()
     });
     match (answer.status, digits.and_then(|digits| digits.parse().ok())) {
         (200, Some(version)) => Ok(version),
@@ -508,10 +560,17 @@
 
 impl Upstream {
     /// Starts an upstream on a loopback address.
-    pub fn start(id: &str, service: Service, zone: &str, work: Duration) -> io::Result<Arc<Upstream>> {
+    pub fn start(
+        id: &str,
+        service: Service,
+        zone: &str,
+        work: Duration,
+    ) -> io::Result<Arc<Upstream>> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         listener.set_nonblocking(true)?;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64);
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |t| t.as_millis() as u64);
         let upstream = Arc::new(Upstream {
             id: id.to_owned(),
             service,
@@ -615,9 +674,10 @@
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let (slots, engine) = match self.service {
             Service::Plain => (6, ""),
-            Service::Model => {
-                (64, r#","stage":"both","models":[{"name":"m","version":1,"adapters":[]}]"#)
-            }
+            Service::Model => (
+                64,
+                r#","stage":"both","models":[{"name":"m","version":1,"adapters":[]}]"#,
+            ),
         };
         format!(
             r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{slots},"state":"ready","cold_remaining_ms":0{engine},"sequence":{sequence},"born":{}}}"#,
@@ -652,7 +712,11 @@
                 let mut order = controls.clone();
                 order.rotate_left(first % controls.len());
                 let sent = upstream.send_announcement(&order, &json);
-                thread::sleep(if sent.is_some() { HEARTBEAT } else { HEARTBEAT / 8 });
+                thread::sleep(if sent.is_some() {
+                    HEARTBEAT
+                } else {
+                    HEARTBEAT / 8
+                });
             }
         });
     }
@@ -686,7 +750,9 @@
     loop {
         if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-            let length = header(&head, "content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+            let length = header(&head, "content-length")
+                .and_then(|length| length.parse().ok())
+                .unwrap_or(0);
             if bytes.len() >= end + 4 + length {
                 return Some((head, bytes[end + 4..end + 4 + length].to_vec()));
             }
