--- a/review/stand_ins_2/lib.rs
+++ b/review/stand_ins_2/lib.rs
@@ -320,7 +320,6 @@
         if self.bootstrap {
             fields.insert("bootstrap", text("true"));
         }
-        // The template fixes the port of the metrics; other deployments may run on this machine.
         fields
     }
 
